--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Needs Python 3.11, pip and make. Everything runs in .venv, from a pinned lock.
+PYTHON ?= python3
+VENV := .venv
+RUN := $(VENV)/bin/python
+SEED ?= 1
+STEPS ?= 20000
+
+.PHONY: install demo test lint matrix soak chaos bench-slopes bench-path bench-policy up down
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
+	touch $@
+
+demo: install
+	$(RUN) -m bench.demo
+
+test: install
+	$(RUN) -m pytest -q
+
+lint: install
+	$(VENV)/bin/black --check --quiet src standins bench tests
+	$(VENV)/bin/ruff check --quiet src standins bench tests
+	$(VENV)/bin/mypy
+
+matrix: install
+	$(RUN) -m tests.matrix
+
+soak: install
+	$(RUN) -m tests.soak --seed $(SEED) --steps $(STEPS)
+
+chaos: install
+	$(RUN) -m bench.chaos
+
+bench-slopes: install
+	$(RUN) -m bench.slopes
+
+bench-path: install
+	$(RUN) -m bench.path
+
+bench-policy: install
+	$(RUN) -m bench.policy
+
+up: install
+	$(RUN) -m bench.play up
+
+down: install
+	$(RUN) -m bench.play down
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and measurements over the stand-ins."""
--- /dev/null
+++ b/src/kestreltally/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for very many LoRA adapters over shared model engines."""
--- /dev/null
+++ b/src/kestreltally/callers/__init__.py
@@ -0,0 +1,1 @@
+"""callers of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/callers/identity.py
@@ -0,0 +1,68 @@
+"""Who calls, and what the rules allow."""
+
+import hmac
+from hashlib import sha256
+from typing import Final
+
+from result import Err, Ok, Result
+
+from kestreltally.entities.configuration import ANY, Caller, Effect, Rule, WhenStale
+from kestreltally.orders import RefusalReason
+from kestreltally.requests.outcomes import Outcome, Refusal
+from kestreltally.systems.configuration import tell_unconfirmed
+from kestreltally.world import World
+
+BEARER: Final = "Bearer "
+STALE_COME_BACK: Final = 2.0
+
+
+def digest_key(key: str) -> str:
+    """Return the form in which a caller's key is kept."""
+    return sha256(key.encode()).hexdigest()
+
+
+def find_caller(world: World, authorization: str) -> Result[Caller, Refusal]:
+    """Return the caller whose key the header carries."""
+    if authorization.startswith(BEARER):
+        digest = digest_key(authorization[len(BEARER) :].strip())
+        caller = world.config.callers_of_digest.get(digest)
+        known = caller.key_digests if caller is not None else ()
+        if any(hmac.compare_digest(digest, each) for each in known):
+            assert caller is not None
+            return Ok(caller)
+    return Err(
+        Refusal(
+            reason=RefusalReason.UNKNOWN_KEY,
+            outcome=Outcome.NOT_RUN,
+            message="the Authorization header must be 'Bearer KEY' with a known key",
+        )
+    )
+
+
+def find_rules(world: World, caller: str, adapter: str) -> list[Rule]:
+    """Return the rules that speak of a caller and an adapter."""
+    table = world.config.rules_of_adapter
+    named = [*table.get(adapter, {}).values(), *table.get(ANY, {}).values()]
+    return [rule for rule in named if rule.matches(caller, adapter)]
+
+
+def check_rules(world: World, caller: str, adapter: str) -> Refusal | None:
+    """Return why a caller may not use an adapter, or none if it may."""
+    rules = find_rules(world, caller, adapter)
+    denied = [rule.name for rule in rules if rule.effect is Effect.DENY]
+    if denied or not rules:
+        why = f"rule {denied[0]} denies it" if denied else "no rule allows it"
+        return Refusal(
+            reason=RefusalReason.NOT_ALLOWED,
+            outcome=Outcome.NOT_RUN,
+            message=f"{caller} may not use {adapter}: {why}",
+        )
+    strict = any(rule.when_stale is WhenStale.REFUSE for rule in rules)
+    if strict and tell_unconfirmed(world) > world.settings.stale_after:
+        return Refusal(
+            reason=RefusalReason.STALE_CONFIGURATION,
+            outcome=Outcome.NOT_RUN,
+            message="the rules cannot be confirmed to be the newest",
+            retry_after=STALE_COME_BACK,
+        )
+    return None
--- /dev/null
+++ b/src/kestreltally/callers/sinks.py
@@ -0,0 +1,141 @@
+"""Where answers go: an open HTTP response, or a whole JSON body."""
+
+from typing import Any, Final
+
+import msgspec
+from aiohttp import web
+
+from kestreltally.ports import AnswerHead
+from kestreltally.requests.outcomes import Refusal
+from kestreltally.requests.relay import END_MARK, EVENT_END, AnswerEvent, read_events
+
+STREAM_HEADERS: Final = {
+    "Content-Type": "text/event-stream",
+    "Cache-Control": "no-cache",
+}
+DROPPED_HEADERS: Final = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "date",
+        "server",
+    }
+)
+HEADER_REQUEST: Final = "X-Request-Id"
+HEADER_ADAPTER: Final = "X-Adapter-Version"
+
+
+def describe_refusal(refusal: Refusal, request: str) -> dict[str, Any]:
+    """Return the JSON form of a refusal."""
+    error: dict[str, Any] = {
+        "type": refusal.reason.value,
+        "outcome": refusal.outcome.value,
+        "message": refusal.message,
+        "request_id": request,
+    }
+    if refusal.retry_after > 0:
+        error["retry_after"] = round(refusal.retry_after, 3)
+    return {"error": error}
+
+
+class StreamSink:
+    """Hands an answer on as it comes."""
+
+    holds_back = False
+
+    def __init__(self, http: web.Request, request: str) -> None:
+        self._http = http
+        self._request = request
+        self.response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head of the response."""
+        headers = {HEADER_REQUEST: self._request, **STREAM_HEADERS}
+        if head.headers is not None:
+            kept = {
+                name: value
+                for name, value in head.headers.items()
+                if name.lower() not in DROPPED_HEADERS
+            }
+            headers = {**kept, HEADER_REQUEST: self._request}
+        else:
+            headers[HEADER_ADAPTER] = head.adapter
+        self.response = web.StreamResponse(status=head.status, headers=headers)
+        await self.response.prepare(self._http)
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes; waits while the caller does not read."""
+        assert self.response is not None
+        await self.response.write(data)
+
+    def forget(self) -> None:
+        """Nothing is held back here."""
+
+    async def finish(self, with_end_mark: bool) -> web.StreamResponse:
+        """End a whole answer."""
+        assert self.response is not None
+        if with_end_mark:
+            await self.response.write(END_MARK + EVENT_END)
+        await self.response.write_eof()
+        return self.response
+
+    async def break_off(self, refusal: Refusal, as_event: bool) -> web.StreamResponse:
+        """End an answer that is not whole so that the caller can see it."""
+        assert self.response is not None
+        if as_event:
+            error = msgspec.json.encode(describe_refusal(refusal, self._request))
+            await self.response.write(b"data: " + error + EVENT_END)
+            await self.response.write_eof()
+        elif self._http.transport is not None:
+            self._http.transport.abort()
+        return self.response
+
+
+class WholeSink:
+    """Holds an answer back until it is whole."""
+
+    holds_back = True
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+        self.head: AnswerHead | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Keep the head."""
+        self.head = head
+
+    async def send(self, data: bytes) -> None:
+        """Keep bytes."""
+        self._parts.append(data)
+
+    def forget(self) -> None:
+        """Drop what was kept."""
+        self._parts.clear()
+
+    def compose(self, request: str, chat: bool) -> dict[str, Any]:
+        """Return the whole answer in the usual form of model servers."""
+        events = read_events(b"".join(self._parts))
+        text = "".join(_text_of(event) for event in events)
+        ids = [id_ for event in events for c in event.choices for id_ in c.token_ids]
+        reasons = [c.finish_reason for event in events for c in event.choices]
+        finish = next((reason for reason in reversed(reasons) if reason), "stop")
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+        if chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return {
+            "id": request,
+            "object": "chat.completion" if chat else "text_completion",
+            "model": events[0].model if events else "",
+            "choices": [choice],
+            "usage": {"completion_tokens": len(ids)},
+        }
+
+
+def _text_of(event: AnswerEvent) -> str:
+    return "".join(
+        choice.text + choice.delta.get("content", "") for choice in event.choices
+    )
--- /dev/null
+++ b/src/kestreltally/callers/surface.py
@@ -0,0 +1,200 @@
+"""The callers' HTTP surface: model servers' usual paths, and plain services."""
+
+import logging
+import math
+from dataclasses import replace
+from typing import Final
+
+from aiohttp import web
+from result import Err
+
+from kestreltally.callers.identity import check_rules, find_caller
+from kestreltally.callers.reading import (
+    CHAT,
+    COMPLETIONS,
+    HEADER_REQUEST,
+    read_completion,
+    read_service_call,
+    refuse,
+)
+from kestreltally.callers.sinks import StreamSink, WholeSink, describe_refusal
+from kestreltally.entities.configuration import Caller
+from kestreltally.metrics import Metrics
+from kestreltally.orders import RefusalReason
+from kestreltally.requests.flow import CallerRequest, RequestServer
+from kestreltally.requests.outcomes import STATUS_OF_REASON, Refusal
+from kestreltally.runtime import Runtime
+from kestreltally.systems.configuration import find_adapters
+
+LOG = logging.getLogger("kestreltally.callers")
+HEADER_RETRY_AFTER: Final = "Retry-After"
+HEADER_OUTCOME: Final = "X-Outcome"
+
+
+def respond_refusal(refusal: Refusal, request: str) -> web.Response:
+    """Return the HTTP form of a refusal."""
+    headers = {HEADER_REQUEST: request, HEADER_OUTCOME: refusal.outcome.value}
+    if refusal.retry_after > 0:
+        headers[HEADER_RETRY_AFTER] = str(math.ceil(refusal.retry_after))
+    return web.json_response(
+        describe_refusal(refusal, request),
+        status=STATUS_OF_REASON[refusal.reason],
+        headers=headers,
+    )
+
+
+class CallerSurface:
+    """The handlers of the callers' side of one daemon."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        server: RequestServer,
+        metrics: Metrics,
+    ) -> None:
+        self._runtime = runtime
+        self._server = server
+        self._metrics = metrics
+        self._serial = 0
+
+    def make_app(self) -> web.Application:
+        """Return the application with its routes."""
+        limit = self._runtime.world.settings.limits.body_bytes
+        app = web.Application(client_max_size=limit)
+        app.router.add_post(COMPLETIONS, self.serve_completion)
+        app.router.add_post(CHAT, self.serve_completion)
+        app.router.add_get("/v1/models", self.list_models)
+        app.router.add_route("*", "/{path:.*}", self.serve_service)
+        return app
+
+    def _refuse(self, refusal: Refusal, request: str) -> web.Response:
+        self._metrics.count_refusal(refusal)
+        return respond_refusal(refusal, request)
+
+    async def _open(self, http: web.Request) -> tuple[Caller, bytes] | web.Response:
+        """Return who calls and the body, or the refusal."""
+        request = http.headers.get(HEADER_REQUEST, "")
+        if not self._server.accepts:
+            stopping = refuse(RefusalReason.STOPPING, "this daemon is stopping", 1.0)
+            return self._refuse(stopping.err_value, request)
+        found = find_caller(
+            self._runtime.world,
+            http.headers.get("Authorization", ""),
+        )
+        if isinstance(found, Err):
+            return self._refuse(found.err_value, request)
+        try:
+            return found.ok_value, await http.read()
+        except web.HTTPRequestEntityTooLarge:
+            limit = self._runtime.world.settings.limits.body_bytes
+            large = refuse(RefusalReason.TOO_LARGE, f"body: at most {limit} bytes")
+            return self._refuse(large.err_value, request)
+
+    def _make_unique(self, request: CallerRequest) -> CallerRequest:
+        """Tell repeats of a repeatable request id apart inside."""
+        if not request.repeatable or request.request not in self._server.live:
+            return request
+        self._serial += 1
+        unique = type(request.request)(f"{request.request}#{self._serial}")
+        return replace(request, request=unique)
+
+    async def serve_completion(self, http: web.Request) -> web.StreamResponse:
+        """Serve a completion or chat completion."""
+        opened = await self._open(http)
+        if isinstance(opened, web.Response):
+            return opened
+        caller, raw = opened
+        read = read_completion(
+            self._runtime.world,
+            caller,
+            http.path,
+            http.headers,
+            raw,
+            self._runtime.clock(),
+        )
+        named = http.headers.get(HEADER_REQUEST, "")
+        if isinstance(read, Err):
+            return self._refuse(read.err_value, named)
+        request, streamed = read.ok_value
+        request = self._make_unique(request)
+        outside_id = request.request.partition(":")[2]
+        if streamed:
+            return await self._serve_stream(http, request, outside_id, as_event=True)
+        return await self._serve_whole(http, request, outside_id)
+
+    async def _serve_stream(
+        self,
+        http: web.Request,
+        request: CallerRequest,
+        outside_id: str,
+        as_event: bool,
+    ) -> web.StreamResponse:
+        sink = StreamSink(http, outside_id)
+        with self._metrics.time_request(request):
+            result = await self._server.serve(request, sink)
+        if not isinstance(result, Err):
+            return await sink.finish(with_end_mark=as_event)
+        refusal = result.err_value
+        if sink.response is None:
+            return self._refuse(refusal, outside_id)
+        self._metrics.count_refusal(refusal)
+        return await sink.break_off(refusal, as_event)
+
+    async def _serve_whole(
+        self,
+        http: web.Request,
+        request: CallerRequest,
+        outside_id: str,
+    ) -> web.StreamResponse:
+        sink = WholeSink()
+        with self._metrics.time_request(request):
+            result = await self._server.serve(request, sink)
+        if isinstance(result, Err):
+            return self._refuse(result.err_value, outside_id)
+        assert sink.head is not None
+        headers = {
+            HEADER_REQUEST: outside_id,
+            "X-Adapter-Version": sink.head.adapter,
+        }
+        body = sink.compose(outside_id, chat=http.path == CHAT)
+        return web.json_response(body, headers=headers)
+
+    async def serve_service(self, http: web.Request) -> web.StreamResponse:
+        """Serve a request to a plain service."""
+        opened = await self._open(http)
+        if isinstance(opened, web.Response):
+            return opened
+        caller, raw = opened
+        read = read_service_call(
+            self._runtime.world,
+            caller,
+            http.method,
+            http.path,
+            http.path_qs,
+            http.headers,
+            raw,
+            self._runtime.clock(),
+        )
+        if isinstance(read, Err):
+            return self._refuse(read.err_value, http.headers.get(HEADER_REQUEST, ""))
+        request = self._make_unique(read.ok_value)
+        outside_id = request.request.partition(":")[2]
+        return await self._serve_stream(http, request, outside_id, as_event=False)
+
+    async def list_models(self, http: web.Request) -> web.StreamResponse:
+        """List the adapters that the caller may use."""
+        opened = await self._open(http)
+        if isinstance(opened, web.Response):
+            return opened
+        caller, _ = opened
+        world = self._runtime.world
+        allowed = [
+            adapter
+            for adapter in find_adapters(world)
+            if adapter.current and check_rules(world, caller.name, adapter.name) is None
+        ]
+        data = [
+            {"id": each.name, "object": "model", "version": each.current}
+            for each in allowed
+        ]
+        return web.json_response({"object": "list", "data": data})
--- /dev/null
+++ b/src/kestreltally/cli/__init__.py
@@ -0,0 +1,1 @@
+"""cli of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/cli/output.py
@@ -0,0 +1,40 @@
+"""Print rows as a table or as JSON."""
+
+import json
+from typing import Any
+
+import click
+
+
+def _show(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list | tuple):
+        return ",".join(map(str, value)) or "-"
+    return "-" if value in ("", None) else str(value)
+
+
+def format_table(rows: list[dict[str, Any]]) -> list[str]:
+    """Return the lines of a table with a head."""
+    if not rows:
+        return ["(none)"]
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [[_show(row.get(name)) for name in names] for row in rows]
+    widths = [
+        max(len(name), *(len(line[column]) for line in cells))
+        for column, name in enumerate(names)
+    ]
+    lines = [
+        "  ".join(text.ljust(width) for text, width in zip(line, widths, strict=True))
+        for line in [names, *cells]
+    ]
+    return [line.rstrip() for line in lines]
+
+
+def print_rows(rows: list[dict[str, Any]], output: str) -> None:
+    """Print rows in the chosen form."""
+    if output == "json":
+        click.echo(json.dumps(rows))
+        return
+    for line in format_table(rows):
+        click.echo(line)
--- /dev/null
+++ b/src/kestreltally/cli/session.py
@@ -0,0 +1,187 @@
+"""Run statements for one operator and print what they give."""
+
+import asyncio
+from typing import Any, Final
+
+import click
+import msgspec
+from result import Err
+
+from kestreltally.cli.output import print_rows
+from kestreltally.operators.reading import CONFIG_TABLES, Reader, select_rows
+from kestreltally.operators.statements import (
+    Drain,
+    Explain,
+    Show,
+    ShowTimeline,
+    Statement,
+)
+from kestreltally.operators.writing import Change, ChangeFailure, ChangeMade, Writer
+from kestreltally.timeline.events import MATCHED_FIELDS
+from kestreltally.timeline.explain import explain_request
+from kestreltally.timeline.merge import format_event, merge_events
+
+EXIT_INVALID: Final = 2
+EXIT_CONFLICT: Final = 3
+EXIT_UNAVAILABLE: Final = 4
+EXIT_UNKNOWN: Final = 5
+EXIT_LAGGING: Final = 6
+STATUS_OF_FAILURE: Final = {
+    ChangeFailure.INVALID: EXIT_INVALID,
+    ChangeFailure.CONFLICT: EXIT_CONFLICT,
+    ChangeFailure.UNAVAILABLE: EXIT_UNAVAILABLE,
+    ChangeFailure.UNKNOWN: EXIT_UNKNOWN,
+}
+POLL: Final = 0.1
+PROGRESS_EVERY: Final = 10
+
+
+class CommandFailed(Exception):
+    """A statement was not carried out; ``status`` is the exit status."""
+
+    def __init__(self, message: str, status: int) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class OperatorSession:
+    """One operator's statements."""
+
+    def __init__(
+        self,
+        reader: Reader,
+        writer: Writer,
+        output: str,
+        wait: float,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._output = output
+        self._wait = wait
+
+    async def run(
+        self, statements: tuple[Statement, ...], dry_run: bool = False
+    ) -> int:
+        """Run statements in their order; stop at the first that fails."""
+        revision = 0
+        for number, statement in enumerate(statements, start=1):
+            if len(statements) > PROGRESS_EVERY and number % PROGRESS_EVERY == 0:
+                click.echo(f"{number} of {len(statements)} statements", err=True)
+            revision = max(revision, await self._run_one(statement, dry_run))
+        if revision and self._wait and not dry_run:
+            return await self._wait_in_force(revision)
+        return 0
+
+    async def _run_one(self, statement: Statement, dry_run: bool) -> int:
+        """Run one statement; return the revision that it made, or 0."""
+        if isinstance(statement, Show):
+            await self._show(statement)
+        elif isinstance(statement, Explain):
+            await self._explain(statement)
+        elif isinstance(statement, ShowTimeline):
+            await self._show_timeline(statement)
+        elif isinstance(statement, Drain) and statement.target == "vm":
+            return await self._drain_vm(statement, dry_run)
+        else:
+            return await self._change(statement, dry_run)
+        return 0
+
+    async def _change(self, change: Change, dry_run: bool) -> int:
+        result = await self._writer.make(change, dry_run)
+        if isinstance(result, Err):
+            refused = result.err_value
+            raise CommandFailed(refused.message, STATUS_OF_FAILURE[refused.failure])
+        made = result.ok_value
+        if dry_run:
+            self._print_difference(made)
+            return 0
+        row = {"changed": f"{made.kind} {made.name}", "revision": made.revision}
+        print_rows([row], self._output)
+        return made.revision
+
+    def _print_difference(self, made: ChangeMade) -> None:
+        before = msgspec.to_builtins(made.before) if made.before is not None else {}
+        after = msgspec.to_builtins(made.after) if made.after is not None else {}
+        rows = [
+            {
+                "object": f"{made.kind} {made.name}",
+                "field": name,
+                "before": before.get(name, "-"),
+                "after": after.get(name, "-"),
+            }
+            for name in dict.fromkeys([*before, *after])
+            if before.get(name) != after.get(name)
+        ]
+        print_rows(rows, self._output)
+
+    async def _drain_vm(self, drain: Drain, dry_run: bool) -> int:
+        endpoints = await self._reader.list_config("endpoint")
+        names = [row["name"] for row in endpoints if row.get("vm") == drain.name]
+        if not names:
+            raise CommandFailed(f"no endpoint is on VM {drain.name!r}", EXIT_INVALID)
+        revision = 0
+        for name in names:
+            one = Drain(target="endpoint", name=name, draining=drain.draining)
+            revision = max(revision, await self._change(one, dry_run))
+        return revision
+
+    async def _show(self, show: Show) -> None:
+        if show.table in CONFIG_TABLES:
+            rows = await self._reader.list_config(CONFIG_TABLES[show.table])
+        else:
+            rows, silent = await self._reader.list_live(show.table)
+            self._tell_silent(silent)
+        print_rows(select_rows(rows, show), self._output)
+
+    def _tell_silent(self, silent: list[str]) -> None:
+        for url in silent:
+            click.echo(f"no answer from {url}: its rows are missing", err=True)
+
+    async def _explain(self, explain: Explain) -> None:
+        events, silent = await self._reader.fetch_events({})
+        self._tell_silent(silent)
+        sentences = explain_request(events, explain.request)
+        if self._output == "json":
+            print_rows([{"sentence": each} for each in sentences], self._output)
+            return
+        for sentence in sentences:
+            click.echo(sentence)
+
+    async def _show_timeline(self, timeline: ShowTimeline) -> None:
+        query: dict[str, str] = {}
+        for condition in timeline.conditions:
+            if condition.field not in MATCHED_FIELDS or condition.operator != "=":
+                known = ", ".join(MATCHED_FIELDS)
+                text = f"timeline takes 'FIELD = VALUE' with FIELD of: {known}"
+                raise CommandFailed(text, EXIT_INVALID)
+            query[condition.field] = str(condition.value)
+        events, silent = await self._reader.fetch_events(query)
+        self._tell_silent(silent)
+        merged = merge_events(events)
+        shown = merged[-timeline.limit :] if timeline.limit else merged
+        if self._output == "json":
+            rows: list[dict[str, Any]] = msgspec.to_builtins(shown)
+            print_rows(rows, self._output)
+            return
+        for event in shown:
+            click.echo(format_event(event))
+
+    async def _wait_in_force(self, revision: int) -> int:
+        """Wait until a revision is in force everywhere, and name those that lag."""
+        count = len(self._reader.daemons)
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self._wait
+        while True:
+            lagging = await self._reader.list_lagging(revision)
+            if not lagging:
+                click.echo(f"in force on {count} of {count} at revision {revision}")
+                return 0
+            if loop.time() >= limit:
+                break
+            await asyncio.sleep(POLL)
+        click.echo(
+            f"in force on {count - len(lagging)} of {count} at revision {revision}; "
+            f"not on: {', '.join(lagging)}",
+            err=True,
+        )
+        return EXIT_LAGGING
--- /dev/null
+++ b/src/kestreltally/daemon.py
@@ -0,0 +1,259 @@
+"""The daemon ``kestreltallyd``: reads its settings and wires the parts together."""
+
+import asyncio
+import logging
+import random
+import signal
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Final
+
+import click
+from aiohttp import web
+
+from kestreltally.callers.surface import CallerSurface
+from kestreltally.endpoints.engines import HttpEngineClient
+from kestreltally.endpoints.services import HttpServiceClient
+from kestreltally.entities.ids import DataCentre, Seconds, VmId
+from kestreltally.invariants import Invariants
+from kestreltally.logs import set_up_logs
+from kestreltally.metrics import Metrics
+from kestreltally.operators.surface import OperatorSurface
+from kestreltally.orders import StopAsked
+from kestreltally.peers.transport import PeerServer, ThriftTransport
+from kestreltally.platform.http import open_session
+from kestreltally.platform.objects import HttpObjectApi
+from kestreltally.platform.vms import HttpVmList
+from kestreltally.policies.registry import UnknownPolicy, require_policy
+from kestreltally.requests.claims import Claims
+from kestreltally.requests.flow import RequestServer
+from kestreltally.runtime import Ports, Runtime
+from kestreltally.settings import (
+    EXIT_BAD_SETTINGS,
+    Address,
+    BadSettings,
+    Settings,
+    load_settings,
+)
+from kestreltally.systems.hashing import choose_owner
+from kestreltally.systems.membership import list_eligible
+from kestreltally.timeline.events import Timeline
+from kestreltally.world import Identity, World
+
+LOG = logging.getLogger("kestreltally.daemon")
+MILLISECONDS: Final = 1000
+STOP_CHECK: Final[Seconds] = 0.05
+SWEEP_PERIOD: Final[Seconds] = 300.0
+SWEEP_DUTY: Final = "claim-sweep"
+SHUTDOWN_WITHIN: Final[Seconds] = 1.0
+EXIT_CANNOT_LISTEN: Final = 3
+EXIT_FAILED: Final = 4
+
+
+def make_world(settings: Settings, now: Seconds, wall: Callable[[], float]) -> World:
+    """Return the empty tables of a daemon that starts now."""
+    incarnation = int(wall() * MILLISECONDS)
+    identity = Identity(
+        vm=VmId(settings.vm),
+        host=settings.peers.host,
+        port=settings.peers.port,
+        data_centre=DataCentre(settings.data_centre),
+        incarnation=incarnation,
+    )
+    return World(
+        identity=identity,
+        settings=settings,
+        random=random.Random(f"{settings.vm}/{incarnation}"),
+        events=Timeline(settings.vm, incarnation, settings.timeline_events, wall),
+        invariants=Invariants(raises=settings.invariants == "raise"),
+        now=now,
+        started_at=now,
+        last_step=now,
+    )
+
+
+class Daemon:
+    """One running daemon."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._session = open_session()
+        platform = settings.platform
+        objects = HttpObjectApi(
+            self._session,
+            platform.object_api,
+            platform.object_api_timeout,
+        )
+        self._transport = ThriftTransport()
+        ports = Ports(
+            objects=objects,
+            vms=HttpVmList(self._session, platform.vm_list),
+            engines=HttpEngineClient(self._session),
+            services=HttpServiceClient(self._session),
+            peers=self._transport,
+        )
+        now = asyncio.get_running_loop().time()
+        self._runtime = Runtime(make_world(settings, now, time.time), ports)
+        self._claims = Claims(objects)
+        self._requests = RequestServer(self._runtime, self._claims)
+        metrics = Metrics()
+        callers = CallerSurface(self._runtime, self._requests, metrics)
+        self._operators = OperatorSurface(self._runtime, self._requests, metrics)
+        self._callers_runner = web.AppRunner(
+            callers.make_app(),
+            handler_cancellation=True,
+            max_line_size=settings.limits.header_bytes,
+            max_field_size=settings.limits.header_bytes,
+            keepalive_timeout=settings.limits.idle,
+            shutdown_timeout=SHUTDOWN_WITHIN,
+            access_log=None,
+        )
+        self._operators_runner = web.AppRunner(
+            self._operators.make_app(),
+            access_log=None,
+        )
+        self._peers = PeerServer(self._runtime.receive)
+        self._sweeping: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen on all sides; raises ``OSError`` when an address is taken."""
+        own = self._settings
+        await self._peers.start(own.peers.host, own.peers.port)
+        await _listen(self._operators_runner, own.operators)
+        await _listen(self._callers_runner, own.callers)
+        self._runtime.start()
+        self._sweeping = asyncio.create_task(self._sweep_claims())
+        LOG.info("daemon: %s serves callers on port %d", own.vm, own.callers.port)
+
+    async def _sweep_claims(self) -> None:
+        """Delete old claims, while that is this daemon's duty."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD)
+            world = self._runtime.world
+            if choose_owner(SWEEP_DUTY, list_eligible(world)) != world.identity.vm:
+                continue
+            try:
+                retention = self._settings.limits.claim_retention
+                deleted = await self._claims.sweep(retention)
+                LOG.info("daemon: %d old claims deleted", deleted)
+            except Exception as error:
+                LOG.warning("daemon: claims not swept: %s", error)
+
+    async def run_until(self, stop: asyncio.Event) -> bool:
+        """Serve until asked to stop, then stop as planned.
+
+        Return false when a task of the runtime failed: a daemon whose tick is
+        dead must go, for its replacement starts clean.
+        """
+        asked = asyncio.create_task(stop.wait())
+        failed = asyncio.create_task(self._runtime.failed.wait())
+        await asyncio.wait({asked, failed}, return_when=asyncio.FIRST_COMPLETED)
+        whole = not self._runtime.failed.is_set()
+        if whole:
+            await self.stop()
+        asked.cancel()
+        failed.cancel()
+        return whole
+
+    async def stop(self) -> None:
+        """Stop as planned: hand over, finish what runs, then go."""
+        world = self._runtime.world
+        LOG.info("daemon: planned stop begins")
+        self._operators.ready = False
+        self._runtime.post(StopAsked())
+        await asyncio.sleep(self._settings.stop_notice)
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self._settings.stop_limit
+        while loop.time() < limit:
+            others = len(list_eligible(world))
+            handed = not world.leaders.led or not others
+            if handed and not self._requests.live and not world.entry.held:
+                break
+            await asyncio.sleep(STOP_CHECK)
+        self._requests.accepts = False
+        LOG.info(
+            "daemon: planned stop ends with %d requests and %d endpoints left",
+            len(self._requests.live),
+            len(world.leaders.led),
+        )
+
+    async def close(self) -> None:
+        """Let go of everything."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        await self._callers_runner.cleanup()
+        await self._operators_runner.cleanup()
+        await self._runtime.stop()
+        await self._peers.stop()
+        await self._transport.close()
+        await self._session.close()
+
+
+async def _listen(runner: web.AppRunner, address: Address) -> None:
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port).start()
+
+
+async def run_daemon(settings: Settings) -> int:
+    """Run until a signal; return the exit status. A second signal ends at once."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def take_signal() -> None:
+        if stop.is_set():
+            LOG.warning("daemon: second signal, ends at once")
+            sys.exit(1)
+        stop.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, take_signal)
+    daemon = Daemon(settings)
+    try:
+        await daemon.start()
+    except OSError as error:
+        LOG.error("daemon: cannot listen: %s", error)
+        await daemon.close()
+        return EXIT_CANNOT_LISTEN
+    whole = await daemon.run_until(stop)
+    await daemon.close()
+    LOG.info("daemon: stopped")
+    return 0 if whole else EXIT_FAILED
+
+
+def read_checked_settings(path: Path) -> Settings:
+    """Return the settings of a file, policies included; raises ``BadSettings``."""
+    settings = load_settings(path)
+    try:
+        require_policy(settings.placement.policy)
+    except UnknownPolicy as error:
+        raise BadSettings(f"{path}: {error}") from error
+    return settings
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The YAML file with the daemon's settings.",
+)
+@click.option("--check", is_flag=True, help="Only check the settings.")
+def main(path: Path, check: bool) -> None:
+    """Run a kestreltally daemon."""
+    try:
+        settings = read_checked_settings(path)
+    except BadSettings as error:
+        click.echo(str(error), err=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        click.echo(f"{path}: the settings are good")
+        return
+    set_up_logs(settings.logging, settings.vm)
+    sys.exit(asyncio.run(run_daemon(settings)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/kestreltally/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""endpoints of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/endpoints/engines.py
@@ -0,0 +1,187 @@
+"""Model engines over HTTP: fenced orders, reports, attempts."""
+
+import asyncio
+from typing import Any, Final
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp.client_exceptions import ClientConnectorError
+
+from kestreltally.endpoints.answers import HttpAnswer
+from kestreltally.entities.endpoints import EndpointReport
+from kestreltally.entities.ids import (
+    AdapterVersion,
+    EndpointId,
+    Seconds,
+    parse_adapter_version,
+)
+from kestreltally.orders import OrderOutcome
+from kestreltally.ports import (
+    AnswerHead,
+    AttemptLost,
+    EndpointRefused,
+    EngineAttempt,
+    NotStarted,
+)
+
+REPORT_TIMEOUT: Final[Seconds] = 1.0
+FENCE_TIMEOUT: Final[Seconds] = 1.0
+STATUS_OK: Final = 200
+STATUS_FENCED: Final = 409
+HEADER_ATTEMPT: Final = "X-Attempt-Id"
+HEADER_ADAPTER: Final = "X-Adapter-Version"
+HEADER_PRIORITY: Final = "X-Priority"
+HEADER_FENCE: Final = "X-Fence"
+FENCED: Final = "fenced"
+
+
+class PlainReport(msgspec.Struct, frozen=True):
+    """An engine's report as it comes; ``age`` is how old it is, in seconds."""
+
+    instance: str
+    age: float = 0.0
+    fence: int = 0
+    loaded: list[str] = []
+    running: dict[str, int] = {}
+    leaving: bool = False
+
+
+class PlainRefusal(msgspec.Struct, frozen=True):
+    """An engine's refusal as it comes."""
+
+    reason: str = "refused"
+    retry_after: float = 0.0
+
+
+def read_report(raw: bytes, endpoint: str, asked_at: Seconds) -> EndpointReport:
+    """Return the typed report; raises ``msgspec.MsgspecError`` or ``ValueError``."""
+    plain = msgspec.json.decode(raw, type=PlainReport)
+    return EndpointReport(
+        endpoint=EndpointId(endpoint),
+        instance=plain.instance,
+        composed_at=asked_at - plain.age,
+        fence=plain.fence,
+        loaded=frozenset(parse_adapter_version(name) for name in plain.loaded),
+        running={
+            parse_adapter_version(name): count for name, count in plain.running.items()
+        },
+        leaving=plain.leaving,
+    )
+
+
+async def fetch_report(
+    session: ClientSession,
+    endpoint: str,
+    url: str,
+) -> EndpointReport | None:
+    """Return an endpoint's report, or none when there is no readable answer."""
+    asked_at = asyncio.get_running_loop().time()
+    try:
+        async with session.get(
+            f"{url}/report",
+            timeout=ClientTimeout(total=REPORT_TIMEOUT),
+        ) as response:
+            raw = await response.read()
+            if response.status != STATUS_OK:
+                return None
+        return read_report(raw, endpoint, asked_at)
+    except (ClientError, TimeoutError, msgspec.MsgspecError, ValueError):
+        return None
+
+
+def read_refusal(raw: bytes) -> PlainRefusal:
+    """Return what an endpoint said when it refused."""
+    try:
+        return msgspec.json.decode(raw, type=PlainRefusal)
+    except msgspec.MsgspecError:
+        return PlainRefusal()
+
+
+class HttpEngineClient:
+    """Implements the port ``EngineClient``."""
+
+    def __init__(self, session: ClientSession) -> None:
+        self._session = session
+
+    async def _order(
+        self,
+        url: str,
+        name: str,
+        body: dict[str, Any],
+        timeout: Seconds | None = None,
+    ) -> OrderOutcome:
+        try:
+            async with self._session.post(
+                f"{url}/orders/{name}",
+                json=body,
+                timeout=ClientTimeout(total=timeout),
+            ) as response:
+                raw = await response.read()
+                status = response.status
+        except ClientConnectorError:
+            return OrderOutcome.FAILED
+        except (ClientError, TimeoutError):
+            return OrderOutcome.UNKNOWN
+        if status == STATUS_OK:
+            return OrderOutcome.DONE
+        if status == STATUS_FENCED and read_refusal(raw).reason == FENCED:
+            return OrderOutcome.FENCED_OFF
+        return OrderOutcome.REFUSED
+
+    async def raise_fence(self, url: str, token: int) -> OrderOutcome:
+        """Make the engine refuse orders with a smaller token."""
+        return await self._order(url, "fence", {"token": token}, FENCE_TIMEOUT)
+
+    async def load(
+        self,
+        url: str,
+        adapter: AdapterVersion,
+        token: int,
+    ) -> OrderOutcome:
+        """Load an adapter version; returns when it is loaded or has failed."""
+        body = {"adapter": str(adapter), "token": token}
+        return await self._order(url, "load", body)
+
+    async def unload(
+        self,
+        url: str,
+        adapter: AdapterVersion,
+        token: int,
+    ) -> OrderOutcome:
+        """Unload an adapter version."""
+        body = {"adapter": str(adapter), "token": token}
+        return await self._order(url, "unload", body)
+
+    async def report(self, endpoint: str, url: str) -> EndpointReport | None:
+        """Return the engine's report, or none."""
+        return await fetch_report(self._session, endpoint, url)
+
+    async def start(self, url: str, attempt: EngineAttempt) -> HttpAnswer:
+        """Send an attempt; raises ``EndpointError``."""
+        body = dict(attempt.payload)
+        if attempt.resume_token_ids:
+            body["resume_token_ids"] = list(attempt.resume_token_ids)
+        headers = {
+            HEADER_ATTEMPT: attempt.attempt,
+            HEADER_ADAPTER: str(attempt.adapter),
+            HEADER_PRIORITY: str(attempt.priority),
+            HEADER_FENCE: str(attempt.fence),
+        }
+        try:
+            response = await self._session.post(
+                f"{url}{attempt.path}",
+                json=body,
+                headers=headers,
+            )
+        except ClientConnectorError as error:
+            raise NotStarted(str(error)) from error
+        except ClientError as error:
+            raise AttemptLost(repr(error)) from error
+        if response.status != STATUS_OK:
+            refusal = read_refusal(await response.read())
+            raise EndpointRefused(refusal.reason, refusal.retry_after)
+        head = AnswerHead(
+            attempt=response.headers.get(HEADER_ATTEMPT, ""),
+            adapter=response.headers.get(HEADER_ADAPTER, ""),
+        )
+        return HttpAnswer(response, head)
--- /dev/null
+++ b/src/kestreltally/entities/__init__.py
@@ -0,0 +1,1 @@
+"""entities of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/entities/permits.py
@@ -0,0 +1,141 @@
+"""Permits, the asks for them, and the requests that wait for one."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from kestreltally.entities.ids import (
+    AdapterVersion,
+    AskId,
+    EndpointId,
+    Epoch,
+    PermitId,
+    Priority,
+    RequestId,
+    Seconds,
+    VmId,
+)
+
+
+class PermitState(Enum):
+    """A permit in its leader's book."""
+
+    OPEN = "open"
+    RETURNED = "returned"
+    EXPIRED = "expired"
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedPermit:
+    """A permit in its leader's book; times are the leader's monotonic seconds."""
+
+    permit: PermitId
+    endpoint: EndpointId
+    adapter: AdapterVersion
+    holder: VmId
+    count: int
+    expires_at: Seconds
+    turn: int = 0
+    state: PermitState = PermitState.OPEN
+    running: int = 0
+
+    def occupies(self) -> int:
+        """Return how many places of the batch the permit takes."""
+        return self.running if self.state is PermitState.RETURNED else self.count
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPermit:
+    """A permit at the entry daemon that may send requests under it.
+
+    ``expires_at`` counts from the sending of the very ask that the leader had
+    seen when it granted, so that a holder always sees the end before the leader.
+    """
+
+    permit: PermitId
+    endpoint: EndpointId
+    adapter: AdapterVersion
+    leader: VmId
+    epoch: Epoch
+    count: int
+    expires_at: Seconds
+    running: int = 0
+    idle_since: Seconds = 0.0
+    returned: bool = False
+    unsure: bool = False
+    told_at: Seconds = -1e9
+
+    def has_room(self, now: Seconds) -> bool:
+        """Tell whether a request may start under the permit."""
+        return not self.returned and now < self.expires_at and self.running < self.count
+
+
+@dataclass(frozen=True, slots=True)
+class Want:
+    """A request at an entry daemon that waits for a permit.
+
+    ``sent_at`` holds when the ask went out, once for each turn.
+    """
+
+    want: str
+    request: RequestId
+    adapter: AdapterVersion
+    candidates: tuple[EndpointId, ...]
+    priority: Priority
+    deadline_at: Seconds
+    since: Seconds
+    ask: AskId | None = None
+    endpoint: EndpointId | None = None
+    sent_at: tuple[Seconds, ...] = ()
+    heard_at: Seconds = 0.0
+    hints_followed: int = 0
+    avoid: frozenset[EndpointId] = frozenset()
+    last_reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """An entry daemon's ask in the queue of an endpoint's leader."""
+
+    ask: AskId
+    holder: VmId
+    endpoint: EndpointId
+    adapter: AdapterVersion
+    priority: Priority
+    deadline_at: Seconds
+    arrived_at: Seconds
+    refreshed_at: Seconds
+    turn: int
+
+
+class LoadState(Enum):
+    """How far a load has come."""
+
+    WAITING_FOR_BUDGET = "waiting for budget"
+    WAITING_FOR_SLOT = "waiting for slot"
+    ORDERED = "ordered"
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """One load of one adapter version on one endpoint; all waiters share it."""
+
+    load: str
+    endpoint: EndpointId
+    adapter: AdapterVersion
+    state: LoadState
+    since: Seconds
+    urgency: float
+    asked_at: Seconds = -1e9
+    victim: AdapterVersion | None = None
+    budget_from: VmId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class BudgetAsk:
+    """A load that waits at the load-budget leader, or runs under its grant."""
+
+    load: str
+    holder: VmId
+    urgency: float
+    refreshed_at: Seconds
+    granted_at: Seconds | None = None
--- /dev/null
+++ b/src/kestreltally/invariants.py
@@ -0,0 +1,61 @@
+"""What must always hold, asserted while the program runs.
+
+One registry: each invariant has a name, the promise of the brief it serves and
+the module that owns it. docs/PROMISES.md maps them. In production a broken one
+is counted and logged; in tests it raises.
+"""
+
+import logging
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Final
+
+LOG = logging.getLogger("kestreltally.invariants")
+
+
+@dataclass(frozen=True)
+class Invariant:
+    """A statement that no run may break."""
+
+    name: str
+    promise: str
+    owner: str
+
+
+REGISTRY: Final[dict[str, Invariant]] = {}
+
+
+def declare_invariant(name: str, *, promise: str, owner: str) -> str:
+    """Register an invariant and return its name."""
+    if name in REGISTRY:
+        raise ValueError(f"invariant {name} is declared twice")
+    REGISTRY[name] = Invariant(name=name, promise=promise, owner=owner)
+    return name
+
+
+class InvariantBroken(AssertionError):
+    """Something that must always hold did not."""
+
+
+@dataclass
+class Invariants:
+    """The checks of one daemon, with the count of those broken."""
+
+    raises: bool
+    broken: Counter[str] = field(default_factory=Counter)
+    first_details: dict[str, str] = field(default_factory=dict)
+
+    def require(self, name: str, holds: bool, detail: str) -> bool:
+        """Check one invariant; return whether it held.
+
+        Raises ``InvariantBroken`` where the settings ask for it.
+        """
+        if holds:
+            return True
+        known = REGISTRY[name]
+        self.broken[name] += 1
+        self.first_details.setdefault(name, detail)
+        LOG.error("invariant: %s is broken (%s): %s", name, known.promise, detail)
+        if self.raises:
+            raise InvariantBroken(f"{name}: {detail}")
+        return False
--- /dev/null
+++ b/src/kestreltally/operators/__init__.py
@@ -0,0 +1,1 @@
+"""operators of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/operators/writing.py
@@ -0,0 +1,297 @@
+"""Operators' changes: conditional, resolved after lost answers, never lost.
+
+Of two operators who change the same object at once one wins, and the other is
+told who changed what.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, fields, replace
+from difflib import get_close_matches
+from enum import Enum
+from typing import Any, Final
+from uuid import uuid4
+
+import msgspec
+from result import Err, Ok, Result
+
+from kestreltally.entities.configuration import (
+    KINDS,
+    Adapter,
+    ConfigObject,
+    ConfigValue,
+    Effect,
+    Endpoint,
+    Rule,
+    key_of,
+    read_config_object,
+    write_config_object,
+)
+from kestreltally.operators.statements import (
+    Alter,
+    Create,
+    Drain,
+    Drop,
+    Pin,
+    Publish,
+    RollBack,
+    SetRule,
+    Setting,
+)
+from kestreltally.ports import (
+    AnswerLost,
+    ObjectApi,
+    ObjectApiDown,
+    PlatformError,
+    StoredObject,
+)
+
+READ_BACK_TRIES: Final = 20
+READ_BACK_WAIT: Final = 0.25
+
+Change = Create | Alter | Drop | Publish | RollBack | SetRule | Drain | Pin
+
+
+class ChangeFailure(Enum):
+    """Why a change was not made."""
+
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class ChangeRefused:
+    """A change that was not made, or whose outcome cannot be found out yet."""
+
+    failure: ChangeFailure
+    message: str
+
+
+@dataclass(frozen=True)
+class ChangeMade:
+    """A change that was accepted at a revision; ``before`` and ``after`` are shown."""
+
+    kind: str
+    name: str
+    revision: int
+    before: ConfigValue | None
+    after: ConfigValue | None
+
+
+class InvalidChange(ValueError):
+    """The change makes no sense; the text says why."""
+
+
+def _apply_settings(
+    kind: str,
+    plain: dict[str, Any],
+    settings: tuple[Setting, ...],
+) -> ConfigValue:
+    """Return the checked value with settings applied; raises ``InvalidChange``."""
+    of_type = KINDS[kind]
+    known = [each.name for each in fields(of_type)]
+    for setting in settings:
+        if setting.field not in known or setting.field == "name":
+            close = get_close_matches(setting.field, known, n=1)
+            hint = f"; did you mean {close[0]!r}?" if close else ""
+            allowed = ", ".join(name for name in known if name != "name")
+            raise InvalidChange(
+                f"{kind} has no field {setting.field!r}; there are: {allowed}{hint}"
+            )
+        value = setting.value
+        plain[setting.field] = list(value) if isinstance(value, tuple) else value
+    try:
+        return msgspec.convert(plain, of_type)
+    except msgspec.ValidationError as error:
+        raise InvalidChange(f"{kind} {plain.get('name')}: {error}") from error
+
+
+def _require(value: ConfigValue | None, kind: str, name: str) -> ConfigValue:
+    if value is None:
+        raise InvalidChange(f"there is no {kind} {name!r}")
+    return value
+
+
+def _alter(value: ConfigValue, kind: str, settings: tuple[Setting, ...]) -> ConfigValue:
+    return _apply_settings(kind, msgspec.to_builtins(value), settings)
+
+
+def _publish(adapter: Adapter, version: int) -> Adapter:
+    if version < 1:
+        raise InvalidChange("a version is a whole number from 1 up")
+    versions = tuple(sorted({*adapter.versions, version}))
+    previous = adapter.current if adapter.current != version else adapter.previous
+    return replace(adapter, versions=versions, current=version, previous=previous)
+
+
+def _roll_back(adapter: Adapter) -> Adapter:
+    if not adapter.previous:
+        raise InvalidChange(f"adapter {adapter.name} has no version to roll back to")
+    return replace(adapter, current=adapter.previous, previous=adapter.current)
+
+
+def compute_value(change: Change, before: ConfigValue | None) -> ConfigValue | None:
+    """Return what a change makes of an object; raises ``InvalidChange``."""
+    kind, name = find_object_of(change)
+    if isinstance(change, Create):
+        if before is not None:
+            raise InvalidChange(f"{kind} {name!r} exists already")
+        return _apply_settings(kind, {"name": name}, change.settings)
+    if isinstance(change, SetRule):
+        return Rule(
+            name=change.name,
+            caller=change.caller,
+            adapter=change.adapter,
+            effect=Effect(change.effect),
+        )
+    value = _require(before, kind, name)
+    if isinstance(change, Alter):
+        return _alter(value, kind, change.settings)
+    if isinstance(change, Drop):
+        return None
+    if isinstance(change, Drain):
+        assert isinstance(value, Endpoint)
+        return replace(value, draining=change.draining)
+    assert isinstance(value, Adapter)
+    if isinstance(change, Publish):
+        return _publish(value, change.version)
+    if isinstance(change, RollBack):
+        return _roll_back(value)
+    return replace(value, pinned_to=change.endpoints)
+
+
+def find_object_of(change: Change) -> tuple[str, str]:
+    """Return kind and name of the object that a change touches."""
+    if isinstance(change, Create | Alter | Drop):
+        return change.kind, change.name
+    if isinstance(change, SetRule):
+        return "rule", change.name
+    if isinstance(change, Drain):
+        return "endpoint", change.name
+    return "adapter", change.adapter
+
+
+class Writer:
+    """Makes operators' changes through the object API."""
+
+    def __init__(
+        self,
+        objects: ObjectApi,
+        operator: str,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._objects = objects
+        self._operator = operator
+        self._wall = wall
+
+    async def make(
+        self,
+        change: Change,
+        dry_run: bool = False,
+    ) -> Result[ChangeMade, ChangeRefused]:
+        """Make a change, or only work it out."""
+        kind, name = find_object_of(change)
+        key = key_of(kind, name)
+        try:
+            stored = await self._objects.read(key)
+        except PlatformError as error:
+            return self._refuse(ChangeFailure.UNAVAILABLE, f"nothing changed: {error}")
+        before = self._read(key, stored)
+        try:
+            after = compute_value(change, before.value if before else None)
+        except InvalidChange as error:
+            return self._refuse(ChangeFailure.INVALID, str(error))
+        made = ChangeMade(
+            kind=kind,
+            name=name,
+            revision=stored.version,
+            before=before.value if before else None,
+            after=after,
+        )
+        if dry_run:
+            return Ok(made)
+        return await self._write(key, made, stored.version)
+
+    def _read(self, key: str, stored: StoredObject) -> ConfigObject | None:
+        if stored.version == 0:
+            return None
+        return read_config_object(key, stored.value, stored.revision)
+
+    def _refuse(self, failure: ChangeFailure, message: str) -> Err[ChangeRefused]:
+        return Err(ChangeRefused(failure=failure, message=message))
+
+    async def _write(
+        self,
+        key: str,
+        made: ChangeMade,
+        version: int,
+    ) -> Result[ChangeMade, ChangeRefused]:
+        changed = ConfigObject(
+            kind=made.kind,
+            name=made.name,
+            revision=0,
+            value=made.after,
+            by=self._operator,
+            at=self._wall(),
+            change=uuid4().hex,
+        )
+        try:
+            plain = write_config_object(changed)
+            written = await self._objects.write(key, plain, version)
+        except ObjectApiDown as error:
+            return self._refuse(ChangeFailure.UNAVAILABLE, f"nothing changed: {error}")
+        except AnswerLost:
+            return await self._resolve(key, made, changed, version)
+        if isinstance(written, Ok):
+            return Ok(replace(made, revision=written.ok_value.revision))
+        return self._tell_conflict(key, written.err_value.current)
+
+    def _tell_conflict(self, key: str, current: StoredObject) -> Err[ChangeRefused]:
+        theirs = self._read(key, current)
+        if theirs is None:
+            return self._refuse(
+                ChangeFailure.CONFLICT, f"{key} is gone; nothing changed"
+            )
+        ago = max(0.0, self._wall() - theirs.at)
+        shown = "dropped it" if theirs.value is None else f"made it {theirs.value}"
+        return self._refuse(
+            ChangeFailure.CONFLICT,
+            f"nothing changed: {theirs.by} {shown} {ago:.1f} s ago, "
+            f"at revision {theirs.revision}; look and try again",
+        )
+
+    async def _resolve(
+        self,
+        key: str,
+        made: ChangeMade,
+        changed: ConfigObject,
+        version: int,
+    ) -> Result[ChangeMade, ChangeRefused]:
+        """Find out by reading whether a change with a lost answer was accepted.
+
+        While the old version is still there the write may yet arrive. Writing the
+        same change again on the same version settles it: only one can take effect.
+        """
+        for _ in range(READ_BACK_TRIES):
+            try:
+                current = await self._objects.read(key)
+                theirs = self._read(key, current)
+                if theirs is not None and theirs.change == changed.change:
+                    return Ok(replace(made, revision=current.revision))
+                if current.version != version:
+                    return self._tell_conflict(key, current)
+                plain = write_config_object(changed)
+                written = await self._objects.write(key, plain, version)
+                if isinstance(written, Ok):
+                    return Ok(replace(made, revision=written.ok_value.revision))
+            except PlatformError:
+                await asyncio.sleep(READ_BACK_WAIT)
+        return self._refuse(
+            ChangeFailure.UNKNOWN,
+            f"the answer was lost and the object API does not answer: whether "
+            f"{made.kind} {made.name} changed is not known; "
+            f"'show {made.kind}s where name = {made.name}' will tell",
+        )
--- /dev/null
+++ b/src/kestreltally/peers/__init__.py
@@ -0,0 +1,1 @@
+"""peers of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/peers/codec.py
@@ -0,0 +1,127 @@
+"""Turn the typed messages into thrift structs and back, by their equal names."""
+
+import re
+from collections.abc import Callable, Hashable
+from dataclasses import fields, is_dataclass
+from functools import cache
+from pathlib import Path
+from typing import Any, Final, cast, get_args, get_origin, get_type_hints
+
+import thriftpy2
+
+from kestreltally.entities.ids import VmId
+from kestreltally.peers.messages import MESSAGE_TYPES, Envelope, PeerMessage
+
+IDL_PATH: Final = Path(__file__).with_name("peers.thrift")
+IDL: Final = thriftpy2.load(str(IDL_PATH), module_name="peers_thrift")
+
+
+class MalformedEnvelope(ValueError):
+    """A peer's envelope does not hold exactly the fields of its messages."""
+
+
+def _name_field(message_type: type[Any]) -> str:
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", message_type.__name__).lower()
+
+
+FIELD_OF_TYPE: Final = {each: _name_field(each) for each in MESSAGE_TYPES}
+
+Converter = Callable[[Any], Any]
+
+
+def _keep(value: Any) -> Any:
+    return value
+
+
+@cache
+def _make_writer(of_type: Hashable) -> Converter:
+    """Return what turns a value of ``of_type`` into its thrift form."""
+    if get_origin(of_type) is list:
+        item_writer = _make_writer(get_args(of_type)[0])
+        if item_writer is _keep:
+            return _keep
+        return lambda items: [item_writer(item) for item in items]
+    if not (isinstance(of_type, type) and is_dataclass(of_type)):
+        return _keep
+    struct = getattr(IDL, of_type.__name__)
+    hints = get_type_hints(of_type)
+    writers = [(each.name, _make_writer(hints[each.name])) for each in fields(of_type)]
+
+    def write(value: Any) -> Any:
+        return struct(
+            **{name: writer(getattr(value, name)) for name, writer in writers}
+        )
+
+    return write
+
+
+@cache
+def _make_reader(of_type: Hashable) -> Converter:
+    """Return what turns a thrift value back into ``of_type``."""
+    if get_origin(of_type) is list:
+        item_reader = _make_reader(get_args(of_type)[0])
+        return lambda items: [item_reader(item) for item in items or ()]
+    if not (isinstance(of_type, type) and is_dataclass(of_type)):
+        return _keep
+    hints = get_type_hints(of_type)
+    readers = [(each.name, _make_reader(hints[each.name])) for each in fields(of_type)]
+
+    def read(value: Any) -> Any:
+        if value is None:
+            raise MalformedEnvelope(f"a {of_type.__name__} is missing")
+        found = {}
+        for name, reader in readers:
+            plain = getattr(value, name)
+            if plain is None:
+                raise MalformedEnvelope(f"{of_type.__name__}.{name} is missing")
+            found[name] = reader(plain)
+        return of_type(**found)
+
+    return read
+
+
+WRITERS: Final[dict[type[Any], Converter]] = {
+    each: _make_writer(cast(Any, each)) for each in MESSAGE_TYPES
+}
+READERS: Final[dict[str, Converter]] = {
+    FIELD_OF_TYPE[each]: _make_reader(cast(Any, each)) for each in MESSAGE_TYPES
+}
+
+
+def write_envelope(envelope: Envelope) -> Any:
+    """Return the thrift struct of ``envelope``."""
+    written = []
+    for message in envelope.messages:
+        message_type = type(message)
+        body = WRITERS[message_type](message)
+        written.append(IDL.Message(**{FIELD_OF_TYPE[message_type]: body}))
+    return IDL.Envelope(
+        sender=envelope.sender,
+        incarnation=envelope.incarnation,
+        stamp=envelope.stamp,
+        messages=written,
+    )
+
+
+def _read_message(written: Any) -> PeerMessage:
+    for field_name, reader in READERS.items():
+        body = getattr(written, field_name)
+        if body is not None:
+            message: PeerMessage = reader(body)
+            return message
+    raise MalformedEnvelope("a message has no known field")
+
+
+def read_envelope(written: Any) -> Envelope:
+    """Return the envelope of a thrift struct.
+
+    Raises ``MalformedEnvelope`` where a field is missing.
+    """
+    if written is None or not written.sender or written.incarnation is None:
+        raise MalformedEnvelope("the sender is missing")
+    return Envelope(
+        sender=VmId(written.sender),
+        incarnation=written.incarnation,
+        stamp=written.stamp or 0.0,
+        messages=tuple(_read_message(each) for each in written.messages or ()),
+    )
--- /dev/null
+++ b/src/kestreltally/platform/__init__.py
@@ -0,0 +1,1 @@
+"""platform of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/platform/http.py
@@ -0,0 +1,18 @@
+"""What the platform's and the endpoints' clients share of HTTP."""
+
+from typing import Final
+
+from aiohttp import ClientSession, ClientTimeout, TCPConnector
+
+CONNECT_TIMEOUT: Final = 1.0
+READ_BUFFER: Final = 2**18
+
+
+def open_session(limit_per_host: int = 0) -> ClientSession:
+    """Return a session with no overall time limit: each call sets its own."""
+    return ClientSession(
+        connector=TCPConnector(limit=0, limit_per_host=limit_per_host),
+        timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
+        read_bufsize=READ_BUFFER,
+        auto_decompress=False,
+    )
--- /dev/null
+++ b/src/kestreltally/platform/vms.py
@@ -0,0 +1,33 @@
+"""The platform's VM list over HTTP."""
+
+from typing import Final
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from kestreltally.entities.ids import Seconds
+from kestreltally.entities.members import ListedVm
+from kestreltally.ports import PlatformError
+
+TIMEOUT: Final[Seconds] = 1.0
+
+
+class HttpVmList:
+    """Implements the port ``VmList``."""
+
+    def __init__(self, session: ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+
+    async def fetch(self) -> tuple[ListedVm, ...]:
+        """Return the list; raises ``PlatformError``."""
+        try:
+            async with self._session.get(
+                f"{self._url}/vms",
+                timeout=ClientTimeout(total=TIMEOUT),
+            ) as response:
+                response.raise_for_status()
+                raw = await response.read()
+            return msgspec.json.decode(raw, type=tuple[ListedVm, ...])
+        except (ClientError, TimeoutError, msgspec.MsgspecError) as error:
+            raise PlatformError(f"VM list: {error!r}") from error
--- /dev/null
+++ b/src/kestreltally/policies/__init__.py
@@ -0,0 +1,1 @@
+"""policies of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/requests/__init__.py
@@ -0,0 +1,1 @@
+"""requests of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/requests/claims.py
@@ -0,0 +1,195 @@
+"""Claims: a not-repeatable request runs at most once, whatever daemon it reaches.
+
+Before the first byte leaves, the request's id is claimed by an object that only
+one daemon can create. Without the object API such a request is refused.
+"""
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+from xxhash import xxh3_128_hexdigest
+
+from kestreltally.entities.ids import RequestId, Seconds
+from kestreltally.orders import RefusalReason
+from kestreltally.ports import (
+    AnswerLost,
+    Conflict,
+    ObjectApi,
+    ObjectApiDown,
+    PlatformError,
+    StoredObject,
+)
+from kestreltally.requests.outcomes import Outcome, Refusal
+
+LOG = logging.getLogger("kestreltally.claims")
+CLAIM_PREFIX: Final = "claim/"
+READ_BACK_TRIES: Final = 3
+READ_BACK_WAIT: Final[Seconds] = 0.1
+COME_BACK_AFTER: Final[Seconds] = 2.0
+RELEASE_WITHIN: Final[Seconds] = 1.0
+
+
+@dataclass(frozen=True)
+class ClaimValue:
+    """The plain form of a claim; ``at`` is seconds since 1970."""
+
+    caller: str
+    request: str
+    claimant: str
+    at: float
+    released: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim that this daemon holds."""
+
+    key: str
+    value: ClaimValue
+    version: int
+
+
+def make_claim_key(caller: str, request: RequestId) -> str:
+    """Return the key of the claim of one request id of one caller."""
+    return CLAIM_PREFIX + xxh3_128_hexdigest(f"{caller}\0{request}".encode())
+
+
+def _read_value(stored: StoredObject) -> ClaimValue | None:
+    try:
+        return msgspec.convert(stored.value, ClaimValue)
+    except msgspec.ValidationError:
+        return None
+
+
+def _refuse_unavailable(message: str) -> Err[Refusal]:
+    return Err(
+        Refusal(
+            reason=RefusalReason.CLAIMS_UNAVAILABLE,
+            outcome=Outcome.NOT_RUN,
+            message=message,
+            retry_after=COME_BACK_AFTER,
+        )
+    )
+
+
+def _refuse_duplicate() -> Err[Refusal]:
+    return Err(
+        Refusal(
+            reason=RefusalReason.DUPLICATE,
+            outcome=Outcome.UNKNOWN,
+            message="this request id was used before; that request may have run",
+        )
+    )
+
+
+class Claims:
+    """Claims through the object API."""
+
+    def __init__(
+        self,
+        objects: ObjectApi,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self._objects = objects
+        self._wall = wall
+
+    async def claim(
+        self,
+        caller: str,
+        request: RequestId,
+        claimant: str,
+    ) -> Result[Claim, Refusal]:
+        """Claim a request id for ``claimant``, which must be new for each call."""
+        key = make_claim_key(caller, request)
+        value = ClaimValue(
+            caller=caller,
+            request=request,
+            claimant=claimant,
+            at=self._wall(),
+        )
+        return await self._write(key, value, expected_version=0)
+
+    async def _write(
+        self,
+        key: str,
+        value: ClaimValue,
+        expected_version: int,
+    ) -> Result[Claim, Refusal]:
+        plain: Any = msgspec.to_builtins(value)
+        try:
+            written = await self._objects.write(key, plain, expected_version)
+        except ObjectApiDown:
+            return _refuse_unavailable("the request id cannot be claimed now")
+        except AnswerLost:
+            return await self._resolve(key, value)
+        if isinstance(written, Ok):
+            version = written.ok_value.version
+            return Ok(Claim(key=key, value=value, version=version))
+        return await self._judge_conflict(key, value, written.err_value)
+
+    async def _judge_conflict(
+        self,
+        key: str,
+        value: ClaimValue,
+        conflict: Conflict,
+    ) -> Result[Claim, Refusal]:
+        """Take over a released claim; refuse in the face of any other."""
+        current = conflict.current
+        if current.version == 0:
+            return await self._write(key, value, expected_version=0)
+        held = _read_value(current)
+        if held is not None and held.released:
+            return await self._write(key, value, expected_version=current.version)
+        return _refuse_duplicate()
+
+    async def _resolve(self, key: str, value: ClaimValue) -> Result[Claim, Refusal]:
+        """Find out by reading whether a write with a lost answer took effect.
+
+        A write that has not arrived yet may still do so: then nobody can claim
+        the id any more, which is safe.
+        """
+        for _ in range(READ_BACK_TRIES):
+            try:
+                stored = await self._objects.read(key)
+            except PlatformError:
+                await asyncio.sleep(READ_BACK_WAIT)
+                continue
+            held = _read_value(stored) if stored.version else None
+            if held is not None and held.claimant == value.claimant:
+                return Ok(Claim(key=key, value=value, version=stored.version))
+            if stored.version and (held is None or not held.released):
+                return _refuse_duplicate()
+            break
+        return _refuse_unavailable("whether the request id is claimed is not known")
+
+    async def release(self, claim: Claim) -> None:
+        """Give a claim back for a request that surely did not run.
+
+        Where that fails the id stays claimed, which is safe.
+        """
+        plain: Any = msgspec.to_builtins(replace(claim.value, released=True))
+        try:
+            await asyncio.wait_for(
+                self._objects.write(claim.key, plain, claim.version),
+                RELEASE_WITHIN,
+            )
+        except (PlatformError, TimeoutError) as error:
+            LOG.warning("claims: %s stays claimed: %s", claim.value.request, error)
+
+    async def sweep(self, retention: Seconds) -> int:
+        """Delete the claims older than ``retention``; return how many."""
+        listing = await self._objects.list(CLAIM_PREFIX)
+        deleted = 0
+        for stored in listing.objects:
+            held = _read_value(stored)
+            if held is None or self._wall() - held.at <= retention:
+                continue
+            if await self._objects.delete(stored.key, stored.version):
+                deleted += 1
+        return deleted
--- /dev/null
+++ b/src/kestreltally/requests/states.py
@@ -0,0 +1,106 @@
+"""The states of a request and the steps that are allowed between them."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from transitions import Machine
+
+from kestreltally.entities.ids import (
+    AdapterVersion,
+    EndpointId,
+    Priority,
+    RequestId,
+    Revision,
+    Seconds,
+)
+
+
+class Stage(Enum):
+    """Where a request is."""
+
+    RECEIVED = "received"
+    WAITING = "waiting"
+    SENT = "sent"
+    STREAMING = "streaming"
+    DONE = "done"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Step(Enum):
+    """What moves a request on."""
+
+    ADMIT = "admit"
+    SEND = "send"
+    STREAM = "stream"
+    RETRY = "retry"
+    FINISH = "finish"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+TRANSITIONS: Final = (
+    (Step.ADMIT, Stage.RECEIVED, Stage.WAITING),
+    (Step.REFUSE, Stage.RECEIVED, Stage.REFUSED),
+    (Step.SEND, Stage.WAITING, Stage.SENT),
+    (Step.REFUSE, Stage.WAITING, Stage.REFUSED),
+    (Step.FAIL, Stage.WAITING, Stage.FAILED),
+    (Step.STREAM, Stage.SENT, Stage.STREAMING),
+    (Step.RETRY, Stage.SENT, Stage.WAITING),
+    (Step.REFUSE, Stage.SENT, Stage.REFUSED),
+    (Step.FAIL, Stage.SENT, Stage.FAILED),
+    (Step.FINISH, Stage.SENT, Stage.DONE),
+    (Step.RETRY, Stage.STREAMING, Stage.WAITING),
+    (Step.FINISH, Stage.STREAMING, Stage.DONE),
+    (Step.FAIL, Stage.STREAMING, Stage.FAILED),
+)
+
+MACHINE: Final = Machine(
+    model=None,
+    states=Stage,
+    initial=Stage.RECEIVED,
+    auto_transitions=False,
+    transitions=[
+        {"trigger": step.value, "source": source, "dest": dest}
+        for step, source, dest in TRANSITIONS
+    ],
+)
+FINAL: Final = frozenset({Stage.DONE, Stage.REFUSED, Stage.FAILED})
+
+# The machine checks the steps at the start; requests look them up in a table,
+# for a model attached for each request costs more than the rest of its way.
+ALLOWED: Final = {
+    (Stage[each.source], Step(name)): Stage[str(each.dest)]
+    for name, event in MACHINE.events.items()
+    for moves in event.transitions.values()
+    for each in moves
+}
+
+
+class StepNotAllowed(RuntimeError):
+    """A request was to take a step that its stage does not allow."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRecord:
+    """One request as the table of live requests shows it."""
+
+    request: RequestId
+    caller: str
+    adapter: AdapterVersion
+    priority: Priority
+    repeatable: bool
+    revision: Revision
+    since: Seconds
+    stage: Stage = Stage.RECEIVED
+    endpoint: EndpointId = EndpointId("")
+    attempts: int = 0
+
+
+def next_stage(stage: Stage, step: Step) -> Stage:
+    """Return the stage after a step; raises ``StepNotAllowed``."""
+    found = ALLOWED.get((stage, step))
+    if found is None:
+        raise StepNotAllowed(f"{step.value} from {stage.value}")
+    return found
--- /dev/null
+++ b/src/kestreltally/systems/__init__.py
@@ -0,0 +1,1 @@
+"""systems of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/systems/budget.py
@@ -0,0 +1,83 @@
+"""The load budget of the weight store: one daemon gives leave for loads.
+
+Being over the budget only makes loads slow, so no lease guards this duty: two
+daemons may hold it for a moment while their views differ.
+"""
+
+from dataclasses import replace
+from typing import Final
+
+from kestreltally.entities.ids import Seconds, VmId
+from kestreltally.entities.permits import BudgetAsk
+from kestreltally.peers.messages import AskLoad, EndLoad, GrantLoad
+from kestreltally.systems.hashing import choose_owner
+from kestreltally.systems.membership import list_eligible
+from kestreltally.systems.registry import hears, runs_each_tick
+from kestreltally.world import World
+
+BUDGET_DUTY: Final = "load-budget"
+ASK_LIFE: Final[Seconds] = 3.0
+GRANT_LIFE: Final[Seconds] = 20.0
+
+
+def find_budget_leader(world: World) -> VmId | None:
+    """Return the daemon that gives leave for loads, by this daemon's view."""
+    owner = choose_owner(BUDGET_DUTY, list_eligible(world))
+    return VmId(owner) if owner is not None else None
+
+
+@hears(AskLoad)
+def take_load_ask(world: World, sender: VmId, asked: AskLoad) -> None:
+    """Queue a load; one that was granted is told so again."""
+    known = world.budget.asks.get(asked.load)
+    if known is not None and known.granted_at is not None:
+        world.send(sender, GrantLoad(load=asked.load))
+        return
+    world.budget.asks[asked.load] = BudgetAsk(
+        load=asked.load,
+        holder=sender,
+        urgency=asked.urgency,
+        refreshed_at=world.now,
+    )
+
+
+@hears(EndLoad)
+def end_load(world: World, sender: VmId, ended: EndLoad) -> None:
+    """Free the place of a load that is over."""
+    world.budget.asks.pop(ended.load, None)
+
+
+def _fill_tokens(world: World) -> None:
+    placement = world.settings.placement
+    gained = (world.now - world.budget.filled_at) * placement.loads_per_second
+    most = max(1.0, float(placement.loads_at_once))
+    world.budget.tokens = min(most, world.budget.tokens + gained)
+    world.budget.filled_at = world.now
+
+
+@runs_each_tick(80)
+def grant_loads(world: World) -> None:
+    """Give leave within rate and parallelism, most urgent first."""
+    _fill_tokens(world)
+    _forget_lost(world)
+    asks = world.budget.asks
+    running = sum(1 for ask in asks.values() if ask.granted_at is not None)
+    waiting = [ask for ask in asks.values() if ask.granted_at is None]
+    waiting.sort(key=lambda ask: (-ask.urgency, ask.load))
+    for ask in waiting:
+        full = running >= world.settings.placement.loads_at_once
+        if full or world.budget.tokens < 1.0:
+            break
+        world.budget.tokens -= 1.0
+        running += 1
+        asks[ask.load] = replace(ask, granted_at=world.now)
+        world.send(ask.holder, GrantLoad(load=ask.load))
+
+
+def _forget_lost(world: World) -> None:
+    for ask in list(world.budget.asks.values()):
+        if ask.granted_at is not None:
+            if world.now - ask.granted_at > GRANT_LIFE:
+                del world.budget.asks[ask.load]
+        elif world.now - ask.refreshed_at > ASK_LIFE:
+            del world.budget.asks[ask.load]
--- /dev/null
+++ b/src/kestreltally/systems/configuration.py
@@ -0,0 +1,254 @@
+"""The configuration in force: revisions, where they come from, how fresh they are.
+
+A few daemons in each data centre watch the object API and push what changes to
+the others there. Heartbeats carry the revision, so a daemon that missed a push,
+or was born during an outage of the object API, pulls from a peer.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Final
+
+from kestreltally.entities.configuration import (
+    Adapter,
+    Caller,
+    ConfigObject,
+    Endpoint,
+    MalformedObject,
+    Rule,
+    key_of,
+    read_config_object,
+    write_config_object,
+)
+from kestreltally.entities.ids import EndpointId, Revision, Seconds, VmId
+from kestreltally.entities.members import MemberState
+from kestreltally.invariants import declare_invariant
+from kestreltally.orders import ConfigArrived
+from kestreltally.peers.messages import Change, PullChanges, PushChanges
+from kestreltally.systems.hashing import rank_owners
+from kestreltally.systems.registry import handles, handles_pause, hears, runs_each_tick
+from kestreltally.world import ConfigTable, World
+
+PART: Final = "configuration"
+PULL_AGAIN_AFTER: Final[Seconds] = 0.5
+WATCH_ALONE_AFTER: Final[Seconds] = 10.0
+LONGEST_UNCONFIRMED: Final[Seconds] = 1e9
+WATCH_DUTY: Final = "configuration-watch"
+
+REVISION_NEVER_REVERTS = declare_invariant(
+    "revision-never-reverts",
+    promise="an accepted configuration never reverts",
+    owner="systems/configuration.py",
+)
+
+
+def tell_unconfirmed(world: World) -> Seconds:
+    """Return for how many seconds the revision has not been confirmed."""
+    return min(world.now - world.config.confirmed_at, LONGEST_UNCONFIRMED)
+
+
+def is_watcher(world: World) -> bool:
+    """Tell whether this daemon watches the configuration for its data centre.
+
+    A daemon that hears nothing fresh from others watches for itself.
+    """
+    if tell_unconfirmed(world) > WATCH_ALONE_AFTER:
+        return True
+    near = [world.identity.vm] + [
+        member.vm
+        for member in world.members.known.values()
+        if member.data_centre == world.identity.data_centre
+        and member.state is not MemberState.DEAD
+    ]
+    ranked = rank_owners(WATCH_DUTY, near)
+    return world.identity.vm in ranked[: world.settings.config_watchers]
+
+
+def _index(table: ConfigTable, key: str, before: ConfigObject | None) -> None:
+    """Bring the indexes up to date with the object under ``key``."""
+    if before is not None:
+        _drop_from_indexes(table, before)
+    value = table.objects[key].value
+    if isinstance(value, Endpoint):
+        endpoint = EndpointId(value.name)
+        table.endpoints[endpoint] = value
+        table.endpoints_of_model.setdefault(value.model, {})[endpoint] = value
+    elif isinstance(value, Caller):
+        for digest in value.key_digests:
+            table.callers_of_digest[digest] = value
+    elif isinstance(value, Adapter):
+        for pinned in value.pinned_to:
+            table.pinned.setdefault(EndpointId(pinned), set()).add(value.name)
+    elif isinstance(value, Rule):
+        table.rules_of_adapter.setdefault(value.adapter, {})[value.name] = value
+
+
+def _drop_from_indexes(table: ConfigTable, before: ConfigObject) -> None:
+    value = before.value
+    if isinstance(value, Endpoint):
+        table.endpoints.pop(EndpointId(value.name), None)
+        table.endpoints_of_model[value.model].pop(EndpointId(value.name), None)
+    elif isinstance(value, Caller):
+        for digest in value.key_digests:
+            held = table.callers_of_digest.get(digest)
+            if held is not None and held.name == value.name:
+                del table.callers_of_digest[digest]
+    elif isinstance(value, Adapter):
+        for endpoint in value.pinned_to:
+            table.pinned[EndpointId(endpoint)].discard(value.name)
+    elif isinstance(value, Rule):
+        table.rules_of_adapter[value.adapter].pop(value.name, None)
+
+
+def _apply_object(world: World, changed: ConfigObject) -> None:
+    table = world.config
+    key = key_of(changed.kind, changed.name)
+    before = table.objects.get(key)
+    if before is not None and changed.revision <= before.revision:
+        return
+    table.objects[key] = changed
+    _index(table, key, before)
+    _remember_change(table, changed)
+
+
+def _remember_change(table: ConfigTable, changed: ConfigObject) -> None:
+    if len(table.recent) == table.recent.maxlen:
+        table.recent_after = table.recent[0].revision
+    table.recent.append(changed)
+
+
+def apply_changes(world: World, arrived: ConfigArrived) -> bool:
+    """Take changes in; return whether the revision rose.
+
+    Older changes than those in force are left alone, whatever their source.
+    """
+    table = world.config
+    if arrived.revision < table.revision:
+        return False
+    if not arrived.whole and arrived.after > table.revision:
+        return False
+    before = table.revision
+    for changed in sorted(arrived.objects, key=lambda each: each.revision):
+        _apply_object(world, changed)
+    table.revision = arrived.revision
+    table.confirmed_at = max(table.confirmed_at, arrived.confirmed_at)
+    if arrived.whole and arrived.after == 0 and before == 0:
+        table.recent.clear()
+        table.recent_after = arrived.revision
+    world.invariants.require(
+        REVISION_NEVER_REVERTS,
+        table.revision >= before,
+        f"from {before} to {table.revision}",
+    )
+    if table.revision > before:
+        world.events.add(PART, f"revision {table.revision} in force", reason="changed")
+    return table.revision > before
+
+
+@handles(ConfigArrived)
+def take_changes(world: World, arrived: ConfigArrived) -> None:
+    """Take in what the watch brought, and push it to the data centre."""
+    before = world.config.revision
+    if not apply_changes(world, arrived):
+        return
+    changes = list_changes_after(world, before)
+    for member in world.members.known.values():
+        near = member.data_centre == world.identity.data_centre
+        if near and member.state is not MemberState.DEAD:
+            world.send(member.vm, changes)
+
+
+def _write_change(changed: ConfigObject) -> Change:
+    return Change(
+        key=key_of(changed.kind, changed.name),
+        revision=changed.revision,
+        value=json.dumps(write_config_object(changed)),
+    )
+
+
+def list_changes_after(world: World, after: Revision) -> PushChanges:
+    """Return the message that brings a peer from ``after`` to this revision."""
+    table = world.config
+    whole = after < table.recent_after
+    source: Iterable[ConfigObject]
+    if whole:
+        source = table.objects.values()
+    else:
+        source = (each for each in table.recent if each.revision > after)
+    return PushChanges(
+        after=0 if whole else after,
+        revision=table.revision,
+        whole=whole,
+        unconfirmed_for=tell_unconfirmed(world),
+        changes=[_write_change(each) for each in source],
+    )
+
+
+@hears(PushChanges)
+def hear_changes(world: World, sender: VmId, pushed: PushChanges) -> None:
+    """Take in what a peer pushed; pull when something before it is missing."""
+    objects = []
+    for change in pushed.changes:
+        try:
+            plain = json.loads(change.value)
+            objects.append(read_config_object(change.key, plain, change.revision))
+        except (ValueError, MalformedObject) as error:
+            world.events.add(PART, "a change was left out", reason=str(error))
+    arrived = ConfigArrived(
+        after=pushed.after,
+        revision=pushed.revision,
+        whole=pushed.whole,
+        objects=tuple(objects),
+        confirmed_at=world.now - pushed.unconfirmed_for,
+    )
+    apply_changes(world, arrived)
+    note_peer_revision(world, sender, pushed.revision, pushed.unconfirmed_for)
+
+
+@hears(PullChanges)
+def answer_pull(world: World, sender: VmId, pull: PullChanges) -> None:
+    """Send a peer what it misses."""
+    if world.config.revision > pull.after:
+        world.send(sender, list_changes_after(world, pull.after))
+
+
+def note_peer_revision(
+    world: World,
+    peer: VmId,
+    revision: Revision,
+    unconfirmed_for: Seconds,
+) -> None:
+    """Compare a peer's revision with the own one; plan a pull when it is newer."""
+    table = world.config
+    if revision > table.revision:
+        table.pull_from = peer
+    elif revision == table.revision and revision > 0:
+        table.confirmed_at = max(table.confirmed_at, world.now - unconfirmed_for)
+
+
+@runs_each_tick(20)
+def pull_missing(world: World) -> None:
+    """Pull from the peer that was heard to know more."""
+    table = world.config
+    if table.pull_from is None or world.now - table.pulled_at < PULL_AGAIN_AFTER:
+        return
+    world.send(table.pull_from, PullChanges(after=table.revision))
+    table.pulled_at = world.now
+    table.pull_from = None
+
+
+@handles_pause
+def doubt_freshness(world: World, paused_for: Seconds) -> None:
+    """After a pause nothing confirms the revision until it is heard again."""
+    world.config.confirmed_at = min(world.config.confirmed_at, world.now - paused_for)
+
+
+def find_endpoint(world: World, endpoint: EndpointId) -> Endpoint | None:
+    """Return an endpoint's configuration, if it has any."""
+    return world.config.endpoints.get(endpoint)
+
+
+def find_adapters(world: World) -> list[Adapter]:
+    """Return all adapters in force."""
+    values = (each.value for each in world.config.objects.values())
+    return [value for value in values if isinstance(value, Adapter)]
--- /dev/null
+++ b/src/kestreltally/systems/demand.py
@@ -0,0 +1,40 @@
+"""How much each adapter is asked for at each endpoint, with decay."""
+
+from typing import Final
+
+from kestreltally.entities.ids import AdapterVersion, EndpointId, Seconds
+from kestreltally.world import World
+
+MOST_KEPT: Final = 4_096
+KEPT_AFTER_TRIM: Final = 3_072
+
+
+def _decay(value: float, age: Seconds, half_life: Seconds) -> float:
+    decayed: float = value * 0.5 ** (age / half_life)
+    return decayed
+
+
+def measure_demand(
+    world: World, endpoint: EndpointId, adapter: AdapterVersion
+) -> float:
+    """Return the asks of late, each counting half after one half-life."""
+    value, at = world.book.demand.get((endpoint, adapter), (0.0, world.now))
+    return _decay(value, world.now - at, world.settings.placement.demand_half_life)
+
+
+def note_demand(world: World, endpoint: EndpointId, adapter: AdapterVersion) -> None:
+    """Count one ask; forget the least asked for when the table is full."""
+    value = measure_demand(world, endpoint, adapter) + 1.0
+    world.book.demand[(endpoint, adapter)] = (value, world.now)
+    if len(world.book.demand) > MOST_KEPT:
+        _trim(world)
+
+
+def _trim(world: World) -> None:
+    ranked = sorted(
+        world.book.demand,
+        key=lambda key: measure_demand(world, *key),
+        reverse=True,
+    )
+    for key in ranked[KEPT_AFTER_TRIM:]:
+        del world.book.demand[key]
--- /dev/null
+++ b/src/kestreltally/systems/granting.py
@@ -0,0 +1,426 @@
+"""The leader's side of permits: who may run what at an endpoint, and when.
+
+No permit, no request; and nothing is unloaded while a permit for it may be used.
+"""
+
+from collections import Counter
+from dataclasses import replace
+from typing import Final
+
+from kestreltally.entities.configuration import Endpoint
+from kestreltally.entities.endpoints import LedEndpoint, Phase
+from kestreltally.entities.ids import (
+    SERVICE,
+    AdapterVersion,
+    AskId,
+    EndpointId,
+    PermitId,
+    Priority,
+    Seconds,
+    VmId,
+)
+from kestreltally.entities.permits import Ask, GrantedPermit, PermitState
+from kestreltally.invariants import declare_invariant
+from kestreltally.peers.messages import (
+    AskPermit,
+    AskQueued,
+    EndpointFault,
+    GrantPermit,
+    PermitClosed,
+    RefusePermit,
+    ReturnPermit,
+    View,
+    WithdrawAsk,
+)
+from kestreltally.systems.demand import note_demand
+from kestreltally.systems.leadership import find_leader, mark_unsure, may_act
+from kestreltally.systems.membership import is_listed_leaving, is_reachable
+from kestreltally.systems.registry import hears, runs_each_tick
+from kestreltally.world import World
+
+PART: Final = "permits"
+LOST_ASK_AFTER_REFRESHES: Final = 4
+NOT_LEADER: Final = "not_leader"
+LEAVING: Final = "leaving"
+QUEUE_FULL: Final = "queue_full"
+SPARE_SHARE: Final = 4
+MOST_SPARE: Final = 2
+FAULT_WRONG_VERSION: Final = "wrong_version"
+FAULT_NOT_LOADED: Final = "not_loaded"
+WAIT_FOR_LEAVING: Final[Seconds] = 1.0
+
+GRANT_ONLY_AS_LEADER = declare_invariant(
+    "grant-only-as-confirmed-leader",
+    promise="an adapter in use is never unloaded",
+    owner="systems/granting.py",
+)
+GRANT_ONLY_LOADED = declare_invariant(
+    "grant-only-what-is-loaded",
+    promise="the right adapter and version",
+    owner="systems/granting.py",
+)
+NO_GRANT_WHEN_LEAVING = declare_invariant(
+    "no-grant-when-leaving",
+    promise="a leaving endpoint gets no new work within seconds",
+    owner="systems/granting.py",
+)
+
+
+def is_endpoint_leaving(world: World, spec: Endpoint) -> bool:
+    """Tell whether configuration, VM list or report says that it is leaving."""
+    if spec.draining or (spec.vm and is_listed_leaving(world, VmId(spec.vm))):
+        return True
+    led = world.leaders.led.get(EndpointId(spec.name))
+    return led is not None and led.leaving
+
+
+def count_occupied(world: World, endpoint: EndpointId) -> int:
+    """Return how many places of the batch are promised or in use."""
+    return sum(permit.occupies() for permit in world.permits_of(endpoint))
+
+
+def count_asks(world: World, endpoint: EndpointId) -> int:
+    """Return how many asks wait at an endpoint."""
+    return sum(1 for ask in world.book.asks.values() if ask.endpoint == endpoint)
+
+
+def describe_view(world: World, led: LedEndpoint) -> View:
+    """Return the endpoint's state for an entry daemon."""
+    usable = [slot for slot in led.slots.values() if not slot.closing]
+    return View(
+        endpoint=led.endpoint,
+        loaded=[str(slot.adapter) for slot in usable],
+        occupied=count_occupied(world, led.endpoint),
+        queued=count_asks(world, led.endpoint),
+    )
+
+
+def is_usable(led: LedEndpoint, adapter: AdapterVersion) -> bool:
+    """Tell whether requests of an adapter may be granted here now."""
+    if adapter == SERVICE:
+        return True
+    slot = led.slots.get(adapter)
+    return slot is not None and not slot.closing
+
+
+def estimate_wait(world: World, led: LedEndpoint, ask: Ask) -> Seconds:
+    """Return how long an ask will probably wait, in seconds."""
+    spec = world.config.endpoints[led.endpoint]
+    ahead = sum(
+        1
+        for other in world.book.asks.values()
+        if other.endpoint == led.endpoint
+        and (other.priority, other.arrived_at) < (ask.priority, ask.arrived_at)
+    )
+    over = max(0, ahead + 1 + count_occupied(world, led.endpoint) - spec.batch_limit)
+    turn = over * led.service_time / spec.batch_limit
+    if is_usable(led, ask.adapter):
+        return turn
+    loads_ahead = len(
+        {
+            other.adapter
+            for other in world.book.asks.values()
+            if other.endpoint == led.endpoint
+            and not is_usable(led, other.adapter)
+            and (other.priority, other.arrived_at) <= (ask.priority, ask.arrived_at)
+        }
+    )
+    return turn + loads_ahead * world.book.load_time
+
+
+def _refuse(
+    world: World, to: VmId, ask: AskPermit, reason: str, after: Seconds
+) -> None:
+    endpoint = EndpointId(ask.endpoint)
+    leader = ""
+    if reason == NOT_LEADER and endpoint not in world.leaders.led:
+        leader = find_leader(world, endpoint) or ""
+    refusal = RefusePermit(
+        ask=ask.ask,
+        endpoint=ask.endpoint,
+        reason=reason,
+        retry_after=after,
+        leader="" if leader == world.identity.vm else leader,
+    )
+    world.send(to, refusal)
+
+
+@hears(AskPermit)
+def take_ask(world: World, sender: VmId, asked: AskPermit) -> None:
+    """Queue an ask, or refuse it at once; an ask that comes again is refreshed."""
+    endpoint = EndpointId(asked.endpoint)
+    led = world.leaders.led.get(endpoint)
+    spec = world.config.endpoints.get(endpoint)
+    if (
+        led is None
+        or spec is None
+        or led.phase in (Phase.HANDING_OVER, Phase.SUSPENDED)
+    ):
+        _refuse(world, sender, asked, NOT_LEADER, world.settings.timing.tick)
+        return
+    if is_endpoint_leaving(world, spec):
+        _refuse(world, sender, asked, LEAVING, WAIT_FOR_LEAVING)
+        return
+    granted = world.book.permits.get(PermitId(asked.ask))
+    if granted is not None:
+        if granted.state is PermitState.OPEN:
+            _send_grant(world, led, granted, AskId(asked.ask))
+        return
+    known = world.book.asks.get(AskId(asked.ask))
+    if known is not None:
+        turn = max(known.turn, asked.turn)
+        known = replace(known, refreshed_at=world.now, turn=turn)
+    elif count_asks(world, endpoint) >= world.settings.limits.asks_per_endpoint:
+        _refuse(world, sender, asked, QUEUE_FULL, led.service_time)
+        return
+    else:
+        known = _make_ask(world, sender, asked)
+        note_demand(world, endpoint, known.adapter)
+    world.book.asks[known.ask] = known
+    if not is_usable(led, known.adapter) or _has_no_room(world, led):
+        queued = AskQueued(
+            ask=known.ask,
+            endpoint=endpoint,
+            expected_wait=estimate_wait(world, led, known),
+            view=describe_view(world, led),
+        )
+        world.send(sender, queued)
+
+
+def _make_ask(world: World, sender: VmId, asked: AskPermit) -> Ask:
+    return Ask(
+        ask=AskId(asked.ask),
+        holder=sender,
+        endpoint=EndpointId(asked.endpoint),
+        adapter=AdapterVersion(adapter=asked.adapter, version=asked.version),
+        priority=Priority(asked.priority),
+        deadline_at=world.now + asked.time_left,
+        arrived_at=world.now,
+        refreshed_at=world.now,
+        turn=asked.turn,
+    )
+
+
+def _has_no_room(world: World, led: LedEndpoint) -> bool:
+    return count_free(world, led) <= 0
+
+
+def count_free(world: World, led: LedEndpoint) -> int:
+    """Return how many more requests may be granted at an endpoint."""
+    spec = world.config.endpoints[led.endpoint]
+    places = int(spec.batch_limit * world.settings.placement.batch_fill)
+    return places - count_occupied(world, led.endpoint)
+
+
+@hears(WithdrawAsk)
+def drop_ask(world: World, sender: VmId, withdrawn: WithdrawAsk) -> None:
+    """Forget an ask that is no longer wanted."""
+    world.book.asks.pop(AskId(withdrawn.ask), None)
+
+
+@runs_each_tick(60)
+def drop_lost_asks(world: World) -> None:
+    """Forget asks that their entry daemon no longer refreshes."""
+    life = world.settings.timing.ask_refresh * LOST_ASK_AFTER_REFRESHES
+    for ask in list(world.book.asks.values()):
+        if world.now - ask.refreshed_at > life or world.now >= ask.deadline_at:
+            del world.book.asks[ask.ask]
+
+
+@runs_each_tick(61)
+def expire_permits(world: World) -> None:
+    """Count permits that ran out unreturned as in use until a report shows more."""
+    for permit in list(world.book.permits.values()):
+        ran_out = permit.state is PermitState.OPEN and world.now > permit.expires_at
+        orphaned = permit.state is PermitState.RETURNED and not is_reachable(
+            world, permit.holder
+        )
+        if not (ran_out or orphaned):
+            continue
+        margin = world.settings.timing.permit_margin
+        count = permit.running if orphaned else permit.count
+        expired = replace(
+            permit,
+            state=PermitState.EXPIRED,
+            count=count,
+            expires_at=world.now + margin if orphaned else permit.expires_at,
+        )
+        world.book.permits[permit.permit] = expired
+        led = world.leaders.led.get(permit.endpoint)
+        if led is not None:
+            mark_unsure(world, led, permit.adapter)
+
+
+def _order_asks(world: World, endpoint: EndpointId) -> list[Ask]:
+    """Return the asks in the order in which they are served.
+
+    Within a priority the adapter with the least running goes first, so that one
+    adapter cannot starve the others; then the longest wait.
+    """
+    taken: Counter[AdapterVersion] = Counter()
+    for permit in world.permits_of(endpoint):
+        taken[permit.adapter] += permit.occupies()
+    asks = [ask for ask in world.book.asks.values() if ask.endpoint == endpoint]
+    asks.sort(key=lambda ask: (ask.arrived_at, ask.ask))
+    ranked = []
+    for ask in asks:
+        ranked.append(((ask.priority, taken[ask.adapter], ask.arrived_at), ask))
+        taken[ask.adapter] += 1
+    ranked.sort(key=lambda entry: entry[0])
+    return [ask for _, ask in ranked]
+
+
+@runs_each_tick(62)
+def grant_permits(world: World) -> None:
+    """Grant what has room, by priority and fair share."""
+    waiting = {ask.endpoint for ask in world.book.asks.values()}
+    for endpoint in sorted(waiting):
+        led = world.leaders.led.get(endpoint)
+        if led is None or not may_act(world, led):
+            continue
+        if is_endpoint_leaving(world, world.config.endpoints[endpoint]):
+            _refuse_all(world, endpoint)
+            continue
+        free = count_free(world, led)
+        for ask in _order_asks(world, endpoint):
+            if free <= 0:
+                break
+            if is_usable(led, ask.adapter):
+                free -= _grant(world, led, ask, free)
+
+
+def _refuse_all(world: World, endpoint: EndpointId) -> None:
+    for ask in list(world.book.asks.values()):
+        if ask.endpoint != endpoint:
+            continue
+        del world.book.asks[ask.ask]
+        refusal = RefusePermit(
+            ask=ask.ask,
+            endpoint=endpoint,
+            reason=LEAVING,
+            retry_after=WAIT_FOR_LEAVING,
+            leader="",
+        )
+        world.send(ask.holder, refusal)
+
+
+def _grant(world: World, led: LedEndpoint, ask: Ask, free: int) -> int:
+    """Grant an ask, with spare places while there are many; return the places."""
+    spec = world.config.endpoints[led.endpoint]
+    world.invariants.require(
+        GRANT_ONLY_AS_LEADER,
+        may_act(world, led),
+        f"{led.endpoint} is {led.phase.value}",
+    )
+    world.invariants.require(
+        GRANT_ONLY_LOADED,
+        is_usable(led, ask.adapter),
+        f"{ask.adapter} on {led.endpoint}",
+    )
+    world.invariants.require(
+        NO_GRANT_WHEN_LEAVING,
+        not is_endpoint_leaving(world, spec),
+        led.endpoint,
+    )
+    others_wait = len(world.book.asks) > 1
+    spare = 0 if others_wait else min(MOST_SPARE, (free - 1) // SPARE_SHARE)
+    timing = world.settings.timing
+    permit = GrantedPermit(
+        permit=PermitId(ask.ask),
+        endpoint=led.endpoint,
+        adapter=ask.adapter,
+        holder=ask.holder,
+        count=1 + spare,
+        expires_at=world.now + timing.permit_life + timing.permit_margin,
+        turn=ask.turn,
+    )
+    world.book.permits[permit.permit] = permit
+    del world.book.asks[ask.ask]
+    _touch_slot(world, led, ask.adapter)
+    _send_grant(world, led, permit, ask.ask)
+    world.events.add(
+        PART,
+        "grants a permit",
+        endpoint=led.endpoint,
+        adapter=str(ask.adapter),
+        detail=f"to {ask.holder}, {permit.count} at once, after "
+        f"{world.now - ask.arrived_at:.3f} s",
+        request=ask.ask.partition("/")[0],
+    )
+    return permit.count
+
+
+def _touch_slot(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
+    led = world.leaders.led[led.endpoint]
+    slot = led.slots.get(adapter)
+    if slot is not None:
+        used = replace(slot, used_at=world.now)
+        world.update_led(led, slots={**led.slots, adapter: used})
+
+
+def _send_grant(
+    world: World,
+    led: LedEndpoint,
+    permit: GrantedPermit,
+    ask: AskId,
+) -> None:
+    grant = GrantPermit(
+        ask=ask,
+        permit=permit.permit,
+        endpoint=led.endpoint,
+        adapter=permit.adapter.adapter,
+        version=permit.adapter.version,
+        epoch=led.record.epoch,
+        count=permit.count,
+        life=world.settings.timing.permit_life,
+        turn=permit.turn,
+        view=describe_view(world, led),
+    )
+    world.send(permit.holder, grant)
+
+
+@hears(ReturnPermit)
+def take_return(world: World, sender: VmId, returned: ReturnPermit) -> None:
+    """Note what the holder of a permit still runs; close it at nothing.
+
+    A leader that is handing over leaves the answer to the next one.
+    """
+    led = world.leaders.led.get(EndpointId(returned.endpoint))
+    if led is None or led.phase is Phase.HANDING_OVER:
+        return
+    permit = world.book.permits.get(PermitId(returned.permit))
+    if permit is None:
+        world.send(sender, PermitClosed(permit=returned.permit))
+        return
+    if returned.unsure:
+        mark_unsure(world, led, permit.adapter)
+    if returned.running == 0:
+        del world.book.permits[permit.permit]
+        world.send(sender, PermitClosed(permit=returned.permit))
+        return
+    world.book.permits[permit.permit] = replace(
+        permit,
+        state=PermitState.RETURNED,
+        running=returned.running,
+    )
+
+
+@hears(EndpointFault)
+def take_fault(world: World, sender: VmId, fault: EndpointFault) -> None:
+    """Look again at an endpoint that an entry daemon saw fail."""
+    led = world.leaders.led.get(EndpointId(fault.endpoint))
+    if led is None:
+        return
+    adapter = AdapterVersion(adapter=fault.adapter, version=fault.version)
+    world.update_led(led, report_asked_at=-1e9)
+    slot = led.slots.get(adapter)
+    if slot is not None and fault.fault == FAULT_WRONG_VERSION:
+        closing = replace(slot, closing=True, look_after=world.now)
+        led = world.leaders.led[led.endpoint]
+        world.update_led(led, slots={**led.slots, adapter: closing})
+        world.events.add(
+            PART,
+            "closes a slot that answers as another version",
+            endpoint=led.endpoint,
+            adapter=str(adapter),
+        )
--- /dev/null
+++ b/src/kestreltally/systems/holding.py
@@ -0,0 +1,531 @@
+"""The entry daemon's side of permits: asking, holding, using, returning."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from kestreltally.entities.configuration import EndpointKind
+from kestreltally.entities.endpoints import Breaker, EndpointView
+from kestreltally.entities.ids import (
+    SERVICE,
+    AdapterVersion,
+    AskId,
+    EndpointId,
+    PermitId,
+    Seconds,
+    VmId,
+    parse_adapter_version,
+)
+from kestreltally.entities.permits import HeldPermit, Want
+from kestreltally.invariants import declare_invariant
+from kestreltally.orders import (
+    EndpointFailed,
+    EndpointServed,
+    PermitUsed,
+    RefusalReason,
+    UseEnd,
+    WantAdded,
+    WantDropped,
+    WantGranted,
+    WantRefused,
+)
+from kestreltally.peers.messages import (
+    AskPermit,
+    AskQueued,
+    EndpointFault,
+    GrantPermit,
+    PermitClosed,
+    RefusePermit,
+    ReturnPermit,
+    View,
+    WithdrawAsk,
+)
+from kestreltally.policies.registry import CHOOSERS, Candidate
+from kestreltally.systems.granting import LEAVING, NOT_LEADER
+from kestreltally.systems.hashing import rank_owners
+from kestreltally.systems.leadership import find_leader
+from kestreltally.systems.membership import is_listed_leaving, is_reachable
+from kestreltally.systems.registry import handles, hears, runs_each_tick
+from kestreltally.world import NEVER, World
+
+PART: Final = "entry"
+SILENT_FOR: Final[Seconds] = 1.0
+SILENT_AFTER_REFRESHES: Final = 2
+FORGET_RETURNED_AFTER: Final[Seconds] = 30.0
+TELL_AGAIN_AFTER: Final[Seconds] = 1.0
+LEAVING_FOR: Final[Seconds] = 5.0
+SERVICE_TIME_WEIGHT: Final = 0.1
+COME_BACK_AFTER: Final[Seconds] = 1.0
+VIEW_LIFE: Final[Seconds] = 10.0
+MOST_HINTS: Final = 2
+
+USE_ONLY_VALID_PERMITS = declare_invariant(
+    "use-only-valid-permits",
+    promise="an adapter in use is never unloaded",
+    owner="systems/holding.py",
+)
+
+
+@handles(WantAdded)
+def add_want(world: World, added: WantAdded) -> None:
+    """Take in a request that waits."""
+    world.entry.wants[added.want.want] = added.want
+
+
+@handles(WantDropped)
+def drop_want(world: World, dropped: WantDropped) -> None:
+    """Forget a request that no longer waits."""
+    want = world.entry.wants.pop(dropped.want, None)
+    if want is not None:
+        _withdraw(world, want)
+
+
+def _withdraw(world: World, want: Want) -> None:
+    if want.ask is None or want.endpoint is None:
+        return
+    leader = find_leader(world, want.endpoint)
+    if leader is not None:
+        world.send(leader, WithdrawAsk(ask=want.ask, endpoint=want.endpoint))
+
+
+def is_open_for_work(world: World, endpoint: EndpointId) -> bool:
+    """Tell whether an endpoint may get new work, by all that is known here."""
+    spec = world.config.endpoints.get(endpoint)
+    if spec is None or spec.draining:
+        return False
+    if spec.vm and is_listed_leaving(world, VmId(spec.vm)):
+        return False
+    if world.now < world.entry.leaving.get(endpoint, NEVER):
+        return False
+    breaker = world.entry.breakers.get(endpoint, Breaker())
+    if breaker.failures < world.settings.limits.breaker_failures:
+        return True
+    return world.now >= breaker.open_until and not breaker.probing
+
+
+def _find_held(
+    world: World,
+    endpoint: EndpointId,
+    adapter: AdapterVersion,
+) -> HeldPermit | None:
+    for held in world.entry.held.values():
+        fits = held.endpoint == endpoint and held.adapter == adapter
+        if fits and held.has_room(world.now):
+            return held
+    return None
+
+
+def _make_candidates(world: World, want: Want) -> list[Candidate]:
+    """Return the endpoints at which a request could run now, as they are seen."""
+    ranked = rank_owners(str(want.adapter), want.candidates)
+    candidates = []
+    for rank, name in enumerate(ranked):
+        endpoint = EndpointId(name)
+        silent = world.now < world.entry.silent_until.get(endpoint, NEVER)
+        if endpoint in want.avoid or silent or not is_open_for_work(world, endpoint):
+            continue
+        spec = world.config.endpoints[endpoint]
+        view = _fresh_view(world, endpoint)
+        candidates.append(
+            Candidate(
+                endpoint=endpoint,
+                rank=rank,
+                loaded=spec.kind is EndpointKind.SERVICE or want.adapter in view.loaded,
+                has_permit=_find_held(world, endpoint, want.adapter) is not None,
+                occupied=view.occupied,
+                queued=view.queued,
+                batch_limit=spec.batch_limit,
+                far=spec.data_centre != world.identity.data_centre,
+            )
+        )
+    return candidates
+
+
+def _fresh_view(world: World, endpoint: EndpointId) -> EndpointView:
+    view = world.entry.views.get(endpoint)
+    if view is None or world.now - view.heard_at > VIEW_LIFE:
+        return EndpointView(
+            endpoint=endpoint,
+            loaded=frozenset(),
+            occupied=0,
+            queued=0,
+            heard_at=NEVER,
+        )
+    return view
+
+
+def _order_wants(world: World) -> list[Want]:
+    """Return the waiting requests: by priority, then the longest wait."""
+    return sorted(
+        world.entry.wants.values(),
+        key=lambda want: (want.priority, want.since, want.want),
+    )
+
+
+@runs_each_tick(50)
+def serve_wants(world: World) -> None:
+    """Give waiting requests a held permit, ask for one, or refuse them."""
+    for want in _order_wants(world):
+        if world.now >= want.deadline_at:
+            _refuse_want(world, want, RefusalReason.DEADLINE, COME_BACK_AFTER)
+        elif not _use_held(world, want):
+            _keep_asking(world, want)
+
+
+def _use_held(world: World, want: Want) -> bool:
+    """Start a request under a permit that is held already, if there is room."""
+    for held in world.entry.held.values():
+        fits = held.adapter == want.adapter and held.endpoint in want.candidates
+        if not fits or held.endpoint in want.avoid or not held.has_room(world.now):
+            continue
+        if is_open_for_work(world, held.endpoint):
+            _withdraw(world, want)
+            _grant_want(world, want, held)
+            return True
+    return False
+
+
+def _grant_want(world: World, want: Want, held: HeldPermit) -> None:
+    world.invariants.require(
+        USE_ONLY_VALID_PERMITS,
+        held.has_room(world.now) and held.adapter == want.adapter,
+        f"{held.permit} for {want.request}",
+    )
+    used = replace(held, running=held.running + 1)
+    world.entry.held[held.permit] = used
+    del world.entry.wants[want.want]
+    _note_probe(world, held.endpoint)
+    world.entry.answers.append(WantGranted(want=want.want, permit=used))
+
+
+def _note_probe(world: World, endpoint: EndpointId) -> None:
+    """Let one request alone try an endpoint whose breaker has just half opened."""
+    breaker = world.entry.breakers.get(endpoint)
+    if breaker is None:
+        return
+    if breaker.failures >= world.settings.limits.breaker_failures:
+        world.entry.breakers[endpoint] = replace(breaker, probing=True)
+
+
+def _refuse_want(
+    world: World,
+    want: Want,
+    reason: RefusalReason,
+    retry_after: Seconds,
+) -> None:
+    del world.entry.wants[want.want]
+    _withdraw(world, want)
+    refused = WantRefused(want=want.want, reason=reason, retry_after=retry_after)
+    world.entry.answers.append(refused)
+
+
+def _keep_asking(world: World, want: Want) -> None:
+    timing = world.settings.timing
+    if want.ask is None or want.endpoint is None:
+        _ask_next(world, want)
+        return
+    if not is_open_for_work(world, want.endpoint):
+        _withdraw(world, want)
+        _ask_next(world, _clear_ask(want))
+        return
+    first_sent = want.sent_at[0] if want.sent_at else want.since
+    silence = world.now - max(first_sent, want.heard_at)
+    if silence > timing.ask_refresh * SILENT_AFTER_REFRESHES:
+        world.entry.silent_until[want.endpoint] = world.now + SILENT_FOR
+        world.entry.hints.pop(want.endpoint, None)
+        _withdraw(world, want)
+        _ask_next(world, replace(_clear_ask(want), last_reason="leader silent"))
+    elif not want.sent_at or world.now - want.sent_at[-1] >= timing.ask_refresh:
+        _send_ask(world, want)
+
+
+def _clear_ask(want: Want) -> Want:
+    return replace(want, ask=None, endpoint=None, sent_at=(), hints_followed=0)
+
+
+def _ask_next(world: World, want: Want) -> None:
+    """Ask the leader of the endpoint that the policy chooses."""
+    candidates = _make_candidates(world, want)
+    if not candidates:
+        world.entry.wants[want.want] = want
+        _give_up_if_hopeless(world, want)
+        return
+    choose = CHOOSERS[world.settings.placement.policy]
+    chosen = choose(candidates, world.settings.placement.homes, world.random)
+    world.entry.ask_sequence += 1
+    own = world.identity
+    want = replace(
+        want,
+        endpoint=chosen.endpoint,
+        ask=AskId(
+            f"{want.request}/{own.vm}.{own.incarnation}/{world.entry.ask_sequence}"
+        ),
+        sent_at=(),
+        hints_followed=0,
+        heard_at=NEVER,
+    )
+    world.events.add(
+        PART,
+        "asks for a permit",
+        request=want.request,
+        endpoint=chosen.endpoint,
+        adapter=str(want.adapter),
+        reason=_explain_choice(chosen),
+    )
+    _send_ask(world, want)
+
+
+def _explain_choice(chosen: Candidate) -> str:
+    loaded = "holds the adapter" if chosen.loaded else "would have to load it"
+    return f"{loaded}, rank {chosen.rank}, {chosen.occupied} running"
+
+
+def _give_up_if_hopeless(world: World, want: Want) -> None:
+    """Refuse at once what no endpoint can take before the patience is over."""
+    open_now = [each for each in want.candidates if is_open_for_work(world, each)]
+    avoided = all(each in want.avoid for each in want.candidates)
+    too_long = world.now - want.since > world.settings.timing.patience
+    if not open_now or avoided or too_long:
+        _refuse_want(world, want, RefusalReason.NO_ENDPOINT, COME_BACK_AFTER)
+
+
+def _send_ask(world: World, want: Want) -> None:
+    endpoint, ask_id = want.endpoint, want.ask
+    assert endpoint is not None and ask_id is not None
+    want = replace(want, sent_at=(*want.sent_at, world.now))
+    world.entry.wants[want.want] = want
+    leader = find_leader(world, endpoint)
+    if leader is None:
+        return
+    ask = AskPermit(
+        ask=ask_id,
+        endpoint=endpoint,
+        adapter=want.adapter.adapter,
+        version=want.adapter.version,
+        priority=int(want.priority),
+        time_left=want.deadline_at - world.now,
+        turn=len(want.sent_at) - 1,
+    )
+    world.send(leader, ask)
+
+
+def _find_want(world: World, ask: str) -> Want | None:
+    for want in world.entry.wants.values():
+        if want.ask == ask:
+            return want
+    return None
+
+
+def _keep_view(world: World, view: View) -> None:
+    endpoint = EndpointId(view.endpoint)
+    world.entry.views[endpoint] = EndpointView(
+        endpoint=endpoint,
+        loaded=frozenset(parse_adapter_version(name) for name in view.loaded),
+        occupied=view.occupied,
+        queued=view.queued,
+        heard_at=world.now,
+    )
+
+
+@hears(GrantPermit)
+def take_grant(world: World, sender: VmId, grant: GrantPermit) -> None:
+    """Hold a permit that was asked for; return one that nobody waits for."""
+    _keep_view(world, grant.view)
+    if PermitId(grant.permit) in world.entry.held:
+        return
+    want = _find_want(world, grant.ask)
+    known_turn = want is not None and grant.turn < len(want.sent_at)
+    expires_at = want.sent_at[grant.turn] + grant.life if want and known_turn else NEVER
+    if want is None or world.now >= expires_at:
+        back = ReturnPermit(
+            permit=grant.permit,
+            endpoint=grant.endpoint,
+            running=0,
+            unsure=False,
+        )
+        world.send(sender, back)
+        if want is not None:
+            world.entry.wants[want.want] = _clear_ask(want)
+        return
+    held = HeldPermit(
+        permit=PermitId(grant.permit),
+        endpoint=EndpointId(grant.endpoint),
+        adapter=AdapterVersion(adapter=grant.adapter, version=grant.version),
+        leader=sender,
+        epoch=grant.epoch,
+        count=grant.count,
+        expires_at=expires_at,
+        idle_since=world.now,
+    )
+    world.entry.held[held.permit] = held
+    if is_open_for_work(world, held.endpoint):
+        _grant_want(world, want, held)
+    else:
+        world.entry.wants[want.want] = _clear_ask(want)
+
+
+@hears(AskQueued)
+def take_queued(world: World, sender: VmId, queued: AskQueued) -> None:
+    """Note that the ask waits; go elsewhere or give up if it waits too long."""
+    _keep_view(world, queued.view)
+    want = _find_want(world, queued.ask)
+    if want is None:
+        return
+    want = replace(want, heard_at=world.now)
+    world.entry.wants[want.want] = want
+    if world.now + queued.expected_wait <= want.deadline_at:
+        return
+    world.events.add(
+        PART,
+        "cannot wait there",
+        request=want.request,
+        endpoint=queued.endpoint,
+        reason=f"expected wait {queued.expected_wait:.2f} s is past the deadline",
+    )
+    _withdraw(world, want)
+    avoid = want.avoid | {EndpointId(queued.endpoint)}
+    want = replace(_clear_ask(want), avoid=avoid)
+    world.entry.wants[want.want] = want
+    if all(each in avoid for each in want.candidates):
+        _refuse_want(world, want, RefusalReason.DEADLINE, queued.expected_wait)
+
+
+@hears(RefusePermit)
+def take_refusal(world: World, sender: VmId, refusal: RefusePermit) -> None:
+    """Follow the hint of a refusal, or ask for another endpoint."""
+    endpoint = EndpointId(refusal.endpoint)
+    if refusal.reason == LEAVING:
+        world.entry.leaving[endpoint] = world.now + LEAVING_FOR
+    if refusal.reason == NOT_LEADER:
+        _follow_hint(world, endpoint, refusal.leader)
+    want = _find_want(world, refusal.ask)
+    if want is None:
+        return
+    if refusal.leader and want.hints_followed < MOST_HINTS:
+        _send_ask(world, replace(want, hints_followed=want.hints_followed + 1))
+        return
+    world.entry.silent_until[endpoint] = world.now + max(
+        refusal.retry_after,
+        world.settings.timing.tick,
+    )
+    world.entry.wants[want.want] = replace(_clear_ask(want), last_reason=refusal.reason)
+
+
+def _follow_hint(world: World, endpoint: EndpointId, leader: str) -> None:
+    world.entry.hints.pop(endpoint, None)
+    if leader and is_reachable(world, VmId(leader)):
+        world.entry.hints[endpoint] = VmId(leader)
+
+
+@handles(PermitUsed)
+def end_use(world: World, used: PermitUsed) -> None:
+    """Take a request's place back."""
+    held = world.entry.held.get(used.permit)
+    if held is None:
+        return
+    unsure = held.unsure or used.end is UseEnd.UNSURE
+    held = replace(
+        held,
+        running=held.running - 1,
+        idle_since=world.now,
+        unsure=unsure,
+        told_at=NEVER if held.returned or unsure else held.told_at,
+    )
+    world.entry.held[held.permit] = held
+
+
+@runs_each_tick(51)
+def return_permits(world: World) -> None:
+    """Return what has run out, lies idle or is in doubt; tell until it is heard."""
+    timing = world.settings.timing
+    for held in list(world.entry.held.values()):
+        idle = held.running == 0 and world.now - held.idle_since > timing.permit_idle
+        over = world.now >= held.expires_at
+        shut = not is_open_for_work(world, held.endpoint)
+        if not held.returned and (idle or over or shut or held.unsure):
+            held = replace(held, returned=True, told_at=NEVER)
+            world.entry.held[held.permit] = held
+        if held.returned and world.now - held.told_at > TELL_AGAIN_AFTER:
+            _tell_return(world, held)
+
+
+def _tell_return(world: World, held: HeldPermit) -> None:
+    leader = find_leader(world, held.endpoint)
+    forgotten = world.now - held.expires_at > FORGET_RETURNED_AFTER
+    if leader is None or (forgotten and held.running == 0):
+        if held.running == 0:
+            del world.entry.held[held.permit]
+        return
+    returned = ReturnPermit(
+        permit=held.permit,
+        endpoint=held.endpoint,
+        running=held.running,
+        unsure=held.unsure,
+    )
+    world.entry.held[held.permit] = replace(held, told_at=world.now)
+    world.send(leader, returned)
+
+
+@hears(PermitClosed)
+def forget_permit(world: World, sender: VmId, closed: PermitClosed) -> None:
+    """Forget a permit whose end the leader has noted."""
+    held = world.entry.held.get(PermitId(closed.permit))
+    if held is not None and held.running == 0 and held.returned:
+        del world.entry.held[held.permit]
+
+
+@handles(EndpointServed)
+def note_success(world: World, served: EndpointServed) -> None:
+    """Close the breaker of an endpoint that served well."""
+    world.entry.breakers.pop(served.endpoint, None)
+    led = world.leaders.led.get(served.endpoint)
+    if led is not None:
+        took = led.service_time + SERVICE_TIME_WEIGHT * (served.took - led.service_time)
+        world.update_led(led, service_time=took)
+
+
+@handles(EndpointFailed)
+def note_failure(world: World, failed: EndpointFailed) -> None:
+    """Count a failure for the breaker, and tell the leader what was seen."""
+    limits = world.settings.limits
+    if failed.counts:
+        breaker = world.entry.breakers.get(failed.endpoint, Breaker())
+        failures = breaker.failures + 1
+        world.entry.breakers[failed.endpoint] = Breaker(
+            failures=failures,
+            open_until=world.now + limits.breaker_open,
+        )
+        if failures == limits.breaker_failures:
+            world.events.add(
+                PART,
+                "opens the circuit breaker",
+                endpoint=failed.endpoint,
+                reason=failed.fault,
+            )
+    if failed.fault == LEAVING:
+        world.entry.leaving[failed.endpoint] = world.now + LEAVING_FOR
+    leader = find_leader(world, failed.endpoint)
+    if leader is not None:
+        fault = EndpointFault(
+            endpoint=failed.endpoint,
+            adapter=failed.adapter.adapter,
+            version=failed.adapter.version,
+            fault=failed.fault,
+        )
+        world.send(leader, fault)
+
+
+def list_candidates(
+    world: World,
+    model: str,
+    adapter: AdapterVersion,
+) -> tuple[EndpointId, ...]:
+    """Return the endpoints that run a base model and can serve an adapter of it."""
+    found: Iterable[EndpointId] = world.config.endpoints_of_model.get(model, {})
+    if adapter == SERVICE:
+        return tuple(found)
+    return tuple(
+        endpoint
+        for endpoint in found
+        if world.config.endpoints[endpoint].kind is EndpointKind.ENGINE
+    )
--- /dev/null
+++ b/src/kestreltally/systems/leadership.py
@@ -0,0 +1,483 @@
+"""Who leads an endpoint: claims, confirmation, handover, self-demotion.
+
+The object API holds (leader, epoch) and is written only when the leader changes.
+A leader acts only while contact with most of the daemons it tries, or the object
+itself, has confirmed within one lease that nobody has taken over.
+"""
+
+from dataclasses import replace
+from typing import Final
+from uuid import UUID
+
+from kestreltally.entities.configuration import EndpointKind
+from kestreltally.entities.endpoints import (
+    Claiming,
+    LeaderRecord,
+    LedEndpoint,
+    Offer,
+    Phase,
+)
+from kestreltally.entities.ids import (
+    AdapterVersion,
+    EndpointId,
+    PermitId,
+    Seconds,
+    VmId,
+    parse_adapter_version,
+)
+from kestreltally.entities.members import MemberState
+from kestreltally.entities.permits import GrantedPermit, PermitState
+from kestreltally.orders import (
+    ClaimEnded,
+    ClaimEndpoint,
+    FenceRaised,
+    LeadersChanged,
+    LeaderWasRead,
+    OrderOutcome,
+    RaiseFence,
+    ReadLeader,
+)
+from kestreltally.peers.messages import HandedPermit, HandOver
+from kestreltally.systems.hashing import choose_owner
+from kestreltally.systems.membership import (
+    find_data_centre,
+    is_reachable,
+    list_eligible,
+)
+from kestreltally.systems.registry import handles, handles_pause, hears, runs_each_tick
+from kestreltally.world import NEVER, World
+
+PART: Final = "leadership"
+TOKEN_BITS: Final = 20
+FENCE_AGAIN_AFTER: Final[Seconds] = 1.0
+CONFIRM_AGAIN_SHARE: Final = 0.5
+CLAIM_LIFE: Final[Seconds] = 5.0
+HAND_OVER_AFTER: Final[Seconds] = 1.0
+ACTIVE: Final = frozenset({Phase.CLAIMED, Phase.FENCED})
+
+
+def make_token(world: World, led: LedEndpoint) -> int:
+    """Return the fence token of the next order: it rises with each order.
+
+    The epoch stands in the high bits, so that every token of a new leader is
+    above all of the earlier ones, and an order that comes late is refused.
+    """
+    sequence = world.leaders.sequences.get(led.endpoint, 0) + 1
+    world.leaders.sequences[led.endpoint] = sequence
+    return (led.record.epoch << TOKEN_BITS) + sequence
+
+
+def is_confirmed(world: World, led: LedEndpoint) -> bool:
+    """Tell whether the leadership was confirmed within one lease."""
+    confirmed_at = max(led.confirmed_at, world.members.confirmed_at)
+    return world.now - confirmed_at <= world.settings.timing.lease
+
+
+def may_act(world: World, led: LedEndpoint) -> bool:
+    """Tell whether the leader may grant and order at this moment."""
+    return led.phase is Phase.FENCED and is_confirmed(world, led)
+
+
+def find_owner(world: World, endpoint: EndpointId) -> VmId | None:
+    """Return the daemon that should lead an endpoint, by this daemon's view."""
+    _work_out_owners(world)
+    return world.leaders.owners.get(endpoint)
+
+
+def find_leader(world: World, endpoint: EndpointId) -> VmId | None:
+    """Return whom to ask for permits: the recorded leader, a hint, or the owner."""
+    hint = world.entry.hints.get(endpoint)
+    if hint is not None and is_reachable(world, hint):
+        return hint
+    record = world.leaders.records.get(endpoint)
+    if record is not None and is_reachable(world, record.leader):
+        return record.leader
+    return find_owner(world, endpoint)
+
+
+def _work_out_owners(world: World) -> None:
+    """Work the owners out anew when daemons or endpoints have changed."""
+    stamp = (world.members.changes, world.config.revision)
+    table = world.leaders
+    if table.owned_for == stamp:
+        return
+    table.owned_for = stamp
+    eligible = list_eligible(world)
+    near: dict[str, list[str]] = {}
+    for vm in eligible:
+        near.setdefault(find_data_centre(world, vm), []).append(vm)
+    owners = {}
+    for endpoint, spec in world.config.endpoints.items():
+        candidates = near.get(spec.data_centre) or [str(vm) for vm in eligible]
+        owner = choose_owner(endpoint, candidates)
+        if owner is not None:
+            owners[endpoint] = VmId(owner)
+    table.owners = owners
+    own = world.identity.vm
+    table.owned = frozenset(each for each, owner in owners.items() if owner == own)
+    table.owned_since = {
+        endpoint: table.owned_since.get(endpoint, world.now) for endpoint in table.owned
+    }
+
+
+def _is_gone(world: World, record: LeaderRecord) -> bool:
+    """Tell whether the recorded leader can no longer be leading."""
+    if record.leader == world.identity.vm:
+        return True
+    member = world.members.known.get(record.leader)
+    if member is None or member.state is MemberState.DEAD:
+        return True
+    return member.incarnation > record.incarnation
+
+
+def _may_claim(world: World, endpoint: EndpointId) -> bool:
+    table = world.leaders
+    if endpoint in table.led or endpoint in table.claiming:
+        return False
+    if endpoint in table.offers:
+        return True
+    last = table.last_claims.get(endpoint, NEVER)
+    if world.now - last < world.settings.timing.hold_down:
+        return False
+    record = table.records.get(endpoint)
+    return record is None or _is_gone(world, record)
+
+
+def _claim(world: World, endpoint: EndpointId, reason: str) -> None:
+    table = world.leaders
+    before = table.records.get(endpoint)
+    record = LeaderRecord(
+        endpoint=endpoint,
+        leader=world.identity.vm,
+        incarnation=world.identity.incarnation,
+        epoch=1 if before is None else before.epoch + 1,
+        change=str(UUID(int=world.random.getrandbits(128))),
+    )
+    expected = 0 if before is None else before.version
+    table.claiming[endpoint] = Claiming(since=world.now, expected_version=expected)
+    table.last_claims[endpoint] = world.now
+    world.outbox.append(ClaimEndpoint(record=record, expected_version=expected))
+    world.events.add(
+        PART,
+        "claims leadership",
+        reason=reason,
+        endpoint=endpoint,
+        detail=f"epoch {record.epoch}",
+    )
+
+
+@runs_each_tick(30)
+def claim_owned(world: World) -> None:
+    """Claim what this daemon should lead and nobody live leads."""
+    _work_out_owners(world)
+    table = world.leaders
+    for endpoint, claiming in list(table.claiming.items()):
+        if world.now - claiming.since > CLAIM_LIFE:
+            del table.claiming[endpoint]
+    if world.members.leaving:
+        return
+    if world.now - world.started_at < world.settings.timing.settle:
+        return
+    for endpoint in sorted(table.owned | set(table.offers)):
+        if endpoint in world.config.endpoints and _may_claim(world, endpoint):
+            offered = endpoint in table.offers
+            _claim(world, endpoint, "offered" if offered else "no live leader")
+
+
+def _take_offer_for(world: World, endpoint: EndpointId, version: int) -> Offer | None:
+    """Take the former leader's book over, if it was offered for this version."""
+    offer = world.leaders.offers.pop(endpoint, None)
+    if offer is None or offer.version != version:
+        return None
+    for permit in offer.permits:
+        world.book.permits[permit.permit] = permit
+    return offer
+
+
+@handles(ClaimEnded)
+def take_claim(world: World, ended: ClaimEnded) -> None:
+    """Begin to lead after a won claim; learn the winner after a lost one."""
+    table = world.leaders
+    claiming = table.claiming.pop(ended.endpoint, None)
+    if ended.record is not None:
+        _learn_record(world, ended.record)
+    newest = table.records.get(ended.endpoint)
+    overtaken = newest is not None and newest.change != _change_of(ended.record)
+    if claiming is None or not ended.won or ended.record is None or overtaken:
+        table.offers.pop(ended.endpoint, None)
+        return
+    offer = _take_offer_for(world, ended.endpoint, claiming.expected_version)
+    _begin_to_lead(world, ended.record, ended.claimed_at, offer)
+
+
+def _change_of(record: LeaderRecord | None) -> str:
+    return "" if record is None else record.change
+
+
+def _begin_to_lead(
+    world: World,
+    record: LeaderRecord,
+    claimed_at: Seconds,
+    offer: Offer | None,
+) -> None:
+    """Enter an endpoint as led, with the waits that its former leader demands."""
+    spec = world.config.endpoints.get(record.endpoint)
+    timing = world.settings.timing
+    alone = offer is not None or record.epoch == 1
+    lease_wait = 0.0 if alone else timing.lease + timing.permit_margin
+    permit_wait = 0.0 if alone else timing.permit_life + timing.permit_margin
+    unchecked = spec is not None and not spec.checks_fence and not alone
+    orders_wait = lease_wait + timing.order_timeout if unchecked else 0.0
+    unloads_after = world.now + max(lease_wait + permit_wait, orders_wait)
+    if offer is not None:
+        unloads_after = offer.unloads_after
+    world.leaders.led[record.endpoint] = LedEndpoint(
+        endpoint=record.endpoint,
+        record=record,
+        phase=Phase.CLAIMED,
+        since=world.now,
+        confirmed_at=claimed_at,
+        orders_after=world.now + orders_wait,
+        unloads_after=unloads_after,
+        unsure=frozenset() if offer is None else offer.unsure,
+    )
+    world.events.add(
+        PART,
+        "leads",
+        reason="claimed" if offer is None else "handed over",
+        endpoint=record.endpoint,
+        detail=f"epoch {record.epoch}",
+    )
+
+
+def _learn_record(world: World, record: LeaderRecord) -> None:
+    """Keep the newest record, and stop leading what another has claimed."""
+    table = world.leaders
+    known = table.records.get(record.endpoint)
+    if known is not None and known.version >= record.version:
+        return
+    table.records[record.endpoint] = record
+    world.entry.hints.pop(record.endpoint, None)
+    led = table.led.get(record.endpoint)
+    if led is not None and record.epoch > led.record.epoch:
+        stop_leading(world, record.endpoint, "another leads")
+
+
+@handles(LeadersChanged)
+def take_leaders(world: World, changed: LeadersChanged) -> None:
+    """Take in what the watch on leader records brought."""
+    for record in changed.records:
+        _learn_record(world, record)
+
+
+def stop_leading(world: World, endpoint: EndpointId, reason: str) -> None:
+    """Forget all that was led and promised at an endpoint."""
+    world.leaders.led.pop(endpoint, None)
+    for permit in list(world.permits_of(endpoint)):
+        del world.book.permits[permit.permit]
+    for ask in [a for a in world.book.asks.values() if a.endpoint == endpoint]:
+        del world.book.asks[ask.ask]
+    for load in [a for a in world.book.loads.values() if a.endpoint == endpoint]:
+        del world.book.loads[load.load]
+    world.events.add(PART, "stops leading", reason=reason, endpoint=endpoint)
+
+
+@runs_each_tick(31)
+def keep_confirmed(world: World) -> None:
+    """Suspend what cannot be confirmed; ask the object API before that."""
+    lease = world.settings.timing.lease
+    for led in list(world.leaders.led.values()):
+        if led.endpoint not in world.config.endpoints:
+            stop_leading(world, led.endpoint, "the endpoint was dropped")
+            continue
+        if led.phase in ACTIVE and not is_confirmed(world, led):
+            led = world.update_led(led, phase=Phase.SUSPENDED)
+            world.events.add(
+                PART,
+                "suspends",
+                reason="not confirmed within the lease",
+                endpoint=led.endpoint,
+            )
+        confirmed_at = max(led.confirmed_at, world.members.confirmed_at)
+        due = world.now - confirmed_at > lease * CONFIRM_AGAIN_SHARE
+        asked_lately = (
+            world.now - led.confirm_asked_at < lease * CONFIRM_AGAIN_SHARE / 2
+        )
+        if (due or led.phase is Phase.SUSPENDED) and not asked_lately:
+            world.update_led(led, confirm_asked_at=world.now)
+            world.outbox.append(ReadLeader(endpoint=led.endpoint))
+
+
+@handles(LeaderWasRead)
+def take_read_leader(world: World, read: LeaderWasRead) -> None:
+    """Confirm the leadership, or end it, by what the object API holds."""
+    if read.failed or read.record is None:
+        return
+    _learn_record(world, read.record)
+    led = world.leaders.led.get(read.endpoint)
+    if led is None or read.record.change != led.record.change:
+        return
+    if read.asked_at <= led.confirmed_at:
+        return
+    led = world.update_led(led, confirmed_at=read.asked_at)
+    if led.phase is Phase.SUSPENDED and is_confirmed(world, led):
+        world.update_led(led, phase=Phase.CLAIMED, fence_asked_at=NEVER)
+        world.events.add(
+            PART,
+            "resumes",
+            reason="the object API still names it",
+            endpoint=led.endpoint,
+        )
+
+
+@runs_each_tick(32)
+def raise_fences(world: World) -> None:
+    """Raise the fence at each endpoint newly claimed."""
+    for led in list(world.leaders.led.values()):
+        if led.phase is not Phase.CLAIMED or not is_confirmed(world, led):
+            continue
+        spec = world.config.endpoints[led.endpoint]
+        if spec.kind is EndpointKind.SERVICE or not spec.checks_fence:
+            _become_fenced(world, led)
+        elif world.now - led.fence_asked_at >= FENCE_AGAIN_AFTER:
+            world.update_led(led, fence_asked_at=world.now)
+            token = make_token(world, led)
+            world.outbox.append(RaiseFence(endpoint=led.endpoint, epoch=token))
+
+
+def _become_fenced(world: World, led: LedEndpoint) -> None:
+    world.update_led(led, phase=Phase.FENCED)
+    world.events.add(PART, "acts as leader", endpoint=led.endpoint)
+
+
+@handles(FenceRaised)
+def take_fence(world: World, raised: FenceRaised) -> None:
+    """Act as leader once the endpoint refuses older orders."""
+    led = world.leaders.led.get(raised.endpoint)
+    if led is None or led.phase is not Phase.CLAIMED:
+        return
+    if raised.epoch >> TOKEN_BITS != led.record.epoch:
+        return
+    if raised.outcome is OrderOutcome.DONE:
+        _become_fenced(world, led)
+    elif raised.outcome is OrderOutcome.FENCED_OFF:
+        world.update_led(led, confirm_asked_at=NEVER, phase=Phase.SUSPENDED)
+
+
+def _hand_permit(world: World, permit: GrantedPermit) -> HandedPermit:
+    return HandedPermit(
+        permit=permit.permit,
+        adapter=permit.adapter.adapter,
+        version=permit.adapter.version,
+        holder=permit.holder,
+        count=permit.count,
+        running=permit.running,
+        state=permit.state.value,
+        life_left=max(0.0, permit.expires_at - world.now),
+    )
+
+
+def _is_due_elsewhere(world: World, led: LedEndpoint, owner: VmId) -> bool:
+    """Tell whether an endpoint should be handed to its owner now."""
+    if owner == world.identity.vm:
+        return False
+    member = world.members.known.get(owner)
+    if member is None or member.state is not MemberState.ALIVE:
+        return False
+    if world.members.leaving:
+        return True
+    return world.now - led.since > HAND_OVER_AFTER
+
+
+@runs_each_tick(33)
+def hand_over(world: World) -> None:
+    """Hand endpoints to the daemons that should lead them."""
+    timeout = world.settings.timing.hand_over_timeout
+    for led in list(world.leaders.led.values()):
+        if led.phase is Phase.HANDING_OVER:
+            if world.now - led.handed_at > timeout:
+                stop_leading(world, led.endpoint, "the offer was not taken")
+                _claim(world, led.endpoint, "the offer was not taken")
+            continue
+        owner = find_owner(world, led.endpoint)
+        if owner is None or led.phase is not Phase.FENCED:
+            continue
+        if _is_due_elsewhere(world, led, owner):
+            _offer(world, led, owner)
+
+
+def _offer(world: World, led: LedEndpoint, owner: VmId) -> None:
+    """Stop granting, and send the book to the next leader."""
+    unsure = [str(slot.adapter) for slot in led.slots.values() if slot.look_after > 0]
+    offer = HandOver(
+        endpoint=led.endpoint,
+        epoch=led.record.epoch,
+        version=led.record.version,
+        bar_left=max(0.0, led.unloads_after - world.now),
+        unsure=unsure,
+        permits=[_hand_permit(world, each) for each in world.permits_of(led.endpoint)],
+    )
+    world.update_led(led, phase=Phase.HANDING_OVER, handed_at=world.now)
+    world.send(owner, offer)
+    world.events.add(
+        PART,
+        f"hands over to {owner}",
+        reason="planned stop" if world.members.leaving else "owner changed",
+        endpoint=led.endpoint,
+    )
+
+
+@hears(HandOver)
+def take_offer(world: World, sender: VmId, offer: HandOver) -> None:
+    """Prepare to claim an endpoint that its leader offers."""
+    endpoint = EndpointId(offer.endpoint)
+    record = world.leaders.records.get(endpoint)
+    if world.members.leaving or (record is not None and record.epoch > offer.epoch):
+        return
+    if record is None or record.version < offer.version:
+        record = LeaderRecord(
+            endpoint=endpoint,
+            leader=sender,
+            incarnation=0,
+            epoch=offer.epoch,
+            change="",
+            version=offer.version,
+        )
+        world.leaders.records[endpoint] = record
+    margin = world.settings.timing.permit_margin
+    world.leaders.offers[endpoint] = Offer(
+        version=offer.version,
+        permits=tuple(
+            GrantedPermit(
+                permit=PermitId(each.permit),
+                endpoint=endpoint,
+                adapter=AdapterVersion(adapter=each.adapter, version=each.version),
+                holder=VmId(each.holder),
+                count=each.count,
+                expires_at=world.now + each.life_left + margin,
+                state=PermitState(each.state),
+                running=each.running,
+            )
+            for each in offer.permits
+        ),
+        unloads_after=world.now + offer.bar_left,
+        unsure=frozenset(parse_adapter_version(name) for name in offer.unsure),
+    )
+
+
+@handles_pause
+def suspend_after_pause(world: World, paused_for: Seconds) -> None:
+    """Stop acting as leader until the object API has been read again."""
+    world.leaders.offers.clear()
+    for led in list(world.leaders.led.values()):
+        world.update_led(led, phase=Phase.SUSPENDED, confirm_asked_at=NEVER)
+
+
+def mark_unsure(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
+    """Demand a later report before an adapter may be unloaded."""
+    slot = led.slots.get(adapter)
+    if slot is None:
+        return
+    look_after = world.now + world.settings.timing.permit_margin
+    doubtful = replace(slot, look_after=max(slot.look_after, look_after))
+    world.update_led(led, slots={**led.slots, adapter: doubtful})
--- /dev/null
+++ b/src/kestreltally/systems/loading.py
@@ -0,0 +1,480 @@
+"""What is loaded and unloaded at the endpoints that this daemon leads.
+
+One load in flight for an adapter version and endpoint, shared by all that wait.
+Nothing is unloaded while anything may use it.
+"""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from typing import Final
+
+from kestreltally.entities.configuration import EndpointKind
+from kestreltally.entities.endpoints import LedEndpoint, Slot
+from kestreltally.entities.ids import (
+    SERVICE,
+    AdapterVersion,
+    EndpointId,
+    Priority,
+    Seconds,
+    VmId,
+)
+from kestreltally.entities.permits import Ask, Load, LoadState
+from kestreltally.invariants import declare_invariant
+from kestreltally.orders import (
+    LoadAdapter,
+    LoadEnded,
+    OrderOutcome,
+    UnloadAdapter,
+    UnloadEnded,
+)
+from kestreltally.peers.messages import AskLoad, EndLoad, GrantLoad
+from kestreltally.policies.registry import EVICTERS, Resident
+from kestreltally.systems.budget import find_budget_leader
+from kestreltally.systems.demand import measure_demand
+from kestreltally.systems.granting import is_endpoint_leaving
+from kestreltally.systems.leadership import TOKEN_BITS, make_token, may_act
+from kestreltally.systems.registry import handles, hears, runs_each_tick
+from kestreltally.world import World
+
+PART: Final = "loads"
+LOADS_AT_ONCE_PER_ENDPOINT: Final = 2
+ASK_BUDGET_AGAIN_AFTER: Final[Seconds] = 1.0
+FALL_BACK_AFTER: Final[Seconds] = 2.0
+FAILED_LOAD_WAIT: Final[Seconds] = 1.0
+UNLOAD_AGAIN_AFTER: Final[Seconds] = 1.0
+LOAD_TIME_WEIGHT: Final = 0.2
+URGENCY: Final = {
+    Priority.INTERACTIVE: 4.0,
+    Priority.STANDARD: 2.0,
+    Priority.BATCH: 1.0,
+}
+CLOSE_BUSY_AFTER: Final[Seconds] = 1.0
+
+UNLOAD_ONLY_UNUSED = declare_invariant(
+    "unload-only-unused",
+    promise="an adapter in use is never unloaded",
+    owner="systems/loading.py",
+)
+ORDER_ONLY_AS_LEADER = declare_invariant(
+    "order-only-as-confirmed-leader",
+    promise="an adapter in use is never unloaded",
+    owner="systems/loading.py",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Hunger:
+    """The requests that wait for one adapter version at one endpoint."""
+
+    adapter: AdapterVersion
+    urgency: float
+    oldest: Seconds
+    count: int
+
+
+def measure_hunger(asks: list[Ask], now: Seconds) -> Hunger:
+    """Return how much the asks of one adapter hurt by waiting."""
+    urgency = sum(URGENCY[ask.priority] * (1.0 + now - ask.arrived_at) for ask in asks)
+    oldest = min(ask.arrived_at for ask in asks)
+    return Hunger(
+        adapter=asks[0].adapter,
+        urgency=urgency,
+        oldest=oldest,
+        count=len(asks),
+    )
+
+
+def list_hungry(world: World, led: LedEndpoint) -> list[Hunger]:
+    """Return the adapters that are asked for and not held, most urgent first."""
+    waiting: dict[AdapterVersion, list[Ask]] = defaultdict(list)
+    for ask in world.book.asks.values():
+        absent = ask.adapter != SERVICE and ask.adapter not in led.slots
+        if ask.endpoint == led.endpoint and absent:
+            waiting[ask.adapter].append(ask)
+    hungry = [measure_hunger(asks, world.now) for asks in waiting.values()]
+    hungry.extend(
+        Hunger(adapter=pinned, urgency=0.0, oldest=world.now, count=0)
+        for pinned in list_pinned(world, led.endpoint)
+        if pinned not in led.slots and pinned not in waiting
+    )
+    return sorted(hungry, key=lambda each: (-each.urgency, str(each.adapter)))
+
+
+def list_pinned(world: World, endpoint: EndpointId) -> list[AdapterVersion]:
+    """Return the current versions of the adapters pinned to an endpoint."""
+    found = []
+    for name in sorted(world.config.pinned.get(endpoint, ())):
+        adapter = world.config.find_adapter(name)
+        if adapter is not None and adapter.current:
+            found.append(AdapterVersion(adapter=name, version=adapter.current))
+    return found
+
+
+def is_in_use(world: World, led: LedEndpoint, slot: Slot) -> bool:
+    """Tell whether anything uses, or may still use, the adapter of a slot."""
+    if any(True for _ in world.permits_of(led.endpoint, slot.adapter)):
+        return True
+    if slot.look_after > 0:
+        return True
+    report = led.report
+    return report is not None and report.running.get(slot.adapter, 0) > 0
+
+
+def may_unload(world: World, led: LedEndpoint, slot: Slot) -> bool:
+    """Tell whether the leader may unload the adapter of a slot now."""
+    if world.now < max(led.unloads_after, led.orders_after):
+        return False
+    if led.report is None or led.report.composed_at <= led.since:
+        return False
+    return not is_in_use(world, led, slot)
+
+
+def loads_of(world: World, endpoint: EndpointId) -> list[Load]:
+    """Return the loads planned or under way at an endpoint."""
+    return [load for load in world.book.loads.values() if load.endpoint == endpoint]
+
+
+def _choose_victim(world: World, led: LedEndpoint, hunger: Hunger) -> Slot | None:
+    """Return the slot to empty for a hungry adapter, if one should be."""
+    waiting: dict[AdapterVersion, int] = defaultdict(int)
+    for ask in world.book.asks.values():
+        if ask.endpoint == led.endpoint:
+            waiting[ask.adapter] += 1
+    pinned = list_pinned(world, led.endpoint)
+    residents = {
+        slot.adapter: Resident(
+            adapter=slot.adapter,
+            used_at=slot.used_at,
+            demand=measure_demand(world, led.endpoint, slot.adapter),
+            pinned=slot.adapter in pinned,
+            waiting=waiting[slot.adapter],
+        )
+        for slot in led.slots.values()
+        if not slot.closing
+    }
+    idle = [
+        resident
+        for adapter, resident in residents.items()
+        if not is_in_use(world, led, led.slots[adapter])
+    ]
+    evict = EVICTERS[world.settings.placement.policy]
+    gain = max(hunger.urgency, measure_demand(world, led.endpoint, hunger.adapter))
+    victim = evict(idle, gain, world.now) if idle else None
+    if victim is None and world.now - hunger.oldest > CLOSE_BUSY_AFTER:
+        unpinned = [each for each in residents.values() if not each.pinned]
+        victim = min(unpinned, key=lambda each: each.demand, default=None)
+    return led.slots[victim.adapter] if victim is not None else None
+
+
+@runs_each_tick(70)
+def plan_loads(world: World) -> None:
+    """Plan a load for each hungry adapter, within the endpoint's parallelism."""
+    for led in list(world.leaders.led.values()):
+        spec = world.config.endpoints[led.endpoint]
+        if spec.kind is not EndpointKind.ENGINE or not may_act(world, led):
+            continue
+        if is_endpoint_leaving(world, spec) or world.now < led.orders_after:
+            continue
+        _cancel_unwanted(world, led)
+        planned = loads_of(world, led.endpoint)
+        names = {load.adapter for load in planned}
+        for hunger in list_hungry(world, led):
+            if len(planned) >= LOADS_AT_ONCE_PER_ENDPOINT:
+                break
+            if hunger.adapter not in names and not _failed_lately(world, led, hunger):
+                planned.append(_plan(world, led, hunger))
+
+
+def _failed_lately(world: World, led: LedEndpoint, hunger: Hunger) -> bool:
+    failed_at = world.book.failed_loads.get((led.endpoint, hunger.adapter), -1e9)
+    return world.now - failed_at < FAILED_LOAD_WAIT
+
+
+def _plan(world: World, led: LedEndpoint, hunger: Hunger) -> Load:
+    serial = make_token(world, led)
+    load = Load(
+        load=f"{world.identity.vm}/{led.endpoint}/{serial}",
+        endpoint=led.endpoint,
+        adapter=hunger.adapter,
+        state=LoadState.WAITING_FOR_SLOT,
+        since=world.now,
+        urgency=hunger.urgency,
+    )
+    world.book.loads[load.load] = load
+    world.events.add(
+        PART,
+        "plans a load",
+        reason=f"{hunger.count} waiting",
+        endpoint=led.endpoint,
+        adapter=str(hunger.adapter),
+    )
+    return load
+
+
+def _cancel_unwanted(world: World, led: LedEndpoint) -> None:
+    """Drop planned loads that nobody waits for any more."""
+    wanted = {
+        ask.adapter for ask in world.book.asks.values() if ask.endpoint == led.endpoint
+    }
+    wanted.update(list_pinned(world, led.endpoint))
+    for load in loads_of(world, led.endpoint):
+        if load.state is not LoadState.ORDERED and load.adapter not in wanted:
+            _end_load(world, load)
+
+
+def _end_load(world: World, load: Load) -> None:
+    world.book.loads.pop(load.load, None)
+    if load.budget_from is not None:
+        world.send(load.budget_from, EndLoad(load=load.load))
+
+
+def _count_free_slots(world: World, led: LedEndpoint, besides: Load) -> int:
+    spec = world.config.endpoints[led.endpoint]
+    taken = set(led.slots) | {
+        load.adapter
+        for load in loads_of(world, led.endpoint)
+        if load.load != besides.load and load.state is not LoadState.WAITING_FOR_SLOT
+    }
+    return spec.slots - len(taken)
+
+
+@runs_each_tick(71)
+def find_slots(world: World) -> None:
+    """Give each planned load a slot, closing another one where it must."""
+    for load in list(world.book.loads.values()):
+        led = world.leaders.led.get(load.endpoint)
+        if led is None or not may_act(world, led):
+            continue
+        if load.state is not LoadState.WAITING_FOR_SLOT:
+            continue
+        if _count_free_slots(world, led, load) > 0:
+            _set_load(world, load, state=LoadState.WAITING_FOR_BUDGET)
+            continue
+        if load.victim is not None and load.victim in led.slots:
+            continue
+        closing = [slot for slot in led.slots.values() if slot.closing]
+        needing = [
+            each
+            for each in loads_of(world, load.endpoint)
+            if each.state is LoadState.WAITING_FOR_SLOT
+        ]
+        if len(closing) >= len(needing):
+            continue
+        _close_victim(world, led, load)
+
+
+def _set_load(world: World, load: Load, **changes: object) -> Load:
+    changed = replace(load, **changes)  # type: ignore[arg-type]
+    world.book.loads[load.load] = changed
+    return changed
+
+
+def _close_victim(world: World, led: LedEndpoint, load: Load) -> None:
+    asks = [
+        ask
+        for ask in world.book.asks.values()
+        if ask.endpoint == load.endpoint and ask.adapter == load.adapter
+    ]
+    if not asks:
+        return
+    victim = _choose_victim(world, led, measure_hunger(asks, world.now))
+    if victim is None:
+        return
+    _set_load(world, load, victim=victim.adapter)
+    set_slot(world, led, replace(victim, closing=True))
+    world.events.add(
+        PART,
+        "closes a slot",
+        reason=f"for {load.adapter}",
+        endpoint=led.endpoint,
+        adapter=str(victim.adapter),
+    )
+
+
+def set_slot(world: World, led: LedEndpoint, slot: Slot) -> LedEndpoint:
+    """Put a slot into the table of a led endpoint."""
+    slots: Mapping[AdapterVersion, Slot] = {**led.slots, slot.adapter: slot}
+    return world.update_led(led, slots=slots)
+
+
+@runs_each_tick(72)
+def unload_closed(world: World) -> None:
+    """Order the unloading of closed slots that nothing can use any more."""
+    for led in list(world.leaders.led.values()):
+        if not may_act(world, led):
+            continue
+        for slot in led.slots.values():
+            ordered_lately = (
+                slot.unloading and world.now - slot.ordered_at < UNLOAD_AGAIN_AFTER
+            )
+            if not slot.closing or ordered_lately:
+                continue
+            if may_unload(world, led, slot):
+                led = _order_unload(world, led, slot)
+
+
+def _order_unload(world: World, led: LedEndpoint, slot: Slot) -> LedEndpoint:
+    unused = not any(True for _ in world.permits_of(led.endpoint, slot.adapter))
+    world.invariants.require(
+        UNLOAD_ONLY_UNUSED,
+        unused and slot.closing and slot.look_after == 0.0,
+        f"{slot.adapter} on {led.endpoint}",
+    )
+    _require_leader(world, led)
+    led = set_slot(world, led, replace(slot, unloading=True, ordered_at=world.now))
+    order = UnloadAdapter(
+        endpoint=led.endpoint,
+        adapter=slot.adapter,
+        epoch=make_token(world, led),
+    )
+    world.outbox.append(order)
+    world.events.add(
+        PART,
+        "orders an unload",
+        endpoint=led.endpoint,
+        adapter=str(slot.adapter),
+        reason="nothing uses it",
+    )
+    return led
+
+
+def _require_leader(world: World, led: LedEndpoint) -> None:
+    world.invariants.require(
+        ORDER_ONLY_AS_LEADER,
+        may_act(world, led) and world.now >= led.orders_after,
+        f"{led.endpoint} is {led.phase.value}",
+    )
+
+
+@runs_each_tick(73)
+def ask_budget(world: World) -> None:
+    """Ask for leave to load what has a slot; after a silence take the static share."""
+    for load in list(world.book.loads.values()):
+        led = world.leaders.led.get(load.endpoint)
+        if load.state is not LoadState.WAITING_FOR_BUDGET or led is None:
+            continue
+        if not may_act(world, led):
+            continue
+        leader = find_budget_leader(world)
+        changed_leader = load.budget_from != leader
+        if changed_leader or world.now - load.asked_at > ASK_BUDGET_AGAIN_AFTER:
+            load = _set_load(world, load, budget_from=leader, asked_at=world.now)
+            if leader is not None:
+                world.send(leader, AskLoad(load=load.load, urgency=load.urgency))
+        if world.now - load.since > FALL_BACK_AFTER and _share_is_free(world):
+            world.events.add(
+                PART,
+                "loads without leave",
+                reason="no load-budget leader answers",
+                endpoint=load.endpoint,
+                adapter=str(load.adapter),
+            )
+            order_load(world, load)
+
+
+def _share_is_free(world: World) -> bool:
+    """Tell whether this daemon's static share allows a load: one at a time."""
+    return not any(
+        load.state is LoadState.ORDERED for load in world.book.loads.values()
+    ) and _budget_is_silent(world)
+
+
+def _budget_is_silent(world: World) -> bool:
+    leader = find_budget_leader(world)
+    if leader is None:
+        return True
+    heard_at = world.book.budget_heard_at
+    return world.now - heard_at > FALL_BACK_AFTER
+
+
+@hears(GrantLoad)
+def take_budget(world: World, sender: VmId, granted: GrantLoad) -> None:
+    """Order the load that the budget leader has given leave for."""
+    world.book.budget_heard_at = world.now
+    load = world.book.loads.get(granted.load)
+    if load is None:
+        world.send(sender, EndLoad(load=granted.load))
+    elif load.state is LoadState.WAITING_FOR_BUDGET:
+        order_load(world, replace(load, budget_from=sender))
+
+
+def order_load(world: World, load: Load) -> None:
+    """Order a load, if this daemon may still act as the endpoint's leader."""
+    led = world.leaders.led.get(load.endpoint)
+    if led is None or not may_act(world, led) or load.adapter in led.slots:
+        _end_load(world, load)
+        return
+    _require_leader(world, led)
+    _set_load(
+        world,
+        load,
+        state=LoadState.ORDERED,
+        asked_at=world.now,
+        budget_from=load.budget_from,
+    )
+    order = LoadAdapter(
+        load=load.load,
+        endpoint=load.endpoint,
+        adapter=load.adapter,
+        epoch=make_token(world, led),
+    )
+    world.outbox.append(order)
+    world.events.add(
+        PART,
+        "orders a load",
+        endpoint=load.endpoint,
+        adapter=str(load.adapter),
+        detail=f"planned {world.now - load.since:.3f} s ago",
+    )
+
+
+@handles(LoadEnded)
+def take_load(world: World, ended: LoadEnded) -> None:
+    """Open the slot of a loaded adapter, or plan anew after a failure."""
+    load = world.book.loads.get(ended.load)
+    if load is None:
+        return
+    took = world.now - load.asked_at
+    _end_load(world, load)
+    world.events.add(
+        PART,
+        f"load {ended.outcome.value}",
+        endpoint=ended.endpoint,
+        adapter=str(ended.adapter),
+        detail=f"{took:.3f} s",
+    )
+    led = world.leaders.led.get(ended.endpoint)
+    if led is not None and ended.epoch >> TOKEN_BITS != led.record.epoch:
+        return
+    if ended.outcome is not OrderOutcome.DONE or led is None:
+        world.book.failed_loads[(ended.endpoint, ended.adapter)] = world.now
+        _forget_old_failures(world)
+        return
+    world.book.load_time += LOAD_TIME_WEIGHT * (took - world.book.load_time)
+    slot = Slot(adapter=ended.adapter, loaded_at=world.now, used_at=world.now)
+    set_slot(world, led, slot)
+
+
+def _forget_old_failures(world: World) -> None:
+    for key, failed_at in list(world.book.failed_loads.items()):
+        if world.now - failed_at > FAILED_LOAD_WAIT:
+            del world.book.failed_loads[key]
+
+
+@handles(UnloadEnded)
+def take_unload(world: World, ended: UnloadEnded) -> None:
+    """Free the slot; a slot whose unloading is in doubt stays closed."""
+    led = world.leaders.led.get(ended.endpoint)
+    if led is None or ended.adapter not in led.slots:
+        return
+    if ended.outcome is OrderOutcome.DONE:
+        slots = {name: s for name, s in led.slots.items() if name != ended.adapter}
+        world.update_led(led, slots=slots)
+        return
+    world.events.add(
+        PART,
+        f"unload {ended.outcome.value}",
+        endpoint=ended.endpoint,
+        adapter=str(ended.adapter),
+    )
--- /dev/null
+++ b/src/kestreltally/systems/membership.py
@@ -0,0 +1,401 @@
+"""Which daemons are alive: heartbeats, suspicion, rumours.
+
+After SWIM (Das, Gupta, Motivala, 2002): each heartbeat goes to one daemon, and
+rumours ride on heartbeats, so the cost per daemon does not grow with the fleet.
+The VM list only says whom to try.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from math import ceil, log2
+from typing import Final
+
+from kestreltally.entities.ids import DataCentre, Seconds, VmId
+from kestreltally.entities.members import Member, MemberState
+from kestreltally.orders import StopAsked, VmsListed
+from kestreltally.peers.messages import Ack, Ping, PingFor, Rumour
+from kestreltally.systems.configuration import note_peer_revision, tell_unconfirmed
+from kestreltally.systems.registry import handles, handles_pause, hears, runs_each_tick
+from kestreltally.world import NEVER, PendingPing, World
+
+PART: Final = "membership"
+RUMOURS_PER_MESSAGE: Final = 8
+RETELL_FACTOR: Final = 3
+HELPERS: Final = 2
+FIRST_PROBES_PER_TICK: Final = 8
+DEAD_PROBE_EVERY: Final = 2
+FORGET_DEAD_AFTER: Final[Seconds] = 60.0
+PING_LIFE_IN_TIMEOUTS: Final = 4
+CONFIRMING_PINGS: Final = 3
+
+
+def list_eligible(world: World) -> list[VmId]:
+    """Return the daemons that may own a duty, this one included."""
+    own = [] if world.members.leaving else [world.identity.vm]
+    return own + [
+        member.vm
+        for member in world.members.known.values()
+        if member.state in (MemberState.ALIVE, MemberState.SUSPECT)
+        and not is_listed_leaving(world, member.vm)
+    ]
+
+
+def is_listed_leaving(world: World, vm: VmId) -> bool:
+    """Tell whether the VM list says that the VM is leaving."""
+    listed = world.members.listed.get(vm)
+    return listed is not None and listed.leaving
+
+
+def find_data_centre(world: World, vm: VmId) -> DataCentre:
+    """Return a daemon's data centre, empty when it is not known."""
+    if vm == world.identity.vm:
+        return world.identity.data_centre
+    member = world.members.known.get(vm)
+    return member.data_centre if member is not None else DataCentre("")
+
+
+def is_reachable(world: World, vm: VmId) -> bool:
+    """Tell whether it makes sense to send to a daemon."""
+    if vm == world.identity.vm:
+        return True
+    member = world.members.known.get(vm)
+    return member is not None and member.state is not MemberState.DEAD
+
+
+def make_own_rumour(world: World) -> Rumour:
+    """Return what this daemon says of itself."""
+    own = world.identity
+    state = MemberState.LEAVING if world.members.leaving else MemberState.ALIVE
+    return Rumour(
+        vm=own.vm,
+        host=own.host,
+        port=own.port,
+        data_centre=own.data_centre,
+        incarnation=own.incarnation,
+        counter=world.members.counter,
+        state=int(state),
+    )
+
+
+def _write_rumour(member: Member) -> Rumour:
+    return Rumour(
+        vm=member.vm,
+        host=member.host,
+        port=member.port,
+        data_centre=member.data_centre,
+        incarnation=member.incarnation,
+        counter=member.counter,
+        state=int(member.state),
+    )
+
+
+def _pick_rumours(world: World, subject: VmId | None) -> list[Rumour]:
+    """Return the own rumour, what is held of ``subject``, then the least told."""
+    table = world.members
+    picked = [make_own_rumour(world)]
+    about = table.known.get(subject) if subject is not None else None
+    if about is not None and about.state is not MemberState.ALIVE:
+        picked.append(_write_rumour(about))
+    least_told = sorted(table.rumours, key=lambda vm: (-table.rumours[vm], vm))
+    for vm in least_told[:RUMOURS_PER_MESSAGE]:
+        table.rumours[vm] -= 1
+        if table.rumours[vm] <= 0:
+            del table.rumours[vm]
+        if vm != subject and vm in table.known:
+            picked.append(_write_rumour(table.known[vm]))
+    return picked
+
+
+def _set_member(world: World, member: Member) -> None:
+    """Store a member and tell others; duties are worked out anew on a change."""
+    table = world.members
+    before = table.known.get(member.vm)
+    changed = before is None or before.state is not member.state
+    if before is not None and before.incarnation != member.incarnation:
+        changed = True
+    if changed:
+        member = replace(member, changed_at=world.now)
+        table.changes += 1
+        world.events.add(
+            PART,
+            f"{member.vm} is {member.state.name.lower()}",
+            detail=f"incarnation {member.incarnation} counter {member.counter}",
+        )
+    table.known[member.vm] = member
+    table.rumours[member.vm] = RETELL_FACTOR * ceil(log2(len(table.known) + 2))
+
+
+def _refute(world: World, rumour: Rumour) -> None:
+    """Answer a rumour that this daemon is not alive."""
+    if rumour.incarnation != world.identity.incarnation:
+        return
+    if rumour.state in (MemberState.SUSPECT, MemberState.DEAD):
+        world.members.counter = max(world.members.counter, rumour.counter + 1)
+
+
+def _hear_rumours(world: World, rumours: Iterable[Rumour]) -> None:
+    for rumour in rumours:
+        if rumour.vm == world.identity.vm:
+            _refute(world, rumour)
+            continue
+        heard = Member(
+            vm=VmId(rumour.vm),
+            host=rumour.host,
+            port=rumour.port,
+            data_centre=DataCentre(rumour.data_centre),
+            incarnation=rumour.incarnation,
+            counter=rumour.counter,
+            state=MemberState(rumour.state),
+            changed_at=world.now,
+        )
+        before = world.members.known.get(heard.vm)
+        if before is None:
+            if heard.state is not MemberState.DEAD:
+                _set_member(world, heard)
+        elif heard.age_key() > before.age_key():
+            kept = replace(
+                heard, changed_at=before.changed_at, acked_at=before.acked_at
+            )
+            _set_member(world, kept)
+
+
+def _send_ping(
+    world: World,
+    vm: VmId,
+    host: str,
+    port: int,
+    on_behalf_of: VmId | None = None,
+    their_sequence: int = 0,
+) -> None:
+    table = world.members
+    table.sequence += 1
+    table.pending[table.sequence] = PendingPing(
+        subject=vm,
+        sent_at=world.now,
+        on_behalf_of=on_behalf_of,
+        their_sequence=their_sequence,
+    )
+    ping = Ping(
+        sequence=table.sequence,
+        rumours=_pick_rumours(world, vm),
+        revision=world.config.revision,
+        unconfirmed_for=tell_unconfirmed(world),
+    )
+    world.send_to(vm, host, port, ping)
+
+
+def _ping_member(world: World, vm: VmId) -> None:
+    member = world.members.known[vm]
+    _send_ping(world, vm, member.host, member.port)
+
+
+def _is_pinged(member: Member) -> bool:
+    return member.state is not MemberState.DEAD
+
+
+def _ping_next(world: World) -> None:
+    """Send the heartbeat to the next daemon of a shuffled round."""
+    table = world.members
+    while table.round:
+        vm = table.round.pop()
+        if vm in table.known and _is_pinged(table.known[vm]):
+            _ping_member(world, vm)
+            return
+    table.round = [vm for vm, member in table.known.items() if _is_pinged(member)]
+    world.random.shuffle(table.round)
+    if table.round:
+        _ping_member(world, table.round.pop())
+
+
+def _probe_dead(world: World) -> None:
+    """Try one daemon held dead, so that data centres find each other again."""
+    dead = [
+        vm
+        for vm, listed in world.members.listed.items()
+        if listed.is_daemon and vm != world.identity.vm and not _is_known_up(world, vm)
+    ]
+    if not dead:
+        return
+    listed = world.members.listed[world.random.choice(dead)]
+    _send_ping(world, listed.vm, listed.host, listed.port)
+
+
+def _is_known_up(world: World, vm: VmId) -> bool:
+    member = world.members.known.get(vm)
+    return member is not None and _is_pinged(member)
+
+
+@runs_each_tick(10)
+def send_heartbeats(world: World) -> None:
+    """Send the heartbeats that are due."""
+    table = world.members
+    unprobed = [
+        listed
+        for listed in table.listed.values()
+        if listed.is_daemon
+        and listed.vm not in table.probed
+        and listed.vm != world.identity.vm
+    ]
+    for listed in unprobed[:FIRST_PROBES_PER_TICK]:
+        table.probed.add(listed.vm)
+        if not _is_known_up(world, listed.vm):
+            _send_ping(world, listed.vm, listed.host, listed.port)
+    if world.now < table.next_heartbeat_at:
+        return
+    table.next_heartbeat_at = world.now + world.settings.timing.heartbeat
+    table.heartbeats += 1
+    _ping_next(world)
+    if table.heartbeats % DEAD_PROBE_EVERY == 0:
+        _probe_dead(world)
+
+
+def _ask_helpers(world: World, sequence: int, pending: PendingPing) -> None:
+    others = [
+        vm
+        for vm, member in world.members.known.items()
+        if vm != pending.subject and member.state is MemberState.ALIVE
+    ]
+    for vm in world.random.sample(others, min(HELPERS, len(others))):
+        world.send(vm, PingFor(sequence=sequence, subject=pending.subject))
+
+
+def _suspect(world: World, vm: VmId) -> None:
+    member = world.members.known.get(vm)
+    if member is None:
+        return
+    if member.state is MemberState.ALIVE:
+        _set_member(world, replace(member, state=MemberState.SUSPECT))
+    elif member.state is MemberState.LEAVING:
+        _set_member(world, replace(member, state=MemberState.DEAD))
+
+
+@runs_each_tick(11)
+def judge_silence(world: World) -> None:
+    """Suspect daemons that do not answer; hold dead those suspected for long."""
+    timing = world.settings.timing
+    table = world.members
+    for sequence, pending in list(table.pending.items()):
+        age = world.now - pending.sent_at
+        if age > timing.ack_timeout * PING_LIFE_IN_TIMEOUTS:
+            del table.pending[sequence]
+            if pending.on_behalf_of is None:
+                _suspect(world, pending.subject)
+        elif age > timing.ack_timeout and not pending.asked_others:
+            table.pending[sequence] = replace(pending, asked_others=True)
+            if pending.on_behalf_of is None and _is_known_up(world, pending.subject):
+                table.recent_pings.append(False)
+                _ask_helpers(world, sequence, pending)
+    for member in list(table.known.values()):
+        age = world.now - member.changed_at
+        if member.state is MemberState.SUSPECT and age > timing.suspicion:
+            _set_member(world, replace(member, state=MemberState.DEAD))
+        elif member.state is MemberState.DEAD and age > FORGET_DEAD_AFTER:
+            del table.known[member.vm]
+            table.rumours.pop(member.vm, None)
+
+
+@runs_each_tick(12)
+def confirm_contact(world: World) -> None:
+    """Note when most of the latest heartbeats were answered."""
+    table = world.members
+    if sum(table.recent_pings) >= CONFIRMING_PINGS:
+        table.confirmed_at = max(table.confirmed_at, _latest_ack(world))
+    elif not table.known and not _others_listed(world):
+        table.confirmed_at = world.now
+
+
+def _others_listed(world: World) -> bool:
+    return any(
+        listed.is_daemon and vm != world.identity.vm
+        for vm, listed in world.members.listed.items()
+    )
+
+
+def _latest_ack(world: World) -> Seconds:
+    acks = (member.acked_at for member in world.members.known.values())
+    return max(acks, default=NEVER)
+
+
+@hears(Ping)
+def answer_ping(world: World, sender: VmId, ping: Ping) -> None:
+    """Answer a heartbeat and take its rumours in."""
+    _hear_rumours(world, ping.rumours)
+    note_peer_revision(world, sender, ping.revision, ping.unconfirmed_for)
+    ack = Ack(
+        sequence=ping.sequence,
+        subject=world.identity.vm,
+        rumours=_pick_rumours(world, sender),
+        revision=world.config.revision,
+        unconfirmed_for=tell_unconfirmed(world),
+    )
+    world.send(sender, ack)
+
+
+@hears(PingFor)
+def ping_for_other(world: World, sender: VmId, request: PingFor) -> None:
+    """Send a heartbeat that another daemon got no answer to."""
+    subject = world.members.known.get(VmId(request.subject))
+    if subject is None:
+        return
+    _send_ping(
+        world,
+        subject.vm,
+        subject.host,
+        subject.port,
+        on_behalf_of=sender,
+        their_sequence=request.sequence,
+    )
+
+
+@hears(Ack)
+def take_ack(world: World, sender: VmId, ack: Ack) -> None:
+    """Note that a daemon is alive; pass the answer on to who asked for it."""
+    _hear_rumours(world, ack.rumours)
+    note_peer_revision(world, sender, ack.revision, ack.unconfirmed_for)
+    pending = world.members.pending.pop(ack.sequence, None)
+    if pending is None or pending.subject != ack.subject:
+        return
+    if pending.on_behalf_of is not None:
+        passed = replace(ack, sequence=pending.their_sequence)
+        world.send(pending.on_behalf_of, passed)
+        return
+    member = world.members.known.get(pending.subject)
+    if member is not None:
+        world.members.known[member.vm] = replace(member, acked_at=world.now)
+    if sender == pending.subject and not pending.asked_others:
+        world.members.recent_pings.append(True)
+
+
+@handles(VmsListed)
+def take_vm_list(world: World, listed: VmsListed) -> None:
+    """Take the VM list in: whom to try, and who is leaving."""
+    table = world.members
+    new = {each.vm: each for each in listed.vms}
+    if new != table.listed:
+        table.changes += 1
+    table.listed = new
+    table.probed &= set(new)
+
+
+@handles(StopAsked)
+def announce_leaving(world: World, _: StopAsked) -> None:
+    """Tell the others that this daemon is leaving."""
+    table = world.members
+    table.leaving = True
+    table.changes += 1
+    world.events.add(PART, "leaving", reason="planned stop")
+    others = [vm for vm, member in table.known.items() if _is_pinged(member)]
+    for vm in others[:FIRST_PROBES_PER_TICK]:
+        _ping_member(world, vm)
+
+
+@handles_pause
+def forgive_silence(world: World, paused_for: Seconds) -> None:
+    """Hold nobody silent for a time in which this daemon did not listen."""
+    table = world.members
+    world.events.add(PART, "was paused", detail=f"{paused_for:.2f} s")
+    table.pending.clear()
+    table.recent_pings.clear()
+    for member in list(table.known.values()):
+        if member.state is MemberState.SUSPECT:
+            table.known[member.vm] = replace(member, changed_at=world.now)
--- /dev/null
+++ b/src/kestreltally/systems/registry.py
@@ -0,0 +1,99 @@
+"""The systems: what handles a happening, what runs each tick, in which order."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+from kestreltally.entities.ids import Seconds, VmId
+from kestreltally.orders import Happening, MessageArrived
+from kestreltally.world import World
+
+LOG = logging.getLogger("kestreltally.peers")
+
+Handler = Callable[[World, Any], None]
+Hearer = Callable[[World, VmId, Any], None]
+Runner = Callable[[World], None]
+R = TypeVar("R", bound=Runner)
+H = TypeVar("H", bound=Callable[..., None])
+
+HANDLERS: Final[dict[type[Any], list[Handler]]] = {}
+HEARERS: Final[dict[type[Any], list[Hearer]]] = {}
+PAUSE_HANDLERS: Final[list[Callable[[World, Seconds], None]]] = []
+RUNNERS: Final[list[tuple[int, str, Runner]]] = []
+
+
+def handles(happening_type: type[Any]) -> Callable[[H], H]:
+    """Register a function for one type of happening."""
+
+    def register(handler: H) -> H:
+        HANDLERS.setdefault(happening_type, []).append(handler)
+        return handler
+
+    return register
+
+
+def hears(message_type: type[Any]) -> Callable[[H], H]:
+    """Register a function for one type of peer message."""
+
+    def register(hearer: H) -> H:
+        HEARERS.setdefault(message_type, []).append(hearer)
+        return hearer
+
+    return register
+
+
+def handles_pause(handler: H) -> H:
+    """Register a function that is called when the daemon was paused too long."""
+    PAUSE_HANDLERS.append(handler)
+    return handler
+
+
+def runs_each_tick(order: int) -> Callable[[R], R]:
+    """Register a function to run each tick; smaller numbers run first."""
+
+    def register(runner: R) -> R:
+        RUNNERS.append((order, f"{runner.__module__}.{runner.__name__}", runner))
+        RUNNERS.sort(key=lambda entry: entry[:2])
+        return runner
+
+    return register
+
+
+def _hear(world: World, arrived: MessageArrived) -> None:
+    """Hand a message on; one with values out of their range is left out."""
+    for hearer in HEARERS.get(type(arrived.message), ()):
+        try:
+            hearer(world, arrived.sender, arrived.message)
+        except ValueError as error:
+            LOG.warning("peers: a message of %s left out: %s", arrived.sender, error)
+
+
+def _handle(world: World, happening: Happening) -> None:
+    if isinstance(happening, MessageArrived):
+        _hear(world, happening)
+        return
+    for handler in HANDLERS.get(type(happening), ()):
+        handler(world, happening)
+
+
+def _drain_inbox(world: World) -> None:
+    while world.inbox:
+        _handle(world, world.inbox.popleft())
+
+
+def run_step(world: World, now: Seconds) -> None:
+    """Run one tick: notice a pause, take the inbox in, run the systems.
+
+    A system may leave messages to the daemon itself, so the inbox is drained
+    once more after the systems.
+    """
+    paused_for = now - world.last_step
+    world.now = now
+    world.last_step = now
+    if paused_for > world.settings.timing.pause_limit:
+        for pause_handler in PAUSE_HANDLERS:
+            pause_handler(world, paused_for)
+    _drain_inbox(world)
+    for _, _, runner in RUNNERS:
+        runner(world)
+        _drain_inbox(world)
--- /dev/null
+++ b/src/kestreltally/systems/reports.py
@@ -0,0 +1,136 @@
+"""What endpoints report, and what a leader makes of it.
+
+A report lags: it only counts for moments before it was composed.
+"""
+
+from dataclasses import replace
+from typing import Final
+
+from kestreltally.entities.endpoints import EndpointReport, LedEndpoint, Phase, Slot
+from kestreltally.entities.ids import AdapterVersion, Seconds
+from kestreltally.entities.permits import LoadState, PermitState
+from kestreltally.orders import FetchReport, ReportFetched
+from kestreltally.systems.leadership import TOKEN_BITS
+from kestreltally.systems.registry import handles, runs_each_tick
+from kestreltally.world import World
+
+PART: Final = "reports"
+SETTLED_AFTER: Final[Seconds] = 0.05
+
+
+@runs_each_tick(40)
+def ask_reports(world: World) -> None:
+    """Ask each led endpoint for its report when one is due."""
+    period = world.settings.timing.report_period
+    for led in list(world.leaders.led.values()):
+        if world.now - led.report_asked_at >= period:
+            world.update_led(led, report_asked_at=world.now)
+            world.outbox.append(FetchReport(endpoint=led.endpoint))
+
+
+@handles(ReportFetched)
+def take_report(world: World, fetched: ReportFetched) -> None:
+    """Bring the table of a led endpoint in line with its report."""
+    led = world.leaders.led.get(fetched.endpoint)
+    report = fetched.report
+    if led is None or report is None:
+        return
+    if led.report is not None and report.composed_at < led.report.composed_at:
+        return
+    if report.fence >> TOKEN_BITS > led.record.epoch:
+        world.update_led(led, phase=Phase.SUSPENDED)
+        return
+    if led.instance and report.instance != led.instance:
+        led = _forget_instance(world, led)
+    if report.leaving and not led.leaving:
+        world.events.add(PART, "says it is leaving", endpoint=led.endpoint)
+    led = world.update_led(
+        led,
+        instance=report.instance,
+        report=report,
+        leaving=report.leaving,
+    )
+    _close_expired_permits(world, led, report)
+    world.update_led(led, slots=_merge_slots(world, led, report))
+
+
+def _forget_instance(world: World, led: LedEndpoint) -> LedEndpoint:
+    """Start anew with an endpoint that restarted: nothing runs or is loaded there."""
+    world.events.add(PART, "restarted with nothing loaded", endpoint=led.endpoint)
+    for permit in list(world.permits_of(led.endpoint)):
+        if permit.state is PermitState.EXPIRED:
+            del world.book.permits[permit.permit]
+    for load in list(world.book.loads.values()):
+        if load.endpoint == led.endpoint and load.state is LoadState.ORDERED:
+            del world.book.loads[load.load]
+    phase = Phase.CLAIMED if led.phase is Phase.FENCED else led.phase
+    return world.update_led(led, slots={}, phase=phase, fence_asked_at=-1e9)
+
+
+def _close_expired_permits(
+    world: World,
+    led: LedEndpoint,
+    report: EndpointReport,
+) -> None:
+    """Drop expired permits that the report has outlived.
+
+    Whatever was started under them shows in the report's own count.
+    """
+    for permit in list(world.permits_of(led.endpoint)):
+        expired = permit.state is PermitState.EXPIRED
+        if expired and report.composed_at > permit.expires_at:
+            del world.book.permits[permit.permit]
+            world.events.add(
+                PART,
+                "closes a permit whose holder is silent",
+                endpoint=led.endpoint,
+                adapter=str(permit.adapter),
+            )
+
+
+def _merge_slots(
+    world: World,
+    led: LedEndpoint,
+    report: EndpointReport,
+) -> dict[AdapterVersion, Slot]:
+    loading = {
+        load.adapter
+        for load in world.book.loads.values()
+        if load.endpoint == led.endpoint and load.state is LoadState.ORDERED
+    }
+    slots = {}
+    for adapter, slot in led.slots.items():
+        shown = adapter in report.loaded
+        too_old = report.composed_at <= slot.loaded_at + SETTLED_AFTER
+        if shown or too_old:
+            slots[adapter] = _look_at_slot(slot, report)
+        else:
+            world.events.add(
+                PART,
+                "no longer holds an adapter",
+                endpoint=led.endpoint,
+                adapter=str(adapter),
+            )
+    for adapter in report.loaded:
+        if adapter not in slots and adapter not in loading and _is_news(led, report):
+            doubtful = adapter in led.unsure
+            slots[adapter] = Slot(
+                adapter=adapter,
+                loaded_at=report.composed_at,
+                used_at=world.now,
+                look_after=world.now if doubtful else 0.0,
+            )
+    return slots
+
+
+def _is_news(led: LedEndpoint, report: EndpointReport) -> bool:
+    """Tell whether a report may add adapters: it was composed under this leader."""
+    return report.composed_at > led.since
+
+
+def _look_at_slot(slot: Slot, report: EndpointReport) -> Slot:
+    """Clear the doubt about a slot when a later report shows nothing running."""
+    idle = report.running.get(slot.adapter, 0) == 0
+    if slot.look_after > 0 and report.composed_at > slot.look_after and idle:
+        return replace(slot, look_after=0.0)
+    return slot
--- /dev/null
+++ b/src/kestreltally/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""timeline of kestreltally; see docs/DESIGN.md."""
--- /dev/null
+++ b/src/kestreltally/world.py
@@ -0,0 +1,245 @@
+"""The tables of one daemon, and the ways every system uses to act on them."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Final
+
+from kestreltally.entities.configuration import (
+    Adapter,
+    Caller,
+    ConfigObject,
+    Endpoint,
+    Rule,
+    key_of,
+)
+from kestreltally.entities.endpoints import (
+    Breaker,
+    Claiming,
+    EndpointView,
+    LeaderRecord,
+    LedEndpoint,
+    Offer,
+)
+from kestreltally.entities.ids import (
+    AdapterVersion,
+    AskId,
+    DataCentre,
+    EndpointId,
+    PermitId,
+    Revision,
+    Seconds,
+    VmId,
+)
+from kestreltally.entities.members import ListedVm, Member
+from kestreltally.entities.permits import (
+    Ask,
+    BudgetAsk,
+    GrantedPermit,
+    HeldPermit,
+    Load,
+    Want,
+)
+from kestreltally.invariants import Invariants
+from kestreltally.orders import (
+    Happening,
+    MessageArrived,
+    Order,
+    SendMessage,
+    WantAnswer,
+)
+from kestreltally.peers.messages import PeerMessage
+from kestreltally.settings import Settings
+from kestreltally.timeline.events import Timeline
+
+RECENT_CHANGES: Final = 4_096
+NEVER: Final[Seconds] = -1e9
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Which daemon this is; ``incarnation`` rises with each start."""
+
+    vm: VmId
+    host: str
+    port: int
+    data_centre: DataCentre
+    incarnation: int
+
+
+@dataclass
+class ConfigTable:
+    """The configuration in force, by key, with the most recent changes."""
+
+    revision: Revision = 0
+    confirmed_at: Seconds = NEVER
+    objects: dict[str, ConfigObject] = field(default_factory=dict)
+    recent: deque[ConfigObject] = field(
+        default_factory=lambda: deque(maxlen=RECENT_CHANGES)
+    )
+    recent_after: Revision = 0
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    endpoints_of_model: dict[str, dict[EndpointId, Endpoint]] = field(
+        default_factory=dict
+    )
+    callers_of_digest: dict[str, Caller] = field(default_factory=dict)
+    rules_of_adapter: dict[str, dict[str, Rule]] = field(default_factory=dict)
+    pinned: dict[EndpointId, set[str]] = field(default_factory=dict)
+    pulled_at: Seconds = NEVER
+    pull_from: VmId | None = None
+
+    def find_adapter(self, name: str) -> Adapter | None:
+        """Return the adapter of that name, if there is one."""
+        found = self.objects.get(key_of("adapter", name))
+        if found is None or not isinstance(found.value, Adapter):
+            return None
+        return found.value
+
+
+@dataclass(frozen=True, slots=True)
+class PendingPing:
+    """A heartbeat whose answer is awaited."""
+
+    subject: VmId
+    sent_at: Seconds
+    asked_others: bool = False
+    on_behalf_of: VmId | None = None
+    their_sequence: int = 0
+
+
+@dataclass
+class MemberTable:
+    """The daemons known, and the rumours that are still to be told."""
+
+    known: dict[VmId, Member] = field(default_factory=dict)
+    listed: dict[VmId, ListedVm] = field(default_factory=dict)
+    rumours: dict[VmId, int] = field(default_factory=dict)
+    pending: dict[int, PendingPing] = field(default_factory=dict)
+    round: list[VmId] = field(default_factory=list)
+    probed: set[VmId] = field(default_factory=set)
+    recent_pings: deque[bool] = field(default_factory=lambda: deque(maxlen=5))
+    next_heartbeat_at: Seconds = 0.0
+    heartbeats: int = 0
+    sequence: int = 0
+    counter: int = 0
+    leaving: bool = False
+    changes: int = 0
+    confirmed_at: Seconds = NEVER
+
+
+@dataclass
+class LeaderTable:
+    """Who leads what: as the object API says, and what this daemon leads."""
+
+    records: dict[EndpointId, LeaderRecord] = field(default_factory=dict)
+    led: dict[EndpointId, LedEndpoint] = field(default_factory=dict)
+    owned: frozenset[EndpointId] = frozenset()
+    owners: dict[EndpointId, VmId] = field(default_factory=dict)
+    owned_for: tuple[int, Revision] = (-1, -1)
+    owned_since: dict[EndpointId, Seconds] = field(default_factory=dict)
+    claiming: dict[EndpointId, Claiming] = field(default_factory=dict)
+    last_claims: dict[EndpointId, Seconds] = field(default_factory=dict)
+    offers: dict[EndpointId, Offer] = field(default_factory=dict)
+    sequences: dict[EndpointId, int] = field(default_factory=dict)
+
+
+@dataclass
+class LeaderBook:
+    """What this daemon has promised as a leader."""
+
+    asks: dict[AskId, Ask] = field(default_factory=dict)
+    permits: dict[PermitId, GrantedPermit] = field(default_factory=dict)
+    loads: dict[str, Load] = field(default_factory=dict)
+    demand: dict[tuple[EndpointId, AdapterVersion], tuple[float, Seconds]] = field(
+        default_factory=dict
+    )
+    load_time: Seconds = 1.0
+    budget_heard_at: Seconds = 0.0
+    failed_loads: dict[tuple[EndpointId, AdapterVersion], Seconds] = field(
+        default_factory=dict
+    )
+
+
+@dataclass
+class BudgetBook:
+    """The load budget, at its leader."""
+
+    asks: dict[str, BudgetAsk] = field(default_factory=dict)
+    tokens: float = 1.0
+    filled_at: Seconds = 0.0
+
+
+@dataclass
+class EntryBook:
+    """What this daemon holds as an entry."""
+
+    wants: dict[str, Want] = field(default_factory=dict)
+    held: dict[PermitId, HeldPermit] = field(default_factory=dict)
+    views: dict[EndpointId, EndpointView] = field(default_factory=dict)
+    breakers: dict[EndpointId, Breaker] = field(default_factory=dict)
+    hints: dict[EndpointId, VmId] = field(default_factory=dict)
+    silent_until: dict[EndpointId, Seconds] = field(default_factory=dict)
+    leaving: dict[EndpointId, Seconds] = field(default_factory=dict)
+    answers: list[WantAnswer] = field(default_factory=list)
+    ask_sequence: int = 0
+
+
+@dataclass
+class World:
+    """All tables of one daemon at the present tick."""
+
+    identity: Identity
+    settings: Settings
+    random: Random
+    events: Timeline
+    invariants: Invariants
+    now: Seconds
+    started_at: Seconds
+    last_step: Seconds
+    inbox: deque[Happening] = field(default_factory=deque)
+    outbox: list[Order] = field(default_factory=list)
+    members: MemberTable = field(default_factory=MemberTable)
+    config: ConfigTable = field(default_factory=ConfigTable)
+    leaders: LeaderTable = field(default_factory=LeaderTable)
+    book: LeaderBook = field(default_factory=LeaderBook)
+    budget: BudgetBook = field(default_factory=BudgetBook)
+    entry: EntryBook = field(default_factory=EntryBook)
+
+    def send(self, to: VmId, message: PeerMessage) -> None:
+        """Send a message to a daemon; to itself without the network."""
+        if to == self.identity.vm:
+            arrived = MessageArrived(
+                sender=to,
+                incarnation=self.identity.incarnation,
+                message=message,
+            )
+            self.inbox.append(arrived)
+            return
+        member = self.members.known.get(to)
+        if member is None:
+            return
+        self.send_to(to, member.host, member.port, message)
+
+    def send_to(self, to: VmId, host: str, port: int, message: PeerMessage) -> None:
+        """Send a message to an address."""
+        order = SendMessage(to=to, host=host, port=port, message=message)
+        self.outbox.append(order)
+
+    def update_led(self, led: LedEndpoint, **changes: object) -> LedEndpoint:
+        """Replace a led endpoint by one with changes, and return it."""
+        changed = replace(led, **changes)  # type: ignore[arg-type]
+        self.leaders.led[led.endpoint] = changed
+        return changed
+
+    def permits_of(
+        self,
+        endpoint: EndpointId,
+        adapter: AdapterVersion | None = None,
+    ) -> Iterable[GrantedPermit]:
+        """Yield the permits in the leader's book for an endpoint."""
+        for permit in self.book.permits.values():
+            if permit.endpoint != endpoint:
+                continue
+            if adapter is None or permit.adapter == adapter:
+                yield permit
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around the daemons, one module each."""
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,60 @@
+"""Stand-in for the weight store: so many loads a second, so many at full speed."""
+
+import asyncio
+import time
+from typing import Any
+
+from aiohttp import web
+
+from standins.common import Faults, make_command
+
+
+class WeightStore:
+    """Serves adapters' weights; more than ``at_once`` share the speed of those."""
+
+    def __init__(self, options: dict[str, Any]) -> None:
+        self.faults = Faults(down=False, slow=1.0)
+        self._rate = options.get("loads_per_second", 9.0)
+        self._at_once = options.get("at_once", 4)
+        self._running = 0
+        self._free_at = 0.0
+        self.served = 0
+        self.most_at_once = 0
+
+    async def fetch(self, http: web.Request) -> web.Response:
+        """Serve the weights of one adapter, in the time that they take."""
+        if self.faults.get("down"):
+            return web.json_response({"error": "down"}, status=503)
+        now = time.monotonic()
+        self._free_at = max(now, self._free_at) + 1.0 / self._rate
+        queue = self._free_at - now - 1.0 / self._rate
+        self._running += 1
+        self.most_at_once = max(self.most_at_once, self._running)
+        try:
+            share = max(1.0, self._running / self._at_once)
+            take = self._at_once / self._rate * share * self.faults.get("slow")
+            await asyncio.sleep(max(queue, take))
+        finally:
+            self._running -= 1
+        self.served += 1
+        return web.json_response({"adapter": http.query["adapter"]})
+
+    async def show_counts(self, http: web.Request) -> web.Response:
+        """Show what was served."""
+        return web.json_response(
+            {"served": self.served, "most_at_once": self.most_at_once}
+        )
+
+
+def make_app(options: dict[str, Any]) -> web.Application:
+    """Return the stand-in's application."""
+    store = WeightStore(options)
+    app = web.Application()
+    app.router.add_get("/weights", store.fetch)
+    app.router.add_get("/counts", store.show_counts)
+    store.faults.add_routes(app)
+    return app
+
+
+if __name__ == "__main__":
+    make_command(make_app, "Stand-in for the weight store.")()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,62 @@
+"""The relay hands on whole, rightly named events, and knows its end."""
+
+import pytest
+
+from kestreltally.entities.ids import AdapterVersion
+from kestreltally.ports import AttemptLost
+from kestreltally.requests.relay import Relay, WronglyNamed
+
+ADAPTER = AdapterVersion(adapter="balances", version=3)
+
+
+def make_event(text: str, token: int = 1, model: str = "balances@3") -> bytes:
+    choice = '{"index":0,"token_ids":[%d],"text":"%s"}' % (token, text)
+    return f'data: {{"id":"a","model":"{model}","choices":[{choice}]}}\n\n'.encode()
+
+
+DONE = b"data: [DONE]\n\n"
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 50, 1000])
+def test_whole_answer_in_pieces_of_any_size(size: int) -> None:
+    data = make_event("one", 4) + make_event("two", 5) + DONE
+    relay = Relay(ADAPTER)
+    pieces = [data[at : at + size] for at in range(0, len(data), size)]
+    handed_on = b"".join(relay.feed(piece) for piece in pieces)
+    assert handed_on == data.removesuffix(DONE)
+    assert relay.ended
+    assert relay.list_token_ids() == (4, 5)
+
+
+def test_cut_answer_hands_on_no_half_event() -> None:
+    relay = Relay(ADAPTER)
+    whole = make_event("one")
+    assert relay.feed(whole + make_event("two")[:-5]) == whole
+    assert not relay.ended
+
+
+@pytest.mark.parametrize("model", ["balances@2", "balances@33", "other@3"])
+def test_wrong_name_is_never_handed_on(model: str) -> None:
+    relay = Relay(ADAPTER)
+    relay.feed(make_event("one"))
+    with pytest.raises(WronglyNamed):
+        relay.feed(make_event("two", model=model))
+
+
+def test_name_written_with_spaces_is_read() -> None:
+    relay = Relay(ADAPTER)
+    event = b'data: {"model": "balances@3", "choices": []}\n\n'
+    assert relay.feed(event) == event
+
+
+def test_bytes_after_the_end_mark_are_an_error() -> None:
+    relay = Relay(ADAPTER)
+    relay.feed(make_event("one") + DONE)
+    with pytest.raises(AttemptLost):
+        relay.feed(make_event("two"))
+
+
+def test_text_without_token_ids_cannot_be_resumed() -> None:
+    relay = Relay(ADAPTER)
+    relay.feed(b'data: {"model":"balances@3","choices":[{"text":"x"}]}\n\n')
+    assert relay.list_token_ids() is None
