Believe no report that is older than the last order

Change: a report adds adapters only if it is younger than the last order that changed the endpoint; a permit that the endpoint shows to be worthless is returned; the leader forgets a slot that the endpoint says it does not hold.

--- a/src/kestreltally/entities/endpoints.py
+++ b/src/kestreltally/entities/endpoints.py
@@ -95,7 +95,8 @@
 class LedEndpoint:
     """A leader's own state of one endpoint.
 
-    ``orders_after`` and ``unloads_after`` bar orders until earlier leaders'
+    ``changed_at`` is when an order last changed what is loaded: an older report
+    cannot tell what is there now. ``orders_after`` and ``unloads_after`` bar orders until earlier leaders'
     orders and permits have surely run out (local monotonic seconds).
     """
 
@@ -106,6 +107,7 @@
     confirmed_at: Seconds
     orders_after: Seconds = 0.0
     unloads_after: Seconds = 0.0
+    changed_at: Seconds = 0.0
     instance: str = ""
     slots: Mapping[AdapterVersion, Slot] = field(default_factory=dict)
     report: EndpointReport | None = None
--- a/src/kestreltally/systems/granting.py
+++ b/src/kestreltally/systems/granting.py
@@ -413,14 +413,33 @@
         return
     adapter = AdapterVersion(adapter=fault.adapter, version=fault.version)
     world.update_led(led, report_asked_at=-1e9)
-    slot = led.slots.get(adapter)
-    if slot is not None and fault.fault == FAULT_WRONG_VERSION:
-        closing = replace(slot, closing=True, look_after=world.now)
-        led = world.leaders.led[led.endpoint]
-        world.update_led(led, slots={**led.slots, adapter: closing})
-        world.events.add(
-            PART,
-            "closes a slot that answers as another version",
-            endpoint=led.endpoint,
-            adapter=str(adapter),
-        )
+    if adapter not in led.slots:
+        return
+    if fault.fault == FAULT_WRONG_VERSION:
+        _close_wrong_slot(world, world.leaders.led[led.endpoint], adapter)
+    elif fault.fault == FAULT_NOT_LOADED:
+        _forget_slot(world, world.leaders.led[led.endpoint], adapter)
+
+
+def _close_wrong_slot(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
+    closing = replace(led.slots[adapter], closing=True, look_after=world.now)
+    world.update_led(led, slots={**led.slots, adapter: closing})
+    world.events.add(
+        PART,
+        "closes a slot that answers as another version",
+        endpoint=led.endpoint,
+        adapter=str(adapter),
+    )
+
+
+def _forget_slot(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
+    """Believe an endpoint that says it does not hold an adapter."""
+    slots = {name: slot for name, slot in led.slots.items() if name != adapter}
+    world.update_led(led, slots=slots, changed_at=world.now)
+    world.events.add(
+        PART,
+        "forgets a slot",
+        reason="the endpoint does not hold it",
+        endpoint=led.endpoint,
+        adapter=str(adapter),
+    )
--- a/src/kestreltally/systems/holding.py
+++ b/src/kestreltally/systems/holding.py
@@ -484,6 +484,18 @@
         world.update_led(led, service_time=took)
 
 
+def _give_up_permits(world: World, failed: EndpointFailed) -> None:
+    """Use no permit again that the endpoint has just shown to be worthless."""
+    for held in list(world.entry.held.values()):
+        same = held.endpoint == failed.endpoint and held.adapter == failed.adapter
+        if same and not held.returned:
+            world.entry.held[held.permit] = replace(held, returned=True, told_at=NEVER)
+    view = world.entry.views.get(failed.endpoint)
+    if view is not None:
+        loaded = view.loaded - {failed.adapter}
+        world.entry.views[failed.endpoint] = replace(view, loaded=loaded)
+
+
 @handles(EndpointFailed)
 def note_failure(world: World, failed: EndpointFailed) -> None:
     """Count a failure for the breaker, and tell the leader what was seen."""
@@ -502,6 +514,7 @@
                 endpoint=failed.endpoint,
                 reason=failed.fault,
             )
+    _give_up_permits(world, failed)
     if failed.fault == LEAVING:
         world.entry.leaving[failed.endpoint] = world.now + LEAVING_FOR
     leader = find_leader(world, failed.endpoint)
--- a/src/kestreltally/systems/loading.py
+++ b/src/kestreltally/systems/loading.py
@@ -453,6 +453,7 @@
         return
     world.book.load_time += LOAD_TIME_WEIGHT * (took - world.book.load_time)
     slot = Slot(adapter=ended.adapter, loaded_at=world.now, used_at=world.now)
+    led = world.update_led(led, changed_at=world.now)
     set_slot(world, led, slot)
 
 
@@ -470,7 +471,7 @@
         return
     if ended.outcome is OrderOutcome.DONE:
         slots = {name: s for name, s in led.slots.items() if name != ended.adapter}
-        world.update_led(led, slots=slots)
+        world.update_led(led, slots=slots, changed_at=world.now)
         return
     world.events.add(
         PART,
--- a/src/kestreltally/systems/reports.py
+++ b/src/kestreltally/systems/reports.py
@@ -125,7 +125,7 @@
 
 def _is_news(led: LedEndpoint, report: EndpointReport) -> bool:
     """Tell whether a report may add adapters: it was composed under this leader."""
-    return report.composed_at > led.since
+    return report.composed_at > max(led.since, led.changed_at)
 
 
 def _look_at_slot(slot: Slot, report: EndpointReport) -> Slot:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,7 @@
 
 
 def make_event(text: str, token: int = 1, model: str = "balances@3") -> bytes:
-    choice = '{"index":0,"token_ids":[%d],"text":"%s"}' % (token, text)
+    choice = f'{{"index":0,"token_ids":[{token}],"text":"{text}"}}'
     return f'data: {{"id":"a","model":"{model}","choices":[{choice}]}}\n\n'.encode()
 
 
