--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,306 @@
+"""Carry the measured slopes to the size of two years from now."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+DAEMONS: Final = 1_100
+ENGINES: Final = 3_300
+DATA_CENTRES: Final = 12
+ADAPTERS: Final = 27_000
+REQUESTS: Final = 50_000.0
+TOKENS: Final = 11_000_000.0
+CHANGES_A_DAY: Final = 3_500.0
+FAILURES_A_DAY: Final = 34.0
+REPLACEMENTS_A_DAY: Final = 600.0
+RACK: Final = 40
+ONCE_SHARE: Final = 0.05
+DAY: Final = 86_400.0
+
+CPU_BUDGET: Final = 1.4
+MEMORY_BUDGET: Final = 128.0
+BYTES_BUDGET: Final = 16_000.0
+WRITES_BUDGET: Final = 300.0
+READS_BUDGET: Final = 2_000.0
+
+HEARTBEATS: Final = 2.0
+REPORTS: Final = 2.0
+WATCH_WAIT: Final = 30.0
+CONFIG_WATCH_WAIT: Final = 1.0
+WATCHERS_PER_DATA_CENTRE: Final = 2
+EVENTS_PER_REQUEST: Final = 7.0
+TIMELINE_EVENTS: Final = 20_000
+MICRO: Final = 1e-6
+
+
+@dataclass(frozen=True)
+class Slope:
+    """A straight line through measured points; ``residual`` is a share."""
+
+    name: str
+    unit: str
+    base: float
+    slope: float
+    residual: float
+    points: Sequence[tuple[float, float]]
+
+    def at(self, size: float) -> float:
+        """Return the value that the line gives at a size."""
+        return self.base + self.slope * size
+
+
+@dataclass(frozen=True)
+class Slopes:
+    """All that was measured."""
+
+    tick_member: Slope
+    tick_adapter: Slope
+    tick_endpoint: Slope
+    memory_member: Slope
+    memory_adapter: Slope
+    memory_endpoint: Slope
+    entry_request: Slope
+    leader_request: Slope
+    request_bytes: float
+    change_cpu: float
+    change_bytes: float
+    heartbeat_cpu: float
+    heartbeat_quiet_bytes: float
+    heartbeat_busy_bytes: float
+    report_cpu: float
+    relay_token: float
+    event_cpu: float
+    event_bytes: float
+    owners: Slope
+
+    def list_fits(self) -> list[Slope]:
+        """Return the fitted lines."""
+        return [
+            self.tick_member,
+            self.tick_adapter,
+            self.tick_endpoint,
+            self.memory_member,
+            self.memory_adapter,
+            self.memory_endpoint,
+            self.entry_request,
+            self.leader_request,
+            self.owners,
+        ]
+
+
+@dataclass(frozen=True)
+class Line:
+    """One line of a sum."""
+
+    what: str
+    value: float
+    how: str
+
+
+def list_cpu_lines(s: Slopes) -> list[Line]:
+    """Return one daemon's processor time for control, in per cent of a core."""
+    percent = 100 * MICRO
+    per_daemon = REQUESTS / DAEMONS
+    membership_changes = (FAILURES_A_DAY * 3 + REPLACEMENTS_A_DAY * 3) / DAY
+    tick = s.tick_member.at(DAEMONS) + s.tick_endpoint.slope * ENGINES
+    tick += max(0.0, s.tick_adapter.slope) * ADAPTERS
+    return [
+        Line("ticks over all tables", tick * percent, "10 a second"),
+        Line(
+            "permits as entry",
+            per_daemon * s.entry_request.at(DAEMONS) * percent,
+            f"{per_daemon:.1f} requests/s",
+        ),
+        Line(
+            "permits as leader",
+            per_daemon * s.leader_request.at(DAEMONS) * percent,
+            f"{per_daemon:.1f} requests/s at 3 engines",
+        ),
+        Line(
+            "heartbeats",
+            2 * HEARTBEATS * s.heartbeat_cpu * percent,
+            "2 sent and 2 answered a second",
+        ),
+        Line("reports", 3 * REPORTS * s.report_cpu * percent, "3 engines, 2/s each"),
+        Line(
+            "owners worked out anew",
+            membership_changes * s.owners.at(ENGINES) * percent,
+            f"{membership_changes * DAY:.0f} changes of members a day",
+        ),
+        Line(
+            "configuration",
+            CHANGES_A_DAY / DAY * s.change_cpu * percent,
+            "3,500 changes a day",
+        ),
+        Line(
+            "time line",
+            per_daemon * EVENTS_PER_REQUEST * s.event_cpu * percent,
+            f"{EVENTS_PER_REQUEST:.0f} events a request",
+        ),
+    ]
+
+
+def list_byte_lines(s: Slopes) -> list[Line]:
+    """Return one daemon's bytes/s for control, sent and received together."""
+    per_daemon = REQUESTS / DAEMONS
+    near = DAEMONS / DATA_CENTRES
+    return [
+        Line("permits", 2 * per_daemon * s.request_bytes, "as entry and as leader"),
+        Line(
+            "heartbeats",
+            2 * HEARTBEATS * (s.heartbeat_quiet_bytes + s.heartbeat_busy_bytes) / 2,
+            "half of them with 8 rumours",
+        ),
+        Line("reports", 3 * REPORTS * 600.0, "about 600 B each, with HTTP heads"),
+        Line(
+            "configuration pushes",
+            CHANGES_A_DAY / DAY * s.change_bytes * near,
+            "sent by a watcher to its data centre",
+        ),
+    ]
+
+
+def list_memory_lines(s: Slopes) -> list[Line]:
+    """Return one daemon's memory in MB."""
+    mega = 1e-6
+    return [
+        Line("interpreter and libraries", 62.0, "resident size of an idle daemon"),
+        Line("members", s.memory_member.slope * DAEMONS * mega, "1,100"),
+        Line("adapters", s.memory_adapter.slope * ADAPTERS * mega, "27,000"),
+        Line("endpoints", s.memory_endpoint.slope * ENGINES * mega, "3,300"),
+        Line("time line", s.event_bytes * TIMELINE_EVENTS * mega, "20,000 events"),
+    ]
+
+
+def list_write_lines() -> list[Line]:
+    """Return the object API's writes a second, in all, by cause."""
+    handovers = REPLACEMENTS_A_DAY * 3 * 2
+    takeovers = FAILURES_A_DAY * 3 * 2
+    return [
+        Line("claims", REQUESTS * ONCE_SHARE, "5% of requests not repeatable: assumed"),
+        Line("leader records", (handovers + takeovers) / DAY, "written on change only"),
+        Line("configuration", CHANGES_A_DAY / DAY, "by operators"),
+    ]
+
+
+def list_read_lines() -> list[Line]:
+    """Return the object API's reads a second, in all, by cause; a watch is one."""
+    changes = (REPLACEMENTS_A_DAY + FAILURES_A_DAY) * 3 * 2 / DAY
+    watchers = DATA_CENTRES * WATCHERS_PER_DATA_CENTRE
+    return [
+        Line("watches on leader records", DAEMONS / WATCH_WAIT, "one a daemon, 30 s"),
+        Line("wakes of these watches", changes * DAEMONS, "each change wakes all"),
+        Line(
+            "watches on the configuration",
+            watchers / CONFIG_WATCH_WAIT,
+            "2 daemons in each data centre, 1 s",
+        ),
+        Line(
+            "wakes of these watches",
+            CHANGES_A_DAY / DAY * watchers,
+            "3,500 changes a day",
+        ),
+        Line(
+            "lists by new daemons",
+            (REPLACEMENTS_A_DAY + FAILURES_A_DAY) * 2 / DAY,
+            "two each",
+        ),
+    ]
+
+
+def format_sum(title: str, unit: str, budget: float, lines: list[Line]) -> str:
+    """Return a table of a sum with its margin."""
+    total = sum(line.value for line in lines)
+    rows = [f"| {line.what} | {line.value:.4g} | {line.how} |" for line in lines]
+    margin = budget / total
+    word = "margin" if margin >= 1 else "**missed**, share of the budget there is"
+    return "\n".join(
+        [
+            f"**{title}**",
+            "",
+            f"| part | {unit} | how |",
+            "| --- | ---: | --- |",
+            *rows,
+            f"| **all** | **{total:.4g}** | budget {budget:g}; {word} {margin:.2f}x |",
+            "",
+        ]
+    )
+
+
+def format_fits(slopes: Slopes) -> str:
+    """Return the table of the measured lines."""
+    rows = []
+    for each in slopes.list_fits():
+        points = ", ".join(f"{x:g}: {y:.4g}" for x, y in each.points)
+        rows.append(
+            f"| {each.name} | {each.base:.4g} + {each.slope:.4g} n {each.unit} "
+            f"| {each.residual:.0%} | {points} |"
+        )
+    single = [
+        ("bytes of a request's permit, both ways", f"{slopes.request_bytes:.0f} B"),
+        ("a change taken in and written", f"{slopes.change_cpu:.0f} µs"),
+        ("a change on the wire", f"{slopes.change_bytes:.0f} B"),
+        ("a heartbeat read, answered and written", f"{slopes.heartbeat_cpu:.0f} µs"),
+        (
+            "a heartbeat and its answer, without and with 8 rumours",
+            f"{slopes.heartbeat_quiet_bytes:.0f} and "
+            f"{slopes.heartbeat_busy_bytes:.0f} B",
+        ),
+        ("a report fetched, both ends", f"{slopes.report_cpu:.0f} µs"),
+        ("a token followed by the relay", f"{slopes.relay_token:.2f} µs"),
+        ("an event of the time line", f"{slopes.event_cpu:.1f} µs"),
+        ("an event kept", f"{slopes.event_bytes:.0f} B"),
+    ]
+    return "\n".join(
+        [
+            "**Slopes**",
+            "",
+            "| what | line | residual | points |",
+            "| --- | --- | ---: | --- |",
+            *rows,
+            "",
+            "| what | each |",
+            "| --- | ---: |",
+            *(f"| {what} | {value} |" for what, value in single),
+            "",
+        ]
+    )
+
+
+def format_page_tables(slopes: Slopes) -> str:
+    """Return the tables of docs/CAPACITY.md: the deciding sums first."""
+    return "\n".join(
+        [
+            format_sum(
+                "Object API, writes a second by cause",
+                "writes/s",
+                WRITES_BUDGET,
+                list_write_lines(),
+            ),
+            format_sum(
+                "Object API, reads a second by cause",
+                "reads/s",
+                READS_BUDGET,
+                list_read_lines(),
+            ),
+            format_sum(
+                "Control cost of one daemon: processor",
+                "% of a core",
+                CPU_BUDGET,
+                list_cpu_lines(slopes),
+            ),
+            format_sum(
+                "Control cost of one daemon: network",
+                "B/s",
+                BYTES_BUDGET,
+                list_byte_lines(slopes),
+            ),
+            format_sum(
+                "Control cost of one daemon: memory",
+                "MB",
+                MEMORY_BUDGET,
+                list_memory_lines(slopes),
+            ),
+            format_fits(slopes),
+        ]
+    )
--- a/src/kestreltally/entities/endpoints.py
+++ b/src/kestreltally/entities/endpoints.py
@@ -96,8 +96,9 @@
     """A leader's own state of one endpoint.
 
     ``changed_at`` is when an order last changed what is loaded: an older report
-    cannot tell what is there now. ``orders_after`` and ``unloads_after`` bar orders until earlier leaders'
-    orders and permits have surely run out (local monotonic seconds).
+    cannot tell what is there now. ``orders_after`` and ``unloads_after`` bar orders
+    until earlier leaders' orders and permits have surely run out. All times are
+    local monotonic seconds.
     """
 
     endpoint: EndpointId
--- a/src/kestreltally/runtime.py
+++ b/src/kestreltally/runtime.py
@@ -76,6 +76,8 @@
 RETRY_FIRST: Final[Seconds] = 0.2
 RETRY_MOST: Final[Seconds] = 5.0
 READ_BACK_TRIES: Final = 5
+# A timer may fire a little early; then the tick is due all the same.
+TICK_SLACK: Final[Seconds] = 0.001
 NO_ATTEMPT: Final = AttemptId("")
 WATCH_DUTY_CHECK: Final[Seconds] = 0.5
 WATCH_CONFIRM_WAIT: Final[Seconds] = 1.0
@@ -141,6 +143,7 @@
         self.ports = ports
         self.broken: InvariantBroken | None = None
         self.failed = asyncio.Event()
+        self._next_tick_at = float("-inf")
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, asyncio.Future[WantAnswer]] = {}
@@ -198,15 +201,19 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
                     self._wake.wait(),
-                    self.world.settings.timing.tick,
+                    max(0.0, self._next_tick_at - self.clock()),
                 )
             self._wake.clear()
             self.step()
 
     def step(self) -> None:
         """Run one tick and carry its orders out."""
+        now = self.clock()
+        woken = now < self._next_tick_at - TICK_SLACK
+        if not woken:
+            self._next_tick_at = now + self.world.settings.timing.tick
         try:
-            run_step(self.world, self.clock())
+            run_step(self.world, now, woken)
         except InvariantBroken as broken:
             self.broken = self.broken or broken
             raise
--- a/src/kestreltally/systems/budget.py
+++ b/src/kestreltally/systems/budget.py
@@ -55,7 +55,7 @@
     world.budget.filled_at = world.now
 
 
-@runs_each_tick(80)
+@runs_each_tick(80, on_wake=True)
 def grant_loads(world: World) -> None:
     """Give leave within rate and parallelism, most urgent first."""
     _fill_tokens(world)
--- a/src/kestreltally/systems/granting.py
+++ b/src/kestreltally/systems/granting.py
@@ -270,7 +270,7 @@
     return [ask for _, ask in ranked]
 
 
-@runs_each_tick(62)
+@runs_each_tick(62, on_wake=True)
 def grant_permits(world: World) -> None:
     """Grant what has room, by priority and fair share."""
     waiting = {ask.endpoint for ask in world.book.asks.values()}
--- a/src/kestreltally/systems/holding.py
+++ b/src/kestreltally/systems/holding.py
@@ -162,7 +162,7 @@
     )
 
 
-@runs_each_tick(50)
+@runs_each_tick(50, on_wake=True)
 def serve_wants(world: World) -> None:
     """Give waiting requests a held permit, ask for one, or refuse them."""
     for want in _order_wants(world):
--- a/src/kestreltally/systems/leadership.py
+++ b/src/kestreltally/systems/leadership.py
@@ -166,7 +166,7 @@
     )
 
 
-@runs_each_tick(30)
+@runs_each_tick(30, on_wake=True)
 def claim_owned(world: World) -> None:
     """Claim what this daemon should lead and nobody live leads."""
     _work_out_owners(world)
@@ -330,7 +330,7 @@
         )
 
 
-@runs_each_tick(32)
+@runs_each_tick(32, on_wake=True)
 def raise_fences(world: World) -> None:
     """Raise the fence at each endpoint newly claimed."""
     for led in list(world.leaders.led.values()):
--- a/src/kestreltally/systems/loading.py
+++ b/src/kestreltally/systems/loading.py
@@ -167,7 +167,7 @@
     return led.slots[victim.adapter] if victim is not None else None
 
 
-@runs_each_tick(70)
+@runs_each_tick(70, on_wake=True)
 def plan_loads(world: World) -> None:
     """Plan a load for each hungry adapter, within the endpoint's parallelism."""
     for led in list(world.leaders.led.values()):
@@ -239,7 +239,7 @@
     return spec.slots - len(taken)
 
 
-@runs_each_tick(71)
+@runs_each_tick(71, on_wake=True)
 def find_slots(world: World) -> None:
     """Give each planned load a slot, closing another one where it must."""
     for load in list(world.book.loads.values()):
@@ -298,7 +298,7 @@
     return world.update_led(led, slots=slots)
 
 
-@runs_each_tick(72)
+@runs_each_tick(72, on_wake=True)
 def unload_closed(world: World) -> None:
     """Order the unloading of closed slots that nothing can use any more."""
     for led in list(world.leaders.led.values()):
@@ -347,7 +347,7 @@
     )
 
 
-@runs_each_tick(73)
+@runs_each_tick(73, on_wake=True)
 def ask_budget(world: World) -> None:
     """Ask for leave to load what has a slot; after a silence take the static share."""
     for load in list(world.book.loads.values()):
--- a/src/kestreltally/systems/registry.py
+++ b/src/kestreltally/systems/registry.py
@@ -20,6 +20,7 @@
 HEARERS: Final[dict[type[Any], list[Hearer]]] = {}
 PAUSE_HANDLERS: Final[list[Callable[[World, Seconds], None]]] = []
 RUNNERS: Final[list[tuple[int, str, Runner]]] = []
+WAKE_RUNNERS: Final[list[tuple[int, str, Runner]]] = []
 
 
 def handles(happening_type: type[Any]) -> Callable[[H], H]:
@@ -48,12 +49,18 @@
     return handler
 
 
-def runs_each_tick(order: int) -> Callable[[R], R]:
-    """Register a function to run each tick; smaller numbers run first."""
+def runs_each_tick(order: int, *, on_wake: bool = False) -> Callable[[R], R]:
+    """Register a function to run each tick; smaller numbers run first.
+
+    What runs ``on_wake`` too must cost no more for more daemons or adapters, for
+    an arriving message wakes it some hundred times a second.
+    """
 
     def register(runner: R) -> R:
-        RUNNERS.append((order, f"{runner.__module__}.{runner.__name__}", runner))
-        RUNNERS.sort(key=lambda entry: entry[:2])
+        entry = (order, f"{runner.__module__}.{runner.__name__}", runner)
+        for runners in (RUNNERS, WAKE_RUNNERS) if on_wake else (RUNNERS,):
+            runners.append(entry)
+            runners.sort(key=lambda each: each[:2])
         return runner
 
     return register
@@ -81,11 +88,12 @@
         _handle(world, world.inbox.popleft())
 
 
-def run_step(world: World, now: Seconds) -> None:
+def run_step(world: World, now: Seconds, woken: bool = False) -> None:
     """Run one tick: notice a pause, take the inbox in, run the systems.
 
-    A system may leave messages to the daemon itself, so the inbox is drained
-    once more after the systems.
+    Between two ticks a step that is only ``woken`` by an arrival runs the few
+    systems that serve requests. A system may leave messages to the daemon itself,
+    so the inbox is drained after each.
     """
     paused_for = now - world.last_step
     world.now = now
@@ -94,6 +102,6 @@
         for pause_handler in PAUSE_HANDLERS:
             pause_handler(world, paused_for)
     _drain_inbox(world)
-    for _, _, runner in RUNNERS:
+    for _, _, runner in WAKE_RUNNERS if woken else RUNNERS:
         runner(world)
         _drain_inbox(world)
