--- a/src/kestreltally/runtime.py
+++ b/src/kestreltally/runtime.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Coroutine, Iterable
@@ -76,6 +75,7 @@
 RETRY_FIRST: Final[Seconds] = 0.2
 RETRY_MOST: Final[Seconds] = 5.0
 READ_BACK_TRIES: Final = 5
+CANCEL_AGAIN_AFTER: Final[Seconds] = 0.1
 # A timer may fire a little early; then the tick is due all the same.
 TICK_SLACK: Final[Seconds] = 0.001
 NO_ATTEMPT: Final = AttemptId("")
@@ -143,7 +143,7 @@
         self.ports = ports
         self.broken: InvariantBroken | None = None
         self.failed = asyncio.Event()
-        self._next_tick_at = float("-inf")
+        self._next_tick_at = 0.0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, asyncio.Future[WantAnswer]] = {}
@@ -174,9 +174,12 @@
 
     async def stop(self) -> None:
         """End all tasks."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # Python 3.11's wait_for can swallow a cancellation, so it is repeated.
+        while self._tasks:
+            tasks = list(self._tasks)
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=CANCEL_AGAIN_AFTER)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
@@ -197,12 +200,13 @@
         self._wake.set()
 
     async def _run_ticks(self) -> None:
+        # A timer that sets the event costs less than ``wait_for``, and cannot
+        # swallow a cancellation as that does in Python 3.11.
+        loop = asyncio.get_running_loop()
         while True:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self._wake.wait(),
-                    max(0.0, self._next_tick_at - self.clock()),
-                )
+            timer = loop.call_at(self._next_tick_at, self._wake.set)
+            await self._wake.wait()
+            timer.cancel()
             self._wake.clear()
             self.step()
 
--- a/src/kestreltally/systems/leadership.py
+++ b/src/kestreltally/systems/leadership.py
@@ -176,9 +176,9 @@
             del table.claiming[endpoint]
     if world.members.leaving:
         return
-    if world.now - world.started_at < world.settings.timing.settle:
-        return
-    for endpoint in sorted(table.owned | set(table.offers)):
+    settled = world.now - world.started_at >= world.settings.timing.settle
+    wanted = set(table.offers) | (table.owned if settled else set())
+    for endpoint in sorted(wanted):
         if endpoint in world.config.endpoints and _may_claim(world, endpoint):
             offered = endpoint in table.offers
             _claim(world, endpoint, "offered" if offered else "no live leader")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -74,7 +74,9 @@
     gate: Gate
 
     def step(self) -> None:
-        if not self.gate.frozen:
+        if self.gate.frozen:
+            self._next_tick_at = self.clock() + 0.1
+        else:
             super().step()
 
 
@@ -358,8 +360,16 @@
         for tasks in (node.tasks, self.tasks):
             tasks.add(task)
             task.add_done_callback(tasks.discard)
+        task.add_done_callback(lambda ended: self._note_end(sent, ended))
         return sent
 
+    def _note_end(self, sent: Sent, task: "asyncio.Task[None]") -> None:
+        """A task that is cancelled before its first step never runs at all."""
+        if task.cancelled():
+            sent.gone = True
+        elif task.exception() is not None:
+            self.problems.append(f"{sent.request}: {task.exception()!r}")
+
     async def _serve(
         self, node: Node, sent: Sent, deadline: float, stream: bool, service: bool
     ) -> None:
@@ -433,9 +443,11 @@
         for sent in self.sent:
             problems.extend(self._check_sent(sent, runs.get(f"till:{sent.request}", 0)))
         for node in self.nodes:
-            if node.runtime.broken is not None:
-                problems.append(f"{node.vm}: {node.runtime.broken}")
-            elif node.runtime.failed.is_set():
+            details = node.runtime.world.invariants.first_details
+            problems.extend(
+                f"{node.vm}: {name}: {why}" for name, why in details.items()
+            )
+            if node.runtime.failed.is_set():
                 problems.append(f"{node.vm}: a task failed")
         return problems
 
--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,358 @@
+"""Each check is shown to be able to fail: the program is broken on purpose.
+
+A mutation takes one mechanism away; the cells named with it must then break. Run
+``python -m tests.mutations`` for the table of which check caught which.
+"""
+
+import logging
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest.mock import patch
+
+import click
+from result import Ok
+
+from kestreltally.entities.permits import HeldPermit
+from kestreltally.requests import flow
+from kestreltally.requests.claims import Claim, Claims, ClaimValue
+from kestreltally.requests.flow import AttemptEnd, AttemptResult, RequestServer
+from kestreltally.requests.outcomes import Outcome
+from kestreltally.requests.relay import Relay
+from kestreltally.systems import (
+    configuration,
+    granting,
+    holding,
+    leadership,
+    loading,
+    registry,
+)
+from tests.fleet import Node
+from tests.matrix import Cell, run_cell
+
+Patcher = Callable[[ExitStack], None]
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A mechanism taken away, and where that must show."""
+
+    name: str
+    promise: str
+    shows: str
+    apply: Patcher
+    cells: tuple[Cell, ...]
+
+
+MUTATIONS: list[Mutation] = []
+
+
+def takes_away(
+    name: str, promise: str, shows: str, *cells: Cell
+) -> Callable[[Patcher], Patcher]:
+    """Register a mutation; ``shows`` is what the problem found must say."""
+
+    def register(patcher: Patcher) -> Patcher:
+        MUTATIONS.append(Mutation(name, promise, shows, patcher, cells))
+        return patcher
+
+    return register
+
+
+def _replace(stack: ExitStack, target: Any, name: str, value: Any) -> None:
+    stack.enter_context(patch.object(target, name, value))
+
+
+@takes_away(
+    "permits ignored when unloading",
+    "an adapter in use is never unloaded",
+    "unload-only-unused",
+    Cell("slot closed", "slow"),
+)
+def ignore_permits(stack: ExitStack) -> None:
+    _replace(stack, loading, "is_in_use", lambda world, led, slot: False)
+
+
+@takes_away(
+    "permits and the invariant on them ignored",
+    "an adapter in use is never unloaded",
+    "unloaded in use",
+    Cell("slot closed", "slow"),
+    Cell("unload ordered", "duplicate and reorder"),
+)
+def ignore_permits_unseen(stack: ExitStack) -> None:
+    ignore_permits(stack)
+    _replace(stack, loading, "UNLOAD_ONLY_UNUSED", leadership.PART)
+    _replace(
+        stack,
+        loading,
+        "_order_unload",
+        _without_invariants(loading._order_unload),
+    )
+
+
+def _without_invariants(work: Callable[..., Any]) -> Callable[..., Any]:
+    def run(world: Any, *rest: Any) -> Any:
+        with patch.object(world.invariants, "require", lambda *_: True):
+            return work(world, *rest)
+
+    return run
+
+
+@takes_away(
+    "a new leader does not wait for the old one's permits",
+    "an adapter in use is never unloaded",
+    "unloaded in use",
+    *(
+        Cell(step, "freeze leader", seed)
+        for step in ("slot closed", "permit granted", "request sent")
+        for seed in (1, 2, 3)
+    ),
+    *(Cell("leadership won", "kill", seed) for seed in (1, 2, 3)),
+)
+def skip_waits(stack: ExitStack) -> None:
+    begin = leadership._begin_to_lead
+
+    def begin_at_once(world: Any, record: Any, claimed_at: float, offer: Any) -> None:
+        begin(world, record, claimed_at, offer)
+        led = world.leaders.led[record.endpoint]
+        world.update_led(led, orders_after=0.0, unloads_after=0.0)
+
+    _replace(stack, leadership, "_begin_to_lead", begin_at_once)
+    _replace(
+        stack,
+        loading,
+        "may_unload",
+        lambda world, led, slot: not any(world.permits_of(led.endpoint, slot.adapter)),
+    )
+
+
+@takes_away(
+    "a held permit never ends at its holder",
+    "an adapter in use is never unloaded",
+    "unload",
+    Cell("permit granted", "freeze"),
+    Cell("request sent", "freeze"),
+    Cell("first token", "freeze"),
+    Cell("request sent", "cut from peers"),
+)
+def keep_permits(stack: ExitStack) -> None:
+    def has_room(self: HeldPermit, now: float) -> bool:
+        return self.running < self.count
+
+    _replace(stack, HeldPermit, "has_room", has_room)
+    _replace(stack, holding, "return_permits", lambda world: None)
+    kept = [each for each in registry.RUNNERS if "return_permits" not in each[1]]
+    _replace(stack, registry, "RUNNERS", kept)
+
+
+@takes_away(
+    "end mark ignored",
+    "each caller gets the whole of its own answer",
+    " got ",
+    Cell("first token", "end marks missing"),
+)
+def ignore_end_mark(stack: ExitStack) -> None:
+    ended = property(lambda self: True, lambda self, value: None)
+    stack.enter_context(patch.object(Relay, "ended", ended, create=True))
+    _replace(
+        stack, Relay, "feed", lambda self, data: data.replace(b"data: [DONE]", b"")
+    )
+
+
+@takes_away(
+    "claim skipped",
+    "a not-repeatable request runs at most once",
+    "ran 2 times",
+    Cell("request claims its id", "slow"),
+)
+def skip_claims(stack: ExitStack) -> None:
+    async def claim(self: Claims, caller: str, request: str, claimant: str) -> Any:
+        value = ClaimValue(caller, request, claimant, 0.0)
+        return Ok(Claim(key="claim/x", value=value, version=0))
+
+    _replace(stack, Claims, "claim", claim)
+
+
+@takes_away(
+    "a lost answer to a claim taken for a refusal of it",
+    "a not-repeatable request runs at most once",
+    "ran 2 times",
+    Cell("request claims its id", "answers lost"),
+)
+def trust_lost_claims(stack: ExitStack) -> None:
+    async def resolve(self: Claims, key: str, value: ClaimValue) -> Any:
+        await self._objects.delete(key, (await self._objects.read(key)).version)
+        return Ok(Claim(key=key, value=value, version=0))
+
+    _replace(stack, Claims, "_resolve", resolve)
+
+
+@takes_away(
+    "a not-repeatable request tried again",
+    "a not-repeatable request runs at most once",
+    "not-repeatable-sent-once",
+    Cell("first token", "streams cut"),
+    Cell("request sent", "engines restart"),
+)
+def retry_all(stack: ExitStack) -> None:
+    judge = RequestServer._judge_failure
+
+    def judge_as_repeatable(self: Any, request: Any, *rest: Any) -> Any:
+        return judge(self, replace(request, repeatable=True), *rest)
+
+    _replace(stack, RequestServer, "_judge_failure", judge_as_repeatable)
+
+
+@takes_away(
+    "every refusal told as not run",
+    "not run means not run",
+    "not-run-means-not-sent",
+    Cell("first token", "streams cut"),
+)
+def tell_not_run(stack: ExitStack) -> None:
+    _replace(stack, RequestServer, "_outcome_of", lambda self, way: Outcome.NOT_RUN)
+
+
+@takes_away(
+    "a lost attempt taken for one not run",
+    "not run means not run",
+    "told not_run but ran",
+    Cell("first token", "streams cut"),
+    Cell("request sent", "engines restart"),
+)
+def forget_lost(stack: ExitStack) -> None:
+    relay = RequestServer._start_and_relay
+
+    async def take_lost_for_not_run(*rest: Any) -> AttemptResult:
+        result = await relay(*rest)
+        if result.end is AttemptEnd.LOST:
+            return replace(result, end=AttemptEnd.NOT_RUN)
+        return result
+
+    _replace(stack, RequestServer, "_start_and_relay", take_lost_for_not_run)
+
+
+@takes_away(
+    "answers' names not looked at",
+    "the right adapter and version",
+    "answered by",
+    Cell("first token", "wrong version"),
+)
+def ignore_names(stack: ExitStack) -> None:
+    _replace(stack, Relay, "_check_names", lambda self, whole: None)
+    _replace(stack, flow, "WronglyNamed", _NeverRaised)
+
+
+class _NeverRaised(Exception):
+    """Stands for the error that no check raises any more."""
+
+
+@takes_away(
+    "older revisions accepted",
+    "an accepted configuration never reverts",
+    "revision-never-reverts",
+    *(Cell("change in force first", "duplicate and reorder", seed) for seed in (1, 2)),
+    Cell("change in force first", "freeze"),
+)
+def accept_older(stack: ExitStack) -> None:
+    apply = configuration.apply_changes
+
+    def apply_any(world: Any, arrived: Any) -> bool:
+        before = world.config.revision
+        rose = apply(world, arrived)
+        if arrived.revision < before:
+            world.config.revision = arrived.revision
+            world.invariants.require(
+                configuration.REVISION_NEVER_REVERTS, False, "went back"
+            )
+        return rose
+
+    _replace(stack, configuration, "apply_changes", apply_any)
+
+
+@takes_away(
+    "changes neither pulled nor watched again",
+    "an accepted configuration is in force everywhere",
+    "is not at revision",
+    Cell("change in force first", "freeze"),
+    Cell("change in force first", "drop half"),
+    Cell("change in force first", "cut from peers"),
+)
+def never_pull(stack: ExitStack) -> None:
+    _replace(stack, configuration, "note_peer_revision", lambda *_: None)
+    kept = [each for each in registry.RUNNERS if "pull_missing" not in each[1]]
+    _replace(stack, registry, "RUNNERS", kept)
+    handlers = {**registry.HANDLERS}
+    handlers[configuration.ConfigArrived] = [_apply_first]
+    _replace(stack, registry, "HANDLERS", handlers)
+    hearers = {**registry.HEARERS}
+    hearers[configuration.PushChanges] = []
+    _replace(stack, registry, "HEARERS", hearers)
+
+
+def _apply_first(world: Any, arrived: Any) -> None:
+    if world.config.revision == 0:
+        configuration.apply_changes(world, arrived)
+
+
+@takes_away(
+    "leaving endpoints used on",
+    "a leaving endpoint gets no new work within seconds",
+    "while leaving",
+    Cell("endpoint leaves", "slow"),
+    Cell("endpoint leaves", "store down"),
+)
+def use_leaving(stack: ExitStack) -> None:
+    _replace(stack, granting, "is_endpoint_leaving", lambda world, spec: False)
+    _replace(stack, loading, "is_endpoint_leaving", lambda world, spec: False)
+
+
+@takes_away(
+    "planned stop does not wait",
+    "a planned stop cuts nothing off",
+    "cut requests off",
+    Cell("stop announced", "slow"),
+    Cell("stop announced", "store down"),
+)
+def stop_at_once(stack: ExitStack) -> None:
+    async def stop(self: Node, limit: float = 60.0) -> bool:
+        self.stopping = True
+        clean = not self.server.live
+        await self.kill()
+        return clean
+
+    _replace(stack, Node, "stop_planned", stop)
+
+
+def run_mutation(mutation: Mutation) -> tuple[str, str]:
+    """Return the cell that broke under a mutation and its first problem, or empty."""
+    logging.disable(logging.CRITICAL)
+    try:
+        for cell in mutation.cells:
+            with ExitStack() as stack:
+                mutation.apply(stack)
+                result = run_cell(cell)
+            for problem in result.problems:
+                if mutation.shows in problem:
+                    return f"{cell.step} / {cell.fault}", problem
+        return "", ""
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@click.command()
+def main() -> None:
+    """Print which check caught which mutation."""
+    survivors = 0
+    for mutation in MUTATIONS:
+        cell, problem = run_mutation(mutation)
+        survivors += not problem
+        caught = f"{cell}: {problem[:90]}" if problem else "SURVIVED"
+        click.echo(f"| {mutation.name} | {mutation.promise} | {caught} |")
+    click.echo(f"mutations: {len(MUTATIONS)}, survivors {survivors}")
+
+
+if __name__ == "__main__":
+    main()
