--- a/tests/soak.py
+++ b/tests/soak.py
@@ -63,6 +63,16 @@
     ]
 
 
+@dataclass(frozen=True)
+class SoakResult:
+    """What came of a run; ``gone`` requests were at a daemon that was killed."""
+
+    problems: tuple[str, ...]
+    sent: int
+    done: int
+    gone: int
+
+
 class SoakRun:
     """One run of a schedule."""
 
@@ -82,7 +92,7 @@
         self.version = 1
         self.faulty = False
 
-    async def run(self) -> list[str]:
+    async def run(self) -> "SoakResult":
         fleet = self.fleet
         await fleet.start()
         await fleet.settle(WARM_UP)
@@ -97,7 +107,12 @@
         problems += [f"probe at {p.vm}: {p.refusal}" for p in probes if not p.done]
         problems += [f"{s.request} never ended" for s in fleet.sent if not s.ended]
         await fleet.close()
-        return problems
+        return SoakResult(
+            problems=tuple(problems),
+            sent=len(fleet.sent),
+            done=sum(sent.done for sent in fleet.sent),
+            gone=sum(sent.gone for sent in fleet.sent),
+        )
 
     async def take(self, action: Action) -> None:
         fleet = self.fleet
@@ -168,10 +183,10 @@
             self.fleet.start_node(number)
 
 
-def run_schedule(seed: int, schedule: list[Action]) -> list[str]:
-    """Run a schedule under virtual time; return what broke."""
+def run_schedule(seed: int, schedule: list[Action]) -> SoakResult:
+    """Run a schedule under virtual time."""
 
-    async def run() -> list[str]:
+    async def run() -> SoakResult:
         return await SoakRun(seed, schedule).run()
 
     return run_virtual(run())
@@ -184,7 +199,7 @@
         for at in range(0, len(schedule), size):
             shorter = schedule[:at] + schedule[at + size :]
             tries += 1
-            if shorter and run_schedule(seed, shorter):
+            if shorter and run_schedule(seed, shorter).problems:
                 schedule = shorter
                 break
             if tries >= SHRINK_TRIES:
@@ -194,7 +209,7 @@
     return schedule
 
 
-def run_seed(seed: int) -> tuple[int, list[str]]:
+def run_seed(seed: int) -> tuple[int, SoakResult]:
     """Run the schedule of one seed."""
     logging.disable(logging.WARNING)
     return seed, run_schedule(seed, draw_schedule(seed, STEPS_PER_RUN))
@@ -209,11 +224,16 @@
     seeds = range(seed, seed + max(1, steps // STEPS_PER_RUN))
     violations = 0
     with Pool(processes) as pool:
-        for done, (number, problems) in enumerate(
+        for finished, (number, result) in enumerate(
             pool.imap_unordered(run_seed, seeds), start=1
         ):
+            problems = result.problems
             state = "held" if not problems else "BROKEN"
-            click.echo(f"{done} of {len(seeds)}: seed {number} {state}")
+            click.echo(
+                f"{finished} of {len(seeds)}: seed {number} {state}; requests "
+                f"{result.sent}, done {result.done}, gone with a killed daemon "
+                f"{result.gone}, refused {result.sent - result.done - result.gone}"
+            )
             violations += len(problems)
             for problem in problems[:5]:
                 click.echo(f"    {problem}")
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,60 @@
+"""Settings are checked: one line names file, key, value and the rule."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+import yaml
+from click.testing import CliRunner
+
+from kestreltally.daemon import main
+from kestreltally.settings import BadSettings, check_settings, load_settings
+
+EXAMPLE = Path(__file__).parent.parent / "examples" / "kestreltallyd.yaml"
+
+
+def test_the_example_is_good() -> None:
+    assert load_settings(EXAMPLE).placement.loads_at_once == 4
+
+
+BAD = {
+    "unknown key": ({"colour": 1}, "colour: unknown key"),
+    "unknown key inside": ({"timing": {"tok": 1}}, "timing.tok: unknown key"),
+    "wrong type": ({"data_centre": 3}, "data_centre = 3"),
+    "out of range": ({"callers": {"host": "h", "port": 0}}, "callers.port = 0"),
+    "periods in the wrong order": (
+        {"timing": {"ack_timeout": 9.0}},
+        "timing.ack_timeout: must be below timing.heartbeat",
+    ),
+    "policy without a name": ({"placement": {"policy": "x"}}, "allowed are affinity"),
+}
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_bad_settings_name_the_place(name: str, tmp_path: Path) -> None:
+    changes, expected = BAD[name]
+    plain: dict[str, Any] = yaml.safe_load(EXAMPLE.read_text())
+    path = tmp_path / "bad.yaml"
+    path.write_text(yaml.safe_dump({**plain, **changes}))
+    result = CliRunner().invoke(main, ["--settings", str(path), "--check"])
+    assert result.exit_code == 2
+    assert str(path) in result.output and expected in result.output
+    assert len(result.output.strip().splitlines()) == 1
+
+
+@pytest.mark.parametrize("text", ["- a list", "{", ""])
+def test_what_is_no_mapping_is_refused(text: str, tmp_path: Path) -> None:
+    path = tmp_path / "bad.yaml"
+    path.write_text(text)
+    with pytest.raises(BadSettings, match="bad.yaml"):
+        load_settings(path)
+
+
+def test_a_missing_file_is_named() -> None:
+    with pytest.raises(BadSettings, match=r"/nowhere\.yaml: cannot be read"):
+        load_settings(Path("/nowhere.yaml"))
+
+
+def test_missing_key_is_named() -> None:
+    with pytest.raises(BadSettings, match="data_centre"):
+        check_settings({"vm": "a"}, "x")
