--- a/src/kestreltally/endpoints/engines.py
+++ b/src/kestreltally/endpoints/engines.py
@@ -1,10 +1,10 @@
 """Model engines over HTTP: fenced orders, reports, attempts."""
 
 import asyncio
-from typing import Any, Final
+from typing import Any, Final, NoReturn
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 from aiohttp.client_exceptions import ClientConnectorError
 
 from kestreltally.endpoints.answers import HttpAnswer
@@ -28,6 +28,7 @@
 FENCE_TIMEOUT: Final[Seconds] = 1.0
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
+REFUSING_STATUSES: Final = frozenset({400, 404, 409, 413, 422, 429, 503})
 HEADER_ATTEMPT: Final = "X-Attempt-Id"
 HEADER_ADAPTER: Final = "X-Adapter-Version"
 HEADER_PRIORITY: Final = "X-Priority"
@@ -97,6 +98,25 @@
         return PlainRefusal()
 
 
+async def raise_refusal(
+    response: ClientResponse,
+    refusing: frozenset[int],
+) -> NoReturn:
+    """Raise what a status other than success means.
+
+    Only a status that is agreed to mean "not run" is a refusal; after any other,
+    as after a body that breaks off, the attempt may have run.
+    """
+    try:
+        raw = await response.read()
+    except ClientError as error:
+        raise AttemptLost(repr(error)) from error
+    if response.status not in refusing:
+        raise AttemptLost(f"status {response.status}")
+    refusal = read_refusal(raw)
+    raise EndpointRefused(refusal.reason, refusal.retry_after)
+
+
 class HttpEngineClient:
     """Implements the port ``EngineClient``."""
 
@@ -178,8 +198,7 @@
         except ClientError as error:
             raise AttemptLost(repr(error)) from error
         if response.status != STATUS_OK:
-            refusal = read_refusal(await response.read())
-            raise EndpointRefused(refusal.reason, refusal.retry_after)
+            await raise_refusal(response, REFUSING_STATUSES)
         head = AnswerHead(
             attempt=response.headers.get(HEADER_ATTEMPT, ""),
             adapter=response.headers.get(HEADER_ADAPTER, ""),
--- a/src/kestreltally/endpoints/services.py
+++ b/src/kestreltally/endpoints/services.py
@@ -6,12 +6,11 @@
 from aiohttp.client_exceptions import ClientConnectorError
 
 from kestreltally.endpoints.answers import HttpAnswer
-from kestreltally.endpoints.engines import HEADER_ATTEMPT, fetch_report, read_refusal
+from kestreltally.endpoints.engines import HEADER_ATTEMPT, fetch_report, raise_refusal
 from kestreltally.entities.endpoints import EndpointReport
 from kestreltally.ports import (
     AnswerHead,
     AttemptLost,
-    EndpointRefused,
     NotStarted,
     ServiceCall,
 )
@@ -48,8 +47,7 @@
         except ClientError as error:
             raise AttemptLost(repr(error)) from error
         if HEADER_NOT_RUN in response.headers:
-            refusal = read_refusal(await response.read())
-            raise EndpointRefused(refusal.reason, refusal.retry_after)
+            await raise_refusal(response, frozenset({response.status}))
         head = AnswerHead(
             attempt=response.headers.get(HEADER_ATTEMPT, call.attempt),
             adapter="",
--- a/src/kestreltally/operators/writing.py
+++ b/src/kestreltally/operators/writing.py
@@ -247,7 +247,20 @@
             return await self._resolve(key, made, changed, version)
         if isinstance(written, Ok):
             return Ok(replace(made, revision=written.ok_value.revision))
-        return self._tell_conflict(key, written.err_value.current)
+        return self._judge_conflict(key, made, changed, written.err_value.current)
+
+    def _judge_conflict(
+        self,
+        key: str,
+        made: ChangeMade,
+        changed: ConfigObject,
+        current: StoredObject,
+    ) -> Result[ChangeMade, ChangeRefused]:
+        """Tell a conflict with the own change, which arrived twice, from another's."""
+        theirs = self._read(key, current)
+        if theirs is not None and theirs.change == changed.change:
+            return Ok(replace(made, revision=current.revision))
+        return self._tell_conflict(key, current)
 
     def _tell_conflict(self, key: str, current: StoredObject) -> Err[ChangeRefused]:
         theirs = self._read(key, current)
@@ -278,11 +291,8 @@
         for _ in range(READ_BACK_TRIES):
             try:
                 current = await self._objects.read(key)
-                theirs = self._read(key, current)
-                if theirs is not None and theirs.change == changed.change:
-                    return Ok(replace(made, revision=current.revision))
                 if current.version != version:
-                    return self._tell_conflict(key, current)
+                    return self._judge_conflict(key, made, changed, current)
                 plain = write_config_object(changed)
                 written = await self._objects.write(key, plain, version)
                 if isinstance(written, Ok):
--- a/src/kestreltally/requests/claims.py
+++ b/src/kestreltally/requests/claims.py
@@ -144,6 +144,8 @@
         if current.version == 0:
             return await self._write(key, value, expected_version=0)
         held = _read_value(current)
+        if held is not None and held.claimant == value.claimant:
+            return Ok(Claim(key=key, value=value, version=current.version))
         if held is not None and held.released:
             return await self._write(key, value, expected_version=current.version)
         return _refuse_duplicate()
