--- /dev/null
+++ b/tests/test_resume.py
@@ -0,0 +1,59 @@
+"""An answer that broke off is continued elsewhere; beside it, a restart."""
+
+from unittest.mock import patch
+
+import pytest
+
+from kestreltally.requests.relay import Relay
+from tests.fleet import Fleet, Sent, run_virtual
+
+
+async def break_off(stream: bool) -> tuple[Fleet, Sent]:
+    """Restart every engine but one in the middle of an answer."""
+    fleet = Fleet(unchecked=0)
+    await fleet.start()
+    await fleet.settle(4.0)
+    await warm_up(fleet)
+    sent = fleet.send(0, "a0", stream=stream)
+    while not any(endpoint.running for endpoint in fleet.endpoints.values()):
+        await fleet.settle(0.01)
+    await fleet.settle(0.22)
+    (busy,) = [each for each in fleet.endpoints.values() if each.running]
+    busy.running[0].killed = True
+    await fleet.settle(8.0)
+    await fleet.close()
+    return fleet, sent
+
+
+async def warm_up(fleet: Fleet) -> None:
+    """Have two engines hold the adapter, so that no load is in the way."""
+    for name in ("engine-0", "engine-1", "engine-2"):
+        fleet.endpoints[name].loaded.add("a0@1")
+    await fleet.settle(1.5)
+
+
+def serve(stream: bool, resume: bool) -> Sent:
+    if resume:
+        fleet, sent = run_virtual(break_off(stream))
+    else:
+        with patch.object(Relay, "list_token_ids", lambda self: None):
+            fleet, sent = run_virtual(break_off(stream))
+    assert fleet.list_problems() == []
+    return sent
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_a_broken_answer_is_continued_to_the_same_text(stream: bool) -> None:
+    assert serve(stream, resume=True).done
+
+
+def test_a_stream_that_cannot_be_continued_is_told_broken_off() -> None:
+    refusal = serve(stream=True, resume=False).refusal
+    assert refusal is not None and refusal.reason.value == "answer_cut_off"
+
+
+def test_continuing_ends_sooner_than_a_restart() -> None:
+    continued, restarted = (serve(stream=False, resume=each) for each in (True, False))
+    assert restarted.done
+    took = continued.ended_at - continued.at
+    assert took < 0.8 * (restarted.ended_at - restarted.at)
