--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -61,6 +61,7 @@
 from kestreltally.settings import check_settings
 from kestreltally.systems.configuration import list_changes_after
 from kestreltally.systems.everything import SYSTEMS
+from kestreltally.systems.holding import return_permits
 from kestreltally.systems.leadership import find_owner
 from kestreltally.systems.registry import run_step
 from kestreltally.world import World
@@ -288,6 +289,7 @@
         """Run one wake of the entry daemon, and carry its messages."""
         begin = time.process_time()
         run_step(self.entry, self.entry.now + 0.0001, woken=True)
+        return_permits(self.entry)
         orders, self.entry.outbox = self.entry.outbox, []
         self.bytes_sent += carry(orders, self.leader, self.entry)
         self.entry_cpu += time.process_time() - begin
