--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,14 +11,18 @@
 import random
 import time
 from collections import Counter, OrderedDict
-from dataclasses import dataclass, field
-from typing import Any
+from dataclasses import asdict, dataclass, field
+from typing import Any, Final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from standins.common import Faults, make_command
 from standins.text import WORDS, make_token
 
+PREFIX_LENGTH: Final = 256
+CACHE_EVENTS_KEPT: Final = 1_000
+ROLES: Final = frozenset({"mixed", "prefill", "decode"})
+
 
 @dataclass(order=True)
 class Job:
@@ -31,6 +35,16 @@
     killed: bool = field(compare=False, default=False)
 
 
+@dataclass(frozen=True)
+class CacheEvent:
+    """A prefix that was cached or dropped; ``at`` is monotonic seconds."""
+
+    number: int
+    at: float
+    kind: str
+    prefix: str
+
+
 class Engine:
     """The state of one engine."""
 
@@ -45,6 +59,7 @@
             fail_loads=0.0,
             slow=1.0,
             no_end_mark=False,
+            cache_gaps=0.1,
         )
         self._random = random.Random(options.get("seed", 1))
         self.slots = options.get("slots", 4)
@@ -64,6 +79,8 @@
         self._measured_at = time.monotonic()
         self._session: ClientSession | None = None
         self._prefixes: OrderedDict[str, None] = OrderedDict()
+        self._cache_events: list[CacheEvent] = []
+        self.role = "mixed"
         self.restart()
 
     def restart(self) -> None:
@@ -280,16 +297,61 @@
 
     async def _prefill(self, prompt: str, done: int) -> None:
         """Take less time for a prompt whose beginning is cached."""
-        head = prompt[:256]
+        head = prompt[:PREFIX_LENGTH]
         known = head in self._prefixes
-        self._prefixes[head] = None
-        self._prefixes.move_to_end(head)
-        if len(self._prefixes) > self.options.get("prefixes", 64):
-            self._prefixes.popitem(last=False)
+        self._keep_prefix(head)
         per_character = self.options.get("prefill_time", 0.000002)
         characters = (len(prompt) + done) * (0.2 if known else 1.0)
         await asyncio.sleep(per_character * characters)
 
+    def _keep_prefix(self, head: str) -> None:
+        """Cache a prefix, and drop the least recent one where memory is short."""
+        if head not in self._prefixes:
+            self._note_cache("cached", head)
+        self._prefixes[head] = None
+        self._prefixes.move_to_end(head)
+        if len(self._prefixes) > self.options.get("prefixes", 64):
+            oldest, _ = self._prefixes.popitem(last=False)
+            self._note_cache("dropped", oldest)
+
+    def _note_cache(self, kind: str, prefix: str) -> None:
+        number = next(self._serial)
+        if self._random.random() >= self.faults.get("cache_gaps"):
+            event = CacheEvent(number, time.monotonic(), kind, prefix)
+            self._cache_events.append(event)
+        del self._cache_events[:-CACHE_EVENTS_KEPT]
+
+    async def show_cache_events(self, http: web.Request) -> web.Response:
+        """Serve the cache events after a number: late, and with gaps."""
+        after = int(http.query.get("after", "-1"))
+        until = time.monotonic() - self._lag
+        late = [e for e in self._cache_events if e.number > after and e.at <= until]
+        return web.json_response([asdict(event) for event in late])
+
+    async def change_role(self, http: web.Request) -> web.Response:
+        """Take a fenced order to prefill, to decode, or to do both."""
+        await self._hang()
+        body = await http.json()
+        refused = self._take_fence(body["token"])
+        if refused is not None:
+            return refused
+        if body["role"] not in ROLES:
+            return web.json_response({"reason": "unknown_role"}, status=400)
+        self.role = body["role"]
+        return web.json_response({"role": self.role})
+
+    async def export_cache(self, http: web.Request) -> web.Response:
+        """Hand out the cache of a prompt's beginning, if it is held."""
+        head = http.query["prompt"][:PREFIX_LENGTH]
+        if head not in self._prefixes:
+            return web.json_response({"reason": "not_cached"}, status=404)
+        return web.json_response({"prefix": head})
+
+    async def import_cache(self, http: web.Request) -> web.Response:
+        """Take in a cache that another engine handed out."""
+        self._keep_prefix((await http.json())["prefix"])
+        return web.json_response({})
+
     def _cut(
         self,
         http: web.Request,
@@ -350,6 +412,10 @@
     app.router.add_get("/report", engine.report)
     app.router.add_post("/v1/completions", engine.complete)
     app.router.add_post("/v1/chat/completions", engine.complete)
+    app.router.add_post("/orders/role", engine.change_role)
+    app.router.add_get("/cache/events", engine.show_cache_events)
+    app.router.add_get("/cache", engine.export_cache)
+    app.router.add_put("/cache", engine.import_cache)
     app.router.add_get("/counts", engine.show_counts)
     app.router.add_post("/restart", engine.take_restart)
     engine.faults.add_routes(app)
