Split the runtime, the request's way and the entry's permits into smaller modules

What reads and watches the platform is platform/watches.py and records.py; what a request and its attempts are is requests/attempts.py; which endpoints may get work is systems/availability.py. The memory of an idle daemon is measured, not written down.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -71,6 +71,7 @@
     relay_token: float
     event_cpu: float
     event_bytes: float
+    idle_memory: float
     owners: Slope
 
     def list_fits(self) -> list[Slope]:
@@ -151,7 +152,7 @@
             2 * HEARTBEATS * (s.heartbeat_quiet_bytes + s.heartbeat_busy_bytes) / 2,
             "half of them with 8 rumours",
         ),
-        Line("reports", 3 * REPORTS * 600.0, "about 600 B each, with HTTP heads"),
+        Line("reports", 3 * REPORTS * 600.0, "assumed: 600 B each, with HTTP heads"),
         Line(
             "configuration pushes",
             CHANGES_A_DAY / DAY * s.change_bytes * near,
@@ -164,7 +165,7 @@
     """Return one daemon's memory in MB."""
     mega = 1e-6
     return [
-        Line("interpreter and libraries", 62.0, "resident size of an idle daemon"),
+        Line("interpreter and libraries", s.idle_memory, "resident once imported"),
         Line("members", s.memory_member.slope * DAEMONS * mega, "1,100"),
         Line("adapters", s.memory_adapter.slope * ADAPTERS * mega, "27,000"),
         Line("endpoints", s.memory_endpoint.slope * ENGINES * mega, "3,300"),
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,8 @@
 import gc
 import random
 import statistics
+import subprocess
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
@@ -470,6 +472,18 @@
     return measure_cpu(add, count), measure_memory(add) / count
 
 
+def measure_idle_memory() -> float:
+    """Return the resident megabytes of a process that has only imported the daemon."""
+    code = (
+        "import resource, kestreltally.daemon;"
+        "print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    return float(done.stdout) * 1024 / 1e6
+
+
 def measure_owners(members: int, endpoints: int) -> float:
     """Return µs to work all owners out anew after a change of members."""
     world = make_test_world()
@@ -550,6 +564,7 @@
         relay_token=measure_relay(),
         event_cpu=event_cpu,
         event_bytes=event_bytes,
+        idle_memory=measure_idle_memory(),
         owners=owners,
     )
 
--- a/src/kestreltally/callers/reading.py
+++ b/src/kestreltally/callers/reading.py
@@ -29,9 +29,9 @@
 )
 from kestreltally.orders import RefusalReason
 from kestreltally.ports import ServiceCall
-from kestreltally.requests.flow import CallerRequest
+from kestreltally.requests.attempts import CallerRequest
 from kestreltally.requests.outcomes import Outcome, Refusal
-from kestreltally.systems.holding import list_candidates
+from kestreltally.systems.availability import list_candidates
 from kestreltally.world import World
 
 HEADER_REQUEST: Final = "X-Request-Id"
--- a/src/kestreltally/callers/surface.py
+++ b/src/kestreltally/callers/surface.py
@@ -21,7 +21,8 @@
 from kestreltally.entities.configuration import Caller
 from kestreltally.metrics import Metrics
 from kestreltally.orders import RefusalReason
-from kestreltally.requests.flow import CallerRequest, RequestServer
+from kestreltally.requests.attempts import CallerRequest
+from kestreltally.requests.flow import RequestServer
 from kestreltally.requests.outcomes import STATUS_OF_REASON, Refusal
 from kestreltally.runtime import Runtime
 from kestreltally.systems.configuration import find_adapters
--- a/src/kestreltally/metrics.py
+++ b/src/kestreltally/metrics.py
@@ -8,7 +8,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from kestreltally.requests.flow import CallerRequest
+from kestreltally.requests.attempts import CallerRequest
 from kestreltally.requests.outcomes import Refusal
 from kestreltally.world import World
 
--- /dev/null
+++ b/src/kestreltally/platform/watches.py
@@ -0,0 +1,211 @@
+"""Reading and watching the platform's services, and claiming leadership there."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+from result import Ok
+
+from kestreltally.entities.configuration import CONFIG_PREFIX
+from kestreltally.entities.ids import Seconds
+from kestreltally.orders import (
+    ClaimEnded,
+    ClaimEndpoint,
+    ConfigArrived,
+    Happening,
+    LeadersChanged,
+    LeaderWasRead,
+    ReadLeader,
+    VmsListed,
+)
+from kestreltally.platform.records import (
+    LEADER_PREFIX,
+    LeaderValue,
+    read_config_objects,
+    read_leader_record,
+)
+from kestreltally.ports import (
+    AnswerLost,
+    ObjectApi,
+    ObjectApiDown,
+    PlatformError,
+    StoredObject,
+    VmList,
+)
+from kestreltally.systems.configuration import is_watcher
+from kestreltally.world import World
+
+LOG = logging.getLogger("kestreltally.platform")
+RETRY_FIRST: Final[Seconds] = 0.2
+RETRY_MOST: Final[Seconds] = 5.0
+READ_BACK_TRIES: Final = 5
+WATCH_DUTY_CHECK: Final[Seconds] = 0.5
+WATCH_CONFIRM_WAIT: Final[Seconds] = 1.0
+
+
+class PlatformWatches:
+    """One daemon's calls to the platform; each result goes into the inbox."""
+
+    def __init__(
+        self,
+        world: World,
+        objects: ObjectApi,
+        vms: VmList,
+        post: Callable[[Happening], None],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._world = world
+        self._objects = objects
+        self._vms = vms
+        self._post = post
+        self._clock = clock
+
+    async def read_leader(self, order: ReadLeader) -> None:
+        """Read the leader record of an endpoint."""
+        asked_at = self._clock()
+        record, failed = None, False
+        try:
+            stored = await self._objects.read(LEADER_PREFIX + order.endpoint)
+            record = read_leader_record(stored)
+        except PlatformError:
+            failed = True
+        self._post(
+            LeaderWasRead(
+                endpoint=order.endpoint,
+                record=record,
+                asked_at=asked_at,
+                failed=failed,
+            )
+        )
+
+    async def claim_endpoint(self, order: ClaimEndpoint) -> None:
+        """Write a leader record; a lost answer is resolved by reading back."""
+        claimed_at = self._clock()
+        record = order.record
+        value = LeaderValue(
+            leader=record.leader,
+            incarnation=record.incarnation,
+            epoch=record.epoch,
+            change=record.change,
+        )
+        key = LEADER_PREFIX + record.endpoint
+        stored: StoredObject | None
+        try:
+            plain = msgspec.to_builtins(value)
+            result = await self._objects.write(key, plain, order.expected_version)
+            stored = (
+                result.ok_value if isinstance(result, Ok) else result.err_value.current
+            )
+        except ObjectApiDown:
+            stored = None
+        except AnswerLost:
+            stored = await self._read_back(key)
+        current = read_leader_record(stored) if stored is not None else None
+        won = current is not None and current.change == record.change
+        self._post(
+            ClaimEnded(
+                endpoint=record.endpoint,
+                won=won,
+                record=current,
+                claimed_at=claimed_at,
+            )
+        )
+
+    async def _read_back(self, key: str) -> StoredObject | None:
+        """Read what a write with a lost answer left; none if it cannot be read."""
+        for _ in range(READ_BACK_TRIES):
+            try:
+                return await self._objects.read(key)
+            except PlatformError:
+                await asyncio.sleep(RETRY_FIRST)
+        return None
+
+    def _jitter(self, wait: Seconds) -> Seconds:
+        return wait * self._world.random.uniform(0.5, 1.5)
+
+    async def _back_off(self, what: str, error: Exception, wait: Seconds) -> Seconds:
+        """Wait after a failed call, with jitter; return how long to wait next."""
+        LOG.warning("platform: %s cannot be watched: %s", what, error)
+        await asyncio.sleep(self._jitter(wait))
+        return min(wait * 2, RETRY_MOST)
+
+    async def watch_config(self) -> None:
+        """Keep the configuration up to date while that is this daemon's duty."""
+        wait = RETRY_FIRST
+        listed = 0
+        while True:
+            if listed and not is_watcher(self._world):
+                await asyncio.sleep(WATCH_DUTY_CHECK)
+                continue
+            try:
+                listed = await self._read_config(listed)
+                wait = RETRY_FIRST
+            except PlatformError as error:
+                wait = await self._back_off("configuration", error, wait)
+
+    async def _read_config(self, listed: int) -> int:
+        """List or watch once; return the object API's revision reached."""
+        asked_at = self._clock()
+        first = listed == 0
+        if first:
+            listing = await self._objects.list(CONFIG_PREFIX)
+        else:
+            listing = await self._objects.watch(
+                CONFIG_PREFIX,
+                listed,
+                WATCH_CONFIRM_WAIT,
+            )
+        # A watch that ends with nothing speaks for its end, not for its beginning.
+        quiet = not first and not listing.objects
+        confirmed_at = asked_at + WATCH_CONFIRM_WAIT if quiet else asked_at
+        revisions = [each.revision for each in listing.objects]
+        known = self._world.config.revision
+        self._post(
+            ConfigArrived(
+                after=0 if first else min(known, listed),
+                revision=max([*revisions, known]),
+                whole=first,
+                objects=read_config_objects(listing.objects),
+                confirmed_at=min(confirmed_at, self._clock()),
+            )
+        )
+        return max(listing.revision, 1)
+
+    async def watch_leaders(self) -> None:
+        """Keep the leader records up to date."""
+        wait = RETRY_FIRST
+        seen = 0
+        while True:
+            try:
+                seen = await self._read_leaders(seen)
+                wait = RETRY_FIRST
+            except PlatformError as error:
+                wait = await self._back_off("leaders", error, wait)
+
+    async def _read_leaders(self, seen: int) -> int:
+        if seen == 0:
+            listing = await self._objects.list(LEADER_PREFIX)
+        else:
+            platform = self._world.settings.platform
+            listing = await self._objects.watch(
+                LEADER_PREFIX,
+                seen,
+                platform.watch_wait,
+            )
+        records = [read_leader_record(each) for each in listing.objects]
+        found = tuple(record for record in records if record is not None)
+        if found:
+            self._post(LeadersChanged(records=found))
+        return max(listing.revision, 1)
+
+    async def poll_vm_list(self) -> None:
+        """Read the VM list from time to time."""
+        while True:
+            try:
+                self._post(VmsListed(vms=await self._vms.fetch()))
+            except PlatformError as error:
+                LOG.warning("platform: VM list cannot be read: %s", error)
+            period = self._world.settings.platform.vm_list_period
+            await asyncio.sleep(self._jitter(period))
--- a/src/kestreltally/requests/flow.py
+++ b/src/kestreltally/requests/flow.py
@@ -1,22 +1,17 @@
 """The way of one request: admitted, permitted, sent, relayed, answered."""
 
 import asyncio
-from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
-from enum import Enum
-from typing import Any, Final, Protocol
+from dataclasses import replace
+from typing import Final
 from uuid import uuid4
 
 from result import Err, Ok, Result
 
-from kestreltally.entities.configuration import Caller
 from kestreltally.entities.ids import (
-    AdapterVersion,
     AttemptId,
     EndpointId,
     Priority,
     RequestId,
-    Revision,
     Seconds,
 )
 from kestreltally.entities.permits import HeldPermit, Want
@@ -36,7 +31,13 @@
     EndpointRefused,
     EngineAttempt,
     NotStarted,
-    ServiceCall,
+)
+from kestreltally.requests.attempts import (
+    AttemptEnd,
+    AttemptResult,
+    CallerRequest,
+    Sink,
+    Way,
 )
 from kestreltally.requests.claims import Claim, Claims
 from kestreltally.requests.limits import CallerLimits, RetryBudget
@@ -87,74 +88,6 @@
 )
 
 
-class Sink(Protocol):
-    """Where the answer goes."""
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Tell the caller that an answer comes."""
-
-    async def send(self, data: bytes) -> None:
-        """Hand bytes of the answer on."""
-
-    @property
-    def holds_back(self) -> bool:
-        """Tell whether nothing reaches the caller before the end."""
-
-    def forget(self) -> None:
-        """Drop what was held back: the answer starts anew."""
-
-
-@dataclass(frozen=True)
-class CallerRequest:
-    """A request as it was received, checked for form and judged by one revision.
-
-    ``call`` is set for plain services, ``payload`` for engines.
-    """
-
-    request: RequestId
-    caller: Caller
-    adapter: AdapterVersion
-    candidates: tuple[EndpointId, ...]
-    priority: Priority
-    repeatable: bool
-    received_at: Seconds
-    deadline_at: Seconds
-    revision: Revision
-    path: str
-    payload: Mapping[str, Any] = field(default_factory=dict)
-    call: ServiceCall | None = None
-
-
-class AttemptEnd(Enum):
-    """How one attempt ended."""
-
-    WHOLE = "whole"
-    NOT_RUN = "not run"
-    LOST = "lost"
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptResult:
-    """The end of one attempt; ``elsewhere`` asks to avoid the endpoint."""
-
-    end: AttemptEnd
-    fault: str = ""
-    elsewhere: bool = False
-    retry_after: Seconds = 0.0
-
-
-@dataclass
-class Way:
-    """What has happened to a request so far."""
-
-    sent_maybe_run: int = 0
-    attempts: int = 0
-    begun: bool = False
-    avoid: frozenset[EndpointId] = frozenset()
-    token_ids: tuple[int, ...] = ()
-    cannot_resume: bool = False
-
-
 class RequestServer:
     """Serves requests at one daemon."""
 
--- a/src/kestreltally/runtime.py
+++ b/src/kestreltally/runtime.py
@@ -7,33 +7,21 @@
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from typing import Any, Final
 
-import msgspec
-from result import Ok
-
 from kestreltally.entities.configuration import (
-    CONFIG_PREFIX,
-    ConfigObject,
     EndpointKind,
-    MalformedObject,
-    read_config_object,
 )
-from kestreltally.entities.endpoints import LeaderRecord
-from kestreltally.entities.ids import AttemptId, EndpointId, Seconds, VmId
+from kestreltally.entities.ids import AttemptId, EndpointId, Seconds
 from kestreltally.entities.permits import Want
 from kestreltally.invariants import InvariantBroken
 from kestreltally.orders import (
-    ClaimEnded,
     ClaimEndpoint,
-    ConfigArrived,
     FenceRaised,
     FetchReport,
     Happening,
-    LeadersChanged,
-    LeaderWasRead,
     LoadAdapter,
     LoadEnded,
     MessageArrived,
@@ -47,40 +35,29 @@
     UnloadAdapter,
     UnloadEnded,
     UseEnd,
-    VmsListed,
     WantAdded,
     WantAnswer,
     WantDropped,
     WantGranted,
 )
 from kestreltally.peers.messages import Envelope, PeerMessage
+from kestreltally.platform.watches import PlatformWatches
 from kestreltally.ports import (
-    AnswerLost,
     EngineClient,
     ObjectApi,
-    ObjectApiDown,
     PeerTransport,
-    PlatformError,
     ServiceClient,
-    StoredObject,
     VmList,
 )
-from kestreltally.systems.configuration import is_watcher
 from kestreltally.systems.everything import SYSTEMS
 from kestreltally.systems.registry import run_step
 from kestreltally.world import World
 
 LOG = logging.getLogger("kestreltally.runtime")
-LEADER_PREFIX: Final = "leader/"
-RETRY_FIRST: Final[Seconds] = 0.2
-RETRY_MOST: Final[Seconds] = 5.0
-READ_BACK_TRIES: Final = 5
 CANCEL_AGAIN_AFTER: Final[Seconds] = 0.1
 # A timer may fire a little early; then the tick is due all the same.
 TICK_SLACK: Final[Seconds] = 0.001
 NO_ATTEMPT: Final = AttemptId("")
-WATCH_DUTY_CHECK: Final[Seconds] = 0.5
-WATCH_CONFIRM_WAIT: Final[Seconds] = 1.0
 
 
 @dataclass(frozen=True)
@@ -94,46 +71,6 @@
     peers: PeerTransport
 
 
-@dataclass(frozen=True)
-class LeaderValue:
-    """The plain form of a leader record in the object API."""
-
-    leader: str
-    incarnation: int
-    epoch: int
-    change: str
-
-
-def read_leader_record(stored: StoredObject) -> LeaderRecord | None:
-    """Return the leader record in a stored object, or none if there is none."""
-    if stored.version == 0 or stored.value is None:
-        return None
-    try:
-        value = msgspec.convert(stored.value, LeaderValue)
-    except msgspec.ValidationError as error:
-        LOG.error("runtime: leader record %s cannot be read: %s", stored.key, error)
-        return None
-    return LeaderRecord(
-        endpoint=EndpointId(stored.key.removeprefix(LEADER_PREFIX)),
-        leader=VmId(value.leader),
-        incarnation=value.incarnation,
-        epoch=value.epoch,
-        change=value.change,
-        version=stored.version,
-    )
-
-
-def read_config_objects(stored: Iterable[StoredObject]) -> tuple[ConfigObject, ...]:
-    """Return the readable objects; the others are logged and left as they were."""
-    objects = []
-    for each in stored:
-        try:
-            objects.append(read_config_object(each.key, each.value, each.revision))
-        except MalformedObject as error:
-            LOG.error("runtime: configuration left out: %s", error)
-    return tuple(objects)
-
-
 class Runtime:
     """One daemon: its tables, its ports and its tick."""
 
@@ -147,9 +84,16 @@
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._waiting: dict[str, asyncio.Future[WantAnswer]] = {}
+        self._watches = PlatformWatches(
+            world=world,
+            objects=ports.objects,
+            vms=ports.vms,
+            post=self.post,
+            clock=self.clock,
+        )
         self._executors: dict[type[Any], Callable[[Any], Coroutine[Any, Any, None]]] = {
-            ReadLeader: self._read_leader,
-            ClaimEndpoint: self._claim_endpoint,
+            ReadLeader: self._watches.read_leader,
+            ClaimEndpoint: self._watches.claim_endpoint,
             RaiseFence: self._raise_fence,
             LoadAdapter: self._load_adapter,
             UnloadAdapter: self._unload_adapter,
@@ -166,9 +110,9 @@
         """Start the tick and the reading of the platform's services."""
         for work in (
             self._run_ticks(),
-            self._watch_config(),
-            self._watch_leaders(),
-            self._poll_vm_list(),
+            self._watches.watch_config(),
+            self._watches.watch_leaders(),
+            self._watches.poll_vm_list(),
         ):
             self._spawn(work)
 
@@ -296,150 +240,6 @@
         permit = granted.permit.permit
         self.post(PermitUsed(permit=permit, attempt=NO_ATTEMPT, end=UseEnd.ENDED))
 
-    # The object API
-
-    async def _read_leader(self, order: ReadLeader) -> None:
-        asked_at = self.clock()
-        record, failed = None, False
-        try:
-            stored = await self.ports.objects.read(LEADER_PREFIX + order.endpoint)
-            record = read_leader_record(stored)
-        except PlatformError:
-            failed = True
-        self.post(
-            LeaderWasRead(
-                endpoint=order.endpoint,
-                record=record,
-                asked_at=asked_at,
-                failed=failed,
-            )
-        )
-
-    async def _claim_endpoint(self, order: ClaimEndpoint) -> None:
-        claimed_at = self.clock()
-        record = order.record
-        value = LeaderValue(
-            leader=record.leader,
-            incarnation=record.incarnation,
-            epoch=record.epoch,
-            change=record.change,
-        )
-        key = LEADER_PREFIX + record.endpoint
-        stored: StoredObject | None
-        try:
-            plain = msgspec.to_builtins(value)
-            result = await self.ports.objects.write(key, plain, order.expected_version)
-            stored = (
-                result.ok_value if isinstance(result, Ok) else result.err_value.current
-            )
-        except ObjectApiDown:
-            stored = None
-        except AnswerLost:
-            stored = await self._read_back(key)
-        current = read_leader_record(stored) if stored is not None else None
-        won = current is not None and current.change == record.change
-        self.post(
-            ClaimEnded(
-                endpoint=record.endpoint,
-                won=won,
-                record=current,
-                claimed_at=claimed_at,
-            )
-        )
-
-    async def _read_back(self, key: str) -> StoredObject | None:
-        """Read what a write with a lost answer left; none if it cannot be read."""
-        for _ in range(READ_BACK_TRIES):
-            try:
-                return await self.ports.objects.read(key)
-            except PlatformError:
-                await asyncio.sleep(RETRY_FIRST)
-        return None
-
-    def _jitter(self, wait: Seconds) -> Seconds:
-        return wait * self.world.random.uniform(0.5, 1.5)
-
-    async def _watch_config(self) -> None:
-        """Keep the configuration up to date while that is this daemon's duty."""
-        wait = RETRY_FIRST
-        listed = 0
-        while True:
-            if listed and not is_watcher(self.world):
-                await asyncio.sleep(WATCH_DUTY_CHECK)
-                continue
-            try:
-                listed = await self._read_config(listed)
-                wait = RETRY_FIRST
-            except PlatformError as error:
-                LOG.warning("runtime: configuration cannot be watched: %s", error)
-                await asyncio.sleep(self._jitter(wait))
-                wait = min(wait * 2, RETRY_MOST)
-
-    async def _read_config(self, listed: int) -> int:
-        """List or watch once; return the object API's revision reached."""
-        asked_at = self.clock()
-        first = listed == 0
-        if first:
-            listing = await self.ports.objects.list(CONFIG_PREFIX)
-        else:
-            listing = await self.ports.objects.watch(
-                CONFIG_PREFIX,
-                listed,
-                WATCH_CONFIRM_WAIT,
-            )
-        # A watch that ends with nothing speaks for its end, not for its beginning.
-        quiet = not first and not listing.objects
-        confirmed_at = asked_at + WATCH_CONFIRM_WAIT if quiet else asked_at
-        revisions = [each.revision for each in listing.objects]
-        known = self.world.config.revision
-        self.post(
-            ConfigArrived(
-                after=0 if first else min(known, listed),
-                revision=max([*revisions, known]),
-                whole=first,
-                objects=read_config_objects(listing.objects),
-                confirmed_at=min(confirmed_at, self.clock()),
-            )
-        )
-        return max(listing.revision, 1)
-
-    async def _watch_leaders(self) -> None:
-        wait = RETRY_FIRST
-        seen = 0
-        while True:
-            try:
-                seen = await self._read_leaders(seen)
-                wait = RETRY_FIRST
-            except PlatformError as error:
-                LOG.warning("runtime: leaders cannot be watched: %s", error)
-                await asyncio.sleep(self._jitter(wait))
-                wait = min(wait * 2, RETRY_MOST)
-
-    async def _read_leaders(self, seen: int) -> int:
-        if seen == 0:
-            listing = await self.ports.objects.list(LEADER_PREFIX)
-        else:
-            platform = self.world.settings.platform
-            listing = await self.ports.objects.watch(
-                LEADER_PREFIX,
-                seen,
-                platform.watch_wait,
-            )
-        records = [read_leader_record(each) for each in listing.objects]
-        found = tuple(record for record in records if record is not None)
-        if found:
-            self.post(LeadersChanged(records=found))
-        return max(listing.revision, 1)
-
-    async def _poll_vm_list(self) -> None:
-        while True:
-            try:
-                self.post(VmsListed(vms=await self.ports.vms.fetch()))
-            except PlatformError as error:
-                LOG.warning("runtime: VM list cannot be read: %s", error)
-            period = self.world.settings.platform.vm_list_period
-            await asyncio.sleep(self._jitter(period))
-
     # Endpoints
 
     def _url(self, endpoint: EndpointId) -> str | None:
--- /dev/null
+++ b/src/kestreltally/systems/availability.py
@@ -0,0 +1,114 @@
+"""Which endpoints may get new work: circuit breakers, leaving, failures seen."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import Final
+
+from kestreltally.entities.configuration import EndpointKind
+from kestreltally.entities.endpoints import Breaker
+from kestreltally.entities.ids import SERVICE, AdapterVersion, EndpointId, Seconds, VmId
+from kestreltally.orders import EndpointFailed, EndpointServed
+from kestreltally.peers.messages import EndpointFault
+from kestreltally.systems.granting import LEAVING
+from kestreltally.systems.leadership import find_leader
+from kestreltally.systems.membership import is_listed_leaving
+from kestreltally.systems.registry import handles
+from kestreltally.world import NEVER, World
+
+PART: Final = "entry"
+SERVICE_TIME_WEIGHT: Final = 0.1
+LEAVING_FOR: Final[Seconds] = 5.0
+
+
+def is_open_for_work(world: World, endpoint: EndpointId) -> bool:
+    """Tell whether an endpoint may get new work, by all that is known here."""
+    spec = world.config.endpoints.get(endpoint)
+    if spec is None or spec.draining:
+        return False
+    if spec.vm and is_listed_leaving(world, VmId(spec.vm)):
+        return False
+    if world.now < world.entry.leaving.get(endpoint, NEVER):
+        return False
+    breaker = world.entry.breakers.get(endpoint, Breaker())
+    if breaker.failures < world.settings.limits.breaker_failures:
+        return True
+    return world.now >= breaker.open_until and not breaker.probing
+
+
+def note_probe(world: World, endpoint: EndpointId) -> None:
+    """Let one request alone try an endpoint whose breaker has just half opened."""
+    breaker = world.entry.breakers.get(endpoint)
+    if breaker is None:
+        return
+    if breaker.failures >= world.settings.limits.breaker_failures:
+        world.entry.breakers[endpoint] = replace(breaker, probing=True)
+
+
+@handles(EndpointServed)
+def note_success(world: World, served: EndpointServed) -> None:
+    """Close the breaker of an endpoint that served well."""
+    world.entry.breakers.pop(served.endpoint, None)
+    led = world.leaders.led.get(served.endpoint)
+    if led is not None:
+        took = led.service_time + SERVICE_TIME_WEIGHT * (served.took - led.service_time)
+        world.update_led(led, service_time=took)
+
+
+def _give_up_permits(world: World, failed: EndpointFailed) -> None:
+    """Use no permit again that the endpoint has just shown to be worthless."""
+    for held in list(world.entry.held.values()):
+        same = held.endpoint == failed.endpoint and held.adapter == failed.adapter
+        if same and not held.returned:
+            world.entry.held[held.permit] = replace(held, returned=True, told_at=NEVER)
+    view = world.entry.views.get(failed.endpoint)
+    if view is not None:
+        loaded = view.loaded - {failed.adapter}
+        world.entry.views[failed.endpoint] = replace(view, loaded=loaded)
+
+
+@handles(EndpointFailed)
+def note_failure(world: World, failed: EndpointFailed) -> None:
+    """Count a failure for the breaker, and tell the leader what was seen."""
+    limits = world.settings.limits
+    if failed.counts:
+        breaker = world.entry.breakers.get(failed.endpoint, Breaker())
+        failures = breaker.failures + 1
+        world.entry.breakers[failed.endpoint] = Breaker(
+            failures=failures,
+            open_until=world.now + limits.breaker_open,
+        )
+        if failures == limits.breaker_failures:
+            world.events.add(
+                PART,
+                "opens the circuit breaker",
+                endpoint=failed.endpoint,
+                reason=failed.fault,
+            )
+    _give_up_permits(world, failed)
+    if failed.fault == LEAVING:
+        world.entry.leaving[failed.endpoint] = world.now + LEAVING_FOR
+    leader = find_leader(world, failed.endpoint)
+    if leader is not None:
+        fault = EndpointFault(
+            endpoint=failed.endpoint,
+            adapter=failed.adapter.adapter,
+            version=failed.adapter.version,
+            fault=failed.fault,
+        )
+        world.send(leader, fault)
+
+
+def list_candidates(
+    world: World,
+    model: str,
+    adapter: AdapterVersion,
+) -> tuple[EndpointId, ...]:
+    """Return the endpoints that run a base model and can serve an adapter of it."""
+    found: Iterable[EndpointId] = world.config.endpoints_of_model.get(model, {})
+    if adapter == SERVICE:
+        return tuple(found)
+    return tuple(
+        endpoint
+        for endpoint in found
+        if world.config.endpoints[endpoint].kind is EndpointKind.ENGINE
+    )
--- a/src/kestreltally/systems/everything.py
+++ b/src/kestreltally/systems/everything.py
@@ -2,6 +2,7 @@
 
 from kestreltally.policies import placement
 from kestreltally.systems import (
+    availability,
     budget,
     configuration,
     granting,
@@ -17,6 +18,7 @@
     configuration,
     leadership,
     reports,
+    availability,
     holding,
     granting,
     loading,
--- a/src/kestreltally/systems/holding.py
+++ b/src/kestreltally/systems/holding.py
@@ -1,13 +1,11 @@
 """The entry daemon's side of permits: asking, holding, using, returning."""
 
-from collections.abc import Iterable
 from dataclasses import replace
 from typing import Final
 
 from kestreltally.entities.configuration import EndpointKind
-from kestreltally.entities.endpoints import Breaker, EndpointView
+from kestreltally.entities.endpoints import EndpointView
 from kestreltally.entities.ids import (
-    SERVICE,
     AdapterVersion,
     AskId,
     EndpointId,
@@ -19,8 +17,6 @@
 from kestreltally.entities.permits import HeldPermit, Want
 from kestreltally.invariants import declare_invariant
 from kestreltally.orders import (
-    EndpointFailed,
-    EndpointServed,
     PermitUsed,
     RefusalReason,
     UseEnd,
@@ -32,7 +28,6 @@
 from kestreltally.peers.messages import (
     AskPermit,
     AskQueued,
-    EndpointFault,
     GrantPermit,
     PermitClosed,
     RefusePermit,
@@ -41,10 +36,15 @@
     WithdrawAsk,
 )
 from kestreltally.policies.registry import CHOOSERS, Candidate
+from kestreltally.systems.availability import (
+    LEAVING_FOR,
+    is_open_for_work,
+    note_probe,
+)
 from kestreltally.systems.granting import LEAVING, NOT_LEADER
 from kestreltally.systems.hashing import rank_owners
 from kestreltally.systems.leadership import find_leader
-from kestreltally.systems.membership import is_listed_leaving, is_reachable
+from kestreltally.systems.membership import is_reachable
 from kestreltally.systems.registry import handles, hears, runs_each_tick
 from kestreltally.world import NEVER, World
 
@@ -53,8 +53,6 @@
 SILENT_AFTER_REFRESHES: Final = 2
 FORGET_RETURNED_AFTER: Final[Seconds] = 30.0
 TELL_AGAIN_AFTER: Final[Seconds] = 1.0
-LEAVING_FOR: Final[Seconds] = 5.0
-SERVICE_TIME_WEIGHT: Final = 0.1
 COME_BACK_AFTER: Final[Seconds] = 1.0
 VIEW_LIFE: Final[Seconds] = 10.0
 MOST_HINTS: Final = 2
@@ -88,21 +86,6 @@
         world.send(leader, WithdrawAsk(ask=want.ask, endpoint=want.endpoint))
 
 
-def is_open_for_work(world: World, endpoint: EndpointId) -> bool:
-    """Tell whether an endpoint may get new work, by all that is known here."""
-    spec = world.config.endpoints.get(endpoint)
-    if spec is None or spec.draining:
-        return False
-    if spec.vm and is_listed_leaving(world, VmId(spec.vm)):
-        return False
-    if world.now < world.entry.leaving.get(endpoint, NEVER):
-        return False
-    breaker = world.entry.breakers.get(endpoint, Breaker())
-    if breaker.failures < world.settings.limits.breaker_failures:
-        return True
-    return world.now >= breaker.open_until and not breaker.probing
-
-
 def _find_held(
     world: World,
     endpoint: EndpointId,
@@ -194,19 +177,10 @@
     used = replace(held, running=held.running + 1)
     world.entry.held[held.permit] = used
     del world.entry.wants[want.want]
-    _note_probe(world, held.endpoint)
+    note_probe(world, held.endpoint)
     world.entry.answers.append(WantGranted(want=want.want, permit=used))
 
 
-def _note_probe(world: World, endpoint: EndpointId) -> None:
-    """Let one request alone try an endpoint whose breaker has just half opened."""
-    breaker = world.entry.breakers.get(endpoint)
-    if breaker is None:
-        return
-    if breaker.failures >= world.settings.limits.breaker_failures:
-        world.entry.breakers[endpoint] = replace(breaker, probing=True)
-
-
 def _refuse_want(
     world: World,
     want: Want,
@@ -471,73 +445,3 @@
     held = world.entry.held.get(PermitId(closed.permit))
     if held is not None and held.running == 0 and held.returned:
         del world.entry.held[held.permit]
-
-
-@handles(EndpointServed)
-def note_success(world: World, served: EndpointServed) -> None:
-    """Close the breaker of an endpoint that served well."""
-    world.entry.breakers.pop(served.endpoint, None)
-    led = world.leaders.led.get(served.endpoint)
-    if led is not None:
-        took = led.service_time + SERVICE_TIME_WEIGHT * (served.took - led.service_time)
-        world.update_led(led, service_time=took)
-
-
-def _give_up_permits(world: World, failed: EndpointFailed) -> None:
-    """Use no permit again that the endpoint has just shown to be worthless."""
-    for held in list(world.entry.held.values()):
-        same = held.endpoint == failed.endpoint and held.adapter == failed.adapter
-        if same and not held.returned:
-            world.entry.held[held.permit] = replace(held, returned=True, told_at=NEVER)
-    view = world.entry.views.get(failed.endpoint)
-    if view is not None:
-        loaded = view.loaded - {failed.adapter}
-        world.entry.views[failed.endpoint] = replace(view, loaded=loaded)
-
-
-@handles(EndpointFailed)
-def note_failure(world: World, failed: EndpointFailed) -> None:
-    """Count a failure for the breaker, and tell the leader what was seen."""
-    limits = world.settings.limits
-    if failed.counts:
-        breaker = world.entry.breakers.get(failed.endpoint, Breaker())
-        failures = breaker.failures + 1
-        world.entry.breakers[failed.endpoint] = Breaker(
-            failures=failures,
-            open_until=world.now + limits.breaker_open,
-        )
-        if failures == limits.breaker_failures:
-            world.events.add(
-                PART,
-                "opens the circuit breaker",
-                endpoint=failed.endpoint,
-                reason=failed.fault,
-            )
-    _give_up_permits(world, failed)
-    if failed.fault == LEAVING:
-        world.entry.leaving[failed.endpoint] = world.now + LEAVING_FOR
-    leader = find_leader(world, failed.endpoint)
-    if leader is not None:
-        fault = EndpointFault(
-            endpoint=failed.endpoint,
-            adapter=failed.adapter.adapter,
-            version=failed.adapter.version,
-            fault=failed.fault,
-        )
-        world.send(leader, fault)
-
-
-def list_candidates(
-    world: World,
-    model: str,
-    adapter: AdapterVersion,
-) -> tuple[EndpointId, ...]:
-    """Return the endpoints that run a base model and can serve an adapter of it."""
-    found: Iterable[EndpointId] = world.config.endpoints_of_model.get(model, {})
-    if adapter == SERVICE:
-        return tuple(found)
-    return tuple(
-        endpoint
-        for endpoint in found
-        if world.config.endpoints[endpoint].kind is EndpointKind.ENGINE
-    )
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -15,8 +15,9 @@
 from result import Ok
 
 from kestreltally.entities.permits import HeldPermit
+from kestreltally.requests.attempts import AttemptEnd, AttemptResult
 from kestreltally.requests.claims import Claim, Claims, ClaimValue
-from kestreltally.requests.flow import AttemptEnd, AttemptResult, RequestServer
+from kestreltally.requests.flow import RequestServer
 from kestreltally.requests.outcomes import Outcome
 from kestreltally.requests.relay import Relay
 from kestreltally.systems import (
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -5,8 +5,8 @@
 import pytest
 
 from kestreltally.entities.configuration import MalformedObject, read_config_object
+from kestreltally.platform.records import read_config_objects, read_leader_record
 from kestreltally.ports import StoredObject
-from kestreltally.runtime import read_config_objects, read_leader_record
 
 
 def wrap(value: Any) -> dict[str, Any]:
