--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Sets of names are ordered by their hashes: with a fixed seed a run repeats exactly.
 export PYTHONHASHSEED = 0
 
-.PHONY: install demo test lint matrix soak chaos bench-slopes bench-path up down
+.PHONY: install demo test lint matrix soak chaos bench-slopes bench-path bench-policy up down
 
 install: $(VENV)/.installed
 
@@ -44,6 +44,9 @@
 bench-path: install
 	$(RUN) -m bench.path
 
+bench-policy: install
+	$(RUN) -m tests.policies
+
 up: install
 	$(RUN) -m bench.play up
 
