Let the breaker try again after a probe that told nothing

Cause: found by reading: a half-open breaker lets one request through and waits for its success or failure; a probe refused before it ran, or whose caller hung up, brings neither, and the endpoint was never used again by that daemon. Change: the end of any use ends the probe. Unused names removed. Before: tests/test_availability.py, 1 of 3 failed. After: 3 of 3.

--- a/src/kestreltally/systems/availability.py
+++ b/src/kestreltally/systems/availability.py
@@ -44,6 +44,17 @@
         world.entry.breakers[endpoint] = replace(breaker, probing=True)
 
 
+def end_probe(world: World, endpoint: EndpointId) -> None:
+    """Let another request try, whatever came of the one that did.
+
+    A probe that was refused before it ran, or whose caller hung up, tells neither
+    success nor failure; without this the breaker would stay shut for ever.
+    """
+    breaker = world.entry.breakers.get(endpoint)
+    if breaker is not None and breaker.probing:
+        world.entry.breakers[endpoint] = replace(breaker, probing=False)
+
+
 @handles(EndpointServed)
 def note_success(world: World, served: EndpointServed) -> None:
     """Close the breaker of an endpoint that served well."""
--- a/src/kestreltally/systems/configuration.py
+++ b/src/kestreltally/systems/configuration.py
@@ -243,11 +243,6 @@
     world.config.confirmed_at = min(world.config.confirmed_at, world.now - paused_for)
 
 
-def find_endpoint(world: World, endpoint: EndpointId) -> Endpoint | None:
-    """Return an endpoint's configuration, if it has any."""
-    return world.config.endpoints.get(endpoint)
-
-
 def find_adapters(world: World) -> list[Adapter]:
     """Return all adapters in force."""
     values = (each.value for each in world.config.objects.values())
--- a/src/kestreltally/systems/holding.py
+++ b/src/kestreltally/systems/holding.py
@@ -38,6 +38,7 @@
 from kestreltally.policies.registry import CHOOSERS, Candidate
 from kestreltally.systems.availability import (
     LEAVING_FOR,
+    end_probe,
     is_open_for_work,
     note_probe,
 )
@@ -396,6 +397,7 @@
     held = world.entry.held.get(used.permit)
     if held is None:
         return
+    end_probe(world, held.endpoint)
     unsure = held.unsure or used.end is UseEnd.UNSURE
     held = replace(
         held,
--- a/src/kestreltally/timeline/merge.py
+++ b/src/kestreltally/timeline/merge.py
@@ -8,7 +8,6 @@
 
 MICROSECONDS: Final = 1e6
 ENDINGS: Final = frozenset({"done", "refused", "failed"})
-LOAD_BEGIN: Final = "orders a load"
 
 
 def merge_events(events: Iterable[Event]) -> list[Event]:
--- /dev/null
+++ b/tests/test_availability.py
@@ -0,0 +1,63 @@
+"""The circuit breaker opens, lets one request try, and never stays shut."""
+
+from bench.slopes import ADAPTER, add_config, make_test_world
+from kestreltally.entities.endpoints import Breaker
+from kestreltally.entities.ids import AttemptId, EndpointId, PermitId, VmId
+from kestreltally.entities.permits import HeldPermit
+from kestreltally.orders import EndpointFailed, EndpointServed, PermitUsed, UseEnd
+from kestreltally.systems.availability import is_open_for_work, note_probe
+from kestreltally.systems.registry import run_step
+from kestreltally.world import World
+
+ENGINE = EndpointId("engine-0")
+PERMIT = PermitId("p")
+
+
+def make_world(failures: int) -> World:
+    world = make_test_world()
+    add_config(world, 1, 1)
+    for _ in range(failures):
+        world.inbox.append(EndpointFailed(ENGINE, ADAPTER, "answer_lost", counts=True))
+    run_step(world, world.now)
+    return world
+
+
+def test_failures_open_it_and_time_half_opens_it() -> None:
+    world = make_world(failures=2)
+    assert is_open_for_work(world, ENGINE)
+    world = make_world(failures=3)
+    assert not is_open_for_work(world, ENGINE)
+    world.now += world.settings.limits.breaker_open
+    assert is_open_for_work(world, ENGINE)
+    note_probe(world, ENGINE)
+    assert not is_open_for_work(world, ENGINE)
+
+
+def test_a_success_closes_it() -> None:
+    world = make_world(failures=3)
+    world.inbox.append(EndpointServed(ENGINE, took=0.1))
+    run_step(world, world.now)
+    assert is_open_for_work(world, ENGINE)
+
+
+def test_a_probe_that_tells_nothing_makes_way_for_the_next() -> None:
+    """A probe may be refused before it runs, or its caller may hang up."""
+    world = make_world(failures=3)
+    world.now += world.settings.limits.breaker_open
+    note_probe(world, ENGINE)
+    world.entry.held[PERMIT] = HeldPermit(
+        permit=PERMIT,
+        endpoint=ENGINE,
+        adapter=ADAPTER,
+        leader=VmId("vm-1"),
+        epoch=1,
+        count=1,
+        expires_at=world.now + 1.0,
+        running=1,
+    )
+    world.inbox.append(PermitUsed(PERMIT, AttemptId("a"), UseEnd.UNSURE))
+    run_step(world, world.now)
+    assert world.entry.breakers[ENGINE] == Breaker(
+        failures=3, open_until=world.entry.breakers[ENGINE].open_until
+    )
+    assert is_open_for_work(world, ENGINE)
