Read the change once more: one way to put and drop slots, no dead parts

Found by reading the whole change. Slots were put into a led endpoint's table in four places and dropped in two: now World.put_slot and World.drop_slot. The age of a confirmation was worked out twice: now one function. NEVER stands once, with the units, where its number stood in eleven places. Since the placement policy changed, nothing read whether a candidate has a permit, yet each ask searched the held permits for it; the runtime kept the first broken invariant though nobody read it any more: both removed.

--- a/src/kestreltally/entities/endpoints.py
+++ b/src/kestreltally/entities/endpoints.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from kestreltally.entities.ids import (
+    NEVER,
     AdapterVersion,
     EndpointId,
     Epoch,
@@ -112,10 +113,10 @@
     instance: str = ""
     slots: Mapping[AdapterVersion, Slot] = field(default_factory=dict)
     report: EndpointReport | None = None
-    report_asked_at: Seconds = -1e9
-    fence_asked_at: Seconds = -1e9
-    handed_at: Seconds = -1e9
-    confirm_asked_at: Seconds = -1e9
+    report_asked_at: Seconds = NEVER
+    fence_asked_at: Seconds = NEVER
+    handed_at: Seconds = NEVER
+    confirm_asked_at: Seconds = NEVER
     leaving: bool = False
     service_time: Seconds = 1.0
     unsure: frozenset[AdapterVersion] = frozenset()
--- a/src/kestreltally/entities/ids.py
+++ b/src/kestreltally/entities/ids.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import NewType
+from typing import Final, NewType
 
 VmId = NewType("VmId", str)
 EndpointId = NewType("EndpointId", str)
@@ -17,6 +17,7 @@
 Revision = int
 
 VERSION_MARK = "@"
+NEVER: Final[Seconds] = -1e9
 
 
 class Priority(IntEnum):
--- a/src/kestreltally/entities/members.py
+++ b/src/kestreltally/entities/members.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
-from kestreltally.entities.ids import DataCentre, Seconds, VmId
+from kestreltally.entities.ids import NEVER, DataCentre, Seconds, VmId
 
 
 class MemberState(IntEnum):
@@ -31,7 +31,7 @@
     counter: int
     state: MemberState
     changed_at: Seconds = 0.0
-    acked_at: Seconds = -1e9
+    acked_at: Seconds = NEVER
 
     def age_key(self) -> tuple[int, int, int]:
         """Return what orders two rumours about one VM."""
--- a/src/kestreltally/entities/permits.py
+++ b/src/kestreltally/entities/permits.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from kestreltally.entities.ids import (
+    NEVER,
     AdapterVersion,
     AskId,
     EndpointId,
@@ -62,7 +63,7 @@
     idle_since: Seconds = 0.0
     returned: bool = False
     unsure: bool = False
-    told_at: Seconds = -1e9
+    told_at: Seconds = NEVER
 
     def has_room(self, now: Seconds) -> bool:
         """Tell whether a request may start under the permit."""
@@ -125,7 +126,7 @@
     state: LoadState
     since: Seconds
     urgency: float
-    asked_at: Seconds = -1e9
+    asked_at: Seconds = NEVER
     victim: AdapterVersion | None = None
     budget_from: VmId | None = None
 
--- a/src/kestreltally/policies/registry.py
+++ b/src/kestreltally/policies/registry.py
@@ -16,15 +16,13 @@
 class Candidate:
     """An endpoint at which a request could run, as an entry daemon sees it.
 
-    ``rank`` is its place by rendezvous hashing for the adapter; ``has_permit``
-    says that a permit with room is held already; ``far`` that it is in another
-    data centre.
+    ``rank`` is its place by rendezvous hashing for the adapter; ``far`` says that it
+    is in another data centre.
     """
 
     endpoint: EndpointId
     rank: int
     loaded: bool
-    has_permit: bool
     occupied: int
     queued: int
     batch_limit: int
--- a/src/kestreltally/runtime.py
+++ b/src/kestreltally/runtime.py
@@ -16,7 +16,6 @@
 )
 from kestreltally.entities.ids import AttemptId, EndpointId, Seconds
 from kestreltally.entities.permits import Want
-from kestreltally.invariants import InvariantBroken
 from kestreltally.orders import (
     ClaimEndpoint,
     FenceRaised,
@@ -78,7 +77,6 @@
         assert SYSTEMS
         self.world = world
         self.ports = ports
-        self.broken: InvariantBroken | None = None
         self.failed = asyncio.Event()
         self._next_tick_at = 0.0
         self._wake = asyncio.Event()
@@ -160,11 +158,7 @@
         woken = now < self._next_tick_at - TICK_SLACK
         if not woken:
             self._next_tick_at = now + self.world.settings.timing.tick
-        try:
-            run_step(self.world, now, woken)
-        except InvariantBroken as broken:
-            self.broken = self.broken or broken
-            raise
+        run_step(self.world, now, woken)
         self._carry_out()
         self._answer_wants()
 
--- a/src/kestreltally/systems/availability.py
+++ b/src/kestreltally/systems/availability.py
@@ -6,14 +6,21 @@
 
 from kestreltally.entities.configuration import EndpointKind
 from kestreltally.entities.endpoints import Breaker
-from kestreltally.entities.ids import SERVICE, AdapterVersion, EndpointId, Seconds, VmId
+from kestreltally.entities.ids import (
+    NEVER,
+    SERVICE,
+    AdapterVersion,
+    EndpointId,
+    Seconds,
+    VmId,
+)
 from kestreltally.orders import EndpointFailed, EndpointServed
 from kestreltally.peers.messages import EndpointFault
 from kestreltally.systems.granting import LEAVING
 from kestreltally.systems.leadership import find_leader
 from kestreltally.systems.membership import is_listed_leaving
 from kestreltally.systems.registry import handles
-from kestreltally.world import NEVER, World
+from kestreltally.world import World
 
 PART: Final = "entry"
 SERVICE_TIME_WEIGHT: Final = 0.1
--- a/src/kestreltally/systems/granting.py
+++ b/src/kestreltally/systems/granting.py
@@ -10,6 +10,7 @@
 from kestreltally.entities.configuration import Endpoint
 from kestreltally.entities.endpoints import LedEndpoint, Phase
 from kestreltally.entities.ids import (
+    NEVER,
     SERVICE,
     AdapterVersion,
     AskId,
@@ -36,7 +37,7 @@
 from kestreltally.systems.leadership import find_leader, mark_unsure, may_act
 from kestreltally.systems.membership import is_listed_leaving, is_reachable
 from kestreltally.systems.registry import hears, runs_each_tick
-from kestreltally.world import NEVER, World
+from kestreltally.world import World
 
 PART: Final = "permits"
 LOST_ASK_AFTER_REFRESHES: Final = 4
@@ -356,7 +357,7 @@
     slot = led.slots.get(adapter)
     if slot is not None:
         used = replace(slot, used_at=world.now)
-        world.update_led(led, slots={**led.slots, adapter: used})
+        world.put_slot(led, used)
 
 
 def _send_grant(world: World, led: LedEndpoint, permit: GrantedPermit) -> None:
@@ -416,7 +417,7 @@
     if led is None:
         return
     adapter = AdapterVersion(adapter=fault.adapter, version=fault.version)
-    world.update_led(led, report_asked_at=-1e9)
+    world.update_led(led, report_asked_at=NEVER)
     if adapter not in led.slots:
         return
     if fault.fault == FAULT_WRONG_VERSION:
@@ -427,7 +428,7 @@
 
 def _close_wrong_slot(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
     closing = replace(led.slots[adapter], closing=True, look_after=world.now)
-    world.update_led(led, slots={**led.slots, adapter: closing})
+    world.put_slot(led, closing)
     world.events.add(
         PART,
         "closes a slot that answers as another version",
@@ -438,8 +439,7 @@
 
 def _forget_slot(world: World, led: LedEndpoint, adapter: AdapterVersion) -> None:
     """Believe an endpoint that says it does not hold an adapter."""
-    slots = {name: slot for name, slot in led.slots.items() if name != adapter}
-    world.update_led(led, slots=slots, changed_at=world.now)
+    world.drop_slot(led, adapter)
     world.events.add(
         PART,
         "forgets a slot",
--- a/src/kestreltally/systems/holding.py
+++ b/src/kestreltally/systems/holding.py
@@ -6,6 +6,7 @@
 from kestreltally.entities.configuration import EndpointKind
 from kestreltally.entities.endpoints import EndpointView
 from kestreltally.entities.ids import (
+    NEVER,
     AdapterVersion,
     AskId,
     EndpointId,
@@ -47,7 +48,7 @@
 from kestreltally.systems.leadership import find_leader
 from kestreltally.systems.membership import is_reachable
 from kestreltally.systems.registry import handles, hears, runs_each_tick
-from kestreltally.world import NEVER, World
+from kestreltally.world import World
 
 PART: Final = "entry"
 SILENT_FOR: Final[Seconds] = 1.0
@@ -87,18 +88,6 @@
         world.send(leader, WithdrawAsk(ask=want.ask, endpoint=want.endpoint))
 
 
-def _find_held(
-    world: World,
-    endpoint: EndpointId,
-    adapter: AdapterVersion,
-) -> HeldPermit | None:
-    for held in world.entry.held.values():
-        fits = held.endpoint == endpoint and held.adapter == adapter
-        if fits and held.has_room(world.now):
-            return held
-    return None
-
-
 def _make_candidates(world: World, want: Want) -> list[Candidate]:
     """Return the endpoints at which a request could run now, as they are seen."""
     ranked = rank_owners(str(want.adapter), want.candidates)
@@ -115,7 +104,6 @@
                 endpoint=endpoint,
                 rank=rank,
                 loaded=spec.kind is EndpointKind.SERVICE or want.adapter in view.loaded,
-                has_permit=_find_held(world, endpoint, want.adapter) is not None,
                 occupied=view.occupied,
                 queued=view.queued,
                 batch_limit=spec.batch_limit,
--- a/src/kestreltally/systems/leadership.py
+++ b/src/kestreltally/systems/leadership.py
@@ -18,6 +18,7 @@
     Phase,
 )
 from kestreltally.entities.ids import (
+    NEVER,
     AdapterVersion,
     EndpointId,
     PermitId,
@@ -45,7 +46,7 @@
     list_eligible,
 )
 from kestreltally.systems.registry import handles, handles_pause, hears, runs_each_tick
-from kestreltally.world import NEVER, World
+from kestreltally.world import World
 
 PART: Final = "leadership"
 TOKEN_BITS: Final = 20
@@ -71,8 +72,12 @@
 
 def is_confirmed(world: World, led: LedEndpoint) -> bool:
     """Tell whether the leadership was confirmed within one lease."""
-    confirmed_at = max(led.confirmed_at, world.members.confirmed_at)
-    return world.now - confirmed_at <= world.settings.timing.lease
+    return _unconfirmed_for(world, led) <= world.settings.timing.lease
+
+
+def _unconfirmed_for(world: World, led: LedEndpoint) -> Seconds:
+    """Return how long ago object or daemons last confirmed the leadership."""
+    return world.now - max(led.confirmed_at, world.members.confirmed_at)
 
 
 def may_act(world: World, led: LedEndpoint) -> bool:
@@ -337,8 +342,7 @@
                 reason="not confirmed within the lease",
                 endpoint=led.endpoint,
             )
-        confirmed_at = max(led.confirmed_at, world.members.confirmed_at)
-        due = world.now - confirmed_at > lease * CONFIRM_AGAIN_SHARE
+        due = _unconfirmed_for(world, led) > lease * CONFIRM_AGAIN_SHARE
         asked_lately = (
             world.now - led.confirm_asked_at < lease * CONFIRM_AGAIN_SHARE / 2
         )
@@ -519,4 +523,4 @@
         return
     look_after = world.now + world.settings.timing.permit_margin
     doubtful = replace(slot, look_after=max(slot.look_after, look_after))
-    world.update_led(led, slots={**led.slots, adapter: doubtful})
+    world.put_slot(led, doubtful)
--- a/src/kestreltally/systems/loading.py
+++ b/src/kestreltally/systems/loading.py
@@ -5,13 +5,13 @@
 """
 
 from collections import defaultdict
-from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
 from kestreltally.entities.configuration import EndpointKind
 from kestreltally.entities.endpoints import LedEndpoint, Slot
 from kestreltally.entities.ids import (
+    NEVER,
     SERVICE,
     AdapterVersion,
     EndpointId,
@@ -189,7 +189,7 @@
 
 
 def _failed_lately(world: World, led: LedEndpoint, hunger: Hunger) -> bool:
-    failed_at = world.book.failed_loads.get((led.endpoint, hunger.adapter), -1e9)
+    failed_at = world.book.failed_loads.get((led.endpoint, hunger.adapter), NEVER)
     return world.now - failed_at < FAILED_LOAD_WAIT
 
 
@@ -284,7 +284,7 @@
     if victim is None:
         return
     _set_load(world, load, victim=victim.adapter)
-    set_slot(world, led, replace(victim, closing=True))
+    world.put_slot(led, replace(victim, closing=True))
     world.events.add(
         PART,
         "closes a slot",
@@ -294,12 +294,6 @@
     )
 
 
-def set_slot(world: World, led: LedEndpoint, slot: Slot) -> LedEndpoint:
-    """Put a slot into the table of a led endpoint."""
-    slots: Mapping[AdapterVersion, Slot] = {**led.slots, slot.adapter: slot}
-    return world.update_led(led, slots=slots)
-
-
 @runs_each_tick(72, on_wake=True)
 def unload_closed(world: World) -> None:
     """Order the unloading of closed slots that nothing can use any more."""
@@ -324,7 +318,7 @@
         f"{slot.adapter} on {led.endpoint}",
     )
     _require_leader(world, led)
-    led = set_slot(world, led, replace(slot, unloading=True, ordered_at=world.now))
+    led = world.put_slot(led, replace(slot, unloading=True, ordered_at=world.now))
     order = UnloadAdapter(
         endpoint=led.endpoint,
         adapter=slot.adapter,
@@ -456,7 +450,7 @@
     world.book.load_time += LOAD_TIME_WEIGHT * (took - world.book.load_time)
     slot = Slot(adapter=ended.adapter, loaded_at=world.now, used_at=world.now)
     led = world.update_led(led, changed_at=world.now)
-    set_slot(world, led, slot)
+    world.put_slot(led, slot)
 
 
 def _forget_old_failures(world: World) -> None:
@@ -472,8 +466,7 @@
     if led is None or ended.adapter not in led.slots:
         return
     if ended.outcome is OrderOutcome.DONE:
-        slots = {name: s for name, s in led.slots.items() if name != ended.adapter}
-        world.update_led(led, slots=slots, changed_at=world.now)
+        world.drop_slot(led, ended.adapter)
         return
     world.events.add(
         PART,
--- a/src/kestreltally/systems/reports.py
+++ b/src/kestreltally/systems/reports.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from kestreltally.entities.endpoints import EndpointReport, LedEndpoint, Phase, Slot
-from kestreltally.entities.ids import AdapterVersion, Seconds
+from kestreltally.entities.ids import NEVER, AdapterVersion, Seconds
 from kestreltally.entities.permits import LoadState, PermitState
 from kestreltally.orders import FetchReport, ReportFetched
 from kestreltally.systems.leadership import TOKEN_BITS
@@ -64,7 +64,7 @@
         if load.endpoint == led.endpoint and load.state is LoadState.ORDERED:
             del world.book.loads[load.load]
     phase = Phase.CLAIMED if led.phase is Phase.FENCED else led.phase
-    return world.update_led(led, slots={}, phase=phase, fence_asked_at=-1e9)
+    return world.update_led(led, slots={}, phase=phase, fence_asked_at=NEVER)
 
 
 def _close_expired_permits(
--- a/src/kestreltally/world.py
+++ b/src/kestreltally/world.py
@@ -21,8 +21,10 @@
     LeaderRecord,
     LedEndpoint,
     Offer,
+    Slot,
 )
 from kestreltally.entities.ids import (
+    NEVER,
     AdapterVersion,
     AskId,
     DataCentre,
@@ -55,7 +57,6 @@
 
 RECENT_CHANGES: Final = 4_096
 TAG_RANGE: Final = 2**32
-NEVER: Final[Seconds] = -1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,6 +243,15 @@
         self.leaders.led[led.endpoint] = changed
         return changed
 
+    def put_slot(self, led: LedEndpoint, slot: Slot) -> LedEndpoint:
+        """Put a slot into the table of a led endpoint."""
+        return self.update_led(led, slots={**led.slots, slot.adapter: slot})
+
+    def drop_slot(self, led: LedEndpoint, adapter: AdapterVersion) -> LedEndpoint:
+        """Take a slot out; older reports cannot bring it back."""
+        slots = {name: slot for name, slot in led.slots.items() if name != adapter}
+        return self.update_led(led, slots=slots, changed_at=self.now)
+
     def permits_of(
         self,
         endpoint: EndpointId,
