--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -83,9 +83,9 @@
     length = request.content_length
     if length is not None and length > limit:
         raise Refused(413, "the body is too long")
-    if request.headers.get("Expect", "").lower() == "100-continue":
-        if request.transport is not None:
-            request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    if expects and request.transport is not None:
+        request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     content = bytearray()
     try:
         async with asyncio.timeout(timeout):
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -36,7 +36,7 @@
     configuration: Any
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Peer:
     """A daemon that is connected."""
 
@@ -92,10 +92,11 @@
     def sum_in_flight(self) -> dict[EndpointId, int]:
         """Return the requests under way over all daemons, by endpoint."""
         totals: dict[EndpointId, int] = defaultdict(int)
-        reported: list[dict[str, int]] = [dict(self.own_in_flight())]
-        for counts in (*reported, *self.in_flight.values()):
-            for endpoint, count in counts.items():
-                totals[EndpointId(endpoint)] += count
+        for endpoint, count in self.own_in_flight().items():
+            totals[endpoint] += count
+        for reported in self.in_flight.values():
+            for name, count in reported.items():
+                totals[EndpointId(name)] += count
         return totals
 
     async def _serve(
