Ask after loads by repeating the order, and bound them by engine

Cause: in a trial 30 adapters a second were brought without a slower load or a broken ceiling: an adapter comes in 0.25 to 0.28 s whether one or nine are on their way, and a repeated load order answers at once whether it has ended, while reports are 0.2 s old.

--- a/src/kestreltally/entry/demand.py
+++ b/src/kestreltally/entry/demand.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from kestreltally.fleet.model import ServiceName, WeightsKey
+from kestreltally.fleet.model import EndpointId, ServiceName, WeightsKey
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +28,8 @@
         self._arrivals: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
         self._missed: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
         self._waiting: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
+        self.uses: dict[tuple[EndpointId, WeightsKey], int] = defaultdict(int)
+        self._refused: set[tuple[EndpointId, WeightsKey]] = set()
 
     def note_arrival(self, service: ServiceName, key: WeightsKey) -> None:
         """Count a request."""
@@ -43,6 +45,21 @@
         """Count a request that was refused because its weights were not there."""
         self._missed[(service, key)] += 1
 
+    def note_use(self, endpoint: EndpointId, key: WeightsKey, step: int) -> None:
+        """Count a request that begins (1) or ends (-1) to use weights on an engine."""
+        self.uses[(endpoint, key)] += step
+        if not self.uses[(endpoint, key)]:
+            del self.uses[(endpoint, key)]
+
+    def note_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
+        """Note that an engine refused a request for want of its weights."""
+        self._refused.add((endpoint, key))
+
+    def take_refused(self) -> set[tuple[EndpointId, WeightsKey]]:
+        """Return the refusals since the last call and start anew."""
+        taken, self._refused = self._refused, set()
+        return taken
+
     def take(self) -> list[WeightsDemand]:
         """Return the counts since the last call and start anew."""
         names = self._arrivals.keys() | self._waiting.keys() | self._missed.keys()
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -290,6 +290,7 @@
         loop = asyncio.get_running_loop()
         progress.tried.add(endpoint.id)
         token = self.health.begin(endpoint.id, loop.time())
+        self._note_use(request, endpoint, 1)
         keep = False
         channel: Channel | None = None
         try:
@@ -306,9 +307,15 @@
             raise
         finally:
             self.health.end(endpoint.id, token)
+            self._note_use(request, endpoint, -1)
             if channel is not None:
                 self._pool.release(endpoint.host, endpoint.port, channel, keep=keep)
 
+    def _note_use(self, request: ClientRequest, endpoint: Endpoint, step: int) -> None:
+        key = request.head.weights
+        if key is not None and key.adapter:
+            self.demand.note_use(endpoint.id, key, step)
+
     async def _connect(self, endpoint: Endpoint) -> Channel:
         try:
             return await self._pool.acquire(endpoint.host, endpoint.port)
@@ -353,6 +360,8 @@
                 self._fleet.drop_endpoint(endpoint.id)
             elif key is not None:
                 self._fleet.note_absent(endpoint.id, key, now)
+                self.demand.note_refused(endpoint.id, key)
+                self.hurry()
         try:
             await answer.read_whole(WHOLE_LIMIT)
         except AnswerTorn as error:
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -125,7 +125,7 @@
     """One start of an engine or a plain service, as it lists itself.
 
     ``weights`` maps what it holds to the version held, and ``loading`` names what is
-    on its way. ``sequence`` counts the orders that it has taken.
+    on its way.
     """
 
     id: EndpointId
@@ -135,6 +135,5 @@
     data_centre: str
     slots: int
     leaving: bool
-    sequence: int
     weights: dict[WeightsKey, int]
     loading: frozenset[WeightsKey] = frozenset()
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -40,8 +40,10 @@
 from kestreltally.knowledge.rows import (
     decode_demand,
     decode_endpoint,
+    decode_use,
     decode_weights,
     encode_demand,
+    encode_use,
 )
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.logs import set_up_structured_logs
@@ -198,6 +200,11 @@
             return
         told = [decode_demand(each) for each in report.demand or ()]
         self._leader.take_demand(report.vm, report.data_centre, told)
+        uses = [decode_use(each) for each in report.uses or ()]
+        self._leader.uses[report.vm] = {(e, key): count for e, key, count in uses}
+        for row in report.refused or ():
+            endpoint, key, _ = decode_use(row)
+            self._leader.note_refused(endpoint, key)
 
     def _take_update(self, update: Any) -> None:
         if update.whole:
@@ -221,16 +228,27 @@
 
     def _make_report(self) -> Any:
         self._reported = self._relay.health.count_in_flight()
+        demand = self._relay.demand
         configuration = self._fleet.configuration
         return IDL.Report(
             vm=self._deployment.vm,
             data_centre=self._deployment.data_centre,
-            demand=[encode_demand(each) for each in self._relay.demand.take()],
+            demand=[encode_demand(each) for each in demand.take()],
             in_flight=dict(self._reported),
-            unsound=[],
+            uses=[
+                encode_use(e, key, n) for (e, key), n in self._relay.demand.uses.items()
+            ],
+            refused=[
+                encode_use(e, key, 1) for e, key in self._relay.demand.take_refused()
+            ],
+            sees_store=self._sees_store(),
             configuration=configuration.version if configuration else 0,
         )
 
+    def _sees_store(self) -> bool:
+        watch = self._configuration_watch
+        return watch.answered_at > watch.failed_at
+
     def _make_state(self) -> LeaderState:
         configuration = self._fleet.configuration
         sighting = self._lease.sighting
@@ -292,6 +310,9 @@
         self._leader.take_demand(
             self._deployment.vm, self._deployment.data_centre, told
         )
+        self._leader.uses[self._deployment.vm] = dict(self._relay.demand.uses)
+        for endpoint, key in self._relay.demand.take_refused():
+            self._leader.note_refused(endpoint, key)
         totals = self._feed.sum_in_flight()
         self._leader.in_flight = totals
         own = self._relay.health.count_in_flight()
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -15,9 +15,8 @@
   5: string data_centre,
   6: i32 slots,
   7: bool leaving,
-  8: i32 sequence,
-  9: list<WeightsVersion> weights,
-  10: list<WeightsVersion> loading,
+  8: list<WeightsVersion> weights,
+  9: list<WeightsVersion> loading,
 }
 
 struct DemandRow {
@@ -29,14 +28,24 @@
   6: i32 missed,
 }
 
+// Weights on an engine: how many requests use them there, or that it refused one.
+struct UseRow {
+  1: string endpoint,
+  2: string model,
+  3: string adapter,
+  4: i32 count,
+}
+
 // From a daemon to the leader.
 struct Report {
   1: string vm,
   2: string data_centre,
   3: list<DemandRow> demand,
   4: map<string, i32> in_flight,
-  5: list<string> unsound,
+  5: list<UseRow> uses,
   6: i64 configuration,
+  7: list<UseRow> refused,
+  8: bool sees_store,
 }
 
 // From the leader to a daemon. Seconds count back from the sending.
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -27,7 +27,6 @@
         data_centre=endpoint.data_centre,
         slots=endpoint.slots,
         leaving=endpoint.leaving,
-        sequence=endpoint.sequence,
         weights=[encode_weights(k, v) for k, v in endpoint.weights.items()],
         loading=[encode_weights(k, 0) for k in endpoint.loading],
     )
@@ -43,7 +42,6 @@
         data_centre=row.data_centre,
         slots=row.slots,
         leaving=row.leaving,
-        sequence=row.sequence,
         weights=dict(decode_weights(each) for each in row.weights or ()),
         loading=frozenset(decode_weights(each)[0] for each in row.loading or ()),
     )
@@ -70,3 +68,15 @@
         waiting=row.waiting,
         missed=row.missed,
     )
+
+
+def encode_use(endpoint: EndpointId, key: WeightsKey, count: int) -> Any:
+    """Return the struct of weights in use on an engine."""
+    return IDL.UseRow(
+        endpoint=endpoint, model=key.model, adapter=key.adapter, count=count
+    )
+
+
+def decode_use(row: Any) -> tuple[EndpointId, WeightsKey, int]:
+    """Return an engine, weights on it, and how many requests use them."""
+    return EndpointId(row.endpoint), WeightsKey(row.model, row.adapter), row.count
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -1,5 +1,6 @@
 """The leader's book of each engine: what it holds, what is on its way, what is sure."""
 
+import asyncio
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 from typing import Final
@@ -38,7 +39,9 @@
     sequence: int | None = None
     busy: bool = False
     failing_until: Seconds = 0.0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     read_at: Seconds = 0.0
+    ordered_at: Seconds = 0.0
 
     def take_report(self, report: EngineReport, now: Seconds) -> None:
         """Take a report in; one older than the last order only confirms loads."""
@@ -98,16 +101,22 @@
         """Return how many adapter places are surely free."""
         return max(0, spec.adapter_places - self.count_taken())
 
+    def doubt(self, now: Seconds) -> None:
+        """Give no more orders until a report written from now on has been read."""
+        self.sequence = None
+        self.read_at = now
+
     def has_model(self, model: str) -> bool:
         """Tell whether the engine holds a base model."""
         return WeightsKey(model) in self.weights
 
     def make_row(self) -> Endpoint:
         """Return the engine as the other daemons should see it."""
-        usable = {k: v for k, v in self.weights.items() if k not in self.leaving}
+        # What is replaced refuses requests until the new version is there.
+        closed = self.leaving | self.incoming.keys()
+        usable = {k: v for k, v in self.weights.items() if k not in closed}
         return replace(
             self.endpoint,
             weights=usable,
             loading=frozenset(self.incoming),
-            sequence=self.sequence or 0,
         )
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -39,15 +39,27 @@
 LOG = logging.getLogger("kestreltally.leader")
 
 TICK: Final[Seconds] = 0.04
-# An adapter comes in about a quarter of a second; its first report is asked for then.
-LOAD_TIME: Final[Seconds] = 0.27
+# What a load is taken to last before any was measured; then a moving mean is used.
+LOAD_TIME: Final[Seconds] = 0.25
+LOAD_TIME_WEIGHT: Final = 0.1
+# An adapter that the engine kept a copy of comes in some 25 ms.
+WARM_TIME: Final[Seconds] = 0.02
+# A load is asked after at this part of its usual time, then this often.
+ASK_PART: Final = 0.85
+ASK_EVERY: Final[Seconds] = 0.025
+# Four adapters may be on their way to one engine at once; over all engines more
+# would not come sooner.
+INCOMING_MOST: Final = 3
 REPORT_EVERY: Final[Seconds] = 0.1
+# A listing of an engine's weights that differs from its book is checked when the last
+# order is older than this: two heartbeats.
+LISTING_AGE: Final[Seconds] = 3.0
 # A load that no report has shown after this is taken as failed.
 LOAD_GIVEN_UP: Final[Seconds] = 4.0
 # An engine that did not answer an order is left alone this long.
 SILENT_PAUSE: Final[Seconds] = 0.5
-# The loads waiting are told as a time by the weight store's rate.
-RATE_UNKNOWN: Final[Seconds] = 2.0
+# The wait that is told while this daemon does not lead.
+WAIT_UNKNOWN: Final[Seconds] = 2.0
 
 
 class Leader:
@@ -75,7 +87,8 @@
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._missing = 0
-        self._rate = 0.0
+        self._load_time = LOAD_TIME
+        self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry of the store."""
@@ -84,8 +97,26 @@
             book = self.books[endpoint.id] = EngineBook(endpoint)
             book.weights = dict(endpoint.weights)
         book.endpoint = endpoint
+        self._check_listing(book)
         self._publish(book.make_row())
 
+    def _check_listing(self, book: EngineBook) -> None:
+        """Read the engine's report when its own listing differs from the book."""
+        now = self._clock()
+        settled = now - book.ordered_at > LISTING_AGE and not book.incoming
+        if settled and book.endpoint.weights.keys() != book.weights.keys():
+            book.doubt(now)
+
+    def note_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
+        """Take in that an engine refused a request for want of its weights."""
+        book = self.books.get(endpoint)
+        if book is not None and key in book.weights and key not in book.incoming:
+            LOG.info(
+                "leader: engine lacks weights it should hold",
+                extra={"endpoint": endpoint, "weights": str(key)},
+            )
+            book.doubt(self._clock())
+
     def drop_endpoint(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone."""
         self.books.pop(endpoint, None)
@@ -101,15 +132,15 @@
     def estimate_load_wait(self) -> Seconds:
         """Return how long it takes from now until an adapter asked for now is there."""
         if not self._lease.leads:
-            return RATE_UNKNOWN
-        queue = self._missing / self._rate if self._rate else RATE_UNKNOWN
-        return self._lease.find_order_wait() + queue + LOAD_TIME
+            return WAIT_UNKNOWN
+        engines = max(1, len(self.books))
+        turns = 1 + self._missing / (INCOMING_MOST * engines)
+        return self._lease.find_order_wait() + turns * self._load_time
 
     def restart(self) -> None:
         """Forget what was known of the engines: another leader may have ordered."""
         for book in self.books.values():
-            book.sequence = None
-            book.read_at = 0.0
+            book.doubt(0.0)
             book.incoming.clear()
             book.leaving.clear()
         self._ceilings.clear()
@@ -148,11 +179,10 @@
             return
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
         ceiling.refill(spec.loads_per_second, now)
-        self._rate = spec.loads_per_second
         able = [b for b in books if self._is_able(b, now)]
         able = self._order_models(able, spec, ceiling)
-        able = self._order_versions(able, ceiling)
-        self._order_adapters(service, spec, books, able, ceiling, now)
+        able = self._order_versions(able)
+        self._order_adapters(service, spec, books, able, now)
 
     def _needs_report(self, book: EngineBook, now: Seconds) -> bool:
         if book.endpoint.leaving or now < book.failing_until:
@@ -160,14 +190,14 @@
         since = now - book.read_at
         if book.sequence is None:
             return since >= REPORT_LAG
-        oldest = min((i.ordered_at for i in book.incoming.values()), default=None)
-        waits = oldest is not None and now - oldest >= LOAD_TIME
-        return (waits or bool(book.leaving)) and since >= REPORT_EVERY
+        return bool(book.leaving) and since >= REPORT_EVERY
 
     def _is_able(self, book: EngineBook, now: Seconds) -> bool:
         return (
             not book.busy
             and book.sequence is not None
+            and not book.leaving
+            and len(book.incoming) < INCOMING_MOST
             and not book.endpoint.leaving
             and now >= book.failing_until
         )
@@ -183,7 +213,7 @@
             elif not book.incoming and spec.models and ceiling.available:
                 model = self._choose_model(books, spec)
                 ceiling.take()
-                self._start(book, self._load(book, WeightsKey(model), None))
+                self._start(book, self._load(book, WeightsKey(model)))
         return ready
 
     def _choose_model(self, books: list[EngineBook], spec: EngineSpec) -> str:
@@ -195,9 +225,7 @@
                     counts[key.model] += 1
         return min(counts, key=lambda name: counts[name])
 
-    def _order_versions(
-        self, books: list[EngineBook], ceiling: LoadCeiling
-    ) -> list[EngineBook]:
+    def _order_versions(self, books: list[EngineBook]) -> list[EngineBook]:
         """Have outdated adapters replaced; return the engines left."""
         left = []
         for book in books:
@@ -207,9 +235,8 @@
                 if held < (self._fleet.newest_version(key) or 0)
                 and key not in book.incoming
             ]
-            if outdated and ceiling.available:
-                ceiling.take()
-                self._start(book, self._load(book, outdated[0], None))
+            if outdated:
+                self._start(book, self._load(book, outdated[0]))
             else:
                 left.append(book)
         return left
@@ -220,16 +247,14 @@
         spec: EngineSpec,
         books: list[EngineBook],
         able: list[EngineBook],
-        ceiling: LoadCeiling,
         now: Seconds,
     ) -> None:
         wanted, missing = self._list_wanted(service, books, now)
         self._missing += len(missing)
         counts = _count_holders(books)
-        views = [self._view(service, book, spec, counts, now) for book in able]
-        for placement in self._plan(views, wanted, now, ceiling.available):
-            if not placement.warm:
-                ceiling.take()
+        in_use = self._list_in_use()
+        views = [self._view(service, book, spec, counts, in_use, now) for book in able]
+        for placement in self._plan(views, wanted, now):
             book = self.books[placement.engine]
             self._start(book, self._place(book, placement))
 
@@ -266,19 +291,23 @@
                 missing.append(key)
         return wanted, missing
 
+    def _list_in_use(self) -> set[tuple[EndpointId, WeightsKey]]:
+        return {name for uses in self.uses.values() for name in uses}
+
     def _view(
         self,
         service: ServiceName,
         book: EngineBook,
         spec: EngineSpec,
         counts: dict[WeightsKey, int],
+        in_use: set[tuple[EndpointId, WeightsKey]],
         now: Seconds,
     ) -> EngineView:
         where = book.endpoint.data_centre
         nobody = WeightsRow(at=now)
         held = []
         for key in book.weights:
-            if not key.adapter or key in book.leaving:
+            if not key.adapter or key in book.leaving or key in book.incoming:
                 continue
             row = self.demand.rows.get((service, key), nobody)
             held.append(
@@ -288,7 +317,7 @@
                     rate=row.rate(),
                     near=row.rates.get(where, 0.0),
                     holders=counts.get(key, 1),
-                    waiting=row.count_waiting(now),
+                    in_use=(book.endpoint.id, key) in in_use,
                 )
             )
         return EngineView(
@@ -303,7 +332,10 @@
 
     def _start(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
         book.busy = True
-        task = asyncio.get_running_loop().create_task(self._guard(book, work))
+        self._spawn(self._guard(book, work))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -313,8 +345,7 @@
             await work
         except EngineSilent as silent:
             now = self._clock()
-            book.sequence = None
-            book.read_at = now
+            book.doubt(now)
             book.failing_until = now + SILENT_PAUSE
             LOG.info(
                 "leader: engine silent",
@@ -331,19 +362,47 @@
         report = await self._caller.read_report(book.endpoint)
         now = self._clock()
         book.take_report(report, now)
-        for key, load in list(book.incoming.items()):
-            if now - load.ordered_at > LOAD_GIVEN_UP:
-                LOG.warning("leader: load of %s not seen to end", key)
-                del book.incoming[key]
-                book.sequence = None
-
-    async def _load(
-        self, book: EngineBook, key: WeightsKey, score: float | None
-    ) -> None:
+
+    async def _load(self, book: EngineBook, key: WeightsKey) -> None:
+        """Order a load; another task waits for its end."""
+        warm = key in book.warm
         outcome = await self._caller.order(book, OrderKind.LOAD, key)
         if outcome is OrderOutcome.DONE:
-            version = self._fleet.newest_version(key) or 1
-            book.note_held(key, version, self._clock())
+            self._end_load(book, key)
+        elif outcome is OrderOutcome.UNDER_WAY:
+            self._spawn(self._await_load(book, key, warm))
+
+    def _end_load(self, book: EngineBook, key: WeightsKey) -> None:
+        version = self._fleet.newest_version(key) or 1
+        book.note_held(key, version, self._clock())
+        if book.endpoint.id in self.books:
+            self._publish(book.make_row())
+
+    async def _await_load(self, book: EngineBook, key: WeightsKey, warm: bool) -> None:
+        """Ask after a load until it has ended."""
+        began = self._clock()
+        await asyncio.sleep(WARM_TIME if warm else ASK_PART * self._load_time)
+        while key in book.incoming and self._clock() - began < LOAD_GIVEN_UP:
+            if book.sequence is not None and self._lease.may_order():
+                try:
+                    outcome = await self._caller.order(book, OrderKind.LOAD, key)
+                except (EngineSilent, NotHolding):
+                    book.doubt(self._clock())
+                    outcome = OrderOutcome.UNKNOWN
+                if outcome is OrderOutcome.DONE:
+                    self._note_load_time(self._clock() - began, warm)
+                    self._end_load(book, key)
+                    return
+            await asyncio.sleep(ASK_EVERY)
+        if book.incoming.pop(key, None) is not None:
+            LOG.warning(
+                "leader: a load was not seen to end", extra={"weights": str(key)}
+            )
+            book.doubt(self._clock())
+
+    def _note_load_time(self, took: Seconds, warm: bool) -> None:
+        if not warm:
+            self._load_time += LOAD_TIME_WEIGHT * (took - self._load_time)
 
     async def _place(self, book: EngineBook, placement: Placement) -> None:
         victim = placement.victim
@@ -354,7 +413,7 @@
             if outcome is not OrderOutcome.DONE:
                 # It waits for its runs, or the book was wrong: a report will tell.
                 return
-        await self._load(book, placement.key, placement.score)
+        await self._load(book, placement.key)
 
 
 def _count_holders(books: Iterable[EngineBook]) -> dict[WeightsKey, int]:
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -79,7 +79,17 @@
     async def order(
         self, book: EngineBook, kind: OrderKind, key: WeightsKey
     ) -> OrderOutcome:
-        """Give an order and book its outcome; raises ``EngineSilent``."""
+        """Give an order and book its outcome; raises ``EngineSilent``.
+
+        To repeat a load is to ask whether it has ended: the engine's answer is of the
+        moment, unlike its report, and changes nothing.
+        """
+        async with book.lock:
+            return await self._order_alone(book, kind, key)
+
+    async def _order_alone(
+        self, book: EngineBook, kind: OrderKind, key: WeightsKey
+    ) -> OrderOutcome:
         if book.sequence is None:
             raise EngineSilent("no report yet")
         order = Order(kind, key, self._holder, self._fence(), book.sequence)
@@ -88,12 +98,12 @@
         )
         outcome = decode_outcome(status)
         now = self._clock()
+        book.ordered_at = now
         if outcome in (OrderOutcome.UNDER_WAY, OrderOutcome.DONE):
             self._book(book, order, outcome, now)
         else:
             # The book is wrong somewhere: the next order waits for a report.
-            book.sequence = None
-            book.read_at = now
+            book.doubt(now)
         LOG.info(
             "orders: order given",
             extra={
@@ -111,12 +121,13 @@
         self, book: EngineBook, order: Order, outcome: OrderOutcome, now: Seconds
     ) -> None:
         key = order.weights
-        book.sequence = order.sequence + 1
-        if order.kind is OrderKind.LOAD:
-            if outcome is OrderOutcome.UNDER_WAY:
-                book.incoming[key] = Incoming(book.sequence, now)
-        elif outcome is OrderOutcome.DONE:
-            book.note_unloaded(key)
+        if order.kind is OrderKind.UNLOAD:
+            book.sequence = order.sequence + 1
+            if outcome is OrderOutcome.DONE:
+                book.note_unloaded(key)
+        elif outcome is OrderOutcome.UNDER_WAY and key not in book.incoming:
+            book.sequence = order.sequence + 1
+            book.incoming[key] = Incoming(book.sequence, now)
 
     async def _call(
         self, endpoint: Endpoint, method: str, path: str, body: bytes, *, guard: bool
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -1,7 +1,7 @@
 """Decides which adapter comes to which engine, and which makes way.
 
-Pure functions over what the leader knows. The weight store's rate is the scarce good
-at first and after each shift of demand, the places afterwards.
+Pure functions over what the leader knows. An adapter comes in a quarter of a second
+and costs about as much as 0.7 of a request; places are the scarce good.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -27,8 +27,8 @@
 # One engine serves about this many requests a second of one adapter without its
 # batch filling with it.
 ENGINE_RATE: Final = 14.0
-# Copies are brought only while this many loads are left for adapters nobody has.
-COPY_SPARE: Final = 2
+# Copies are brought a few at a time, behind the adapters that nobody has.
+COPIES_AT_ONCE: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
     rate: float
     near: float
     holders: int
-    waiting: int
+    in_use: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,9 +83,7 @@
     warm: bool
 
 
-Planner = Callable[
-    [Sequence[EngineView], Sequence[Wanted], Seconds, int], list[Placement]
-]
+Planner = Callable[[Sequence[EngineView], Sequence[Wanted], Seconds], list[Placement]]
 P = TypeVar("P", bound=Planner)
 PLANNERS: Final[dict[str, Planner]] = {}
 
@@ -108,8 +106,6 @@
 
 def score_held(held: HeldAdapter) -> float:
     """Return how much an adapter on an engine would be missed there."""
-    if held.waiting:
-        return float("inf")
     if held.holders > 1:
         return NEAR_GAIN * held.near * 10
     return RATE_WORTH * held.rate
@@ -151,7 +147,11 @@
     """Return what an engine's next place costs, and which adapter makes way."""
     if engine.free > 0:
         return 0.0, None
-    settled = [each for each in engine.held if now - each.since >= STAY_LEAST]
+    settled = [
+        each
+        for each in engine.held
+        if now - each.since >= STAY_LEAST and not each.in_use
+    ]
     if not settled:
         return float("inf"), None
     victim = min(settled, key=lambda each: (score_held(each), each.since))
@@ -189,17 +189,14 @@
     engines: Sequence[EngineView],
     wanted: Sequence[Wanted],
     now: Seconds,
-    loads: int,
 ) -> list[Placement]:
     """Return the next loads: adapters that are missed first, then copies.
 
-    ``loads`` is how many may come from the weight store now. An engine takes one at
-    a time.
+    An engine is given one at a time.
     """
     wants = sorted(_list_missing(wanted), key=lambda each: -each.score)
     copies = sorted(_list_copies(wanted), key=lambda each: -each.score)
-    if loads - len(wants) >= COPY_SPARE:
-        wants.extend(copies)
+    wants.extend(copies[:COPIES_AT_ONCE])
     free = list(engines)
     planned: list[Placement] = []
     for want in wants:
@@ -208,10 +205,6 @@
         placement = _choose_engine(want, free, now)
         if placement is None:
             continue
-        if not placement.warm:
-            if loads <= 0:
-                continue
-            loads -= 1
         planned.append(placement)
         free = [each for each in free if each.id != placement.engine]
     return planned
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -125,8 +125,7 @@
             data_centre=entry["Zone"],
             slots=int(entry["Slots"]),
             leaving=entry["State"] == _LEAVING,
-            # Not the number of a heartbeat alone: it also counts orders taken.
-            sequence=int(entry.get("Sequence", 0)),
+            # The entry's "Sequence" counts heartbeats, unlike that of a report.
             weights=decode_weights(entry.get("Models") or ()),
         )
     except (KeyError, TypeError, ValueError) as error:
