--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -36,9 +36,12 @@
 KEEP_ALIVE: Final = 75.0
 SPLIT_RANGE: Final = 2**32
 BACKLOG: Final = 512
-# The longest that all but a few streams and whole answers take, measured: a request
-# that needs longer than is left before a planned stop is sent elsewhere.
-STREAM_TIME: Final[Seconds] = 3.2
+# How long after a planned stop has begun streams are still taken. The balancer sends
+# none after two seconds, and the longest streams last four to five of the eight that
+# are left.
+STREAMS_TAKEN_FOR: Final[Seconds] = 2.9
+# The longest that all but a few whole answers take: a request that comes later than
+# this before the end is sent elsewhere.
 WHOLE_TIME: Final[Seconds] = 0.6
 RETRY_ELSEWHERE: Final[Seconds] = 0.02
 
@@ -65,6 +68,7 @@
         self._relay = relay
         self._runners: list[web.ServerRunner] = []
         self._stops_at: Seconds | None = None
+        self._stop_began: Seconds = 0.0
         self.live = 0
 
     async def start(self, clients: Listening, readiness: Listening) -> None:
@@ -102,15 +106,17 @@
 
     def stop_by(self, moment: Seconds) -> None:
         """Take no new clients, and finish all requests by a moment."""
+        self._stop_began = asyncio.get_running_loop().time()
         self._stops_at = moment
 
     def _check_stop(self, route: Route, now: Seconds) -> None:
         """Refuse a request that could not be finished before a planned stop."""
         if self._stops_at is None:
             return
-        streams = route.kind is RequestKind.STREAM
-        needed = STREAM_TIME if streams else WHOLE_TIME
-        if now + needed > self._stops_at:
+        last = self._stops_at - WHOLE_TIME
+        if route.kind is RequestKind.STREAM:
+            last = min(last, self._stop_began + STREAMS_TAKEN_FOR)
+        if now > last:
             raise Refused(UNAVAILABLE, "this daemon stops", RETRY_ELSEWHERE)
 
     @property
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -77,7 +77,7 @@
 # The balancer asks each second and takes a daemon out after two misses.
 STOP_LEAST: Final[Seconds] = 3.2
 # What is left of the grace time when the last requests are cut.
-STOP_MARGIN: Final[Seconds] = 0.8
+STOP_MARGIN: Final[Seconds] = 0.4
 STOP_CHECK: Final[Seconds] = 0.05
 
 
