--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -41,6 +41,7 @@
 
     vm: str
     data_centre: str
+    data_centres: tuple[str, ...]
     clients: Listening
     readiness: Listening
     peers: Listening
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -9,7 +9,12 @@
 
 from kestreltally.deployment import Listening
 from kestreltally.entry.answers import make_refusal
-from kestreltally.entry.relay import UNAVAILABLE, Relay, StreamBroken
+from kestreltally.entry.relay import (
+    BAD_GATEWAY,
+    UNAVAILABLE,
+    Relay,
+    StreamBroken,
+)
 from kestreltally.entry.request import (
     ClientLeft,
     ClientRequest,
@@ -162,10 +167,13 @@
         return response
 
     def _tear(self, client: web.BaseRequest) -> web.StreamResponse:
-        """Close a client's channel so that its answer does not look complete."""
+        """Close a client's channel so that its answer does not look complete.
+
+        Nothing of what is returned gets out: aiohttp writes to no closing transport.
+        """
         if client.transport is not None:
             client.transport.close()
-        raise ConnectionResetError("answer broken off")
+        return web.Response(status=BAD_GATEWAY)
 
     async def _read(self, client: web.BaseRequest) -> ClientRequest:
         """Return a client's whole request; raises ``Refused`` or ``ClientLeft``."""
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -1,8 +1,9 @@
 """The daemon on the users' platform: reads its settings and wires the parts.
 
-All daemons are alike. Each is an entry for clients; one at a time holds the lease and
-places adapters. The leader watches endpoints and versions in the store and feeds them
-to the others; a daemon that does not hear it watches for itself.
+All daemons are alike. Each is an entry for clients; in each data centre one at a time
+holds a lease and places adapters on the engines there. Leaders watch endpoints and
+versions in the store and feed them to the others; a daemon that hears none watches for
+itself.
 """
 
 import asyncio
@@ -15,40 +16,29 @@
 
 from aiohttp import ClientSession
 
-from kestreltally.deployment import Deployment, Listening
+from kestreltally.deployment import Deployment
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.surface import EntrySurface
 from kestreltally.entry.upstream import ChannelPool
-from kestreltally.fleet.model import (
-    Configuration,
-    Endpoint,
-    EndpointId,
-    Seconds,
-    WeightsKey,
-)
+from kestreltally.fleet.model import Seconds
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import FeedServer, LeaderState
+from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.followers import (
     ConfigurationFollower,
     EndpointsFollower,
     VersionsFollower,
 )
-from kestreltally.knowledge.following import FeedClient
-from kestreltally.knowledge.frames import IDL
-from kestreltally.knowledge.rows import (
-    decode_demand,
-    decode_endpoint,
-    decode_use,
-    decode_weights,
-    encode_demand,
-    encode_use,
-)
-from kestreltally.knowledge.watching import KindWatch
+from kestreltally.knowledge.watching import Follower, KindWatch
 from kestreltally.logs import set_up_structured_logs
 from kestreltally.placing.leader import Leader
-from kestreltally.placing.lease import Lease
+from kestreltally.placing.lease import (
+    FOREIGN_PATIENCE,
+    TAKE_AFTER,
+    Lease,
+    LeaseBoard,
+)
 from kestreltally.placing.orders import EngineCaller
 from kestreltally.platform.documents import (
     CONFIGURATION_KIND,
@@ -86,8 +76,7 @@
 
     def __init__(self, deployment: Deployment) -> None:
         self._deployment = deployment
-        loop = asyncio.get_running_loop()
-        self._clock = loop.time
+        self._clock = asyncio.get_running_loop().time
         self._session: ClientSession = open_store_session()
         self._store = Store(self._session, deployment.store)
         self._fleet = Fleet()
@@ -101,224 +90,108 @@
             RetryBudget(deployment.bounds),
         )
         self._surface = EntrySurface(self._fleet, self._relay)
-        self._lease = Lease(
-            self._store,
-            deployment.vm,
-            uuid4().hex,
-            deployment.peers,
-            deployment.bounds.lease,
-            self._clock,
+        self._leases = self._make_leases()
+        self._configuration = ConfigurationFollower(self._fleet.take_configuration)
+        self._configuration_watch = self._make_watch(
+            CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP
         )
-        caller = EngineCaller(
-            self._control_pool,
-            deployment.vm,
-            self._lease.may_order,
-            lambda: self._lease.fence,
+        self._exchange = Exchange(
+            deployment,
+            self._fleet,
+            self._relay,
+            self._leases,
+            self._configuration,
+            self._sees_store,
+            lambda: self._endpoints_watch.find_age(),
             self._clock,
         )
-        self._leader = Leader(
-            self._fleet,
-            self._lease,
-            caller,
-            deployment.bounds,
+        self._board = LeaseBoard(self._store, self._leases, self._exchange.wants_look)
+        self._leader = self._make_leader()
+        self._exchange.leader = self._leader
+        self._relay.hurry = self._hurry
+        self._endpoints = EndpointsFollower(
+            self._exchange.put_entry,
+            self._exchange.drop_row,
             self._clock,
-            self._publish,
+            lambda: self._endpoints_watch.returned_at,
         )
-        self._make_watches()
-        self._feed = FeedServer(
-            self._make_state,
-            lambda: self._fleet.endpoints,
-            lambda: {k: v.number for k, v in self._fleet.versions.items()},
-            self._take_report,
+        self._endpoints_watch = self._make_watch(
+            ENDPOINTS_KIND, self._endpoints, ENDPOINTS_GAP
         )
-        self._feed.own_in_flight = self._relay.health.count_in_flight
-        self._client = FeedClient(
-            self._find_leader, self._make_report, self._take_update, self._clock
+        self._versions_watch = self._make_watch(
+            VERSIONS_KIND, VersionsFollower(self._exchange.take_version), VERSIONS_GAP
         )
-        self._lease.leader_heard = self._client.is_alive
-        self._relay.hurry = self._client.hurry
-        self._reported: dict[EndpointId, int] = {}
-        self._feed_age: Seconds = float("inf")
-        self._led = False
         self._tasks: list[asyncio.Task[None]] = []
 
-    def _make_watches(self) -> None:
-        self._configuration = ConfigurationFollower(self._take_configuration)
-        self._endpoints = EndpointsFollower(
-            self._put_endpoint,
-            self._drop_endpoint,
+    def _make_leases(self) -> dict[str, Lease]:
+        own = self._deployment
+        boot = uuid4().hex
+        return {
+            name: Lease(
+                self._store,
+                own.vm,
+                boot,
+                own.peers,
+                own.bounds.lease,
+                self._clock,
+                name,
+                TAKE_AFTER + (0.0 if name == own.data_centre else FOREIGN_PATIENCE),
+            )
+            for name in own.data_centres
+        }
+
+    def _make_leader(self) -> Leader:
+        caller = EngineCaller(
+            self._control_pool,
+            self._deployment.vm,
+            self._exchange.find_lease,
             self._clock,
-            lambda: self._endpoints_watch.returned_at,
         )
-        self._versions = VersionsFollower(self._take_version)
-        self._configuration_watch = KindWatch(
-            self._store,
-            CONFIGURATION_KIND,
-            self._configuration,
-            CONFIGURATION_GAP,
+        leader = Leader(
+            self._fleet,
+            self._leases,
+            self._exchange.find_lease,
+            caller,
+            self._deployment.bounds,
             self._clock,
+            self._exchange.put_row,
         )
-        self._endpoints_watch = KindWatch(
-            self._store, ENDPOINTS_KIND, self._endpoints, ENDPOINTS_GAP, self._clock
-        )
-        self._versions_watch = KindWatch(
-            self._store, VERSIONS_KIND, self._versions, VERSIONS_GAP, self._clock
-        )
+        leader.other_wait = self._exchange.find_other_wait
+        return leader
 
-    # What the store and the feed tell.
-
-    def _take_configuration(self, configuration: Configuration) -> bool:
-        return self._fleet.take_configuration(configuration)
-
-    def _put_endpoint(self, endpoint: Endpoint) -> None:
-        if self._lease.leads:
-            self._leader.put_endpoint(endpoint)
-        else:
-            self._put_row(endpoint)
-
-    def _put_row(self, endpoint: Endpoint) -> None:
-        self._fleet.put_endpoint(endpoint)
-        self._relay.waiters.wake(endpoint.weights)
-
-    def _publish(self, endpoint: Endpoint) -> None:
-        """Take a row of the leader's books in, and feed it to the others."""
-        self._put_row(endpoint)
-        self._feed.note_changed(endpoint.id)
-
-    def _drop_endpoint(self, endpoint: EndpointId) -> None:
-        self._leader.drop_endpoint(endpoint)
-        self._fleet.drop_endpoint(endpoint)
-        self._relay.health.forget(endpoint)
-        self._feed.note_changed(endpoint)
-
-    def _take_version(self, key: WeightsKey, number: int) -> None:
-        if self._fleet.take_version(key, number, self._clock()):
-            self._feed.note_version(key, number)
-
-    def _take_report(self, report: Any) -> None:
-        if not self._lease.leads:
-            return
-        told = [decode_demand(each) for each in report.demand or ()]
-        self._leader.take_demand(report.vm, report.data_centre, told)
-        uses = [decode_use(each) for each in report.uses or ()]
-        self._leader.uses[report.vm] = {(e, key): count for e, key, count in uses}
-        for row in report.refused or ():
-            endpoint, key, _ = decode_use(row)
-            self._leader.note_refused(endpoint, key)
-
-    def _take_update(self, update: Any) -> None:
-        if update.whole:
-            present = {each.id for each in update.rows}
-            for endpoint in [e for e in self._fleet.endpoints if e not in present]:
-                self._fleet.drop_endpoint(endpoint)
-        for row in update.rows or ():
-            self._put_row(decode_endpoint(row))
-        for name in update.gone or ():
-            self._drop_endpoint(EndpointId(name))
-        for each in update.versions or ():
-            self._take_version(*decode_weights(each))
-        self._feed_age = update.store_age
-        self._lease.note_revision(update.revision)
-        self._relay.load_wait = update.load_wait
-        self._relay.budget.daemons = update.daemons
-        totals = {EndpointId(k): v for k, v in (update.in_flight or {}).items()}
-        self._relay.others = _subtract(totals, self._reported)
-        if update.configuration:
-            self._configuration.take_document(_read_json(update.configuration))
-
-    def _make_report(self) -> Any:
-        self._reported = self._relay.health.count_in_flight()
-        demand = self._relay.demand
-        configuration = self._fleet.configuration
-        return IDL.Report(
-            vm=self._deployment.vm,
-            data_centre=self._deployment.data_centre,
-            demand=[encode_demand(each) for each in demand.take()],
-            in_flight=dict(self._reported),
-            uses=[
-                encode_use(e, key, n) for (e, key), n in self._relay.demand.uses.items()
-            ],
-            refused=[
-                encode_use(e, key, 1) for e, key in self._relay.demand.take_refused()
-            ],
-            sees_store=self._sees_store(),
-            configuration=configuration.version if configuration else 0,
-        )
+    def _make_watch(self, kind: str, follower: Follower, gap: Seconds) -> KindWatch:
+        return KindWatch(self._store, kind, follower, gap, self._clock)
 
     def _sees_store(self) -> bool:
         watch = self._configuration_watch
         return watch.answered_at > watch.failed_at
 
-    def _make_state(self) -> LeaderState:
-        configuration = self._fleet.configuration
-        sighting = self._lease.sighting
-        return LeaderState(
-            leader=self._deployment.vm,
-            fence=self._lease.fence,
-            leads=self._lease.leads,
-            revision=sighting.revision if sighting else 0,
-            store_age=self._endpoints_watch.find_age(),
-            load_wait=self._leader.estimate_load_wait(),
-            configuration_version=configuration.version if configuration else 0,
-            configuration=self._configuration.document,
-        )
-
-    def _find_leader(self) -> Listening | None:
-        record = self._lease.record
-        if self._lease.leads or record is None or record.released:
-            return None
-        if record.holder == self._deployment.vm:
-            return None
-        return Listening(record.host, record.port)
-
-    # Duties that change with who leads.
+    def _hurry(self) -> None:
+        """Have the leader told of new demand at once."""
+        primary = self._exchange.find_primary()
+        if primary is not None:
+            self._exchange.clients[primary].hurry()
 
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_EVERY)
             now = self._clock()
-            self._follow_leadership()
-            if self._lease.leads:
-                self._feed_leader()
+            self._exchange.resign_if_cut_off()
+            self._follow_store()
+            self._exchange.lead_own()
+            self._exchange.forget_leader()
             self._endpoints.drop_lapsed()
             self._fleet.forget_absences(now)
             self._pool.close_expired(now)
             self._control_pool.close_expired(now)
 
-    def _follow_leadership(self) -> None:
-        leads = self._lease.leads
-        if leads and not self._led:
-            self._begin_to_lead()
-        self._led = leads
-        fed = self._client.is_alive() and self._feed_age < FEED_AGE_LIMIT
-        needed = leads or not fed
+    def _follow_store(self) -> None:
+        """Watch endpoints and versions here unless a leader's feed tells of them."""
+        needed = self._exchange.leads or not self._exchange.is_fed(FEED_AGE_LIMIT)
         if needed and not self._endpoints_watch.on:
             self._endpoints.adopt(self._fleet.endpoints.values())
         self._endpoints_watch.switch(needed)
         self._versions_watch.switch(needed)
-        if not leads and not self._client.is_alive():
-            self._relay.load_wait = None
-            self._relay.others = {}
-
-    def _begin_to_lead(self) -> None:
-        self._leader.books.clear()
-        for endpoint in self._fleet.endpoints.values():
-            self._leader.put_endpoint(endpoint)
-
-    def _feed_leader(self) -> None:
-        told = self._relay.demand.take()
-        self._leader.take_demand(
-            self._deployment.vm, self._deployment.data_centre, told
-        )
-        self._leader.uses[self._deployment.vm] = dict(self._relay.demand.uses)
-        for endpoint, key in self._relay.demand.take_refused():
-            self._leader.note_refused(endpoint, key)
-        totals = self._feed.sum_in_flight()
-        self._leader.in_flight = totals
-        own = self._relay.health.count_in_flight()
-        self._relay.others = _subtract(totals, own)
-        self._relay.load_wait = self._leader.estimate_load_wait()
-        self._relay.budget.daemons = self._feed.count_daemons()
 
     # Start and stop.
 
@@ -326,17 +199,18 @@
         """Listen on all sides and begin; raises ``OSError``."""
         own = self._deployment
         self._configuration_watch.switch(True)
-        await self._feed.start(own.peers.host, own.peers.port)
+        await self._exchange.feed.start(own.peers.host, own.peers.port)
         await self._surface.start(own.clients, own.readiness)
         loops = (
             self._configuration_watch.run,
             self._endpoints_watch.run,
             self._versions_watch.run,
-            self._lease.run,
+            self._board.run,
             self._leader.run,
-            self._feed.run,
-            self._client.run,
+            self._exchange.feed.run,
             self._keep_house,
+            *(lease.run for lease in self._leases.values()),
+            *(client.run for client in self._exchange.clients.values()),
         )
         self._tasks = [asyncio.create_task(_run_for_ever(each)) for each in loops]
         LOG.info("daemon: started", extra={"data_centre": own.data_centre})
@@ -347,7 +221,8 @@
         LOG.info("daemon: planned stop begins", extra={"live": self._surface.live})
         last = began + self._deployment.bounds.grace - STOP_MARGIN
         self._surface.stop_by(last)
-        await self._lease.release()
+        for lease in self._leases.values():
+            await lease.release()
         while self._clock() < last:
             if self._clock() - began >= STOP_LEAST and not self._surface.live:
                 break
@@ -375,18 +250,6 @@
             await asyncio.sleep(RESTART_PAUSE)
 
 
-def _subtract(
-    totals: dict[EndpointId, int], own: dict[EndpointId, int]
-) -> dict[EndpointId, int]:
-    return {each: max(0, count - own.get(each, 0)) for each, count in totals.items()}
-
-
-def _read_json(content: bytes) -> Any:
-    import json
-
-    return json.loads(content)
-
-
 async def run_daemon(deployment: Deployment) -> int:
     """Run until SIGTERM; return the exit status."""
     stop = asyncio.Event()
--- /dev/null
+++ b/src/kestreltally/knowledge/exchange.py
@@ -0,0 +1,383 @@
+"""What daemons tell each other, and what is made of it.
+
+Each data centre has a leader, which orders its engines. The other daemons there follow
+it: they report what is asked for and under way, and hear of all endpoints. Leaders
+follow each other, so that between data centres each row goes once to each other
+leader. A daemon without a leader of its own follows one of another data centre.
+"""
+
+import json
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from kestreltally.deployment import Deployment, Listening
+from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.relay import Relay
+from kestreltally.entry.retries import DAEMONS_AT_FIRST
+from kestreltally.fleet.model import (
+    Endpoint,
+    EndpointId,
+    Seconds,
+    ServiceName,
+    WeightsKey,
+)
+from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.feed import FeedServer, LeaderState, LedDataCentre
+from kestreltally.knowledge.followers import ConfigurationFollower
+from kestreltally.knowledge.following import FeedClient
+from kestreltally.knowledge.frames import IDL
+from kestreltally.knowledge.rows import (
+    apply_change,
+    decode_demand,
+    decode_endpoint,
+    decode_use,
+    decode_weights,
+    encode_demand,
+    encode_use,
+)
+from kestreltally.placing.leader import Leader
+from kestreltally.placing.lease import Lease
+
+LOG = logging.getLogger("kestreltally.exchange")
+
+Use = tuple[EndpointId, WeightsKey]
+
+
+class Exchange:
+    """Makes reports and updates, and takes those of other daemons in."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        fleet: Fleet,
+        relay: Relay,
+        leases: Mapping[str, Lease],
+        configuration: ConfigurationFollower,
+        sees_store: Callable[[], bool],
+        endpoints_age: Callable[[], Seconds],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._deployment = deployment
+        self._fleet = fleet
+        self._relay = relay
+        self._leases = leases
+        self._configuration = configuration
+        self._sees_store = sees_store
+        self._endpoints_age = endpoints_age
+        self._clock = clock
+        self.feed = FeedServer(
+            self._make_state,
+            lambda: self._fleet.endpoints,
+            lambda: {k: v.number for k, v in self._fleet.versions.items()},
+            self._take_report,
+            clock,
+        )
+        self.feed.own_in_flight = relay.health.count_in_flight
+        self.clients = {
+            name: FeedClient(
+                name, self._find_leader, self._make_report, self._take_update, clock
+            )
+            for name in leases
+        }
+        self.leader: Leader | None = None
+        self._reported: dict[EndpointId, int] = {}
+        self._resigned: tuple[LedDataCentre, ...] = ()
+        self._refused: dict[str, set[Use]] = {name: set() for name in leases}
+        # Requests of this group for weights that only engines elsewhere hold, by the
+        # data centre whose leader must know how much they are used.
+        self._served_afar: dict[str, dict[tuple[ServiceName, WeightsKey], int]] = {
+            name: defaultdict(int) for name in leases
+        }
+
+    # Who leads.
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this daemon holds any lease."""
+        return any(lease.leads for lease in self._leases.values())
+
+    def is_heard(self, data_centre: str) -> bool:
+        """Tell whether the leader of a data centre is heard, or is this daemon."""
+        return self._leases[data_centre].leads or self.clients[data_centre].is_alive()
+
+    def wants_look(self, lease: Lease) -> bool:
+        """Tell whether a lease is to be looked at in the store."""
+        if self.is_heard(lease.data_centre):
+            return False
+        own = self._deployment.data_centre
+        return lease.data_centre == own or self.leads or not self.is_heard(own)
+
+    def find_primary(self) -> str | None:
+        """Return the data centre whose leader this daemon follows, if it leads none."""
+        own = self._deployment.data_centre
+        if self.clients[own].is_alive():
+            return own
+        alive = (name for name, each in self.clients.items() if each.is_alive())
+        return next(alive, None)
+
+    def is_fed(self, age_limit: Seconds) -> bool:
+        """Tell whether a leader's fresh knowledge of endpoints reaches this daemon."""
+        primary = self.find_primary()
+        return primary is not None and self.clients[primary].store_age < age_limit
+
+    def _find_leader(self, data_centre: str) -> Listening | None:
+        """Return the address of a leader to follow, if it is to be followed."""
+        lease = self._leases[data_centre]
+        record = lease.record
+        if lease.leads or record is None or record.released:
+            return None
+        if record.holder == self._deployment.vm:
+            return None
+        own = self._deployment.data_centre
+        if data_centre != own and not self.leads and self.is_heard(own):
+            return None
+        return Listening(record.host, record.port)
+
+    def resign_if_cut_off(self) -> None:
+        """Give the leases up when only this daemon has lost the store."""
+        held = [lease for lease in self._leases.values() if lease.should_resign()]
+        if not held or not self.feed.is_store_seen():
+            return
+        self._resigned = tuple(
+            LedDataCentre(lease.data_centre, lease.resign(), 0) for lease in held
+        )
+        self.feed.send_all()
+
+    # What a leader tells.
+
+    def _make_state(self) -> LeaderState:
+        configuration = self._fleet.configuration
+        leads = tuple(
+            LedDataCentre(
+                name, lease.fence, lease.sighting.revision if lease.sighting else 0
+            )
+            for name, lease in self._leases.items()
+            if lease.leads
+        )
+        return LeaderState(
+            leader=self._deployment.vm,
+            leads=leads,
+            resigned=self._resigned,
+            store_age=self._endpoints_age(),
+            load_wait=self.leader.estimate_load_wait() if self.leader else 0.0,
+            configuration_version=configuration.version if configuration else 0,
+            configuration=self._configuration.encoded,
+        )
+
+    def _take_report(self, report: Any) -> None:
+        if self.leader is None or not self.leads:
+            return
+        told = [decode_demand(each) for each in report.demand or ()]
+        self._take_demand(report.vm, report.data_centre, told)
+        for row in report.refused or ():
+            endpoint, key, _ = decode_use(row)
+            self._note_refused(endpoint, key)
+
+    def _take_demand(
+        self, vm: str, data_centre: str, told: list[WeightsDemand]
+    ) -> None:
+        """Book demand here, and for the leaders whose engines will serve it."""
+        if self.leader is None:
+            return
+        self.leader.take_demand(vm, data_centre, told)
+        if data_centre not in self._leases or not self._is_of_group(data_centre):
+            return
+        now = self._clock()
+        for each in told:
+            if not each.arrivals:
+                continue
+            holders = self._fleet.list_holders(each.service, each.key, now)
+            where = {endpoint.data_centre for endpoint in holders}
+            if data_centre in where:
+                continue
+            for name in where & self._served_afar.keys():
+                self._served_afar[name][(each.service, each.key)] += each.arrivals
+
+    def _is_of_group(self, data_centre: str) -> bool:
+        """Tell whether a data centre's daemons report to this one."""
+        return self._leases[data_centre].leads
+
+    def _note_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
+        """Book a refusal here, or hand it to the leader of the engine."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is None or self.leader is None:
+            return
+        if endpoint in self.leader.books:
+            self.leader.note_refused(endpoint, key)
+        elif known.data_centre in self._refused:
+            self._refused[known.data_centre].add((endpoint, key))
+
+    # What a daemon reports.
+
+    def _make_report(self, data_centre: str) -> Any:
+        configuration = self._fleet.configuration
+        report = IDL.Report(
+            vm=self._deployment.vm,
+            data_centre=self._deployment.data_centre,
+            leads=[name for name, lease in self._leases.items() if lease.leads],
+            demand=[],
+            in_flight={},
+            uses=[],
+            refused=[],
+            configuration=configuration.version if configuration else 0,
+            sees_store=self._sees_store(),
+            daemons=1,
+        )
+        if self.leads:
+            self._add_group(report, data_centre)
+        elif self.find_primary() in (data_centre, None):
+            self._add_own(report)
+        return report
+
+    def _add_own(self, report: Any) -> None:
+        demand = self._relay.demand
+        self._reported = self._relay.health.count_in_flight()
+        report.in_flight = dict(self._reported)
+        report.demand = [encode_demand(each) for each in demand.take()]
+        report.uses = [encode_use(e, key, n) for (e, key), n in demand.uses.items()]
+        report.refused = [encode_use(e, key, 1) for e, key in demand.take_refused()]
+
+    def _add_group(self, report: Any, data_centre: str) -> None:
+        """Sum up this leader's daemons for another leader."""
+        report.in_flight = self.feed.sum_group()
+        report.daemons = self.feed.count_group()
+        for uses in (self._relay.demand.uses, *self._list_group_uses()):
+            report.uses.extend(encode_use(e, key, n) for (e, key), n in uses.items())
+        refused, self._refused[data_centre] = self._refused[data_centre], set()
+        report.refused = [encode_use(e, key, 1) for e, key in refused]
+        demand = [*self._list_handed(data_centre), *self._take_afar(data_centre)]
+        report.demand = [encode_demand(each) for each in demand]
+
+    def _take_afar(self, data_centre: str) -> list[WeightsDemand]:
+        """Return the requests that a data centre's engines served for this group."""
+        served = self._served_afar[data_centre]
+        self._served_afar[data_centre] = defaultdict(int)
+        return [
+            WeightsDemand(service, key, arrivals=count, waiting=0, missed=0)
+            for (service, key), count in served.items()
+        ]
+
+    def _list_group_uses(self) -> list[dict[Use, int]]:
+        return [peer.uses for peer in self.feed.list_followers()]
+
+    def _list_handed(self, data_centre: str) -> list[WeightsDemand]:
+        """Return the demand for another leader, while this one may not order."""
+        if self.leader is None or self.leader.find_order_wait() == 0.0:
+            return []
+        able = [name for name, each in self.clients.items() if each.load_wait < 1.0]
+        return self.leader.list_unmet() if able[:1] == [data_centre] else []
+
+    def find_other_wait(self) -> Seconds | None:
+        """Return what a load takes at the quickest of the other leaders heard."""
+        heard = [each.load_wait for each in self.clients.values() if each.is_alive()]
+        return min(heard, default=None)
+
+    # What a daemon makes of an update.
+
+    def _take_update(self, data_centre: str, update: Any) -> None:
+        for led in update.leads or ():
+            self._leases[led.data_centre].note_revision(led.revision)
+        for resigned in update.resigned or ():
+            self._leases[resigned.data_centre].note_resigned(resigned.fence)
+        if update.configuration:
+            self._configuration.take_document(json.loads(update.configuration))
+        if not update.leads:
+            return
+        self._take_rows(update, {each.data_centre for each in update.leads})
+        if not self.leads and self.find_primary() == data_centre:
+            totals = {EndpointId(k): v for k, v in (update.in_flight or {}).items()}
+            self._relay.others = _subtract(totals, self._reported)
+            self._relay.load_wait = update.load_wait
+            self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
+
+    def _take_rows(self, update: Any, led: set[str]) -> None:
+        if update.whole:
+            self._drop_missing({each.id for each in update.rows or ()}, led)
+        for row in update.rows or ():
+            self.put_row(decode_endpoint(row))
+        for change in update.changes or ():
+            known = self._fleet.endpoints.get(EndpointId(change.id))
+            if known is not None:
+                self.put_row(apply_change(known, change))
+        for name in update.gone or ():
+            self.drop_row(EndpointId(name))
+        for each in update.versions or ():
+            self.take_version(*decode_weights(each))
+
+    def _drop_missing(self, present: set[str], led: set[str]) -> None:
+        """Forget what a whole update does not name, as far as its sender leads it."""
+        for endpoint in list(self._fleet.endpoints.values()):
+            mine = not self.leads or endpoint.data_centre in led
+            if mine and endpoint.id not in present:
+                self.drop_row(endpoint.id)
+
+    # The tables.
+
+    def put_row(self, endpoint: Endpoint) -> None:
+        """Take a row in, wake who waits for its weights, and feed it to followers."""
+        self._fleet.put_endpoint(endpoint)
+        self._relay.waiters.wake(endpoint.weights)
+        if self.leads:
+            self.feed.hurry()
+
+    def drop_row(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint that is gone."""
+        if self.leader is not None:
+            self.leader.drop_endpoint(endpoint)
+        self._fleet.drop_endpoint(endpoint)
+        self._relay.health.forget(endpoint)
+        if self.leads:
+            self.feed.hurry()
+
+    def take_version(self, key: WeightsKey, number: int) -> None:
+        """Take the newest version of some weights in."""
+        if self._fleet.take_version(key, number, self._clock()) and self.leads:
+            self.feed.hurry()
+
+    def put_entry(self, endpoint: Endpoint) -> None:
+        """Take an endpoint's entry of the store in, where no leader knows better."""
+        lease = self.find_lease(endpoint)
+        if lease.leads and self.leader is not None:
+            self.leader.put_endpoint(endpoint)
+        elif self.clients[lease.data_centre].is_alive() and not endpoint.leaving:
+            if endpoint.id not in self._fleet.endpoints:
+                self.put_row(endpoint)
+        else:
+            self.put_row(endpoint)
+
+    def find_lease(self, endpoint: Endpoint) -> Lease:
+        """Return the lease under which an endpoint gets its orders."""
+        lease = self._leases.get(endpoint.data_centre)
+        return lease or self._leases[min(self._leases)]
+
+    def lead_own(self) -> None:
+        """Do for this daemon's own requests what a leader does for its followers."""
+        if self.leader is None or not self.leads:
+            return
+        own = self._deployment
+        demand = self._relay.demand
+        self._take_demand(own.vm, own.data_centre, demand.take())
+        for endpoint, key in demand.take_refused():
+            self._note_refused(endpoint, key)
+        peers = (*self.feed.list_followers(), *self.feed.list_leaders())
+        self.leader.uses = {peer.vm: peer.uses for peer in peers}
+        self.leader.uses[own.vm] = dict(demand.uses)
+        totals = self.feed.sum_in_flight()
+        self.leader.in_flight = totals
+        self._relay.others = _subtract(totals, self._relay.health.count_in_flight())
+        self._relay.load_wait = self.leader.estimate_load_wait()
+        self._relay.budget.daemons = self.feed.count_daemons()
+
+    def forget_leader(self) -> None:
+        """Plan with nobody's word while no leader is heard."""
+        if not self.leads and self.find_primary() is None:
+            self._relay.load_wait = None
+            self._relay.others = {}
+
+
+def _subtract(
+    totals: dict[EndpointId, int], own: dict[EndpointId, int]
+) -> dict[EndpointId, int]:
+    return {each: max(0, count - own.get(each, 0)) for each, count in totals.items()}
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -1,16 +1,21 @@
-"""The leader's side of the feed: takes reports in and sends updates out."""
+"""A leader's side of the feed: takes reports in and sends updates out."""
 
 import asyncio
-import json
 import logging
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
-from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
 from kestreltally.knowledge.frames import IDL, MalformedFrame, read_frame, write_frame
-from kestreltally.knowledge.rows import encode_endpoint, encode_weights
+from kestreltally.knowledge.rows import (
+    decode_use,
+    differs_in_weights_only,
+    encode_change,
+    encode_endpoint,
+    encode_weights,
+)
 from kestreltally.sockets import harden_socket
 
 LOG = logging.getLogger("kestreltally.feed")
@@ -20,6 +25,17 @@
 # Changes within this time go out together.
 GATHER: Final[Seconds] = 0.02
 WRITE_LIMIT: Final = 2**22
+# How long a daemon's word that it sees the store is believed.
+STORE_SEEN_FOR: Final[Seconds] = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class LedDataCentre:
+    """A lease that is held, or was resigned, with its number and revision."""
+
+    data_centre: str
+    fence: int
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,77 +43,71 @@
     """What each update tells besides rows."""
 
     leader: str
-    fence: int
-    leads: bool
-    revision: int
+    leads: tuple[LedDataCentre, ...]
+    resigned: tuple[LedDataCentre, ...]
     store_age: Seconds
     load_wait: Seconds
     configuration_version: int
-    configuration: Any
+    configuration: bytes
 
 
 @dataclass(slots=True, eq=False)
-class _Peer:
-    """A daemon that is connected."""
+class Peer:
+    """A daemon that is connected; ``leads`` is not empty for another leader."""
 
     writer: asyncio.StreamWriter
     vm: str = ""
-    told_rows: set[EndpointId] = field(default_factory=set)
+    leads: frozenset[str] = frozenset()
+    told: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    told_versions: dict[WeightsKey, int] = field(default_factory=dict)
     whole: bool = True
     configuration: int = 0
+    daemons: int = 1
+    in_flight: dict[str, int] = field(default_factory=dict)
+    uses: dict[tuple[EndpointId, WeightsKey], int] = field(default_factory=dict)
+    sees_store_at: Seconds = float("-inf")
 
 
 class FeedServer:
-    """Listens for the other daemons; only the leader's answers carry rows."""
+    """Listens for the other daemons; only a leader's answers carry rows."""
 
     def __init__(
         self,
         state: Callable[[], LeaderState],
         rows: Callable[[], dict[EndpointId, Endpoint]],
-        versions: Callable[[], dict[Any, int]],
+        versions: Callable[[], dict[WeightsKey, int]],
         take_report: Callable[[Any], None],
+        clock: Callable[[], Seconds],
     ) -> None:
         self._state = state
         self._rows = rows
         self._versions = versions
         self._take_report = take_report
-        self._peers: set[_Peer] = set()
-        self._changed: dict[int, set[EndpointId]] = {}
-        self._new_versions: dict[int, dict[Any, int]] = {}
+        self._clock = clock
+        self._peers: set[Peer] = set()
         self._wake = asyncio.Event()
         self._server: asyncio.Server | None = None
-        self.in_flight: dict[str, dict[str, int]] = {}
-        self.own_in_flight: Callable[[], dict[EndpointId, int]] = dict
-
-    def count_daemons(self) -> int:
-        """Return how many daemons are connected, this one included."""
-        return 1 + sum(1 for peer in self._peers if peer.vm)
 
     async def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError``."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
-    def note_changed(self, endpoint: EndpointId) -> None:
-        """Send an endpoint's row, or that it is gone, to all soon."""
-        for changed in self._changed.values():
-            changed.add(endpoint)
+    def hurry(self) -> None:
+        """Send what has changed soon."""
         self._wake.set()
 
-    def note_version(self, key: Any, number: int) -> None:
-        """Send a new version to all soon."""
-        for versions in self._new_versions.values():
-            versions[key] = number
-        self._wake.set()
+    def list_followers(self) -> list[Peer]:
+        """Return the daemons that follow this one."""
+        return [peer for peer in self._peers if peer.vm and not peer.leads]
 
-    def sum_in_flight(self) -> dict[EndpointId, int]:
-        """Return the requests under way over all daemons, by endpoint."""
-        totals: dict[EndpointId, int] = defaultdict(int)
-        for endpoint, count in self.own_in_flight().items():
-            totals[endpoint] += count
-        for reported in self.in_flight.values():
-            for name, count in reported.items():
-                totals[EndpointId(name)] += count
-        return totals
+    def list_leaders(self) -> list[Peer]:
+        """Return the leaders of other data centres that are connected."""
+        return [peer for peer in self._peers if peer.vm and peer.leads]
+
+    def is_store_seen(self) -> bool:
+        """Tell whether another daemon has the store in reach."""
+        oldest = self._clock() - STORE_SEEN_FOR
+        return any(peer.sees_store_at > oldest for peer in self._peers)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -105,28 +115,32 @@
         connection = writer.get_extra_info("socket")
         if connection is not None:
             harden_socket(connection)
-        peer = _Peer(writer)
+        peer = Peer(writer)
         self._peers.add(peer)
-        self._changed[id(peer)] = set()
-        self._new_versions[id(peer)] = {}
         try:
             while True:
                 report = await read_frame(reader, IDL.Report)
-                peer.vm = report.vm
-                peer.configuration = report.configuration
-                self.in_flight[report.vm] = report.in_flight or {}
-                self._take_report(report)
+                self._note_report(peer, report)
                 if peer.whole or not self._state().leads:
                     self._send(peer)
         except (OSError, EOFError, MalformedFrame, asyncio.IncompleteReadError) as lost:
-            LOG.info("feed: daemon lost", extra={"vm": peer.vm, "reason": repr(lost)})
+            LOG.info("feed: daemon lost", extra={"peer": peer.vm, "reason": repr(lost)})
         finally:
             self._peers.discard(peer)
-            self._changed.pop(id(peer), None)
-            self._new_versions.pop(id(peer), None)
-            self.in_flight.pop(peer.vm, None)
             writer.close()
 
+    def _note_report(self, peer: Peer, report: Any) -> None:
+        peer.vm = report.vm
+        peer.leads = frozenset(report.leads or ())
+        peer.configuration = report.configuration
+        peer.daemons = report.daemons or 1
+        peer.in_flight = report.in_flight or {}
+        uses = [decode_use(each) for each in report.uses or ()]
+        peer.uses = {(endpoint, key): count for endpoint, key, count in uses}
+        if report.sees_store:
+            peer.sees_store_at = self._clock()
+        self._take_report(report)
+
     async def run(self) -> None:
         """Send updates for ever while this daemon leads."""
         while True:
@@ -137,44 +151,104 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if not self._state().leads:
-                continue
-            for peer in list(self._peers):
-                if peer.vm and not peer.whole:
-                    self._send(peer)
+            if self._state().leads:
+                self.send_all()
 
-    def _send(self, peer: _Peer) -> None:
+    def send_all(self) -> None:
+        """Send an update to every daemon that has reported."""
+        for peer in list(self._peers):
+            if peer.vm:
+                self._send(peer)
+
+    def _send(self, peer: Peer) -> None:
         """Write an update; a peer that does not read is dropped."""
         if peer.writer.transport.get_write_buffer_size() > WRITE_LIMIT:
-            LOG.warning("feed: daemon does not read", extra={"vm": peer.vm})
+            LOG.warning("feed: daemon does not read", extra={"peer": peer.vm})
             peer.writer.transport.abort()
             return
+        write_frame(peer.writer, self._make_update(peer))
+
+    def _make_update(self, peer: Peer) -> Any:
         state = self._state()
-        rows = self._rows() if state.leads else {}
-        changed = self._changed.get(id(peer), set())
-        versions = self._new_versions.get(id(peer), {})
-        if peer.whole and state.leads:
-            changed = set(rows)
-            versions = self._versions()
-        behind = peer.configuration < state.configuration_version
         update = IDL.Update(
             leader=state.leader,
-            fence=state.fence,
-            leads=state.leads,
-            revision=state.revision,
+            leads=[_encode_lease(each) for each in state.leads],
+            resigned=[_encode_lease(each) for each in state.resigned],
             store_age=min(state.store_age, 1e6),
-            whole=peer.whole and state.leads,
-            rows=[encode_endpoint(rows[each]) for each in changed if each in rows],
-            gone=[each for each in changed if each not in rows],
-            versions=[encode_weights(key, number) for key, number in versions.items()],
-            in_flight=self.sum_in_flight() if state.leads else {},
+            whole=False,
             load_wait=state.load_wait,
-            daemons=self.count_daemons(),
             configuration_version=state.configuration_version,
-            configuration=json.dumps(state.configuration).encode() if behind else b"",
         )
-        write_frame(peer.writer, update)
+        if peer.configuration < state.configuration_version:
+            update.configuration = state.configuration
         if state.leads:
-            peer.whole = False
-            self._changed[id(peer)] = set()
-            self._new_versions[id(peer)] = {}
+            self._add_rows(peer, update, {each.data_centre for each in state.leads})
+            self._add_versions(peer, update)
+            if not peer.leads:
+                update.in_flight = self.sum_in_flight()
+                update.daemons = self.count_daemons()
+        return update
+
+    def _add_rows(self, peer: Peer, update: Any, led: set[str]) -> None:
+        """Add what a peer has not been told; another leader gets only rows led here."""
+        known = self._rows()
+        rows = known
+        if peer.leads:
+            rows = {k: each for k, each in known.items() if each.data_centre in led}
+        update.rows = []
+        update.changes = []
+        for endpoint in rows.values():
+            before = peer.told.get(endpoint.id)
+            if before is endpoint or before == endpoint:
+                continue
+            if before is not None and differs_in_weights_only(before, endpoint):
+                update.changes.append(encode_change(before, endpoint))
+            else:
+                update.rows.append(encode_endpoint(endpoint))
+        update.gone = [each for each in peer.told if each not in known]
+        update.whole = peer.whole
+        peer.whole = False
+        peer.told = dict(rows)
+
+    def _add_versions(self, peer: Peer, update: Any) -> None:
+        versions = self._versions()
+        update.versions = [
+            encode_weights(key, number)
+            for key, number in versions.items()
+            if peer.told_versions.get(key) != number
+        ]
+        peer.told_versions = versions
+
+    own_in_flight: Callable[[], dict[EndpointId, int]]
+
+    def count_group(self) -> int:
+        """Return how many daemons this one and its followers are."""
+        return 1 + len(self.list_followers())
+
+    def count_daemons(self) -> int:
+        """Return how many daemons there are over all leaders heard."""
+        return self.count_group() + sum(peer.daemons for peer in self.list_leaders())
+
+    def sum_group(self) -> dict[EndpointId, int]:
+        """Return the requests under way of this daemon and its followers."""
+        return _sum_counts(self.own_in_flight(), self.list_followers())
+
+    def sum_in_flight(self) -> dict[EndpointId, int]:
+        """Return the requests under way over all daemons, by endpoint."""
+        return _sum_counts(self.sum_group(), self.list_leaders())
+
+
+def _sum_counts(
+    own: dict[EndpointId, int], peers: Iterable[Peer]
+) -> dict[EndpointId, int]:
+    totals: dict[EndpointId, int] = defaultdict(int, own)
+    for peer in peers:
+        for name, count in peer.in_flight.items():
+            totals[EndpointId(name)] += count
+    return totals
+
+
+def _encode_lease(led: LedDataCentre) -> Any:
+    return IDL.LeaseRow(
+        data_centre=led.data_centre, fence=led.fence, revision=led.revision
+    )
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -36,32 +36,49 @@
   4: i32 count,
 }
 
-// From a daemon to the leader.
+// What changed of the weights on an engine since the row or change before.
+struct WeightsChange {
+  1: string id,
+  2: list<WeightsVersion> put,
+  3: list<WeightsVersion> dropped,
+  4: list<WeightsVersion> loading,
+}
+
+// A lease: whose engines its holder leads, and under which number.
+struct LeaseRow {
+  1: string data_centre,
+  2: i64 fence,
+  3: i64 revision,
+}
+
+// From a daemon to a leader; from a leader to another one it sums up its daemons.
 struct Report {
   1: string vm,
   2: string data_centre,
-  3: list<DemandRow> demand,
-  4: map<string, i32> in_flight,
-  5: list<UseRow> uses,
-  6: i64 configuration,
+  3: list<string> leads,
+  4: list<DemandRow> demand,
+  5: map<string, i32> in_flight,
+  6: list<UseRow> uses,
   7: list<UseRow> refused,
-  8: bool sees_store,
+  8: i64 configuration,
+  9: bool sees_store,
+  10: i32 daemons,
 }
 
-// From the leader to a daemon. Seconds count back from the sending.
+// From a leader to a daemon. Seconds count back from the sending.
 struct Update {
   1: string leader,
-  2: i64 fence,
-  3: bool leads,
+  2: list<LeaseRow> leads,
+  3: list<LeaseRow> resigned,
   4: double store_age,
   5: bool whole,
   6: list<EndpointRow> rows,
-  7: list<string> gone,
-  8: list<WeightsVersion> versions,
-  9: map<string, i32> in_flight,
-  10: double load_wait,
-  11: i32 daemons,
-  12: i64 configuration_version,
-  13: binary configuration,
-  14: i64 revision,
+  7: list<WeightsChange> changes,
+  8: list<string> gone,
+  9: list<WeightsVersion> versions,
+  10: map<string, i32> in_flight,
+  11: double load_wait,
+  12: i32 daemons,
+  13: i64 configuration_version,
+  14: binary configuration,
 }
--- a/src/kestreltally/knowledge/followers.py
+++ b/src/kestreltally/knowledge/followers.py
@@ -1,5 +1,6 @@
 """What is made of the store's objects: configuration, endpoints and versions."""
 
+import json
 import logging
 from collections.abc import Callable, Iterable
 from typing import Any, Final
@@ -28,11 +29,11 @@
 
 
 class ConfigurationFollower:
-    """Puts each newer configuration in force, and keeps its document for peers."""
+    """Puts each newer configuration in force, and keeps it for peers."""
 
     def __init__(self, take: Callable[[Configuration], bool]) -> None:
         self._take = take
-        self.document: Any = None
+        self.encoded = b""
 
     def take_listing(self, listing: Listing) -> None:
         """Take the configuration of a listing in."""
@@ -57,7 +58,7 @@
             LOG.error("knowledge: configuration left out: %s", error)
             return
         if self._take(configuration):
-            self.document = document
+            self.encoded = json.dumps(document).encode()
             LOG.info(
                 "knowledge: configuration in force",
                 extra={"version": configuration.version},
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -1,4 +1,4 @@
-"""A daemon's side of the feed: reports to the leader, and takes its updates in."""
+"""A daemon's side of the feed: reports to a leader, and takes its updates in."""
 
 import asyncio
 import logging
@@ -15,28 +15,32 @@
 REPORT_EVERY: Final[Seconds] = 0.2
 # A request that waits for an adapter is told at once, but not more often than this.
 REPORT_GAP: Final[Seconds] = 0.02
-# The leader sends something at least every 0.2 s.
+# A leader sends something at least every 0.2 s.
 FEED_SILENT: Final[Seconds] = 0.7
 CONNECT_TIMEOUT: Final[Seconds] = 0.5
 RETRY_EVERY: Final[Seconds] = 0.1
 
 
 class FeedClient:
-    """Keeps a connection to whichever daemon leads."""
+    """Keeps a connection to the leader of one data centre, while that is wanted."""
 
     def __init__(
         self,
-        find_leader: Callable[[], Listening | None],
-        make_report: Callable[[], Any],
-        take_update: Callable[[Any], None],
+        data_centre: str,
+        find_leader: Callable[[str], Listening | None],
+        make_report: Callable[[str], Any],
+        take_update: Callable[[str, Any], None],
         clock: Callable[[], Seconds],
     ) -> None:
+        self.data_centre = data_centre
         self._find_leader = find_leader
         self._make_report = make_report
         self._take_update = take_update
         self._clock = clock
         self._heard_at: Seconds = float("-inf")
         self._hurry = asyncio.Event()
+        self.store_age: Seconds = float("inf")
+        self.load_wait: Seconds = float("inf")
 
     def is_alive(self) -> bool:
         """Tell whether the leader's feed has been heard within its usual time."""
@@ -49,7 +53,7 @@
     async def run(self) -> None:
         """Follow the leader for ever."""
         while True:
-            address = self._find_leader()
+            address = self._find_leader(self.data_centre)
             if address is not None:
                 await self._follow(address)
             await asyncio.sleep(RETRY_EVERY)
@@ -65,15 +69,7 @@
         harden_socket(writer.get_extra_info("socket"))
         sending = asyncio.create_task(self._send_reports(writer))
         try:
-            while self._find_leader() == address:
-                async with asyncio.timeout(FEED_SILENT):
-                    update = await read_frame(reader, IDL.Update)
-                if not update.leads:
-                    break
-                if not self.is_alive():
-                    LOG.info("feed: leader heard", extra={"leader": update.leader})
-                self._heard_at = self._clock()
-                self._take_update(update)
+            await self._take_updates(reader, address)
         except (
             OSError,
             EOFError,
@@ -81,16 +77,42 @@
             MalformedFrame,
             asyncio.IncompleteReadError,
         ) as lost:
-            LOG.info("feed: leader lost", extra={"reason": repr(lost)})
+            LOG.info(
+                "feed: leader lost",
+                extra={"lease": self.data_centre, "reason": repr(lost)},
+            )
         finally:
             sending.cancel()
             writer.transport.abort()
             self._heard_at = float("-inf")
+            self.load_wait = float("inf")
+
+    async def _take_updates(
+        self, reader: asyncio.StreamReader, address: Listening
+    ) -> None:
+        while self._find_leader(self.data_centre) == address:
+            async with asyncio.timeout(FEED_SILENT):
+                update = await read_frame(reader, IDL.Update)
+            leads = any(
+                each.data_centre == self.data_centre for each in update.leads or ()
+            )
+            if leads and not self.is_alive():
+                LOG.info(
+                    "feed: leader heard",
+                    extra={"lease": self.data_centre, "leader": update.leader},
+                )
+            if leads:
+                self._heard_at = self._clock()
+                self.store_age = update.store_age
+                self.load_wait = update.load_wait
+            self._take_update(self.data_centre, update)
+            if not leads:
+                return
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
         while True:
             self._hurry.clear()
-            write_frame(writer, self._make_report())
+            write_frame(writer, self._make_report(self.data_centre))
             await asyncio.sleep(REPORT_GAP)
             try:
                 async with asyncio.timeout(REPORT_EVERY - REPORT_GAP):
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -1,5 +1,6 @@
 """Translates between the tables' types and the structs of the feed."""
 
+from dataclasses import replace
 from typing import Any
 
 from kestreltally.entry.demand import WeightsDemand
@@ -80,3 +81,37 @@
 def decode_use(row: Any) -> tuple[EndpointId, WeightsKey, int]:
     """Return an engine, weights on it, and how many requests use them."""
     return EndpointId(row.endpoint), WeightsKey(row.model, row.adapter), row.count
+
+
+def encode_change(before: Endpoint, after: Endpoint) -> Any:
+    """Return the struct of how an engine's weights changed."""
+    put = [
+        encode_weights(key, version)
+        for key, version in after.weights.items()
+        if before.weights.get(key) != version
+    ]
+    dropped = [
+        encode_weights(key, 0) for key in before.weights.keys() - after.weights.keys()
+    ]
+    return IDL.WeightsChange(
+        id=after.id,
+        put=put,
+        dropped=dropped,
+        loading=[encode_weights(key, 0) for key in after.loading],
+    )
+
+
+def apply_change(endpoint: Endpoint, change: Any) -> Endpoint:
+    """Return an engine with a change of its weights applied."""
+    weights = dict(endpoint.weights)
+    for row in change.dropped or ():
+        weights.pop(decode_weights(row)[0], None)
+    weights.update(decode_weights(row) for row in change.put or ())
+    loading = frozenset(decode_weights(row)[0] for row in change.loading or ())
+    return replace(endpoint, weights=weights, loading=loading)
+
+
+def differs_in_weights_only(before: Endpoint, after: Endpoint) -> bool:
+    """Tell whether a change of weights tells all that is new of an endpoint."""
+    same = replace(before, weights=after.weights, loading=after.loading)
+    return same == after
--- a/src/kestreltally/placing/ceiling.py
+++ b/src/kestreltally/placing/ceiling.py
@@ -1,15 +1,17 @@
-"""Bounds how fast loads from the weight store may begin over all engines."""
+"""Bounds how fast loads of base models from the weight store may begin.
+
+Adapters are not counted: they come in a quarter of a second, and their price bounds
+them (docs/QUESTIONS.md, 1).
+"""
 
 from typing import Final
 
 from kestreltally.deployment import Bounds
 from kestreltally.fleet.model import Seconds
 
-# The bound allows the rate with some overage and three loads more in a window; the
-# rate alone, and a short burst, keeps clear of it also when orders arrive late.
-BURST: Final = 3.0
-# Parts of the bound used in all: the rest is for orders that are carried out late.
-RATE_PART: Final = 1.0
+# The bound allows the rate with some overage and three loads more in a window, over
+# all leaders: each has its part of the rate, and one load at once.
+BURST: Final = 1.0
 
 
 class LoadCeiling:
@@ -22,7 +24,7 @@
 
     def refill(self, loads_per_second: float, now: Seconds) -> None:
         """Add what the rate has gained since the last call."""
-        gained = (now - self._filled_at) * loads_per_second * RATE_PART
+        gained = (now - self._filled_at) * loads_per_second
         self._tokens = min(BURST, self._tokens + gained)
         self._filled_at = now
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -1,9 +1,9 @@
-"""The leader: keeps the books of all engines, plans loads and has them ordered."""
+"""The leader: keeps the books of its engines, plans loads and has them ordered."""
 
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any, Final
 
 from kestreltally.deployment import Bounds
@@ -60,22 +60,26 @@
 SILENT_PAUSE: Final[Seconds] = 0.5
 # The wait that is told while this daemon does not lead.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
+# What it takes to have a leader of another data centre load an adapter instead.
+FORWARD_TIME: Final[Seconds] = 0.1
 
 
 class Leader:
-    """Plans and orders while the lease is held."""
+    """Plans and orders for the engines of the data centres whose leases are held."""
 
     def __init__(
         self,
         fleet: Fleet,
-        lease: Lease,
+        leases: Mapping[str, Lease],
+        find_lease: Callable[[Endpoint], Lease],
         caller: EngineCaller,
         bounds: Bounds,
         clock: Callable[[], Seconds],
         publish: Callable[[Endpoint], None],
     ) -> None:
         self._fleet = fleet
-        self._lease = lease
+        self._leases = leases
+        self._find_lease = find_lease
         self._caller = caller
         self._bounds = bounds
         self._clock = clock
@@ -84,8 +88,12 @@
         self.books: dict[EndpointId, EngineBook] = {}
         self.demand = DemandTable()
         self.in_flight: dict[EndpointId, int] = {}
+        # What other leaders tell that a load takes there; none when none is heard.
+        self.other_wait: Callable[[], Seconds | None] = lambda: None
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._placing: set[WeightsKey] = set()
+        self._led: set[str] = set()
         self._missing = 0
         self._load_time = LOAD_TIME
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
@@ -129,31 +137,55 @@
         for each in told:
             self.demand.take(vm, data_centre, each, now)
 
+    def find_order_wait(self) -> Seconds | None:
+        """Return how long until some engine may be given an order; none: unknown."""
+        held = [lease for lease in self._leases.values() if lease.leads]
+        return min((lease.find_order_wait() for lease in held), default=None)
+
     def estimate_load_wait(self) -> Seconds:
         """Return how long it takes from now until an adapter asked for now is there."""
-        if not self._lease.leads:
-            return WAIT_UNKNOWN
         engines = max(1, len(self.books))
         turns = 1 + self._missing / (INCOMING_MOST * engines)
-        return self._lease.find_order_wait() + turns * self._load_time
+        quiet = self.find_order_wait()
+        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self._load_time
+        other = self.other_wait()
+        return own if other is None else min(own, other + FORWARD_TIME)
 
-    def restart(self) -> None:
-        """Forget what was known of the engines: another leader may have ordered."""
-        for book in self.books.values():
-            book.doubt(0.0)
-            book.incoming.clear()
-            book.leaving.clear()
-        self._ceilings.clear()
+    def list_unmet(self) -> list[WeightsDemand]:
+        """Return what is asked for and held nowhere, for a leader that may order."""
+        now = self._clock()
+        return [
+            WeightsDemand(
+                service=service,
+                key=key,
+                arrivals=0,
+                waiting=row.count_waiting(now),
+                missed=0,
+            )
+            for (service, key), row in self.demand.rows.items()
+            if row.count_waiting(now)
+            and not self._fleet.list_holders(service, key, now)
+        ]
+
+    def _follow_leases(self) -> None:
+        """Take up the engines of leases newly held, and let go of those lost."""
+        led = {name for name, lease in self._leases.items() if lease.leads}
+        for endpoint in self._fleet.endpoints.values():
+            lease = self._find_lease(endpoint)
+            if lease.data_centre in led - self._led:
+                self.books.pop(endpoint.id, None)
+                self.put_endpoint(endpoint)
+        for name, book in list(self.books.items()):
+            if not self._find_lease(book.endpoint).leads:
+                del self.books[name]
+        self._led = led
 
     async def run(self) -> None:
-        """Plan for ever, while the lease is held."""
-        led = False
+        """Plan for ever, while a lease is held."""
         while True:
             await asyncio.sleep(TICK)
-            if self._lease.leads and not led:
-                self.restart()
-            led = self._lease.leads
-            if led:
+            self._follow_leases()
+            if self._led:
                 self._step()
 
     def _step(self) -> None:
@@ -174,15 +206,14 @@
         for book in books:
             if not book.busy and self._needs_report(book, now):
                 self._start(book, self._read(book))
-        if not self._lease.may_order():
-            self._missing += len(self._list_wanted(service, books, now)[1])
-            return
+        books = [b for b in books if self._find_lease(b.endpoint).may_order()]
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
-        ceiling.refill(spec.loads_per_second, now)
+        part = len(self._led) / len(self._leases)
+        ceiling.refill(part * spec.loads_per_second, now)
         able = [b for b in books if self._is_able(b, now)]
         able = self._order_models(able, spec, ceiling)
         able = self._order_versions(able)
-        self._order_adapters(service, spec, books, able, now)
+        self._order_adapters(service, spec, able, now)
 
     def _needs_report(self, book: EngineBook, now: Seconds) -> bool:
         if book.endpoint.leaving or now < book.failing_until:
@@ -245,51 +276,44 @@
         self,
         service: ServiceName,
         spec: EngineSpec,
-        books: list[EngineBook],
         able: list[EngineBook],
         now: Seconds,
     ) -> None:
-        wanted, missing = self._list_wanted(service, books, now)
-        self._missing += len(missing)
-        counts = _count_holders(books)
+        wanted = self._list_wanted(service, now)
+        self._missing += sum(
+            1 for w in wanted if w.waiting and not w.holders and not w.coming
+        )
         in_use = self._list_in_use()
-        views = [self._view(service, book, spec, counts, in_use, now) for book in able]
+        views = [self._view(service, book, spec, in_use, now) for book in able]
         for placement in self._plan(views, wanted, now):
             book = self.books[placement.engine]
             self._start(book, self._place(book, placement))
 
-    def _list_wanted(
-        self, service: ServiceName, books: list[EngineBook], now: Seconds
-    ) -> tuple[list[Wanted], list[WeightsKey]]:
+    def _list_wanted(self, service: ServiceName, now: Seconds) -> list[Wanted]:
+        """Return the adapters asked for, and where they stand in the whole fleet."""
         holders: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
         coming: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
-        for book in books:
-            if book.endpoint.leaving:
-                continue
-            where = book.endpoint.data_centre
-            for key in book.weights.keys() - book.leaving:
+        for endpoint in self._fleet.list_service(service):
+            where = endpoint.data_centre
+            for key in endpoint.weights:
                 holders[key][where] = holders[key].get(where, 0) + 1
-            for key in book.incoming:
+            for key in endpoint.loading:
                 coming[key][where] = coming[key].get(where, 0) + 1
         wanted = []
-        missing = []
         for (asked, key), row in self.demand.rows.items():
-            if asked != service or not key.adapter:
+            if asked != service or not key.adapter or key in self._placing:
                 continue
-            waiting = row.count_waiting(now)
             wanted.append(
                 Wanted(
                     key=key,
                     rates=dict(row.rates),
-                    waiting=waiting,
+                    waiting=row.count_waiting(now),
                     missed=row.missed,
                     holders=holders.get(key, {}),
                     coming=coming.get(key, {}),
                 )
             )
-            if key not in holders and key not in coming and (waiting or row.missed > 1):
-                missing.append(key)
-        return wanted, missing
+        return wanted
 
     def _list_in_use(self) -> set[tuple[EndpointId, WeightsKey]]:
         return {name for uses in self.uses.values() for name in uses}
@@ -299,7 +323,6 @@
         service: ServiceName,
         book: EngineBook,
         spec: EngineSpec,
-        counts: dict[WeightsKey, int],
         in_use: set[tuple[EndpointId, WeightsKey]],
         now: Seconds,
     ) -> EngineView:
@@ -316,7 +339,7 @@
                     since=book.held_since.get(key, 0.0),
                     rate=row.rate(),
                     near=row.rates.get(where, 0.0),
-                    holders=counts.get(key, 1),
+                    holders=len(self._fleet.list_holders(service, key, now)),
                     in_use=(book.endpoint.id, key) in in_use,
                 )
             )
@@ -355,8 +378,7 @@
             LOG.info("leader: order held back, the lease is not certain")
         finally:
             book.busy = False
-            if book.endpoint.id in self.books:
-                self._publish(book.make_row())
+            self._publish_if_led(book)
 
     async def _read(self, book: EngineBook) -> None:
         report = await self._caller.read_report(book.endpoint)
@@ -367,6 +389,7 @@
         """Order a load; another task waits for its end."""
         warm = key in book.warm
         outcome = await self._caller.order(book, OrderKind.LOAD, key)
+        self._publish_if_led(book)
         if outcome is OrderOutcome.DONE:
             self._end_load(book, key)
         elif outcome is OrderOutcome.UNDER_WAY:
@@ -375,7 +398,11 @@
     def _end_load(self, book: EngineBook, key: WeightsKey) -> None:
         version = self._fleet.newest_version(key) or 1
         book.note_held(key, version, self._clock())
-        if book.endpoint.id in self.books:
+        self._publish_if_led(book)
+
+    def _publish_if_led(self, book: EngineBook) -> None:
+        """Tell the others of a book, unless it is no longer this daemon's."""
+        if self.books.get(book.endpoint.id) is book:
             self._publish(book.make_row())
 
     async def _await_load(self, book: EngineBook, key: WeightsKey, warm: bool) -> None:
@@ -383,7 +410,9 @@
         began = self._clock()
         await asyncio.sleep(WARM_TIME if warm else ASK_PART * self._load_time)
         while key in book.incoming and self._clock() - began < LOAD_GIVEN_UP:
-            if book.sequence is not None and self._lease.may_order():
+            if self.books.get(book.endpoint.id) is not book:
+                return
+            if book.sequence is not None:
                 try:
                     outcome = await self._caller.order(book, OrderKind.LOAD, key)
                 except (EngineSilent, NotHolding):
@@ -405,6 +434,13 @@
             self._load_time += LOAD_TIME_WEIGHT * (took - self._load_time)
 
     async def _place(self, book: EngineBook, placement: Placement) -> None:
+        self._placing.add(placement.key)
+        try:
+            await self._make_way_and_load(book, placement)
+        finally:
+            self._placing.discard(placement.key)
+
+    async def _make_way_and_load(self, book: EngineBook, placement: Placement) -> None:
         victim = placement.victim
         if victim is not None:
             book.leaving.add(victim)
@@ -414,13 +450,3 @@
                 # It waits for its runs, or the book was wrong: a report will tell.
                 return
         await self._load(book, placement.key)
-
-
-def _count_holders(books: Iterable[EngineBook]) -> dict[WeightsKey, int]:
-    counts: dict[WeightsKey, int] = defaultdict(int)
-    for book in books:
-        if book.endpoint.leaving:
-            continue
-        for key in book.weights.keys() - book.leaving:
-            counts[key] += 1
-    return counts
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -1,4 +1,4 @@
-"""The lease under which one daemon at a time gives orders to engines.
+"""The lease under which one daemon at a time gives orders to a group of engines.
 
 It is one object of the store, written by conditional updates. A holder gives orders
 only while its last renewal that the store answered was sent less than ``VALIDITY``
@@ -15,7 +15,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass, replace
 from typing import Any, Final
 
@@ -26,15 +26,20 @@
 
 LOG = logging.getLogger("kestreltally.lease")
 
-LEASE_NAME: Final = "orders"
-# Two renewals may fail before the holder must stop.
-RENEW_EVERY: Final[Seconds] = 0.8
+# A renewal may fail before the holder must stop.
+RENEW_EVERY: Final[Seconds] = 0.7
 RENEW_RETRY: Final[Seconds] = 0.2
-VALIDITY: Final[Seconds] = 2.5
+VALIDITY: Final[Seconds] = 2.0
 # An unchanged lease may be taken after this: two renewals were missed.
-TAKE_AFTER: Final[Seconds] = 1.8
-TAKE_JITTER: Final[Seconds] = 0.5
-READ_EVERY: Final[Seconds] = 0.35
+TAKE_AFTER: Final[Seconds] = 1.6
+TAKE_JITTER: Final[Seconds] = 0.4
+# Daemons of other data centres leave a lease that long to those of its own.
+FOREIGN_PATIENCE: Final[Seconds] = 3.0
+# A holder that the store has not answered for this long, while others see the store,
+# resigns: its word lets a successor spare the wait for its validity.
+RESIGN_AFTER: Final[Seconds] = 1.1
+RESIGNED_FOR: Final[Seconds] = 3.0
+READ_EVERY: Final[Seconds] = 0.3
 # How long an order may be on its way to an engine.
 ORDER_TRANSIT: Final[Seconds] = 0.4
 # Orders stop this long before the validity ends.
@@ -73,7 +78,7 @@
 
 
 class Lease:
-    """This daemon's part in who leads."""
+    """This daemon's part in who leads the engines of one data centre."""
 
     def __init__(
         self,
@@ -83,6 +88,8 @@
         address: Listening,
         apart: Seconds,
         clock: Callable[[], Seconds],
+        data_centre: str,
+        patience: Seconds,
     ) -> None:
         self._store = store
         self._vm = vm
@@ -90,19 +97,21 @@
         self._address = address
         self._apart = apart
         self._clock = clock
-        self._jitter = random.uniform(0.0, TAKE_JITTER)
+        self.data_centre = data_centre
+        self._patience = patience + random.uniform(0.0, TAKE_JITTER)
         self.record: LeaseRecord | None = None
         self.sighting: Sighting | None = None
+        self._absent_since: Seconds | None = None
         self._valid_until: Seconds = float("-inf")
         self._orders_from: Seconds = float("inf")
+        self._renewed_at: Seconds = float("-inf")
+        self._not_before: Seconds = float("-inf")
+        self._resigned: dict[int, Seconds] = {}
         self.leads = False
-        # Set by the daemon: whether the present leader's feed is heard.
-        self.leader_heard: Callable[[], bool] = lambda: False
-        self.may_lead = True
 
     @property
     def fence(self) -> int:
-        """Return the number of the lease that is held."""
+        """Return the number of the lease as it was last known."""
         return self.record.fence if self.record is not None else 0
 
     def may_order(self) -> bool:
@@ -119,6 +128,10 @@
         """Note that the leader's feed names a revision of the lease."""
         self._see(revision)
 
+    def note_resigned(self, fence: int) -> None:
+        """Note that the holder of a number has said that it gives no more orders."""
+        self._resigned.setdefault(fence, self._clock())
+
     def _see(self, revision: int) -> Sighting:
         sighting = self.sighting
         if sighting is None or sighting.revision < revision:
@@ -126,18 +139,18 @@
         return sighting
 
     async def run(self) -> None:
-        """Hold, renew or watch the lease for ever."""
+        """Renew the lease for ever, while it is held."""
         while True:
+            if not self.leads:
+                await asyncio.sleep(RENEW_RETRY)
+                continue
             try:
-                if self.leads:
-                    await self._renew()
-                elif self.leader_heard() or not self.may_lead:
-                    await asyncio.sleep(READ_EVERY / 2)
-                else:
-                    await self._look()
-                    await asyncio.sleep(READ_EVERY)
+                await self._renew()
             except StoreError as error:
-                LOG.info("lease: store call failed", extra={"reason": str(error)})
+                LOG.info(
+                    "lease: not renewed",
+                    extra={"lease": self.data_centre, "reason": str(error)},
+                )
                 await asyncio.sleep(RENEW_RETRY)
 
     async def _renew(self) -> None:
@@ -152,14 +165,13 @@
         try:
             stored = await self._write(sighting.revision, wanted)
         except Conflict as conflict:
-            self._resolve_conflict(conflict, wanted, began)
+            self._resolve_conflict(conflict, wanted)
             return
-        self._hold(stored, wanted, began)
-        await asyncio.sleep(RENEW_EVERY)
+        if self.leads:
+            self._hold(stored, wanted, began)
+            await asyncio.sleep(RENEW_EVERY)
 
-    def _resolve_conflict(
-        self, conflict: Conflict, wanted: LeaseRecord, began: Seconds
-    ) -> None:
+    def _resolve_conflict(self, conflict: Conflict, wanted: LeaseRecord) -> None:
         """Tell an own write whose answer was lost from another daemon's."""
         current = conflict.current
         found = LeaseRecord.decode(current.content) if current is not None else None
@@ -174,35 +186,66 @@
         self.record = record
         self.sighting = Sighting(stored.revision, self._clock())
         self._valid_until = began + VALIDITY
+        self._renewed_at = self._clock()
 
     def _lose(self, reason: str) -> None:
-        LOG.warning("lease: lost", extra={"fence": self.fence, "reason": reason})
-        self.leads = False
+        LOG.warning(
+            "lease: lost",
+            extra={"lease": self.data_centre, "fence": self.fence, "reason": reason},
+        )
+        self._stop_leading()
         self.record = None
         self.sighting = None
+
+    def _stop_leading(self) -> None:
+        self.leads = False
         self._valid_until = float("-inf")
         self._orders_from = float("inf")
 
-    async def _look(self) -> None:
-        """Read the lease, and take it when its holder does not renew it."""
-        stored = await self._store.read(LEASE_KIND, LEASE_NAME)
+    def should_resign(self) -> bool:
+        """Tell whether the store has not answered this holder for long."""
+        return self.leads and self._clock() - self._renewed_at > RESIGN_AFTER
+
+    def resign(self) -> int:
+        """Give no more orders under this number, for the store is out of reach."""
+        fence = self.fence
+        self._stop_leading()
+        self._not_before = self._clock() + RESIGNED_FOR
+        LOG.warning(
+            "lease: resigned", extra={"lease": self.data_centre, "fence": fence}
+        )
+        return fence
+
+    async def consider(self, stored: StoredObject | None) -> None:
+        """Look at the lease, and take it when its holder does not renew it."""
+        now = self._clock()
+        if self.leads:
+            return
         if stored is None:
-            await self._create()
+            self._absent_since = self._absent_since or now
+            if now - self._absent_since >= self._patience - TAKE_AFTER:
+                await self._create()
             return
         record = LeaseRecord.decode(stored.content)
         sighting = self._see(stored.revision)
+        if sighting.revision != stored.revision:
+            return
         self.record = record
-        now = self._clock()
+        if now < self._not_before:
+            return
         own = record.holder == self._vm
-        idle = now - sighting.since
-        if own or record.released or idle >= TAKE_AFTER + self._jitter:
+        free = record.released or record.fence in self._resigned
+        patience = self._patience - TAKE_AFTER if free else self._patience
+        if own or now - sighting.since >= patience:
             await self._take(record, sighting)
 
     async def _create(self) -> None:
         record = self._make_record(fence=1, quiet=0.0)
         began = self._clock()
         try:
-            stored = await self._store.create(LEASE_KIND, LEASE_NAME, asdict(record))
+            stored = await self._store.create(
+                LEASE_KIND, self.data_centre, asdict(record)
+            )
         except Conflict:
             return
         self._hold(stored, record, began)
@@ -226,16 +269,23 @@
         if former.holder == self._vm:
             # One machine is one holder: only what it waited for itself counts.
             return now + former.quiet
-        if former.released:
-            return sighting.since + ORDER_TRANSIT + self._apart
-        return sighting.since + VALIDITY + ORDER_TRANSIT + self._apart
+        last = sighting.since + (0.0 if former.released else VALIDITY)
+        resigned = self._resigned.get(former.fence)
+        if resigned is not None:
+            last = min(last, resigned)
+        return last + ORDER_TRANSIT + self._apart
 
     def _begin(self, start: Seconds) -> None:
         self.leads = True
         self._orders_from = start
+        self._resigned.clear()
         LOG.info(
             "lease: held",
-            extra={"fence": self.fence, "orders_in": round(start - self._clock(), 3)},
+            extra={
+                "lease": self.data_centre,
+                "fence": self.fence,
+                "orders_in": round(start - self._clock(), 3),
+            },
         )
 
     def _make_record(self, fence: int, quiet: Seconds) -> LeaseRecord:
@@ -251,18 +301,48 @@
 
     async def _write(self, revision: int, record: LeaseRecord) -> StoredObject:
         return await self._store.replace(
-            LEASE_KIND, LEASE_NAME, revision, asdict(record)
+            LEASE_KIND, self.data_centre, revision, asdict(record)
         )
 
     async def release(self) -> None:
         """Give the lease up at a planned stop, so that the next need not wait long."""
-        self.may_lead = False
+        self._not_before = float("inf")
         record, sighting = self.record, self.sighting
         if not self.leads or record is None or sighting is None:
             return
-        self.leads = False
-        self._valid_until = float("-inf")
+        self._stop_leading()
         try:
             await self._write(sighting.revision, replace(record, released=True))
         except StoreError as error:
             LOG.warning("lease: not released", extra={"reason": str(error)})
+
+
+class LeaseBoard:
+    """Reads all leases in one call, while a leader is not heard."""
+
+    def __init__(
+        self,
+        store: Store,
+        leases: Mapping[str, Lease],
+        wants_look: Callable[[Lease], bool],
+    ) -> None:
+        self._store = store
+        self._leases = leases
+        self._wants_look = wants_look
+
+    async def run(self) -> None:
+        """Look for ever, whenever it is wanted."""
+        while True:
+            if any(self._wants_look(lease) for lease in self._leases.values()):
+                try:
+                    await self._look()
+                except StoreError as error:
+                    LOG.info("lease: not read", extra={"reason": str(error)})
+            await asyncio.sleep(READ_EVERY)
+
+    async def _look(self) -> None:
+        listing = await self._store.list_objects(LEASE_KIND)
+        found = {stored.name: stored for stored in listing.objects}
+        for lease in self._leases.values():
+            if self._wants_look(lease):
+                await lease.consider(found.get(lease.data_centre))
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final
 
 from kestreltally.entry.upstream import (
@@ -19,6 +20,7 @@
 )
 from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
 from kestreltally.placing.books import EngineBook, Incoming
+from kestreltally.placing.lease import Lease
 from kestreltally.platform.engines import (
     ORDER_PATH,
     REPORT_PATH,
@@ -48,6 +50,18 @@
     """The lease does not allow an order now."""
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """The leave to give an order under one number of a lease."""
+
+    lease: Lease
+    fence: int
+
+    def holds(self) -> bool:
+        """Tell whether the order may leave at this very moment."""
+        return self.lease.may_order() and self.lease.fence == self.fence
+
+
 class EngineCaller:
     """Calls engines for their reports and gives them orders under a lease."""
 
@@ -55,20 +69,18 @@
         self,
         pool: ChannelPool,
         holder: str,
-        may_order: Callable[[], bool],
-        fence: Callable[[], int],
+        find_lease: Callable[[Endpoint], Lease],
         clock: Callable[[], Seconds],
     ) -> None:
         self._pool = pool
         self._holder = holder
-        self._may_order = may_order
-        self._fence = fence
+        self._find_lease = find_lease
         self._clock = clock
         self._calls = 0
 
     async def read_report(self, endpoint: Endpoint) -> EngineReport:
         """Return an engine's report; raises ``EngineSilent``."""
-        status, body = await self._call(endpoint, "GET", REPORT_PATH, b"", guard=False)
+        status, body = await self._call(endpoint, "GET", REPORT_PATH, b"", None)
         if status != 200:
             raise EngineSilent(f"report: status {status}")
         try:
@@ -92,9 +104,11 @@
     ) -> OrderOutcome:
         if book.sequence is None:
             raise EngineSilent("no report yet")
-        order = Order(kind, key, self._holder, self._fence(), book.sequence)
+        lease = self._find_lease(book.endpoint)
+        grant = Grant(lease, lease.fence)
+        order = Order(kind, key, self._holder, grant.fence, book.sequence)
         status, _ = await self._call(
-            book.endpoint, "POST", ORDER_PATH, encode_order(order), guard=True
+            book.endpoint, "POST", ORDER_PATH, encode_order(order), grant
         )
         outcome = decode_outcome(status)
         now = self._clock()
@@ -130,7 +144,12 @@
             book.incoming[key] = Incoming(book.sequence, now)
 
     async def _call(
-        self, endpoint: Endpoint, method: str, path: str, body: bytes, *, guard: bool
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        body: bytes,
+        grant: Grant | None,
     ) -> tuple[int, bytes]:
         self._calls += 1
         request_id = f"{self._holder}-{self._calls}"
@@ -150,7 +169,7 @@
         keep = False
         try:
             # Checked with no pause before the bytes leave.
-            if guard and not self._may_order():
+            if grant is not None and not grant.holds():
                 raise NotHolding()
             async with asyncio.timeout(CALL_TIMEOUT):
                 answer = await channel.send(head, body, None)
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -41,6 +41,7 @@
     return Deployment(
         vm=content["NodeName"],
         data_centre=content["Zone"],
+        data_centres=tuple(sorted({*content["Zones"], content["Zone"]})),
         clients=read_address(listen["Front"]),
         readiness=read_address(listen["Ready"]),
         peers=Listening(content["IpAddress"], first_internal),
