--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,281 @@
+"""Who may give orders: one holder at a time, apart from the one before."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+
+from kestreltally.deployment import Listening
+from kestreltally.placing.lease import (
+    ORDER_TRANSIT,
+    TAKE_AFTER,
+    VALIDITY,
+    Lease,
+    LeaseBoard,
+)
+from kestreltally.platform.store import (
+    Conflict,
+    Listing,
+    StoredObject,
+    StoreError,
+)
+
+pytestmark = pytest.mark.looptime
+
+APART = 3.0
+DATA_CENTRE = "north"
+
+
+class FakeStore:
+    """One kind of objects with revisions, kept by all views of it."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, StoredObject] = {}
+        self.revision = 0
+
+
+class StoreView:
+    """A daemon's way to the store, with faults of its own."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self._store = store
+        self.down = False
+        self.loses_answers = False
+        self.latency = 0.004
+
+    async def _cross(self) -> None:
+        await asyncio.sleep(self.latency)
+        if self.down:
+            raise StoreError("down")
+
+    async def list_objects(self, kind: str) -> Listing:
+        await self._cross()
+        return Listing(tuple(self._store.objects.values()), self._store.revision)
+
+    async def create(self, kind: str, name: str, content: Any) -> StoredObject:
+        await self._cross()
+        if name in self._store.objects:
+            raise Conflict(self._store.objects[name])
+        return self._write(name, content)
+
+    async def replace(
+        self, kind: str, name: str, revision: int, content: Any
+    ) -> StoredObject:
+        await self._cross()
+        current = self._store.objects.get(name)
+        if current is None or current.revision != revision:
+            raise Conflict(current)
+        return self._write(name, content)
+
+    def _write(self, name: str, content: Any) -> StoredObject:
+        self._store.revision += 1
+        written = StoredObject(name, self._store.revision, content)
+        self._store.objects[name] = written
+        if self.loses_answers:
+            raise StoreError("answer lost")
+        return written
+
+
+@dataclass
+class Contender:
+    """A daemon that wants the lease."""
+
+    vm: str
+    view: StoreView
+    lease: Lease
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def start(self) -> None:
+        board = LeaseBoard(
+            self.view,  # type: ignore[arg-type]
+            {DATA_CENTRE: self.lease},
+            lambda lease: not lease.leads,
+        )
+        self.tasks = [
+            asyncio.create_task(self.lease.run()),
+            asyncio.create_task(board.run()),
+        ]
+
+    def kill(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.lease.leads = False
+
+
+def make_contender(store: FakeStore, vm: str, boot: str = "") -> Contender:
+    view = StoreView(store)
+    lease = Lease(
+        view,  # type: ignore[arg-type]
+        vm,
+        boot or f"{vm}-boot",
+        Listening("127.0.0.1", 1),
+        APART,
+        asyncio.get_running_loop().time,
+        DATA_CENTRE,
+        TAKE_AFTER,
+    )
+    return Contender(vm, view, lease)
+
+
+async def wait_until_ordering(contender: Contender, limit: float) -> float:
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while not contender.lease.may_order():
+        await asyncio.sleep(0.01)
+        assert loop.time() - began < limit, f"{contender.vm} may not order"
+    return loop.time() - began
+
+
+async def test_the_first_daemon_may_order_at_once() -> None:
+    first = make_contender(FakeStore(), "a")
+    first.start()
+    assert await wait_until_ordering(first, 1.0) < 0.5
+    assert first.lease.fence == 1
+
+
+async def test_a_holder_without_the_store_stops_within_its_validity() -> None:
+    holder = make_contender(FakeStore(), "a")
+    holder.start()
+    await wait_until_ordering(holder, 1.0)
+    holder.view.down = True
+    await asyncio.sleep(VALIDITY)
+    assert not holder.lease.may_order()
+
+
+async def test_a_holder_goes_on_when_the_store_returns_and_nobody_took_over() -> None:
+    holder = make_contender(FakeStore(), "a")
+    holder.start()
+    await wait_until_ordering(holder, 1.0)
+    holder.view.down = True
+    await asyncio.sleep(10.0)
+    holder.view.down = False
+    assert await wait_until_ordering(holder, 1.0) < 0.5
+    assert holder.lease.fence == 1
+
+
+async def test_a_successor_waits_for_the_former_holders_last_possible_order() -> None:
+    store = FakeStore()
+    former, successor = make_contender(store, "a"), make_contender(store, "b")
+    former.start()
+    await wait_until_ordering(former, 1.0)
+    successor.start()
+    await asyncio.sleep(1.0)
+    former.kill()
+    took = await wait_until_ordering(successor, 10.0)
+    assert took >= APART + ORDER_TRANSIT
+    assert successor.lease.fence == 2
+
+
+async def test_a_released_lease_costs_only_the_time_apart() -> None:
+    store = FakeStore()
+    former, successor = make_contender(store, "a"), make_contender(store, "b")
+    former.start()
+    await wait_until_ordering(former, 1.0)
+    successor.start()
+    await former.lease.release()
+    former.kill()
+    took = await wait_until_ordering(successor, 10.0)
+    assert APART <= took < APART + ORDER_TRANSIT + 1.0
+
+
+async def test_a_resigned_number_may_be_followed_without_its_validity() -> None:
+    store = FakeStore()
+    former, successor = make_contender(store, "a"), make_contender(store, "b")
+    former.start()
+    await wait_until_ordering(former, 1.0)
+    successor.start()
+    former.view.down = True
+    await asyncio.sleep(1.2)
+    assert former.lease.should_resign()
+    successor.lease.note_resigned(former.lease.resign())
+    assert not former.lease.may_order()
+    took = await wait_until_ordering(successor, 10.0)
+    assert APART <= took < APART + ORDER_TRANSIT + 1.0
+
+
+async def test_a_daemon_restarted_on_its_vm_need_not_wait() -> None:
+    store = FakeStore()
+    former = make_contender(store, "a", "boot-1")
+    former.start()
+    await wait_until_ordering(former, 1.0)
+    former.kill()
+    again = make_contender(store, "a", "boot-2")
+    again.start()
+    assert await wait_until_ordering(again, 5.0) < 1.0
+    assert again.lease.fence == 2
+
+
+async def test_a_restart_while_still_waiting_waits_on() -> None:
+    store = FakeStore()
+    former = make_contender(store, "a")
+    former.start()
+    await wait_until_ordering(former, 1.0)
+    former.kill()
+    second = make_contender(store, "b", "boot-1")
+    second.start()
+    while not second.lease.leads:
+        await asyncio.sleep(0.01)
+    waits = second.lease.find_order_wait()
+    second.kill()
+    again = make_contender(store, "b", "boot-2")
+    again.start()
+    assert await wait_until_ordering(again, 10.0) >= waits - 0.8
+
+
+async def test_an_own_write_whose_answer_was_lost_is_known_again() -> None:
+    holder = make_contender(FakeStore(), "a")
+    holder.start()
+    await wait_until_ordering(holder, 1.0)
+    holder.view.loses_answers = True
+    await asyncio.sleep(1.0)
+    holder.view.loses_answers = False
+    assert await wait_until_ordering(holder, 2.0) < 1.0
+    assert holder.lease.fence == 1
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_holders_are_apart_and_numbers_rise_under_random_faults(
+    seed: int,
+) -> None:
+    random = Random(seed)
+    store = FakeStore()
+    daemons = [make_contender(store, vm) for vm in "abcd"]
+    for daemon in daemons:
+        daemon.start()
+    loop = asyncio.get_running_loop()
+    last: dict[str, float] = {}
+    highest = 0
+    for step in range(2_000):
+        await asyncio.sleep(0.02)
+        ordering = [each for each in daemons if each.lease.may_order()]
+        assert len(ordering) <= 1
+        for each in ordering:
+            others = [at for vm, at in last.items() if vm != each.vm]
+            assert all(loop.time() - at >= APART for at in others), (seed, step)
+            assert each.lease.fence >= highest
+            highest = each.lease.fence
+            last[each.vm] = loop.time()
+        if random.random() < 0.02:
+            _disturb(random, store, daemons)
+    assert highest > 1
+
+
+def _disturb(random: Random, store: FakeStore, daemons: list[Contender]) -> None:
+    at = random.randrange(len(daemons))
+    daemon = daemons[at]
+    what = random.choice(["down", "up", "lose", "restart", "slow", "resign"])
+    if what == "restart":
+        daemon.kill()
+        daemons[at] = make_contender(store, daemon.vm, f"boot-{random.random()}")
+        daemons[at].start()
+    elif what == "resign" and daemon.lease.leads:
+        fence = daemon.lease.resign()
+        for other in daemons:
+            if other is not daemon and random.random() < 0.7:
+                other.lease.note_resigned(fence)
+    else:
+        daemon.view.down = what == "down"
+        daemon.view.loses_answers = what == "lose"
+        daemon.view.latency = 0.25 if what == "slow" else 0.004
