--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -11,6 +11,8 @@
 # Adapters that an engine held lately load some ten times as fast from its own memory.
 # How many it keeps is not told; fewer than any size seen.
 WARM_ROWS: Final = 64
+# An unload waits for the runs that use the adapter; those last some seconds.
+UNLOAD_LIMIT: Final[Seconds] = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +23,14 @@
     ordered_at: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """An unload that was ordered: the engine's count of orders if it was taken."""
+
+    sequence: int
+    ordered_at: Seconds
+
+
 @dataclass(slots=True)
 class EngineBook:
     """What the leader knows of one engine by its orders and its reports.
@@ -34,7 +44,7 @@
     weights: dict[WeightsKey, int] = field(default_factory=dict)
     held_since: dict[WeightsKey, Seconds] = field(default_factory=dict)
     incoming: dict[WeightsKey, Incoming] = field(default_factory=dict)
-    leaving: set[WeightsKey] = field(default_factory=set)
+    leaving: dict[WeightsKey, Outgoing] = field(default_factory=dict)
     warm: OrderedDict[WeightsKey, None] = field(default_factory=OrderedDict)
     sequence: int | None = None
     busy: bool = False
@@ -61,9 +71,23 @@
             for key in report.loading
             if key not in report.weights or key in self.incoming
         }
-        self.leaving &= set(report.weights)
+        self._check_leaving(report, now)
         self.held_since = {k: self.held_since.get(k, now) for k in report.weights}
 
+    def _check_leaving(self, report: EngineReport, now: Seconds) -> None:
+        """Use again what was to be unloaded, if the engine did not take the order."""
+        self.leaving = {
+            key: out
+            for key, out in self.leaving.items()
+            if key in report.weights
+            and report.sequence >= out.sequence
+            and now - out.ordered_at < UNLOAD_LIMIT
+        }
+
+    def begin_unload(self, key: WeightsKey, now: Seconds) -> None:
+        """Note that an adapter is to make way: it gets no more requests."""
+        self.leaving[key] = Outgoing((self.sequence or 0) + 1, now)
+
     def _confirm_loads(self, report: EngineReport, now: Seconds) -> None:
         for key, load in list(self.incoming.items()):
             held = report.weights.get(key)
@@ -80,7 +104,7 @@
         """Note that an engine has confirmed an unload."""
         self.weights.pop(key, None)
         self.held_since.pop(key, None)
-        self.leaving.discard(key)
+        self.leaving.pop(key, None)
         self._note_warm(key)
 
     def _note_warm(self, key: WeightsKey) -> None:
@@ -95,7 +119,7 @@
         """Return how many adapter places are or may be taken."""
         held = {key for key in self.weights if key.adapter}
         coming = {key for key in self.incoming if key.adapter}
-        return len(held | coming | self.leaving)
+        return len(held | coming | self.leaving.keys())
 
     def count_free(self, spec: EngineSpec) -> int:
         """Return how many adapter places are surely free."""
@@ -113,7 +137,7 @@
     def make_row(self) -> Endpoint:
         """Return the engine as the other daemons should see it."""
         # What is replaced refuses requests until the new version is there.
-        closed = self.leaving | self.incoming.keys()
+        closed = self.leaving.keys() | self.incoming.keys()
         usable = {k: v for k, v in self.weights.items() if k not in closed}
         return replace(
             self.endpoint,
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -443,7 +443,7 @@
     async def _make_way_and_load(self, book: EngineBook, placement: Placement) -> None:
         victim = placement.victim
         if victim is not None:
-            book.leaving.add(victim)
+            book.begin_unload(victim, self._clock())
             self._publish(book.make_row())
             outcome = await self._caller.order(book, OrderKind.UNLOAD, victim)
             if outcome is not OrderOutcome.DONE:
