--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -59,7 +59,7 @@
 HOUSEKEEPING_EVERY: Final[Seconds] = 0.1
 RESTART_PAUSE: Final[Seconds] = 0.2
 # Changes of endpoints within this time come in one answer of the store.
-ENDPOINTS_GAP: Final[Seconds] = 0.15
+ENDPOINTS_GAP: Final[Seconds] = 0.4
 VERSIONS_GAP: Final[Seconds] = 0.1
 CONFIGURATION_GAP: Final[Seconds] = 0.1
 # A leader whose own knowledge of endpoints is older than this is not relied upon.
@@ -221,12 +221,14 @@
         LOG.info("daemon: planned stop begins", extra={"live": self._surface.live})
         last = began + self._deployment.bounds.grace - STOP_MARGIN
         self._surface.stop_by(last)
-        for lease in self._leases.values():
-            await lease.release()
         while self._clock() < last:
             if self._clock() - began >= STOP_LEAST and not self._surface.live:
                 break
             await asyncio.sleep(STOP_CHECK)
+        # Not sooner: until here orders can be given, and a daemon that is started
+        # again on this VM goes on without a wait.
+        for lease in self._leases.values():
+            await lease.release()
         LOG.info("daemon: planned stop ends", extra={"live": self._surface.live})
 
     async def close(self) -> None:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -10,7 +10,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Final
 
 from kestreltally.deployment import Deployment, Listening
 from kestreltally.entry.demand import WeightsDemand
@@ -42,6 +42,11 @@
 
 LOG = logging.getLogger("kestreltally.exchange")
 
+# At the start, and when a leader is lost, another is heard within this time as a rule;
+# until then requests for missing adapters are held as if a load took this long.
+LEADER_SOON: Final[Seconds] = 1.0
+LEADER_SOON_WAIT: Final[Seconds] = 0.35
+
 Use = tuple[EndpointId, WeightsKey]
 
 
@@ -83,6 +88,7 @@
         }
         self.leader: Leader | None = None
         self._reported: dict[EndpointId, int] = {}
+        self._heard_at = clock()
         self._resigned: tuple[LedDataCentre, ...] = ()
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
         # Requests of this group for weights that only engines elsewhere hold, by the
@@ -372,9 +378,13 @@
 
     def forget_leader(self) -> None:
         """Plan with nobody's word while no leader is heard."""
-        if not self.leads and self.find_primary() is None:
-            self._relay.load_wait = None
-            self._relay.others = {}
+        now = self._clock()
+        if self.leads or self.find_primary() is not None:
+            self._heard_at = now
+            return
+        soon = now - self._heard_at < LEADER_SOON
+        self._relay.load_wait = LEADER_SOON_WAIT if soon else None
+        self._relay.others = {}
 
 
 def _subtract(
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -234,8 +234,10 @@
         if now < self._not_before:
             return
         own = record.holder == self._vm
-        free = record.released or record.fence in self._resigned
-        patience = self._patience - TAKE_AFTER if free else self._patience
+        # A lease that was released is left for as long to a daemon restarted on the
+        # same VM: the time that others must wait runs meanwhile.
+        resigned = record.fence in self._resigned
+        patience = self._patience - TAKE_AFTER if resigned else self._patience
         if own or now - sighting.since >= patience:
             await self._take(record, sighting)
 
