--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -1,6 +1,6 @@
 """The tables of a daemon: the configuration, endpoints, and who holds what."""
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from typing import Final
@@ -23,6 +23,9 @@
 # operators' bound is 5 s from the store's answer; knowledge of it is up to 1 s old.
 OLD_VERSION_FOR: Final[Seconds] = 2.5
 
+# Adapters whose last engine is remembered: some dozens an engine are of use.
+LAST_HELD_ROWS: Final = 8_192
+
 
 @dataclass(slots=True)
 class RouteTable:
@@ -71,6 +74,7 @@
         self._by_service: dict[ServiceName, set[EndpointId]] = defaultdict(set)
         self._holders: dict[WeightsKey, set[EndpointId]] = defaultdict(set)
         self._absent: dict[tuple[EndpointId, WeightsKey], Seconds] = {}
+        self._last_held: OrderedDict[WeightsKey, EndpointId] = OrderedDict()
 
     def take_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is older; tell whether it was."""
@@ -89,12 +93,31 @@
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Add an endpoint, or replace what was known of it."""
+        self._note_dropped(endpoint)
         self._unlink(endpoint.id)
         self.endpoints[endpoint.id] = endpoint
         self._by_service[endpoint.service].add(endpoint.id)
         for key in endpoint.weights:
             self._holders[key].add(endpoint.id)
 
+    def _note_dropped(self, endpoint: Endpoint) -> None:
+        """Remember where adapters were that an engine no longer holds."""
+        known = self.endpoints.get(endpoint.id)
+        if known is None:
+            return
+        for key in known.weights.keys() - endpoint.weights.keys():
+            self._last_held[key] = endpoint.id
+            self._last_held.move_to_end(key)
+        while len(self._last_held) > LAST_HELD_ROWS:
+            self._last_held.popitem(last=False)
+
+    def find_last_holder(self, key: WeightsKey) -> Endpoint | None:
+        """Return the engine that held some weights last: it may have kept a copy."""
+        endpoint = self.endpoints.get(self._last_held.get(key, EndpointId("")))
+        if endpoint is None or endpoint.leaving:
+            return None
+        return endpoint
+
     def drop_endpoint(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone."""
         self._unlink(endpoint)
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -157,6 +157,8 @@
             self._exchange.put_row,
         )
         leader.other_wait = self._exchange.find_other_wait
+        leader.can_hand = self._exchange.can_hand
+        leader.hurry = self._exchange.hurry
         return leader
 
     def _make_watch(self, kind: str, follower: Follower, gap: Seconds) -> KindWatch:
@@ -170,7 +172,7 @@
         """Have the leader told of new demand at once."""
         primary = self._exchange.find_primary()
         if primary is not None:
-            self._exchange.clients[primary].hurry()
+            self._exchange.hurry(primary)
 
     async def _keep_house(self) -> None:
         while True:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -47,6 +47,9 @@
 LEADER_SOON: Final[Seconds] = 1.0
 LEADER_SOON_WAIT: Final[Seconds] = 0.35
 
+# A leader whose loads take longer than this is not asked for what it had lately.
+HAND_WAIT_MOST: Final[Seconds] = 0.5
+
 Use = tuple[EndpointId, WeightsKey]
 
 
@@ -269,12 +272,25 @@
         return [peer.uses for peer in self.feed.list_followers()]
 
     def _list_handed(self, data_centre: str) -> list[WeightsDemand]:
-        """Return the demand for another leader, while this one may not order."""
-        if self.leader is None or self.leader.find_order_wait() == 0.0:
+        """Return the demand that another leader is to meet."""
+        if self.leader is None:
             return []
+        if self.leader.find_order_wait() == 0.0:
+            return self.leader.list_handed(data_centre)
         able = [name for name, each in self.clients.items() if each.load_wait < 1.0]
         return self.leader.list_unmet() if able[:1] == [data_centre] else []
 
+    def can_hand(self, data_centre: str) -> bool:
+        """Tell whether the leader of another data centre can bring adapters now."""
+        client = self.clients.get(data_centre)
+        if client is None or not client.is_alive():
+            return False
+        return client.load_wait < HAND_WAIT_MOST
+
+    def hurry(self, data_centre: str) -> None:
+        """Have the leader of a data centre told of new demand at once."""
+        self.clients[data_centre].hurry()
+
     def find_other_wait(self) -> Seconds | None:
         """Return what a load takes at the quickest of the other leaders heard."""
         heard = [each.load_wait for each in self.clients.values() if each.is_alive()]
--- a/src/kestreltally/placing/demand.py
+++ b/src/kestreltally/placing/demand.py
@@ -23,13 +23,14 @@
 
     ``rates`` are requests a second by data centre, ``missed`` the requests sent back
     lately, both as of ``at``; ``waiting`` tells of each daemon its data centre, its
-    count and when it told.
+    count and when it told. ``waiting_since`` is when the first of them was told.
     """
 
     at: Seconds
     rates: dict[str, float] = field(default_factory=lambda: defaultdict(float))
     missed: float = 0.0
     waiting: dict[str, tuple[str, int, Seconds]] = field(default_factory=dict)
+    waiting_since: Seconds = 0.0
 
     def decay(self, now: Seconds) -> None:
         """Let the rates fade to a moment."""
@@ -70,6 +71,8 @@
         row.rates[data_centre] += told.arrivals / RATE_TIME
         row.missed += told.missed
         if told.waiting:
+            if not row.count_waiting(now):
+                row.waiting_since = now
             row.waiting[vm] = (data_centre, told.waiting, now)
         else:
             row.waiting.pop(vm, None)
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -60,6 +60,8 @@
 SILENT_PAUSE: Final[Seconds] = 0.5
 # The wait that is told while this daemon does not lead.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
+# How long another leader may take to bring what its engines have had lately.
+HAND_FOR: Final[Seconds] = 0.2
 # What it takes to have a leader of another data centre load an adapter instead.
 FORWARD_TIME: Final[Seconds] = 0.1
 
@@ -93,6 +95,11 @@
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._placing: set[WeightsKey] = set()
+        # What leaders of other data centres are asked for, as their engines have had
+        # it lately, and whether such a leader can be asked.
+        self.handed: dict[str, set[tuple[ServiceName, WeightsKey]]] = {}
+        self.can_hand: Callable[[str], bool] = lambda _: False
+        self.hurry: Callable[[str], None] = lambda _: None
         self._led: set[str] = set()
         self._missing = 0
         self._load_time = LOAD_TIME
@@ -155,18 +162,17 @@
         """Return what is asked for and held nowhere, for a leader that may order."""
         now = self._clock()
         return [
-            WeightsDemand(
-                service=service,
-                key=key,
-                arrivals=0,
-                waiting=row.count_waiting(now),
-                missed=0,
-            )
+            make_waiting(service, key, row.count_waiting(now))
             for (service, key), row in self.demand.rows.items()
             if row.count_waiting(now)
             and not self._fleet.list_holders(service, key, now)
         ]
 
+    def list_handed(self, data_centre: str) -> list[WeightsDemand]:
+        """Return what another leader is asked for, as its engines have had it."""
+        handed = self.handed.get(data_centre, ())
+        return [make_waiting(service, key, 1) for service, key in handed]
+
     def _follow_leases(self) -> None:
         """Take up the engines of leases newly held, and let go of those lost."""
         led = {name for name, lease in self._leases.items() if lease.leads}
@@ -279,6 +285,7 @@
         able: list[EngineBook],
         now: Seconds,
     ) -> None:
+        self._hand_over(service, now)
         wanted = self._list_wanted(service, now)
         self._missing += sum(
             1 for w in wanted if w.waiting and not w.holders and not w.coming
@@ -289,6 +296,27 @@
             book = self.books[placement.engine]
             self._start(book, self._place(book, placement))
 
+    def _hand_over(self, service: ServiceName, now: Seconds) -> None:
+        """Have another leader bring what its engines loaded before, for a while."""
+        before, self.handed = self.handed, {}
+        for (asked, key), row in self.demand.rows.items():
+            if asked != service or not row.count_waiting(now):
+                continue
+            if now - row.waiting_since > HAND_FOR:
+                continue
+            home = self._fleet.find_last_holder(key)
+            where = home.data_centre if home is not None else ""
+            if where in self._led or not self.can_hand(where):
+                continue
+            if self._fleet.list_holders(service, key, now):
+                continue
+            self.handed.setdefault(where, set()).add((service, key))
+            if (service, key) not in before.get(where, ()):
+                self.hurry(where)
+
+    def _is_handed(self, service: ServiceName, key: WeightsKey) -> bool:
+        return any((service, key) in each for each in self.handed.values())
+
     def _list_wanted(self, service: ServiceName, now: Seconds) -> list[Wanted]:
         """Return the adapters asked for, and where they stand in the whole fleet."""
         holders: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
@@ -303,6 +331,8 @@
         for (asked, key), row in self.demand.rows.items():
             if asked != service or not key.adapter or key in self._placing:
                 continue
+            if self._is_handed(service, key):
+                continue
             wanted.append(
                 Wanted(
                     key=key,
@@ -450,3 +480,8 @@
                 # It waits for its runs, or the book was wrong: a report will tell.
                 return
         await self._load(book, placement.key)
+
+
+def make_waiting(service: ServiceName, key: WeightsKey, count: int) -> WeightsDemand:
+    """Return the demand of requests that wait, for another leader."""
+    return WeightsDemand(service, key, arrivals=0, waiting=count, missed=0)
