--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -23,7 +23,7 @@
 # Followers hold a feed that is silent for three of these as lost.
 UPDATE_EVERY: Final[Seconds] = 0.2
 # Changes within this time go out together.
-GATHER: Final[Seconds] = 0.02
+GATHER: Final[Seconds] = 0.005
 WRITE_LIMIT: Final = 2**22
 # How long a daemon's word that it sees the store is believed.
 STORE_SEEN_FOR: Final[Seconds] = 0.6
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -39,6 +39,8 @@
 LOG = logging.getLogger("kestreltally.leader")
 
 TICK: Final[Seconds] = 0.04
+# New demand is looked at at once, but not more often than this.
+TICK_LEAST: Final[Seconds] = 0.01
 # What a load is taken to last before any was measured; then a moving mean is used.
 LOAD_TIME: Final[Seconds] = 0.25
 LOAD_TIME_WEIGHT: Final = 0.1
@@ -101,6 +103,7 @@
         self.can_hand: Callable[[str], bool] = lambda _: False
         self.hurry: Callable[[str], None] = lambda _: None
         self._led: set[str] = set()
+        self._wake = asyncio.Event()
         self._missing = 0
         self._load_time = LOAD_TIME
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
@@ -143,6 +146,8 @@
         now = self._clock()
         for each in told:
             self.demand.take(vm, data_centre, each, now)
+            if each.waiting:
+                self._wake.set()
 
     def find_order_wait(self) -> Seconds | None:
         """Return how long until some engine may be given an order; none: unknown."""
@@ -189,11 +194,21 @@
     async def run(self) -> None:
         """Plan for ever, while a lease is held."""
         while True:
-            await asyncio.sleep(TICK)
+            await self._wait_for_demand()
             self._follow_leases()
             if self._led:
                 self._step()
 
+    async def _wait_for_demand(self) -> None:
+        """Wait for the next tick, or for a request that waits."""
+        await asyncio.sleep(TICK_LEAST)
+        try:
+            async with asyncio.timeout(TICK - TICK_LEAST):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
     def _step(self) -> None:
         now = self._clock()
         self.demand.decay(now)
