--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -14,6 +14,7 @@
 
 from aiohttp import web
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answers import make_streamed_answer, make_whole_answer
 from kestreltally.entry.choice import ENDPOINT_CHOOSERS, Option
 from kestreltally.entry.demand import DemandCounter
@@ -86,6 +87,9 @@
     runs: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     last_fault: str = ""
+    trail: list[str] = field(default_factory=list)
+    waited: Seconds = 0.0
+    first_byte_at: Seconds | None = None
     events: EventReader = field(default_factory=EventReader)
     response: web.StreamResponse | None = None
 
@@ -159,10 +163,9 @@
         self.hurry: Callable[[], None] = lambda: None
 
     async def serve(
-        self, request: ClientRequest, client: web.BaseRequest
+        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
     ) -> web.StreamResponse:
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
-        progress = Progress()
         self.budget.note_request(request.service_name, request.arrived)
         if request.head.weights is not None and request.service.engine is not None:
             self.demand.note_arrival(request.service_name, request.head.weights)
@@ -187,9 +190,30 @@
                 return await self._attempt(request, client, progress, endpoint)
             except MoveOn as moved:
                 progress.last_fault = moved.fault
+                self._log_move(request, progress, endpoint, moved)
                 if not self._may_move_on(request, progress, moved):
                     raise self._give_up(request, progress) from moved
 
+    def _log_move(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        moved: MoveOn,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        progress.trail.append(moved.fault)
+        log_decision(
+            LOG,
+            Decision.REQUEST_MOVES_ON,
+            request=request.head.id,
+            endpoint=endpoint.id,
+            fault=moved.fault,
+            may_have_run=moved.may_have_run,
+            retries_left=round(self.budget.left(request.service_name, now), 1),
+            left=round(request.ends - now, 3),
+        )
+
     def _may_repeat(self, request: ClientRequest) -> bool:
         now = asyncio.get_running_loop().time()
         return self.budget.take(request.service_name, now)
@@ -227,17 +251,33 @@
             if found:
                 return self._pick(request, progress, found, now)
             self._check_wait(request, progress, key, now, give_up)
-            await self._wait_for_weights(request, key, give_up - now)
+            await self._wait_for_weights(request, progress, key, give_up - now)
 
     async def _wait_for_weights(
-        self, request: ClientRequest, key: WeightsKey, timeout: Seconds
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        key: WeightsKey,
+        timeout: Seconds,
     ) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        if not progress.waited:
+            log_decision(
+                LOG,
+                Decision.REQUEST_WAITS,
+                request=request.head.id,
+                weights=str(key),
+                load_wait=self.load_wait,
+                at_most=round(timeout, 3),
+            )
         self.demand.note_waiting(request.service_name, key, 1)
         self.hurry()
         try:
             await self.waiters.wait(key, timeout)
         finally:
             self.demand.note_waiting(request.service_name, key, -1)
+            progress.waited += loop.time() - began
 
     def _check_wait(
         self,
@@ -269,7 +309,12 @@
         fresh = [each for each in found if each.id not in progress.tried] or found
         sound = self.health.keep_sound(fresh, now)
         options = [self._make_option(request, each) for each in sound]
-        return self._choose(options).endpoint
+        chosen = self._choose(options)
+        progress.trail.append(
+            f"{chosen.endpoint.id} of {len(found)}, {chosen.under_way} under way"
+            + (", far" if chosen.far else "")
+        )
+        return chosen.endpoint
 
     def _make_option(self, request: ClientRequest, endpoint: Endpoint) -> Option:
         key = request.head.weights
@@ -300,6 +345,7 @@
             progress.sends += 1
             answer = await self._ask(request, progress, endpoint, channel)
             self.health.note_head(endpoint.id, token, loop.time())
+            progress.first_byte_at = progress.first_byte_at or loop.time()
             channel.note_keep_alive(answer, loop.time())
             response = await self._hand_on(request, client, progress, endpoint, answer)
             keep = True
@@ -414,7 +460,9 @@
     def _note_failure(self, endpoint: Endpoint, fault: str) -> None:
         now = asyncio.get_running_loop().time()
         if self.health.note_failure(endpoint.id, now):
-            LOG.warning("relay: endpoint %s is left out: %s", endpoint.id, fault)
+            log_decision(
+                LOG, Decision.ENDPOINT_LEFT_OUT, endpoint=endpoint.id, fault=fault
+            )
 
     async def _hand_on(
         self,
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Final
 
 from aiohttp import web
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
 from kestreltally.entry.answers import make_refusal
 from kestreltally.entry.relay import (
     BAD_GATEWAY,
     UNAVAILABLE,
+    Progress,
     Relay,
     StreamBroken,
 )
@@ -30,7 +33,7 @@
     ServiceName,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.platform.headers import decode_request
+from kestreltally.platform.headers import decode_request, read_request_id
 
 LOG = logging.getLogger("kestreltally.entry")
 
@@ -65,6 +68,16 @@
     return route.shares[-1].service
 
 
+@dataclass(slots=True)
+class ClientCall:
+    """A request from its first byte here to the end of its answer."""
+
+    client: web.BaseRequest
+    began: Seconds
+    progress: Progress = field(default_factory=Progress)
+    request: ClientRequest | None = None
+
+
 class EntrySurface:
     """Serves clients, and tells the balancer whether to send new ones."""
 
@@ -140,32 +153,53 @@
             self.live -= 1
 
     async def _serve_counted(self, client: web.BaseRequest) -> web.StreamResponse:
-        request_id = ""
+        call = ClientCall(client, asyncio.get_running_loop().time())
         try:
-            request = await self._read(client)
-            request_id = request.head.id
-            response = await self._relay.serve(request, client)
+            call.request = await self._read(client)
+            response = await self._relay.serve(call.request, client, call.progress)
         except Refused as refused:
-            LOG.info(
-                "entry: request refused",
-                extra={
-                    "request": request_id or client.headers.get("X-Request-Id"),
-                    "status": refused.status,
-                    "reason": refused.reason,
-                    "retry_after": refused.retry_after,
-                },
-            )
-            response = make_refusal(refused, request_id)
+            self._log_end(Decision.REQUEST_REFUSED, call, refused)
+            response = make_refusal(refused, read_request_id(client.headers))
         except (StreamBroken, ClientLeft) as broken:
-            LOG.info(
-                "entry: answer broken off",
-                extra={"request": request_id, "reason": str(broken)},
-            )
+            self._log_end(Decision.REQUEST_BROKEN_OFF, call, broken)
             return self._tear(client)
+        except (asyncio.CancelledError, ConnectionError) as left:
+            self._log_end(Decision.REQUEST_ABANDONED, call, left)
+            raise
+        else:
+            self._log_end(Decision.REQUEST_DONE, call, response)
         if self.stopping:
             response.force_close()
         return response
 
+    def _log_end(
+        self,
+        decision: Decision,
+        call: ClientCall,
+        end: BaseException | web.StreamResponse,
+    ) -> None:
+        """Write the one line that every request ends with."""
+        now = asyncio.get_running_loop().time()
+        configuration = self._fleet.configuration
+        request = call.request
+        weights = request.head.weights if request is not None else None
+        first = call.progress.first_byte_at
+        log_decision(
+            LOG,
+            decision,
+            request=read_request_id(call.client.headers),
+            route=request.route.name if request is not None else None,
+            weights=str(weights) if weights is not None else None,
+            configuration=configuration.version if configuration else None,
+            status=getattr(end, "status", None),
+            reason=str(end) if isinstance(end, Exception) else None,
+            retry_after=getattr(end, "retry_after", None),
+            waited=round(call.progress.waited, 3),
+            first=round(first - call.began, 3) if first is not None else None,
+            took=round(now - call.began, 3),
+            trail=call.progress.trail,
+        )
+
     def _tear(self, client: web.BaseRequest) -> web.StreamResponse:
         """Close a client's channel so that its answer does not look complete.
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -16,6 +16,7 @@
 
 from aiohttp import ClientSession
 
+from kestreltally.decisions import Decision, log_decision, log_left_out
 from kestreltally.deployment import Deployment
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.relay import Relay
@@ -31,7 +32,7 @@
     VersionsFollower,
 )
 from kestreltally.knowledge.watching import Follower, KindWatch
-from kestreltally.logs import set_up_structured_logs
+from kestreltally.logs import LineWriter, set_up_structured_logs
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import (
     FOREIGN_PATIENCE,
@@ -57,6 +58,7 @@
 EXIT_BAD_SETTINGS: Final = 2
 EXIT_CANNOT_LISTEN: Final = 3
 HOUSEKEEPING_EVERY: Final[Seconds] = 0.1
+TELL_LEFT_OUT_EVERY: Final[Seconds] = 1.0
 RESTART_PAUSE: Final[Seconds] = 0.2
 # Changes of endpoints within this time come in one answer of the store.
 ENDPOINTS_GAP: Final[Seconds] = 0.4
@@ -74,8 +76,9 @@
 class FleetDaemon:
     """One running daemon."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, lines: LineWriter) -> None:
         self._deployment = deployment
+        self._lines = lines
         self._clock = asyncio.get_running_loop().time
         self._session: ClientSession = open_store_session()
         self._store = Store(self._session, deployment.store)
@@ -175,6 +178,7 @@
             self._exchange.hurry(primary)
 
     async def _keep_house(self) -> None:
+        told_at = self._clock()
         while True:
             await asyncio.sleep(HOUSEKEEPING_EVERY)
             now = self._clock()
@@ -186,6 +190,9 @@
             self._fleet.forget_absences(now)
             self._pool.close_expired(now)
             self._control_pool.close_expired(now)
+            if now >= told_at + TELL_LEFT_OUT_EVERY:
+                told_at = now
+                log_left_out(LOG, self._lines.take_dropped())
 
     def _follow_store(self) -> None:
         """Watch endpoints and versions here unless a leader's feed tells of them."""
@@ -215,12 +222,12 @@
             *(client.run for client in self._exchange.clients.values()),
         )
         self._tasks = [asyncio.create_task(_run_for_ever(each)) for each in loops]
-        LOG.info("daemon: started", extra={"data_centre": own.data_centre})
+        log_decision(LOG, Decision.DAEMON_STARTED, data_centre=own.data_centre)
 
     async def stop(self) -> None:
         """Stop as planned: take no new clients, and finish what runs."""
         began = self._clock()
-        LOG.info("daemon: planned stop begins", extra={"live": self._surface.live})
+        log_decision(LOG, Decision.DAEMON_PLANNED_STOP_BEGINS, live=self._surface.live)
         last = began + self._deployment.bounds.grace - STOP_MARGIN
         self._surface.stop_by(last)
         while self._clock() < last:
@@ -231,7 +238,7 @@
         # again on this VM goes on without a wait.
         for lease in self._leases.values():
             await lease.release()
-        LOG.info("daemon: planned stop ends", extra={"live": self._surface.live})
+        log_decision(LOG, Decision.DAEMON_PLANNED_STOP_ENDS, live=self._surface.live)
 
     async def close(self) -> None:
         """Let go of everything."""
@@ -250,28 +257,28 @@
         try:
             await loop()
         except Exception:
-            LOG.exception("daemon: a task failed and is started again")
+            log_decision(LOG, Decision.DAEMON_TASK_RESTARTED, trace=True)
             await asyncio.sleep(RESTART_PAUSE)
 
 
-async def run_daemon(deployment: Deployment) -> int:
+async def run_daemon(deployment: Deployment, lines: LineWriter) -> int:
     """Run until SIGTERM; return the exit status."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload)
-    daemon = FleetDaemon(deployment)
+    daemon = FleetDaemon(deployment, lines)
     try:
         await daemon.start()
     except OSError as error:
-        LOG.error("daemon: cannot listen: %s", error)
+        log_decision(LOG, Decision.DAEMON_CANNOT_LISTEN, reason=str(error))
         await daemon.close()
         return EXIT_CANNOT_LISTEN
     await stop.wait()
     await daemon.stop()
     await daemon.close()
-    LOG.info("daemon: stopped")
+    log_decision(LOG, Decision.DAEMON_STOPPED)
     return 0
 
 
@@ -280,9 +287,9 @@
     try:
         load_deployment(find_settings_path())
     except BadDeployment as error:
-        LOG.error("daemon: settings not taken: %s", error)
+        log_decision(LOG, Decision.DAEMON_SETTINGS_NOT_TAKEN, reason=str(error))
         return
-    LOG.info("daemon: settings read again")
+    log_decision(LOG, Decision.DAEMON_SETTINGS_READ_AGAIN)
 
 
 def main() -> None:
@@ -292,5 +299,7 @@
     except BadDeployment as error:
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
-    set_up_structured_logs(deployment.vm)
-    sys.exit(asyncio.run(run_daemon(deployment)))
+    lines = set_up_structured_logs(deployment.vm)
+    status = asyncio.run(run_daemon(deployment, lines))
+    lines.close()
+    sys.exit(status)
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
 from kestreltally.knowledge.frames import IDL, MalformedFrame, read_frame, write_frame
 from kestreltally.knowledge.rows import (
@@ -124,7 +125,9 @@
                 if peer.whole or not self._state().leads:
                     self._send(peer)
         except (OSError, EOFError, MalformedFrame, asyncio.IncompleteReadError) as lost:
-            LOG.info("feed: daemon lost", extra={"peer": peer.vm, "reason": repr(lost)})
+            log_decision(
+                LOG, Decision.FEED_DAEMON_LOST, peer=peer.vm, reason=repr(lost)
+            )
         finally:
             self._peers.discard(peer)
             writer.close()
@@ -163,7 +166,7 @@
     def _send(self, peer: Peer) -> None:
         """Write an update; a peer that does not read is dropped."""
         if peer.writer.transport.get_write_buffer_size() > WRITE_LIMIT:
-            LOG.warning("feed: daemon does not read", extra={"peer": peer.vm})
+            log_decision(LOG, Decision.FEED_DAEMON_DOES_NOT_READ, peer=peer.vm)
             peer.writer.transport.abort()
             return
         write_frame(peer.writer, self._make_update(peer))
--- a/src/kestreltally/knowledge/followers.py
+++ b/src/kestreltally/knowledge/followers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import (
     Configuration,
     Endpoint,
@@ -55,13 +56,12 @@
         try:
             configuration = decode_configuration(document)
         except MalformedDocument as error:
-            LOG.error("knowledge: configuration left out: %s", error)
+            log_decision(LOG, Decision.CONFIGURATION_REJECTED, reason=str(error))
             return
         if self._take(configuration):
             self.encoded = json.dumps(document).encode()
-            LOG.info(
-                "knowledge: configuration in force",
-                extra={"version": configuration.version},
+            log_decision(
+                LOG, Decision.CONFIGURATION_IN_FORCE, version=configuration.version
             )
 
 
@@ -109,9 +109,12 @@
         try:
             endpoint = decode_endpoint(stored.name, stored.content)
         except MalformedDocument as error:
-            LOG.warning("knowledge: entry left out: %s", error)
+            log_decision(LOG, Decision.ENTRY_REJECTED, reason=str(error))
             return
         self._lapsed.pop(endpoint.id, None)
+        before = self.listed.get(endpoint.id)
+        if endpoint.leaving and not (before is not None and before.leaving):
+            log_decision(LOG, Decision.ENDPOINT_LEAVING, endpoint=endpoint.id)
         self.listed[endpoint.id] = endpoint
         self._put(endpoint)
 
@@ -129,7 +132,7 @@
         self._lapsed.pop(endpoint, None)
         self.listed.pop(endpoint, None)
         self._drop(endpoint)
-        LOG.info("knowledge: endpoint gone", extra={"endpoint": endpoint})
+        log_decision(LOG, Decision.ENDPOINT_GONE, endpoint=endpoint)
 
     def drop_lapsed(self) -> None:
         """Forget entries that were not written again in time."""
@@ -160,6 +163,6 @@
         try:
             key, number = decode_version(stored.content)
         except MalformedDocument as error:
-            LOG.warning("knowledge: version left out: %s", error)
+            log_decision(LOG, Decision.VERSION_REJECTED, reason=str(error))
             return
         self._take(key, number)
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
 from kestreltally.fleet.model import Seconds
 from kestreltally.knowledge.frames import IDL, MalformedFrame, read_frame, write_frame
@@ -77,9 +78,11 @@
             MalformedFrame,
             asyncio.IncompleteReadError,
         ) as lost:
-            LOG.info(
-                "feed: leader lost",
-                extra={"lease": self.data_centre, "reason": repr(lost)},
+            log_decision(
+                LOG,
+                Decision.FEED_LEADER_LOST,
+                lease=self.data_centre,
+                reason=repr(lost),
             )
         finally:
             sending.cancel()
@@ -97,9 +100,11 @@
                 each.data_centre == self.data_centre for each in update.leads or ()
             )
             if leads and not self.is_alive():
-                LOG.info(
-                    "feed: leader heard",
-                    extra={"lease": self.data_centre, "leader": update.leader},
+                log_decision(
+                    LOG,
+                    Decision.FEED_LEADER_HEARD,
+                    lease=self.data_centre,
+                    leader=update.leader,
                 )
             if leads:
                 self._heard_at = self._clock()
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
 from kestreltally.platform.store import (
     Changes,
@@ -87,7 +88,7 @@
                 await self._step()
             except HistoryGone:
                 # The store was there all the while: nothing has lapsed.
-                LOG.info("knowledge: history gone", extra={"kind": self._kind})
+                log_decision(LOG, Decision.HISTORY_GONE, kind=self._kind)
                 self._revision = None
             except StoreError as error:
                 self._note_failure(error)
@@ -113,13 +114,10 @@
         if not self._in_touch:
             self._in_touch = True
             self.returned_at = self.answered_at
-            LOG.info("knowledge: store regained", extra={"kind": self._kind})
+            log_decision(LOG, Decision.STORE_REGAINED, kind=self._kind)
 
     def _note_failure(self, error: StoreError) -> None:
         self.failed_at = self._clock()
         if self._in_touch:
             self._in_touch = False
-            LOG.warning(
-                "knowledge: store lost",
-                extra={"kind": self._kind, "reason": str(error)},
-            )
+            log_decision(LOG, Decision.STORE_LOST, kind=self._kind, reason=str(error))
--- a/src/kestreltally/logs.py
+++ b/src/kestreltally/logs.py
@@ -1,14 +1,25 @@
 """Logs: short sentences with a fixed prefix per part, as text or JSON lines."""
 
+import json
 import logging
 import sys
-from typing import Final
+import threading
+import time
+from collections import deque
+from typing import Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
+from kestreltally.decisions import FIELDS
 from kestreltally.settings import Logging
 
 TEXT_FORMAT: Final = "%(asctime)s %(levelname)s %(message)s"
+# Lines that wait for the writer: some seconds' worth at the highest rate.
+LINES_WAITING: Final = 4_000
+# Lines within this time are written together, seconds.
+GATHER_LINES: Final = 0.05
+# How long the last lines are waited for at the end, seconds.
+LAST_LINES: Final = 0.3
 JSON_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
@@ -26,11 +37,80 @@
     logging.getLogger("transitions").setLevel(logging.WARNING)
 
 
-def set_up_structured_logs(vm: str) -> None:
+class LineWriter(logging.Handler):
+    """Writes lines in a thread of its own, and never holds up who logs.
+
+    Lines wait in a bounded queue; what finds no room is counted in ``dropped``.
+    """
+
+    def __init__(self, stream: TextIO, vm: str) -> None:
+        super().__init__()
+        self._stream = stream
+        self._vm = vm
+        self._waiting: deque[logging.LogRecord] = deque()
+        self._wake = threading.Event()
+        self._dropped = 0
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line, or count it as dropped."""
+        if len(self._waiting) >= LINES_WAITING:
+            self._dropped += 1
+            return
+        self._waiting.append(record)
+        self._wake.set()
+
+    def take_dropped(self) -> int:
+        """Return how many lines found no room since the last call."""
+        dropped, self._dropped = self._dropped, 0
+        return dropped
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            time.sleep(GATHER_LINES)
+            self._wake.clear()
+            self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        lines = []
+        while self._waiting:
+            lines.append(self._format_line(self._waiting.popleft()))
+        if not lines:
+            return
+        try:
+            self._stream.write("".join(lines))
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody reads: there is nowhere left to say so but the count.
+            self._dropped += len(lines)
+
+    def _format_line(self, record: logging.LogRecord) -> str:
+        line = {
+            "at": round(record.created, 4),
+            "level": record.levelname.lower(),
+            "vm": self._vm,
+            "event": record.getMessage(),
+            **getattr(record, FIELDS, {}),
+        }
+        if record.exc_info:
+            line["trace"] = logging.Formatter().formatException(record.exc_info)
+        return json.dumps(line, default=str) + "\n"
+
+    def close(self) -> None:
+        """Wait a moment for what is queued to be written."""
+        until = time.monotonic() + LAST_LINES
+        while self._waiting and time.monotonic() < until:
+            time.sleep(GATHER_LINES / 2)
+        super().close()
+
+
+def set_up_structured_logs(vm: str) -> LineWriter:
     """Send all logs to standard output, one JSON object a line."""
-    handler = logging.StreamHandler(sys.stdout)
-    handler.setFormatter(JsonFormatter(JSON_FORMAT, static_fields={"vm": vm}))
+    writer = LineWriter(sys.stdout, vm)
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    root.handlers[:] = [writer]
     root.setLevel(logging.INFO)
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    return writer
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine, Iterable, Mapping
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Bounds
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.fleet.model import (
@@ -129,9 +130,8 @@
         """Take in that an engine refused a request for want of its weights."""
         book = self.books.get(endpoint)
         if book is not None and key in book.weights and key not in book.incoming:
-            LOG.info(
-                "leader: engine lacks weights it should hold",
-                extra={"endpoint": endpoint, "weights": str(key)},
+            log_decision(
+                LOG, Decision.ENGINE_LACKS_WEIGHTS, endpoint=endpoint, weights=str(key)
             )
             book.doubt(self._clock())
 
@@ -415,12 +415,14 @@
             now = self._clock()
             book.doubt(now)
             book.failing_until = now + SILENT_PAUSE
-            LOG.info(
-                "leader: engine silent",
-                extra={"endpoint": book.endpoint.id, "reason": str(silent)},
+            log_decision(
+                LOG,
+                Decision.ENGINE_SILENT,
+                endpoint=book.endpoint.id,
+                reason=str(silent),
             )
         except NotHolding:
-            LOG.info("leader: order held back, the lease is not certain")
+            log_decision(LOG, Decision.ORDER_HELD_BACK)
         finally:
             book.busy = False
             self._publish_if_led(book)
@@ -469,9 +471,7 @@
                     return
             await asyncio.sleep(ASK_EVERY)
         if book.incoming.pop(key, None) is not None:
-            LOG.warning(
-                "leader: a load was not seen to end", extra={"weights": str(key)}
-            )
+            log_decision(LOG, Decision.LOAD_NOT_SEEN_TO_END, weights=str(key))
             book.doubt(self._clock())
 
     def _note_load_time(self, took: Seconds, warm: bool) -> None:
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -19,6 +19,7 @@
 from dataclasses import asdict, dataclass, replace
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
 from kestreltally.fleet.model import Seconds
 from kestreltally.platform.documents import LEASE_KIND
@@ -147,9 +148,11 @@
             try:
                 await self._renew()
             except StoreError as error:
-                LOG.info(
-                    "lease: not renewed",
-                    extra={"lease": self.data_centre, "reason": str(error)},
+                log_decision(
+                    LOG,
+                    Decision.LEASE_NOT_RENEWED,
+                    lease=self.data_centre,
+                    reason=str(error),
                 )
                 await asyncio.sleep(RENEW_RETRY)
 
@@ -189,9 +192,12 @@
         self._renewed_at = self._clock()
 
     def _lose(self, reason: str) -> None:
-        LOG.warning(
-            "lease: lost",
-            extra={"lease": self.data_centre, "fence": self.fence, "reason": reason},
+        log_decision(
+            LOG,
+            Decision.LEASE_LOST,
+            lease=self.data_centre,
+            fence=self.fence,
+            reason=reason,
         )
         self._stop_leading()
         self.record = None
@@ -211,9 +217,7 @@
         fence = self.fence
         self._stop_leading()
         self._not_before = self._clock() + RESIGNED_FOR
-        LOG.warning(
-            "lease: resigned", extra={"lease": self.data_centre, "fence": fence}
-        )
+        log_decision(LOG, Decision.LEASE_RESIGNED, lease=self.data_centre, fence=fence)
         return fence
 
     async def consider(self, stored: StoredObject | None) -> None:
@@ -281,13 +285,12 @@
         self.leads = True
         self._orders_from = start
         self._resigned.clear()
-        LOG.info(
-            "lease: held",
-            extra={
-                "lease": self.data_centre,
-                "fence": self.fence,
-                "orders_in": round(start - self._clock(), 3),
-            },
+        log_decision(
+            LOG,
+            Decision.LEASE_HELD,
+            lease=self.data_centre,
+            fence=self.fence,
+            orders_in=round(start - self._clock(), 3),
         )
 
     def _make_record(self, fence: int, quiet: Seconds) -> LeaseRecord:
@@ -316,7 +319,7 @@
         try:
             await self._write(sighting.revision, replace(record, released=True))
         except StoreError as error:
-            LOG.warning("lease: not released", extra={"reason": str(error)})
+            log_decision(LOG, Decision.LEASE_NOT_RELEASED, reason=str(error))
 
 
 class LeaseBoard:
@@ -339,7 +342,7 @@
                 try:
                     await self._look()
                 except StoreError as error:
-                    LOG.info("lease: not read", extra={"reason": str(error)})
+                    log_decision(LOG, Decision.LEASE_NOT_READ, reason=str(error))
             await asyncio.sleep(READ_EVERY)
 
     async def _look(self) -> None:
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.upstream import (
     AnswerLost,
     AnswerTorn,
@@ -118,16 +119,15 @@
         else:
             # The book is wrong somewhere: the next order waits for a report.
             book.doubt(now)
-        LOG.info(
-            "orders: order given",
-            extra={
-                "endpoint": book.endpoint.id,
-                "order": kind.value,
-                "weights": str(key),
-                "fence": order.fence,
-                "expected": order.sequence,
-                "outcome": outcome.value,
-            },
+        log_decision(
+            LOG,
+            Decision.ORDER_GIVEN,
+            endpoint=book.endpoint.id,
+            order=kind.value,
+            weights=str(key),
+            fence=order.fence,
+            expected=order.sequence,
+            outcome=outcome.value,
         )
         return outcome
 
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -64,7 +64,7 @@
     deadline = headers.get(_DEADLINE)
     prompt, output = _read_tokens(headers.get(_TOKENS))
     return RequestHead(
-        id=headers.get(REQUEST_ID, ""),
+        id=read_request_id(headers),
         deadline=_read_number(_DEADLINE, deadline) / MILLISECONDS if deadline else None,
         weights=_read_model(headers.get(_MODEL)),
         prompt_tokens=prompt,
@@ -128,6 +128,11 @@
     return status == MISDIRECTED or _NOT_RUN in headers
 
 
+def read_request_id(headers: Mapping[str, str]) -> str:
+    """Return the id that a client gave its request, empty when it gave none."""
+    return headers.get(REQUEST_ID, "")
+
+
 def read_answer_id(headers: Mapping[str, str]) -> str:
     """Return the id of the request that an answer belongs to."""
     return headers.get(REQUEST_ID, "")
