--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -7,6 +7,7 @@
 
 import logging
 import time
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final
@@ -137,12 +138,15 @@
 
 
 _THINNER: Final = Thinner()
+# How often each decision was made, also where its line was thinned.
+COUNTS: Final[Counter[Decision]] = Counter()
 
 
 def log_decision(
     logger: logging.Logger, decision: Decision, *, trace: bool = False, **fields: Any
 ) -> None:
-    """Write a line of a kind with the inputs that decided it, unless it is thinned."""
+    """Count a decision, and write its line with what decided it, unless thinned."""
+    COUNTS[decision] += 1
     if not _THINNER.keeps(decision, time.monotonic()):
         return
     logger.log(decision.level, decision.text, exc_info=trace, extra={FIELDS: fields})
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Final
@@ -33,6 +34,7 @@
     ServiceName,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.fleet_metrics import RequestEnd
 from kestreltally.platform.headers import decode_request, read_request_id
 
 LOG = logging.getLogger("kestreltally.entry")
@@ -81,10 +83,16 @@
 class EntrySurface:
     """Serves clients, and tells the balancer whether to send new ones."""
 
-    def __init__(self, fleet: Fleet, relay: Relay) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        relay: Relay,
+        note_end: Callable[[RequestEnd], None] = lambda _: None,
+    ) -> None:
         self._fleet = fleet
         self._relay = relay
         self._runners: list[web.ServerRunner] = []
+        self._note_end = note_end
         self._stops_at: Seconds | None = None
         self._stop_began: Seconds = 0.0
         self.live = 0
@@ -102,10 +110,11 @@
             auto_decompress=False,
         )
         ready = web.Server(self._answer_readiness, access_log=None)
-        await self._listen(ready, readiness)
-        await self._listen(front, clients)
+        await self.listen(ready, readiness)
+        await self.listen(front, clients)
 
-    async def _listen(self, server: web.Server, at: Listening) -> None:
+    async def listen(self, server: web.Server, at: Listening) -> None:
+        """Serve at an address until ``close``; raises ``OSError``."""
         runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, at.host, at.port, backlog=BACKLOG)
@@ -199,6 +208,17 @@
             took=round(now - call.began, 3),
             trail=call.progress.trail,
         )
+        self._note_end(
+            RequestEnd(
+                service=request.service_name if request is not None else "",
+                kind=request.route.kind.value if request is not None else "",
+                outcome=decision.name.lower().removeprefix("request_"),
+                status=str(getattr(end, "status", "")),
+                took=now - call.began,
+                waited=call.progress.waited,
+                first=first - call.began if first is not None else None,
+            )
+        )
 
     def _tear(self, client: web.BaseRequest) -> web.StreamResponse:
         """Close a client's channel so that its answer does not look complete.
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -14,10 +14,10 @@
 from typing import Any, Final
 from uuid import uuid4
 
-from aiohttp import ClientSession
+from aiohttp import ClientSession, web
 
 from kestreltally.decisions import Decision, log_decision, log_left_out
-from kestreltally.deployment import Deployment
+from kestreltally.deployment import Deployment, Listening
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import RetryBudget
@@ -25,6 +25,7 @@
 from kestreltally.entry.upstream import ChannelPool
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet.tables import Fleet
+from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.followers import (
     ConfigurationFollower,
@@ -92,7 +93,8 @@
             HealthTable(),
             RetryBudget(deployment.bounds),
         )
-        self._surface = EntrySurface(self._fleet, self._relay)
+        self._metrics = FleetMetrics(self._read_gauges)
+        self._surface = EntrySurface(self._fleet, self._relay, self._metrics.note_end)
         self._leases = self._make_leases()
         self._configuration = ConfigurationFollower(self._fleet.take_configuration)
         self._configuration_watch = self._make_watch(
@@ -171,6 +173,37 @@
         watch = self._configuration_watch
         return watch.answered_at > watch.failed_at
 
+    def _read_gauges(self) -> GaugeValues:
+        """Return what the tables show now."""
+        now = self._clock()
+        configuration = self._fleet.configuration
+        services = configuration.services if configuration else {}
+        budget = self._relay.budget
+        return {
+            "configuration_version": {
+                "store": configuration.version if configuration else 0
+            },
+            "requests_live": {"entry": self._surface.live},
+            "requests_in_flight": {
+                str(name): float(count)
+                for name, count in self._relay.health.count_in_flight().items()
+            },
+            "retries_left": {name: budget.left(name, now) for name in services},
+            "leases_held": {
+                name: float(lease.leads) for name, lease in self._leases.items()
+            },
+            "watch_age_seconds": {
+                "configuration": self._configuration_watch.find_age(),
+                "endpoints": self._endpoints_watch.find_age(),
+                "versions": self._versions_watch.find_age(),
+            },
+            "adapters_missing": {"leader": self._leader.missing},
+            "load_seconds": {"leader": self._leader.load_time},
+            "store_calls": {"all": self._store.calls},
+            "channels_opened": {"endpoints": self._pool.opened},
+            "daemons_known": {"feed": self._relay.budget.daemons},
+        }
+
     def _hurry(self) -> None:
         """Have the leader told of new demand at once."""
         primary = self._exchange.find_primary()
@@ -210,6 +243,10 @@
         self._configuration_watch.switch(True)
         await self._exchange.feed.start(own.peers.host, own.peers.port)
         await self._surface.start(own.clients, own.readiness)
+        await self._surface.listen(
+            web.Server(self._metrics.serve, access_log=None),
+            Listening(own.peers.host, own.metrics_port),
+        )
         loops = (
             self._configuration_watch.run,
             self._endpoints_watch.run,
--- /dev/null
+++ b/src/kestreltally/fleet_metrics.py
@@ -0,0 +1,118 @@
+"""The figures of a daemon on the users' platform; docs/OPERATIONS.md lists them."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from aiohttp import web
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from kestreltally.decisions import COUNTS
+from kestreltally.fleet.model import Seconds
+
+LATENCY_BUCKETS: Final = [
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.8,
+    1.0,
+    2.0,
+    5.0,
+]
+METRICS_PATH: Final = "/metrics"
+
+GaugeValues = Mapping[str, Mapping[str, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How a request ended: ``outcome`` is done, refused, broken_off or abandoned.
+
+    ``first`` is the time to the first byte of the endpoint's answer, ``waited`` that
+    for weights to come.
+    """
+
+    service: str
+    kind: str
+    outcome: str
+    status: str
+    took: Seconds
+    waited: Seconds
+    first: Seconds | None
+
+
+class FleetMetrics:
+    """Counters, histograms, and gauges that are read from the tables when asked for."""
+
+    def __init__(self, read_gauges: Callable[[], GaugeValues]) -> None:
+        self._read_gauges = read_gauges
+        self._registry = own = Registry()
+        self._counted: dict[str, int] = {}
+        self._gauges: dict[str, Gauge] = {}
+        self._decisions = Counter(
+            "kestreltally_decisions_total",
+            "Decisions by kind, also those whose line was thinned.",
+            registry=own,
+        )
+        self._requests = Counter(
+            "kestreltally_requests_total",
+            "Requests by service, kind, outcome and status.",
+            registry=own,
+        )
+        self._took = self._make_histogram("request", "its first byte to its end")
+        self._first = self._make_histogram("first_byte", "it to an answer's first byte")
+        self._waited = self._make_histogram("weights_wait", "waiting for weights")
+
+    def _make_histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"kestreltally_{name}_seconds",
+            f"Seconds of a request from {text}.",
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+
+    def note_end(self, end: RequestEnd) -> None:
+        """Count a request."""
+        self._requests.inc(
+            {
+                "service": end.service,
+                "kind": end.kind,
+                "outcome": end.outcome,
+                "status": end.status,
+            }
+        )
+        labels = {"kind": end.kind}
+        self._took.observe(labels, end.took)
+        if end.first is not None:
+            self._first.observe(labels, end.first)
+        if end.waited:
+            self._waited.observe(labels, end.waited)
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition of all figures and its HTTP headers."""
+        for decision, count in COUNTS.items():
+            name = decision.name.lower()
+            self._decisions.add({"decision": name}, count - self._counted.get(name, 0))
+            self._counted[name] = count
+        for name, values in self._read_gauges().items():
+            gauge = self._gauges.get(name)
+            if gauge is None:
+                gauge = Gauge(f"kestreltally_{name}", name, registry=self._registry)
+                self._gauges[name] = gauge
+            for label, value in values.items():
+                gauge.set({"of": label}, value)
+        content, headers = render(self._registry, [])
+        return content, dict(headers)
+
+    async def serve(self, http: web.BaseRequest) -> web.Response:
+        """Answer a request for the figures."""
+        if http.path != METRICS_PATH:
+            return web.Response(status=404)
+        content, headers = self.render()
+        return web.Response(body=content, headers=headers)
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -105,8 +105,8 @@
         self.hurry: Callable[[str], None] = lambda _: None
         self._led: set[str] = set()
         self._wake = asyncio.Event()
-        self._missing = 0
-        self._load_time = LOAD_TIME
+        self.missing = 0
+        self.load_time = LOAD_TIME
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
@@ -157,9 +157,9 @@
     def estimate_load_wait(self) -> Seconds:
         """Return how long it takes from now until an adapter asked for now is there."""
         engines = max(1, len(self.books))
-        turns = 1 + self._missing / (INCOMING_MOST * engines)
+        turns = 1 + self.missing / (INCOMING_MOST * engines)
         quiet = self.find_order_wait()
-        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self._load_time
+        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self.load_time
         other = self.other_wait()
         return own if other is None else min(own, other + FORWARD_TIME)
 
@@ -215,7 +215,7 @@
         configuration = self._fleet.configuration
         if configuration is None:
             return
-        self._missing = 0
+        self.missing = 0
         for service in configuration.services.values():
             if service.engine is not None:
                 self._step_service(service.name, service.engine, now)
@@ -302,7 +302,7 @@
     ) -> None:
         self._hand_over(service, now)
         wanted = self._list_wanted(service, now)
-        self._missing += sum(
+        self.missing += sum(
             1 for w in wanted if w.waiting and not w.holders and not w.coming
         )
         in_use = self._list_in_use()
@@ -455,7 +455,7 @@
     async def _await_load(self, book: EngineBook, key: WeightsKey, warm: bool) -> None:
         """Ask after a load until it has ended."""
         began = self._clock()
-        await asyncio.sleep(WARM_TIME if warm else ASK_PART * self._load_time)
+        await asyncio.sleep(WARM_TIME if warm else ASK_PART * self.load_time)
         while key in book.incoming and self._clock() - began < LOAD_GIVEN_UP:
             if self.books.get(book.endpoint.id) is not book:
                 return
@@ -476,7 +476,7 @@
 
     def _note_load_time(self, took: Seconds, warm: bool) -> None:
         if not warm:
-            self._load_time += LOAD_TIME_WEIGHT * (took - self._load_time)
+            self.load_time += LOAD_TIME_WEIGHT * (took - self.load_time)
 
     async def _place(self, book: EngineBook, placement: Placement) -> None:
         self._placing.add(placement.key)
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -9,6 +9,8 @@
 
 PATH_VARIABLE: Final = "KESTRELTALLY_CONFIG"
 DEFAULT_PATH: Final = "/etc/kestreltally/local.json"
+# The port of the figures stands in deploy/system.toml, which sets this variable too.
+METRICS_VARIABLE: Final = "KESTRELTALLY_METRICS_PORT"
 MILLISECONDS: Final = 1000.0
 
 
@@ -37,6 +39,7 @@
 
 def _decode(content: dict[str, Any]) -> Deployment:
     first_internal, last_internal = content["InternalPorts"]
+    metrics_port = os.environ.get(METRICS_VARIABLE, last_internal)
     listen = content["Listen"]
     return Deployment(
         vm=content["NodeName"],
@@ -45,7 +48,7 @@
         clients=read_address(listen["Front"]),
         readiness=read_address(listen["Ready"]),
         peers=Listening(content["IpAddress"], first_internal),
-        metrics_port=last_internal,
+        metrics_port=int(metrics_port),
         store=read_address(content["Platform"]["Address"]),
         heartbeat=content["HeartbeatMs"] / MILLISECONDS,
         file_descriptors=content["Limits"]["FileDescriptors"],
