See to engines out of reach at once

Cause: a request whose adapter stood only on an engine out of reach asked it again and again until its time was over, and the leader believed the store's list of it for some four seconds. Now the request looks elsewhere, the leader is told, and what the engine held is loaded on others.

Also: stand-ins of the platform's store and endpoints, and whole daemons before them (tests/test_fleet_daemon.py).

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -69,6 +69,7 @@
 # objective; one that waits in vain is sent back after this part of its time.
 WAIT_PART: Final = 0.85
 GIVE_UP_PART: Final = 0.4
+TRY_AGAIN_PAUSE: Final[Seconds] = 0.1
 RETRY_SOON: Final[Seconds] = 0.3
 RETRY_MOST: Final[Seconds] = 2.0
 AFFINITY_ROWS: Final = 4_096
@@ -193,6 +194,9 @@
                 self._log_move(request, progress, endpoint, moved)
                 if not self._may_move_on(request, progress, moved):
                     raise self._give_up(request, progress) from moved
+                if len(progress.trail) > 2 * len(progress.tried):
+                    # All have been tried: give them a moment.
+                    await asyncio.sleep(TRY_AGAIN_PAUSE)
 
     def _log_move(
         self,
@@ -341,7 +345,7 @@
         keep = False
         channel: Channel | None = None
         try:
-            channel = await self._connect(endpoint)
+            channel = await self._connect(request, endpoint)
             progress.sends += 1
             answer = await self._ask(request, progress, endpoint, channel)
             self.health.note_head(endpoint.id, token, loop.time())
@@ -364,13 +368,24 @@
         if key is not None and key.adapter:
             self.demand.note_use(endpoint.id, key, step)
 
-    async def _connect(self, endpoint: Endpoint) -> Channel:
+    async def _connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         try:
             return await self._pool.acquire(endpoint.host, endpoint.port)
         except NotConnected as error:
             self._note_failure(endpoint, str(error))
+            self._note_unreachable(request, endpoint)
             raise MoveOn("no connection", may_have_run=False) from error
 
+    def _note_unreachable(self, request: ClientRequest, endpoint: Endpoint) -> None:
+        """Look for the weights elsewhere, and have the leader see to the engine."""
+        key = request.head.weights
+        if key is None or request.service.engine is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._fleet.note_absent(endpoint.id, key, now)
+        self.demand.note_refused(endpoint.id, key)
+        self.hurry()
+
     async def _ask(
         self,
         request: ClientRequest,
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -12,6 +12,8 @@
 # How many it keeps is not told; fewer than any size seen.
 WARM_ROWS: Final = 64
 # An unload waits for the runs that use the adapter; those last some seconds.
+# An engine that has not answered so often in a row is held to be down.
+SILENCES_TO_CLOSE: Final = 2
 UNLOAD_LIMIT: Final[Seconds] = 8.0
 
 
@@ -49,6 +51,7 @@
     sequence: int | None = None
     busy: bool = False
     failing_until: Seconds = 0.0
+    silences: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     read_at: Seconds = 0.0
     ordered_at: Seconds = 0.0
@@ -56,6 +59,7 @@
     def take_report(self, report: EngineReport, now: Seconds) -> None:
         """Take a report in; one older than the last order only confirms loads."""
         self.read_at = now
+        self.silences = 0
         for key in report.warm:
             self._note_warm(key)
         if self.sequence is not None and report.sequence < self.sequence:
@@ -135,7 +139,12 @@
         return WeightsKey(model) in self.weights
 
     def make_row(self) -> Endpoint:
-        """Return the engine as the other daemons should see it."""
+        """Return the engine as the other daemons should see it.
+
+        What a silent engine holds is to be loaded elsewhere, so it shows nothing.
+        """
+        if self.silences >= SILENCES_TO_CLOSE:
+            return replace(self.endpoint, weights={}, loading=frozenset())
         # What is replaced refuses requests until the new version is there.
         closed = self.leaving.keys() | self.incoming.keys()
         usable = {k: v for k, v in self.weights.items() if k not in closed}
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -18,7 +18,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.placing.books import EngineBook
+from kestreltally.placing.books import SILENCES_TO_CLOSE, EngineBook
 from kestreltally.placing.ceiling import LoadCeiling
 from kestreltally.placing.demand import DemandTable, WeightsRow
 from kestreltally.placing.lease import Lease
@@ -26,6 +26,7 @@
     REPORT_LAG,
     EngineCaller,
     EngineSilent,
+    EngineUnreachable,
     NotHolding,
 )
 from kestreltally.placing.planner import (
@@ -414,6 +415,8 @@
         except EngineSilent as silent:
             now = self._clock()
             book.doubt(now)
+            sure = isinstance(silent, EngineUnreachable)
+            book.silences += SILENCES_TO_CLOSE if sure else 1
             book.failing_until = now + SILENT_PAUSE
             log_decision(
                 LOG,
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -47,6 +47,10 @@
     """The engine did not answer; an order may still be carried out."""
 
 
+class EngineUnreachable(EngineSilent):
+    """No channel to the engine could be opened: nothing was sent."""
+
+
 class NotHolding(Exception):
     """The lease does not allow an order now."""
 
@@ -165,7 +169,7 @@
         try:
             channel = await self._pool.acquire(endpoint.host, endpoint.port)
         except NotConnected as error:
-            raise EngineSilent(str(error)) from error
+            raise EngineUnreachable(str(error)) from error
         keep = False
         try:
             # Checked with no pause before the bytes leave.
--- a/standins/common.py
+++ b/standins/common.py
@@ -23,6 +23,10 @@
         """Return the present value of a fault."""
         return self._values[name]
 
+    def set(self, **wanted: Any) -> None:
+        """Set faults by name."""
+        self._values.update(wanted)
+
     async def show(self, http: web.Request) -> web.Response:
         """Answer with all faults."""
         return web.json_response(self._values)
--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,214 @@
+"""Stand-in for an endpoint of the users' platform: a model engine or a plain service.
+
+It keeps its entry in the store, takes orders by their expected count, reports with a
+lag, streams events that name what ran, and counts its runs by request. An engine
+ordered beyond its places falls: it loses all and starts anew.
+"""
+
+import asyncio
+import contextlib
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any, Final
+from uuid import uuid4
+
+from aiohttp import ClientError, ClientSession, web
+
+from standins.common import Faults, make_command
+
+HEARTBEAT: Final = 0.3
+LOAD_TIME: Final = 0.1
+EVENT_TIME: Final = 0.01
+EVENTS: Final = 5
+
+
+@dataclass
+class PlatformEngine:
+    """One endpoint; ``model`` is empty for a plain service."""
+
+    store: str
+    service: str
+    address: str
+    zone: str
+    model: str = ""
+    places: int = 4
+    id: str = ""
+    sequence: int = 0
+    beats: int = 0
+    falls: int = 0
+    state: str = "ready"
+    held: dict[str, int] = field(default_factory=dict)
+    loading: set[str] = field(default_factory=set)
+    newest: dict[str, int] = field(default_factory=dict)
+    runs: Counter[str] = field(default_factory=Counter)
+    holders: list[tuple[str, int]] = field(default_factory=list)
+    faults: Faults = field(default_factory=lambda: Faults(silent=False, errors=False))
+
+    def __post_init__(self) -> None:
+        """Begin as a new start, with nothing loaded."""
+        self.id = f"i-{uuid4().hex[:10]}"
+
+    async def keep_entry(self) -> None:
+        """Write the own entry to the store for ever."""
+        async with ClientSession() as session:
+            while True:
+                # With the store away the next heartbeat tries again.
+                with contextlib.suppress(ClientError, OSError):
+                    await self._write_entry(session)
+                await asyncio.sleep(HEARTBEAT)
+
+    async def _write_entry(self, session: ClientSession) -> None:
+        self.beats += 1
+        entry = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "v1",
+            "Slots": 8,
+            "State": self.state,
+            "ColdLeftMs": 0,
+            "Models": self._list_models(),
+            "Sequence": self.beats,
+        }
+        body = {"Metadata": {"Name": self.id}, "Specification": entry}
+        url = f"{self.store}/objects/servers"
+        async with session.put(f"{url}/{self.id}", json=body) as answer:
+            missing = answer.status == 404
+        if missing:
+            async with session.post(url, json=body):
+                pass
+
+    def _list_models(self) -> list[dict[str, Any]]:
+        if not self.model:
+            return []
+        adapters = [f"{name}@{version}" for name, version in self.held.items()]
+        return [{"Name": self.model, "Version": 1, "Adapters": adapters}]
+
+    async def report(self, _: web.Request) -> web.Response:
+        """Serve the report."""
+        return web.json_response(
+            {
+                "Stage": "both",
+                "Models": self._list_models(),
+                "Incoming": [f"{self.model}/{name}@1" for name in self.loading],
+                "BusySlots": False,
+                "Sequence": self.sequence,
+                "RunningCount": 0,
+                "WaitingCount": 0,
+                "KvCacheUsed": 0,
+                "KvCacheTotal": 1000,
+                "Handles": 0,
+            }
+        )
+
+    async def order(self, http: web.Request) -> web.Response:
+        """Take an order."""
+        if http.headers.get("X-Expect-Instance", self.id) != self.id:
+            return self._misdirect(http)
+        order = await http.json()
+        status = self._take(order)
+        return web.json_response({}, status=status)
+
+    def _take(self, order: dict[str, Any]) -> int:
+        if order.get("ExpectedRevision", self.sequence) != self.sequence:
+            return 409
+        self.holders.append((order["Holder"], order["Fence"]))
+        name = order["Adapter"]
+        if order["Operation"] == "unload":
+            if self.held.pop(name, None) is None:
+                return 421
+            self.sequence += 1
+            return 200
+        if self.held.get(name) == self.newest.get(name, 1):
+            return 200
+        if name in self.loading:
+            return 202
+        self.sequence += 1
+        self.loading.add(name)
+        if len(self.held.keys() | self.loading) > self.places:
+            self._fall()
+            return 202
+        asyncio.get_running_loop().call_later(LOAD_TIME, self._end_load, name)
+        return 202
+
+    def _fall(self) -> None:
+        self.falls += 1
+        self.held.clear()
+        self.loading.clear()
+
+    def _end_load(self, name: str) -> None:
+        if name in self.loading:
+            self.loading.discard(name)
+            self.held[name] = self.newest.get(name, 1)
+
+    def _misdirect(self, http: web.Request) -> web.Response:
+        headers = {
+            "X-Instance-Id": self.id,
+            "X-Request-Id": http.headers.get("X-Request-Id", ""),
+        }
+        return web.Response(status=421, headers=headers)
+
+    async def serve(self, http: web.Request) -> web.StreamResponse:
+        """Run a request, or say that it is not run."""
+        request_id = http.headers.get("X-Request-Id", "")
+        adapter = http.headers.get("X-Model-Name", "").partition("/")[2]
+        wrong = http.headers.get("X-Expect-Instance", self.id) != self.id
+        version = http.headers.get("X-Expect-Version")
+        held = self.held.get(adapter)
+        if wrong or (adapter and held is None):
+            return self._misdirect(http)
+        if version is not None and version != str(held):
+            return self._misdirect(http)
+        body = await http.read()
+        self.runs[request_id] += 1
+        if self.faults.get("silent"):
+            await asyncio.sleep(3600)
+        headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.id}.stamp"}
+        if self.faults.get("errors"):
+            return web.Response(status=500, headers=headers, text="error")
+        if not adapter:
+            text = f"{http.method} {http.path_qs} {len(body)}"
+            return web.Response(headers=headers, text=text)
+        return await self._stream(http, headers, f"{adapter}@{held}")
+
+    async def _stream(
+        self, http: web.Request, headers: dict[str, str], ran: str
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(http)
+        first = int(http.headers.get("Last-Event-Id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_TIME)
+            data = json.dumps({"ran": ran, "number": number})
+            await response.write(f"id: {number}\ndata: {data}\n\n".encode())
+        return response
+
+
+def make_engine_app(engine: PlatformEngine) -> web.Application:
+    """Return the application that serves an endpoint."""
+    app = web.Application()
+    engine.faults.add_routes(app)
+    app.router.add_get("/report", engine.report)
+    app.router.add_post("/order", engine.order)
+    app.router.add_route("*", "/{path:.*}", engine.serve)
+
+    async def keep(_: web.Application) -> Any:
+        task = asyncio.create_task(engine.keep_entry())
+        yield
+        task.cancel()
+
+    app.cleanup_ctx.append(keep)
+    return app
+
+
+def make_app(options: dict[str, Any]) -> web.Application:
+    """Return an endpoint's application by its options."""
+    return make_engine_app(PlatformEngine(**options))
+
+
+main = make_command(make_app, "Stand-in for an endpoint of the users' platform.")
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,182 @@
+"""Stand-in for the store of the users' platform: objects by kind, and watches.
+
+One counter of revisions, conditional writes, listings in pages, watches that wait, and
+a history that can be forgotten. Faults: down, slow, answers lost after the write.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from aiohttp import web
+
+from standins.common import Faults, make_command
+
+PAGE = 500
+
+
+@dataclass(frozen=True)
+class Event:
+    """A change of an object."""
+
+    kind: str
+    item: dict[str, Any]
+    gone: bool
+    revision: int
+
+
+class PlatformStore:
+    """Objects by kind and name, as the platform's pages describe them."""
+
+    def __init__(self, options: dict[str, Any]) -> None:
+        self.faults = Faults(down=False, slow=0.0, lose_answers=0.0)
+        self._random = random.Random(options.get("seed", 1))
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._events: list[Event] = []
+        self._forgotten = 0
+        self._revision = 0
+        self._changed = asyncio.Condition()
+        self.calls = 0
+
+    async def _disturb(self) -> web.Response | None:
+        self.calls += 1
+        if self.faults.get("slow"):
+            await asyncio.sleep(self.faults.get("slow"))
+        if self.faults.get("down"):
+            return web.json_response({"Error": "down"}, status=503)
+        return None
+
+    async def read(self, http: web.Request) -> web.Response:
+        """Serve a listing, a watch or one object."""
+        refused = await self._disturb()
+        if refused is not None:
+            return refused
+        kind, _, name = http.match_info["path"].partition("/")
+        if name:
+            item = self._objects.get(kind, {}).get(name)
+            return web.json_response(item, status=200 if item else 404)
+        if "Watch" in http.query:
+            wait = float(http.query.get("WaitMs", 0)) / 1000
+            return await self._watch(kind, int(http.query["Watch"]), wait)
+        return self._list(kind, http.query.get("after", ""))
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        found = self._objects.get(kind, {})
+        names = sorted(name for name in found if name > after)
+        return web.json_response(
+            {
+                "items": [found[name] for name in names[:PAGE]],
+                "HasMore": len(names) > PAGE,
+                "CurrentRev": self._revision,
+            }
+        )
+
+    async def _watch(self, kind: str, revision: int, wait: float) -> web.Response:
+        if revision < self._forgotten:
+            return web.json_response({"Error": "gone"}, status=410)
+
+        def list_events() -> list[Event]:
+            return [e for e in self._events if e.kind == kind and e.revision > revision]
+
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait):
+                    await self._changed.wait_for(list_events)
+            except TimeoutError:
+                pass
+        return web.json_response(
+            {
+                "events": [
+                    {"Object": event.item, "Tombstone": event.gone}
+                    for event in list_events()
+                ],
+                "CurrentRev": self._revision,
+            }
+        )
+
+    async def write(self, http: web.Request) -> web.StreamResponse:
+        """Make or replace an object, if its revision is the one expected."""
+        refused = await self._disturb()
+        if refused is not None:
+            return refused
+        body = await http.json()
+        kind, _, name = http.match_info["path"].partition("/")
+        name = name or body["Metadata"]["Name"]
+        current = self._objects.get(kind, {}).get(name)
+        expected = body.get("Metadata", {}).get("Revision")
+        exists = current is not None
+        if (http.method == "POST") == exists and (exists or http.method == "PUT"):
+            return web.json_response(current, status=409 if exists else 404)
+        known = current["Metadata"]["Revision"] if current is not None else None
+        if exists and expected not in (None, known):
+            return web.json_response(current, status=409)
+        item = await self.put(kind, name, body.get("Specification"))
+        if self._random.random() < self.faults.get("lose_answers"):
+            assert http.transport is not None
+            http.transport.abort()
+        return web.json_response(item)
+
+    async def put(self, kind: str, name: str, content: Any) -> dict[str, Any]:
+        """Write an object, whatever its revision; return it."""
+        current = self._objects.get(kind, {}).get(name)
+        if current is not None and current["Specification"] == content:
+            return current
+        self._revision += 1
+        item = {
+            "Metadata": {"Name": name, "Revision": self._revision, "Finalizers": []},
+            "Specification": content,
+            "Status": None,
+        }
+        self._objects.setdefault(kind, {})[name] = item
+        await self._tell(Event(kind, item, False, self._revision))
+        return item
+
+    async def delete(self, http: web.Request) -> web.Response:
+        """Remove an object."""
+        refused = await self._disturb()
+        if refused is not None:
+            return refused
+        kind, _, name = http.match_info["path"].partition("/")
+        await self.drop(kind, name)
+        return web.json_response({})
+
+    async def drop(self, kind: str, name: str) -> None:
+        """Remove an object, if it is there."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is not None:
+            self._revision += 1
+            await self._tell(Event(kind, item, True, self._revision))
+
+    def forget(self) -> None:
+        """Forget the history: watches from before are told so."""
+        self._forgotten = self._revision
+        self._events.clear()
+
+    async def _tell(self, event: Event) -> None:
+        async with self._changed:
+            self._events.append(event)
+            self._changed.notify_all()
+
+
+def make_app(options: dict[str, Any]) -> web.Application:
+    """Return the store's application."""
+    store = PlatformStore(options)
+    return make_store_app(store)
+
+
+def make_store_app(store: PlatformStore) -> web.Application:
+    """Return the application that serves a store."""
+    app = web.Application()
+    store.faults.add_routes(app)
+    app.router.add_get("/objects/{path:.+}", store.read)
+    app.router.add_post("/objects/{path:.+}", store.write)
+    app.router.add_put("/objects/{path:.+}", store.write)
+    app.router.add_delete("/objects/{path:.+}", store.delete)
+    return app
+
+
+main = make_command(make_app, "Stand-in for the store of the users' platform.")
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -3,10 +3,11 @@
 import asyncio
 import socket
 import struct
+from dataclasses import replace
 
 import pytest
 
-from kestreltally.fleet.model import RequestKind
+from kestreltally.fleet.model import EndpointId, RequestKind
 from tests.entryrig import (
     KEY,
     MODELS,
@@ -14,6 +15,7 @@
     EntryRig,
     ScriptedEndpoint,
     SeenRequest,
+    find_port,
     make_answer,
     make_configuration,
     make_route,
@@ -421,3 +423,18 @@
         assert not rig.fleet.take_configuration(older)
         assert (await rig.ask(path="/r/x")).status == 404
         assert (await rig.ask(path="/new/x")).status == 200
+
+
+async def test_weights_on_an_engine_out_of_reach_are_sought_elsewhere() -> None:
+    engine = make_engine("e1", make_streamer(1, 2, whole=True), "north")
+    async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
+        gone = replace(engine.make_row(), id=EndpointId("gone"), port=find_port())
+        rig.fleet.drop_endpoint(engine.make_row().id)
+        rig.fleet.put_endpoint(gone)
+        rig.relay.load_wait = 0.3
+        asking = asyncio.create_task(rig.ask("POST", headers=MODEL, body=b"p"))
+        await asyncio.sleep(0.1)
+        assert rig.relay.demand.take_refused() == {(gone.id, KEY)}
+        rig.fleet.put_endpoint(engine.make_row())
+        rig.relay.waiters.wake([KEY])
+        assert (await asking).whole
--- /dev/null
+++ b/tests/test_fleet_daemon.py
@@ -0,0 +1,265 @@
+"""Whole daemons before the platform's stand-ins, over true sockets."""
+
+import asyncio
+import io
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from aiohttp import web
+
+from kestreltally.deployment import Deployment, Listening
+from kestreltally.fleet_daemon import FleetDaemon
+from kestreltally.logs import LineWriter
+from standins.platform_engine import PlatformEngine, make_engine_app
+from standins.platform_store import PlatformStore, make_store_app
+from tests.entryrig import BOUNDS, Reply, find_port, read_reply
+
+DATA_CENTRES = ("north", "south")
+MODEL = "base"
+
+
+def make_routes(*prefixes: str) -> list[dict[str, Any]]:
+    plain = [
+        {
+            "Name": f"r{prefix}",
+            "Host": "shop.example",
+            "PathPrefix": prefix,
+            "Kind": "unsafe",
+            "TimeoutMs": 1000,
+            "ObjectiveMs": 200,
+            "Service": "plain",
+        }
+        for prefix in prefixes
+    ]
+    streams = {
+        "Name": "models",
+        "Host": "shop.example",
+        "PathPrefix": "/m/",
+        "Kind": "streaming",
+        "TimeoutMs": 5000,
+        "ObjectiveMs": 1000,
+        "Service": "models",
+        "Resumable": True,
+        "Attempts": 2,
+    }
+    return [*plain, streams]
+
+
+def make_configuration(version: int, *prefixes: str) -> dict[str, Any]:
+    engine = {
+        "Slots": 8,
+        "WeightsMb": 100.0,
+        "AdapterSlots": 4,
+        "LoadsPerS": 9.3,
+        "Models": [
+            {"Name": MODEL, "WeightsMb": 90.0, "LoadS": 0.5, "Adapters": 100},
+        ],
+    }
+    return {
+        "Version": version,
+        "Routes": make_routes(*prefixes),
+        "Services": [
+            {"Name": "plain", "HealthPath": "/h", "ConnectionCap": 50},
+            {
+                "Name": "models",
+                "HealthPath": "/h",
+                "ConnectionCap": 50,
+                "Engine": engine,
+            },
+        ],
+        "Limits": {
+            "HeaderBytes": 16384,
+            "BodyBytes": 65536,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+    }
+
+
+class FleetRig:
+    """A store, endpoints and daemons in one process."""
+
+    def __init__(self) -> None:
+        self.store = PlatformStore({})
+        self.store_port = find_port()
+        self.engines: list[PlatformEngine] = []
+        self.daemons: dict[str, FleetDaemon] = {}
+        self.fronts: dict[str, int] = {}
+        self._runners: list[web.AppRunner] = []
+
+    async def serve(self, app: web.Application, port: int) -> web.AppRunner:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", port).start()
+        self._runners.append(runner)
+        return runner
+
+    async def add_endpoint(self, zone: str, model: str = "") -> PlatformEngine:
+        port = find_port()
+        engine = PlatformEngine(
+            store=f"http://127.0.0.1:{self.store_port}",
+            service="models" if model else "plain",
+            address=f"127.0.0.1:{port}",
+            zone=zone,
+            model=model,
+        )
+        await self.serve(make_engine_app(engine), port)
+        self.engines.append(engine)
+        return engine
+
+    async def add_daemon(self, vm: str, data_centre: str) -> FleetDaemon:
+        front = find_port()
+        deployment = Deployment(
+            vm=vm,
+            data_centre=data_centre,
+            data_centres=DATA_CENTRES,
+            clients=Listening("127.0.0.1", front),
+            readiness=Listening("127.0.0.1", find_port()),
+            peers=Listening("127.0.0.1", find_port()),
+            metrics_port=find_port(),
+            store=Listening("127.0.0.1", self.store_port),
+            heartbeat=0.3,
+            file_descriptors=1000,
+            bounds=BOUNDS,
+        )
+        daemon = FleetDaemon(deployment, LineWriter(io.StringIO(), vm))
+        await daemon.start()
+        self.daemons[vm] = daemon
+        self.fronts[vm] = front
+        return daemon
+
+    async def ask(
+        self, vm: str, path: str, adapter: str = "", request_id: str = "q"
+    ) -> Reply:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.fronts[vm])
+        model = f"X-Model-Name: {MODEL}/{adapter}\r\n" if adapter else ""
+        writer.write(
+            f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n{model}"
+            f"X-Request-Id: {request_id}\r\nContent-Length: 1\r\n\r\nx".encode()
+        )
+        try:
+            return await asyncio.wait_for(read_reply(reader), 8.0)
+        finally:
+            writer.close()
+
+    async def ask_until(self, vm: str, path: str, status: int, limit: float) -> float:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while (await self.ask(vm, path)).status != status:
+            assert loop.time() - began < limit
+            await asyncio.sleep(0.02)
+        return loop.time() - began
+
+    async def close(self) -> None:
+        for daemon in self.daemons.values():
+            await daemon.close()
+        for runner in self._runners:
+            await runner.cleanup()
+
+
+@asynccontextmanager
+async def run_fleet() -> AsyncIterator[FleetRig]:
+    rig = FleetRig()
+    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.store.put("config", "main", make_configuration(1, "/a/"))
+    for zone in DATA_CENTRES:
+        await rig.add_endpoint(zone)
+        await rig.add_endpoint(zone, MODEL)
+    for zone in DATA_CENTRES:
+        await rig.add_daemon(f"{zone}-1", zone)
+    try:
+        await asyncio.sleep(1.0)
+        yield rig
+    finally:
+        await rig.close()
+
+
+def read_runs(reply: Reply) -> set[str]:
+    lines = [line for line in reply.body.decode().splitlines() if "data:" in line]
+    return {json.loads(line.partition("data:")[2])["ran"] for line in lines}
+
+
+async def test_requests_are_served_by_the_adapter_they_name() -> None:
+    async with run_fleet() as rig:
+        plain = await rig.ask("north-1", "/a/x?y=1")
+        assert (plain.status, plain.body) == (200, b"POST /a/x?y=1 1")
+        names = [f"a{number}" for number in range(12)]
+        replies = await asyncio.gather(
+            *(
+                rig.ask(f"{DATA_CENTRES[at % 2]}-1", "/m/x", name, f"q{at}")
+                for at, name in enumerate(names)
+            )
+        )
+        for name, reply in zip(names, replies, strict=True):
+            if reply.status == 200:
+                assert reply.whole and read_runs(reply) == {f"{name}@1"}
+        assert sum(reply.status == 200 for reply in replies) >= 8
+        assert all(each.falls == 0 for each in rig.engines)
+        assert all(max(each.runs.values(), default=1) == 1 for each in rig.engines)
+        orders = [set(each.holders) for each in rig.engines if each.model]
+        assert all(len(holders) == 1 for holders in orders)
+
+
+async def test_a_newer_configuration_and_version_are_soon_in_force() -> None:
+    async with run_fleet() as rig:
+        await rig.store.put("config", "main", make_configuration(4, "/b/"))
+        for vm in rig.daemons:
+            assert await rig.ask_until(vm, "/b/x", 200, 2.0) < 1.0
+            assert (await rig.ask(vm, "/a/x")).status == 404
+        assert read_runs(await rig.ask("north-1", "/m/x", "a1")) == {"a1@1"}
+        for engine in rig.engines:
+            engine.newest["a1"] = 2
+        version = {"Model": MODEL, "Adapter": "a1", "Version": 2}
+        await rig.store.put("versions", f"{MODEL}.a1", version)
+        await asyncio.sleep(1.5)
+        assert read_runs(await rig.ask("north-1", "/m/x", "a1")) == {"a1@2"}
+
+
+async def test_a_leaving_endpoint_gets_no_new_work() -> None:
+    async with run_fleet() as rig:
+        first = next(each for each in rig.engines if not each.model)
+        first.state = "draining"
+        await asyncio.sleep(1.2)
+        before = sum(first.runs.values())
+        for number in range(10):
+            reply = await rig.ask("north-1", "/a/x", request_id=f"q{number}")
+            assert reply.status == 200
+        assert sum(first.runs.values()) == before
+
+
+async def test_a_lost_leader_is_followed_and_its_callers_served() -> None:
+    async with run_fleet() as rig:
+        await rig.add_daemon("north-2", "north")
+        await asyncio.sleep(0.5)
+        leader = rig.daemons.pop("north-1")
+        await leader.close()
+        reply = await rig.ask("north-2", "/m/x", "a7")
+        assert reply.whole and read_runs(reply) == {"a7@1"}
+        for engine in rig.engines:
+            numbers = [fence for _, fence in engine.holders]
+            assert numbers == sorted(numbers)
+
+
+async def test_the_store_may_go_away_and_come_back() -> None:
+    async with run_fleet() as rig:
+        assert (await rig.ask("north-1", "/m/x", "a1")).whole
+        rig.store.faults.set(down=True)
+        await asyncio.sleep(3.0)
+        assert (await rig.ask("north-1", "/a/x")).status == 200
+        assert (await rig.ask("north-1", "/m/x", "a1")).whole
+        rig.store.faults.set(down=False)
+        await rig.store.put("config", "main", make_configuration(9, "/c/"))
+        assert await rig.ask_until("south-1", "/c/x", 200, 4.0) < 3.0
+
+
+async def test_a_planned_stop_answers_what_it_took() -> None:
+    async with run_fleet() as rig:
+        asking = asyncio.create_task(rig.ask("north-1", "/m/x", "a1"))
+        await asyncio.sleep(0.05)
+        daemon = rig.daemons["north-1"]
+        stopping = asyncio.create_task(daemon.stop())
+        assert (await asking).whole
+        assert (await rig.ask("north-1", "/a/x")).headers["connection"] == "close"
+        await asyncio.wait_for(stopping, BOUNDS.grace)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -22,7 +22,13 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.leader import Leader
-from kestreltally.placing.orders import EngineCaller, EngineSilent, Grant, NotHolding
+from kestreltally.placing.orders import (
+    EngineCaller,
+    EngineSilent,
+    EngineUnreachable,
+    Grant,
+    NotHolding,
+)
 from kestreltally.placing.planner import (
     EngineView,
     HeldAdapter,
@@ -119,6 +125,7 @@
         self.engines = engines
         self.random = Random(seed)
         self.faulty = False
+        self.unreachable: set[str] = set()
         self.now = clock
 
     async def _call(
@@ -131,6 +138,8 @@
     ) -> tuple[int, bytes]:
         engine = self.engines[endpoint.id]
         await asyncio.sleep(0.001)
+        if endpoint.id in self.unreachable:
+            raise EngineUnreachable("refused")
         if grant is not None and not grant.holds():
             raise NotHolding()
         if method == "GET":
@@ -274,6 +283,24 @@
     rig.close()
 
 
+async def test_what_an_unreachable_engine_held_is_loaded_elsewhere() -> None:
+    rig = LeaderRig()
+    await asyncio.sleep(1.0)
+    rig.ask(7)
+    await asyncio.sleep(0.5)
+    name = next(name for name, each in rig.engines.items() if "a7" in each.held)
+    rig.caller.unreachable.add(name)
+    key = WeightsKey(MODEL, "a7")
+    rig.leader.note_refused(EndpointId(name), key)
+    for _ in range(20):
+        rig.ask(7)
+        await asyncio.sleep(0.1)
+    now = asyncio.get_running_loop().time()
+    holders = [each.id for each in rig.fleet.list_holders(MODELS, key, now)]
+    assert holders and name not in holders
+    rig.close()
+
+
 @pytest.mark.parametrize("seed", range(8))
 async def test_no_engine_is_ordered_beyond_its_places(seed: int) -> None:
     rig = LeaderRig(seed)
