--- a/src/kestreltally/cli/main.py
+++ b/src/kestreltally/cli/main.py
@@ -16,6 +16,7 @@
 from prompt_toolkit.history import InMemoryHistory
 
 from kestreltally.callers.identity import digest_key
+from kestreltally.cli.logs import logs
 from kestreltally.cli.output import print_rows
 from kestreltally.cli.session import (
     EXIT_INVALID,
@@ -34,6 +35,8 @@
 ENVIRONMENT: Final = "KESTRELTALLY"
 DEFAULT_SETTINGS: Final = "kestreltally.yaml"
 OBJECT_API_TIMEOUT: Final = 2.0
+# Commands that only read files.
+WITHOUT_SETTINGS: Final = frozenset({"logs"})
 T = TypeVar("T")
 
 
@@ -137,7 +140,7 @@
     operator, 4 the platform is not available, 5 outcome not known, 6 not in
     force everywhere in time.
     """
-    if context.resilient_parsing:
+    if context.resilient_parsing or context.invoked_subcommand in WITHOUT_SETTINGS:
         return
     context.obj = Options(
         settings=load_operator_settings(path),
@@ -147,6 +150,9 @@
     )
 
 
+main.add_command(logs)
+
+
 @main.command("run")
 @click.argument("statements", nargs=-1, required=True)
 @click.pass_obj
