--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -61,7 +61,7 @@
 # A load that no report has shown after this is taken as failed.
 LOAD_GIVEN_UP: Final[Seconds] = 4.0
 # An engine that did not answer an order is left alone this long.
-SILENT_PAUSE: Final[Seconds] = 0.5
+SILENT_PAUSE: Final[Seconds] = 0.2
 # The wait that is told while this daemon does not lead.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
 # How long another leader may take to bring what its engines have had lately.
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -37,7 +37,9 @@
 
 LOG = logging.getLogger("kestreltally.orders")
 
-CALL_TIMEOUT: Final[Seconds] = 0.4
+# Engines answer within some ms; what is sent meanwhile is guarded by its expected
+# count. Not longer than the lease takes an order to be on its way.
+CALL_TIMEOUT: Final[Seconds] = 0.2
 BODY_LIMIT: Final = 2**20
 # An engine's report is some 100 to 200 ms old; after this it shows what came before.
 REPORT_LAG: Final[Seconds] = 0.3
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -263,3 +263,17 @@
         assert (await asking).whole
         assert (await rig.ask("north-1", "/a/x")).headers["connection"] == "close"
         await asyncio.wait_for(stopping, BOUNDS.grace)
+
+
+async def test_engines_where_no_daemon_stands_are_led_from_elsewhere() -> None:
+    rig = FleetRig()
+    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.store.put("config", "main", make_configuration(1, "/a/"))
+    await rig.add_endpoint("south", MODEL)
+    await rig.add_daemon("north-1", "north")
+    try:
+        await asyncio.sleep(6.0)
+        reply = await rig.ask("north-1", "/m/x", "a1")
+        assert reply.whole and read_runs(reply) == {"a1@1"}
+    finally:
+        await rig.close()
