--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: install
 	$(RUN) -m bench.demo
+	$(RUN) -m bench.fleet_demo
 
 test: install
 	$(RUN) -m pytest -q
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -47,6 +47,7 @@
 )
 from kestreltally.entities.members import ListedVm, Member, MemberState
 from kestreltally.entities.permits import Want
+from kestreltally.objectapi.http import open_session
 from kestreltally.orders import (
     ConfigArrived,
     MessageArrived,
@@ -58,7 +59,6 @@
 )
 from kestreltally.peers.codec import read_envelope, write_envelope
 from kestreltally.peers.messages import Envelope, PeerMessage
-from kestreltally.objectapi.http import open_session
 from kestreltally.requests.relay import Relay
 from kestreltally.settings import check_settings
 from kestreltally.systems.configuration import list_changes_after
