Watch shortly and only where leaders do, resign by evidence, replace models in turn

Found by reading: a watch that a silent store swallowed would have been waited for 21 s; with the store down for all, leaders took each other's waiting watches for its answers and resigned; a restarted leader showed itself before it had listed anything, so that followers forgot all endpoints; a new version of a model would have been loaded on all engines at once. Tests: test_lease, test_knowledge.

--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -185,6 +185,9 @@
     def is_outdated(self, endpoint: Endpoint, key: WeightsKey, now: Seconds) -> bool:
         """Tell whether an engine holds a version that may no longer be used."""
         newest = self.versions.get(key)
+        if not key.adapter:
+            # Models are replaced on one engine after another, which takes its time.
+            return False
         if newest is None or endpoint.weights.get(key, 0) >= newest.number:
             return False
         return now - newest.learned_at > OLD_VERSION_FOR
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -96,7 +96,9 @@
         self._metrics = FleetMetrics(self._read_gauges)
         self._surface = EntrySurface(self._fleet, self._relay, self._metrics.note_end)
         self._leases = self._make_leases()
-        self._configuration = ConfigurationFollower(self._fleet.take_configuration)
+        self._configuration = ConfigurationFollower(
+            lambda configuration: self._exchange.take_configuration(configuration)
+        )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP
         )
@@ -106,7 +108,6 @@
             self._relay,
             self._leases,
             self._configuration,
-            self._sees_store,
             lambda: self._endpoints_watch.find_age(),
             self._clock,
         )
@@ -169,10 +170,6 @@
     def _make_watch(self, kind: str, follower: Follower, gap: Seconds) -> KindWatch:
         return KindWatch(self._store, kind, follower, gap, self._clock)
 
-    def _sees_store(self) -> bool:
-        watch = self._configuration_watch
-        return watch.answered_at > watch.failed_at
-
     def _read_gauges(self) -> GaugeValues:
         """Return what the tables show now."""
         now = self._clock()
@@ -228,19 +225,23 @@
                 log_left_out(LOG, self._lines.take_dropped())
 
     def _follow_store(self) -> None:
-        """Watch endpoints and versions here unless a leader's feed tells of them."""
+        """Watch the store here unless a leader's feed tells what is there."""
         needed = self._exchange.leads or not self._exchange.is_fed(FEED_AGE_LIMIT)
         if needed and not self._endpoints_watch.on:
             self._endpoints.adopt(self._fleet.endpoints.values())
-        self._endpoints_watch.switch(needed)
-        self._versions_watch.switch(needed)
+        for watch in (
+            self._configuration_watch,
+            self._endpoints_watch,
+            self._versions_watch,
+        ):
+            watch.switch(needed)
 
     # Start and stop.
 
     async def start(self) -> None:
         """Listen on all sides and begin; raises ``OSError``."""
         own = self._deployment
-        self._configuration_watch.switch(True)
+        self._follow_store()
         await self._exchange.feed.start(own.peers.host, own.peers.port)
         await self._surface.start(own.clients, own.readiness)
         await self._surface.listen(
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -17,6 +17,7 @@
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import DAEMONS_AT_FIRST
 from kestreltally.fleet.model import (
+    Configuration,
     Endpoint,
     EndpointId,
     Seconds,
@@ -47,6 +48,8 @@
 LEADER_SOON: Final[Seconds] = 1.0
 LEADER_SOON_WAIT: Final[Seconds] = 0.35
 
+# Stands for "never" in what daemons tell each other.
+AGE_UNKNOWN: Final[Seconds] = 1e6
 # A leader whose loads take longer than this is not asked for what it had lately.
 HAND_WAIT_MOST: Final[Seconds] = 0.5
 
@@ -63,7 +66,6 @@
         relay: Relay,
         leases: Mapping[str, Lease],
         configuration: ConfigurationFollower,
-        sees_store: Callable[[], bool],
         endpoints_age: Callable[[], Seconds],
         clock: Callable[[], Seconds],
     ) -> None:
@@ -72,7 +74,6 @@
         self._relay = relay
         self._leases = leases
         self._configuration = configuration
-        self._sees_store = sees_store
         self._endpoints_age = endpoints_age
         self._clock = clock
         self.feed = FeedServer(
@@ -146,8 +147,11 @@
 
     def resign_if_cut_off(self) -> None:
         """Give the leases up when only this daemon has lost the store."""
-        held = [lease for lease in self._leases.values() if lease.should_resign()]
-        if not held or not self.feed.is_store_seen():
+        answered_at = self.feed.find_store_answered_at()
+        held = [
+            lease for lease in self._leases.values() if lease.should_resign(answered_at)
+        ]
+        if not held:
             return
         self._resigned = tuple(
             LedDataCentre(lease.data_centre, lease.resign(), 0) for lease in held
@@ -157,13 +161,14 @@
     # What a leader tells.
 
     def _make_state(self) -> LeaderState:
+        """Return what is told; a leader that has listed nothing yet is none."""
         configuration = self._fleet.configuration
         leads = tuple(
             LedDataCentre(
                 name, lease.fence, lease.sighting.revision if lease.sighting else 0
             )
             for name, lease in self._leases.items()
-            if lease.leads
+            if lease.leads and self._fleet.endpoints
         )
         return LeaderState(
             leader=self._deployment.vm,
@@ -231,7 +236,7 @@
             uses=[],
             refused=[],
             configuration=configuration.version if configuration else 0,
-            sees_store=self._sees_store(),
+            store_age=self._find_store_age(),
             daemons=1,
         )
         if self.leads:
@@ -240,6 +245,11 @@
             self._add_own(report)
         return report
 
+    def _find_store_age(self) -> Seconds:
+        """Return how long ago the store answered a renewal of this daemon's."""
+        renewed = [each.renewed_at for each in self._leases.values() if each.leads]
+        return min(self._clock() - max(renewed, default=float("-inf")), AGE_UNKNOWN)
+
     def _add_own(self, report: Any) -> None:
         demand = self._relay.demand
         self._reported = self._relay.health.count_in_flight()
@@ -358,6 +368,13 @@
         if self._fleet.take_version(key, number, self._clock()) and self.leads:
             self.feed.hurry()
 
+    def take_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration in force unless it is older, and feed it to followers."""
+        taken = self._fleet.take_configuration(configuration)
+        if taken and self.leads:
+            self.feed.hurry()
+        return taken
+
     def put_entry(self, endpoint: Endpoint) -> None:
         """Take an endpoint's entry of the store in, where no leader knows better."""
         lease = self.find_lease(endpoint)
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -26,8 +26,8 @@
 # Changes within this time go out together.
 GATHER: Final[Seconds] = 0.005
 WRITE_LIMIT: Final = 2**22
-# How long a daemon's word that it sees the store is believed.
-STORE_SEEN_FOR: Final[Seconds] = 0.6
+# A configuration that a daemon still lacks after this is sent once more.
+CONFIGURATION_AGAIN: Final[Seconds] = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +66,9 @@
     daemons: int = 1
     in_flight: dict[str, int] = field(default_factory=dict)
     uses: dict[tuple[EndpointId, WeightsKey], int] = field(default_factory=dict)
-    sees_store_at: Seconds = float("-inf")
+    store_answered_at: Seconds = float("-inf")
+    told_configuration: int = 0
+    told_configuration_at: Seconds = float("-inf")
 
 
 class FeedServer:
@@ -105,10 +107,10 @@
         """Return the leaders of other data centres that are connected."""
         return [peer for peer in self._peers if peer.vm and peer.leads]
 
-    def is_store_seen(self) -> bool:
-        """Tell whether another daemon has the store in reach."""
-        oldest = self._clock() - STORE_SEEN_FOR
-        return any(peer.sees_store_at > oldest for peer in self._peers)
+    def find_store_answered_at(self) -> Seconds:
+        """Return when the store last answered another daemon, as far as is known."""
+        times = (peer.store_answered_at for peer in self._peers)
+        return max(times, default=float("-inf"))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -140,8 +142,7 @@
         peer.in_flight = report.in_flight or {}
         uses = [decode_use(each) for each in report.uses or ()]
         peer.uses = {(endpoint, key): count for endpoint, key, count in uses}
-        if report.sees_store:
-            peer.sees_store_at = self._clock()
+        peer.store_answered_at = self._clock() - report.store_age
         self._take_report(report)
 
     async def run(self) -> None:
@@ -182,7 +183,7 @@
             load_wait=state.load_wait,
             configuration_version=state.configuration_version,
         )
-        if peer.configuration < state.configuration_version:
+        if self._lacks_configuration(peer, state.configuration_version):
             update.configuration = state.configuration
         if state.leads:
             self._add_rows(peer, update, {each.data_centre for each in state.leads})
@@ -192,6 +193,24 @@
                 update.daemons = self.count_daemons()
         return update
 
+    def _lacks_configuration(self, peer: Peer, version: int) -> bool:
+        """Tell whether to send the configuration, and note that it is sent."""
+        if peer.configuration >= version:
+            return False
+        now = self._clock()
+        recent = now - peer.told_configuration_at < CONFIGURATION_AGAIN
+        # Other leaders watch for themselves: they are told only if that fails them.
+        told = peer.told_configuration == version
+        if peer.leads and not told:
+            recent = told = True
+            peer.told_configuration = version
+            peer.told_configuration_at = now
+        if told and recent:
+            return False
+        peer.told_configuration = version
+        peer.told_configuration_at = now
+        return True
+
     def _add_rows(self, peer: Peer, update: Any, led: set[str]) -> None:
         """Add what a peer has not been told; another leader gets only rows led here."""
         known = self._rows()
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -52,6 +52,7 @@
 }
 
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
+// store_age tells how long ago the store answered a renewal, seconds.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -61,7 +62,7 @@
   6: list<UseRow> uses,
   7: list<UseRow> refused,
   8: i64 configuration,
-  9: bool sees_store,
+  9: double store_age,
   10: i32 daemons,
 }
 
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -18,9 +18,10 @@
 
 LOG = logging.getLogger("kestreltally.knowledge")
 
-# A watch that waits is one call, however long: rare calls cost least. Its connection
-# has keep-alive probes, so a cut is noticed within some three seconds all the same.
-WATCH_WAIT: Final[Seconds] = 20.0
+# A store that fell silent may never answer a watch that waited, also once it is back.
+# So watches are short: with their margin no change is missed for longer than four
+# seconds.
+WATCH_WAIT: Final[Seconds] = 3.0
 RETRY_LEAST: Final[Seconds] = 0.15
 RETRY_MOST: Final[Seconds] = 0.6
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -234,7 +234,7 @@
         ceiling.refill(part * spec.loads_per_second, now)
         able = [b for b in books if self._is_able(b, now)]
         able = self._order_models(able, spec, ceiling)
-        able = self._order_versions(able)
+        able = self._order_versions(able, ceiling)
         self._order_adapters(service, spec, able, now)
 
     def _needs_report(self, book: EngineBook, now: Seconds) -> bool:
@@ -251,6 +251,7 @@
             and book.sequence is not None
             and not book.leaving
             and len(book.incoming) < INCOMING_MOST
+            and all(key.adapter for key in book.incoming)
             and not book.endpoint.leaving
             and now >= book.failing_until
         )
@@ -278,22 +279,38 @@
                     counts[key.model] += 1
         return min(counts, key=lambda name: counts[name])
 
-    def _order_versions(self, books: list[EngineBook]) -> list[EngineBook]:
-        """Have outdated adapters replaced; return the engines left."""
+    def _order_versions(
+        self, books: list[EngineBook], ceiling: LoadCeiling
+    ) -> list[EngineBook]:
+        """Have what is outdated replaced; return the engines left.
+
+        A model is replaced on one engine at a time: it serves nothing meanwhile.
+        """
         left = []
+        model_busy = any(
+            not key.adapter for book in self.books.values() for key in book.incoming
+        )
         for book in books:
-            outdated = [
-                key
-                for key, held in book.weights.items()
-                if held < (self._fleet.newest_version(key) or 0)
-                and key not in book.incoming
-            ]
-            if outdated:
+            outdated = self._list_outdated(book)
+            adapters = [key for key in outdated if key.adapter]
+            if adapters:
+                self._start(book, self._load(book, adapters[0]))
+            elif outdated and not model_busy and ceiling.available:
+                model_busy = True
+                ceiling.take()
                 self._start(book, self._load(book, outdated[0]))
             else:
                 left.append(book)
         return left
 
+    def _list_outdated(self, book: EngineBook) -> list[WeightsKey]:
+        return [
+            key
+            for key, held in book.weights.items()
+            if held < (self._fleet.newest_version(key) or 0)
+            and key not in book.incoming
+        ]
+
     def _order_adapters(
         self,
         service: ServiceName,
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -36,9 +36,10 @@
 TAKE_JITTER: Final[Seconds] = 0.4
 # Daemons of other data centres leave a lease that long to those of its own.
 FOREIGN_PATIENCE: Final[Seconds] = 3.0
-# A holder that the store has not answered for this long, while others see the store,
-# resigns: its word lets a successor spare the wait for its validity.
-RESIGN_AFTER: Final[Seconds] = 1.1
+# A holder resigns when another daemon had an answer of the store so long after its own
+# last one: then it alone is cut off, for all renew more often than that. Its word lets
+# a successor spare the wait for its validity.
+RESIGN_AFTER: Final[Seconds] = 1.2
 RESIGNED_FOR: Final[Seconds] = 3.0
 READ_EVERY: Final[Seconds] = 0.3
 # How long an order may be on its way to an engine.
@@ -208,9 +209,14 @@
         self._valid_until = float("-inf")
         self._orders_from = float("inf")
 
-    def should_resign(self) -> bool:
-        """Tell whether the store has not answered this holder for long."""
-        return self.leads and self._clock() - self._renewed_at > RESIGN_AFTER
+    @property
+    def renewed_at(self) -> Seconds:
+        """Return when the store last answered a renewal."""
+        return self._renewed_at
+
+    def should_resign(self, others_answered_at: Seconds) -> bool:
+        """Tell whether the store answered others, but not this holder for long."""
+        return self.leads and others_answered_at - self._renewed_at > RESIGN_AFTER
 
     def resign(self) -> int:
         """Give no more orders under this number, for the store is out of reach."""
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -17,8 +17,10 @@
 
 # A call is answered in some ms; the slowest store tried takes some 300.
 CALL_TIMEOUT: Final[Seconds] = 1.5
+# Writes are short and often urgent.
+WRITE_TIMEOUT: Final[Seconds] = 0.6
 # How much longer than its wait a watch may take to answer.
-WATCH_MARGIN: Final[Seconds] = 1.5
+WATCH_MARGIN: Final[Seconds] = 0.8
 HISTORY_GONE: Final = 410
 CONFLICT: Final = 409
 NOT_FOUND: Final = 404
@@ -135,7 +137,8 @@
     async def create(self, kind: str, name: str, content: Any) -> StoredObject:
         """Make an object; raises ``Conflict`` when there is one."""
         body = {"Metadata": {"Name": name}, "Specification": content}
-        return _decode_object(await self._call("POST", kind, body=body))
+        written = await self._call("POST", kind, body=body, limit=WRITE_TIMEOUT)
+        return _decode_object(written)
 
     async def replace(
         self, kind: str, name: str, revision: int, content: Any
@@ -143,7 +146,8 @@
         """Replace an object of a known revision; raises ``Conflict`` for another."""
         metadata = {"Name": name, "Revision": revision}
         body = {"Metadata": metadata, "Specification": content}
-        written = await self._call("PUT", f"{kind}/{name}", body=body)
+        path = f"{kind}/{name}"
+        written = await self._call("PUT", path, body=body, limit=WRITE_TIMEOUT)
         if written is None:
             raise Conflict(None)
         return _decode_object(written)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -209,15 +209,17 @@
             each.id: each
             for each in (make_endpoint("n1"), make_endpoint("s1", "south"))
         }
+        self.clock = Clock()
+        self.version = 0
         self.feed = FeedServer(
-            self.make_state, lambda: self.rows, dict, lambda _: None, Clock()
+            self.make_state, lambda: self.rows, dict, lambda _: None, self.clock
         )
         self.feed.own_in_flight = dict
         self.peer = Peer(writer=None, vm="other")  # type: ignore[arg-type]
 
     def make_state(self) -> LeaderState:
         leads = (LedDataCentre("north", 1, 1),)
-        return LeaderState("me", leads, (), 0.0, 0.0, 0, b"")
+        return LeaderState("me", leads, (), 0.0, 0.0, self.version, b"{}")
 
     def update(self) -> Any:
         return self.feed._make_update(self.peer)
@@ -244,6 +246,28 @@
     assert rig.update().gone == []
 
 
+def test_a_configuration_is_sent_once_until_it_must_have_come() -> None:
+    rig = FeedRig()
+    rig.version = 5
+    rig.peer.configuration = 4
+    assert rig.update().configuration == b"{}"
+    assert not rig.update().configuration
+    rig.clock.now += 1.1
+    assert rig.update().configuration == b"{}"
+    rig.peer.configuration = 5
+    rig.clock.now += 1.1
+    assert not rig.update().configuration
+
+
+def test_another_leader_is_told_a_configuration_only_if_it_stays_behind() -> None:
+    rig = FeedRig()
+    rig.version = 5
+    rig.peer.leads = frozenset({"south"})
+    assert not rig.update().configuration
+    rig.clock.now += 1.1
+    assert rig.update().configuration == b"{}"
+
+
 def test_weights_are_found_where_they_are_usable() -> None:
     fleet = Fleet()
     fleet.put_endpoint(make_endpoint("e1"))
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -187,14 +187,32 @@
     await wait_until_ordering(former, 1.0)
     successor.start()
     former.view.down = True
-    await asyncio.sleep(1.2)
-    assert former.lease.should_resign()
+    await asyncio.sleep(2.0)
+    now = asyncio.get_running_loop().time()
+    assert former.lease.should_resign(now)
     successor.lease.note_resigned(former.lease.resign())
     assert not former.lease.may_order()
     took = await wait_until_ordering(successor, 10.0)
     assert APART <= took < APART + ORDER_TRANSIT + 1.0
 
 
+async def test_a_holder_does_not_resign_when_the_store_is_down_for_all() -> None:
+    # With a silent store all leaders would give up at once, and wait once it is back.
+    store = FakeStore()
+    first, other = make_contender(store, "a"), make_contender(store, "b")
+    other.lease.data_centre = "south"
+    first.start()
+    await wait_until_ordering(first, 1.0)
+    for phase in range(7):
+        await asyncio.sleep(0.1)
+        last_answer = asyncio.get_running_loop().time()
+        first.view.down = True
+        await asyncio.sleep(3.0)
+        assert not first.lease.should_resign(last_answer), phase
+        first.view.down = False
+        await asyncio.sleep(1.0)
+
+
 async def test_a_daemon_restarted_on_its_vm_need_not_wait() -> None:
     store = FakeStore()
     former = make_contender(store, "a", "boot-1")
