--- /dev/null
+++ b/src/kestreltally/entry/finder.py
@@ -0,0 +1,144 @@
+"""Finds the endpoint for a request, and waits for its weights while that pays."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from kestreltally.decisions import Decision, log_decision
+from kestreltally.entry.affinity import Affinity
+from kestreltally.entry.choice import ENDPOINT_CHOOSERS, Option
+from kestreltally.entry.demand import DemandCounter
+from kestreltally.entry.health import HealthTable
+from kestreltally.entry.progress import (
+    RETRY_SOON,
+    UNAVAILABLE,
+    Progress,
+    give_up,
+)
+from kestreltally.entry.request import ClientRequest, Refused
+from kestreltally.entry.waiting import WeightsWaiters
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
+from kestreltally.fleet.tables import Fleet
+
+LOG = logging.getLogger("kestreltally.finder")
+
+# Requests wait for an adapter only where it can come within this part of the
+# objective; one that waits in vain is sent back after this part of its time.
+WAIT_PART: Final = 0.85
+GIVE_UP_PART: Final = 0.4
+RETRY_MOST: Final[Seconds] = 2.0
+
+
+class EndpointFinder:
+    """Knows who could serve what, and how full the endpoints are.
+
+    ``others`` counts the requests of other daemons under way, by endpoint;
+    ``load_wait`` is the leader's word on how long a load takes from now, none without a
+    leader; ``hurry`` has the leader told of new demand at once.
+    """
+
+    def __init__(self, data_centre: str, fleet: Fleet, health: HealthTable) -> None:
+        self._data_centre = data_centre
+        self._fleet = fleet
+        self._health = health
+        self._choose = ENDPOINT_CHOOSERS["least-cost"]
+        self.demand = DemandCounter()
+        self.waiters = WeightsWaiters()
+        self.affinity = Affinity()
+        self.others: dict[EndpointId, int] = {}
+        self.load_wait: Seconds | None = None
+        self.hurry: Callable[[], None] = lambda: None
+
+    async def find(self, request: ClientRequest, progress: Progress) -> Endpoint:
+        """Return the endpoint to ask, once one can serve; raises ``Refused``."""
+        loop = asyncio.get_running_loop()
+        key = request.head.weights
+        if request.service.engine is None or key is None:
+            found = self._fleet.list_service(request.service_name)
+            if not found:
+                progress.last_fault = progress.last_fault or "no endpoint"
+                raise give_up(progress)
+            return self._pick(request, progress, found, loop.time())
+        until = request.arrived + GIVE_UP_PART * (request.ends - request.arrived)
+        while True:
+            now = loop.time()
+            found = self._fleet.list_holders(request.service_name, key, now)
+            if found:
+                return self._pick(request, progress, found, now)
+            self._check_wait(request, progress, key, now, until)
+            await self._wait_for_weights(request, progress, key, until - now)
+
+    async def _wait_for_weights(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        key: WeightsKey,
+        timeout: Seconds,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        if not progress.waited:
+            log_decision(
+                LOG,
+                Decision.REQUEST_WAITS,
+                request=request.head.id,
+                weights=str(key),
+                load_wait=self.load_wait,
+                at_most=round(timeout, 3),
+            )
+        self.demand.note_waiting(request.service_name, key, 1)
+        self.hurry()
+        try:
+            await self.waiters.wait(key, timeout)
+        finally:
+            self.demand.note_waiting(request.service_name, key, -1)
+            progress.waited += loop.time() - began
+
+    def _check_wait(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        key: WeightsKey,
+        now: Seconds,
+        until: Seconds,
+    ) -> None:
+        """Raise ``Refused`` unless the weights can come in time."""
+        coming = self._fleet.is_coming(request.service_name, key)
+        wait = self.load_wait if self.load_wait is not None else RETRY_MOST
+        late = now + wait > request.arrived + WAIT_PART * request.route.objective
+        if progress.runs:
+            raise give_up(progress)
+        if now >= until or (late and not coming):
+            self.demand.note_missed(request.service_name, key)
+            self.hurry()
+            after = min(RETRY_MOST, max(RETRY_SOON, wait))
+            raise Refused(UNAVAILABLE, f"{key} is not loaded", after)
+
+    def _pick(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        found: list[Endpoint],
+        now: Seconds,
+    ) -> Endpoint:
+        fresh = [each for each in found if each.id not in progress.tried] or found
+        sound = self._health.keep_sound(fresh, now)
+        options = [self._make_option(request, each) for each in sound]
+        chosen = self._choose(options)
+        progress.trail.append(
+            f"{chosen.endpoint.id} of {len(found)}, {chosen.under_way} under way"
+            + (", far" if chosen.far else "")
+        )
+        return chosen.endpoint
+
+    def _make_option(self, request: ClientRequest, endpoint: Endpoint) -> Option:
+        key = request.head.weights
+        own = self._health.row(endpoint.id).in_flight
+        known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
+        return Option(
+            endpoint=endpoint,
+            under_way=own + self.others.get(endpoint.id, 0),
+            far=endpoint.data_centre != self._data_centre,
+            known_part=known,
+        )
--- /dev/null
+++ b/src/kestreltally/entry/progress.py
@@ -0,0 +1,55 @@
+"""What becomes of one request on its way through the entry."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from aiohttp import web
+
+from kestreltally.entry.events import EventReader
+from kestreltally.entry.request import Refused
+from kestreltally.fleet.model import EndpointId, Seconds
+
+BAD_GATEWAY: Final = 502
+UNAVAILABLE: Final = 503
+# A time to come back when nothing better is known.
+RETRY_SOON: Final[Seconds] = 0.3
+
+
+@dataclass(slots=True)
+class Progress:
+    """What has become of one request so far.
+
+    ``runs`` counts the sends of which no endpoint has said that they did not run.
+    """
+
+    sends: int = 0
+    runs: int = 0
+    tried: set[EndpointId] = field(default_factory=set)
+    last_fault: str = ""
+    trail: list[str] = field(default_factory=list)
+    waited: Seconds = 0.0
+    first_byte_at: Seconds | None = None
+    events: EventReader = field(default_factory=EventReader)
+    response: web.StreamResponse | None = None
+
+
+class MoveOn(Exception):
+    """This endpoint did not serve the request; another may."""
+
+    def __init__(self, fault: str, *, may_have_run: bool) -> None:
+        super().__init__(fault)
+        self.fault = fault
+        self.may_have_run = may_have_run
+
+
+class StreamBroken(Exception):
+    """A stream that clients have seen part of cannot be finished."""
+
+
+def give_up(progress: Progress) -> Exception:
+    """Return what ends a request that no endpoint has served."""
+    if progress.response is not None:
+        return StreamBroken(progress.last_fault)
+    if progress.runs:
+        return Refused(BAD_GATEWAY, progress.last_fault)
+    return Refused(UNAVAILABLE, progress.last_fault, RETRY_SOON)
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -7,19 +7,23 @@
 
 import asyncio
 import logging
-from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final
 
 from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answers import make_streamed_answer, make_whole_answer
-from kestreltally.entry.choice import ENDPOINT_CHOOSERS, Option
-from kestreltally.entry.demand import DemandCounter
-from kestreltally.entry.events import EventReader, EventTooLong
+from kestreltally.entry.events import EventTooLong
+from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.progress import (
+    RETRY_SOON,
+    UNAVAILABLE,
+    MoveOn,
+    Progress,
+    StreamBroken,
+    give_up,
+)
 from kestreltally.entry.request import BODY_METHODS, ClientRequest, Refused
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.upstream import (
@@ -31,13 +35,10 @@
     NotConnected,
     encode_head,
 )
-from kestreltally.entry.waiting import WeightsWaiters
 from kestreltally.fleet.model import (
     Endpoint,
-    EndpointId,
     RequestKind,
     Seconds,
-    WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.platform.headers import (
@@ -51,8 +52,6 @@
 
 LOG = logging.getLogger("kestreltally.relay")
 
-BAD_GATEWAY: Final = 502
-UNAVAILABLE: Final = 503
 GATEWAY_TIMEOUT: Final = 504
 # Statuses that promise that a request has not run: an endpoint's own is handed on
 # only where it says so itself.
@@ -65,75 +64,8 @@
 # goes to another endpoint.
 SILENCE_FACTOR: Final = 1.3
 SILENCE_LEAST: Final[Seconds] = 0.3
-# Requests wait for an adapter only where it can come within this part of the
-# objective; one that waits in vain is sent back after this part of its time.
-WAIT_PART: Final = 0.85
-GIVE_UP_PART: Final = 0.4
+# The pause before endpoints that have all been tried are tried again.
 TRY_AGAIN_PAUSE: Final[Seconds] = 0.1
-RETRY_SOON: Final[Seconds] = 0.3
-RETRY_MOST: Final[Seconds] = 2.0
-AFFINITY_ROWS: Final = 4_096
-# Parts of a prompt shorter than this are read anew in a few ms.
-AFFINITY_TOKENS: Final = 512
-
-
-@dataclass(slots=True)
-class Progress:
-    """What has become of one request so far.
-
-    ``runs`` counts the sends of which no endpoint has said that they did not run.
-    """
-
-    sends: int = 0
-    runs: int = 0
-    tried: set[EndpointId] = field(default_factory=set)
-    last_fault: str = ""
-    trail: list[str] = field(default_factory=list)
-    waited: Seconds = 0.0
-    first_byte_at: Seconds | None = None
-    events: EventReader = field(default_factory=EventReader)
-    response: web.StreamResponse | None = None
-
-
-class MoveOn(Exception):
-    """This endpoint did not serve the request; another may."""
-
-    def __init__(self, fault: str, *, may_have_run: bool) -> None:
-        super().__init__(fault)
-        self.fault = fault
-        self.may_have_run = may_have_run
-
-
-class StreamBroken(Exception):
-    """A stream that clients have seen part of cannot be finished."""
-
-
-class Affinity:
-    """Remembers which endpoint read the long parts of prompts lately."""
-
-    def __init__(self) -> None:
-        self._read_at: OrderedDict[tuple[WeightsKey, str], EndpointId] = OrderedDict()
-
-    def known_part(
-        self, request: ClientRequest, key: WeightsKey, at: EndpointId
-    ) -> float:
-        """Return which part of a request's prompt an endpoint has read before."""
-        known = 0
-        for part in request.head.parts:
-            if self._read_at.get((key, part.id)) != at:
-                break
-            known += part.tokens
-        return known / max(1, request.head.prompt_tokens)
-
-    def note(self, request: ClientRequest, key: WeightsKey, at: EndpointId) -> None:
-        """Remember where a request's prompt is read."""
-        if request.head.prompt_tokens < AFFINITY_TOKENS:
-            return
-        for part in request.head.parts:
-            self._read_at[(key, part.id)] = at
-            self._read_at.move_to_end((key, part.id))
-        while len(self._read_at) > AFFINITY_ROWS:
-            self._read_at.popitem(last=False)
 
 
 class Relay:
@@ -147,21 +79,11 @@
         health: HealthTable,
         budget: RetryBudget,
     ) -> None:
-        self._data_centre = data_centre
         self._fleet = fleet
         self._pool = pool
         self.health = health
         self.budget = budget
-        self.demand = DemandCounter()
-        self.waiters = WeightsWaiters()
-        self.affinity = Affinity()
-        self._choose = ENDPOINT_CHOOSERS["least-cost"]
-        # Requests of other daemons under way, by endpoint, and the leader's estimate
-        # of how long a load takes from now; none without a leader.
-        self.others: dict[EndpointId, int] = {}
-        self.load_wait: Seconds | None = None
-        # Set by the daemon: has the leader told of new demand at once.
-        self.hurry: Callable[[], None] = lambda: None
+        self.finder = EndpointFinder(data_centre, fleet, health)
 
     async def serve(
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
@@ -169,7 +91,7 @@
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
         self.budget.note_request(request.service_name, request.arrived)
         if request.head.weights is not None and request.service.engine is not None:
-            self.demand.note_arrival(request.service_name, request.head.weights)
+            self.finder.demand.note_arrival(request.service_name, request.head.weights)
         try:
             async with asyncio.timeout_at(request.ends - LAST_MARGIN):
                 return await self._serve_by_attempts(request, client, progress)
@@ -184,16 +106,16 @@
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
     ) -> web.StreamResponse:
         while True:
-            endpoint = await self._find_endpoint(request, progress)
+            endpoint = await self.finder.find(request, progress)
             if progress.sends and not self._may_repeat(request):
-                raise self._give_up(request, progress)
+                raise give_up(progress)
             try:
                 return await self._attempt(request, client, progress, endpoint)
             except MoveOn as moved:
                 progress.last_fault = moved.fault
                 self._log_move(request, progress, endpoint, moved)
                 if not self._may_move_on(request, progress, moved):
-                    raise self._give_up(request, progress) from moved
+                    raise give_up(progress) from moved
                 if len(progress.trail) > 2 * len(progress.tried):
                     # All have been tried: give them a moment.
                     await asyncio.sleep(TRY_AGAIN_PAUSE)
@@ -229,108 +151,6 @@
             return True
         return request.route.repeatable and progress.runs < request.route.attempts
 
-    def _give_up(self, request: ClientRequest, progress: Progress) -> Exception:
-        """Return what ends a request that no endpoint has served."""
-        if progress.response is not None:
-            return StreamBroken(progress.last_fault)
-        if progress.runs:
-            return Refused(BAD_GATEWAY, progress.last_fault)
-        return Refused(UNAVAILABLE, progress.last_fault, RETRY_SOON)
-
-    async def _find_endpoint(
-        self, request: ClientRequest, progress: Progress
-    ) -> Endpoint:
-        loop = asyncio.get_running_loop()
-        key = request.head.weights
-        if request.service.engine is None or key is None:
-            found = self._fleet.list_service(request.service_name)
-            if not found:
-                progress.last_fault = progress.last_fault or "no endpoint"
-                raise self._give_up(request, progress)
-            return self._pick(request, progress, found, loop.time())
-        give_up = request.arrived + GIVE_UP_PART * (request.ends - request.arrived)
-        while True:
-            now = loop.time()
-            found = self._fleet.list_holders(request.service_name, key, now)
-            if found:
-                return self._pick(request, progress, found, now)
-            self._check_wait(request, progress, key, now, give_up)
-            await self._wait_for_weights(request, progress, key, give_up - now)
-
-    async def _wait_for_weights(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        key: WeightsKey,
-        timeout: Seconds,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        began = loop.time()
-        if not progress.waited:
-            log_decision(
-                LOG,
-                Decision.REQUEST_WAITS,
-                request=request.head.id,
-                weights=str(key),
-                load_wait=self.load_wait,
-                at_most=round(timeout, 3),
-            )
-        self.demand.note_waiting(request.service_name, key, 1)
-        self.hurry()
-        try:
-            await self.waiters.wait(key, timeout)
-        finally:
-            self.demand.note_waiting(request.service_name, key, -1)
-            progress.waited += loop.time() - began
-
-    def _check_wait(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        key: WeightsKey,
-        now: Seconds,
-        give_up: Seconds,
-    ) -> None:
-        """Raise ``Refused`` unless the weights can come in time."""
-        coming = self._fleet.is_coming(request.service_name, key)
-        wait = self.load_wait if self.load_wait is not None else RETRY_MOST
-        late = now + wait > request.arrived + WAIT_PART * request.route.objective
-        if progress.runs:
-            raise self._give_up(request, progress)
-        if now >= give_up or (late and not coming):
-            self.demand.note_missed(request.service_name, key)
-            self.hurry()
-            after = min(RETRY_MOST, max(RETRY_SOON, wait))
-            raise Refused(UNAVAILABLE, f"{key} is not loaded", after)
-
-    def _pick(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        found: list[Endpoint],
-        now: Seconds,
-    ) -> Endpoint:
-        fresh = [each for each in found if each.id not in progress.tried] or found
-        sound = self.health.keep_sound(fresh, now)
-        options = [self._make_option(request, each) for each in sound]
-        chosen = self._choose(options)
-        progress.trail.append(
-            f"{chosen.endpoint.id} of {len(found)}, {chosen.under_way} under way"
-            + (", far" if chosen.far else "")
-        )
-        return chosen.endpoint
-
-    def _make_option(self, request: ClientRequest, endpoint: Endpoint) -> Option:
-        key = request.head.weights
-        own = self.health.row(endpoint.id).in_flight
-        known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
-        return Option(
-            endpoint=endpoint,
-            under_way=own + self.others.get(endpoint.id, 0),
-            far=endpoint.data_centre != self._data_centre,
-            known_part=known,
-        )
-
     async def _attempt(
         self,
         request: ClientRequest,
@@ -366,7 +186,7 @@
     def _note_use(self, request: ClientRequest, endpoint: Endpoint, step: int) -> None:
         key = request.head.weights
         if key is not None and key.adapter:
-            self.demand.note_use(endpoint.id, key, step)
+            self.finder.demand.note_use(endpoint.id, key, step)
 
     async def _connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         try:
@@ -383,8 +203,8 @@
             return
         now = asyncio.get_running_loop().time()
         self._fleet.note_absent(endpoint.id, key, now)
-        self.demand.note_refused(endpoint.id, key)
-        self.hurry()
+        self.finder.demand.note_refused(endpoint.id, key)
+        self.finder.hurry()
 
     async def _ask(
         self,
@@ -426,8 +246,8 @@
                 self._fleet.drop_endpoint(endpoint.id)
             elif key is not None:
                 self._fleet.note_absent(endpoint.id, key, now)
-                self.demand.note_refused(endpoint.id, key)
-                self.hurry()
+                self.finder.demand.note_refused(endpoint.id, key)
+                self.finder.hurry()
         try:
             await answer.read_whole(WHOLE_LIMIT)
         except AnswerTorn as error:
@@ -488,7 +308,7 @@
         answer: Answer,
     ) -> web.StreamResponse:
         if request.head.weights is not None:
-            self.affinity.note(request, request.head.weights, endpoint.id)
+            self.finder.affinity.note(request, request.head.weights, endpoint.id)
         if request.route.kind is RequestKind.STREAM and answer.status < 300:
             return await self._hand_on_events(
                 request, client, progress, endpoint, answer
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -12,13 +12,13 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
 from kestreltally.entry.answers import make_refusal
-from kestreltally.entry.relay import (
+from kestreltally.entry.progress import (
     BAD_GATEWAY,
     UNAVAILABLE,
     Progress,
-    Relay,
     StreamBroken,
 )
+from kestreltally.entry.relay import Relay
 from kestreltally.entry.request import (
     ClientLeft,
     ClientRequest,
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -114,7 +114,7 @@
         self._board = LeaseBoard(self._store, self._leases, self._exchange.wants_look)
         self._leader = self._make_leader()
         self._exchange.leader = self._leader
-        self._relay.hurry = self._hurry
+        self._relay.finder.hurry = self._hurry
         self._endpoints = EndpointsFollower(
             self._exchange.put_entry,
             self._exchange.drop_row,
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -251,7 +251,7 @@
         return min(self._clock() - max(renewed, default=float("-inf")), AGE_UNKNOWN)
 
     def _add_own(self, report: Any) -> None:
-        demand = self._relay.demand
+        demand = self._relay.finder.demand
         self._reported = self._relay.health.count_in_flight()
         report.in_flight = dict(self._reported)
         report.demand = [encode_demand(each) for each in demand.take()]
@@ -262,7 +262,7 @@
         """Sum up this leader's daemons for another leader."""
         report.in_flight = self.feed.sum_group()
         report.daemons = self.feed.count_group()
-        for uses in (self._relay.demand.uses, *self._list_group_uses()):
+        for uses in (self._relay.finder.demand.uses, *self._list_group_uses()):
             report.uses.extend(encode_use(e, key, n) for (e, key), n in uses.items())
         refused, self._refused[data_centre] = self._refused[data_centre], set()
         report.refused = [encode_use(e, key, 1) for e, key in refused]
@@ -320,8 +320,8 @@
         self._take_rows(update, {each.data_centre for each in update.leads})
         if not self.leads and self.find_primary() == data_centre:
             totals = {EndpointId(k): v for k, v in (update.in_flight or {}).items()}
-            self._relay.others = _subtract(totals, self._reported)
-            self._relay.load_wait = update.load_wait
+            self._relay.finder.others = _subtract(totals, self._reported)
+            self._relay.finder.load_wait = update.load_wait
             self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
@@ -350,7 +350,7 @@
     def put_row(self, endpoint: Endpoint) -> None:
         """Take a row in, wake who waits for its weights, and feed it to followers."""
         self._fleet.put_endpoint(endpoint)
-        self._relay.waiters.wake(endpoint.weights)
+        self._relay.finder.waiters.wake(endpoint.weights)
         if self.leads:
             self.feed.hurry()
 
@@ -396,7 +396,7 @@
         if self.leader is None or not self.leads:
             return
         own = self._deployment
-        demand = self._relay.demand
+        demand = self._relay.finder.demand
         self._take_demand(own.vm, own.data_centre, demand.take())
         for endpoint, key in demand.take_refused():
             self._note_refused(endpoint, key)
@@ -405,8 +405,10 @@
         self.leader.uses[own.vm] = dict(demand.uses)
         totals = self.feed.sum_in_flight()
         self.leader.in_flight = totals
-        self._relay.others = _subtract(totals, self._relay.health.count_in_flight())
-        self._relay.load_wait = self.leader.estimate_load_wait()
+        self._relay.finder.others = _subtract(
+            totals, self._relay.health.count_in_flight()
+        )
+        self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
 
     def forget_leader(self) -> None:
@@ -416,8 +418,8 @@
             self._heard_at = now
             return
         soon = now - self._heard_at < LEADER_SOON
-        self._relay.load_wait = LEADER_SOON_WAIT if soon else None
-        self._relay.others = {}
+        self._relay.finder.load_wait = LEADER_SOON_WAIT if soon else None
+        self._relay.finder.others = {}
 
 
 def _subtract(
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -70,11 +70,15 @@
                 self._note_warm(key)
         self.sequence = report.sequence
         self.weights = dict(report.weights)
-        self.incoming = {
+        loading = {
             key: self.incoming.get(key, Incoming(report.sequence, now))
             for key in report.loading
-            if key not in report.weights or key in self.incoming
         }
+        # Reports name the adapters on their way, but not a model.
+        for key, load in self.incoming.items():
+            if not key.adapter and key not in report.weights:
+                loading[key] = load
+        self.incoming = loading
         self._check_leaving(report, now)
         self.held_since = {k: self.held_since.get(k, now) for k in report.weights}
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -3,8 +3,8 @@
 import asyncio
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Coroutine, Iterable, Mapping
-from typing import Any, Final
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Bounds
@@ -18,39 +18,24 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.placing.books import SILENCES_TO_CLOSE, EngineBook
+from kestreltally.placing.books import EngineBook
 from kestreltally.placing.ceiling import LoadCeiling
 from kestreltally.placing.demand import DemandTable, WeightsRow
 from kestreltally.placing.lease import Lease
-from kestreltally.placing.orders import (
-    REPORT_LAG,
-    EngineCaller,
-    EngineSilent,
-    EngineUnreachable,
-    NotHolding,
-)
+from kestreltally.placing.loads import Loader
+from kestreltally.placing.orders import REPORT_LAG, EngineCaller
 from kestreltally.placing.planner import (
     PLANNERS,
     EngineView,
     HeldAdapter,
-    Placement,
     Wanted,
 )
-from kestreltally.platform.engines import OrderKind, OrderOutcome
 
 LOG = logging.getLogger("kestreltally.leader")
 
 TICK: Final[Seconds] = 0.04
 # New demand is looked at at once, but not more often than this.
 TICK_LEAST: Final[Seconds] = 0.01
-# What a load is taken to last before any was measured; then a moving mean is used.
-LOAD_TIME: Final[Seconds] = 0.25
-LOAD_TIME_WEIGHT: Final = 0.1
-# An adapter that the engine kept a copy of comes in some 25 ms.
-WARM_TIME: Final[Seconds] = 0.02
-# A load is asked after at this part of its usual time, then this often.
-ASK_PART: Final = 0.85
-ASK_EVERY: Final[Seconds] = 0.025
 # Four adapters may be on their way to one engine at once; over all engines more
 # would not come sooner.
 INCOMING_MOST: Final = 3
@@ -58,10 +43,6 @@
 # A listing of an engine's weights that differs from its book is checked when the last
 # order is older than this: two heartbeats.
 LISTING_AGE: Final[Seconds] = 3.0
-# A load that no report has shown after this is taken as failed.
-LOAD_GIVEN_UP: Final[Seconds] = 4.0
-# An engine that did not answer an order is left alone this long.
-SILENT_PAUSE: Final[Seconds] = 0.2
 # The wait that is told while this daemon does not lead.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
 # How long another leader may take to bring what its engines have had lately.
@@ -86,7 +67,13 @@
         self._fleet = fleet
         self._leases = leases
         self._find_lease = find_lease
-        self._caller = caller
+        self._loader = Loader(
+            fleet,
+            caller,
+            clock,
+            publish,
+            lambda book: self.books.get(book.endpoint.id) is book,
+        )
         self._bounds = bounds
         self._clock = clock
         self._publish = publish
@@ -97,8 +84,6 @@
         # What other leaders tell that a load takes there; none when none is heard.
         self.other_wait: Callable[[], Seconds | None] = lambda: None
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._placing: set[WeightsKey] = set()
         # What leaders of other data centres are asked for, as their engines have had
         # it lately, and whether such a leader can be asked.
         self.handed: dict[str, set[tuple[ServiceName, WeightsKey]]] = {}
@@ -107,9 +92,13 @@
         self._led: set[str] = set()
         self._wake = asyncio.Event()
         self.missing = 0
-        self.load_time = LOAD_TIME
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
 
+    @property
+    def load_time(self) -> Seconds:
+        """Return how long a load from the weight store lately took."""
+        return self._loader.load_time
+
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry of the store."""
         book = self.books.get(endpoint.id)
@@ -160,7 +149,7 @@
         engines = max(1, len(self.books))
         turns = 1 + self.missing / (INCOMING_MOST * engines)
         quiet = self.find_order_wait()
-        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self.load_time
+        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self._loader.load_time
         other = self.other_wait()
         return own if other is None else min(own, other + FORWARD_TIME)
 
@@ -227,7 +216,7 @@
         books = [b for b in self.books.values() if b.endpoint.service == service]
         for book in books:
             if not book.busy and self._needs_report(book, now):
-                self._start(book, self._read(book))
+                self._loader.start(book, self._loader.read(book))
         books = [b for b in books if self._find_lease(b.endpoint).may_order()]
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
         part = len(self._led) / len(self._leases)
@@ -267,7 +256,7 @@
             elif not book.incoming and spec.models and ceiling.available:
                 model = self._choose_model(books, spec)
                 ceiling.take()
-                self._start(book, self._load(book, WeightsKey(model)))
+                self._loader.start(book, self._loader.load(book, WeightsKey(model)))
         return ready
 
     def _choose_model(self, books: list[EngineBook], spec: EngineSpec) -> str:
@@ -294,11 +283,11 @@
             outdated = self._list_outdated(book)
             adapters = [key for key in outdated if key.adapter]
             if adapters:
-                self._start(book, self._load(book, adapters[0]))
+                self._loader.start(book, self._loader.load(book, adapters[0]))
             elif outdated and not model_busy and ceiling.available:
                 model_busy = True
                 ceiling.take()
-                self._start(book, self._load(book, outdated[0]))
+                self._loader.start(book, self._loader.load(book, outdated[0]))
             else:
                 left.append(book)
         return left
@@ -327,7 +316,7 @@
         views = [self._view(service, book, spec, in_use, now) for book in able]
         for placement in self._plan(views, wanted, now):
             book = self.books[placement.engine]
-            self._start(book, self._place(book, placement))
+            self._loader.start(book, self._loader.place(book, placement))
 
     def _hand_over(self, service: ServiceName, now: Seconds) -> None:
         """Have another leader bring what its engines loaded before, for a while."""
@@ -362,7 +351,7 @@
                 coming[key][where] = coming[key].get(where, 0) + 1
         wanted = []
         for (asked, key), row in self.demand.rows.items():
-            if asked != service or not key.adapter or key in self._placing:
+            if asked != service or not key.adapter or key in self._loader.placing:
                 continue
             if self._is_handed(service, key):
                 continue
@@ -416,106 +405,6 @@
             batch=spec.batch,
         )
 
-    def _start(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
-        book.busy = True
-        self._spawn(self._guard(book, work))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _guard(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
-        """Run work on an engine; whatever it does not answer waits for a report."""
-        try:
-            await work
-        except EngineSilent as silent:
-            now = self._clock()
-            book.doubt(now)
-            sure = isinstance(silent, EngineUnreachable)
-            book.silences += SILENCES_TO_CLOSE if sure else 1
-            book.failing_until = now + SILENT_PAUSE
-            log_decision(
-                LOG,
-                Decision.ENGINE_SILENT,
-                endpoint=book.endpoint.id,
-                reason=str(silent),
-            )
-        except NotHolding:
-            log_decision(LOG, Decision.ORDER_HELD_BACK)
-        finally:
-            book.busy = False
-            self._publish_if_led(book)
-
-    async def _read(self, book: EngineBook) -> None:
-        report = await self._caller.read_report(book.endpoint)
-        now = self._clock()
-        book.take_report(report, now)
-
-    async def _load(self, book: EngineBook, key: WeightsKey) -> None:
-        """Order a load; another task waits for its end."""
-        warm = key in book.warm
-        outcome = await self._caller.order(book, OrderKind.LOAD, key)
-        self._publish_if_led(book)
-        if outcome is OrderOutcome.DONE:
-            self._end_load(book, key)
-        elif outcome is OrderOutcome.UNDER_WAY:
-            self._spawn(self._await_load(book, key, warm))
-
-    def _end_load(self, book: EngineBook, key: WeightsKey) -> None:
-        version = self._fleet.newest_version(key) or 1
-        book.note_held(key, version, self._clock())
-        self._publish_if_led(book)
-
-    def _publish_if_led(self, book: EngineBook) -> None:
-        """Tell the others of a book, unless it is no longer this daemon's."""
-        if self.books.get(book.endpoint.id) is book:
-            self._publish(book.make_row())
-
-    async def _await_load(self, book: EngineBook, key: WeightsKey, warm: bool) -> None:
-        """Ask after a load until it has ended."""
-        began = self._clock()
-        await asyncio.sleep(WARM_TIME if warm else ASK_PART * self.load_time)
-        while key in book.incoming and self._clock() - began < LOAD_GIVEN_UP:
-            if self.books.get(book.endpoint.id) is not book:
-                return
-            if book.sequence is not None:
-                try:
-                    outcome = await self._caller.order(book, OrderKind.LOAD, key)
-                except (EngineSilent, NotHolding):
-                    book.doubt(self._clock())
-                    outcome = OrderOutcome.UNKNOWN
-                if outcome is OrderOutcome.DONE:
-                    self._note_load_time(self._clock() - began, warm)
-                    self._end_load(book, key)
-                    return
-            await asyncio.sleep(ASK_EVERY)
-        if book.incoming.pop(key, None) is not None:
-            log_decision(LOG, Decision.LOAD_NOT_SEEN_TO_END, weights=str(key))
-            book.doubt(self._clock())
-
-    def _note_load_time(self, took: Seconds, warm: bool) -> None:
-        if not warm:
-            self.load_time += LOAD_TIME_WEIGHT * (took - self.load_time)
-
-    async def _place(self, book: EngineBook, placement: Placement) -> None:
-        self._placing.add(placement.key)
-        try:
-            await self._make_way_and_load(book, placement)
-        finally:
-            self._placing.discard(placement.key)
-
-    async def _make_way_and_load(self, book: EngineBook, placement: Placement) -> None:
-        victim = placement.victim
-        if victim is not None:
-            book.begin_unload(victim, self._clock())
-            self._publish(book.make_row())
-            outcome = await self._caller.order(book, OrderKind.UNLOAD, victim)
-            if outcome is not OrderOutcome.DONE:
-                # It waits for its runs, or the book was wrong: a report will tell.
-                return
-        await self._load(book, placement.key)
-
 
 def make_waiting(service: ServiceName, key: WeightsKey, count: int) -> WeightsDemand:
     """Return the demand of requests that wait, for another leader."""
--- /dev/null
+++ b/src/kestreltally/placing/loads.py
@@ -0,0 +1,162 @@
+"""Carries out what the leader plans: unloads, loads, and the wait for their end."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any, Final
+
+from kestreltally.decisions import Decision, log_decision
+from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
+from kestreltally.fleet.tables import Fleet
+from kestreltally.placing.books import SILENCES_TO_CLOSE, EngineBook
+from kestreltally.placing.orders import (
+    EngineCaller,
+    EngineSilent,
+    EngineUnreachable,
+    NotHolding,
+)
+from kestreltally.placing.planner import Placement
+from kestreltally.platform.engines import OrderKind, OrderOutcome
+
+LOG = logging.getLogger("kestreltally.loads")
+
+# What a load is taken to last before any was measured; then a moving mean is used.
+LOAD_TIME: Final[Seconds] = 0.25
+LOAD_TIME_WEIGHT: Final = 0.1
+# An adapter that the engine kept a copy of comes in some 25 ms.
+WARM_TIME: Final[Seconds] = 0.02
+# A load is asked after at this part of its usual time, then this often.
+ASK_PART: Final = 0.85
+ASK_EVERY: Final[Seconds] = 0.025
+# A load that was not seen to end after this is taken as failed.
+LOAD_GIVEN_UP: Final[Seconds] = 4.0
+# An engine that did not answer an order is left alone this long.
+SILENT_PAUSE: Final[Seconds] = 0.2
+
+
+class Loader:
+    """Works on engines, each of which takes one piece of work at a time.
+
+    ``placing`` names what is being placed; ``load_time`` is the mean of the loads from
+    the weight store.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        caller: EngineCaller,
+        clock: Callable[[], Seconds],
+        publish: Callable[[Endpoint], None],
+        is_led: Callable[[EngineBook], bool],
+    ) -> None:
+        self._fleet = fleet
+        self._caller = caller
+        self._clock = clock
+        self._publish = publish
+        self._is_led = is_led
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.placing: set[WeightsKey] = set()
+        self.load_time = LOAD_TIME
+
+    def start(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
+        """Do work on an engine, which takes no other meanwhile."""
+        book.busy = True
+        self._spawn(self._guard(book, work))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _guard(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
+        """Run work on an engine; whatever it does not answer waits for a report."""
+        try:
+            await work
+        except EngineSilent as silent:
+            now = self._clock()
+            book.doubt(now)
+            sure = isinstance(silent, EngineUnreachable)
+            book.silences += SILENCES_TO_CLOSE if sure else 1
+            book.failing_until = now + SILENT_PAUSE
+            log_decision(
+                LOG,
+                Decision.ENGINE_SILENT,
+                endpoint=book.endpoint.id,
+                reason=str(silent),
+            )
+        except NotHolding:
+            log_decision(LOG, Decision.ORDER_HELD_BACK)
+        finally:
+            book.busy = False
+            self.publish(book)
+
+    async def read(self, book: EngineBook) -> None:
+        """Take an engine's report in."""
+        report = await self._caller.read_report(book.endpoint)
+        now = self._clock()
+        book.take_report(report, now)
+
+    async def load(self, book: EngineBook, key: WeightsKey) -> None:
+        """Order a load; another task waits for its end."""
+        warm = key in book.warm
+        outcome = await self._caller.order(book, OrderKind.LOAD, key)
+        self.publish(book)
+        if outcome is OrderOutcome.DONE:
+            self._end_load(book, key)
+        elif outcome is OrderOutcome.UNDER_WAY:
+            self._spawn(self._await_load(book, key, warm))
+
+    def _end_load(self, book: EngineBook, key: WeightsKey) -> None:
+        version = self._fleet.newest_version(key) or 1
+        book.note_held(key, version, self._clock())
+        self.publish(book)
+
+    def publish(self, book: EngineBook) -> None:
+        """Tell the others of a book, unless it is no longer this daemon's."""
+        if self._is_led(book):
+            self._publish(book.make_row())
+
+    async def _await_load(self, book: EngineBook, key: WeightsKey, warm: bool) -> None:
+        """Ask after a load until it has ended."""
+        began = self._clock()
+        await asyncio.sleep(WARM_TIME if warm else ASK_PART * self.load_time)
+        while key in book.incoming and self._clock() - began < LOAD_GIVEN_UP:
+            if not self._is_led(book):
+                return
+            if book.sequence is not None:
+                try:
+                    outcome = await self._caller.order(book, OrderKind.LOAD, key)
+                except (EngineSilent, NotHolding):
+                    book.doubt(self._clock())
+                    outcome = OrderOutcome.UNKNOWN
+                if outcome is OrderOutcome.DONE:
+                    self._note_load_time(self._clock() - began, warm)
+                    self._end_load(book, key)
+                    return
+            await asyncio.sleep(ASK_EVERY)
+        if book.incoming.pop(key, None) is not None:
+            log_decision(LOG, Decision.LOAD_NOT_SEEN_TO_END, weights=str(key))
+            book.doubt(self._clock())
+
+    def _note_load_time(self, took: Seconds, warm: bool) -> None:
+        if not warm:
+            self.load_time += LOAD_TIME_WEIGHT * (took - self.load_time)
+
+    async def place(self, book: EngineBook, placement: Placement) -> None:
+        """Order a load, and before it the unload that makes way."""
+        self.placing.add(placement.key)
+        try:
+            await self._make_way_and_load(book, placement)
+        finally:
+            self.placing.discard(placement.key)
+
+    async def _make_way_and_load(self, book: EngineBook, placement: Placement) -> None:
+        victim = placement.victim
+        if victim is not None:
+            book.begin_unload(victim, self._clock())
+            self._publish(book.make_row())
+            outcome = await self._caller.order(book, OrderKind.UNLOAD, victim)
+            if outcome is not OrderOutcome.DONE:
+                # It waits for its runs, or the book was wrong: a report will tell.
+                return
+        await self.load(book, placement.key)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -330,11 +330,11 @@
     async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
         row = engine.make_row()
         rig.fleet.drop_endpoint(row.id)
-        rig.relay.load_wait = 0.01
+        rig.relay.finder.load_wait = 0.01
         asking = asyncio.create_task(rig.ask("POST", headers=MODEL, body=b"p"))
         await asyncio.sleep(0.1)
         rig.fleet.put_endpoint(row)
-        rig.relay.waiters.wake([KEY])
+        rig.relay.finder.waiters.wake([KEY])
         assert (await asking).whole
 
 
@@ -342,7 +342,7 @@
     None
 ):
     async with run_entry([], make_route(STREAM, service=MODELS)) as rig:
-        rig.relay.load_wait = 1.5
+        rig.relay.finder.load_wait = 1.5
         reply = await rig.ask("POST", headers=MODEL, body=b"p")
     assert reply.status == 503
     assert float(reply.headers["retry-after"]) == pytest.approx(1.5, abs=0.01)
@@ -352,7 +352,7 @@
     engine = make_engine("e1", make_streamer(1, 2, whole=True), "north")
     async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
         now = asyncio.get_running_loop().time()
-        rig.relay.load_wait = 1.5
+        rig.relay.finder.load_wait = 1.5
         rig.fleet.take_version(KEY, 2, now)
         assert (await rig.ask("POST", headers=MODEL, body=b"p")).whole
         assert engine.seen[0].find(b"x-expect-version") is None
@@ -370,10 +370,10 @@
 
     engine = make_engine("e1", misdirect, "north")
     async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
-        rig.relay.load_wait = 1.5
+        rig.relay.finder.load_wait = 1.5
         reply = await rig.ask("POST", headers=MODEL, body=b"p")
         assert reply.status == 503
-        assert rig.relay.demand.take_refused() == {(engine.make_row().id, KEY)}
+        assert rig.relay.finder.demand.take_refused() == {(engine.make_row().id, KEY)}
     assert len(engine.seen) == 1
 
 
@@ -390,7 +390,7 @@
         writer.transport.abort()
         await asyncio.sleep(0.1)
         assert rig.surface.live == 0
-        assert not rig.relay.demand.uses
+        assert not rig.relay.finder.demand.uses
 
 
 async def test_a_planned_stop_serves_on_and_takes_no_late_stream() -> None:
@@ -431,10 +431,10 @@
         gone = replace(engine.make_row(), id=EndpointId("gone"), port=find_port())
         rig.fleet.drop_endpoint(engine.make_row().id)
         rig.fleet.put_endpoint(gone)
-        rig.relay.load_wait = 0.3
+        rig.relay.finder.load_wait = 0.3
         asking = asyncio.create_task(rig.ask("POST", headers=MODEL, body=b"p"))
         await asyncio.sleep(0.1)
-        assert rig.relay.demand.take_refused() == {(gone.id, KEY)}
+        assert rig.relay.finder.demand.take_refused() == {(gone.id, KEY)}
         rig.fleet.put_endpoint(engine.make_row())
-        rig.relay.waiters.wake([KEY])
+        rig.relay.finder.waiters.wake([KEY])
         assert (await asking).whole
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -205,7 +205,7 @@
         return any(f"a{number}" in each.held for each in self.engines.values())
 
     def close(self) -> None:
-        for task in (*self.tasks, *self.leader._tasks):
+        for task in (*self.tasks, *self.leader._loader.tasks):
             task.cancel()
 
 
