--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -73,6 +73,7 @@
         return None
     try:
         fields = json.loads(text[start:])
+        fields.pop("level", None)
         return LogLine(
             at=float(fields.pop("at")),
             vm=str(fields.pop("vm")),
@@ -120,7 +121,7 @@
 def tell_refusal(fields: dict[str, Any]) -> str:
     """Tell that a request was refused."""
     after = fields.get("retry_after")
-    again = f", to come back in {after} s" if after is not None else ""
+    again = f", to come back in {_say_seconds(after)}" if after is not None else ""
     return (
         f"it is refused with {fields.get('status')}{again}: {fields.get('reason')} "
         f"(after {fields.get('took')} s; configuration {fields.get('configuration')})"
@@ -152,7 +153,7 @@
 
 
 def _say_seconds(value: Any) -> str:
-    return f"{value} s" if value is not None else "an unknown time"
+    return f"{round(value, 3)} s" if value is not None else "an unknown time"
 
 
 def explain_request(lines: Sequence[LogLine], request: str) -> Explanation | None:
