Await no load whose leader is not heard

Ruled out: the successor's wait; a leader of another data centre was there and held the adapter for coming. Change: while the leader of a data centre is not heard, rows there show no loads.

--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -10,6 +10,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from typing import Any, Final
 
 from kestreltally.deployment import Deployment, Listening
@@ -411,6 +412,15 @@
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
 
+    def forget_loads(self) -> None:
+        """Await no load whose leader is not heard: another one may then bring it."""
+        if not self.leads and self.find_primary() is not None:
+            return
+        for endpoint in list(self._fleet.endpoints.values()):
+            leader = self.find_lease(endpoint).data_centre
+            if endpoint.loading and not self.is_heard(leader):
+                self.put_row(replace(endpoint, loading=frozenset()))
+
     def forget_leader(self) -> None:
         """Plan with nobody's word while no leader is heard."""
         now = self._clock()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -33,6 +33,7 @@
     zone: str
     model: str = ""
     places: int = 4
+    load_time: float = LOAD_TIME
     id: str = ""
     sequence: int = 0
     beats: int = 0
@@ -129,7 +130,7 @@
         if len(self.held.keys() | self.loading) > self.places:
             self._fall()
             return 202
-        asyncio.get_running_loop().call_later(LOAD_TIME, self._end_load, name)
+        asyncio.get_running_loop().call_later(self.load_time, self._end_load, name)
         return 202
 
     def _fall(self) -> None:
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -242,6 +242,20 @@
             assert numbers == sorted(numbers)
 
 
+async def test_a_load_of_a_lost_leader_is_not_awaited() -> None:
+    async with run_fleet() as rig:
+        for engine in rig.engines:
+            engine.load_time = 60.0 if engine.zone == "north" else 0.1
+        asking = asyncio.create_task(rig.ask("north-1", "/m/x", "a7"))
+        await asyncio.sleep(0.3)
+        assert any("a7" in engine.loading for engine in rig.engines)
+        await rig.daemons.pop("north-1").close()
+        await asyncio.gather(asking, return_exceptions=True)
+        await asyncio.sleep(0.8)
+        reply = await rig.ask("south-1", "/m/x", "a7")
+        assert reply.whole and read_runs(reply) == {"a7@1"}
+
+
 async def test_the_store_may_go_away_and_come_back() -> None:
     async with run_fleet() as rig:
         assert (await rig.ask("north-1", "/m/x", "a1")).whole
