Keep the feed fresh on thin links, have strong machines lead, see a lost store sooner

All daemons also looked at the leases until the first engine was listed, for a leader without rows was none. Change: a daemon with unread updates is told nothing until it has read them, and then the latest only; counts go with the regular updates only; differences are worked out once a round for all who were told the same; changes gather for 20 ms; machines with a thin link or little processor leave free leases to others for 0.8 s; watches of endpoints last 0.4 s; leaders tell each other's addresses, and daemons without a leader share a rate of looks. Tests: a slow reader is told the latest only; a silent store is noticed in time. Both failed before.

--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -35,6 +35,14 @@
     retry_slack: float
 
 
+@dataclass(frozen=True, slots=True)
+class Strength:
+    """What the machine has for this daemon: cores' worth of processor, and its link."""
+
+    cores: float
+    link_mbps: float
+
+
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """Who this daemon is, where it listens, and where the store is."""
@@ -47,6 +55,5 @@
     peers: Listening
     metrics_port: int
     store: Listening
-    heartbeat: Seconds
-    file_descriptors: int
+    strength: Strength
     bounds: Bounds
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -40,6 +40,7 @@
     TAKE_AFTER,
     Lease,
     LeaseBoard,
+    find_weakness,
 )
 from kestreltally.placing.orders import EngineCaller
 from kestreltally.platform.documents import (
@@ -63,8 +64,14 @@
 RESTART_PAUSE: Final[Seconds] = 0.2
 # Changes of endpoints within this time come in one answer of the store.
 ENDPOINTS_GAP: Final[Seconds] = 0.4
+# With the gap and a call's margin a leader that lost the store knows within 1.6 s, and
+# its followers look for themselves within the 2 s allowed for a leaving endpoint.
+ENDPOINTS_WAIT: Final[Seconds] = 0.4
+# Versions and configurations: no change is missed for longer than four seconds where
+# the store is silent, and sooner where the watch of endpoints tells that it is.
 VERSIONS_GAP: Final[Seconds] = 0.1
 CONFIGURATION_GAP: Final[Seconds] = 0.1
+OTHERS_WAIT: Final[Seconds] = 3.0
 # A leader whose own knowledge of endpoints is older than this is not relied upon.
 FEED_AGE_LIMIT: Final[Seconds] = 1.0
 # The balancer asks each second and takes a daemon out after two misses.
@@ -100,7 +107,7 @@
             lambda configuration: self._exchange.take_configuration(configuration)
         )
         self._configuration_watch = self._make_watch(
-            CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP
+            CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP, OTHERS_WAIT
         )
         self._exchange = Exchange(
             deployment,
@@ -111,7 +118,12 @@
             lambda: self._endpoints_watch.find_age(),
             self._clock,
         )
-        self._board = LeaseBoard(self._store, self._leases, self._exchange.wants_look)
+        self._board = LeaseBoard(
+            self._store,
+            self._leases,
+            self._exchange.wants_look,
+            lambda: self._relay.budget.daemons,
+        )
         self._leader = self._make_leader()
         self._exchange.leader = self._leader
         self._relay.finder.hurry = self._hurry
@@ -122,10 +134,13 @@
             lambda: self._endpoints_watch.returned_at,
         )
         self._endpoints_watch = self._make_watch(
-            ENDPOINTS_KIND, self._endpoints, ENDPOINTS_GAP
+            ENDPOINTS_KIND, self._endpoints, ENDPOINTS_GAP, ENDPOINTS_WAIT
         )
         self._versions_watch = self._make_watch(
-            VERSIONS_KIND, VersionsFollower(self._exchange.take_version), VERSIONS_GAP
+            VERSIONS_KIND,
+            VersionsFollower(self._exchange.take_version),
+            VERSIONS_GAP,
+            OTHERS_WAIT,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -141,7 +156,9 @@
                 own.bounds.lease,
                 self._clock,
                 name,
-                TAKE_AFTER + (0.0 if name == own.data_centre else FOREIGN_PATIENCE),
+                TAKE_AFTER
+                + find_weakness(own.strength)
+                + (0.0 if name == own.data_centre else FOREIGN_PATIENCE),
             )
             for name in own.data_centres
         }
@@ -167,8 +184,10 @@
         leader.hurry = self._exchange.hurry
         return leader
 
-    def _make_watch(self, kind: str, follower: Follower, gap: Seconds) -> KindWatch:
-        return KindWatch(self._store, kind, follower, gap, self._clock)
+    def _make_watch(
+        self, kind: str, follower: Follower, gap: Seconds, wait: Seconds
+    ) -> KindWatch:
+        return KindWatch(self._store, kind, follower, gap, wait, self._clock)
 
     def _read_gauges(self) -> GaugeValues:
         """Return what the tables show now."""
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -26,7 +26,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import FeedServer, LeaderState, LedDataCentre
+from kestreltally.knowledge.feed import FeedServer
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
 from kestreltally.knowledge.frames import IDL
@@ -39,6 +39,13 @@
     encode_demand,
     encode_use,
 )
+from kestreltally.knowledge.updates import (
+    AGE_UNKNOWN,
+    KnownLeader,
+    LeaderState,
+    LedDataCentre,
+    decode_leader,
+)
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
 
@@ -49,8 +56,6 @@
 LEADER_SOON: Final[Seconds] = 1.0
 LEADER_SOON_WAIT: Final[Seconds] = 0.35
 
-# Stands for "never" in what daemons tell each other.
-AGE_UNKNOWN: Final[Seconds] = 1e6
 # A leader whose loads take longer than this is not asked for what it had lately.
 HAND_WAIT_MOST: Final[Seconds] = 0.5
 
@@ -95,6 +100,8 @@
         self._reported: dict[EndpointId, int] = {}
         self._heard_at = clock()
         self._resigned: tuple[LedDataCentre, ...] = ()
+        # What leaders tell of each other, by data centre.
+        self._told_leaders: dict[str, KnownLeader] = {}
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
         # Requests of this group for weights that only engines elsewhere hold, by the
         # data centre whose leader must know how much they are used.
@@ -133,18 +140,37 @@
         primary = self.find_primary()
         return primary is not None and self.clients[primary].store_age < age_limit
 
+    def _find_known_leader(self, data_centre: str) -> KnownLeader | None:
+        """Return who leads a data centre, by the store or by another leader's word."""
+        told = self._told_leaders.get(data_centre)
+        record = self._leases[data_centre].record
+        if record is None or (told is not None and told.fence > record.fence):
+            return told
+        if record.released:
+            return None
+        address = Listening(record.host, record.port)
+        return KnownLeader(record.holder, address, record.fence)
+
+    def _list_known_leaders(self) -> dict[str, KnownLeader]:
+        """Return the leaders that are heard, this daemon among them."""
+        known = {
+            name: self._find_known_leader(name)
+            for name in self._leases
+            if self.is_heard(name)
+        }
+        return {name: each for name, each in known.items() if each is not None}
+
     def _find_leader(self, data_centre: str) -> Listening | None:
         """Return the address of a leader to follow, if it is to be followed."""
-        lease = self._leases[data_centre]
-        record = lease.record
-        if lease.leads or record is None or record.released:
+        known = self._find_known_leader(data_centre)
+        if known is None or known.vm == self._deployment.vm:
             return None
-        if record.holder == self._deployment.vm:
+        if self._leases[data_centre].leads:
             return None
         own = self._deployment.data_centre
         if data_centre != own and not self.leads and self.is_heard(own):
             return None
-        return Listening(record.host, record.port)
+        return known.address
 
     def resign_if_cut_off(self) -> None:
         """Give the leases up when only this daemon has lost the store."""
@@ -164,17 +190,19 @@
     def _make_state(self) -> LeaderState:
         """Return what is told; a leader that has listed nothing yet is none."""
         configuration = self._fleet.configuration
+        has_listed = self._fleet.endpoints or self._endpoints_age() < AGE_UNKNOWN
         leads = tuple(
             LedDataCentre(
                 name, lease.fence, lease.sighting.revision if lease.sighting else 0
             )
             for name, lease in self._leases.items()
-            if lease.leads and self._fleet.endpoints
+            if lease.leads and has_listed
         )
         return LeaderState(
             leader=self._deployment.vm,
             leads=leads,
             resigned=self._resigned,
+            leaders=self._list_known_leaders(),
             store_age=self._endpoints_age(),
             load_wait=self.leader.estimate_load_wait() if self.leader else 0.0,
             configuration_version=configuration.version if configuration else 0,
@@ -312,6 +340,11 @@
     def _take_update(self, data_centre: str, update: Any) -> None:
         for led in update.leads or ():
             self._leases[led.data_centre].note_revision(led.revision)
+        for row in update.leaders or ():
+            name, leader = decode_leader(row)
+            before = self._told_leaders.get(name)
+            if name in self._leases and (before is None or before.fence < leader.fence):
+                self._told_leaders[name] = leader
         for resigned in update.resigned or ():
             self._leases[resigned.data_centre].note_resigned(resigned.fence)
         if update.configuration:
@@ -320,9 +353,14 @@
             return
         self._take_rows(update, {each.data_centre for each in update.leads})
         if not self.leads and self.find_primary() == data_centre:
-            totals = {EndpointId(k): v for k, v in (update.in_flight or {}).items()}
+            self._take_counts(update)
+
+    def _take_counts(self, update: Any) -> None:
+        """Take in how full all is; only the regular updates tell the counts."""
+        self._relay.finder.load_wait = update.load_wait
+        if update.in_flight is not None:
+            totals = {EndpointId(k): v for k, v in update.in_flight.items()}
             self._relay.finder.others = _subtract(totals, self._reported)
-            self._relay.finder.load_wait = update.load_wait
             self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -8,14 +8,18 @@
 from typing import Any, Final
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
+from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 from kestreltally.knowledge.frames import IDL, FrameStream, MalformedFrame
-from kestreltally.knowledge.rows import (
-    decode_use,
-    differs_in_weights_only,
-    encode_change,
-    encode_endpoint,
-    encode_weights,
+from kestreltally.knowledge.rows import decode_use
+from kestreltally.knowledge.updates import (
+    NOTHING_TOLD,
+    LeaderState,
+    Rows,
+    Snapshot,
+    UpdateMaker,
+    UpdateRound,
+    Versions,
+    encode_leaders,
 )
 from kestreltally.sockets import harden_socket
 
@@ -23,35 +27,17 @@
 
 # Followers hold a feed that is silent for three of these as lost.
 UPDATE_EVERY: Final[Seconds] = 0.2
-# Changes within this time go out together.
-GATHER: Final[Seconds] = 0.005
-WRITE_LIMIT: Final = 2**22
+# Changes within this time go out together: a tenth of what a load takes.
+GATHER: Final[Seconds] = 0.02
+# A daemon that has more than this still to read is told nothing new until it has read
+# it, so that what it hears is fresh: on the thinnest link, 10 Mbit/s, some 25 ms.
+UNSENT_MOST: Final = 2**15
+# One that reads nothing for this long is dropped.
+UNSENT_FOR: Final[Seconds] = 3.0
 # A configuration that a daemon still lacks after this is sent once more.
 CONFIGURATION_AGAIN: Final[Seconds] = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class LedDataCentre:
-    """A lease that is held, or was resigned, with its number and revision."""
-
-    data_centre: str
-    fence: int
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderState:
-    """What each update tells besides rows."""
-
-    leader: str
-    leads: tuple[LedDataCentre, ...]
-    resigned: tuple[LedDataCentre, ...]
-    store_age: Seconds
-    load_wait: Seconds
-    configuration_version: int
-    configuration: bytes
-
-
 @dataclass(slots=True, eq=False)
 class Peer:
     """A daemon that is connected; ``leads`` is not empty for another leader."""
@@ -59,9 +45,9 @@
     stream: FrameStream
     vm: str = ""
     leads: frozenset[str] = frozenset()
-    told: dict[EndpointId, Endpoint] = field(default_factory=dict)
-    told_versions: dict[WeightsKey, int] = field(default_factory=dict)
+    told: Snapshot = NOTHING_TOLD
     whole: bool = True
+    unsent_since: Seconds | None = None
     configuration: int = 0
     daemons: int = 1
     in_flight: dict[str, int] = field(default_factory=dict)
@@ -77,18 +63,18 @@
     def __init__(
         self,
         state: Callable[[], LeaderState],
-        rows: Callable[[], dict[EndpointId, Endpoint]],
-        versions: Callable[[], dict[WeightsKey, int]],
+        rows: Callable[[], Rows],
+        versions: Callable[[], Versions],
         take_report: Callable[[Any], None],
         clock: Callable[[], Seconds],
     ) -> None:
         self._state = state
-        self._rows = rows
-        self._versions = versions
+        self._maker = UpdateMaker(state, rows, versions)
         self._take_report = take_report
         self._clock = clock
         self._peers: set[Peer] = set()
         self._wake = asyncio.Event()
+        self._counts_at: Seconds = float("-inf")
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -125,7 +111,7 @@
                 report = await peer.stream.receive(IDL.Report)
                 self._note_report(peer, report)
                 if peer.whole or not self._state().leads:
-                    self._send(peer)
+                    self._send(peer, self._maker.begin_round(), counts=True)
         except (OSError, EOFError, MalformedFrame, asyncio.IncompleteReadError) as lost:
             log_decision(
                 LOG, Decision.FEED_DAEMON_LOST, peer=peer.vm, reason=repr(lost)
@@ -160,38 +146,46 @@
 
     def send_all(self) -> None:
         """Send an update to every daemon that has reported."""
+        now = self._clock()
+        counts = now - self._counts_at >= UPDATE_EVERY
+        if counts:
+            self._counts_at = now
+        current = self._maker.begin_round()
         for peer in list(self._peers):
             if peer.vm:
-                self._send(peer)
+                self._send(peer, current, counts=counts)
 
-    def _send(self, peer: Peer) -> None:
-        """Write an update; a peer that does not read is dropped."""
-        if peer.stream.unsent > WRITE_LIMIT:
-            log_decision(LOG, Decision.FEED_DAEMON_DOES_NOT_READ, peer=peer.vm)
-            peer.stream.abort()
+    def _send(self, peer: Peer, current: UpdateRound, *, counts: bool) -> None:
+        """Write an update, unless the peer has yet to read the one before."""
+        if self._is_behind(peer):
             return
-        peer.stream.send(self._make_update(peer))
-
-    def _make_update(self, peer: Peer) -> Any:
-        state = self._state()
-        update = IDL.Update(
-            leader=state.leader,
-            leads=[_encode_lease(each) for each in state.leads],
-            resigned=[_encode_lease(each) for each in state.resigned],
-            store_age=min(state.store_age, 1e6),
-            whole=False,
-            load_wait=state.load_wait,
-            configuration_version=state.configuration_version,
+        update, told = current.make_update(
+            peer.told, leads=bool(peer.leads), whole=peer.whole
         )
-        if self._lacks_configuration(peer, state.configuration_version):
-            update.configuration = state.configuration
-        if state.leads:
-            self._add_rows(peer, update, {each.data_centre for each in state.leads})
-            self._add_versions(peer, update)
-            if not peer.leads:
+        if current.state.leads:
+            peer.told = told
+            peer.whole = False
+            if counts:
+                update.leaders = encode_leaders(current.state.leaders)
+            if counts and not peer.leads:
                 update.in_flight = self.sum_in_flight()
                 update.daemons = self.count_daemons()
-        return update
+        if self._lacks_configuration(peer, current.state.configuration_version):
+            update.configuration = current.state.configuration
+        peer.stream.send(update)
+
+    def _is_behind(self, peer: Peer) -> bool:
+        """Tell whether a peer has much to read still; drop one that does not read."""
+        now = self._clock()
+        if peer.stream.unsent <= UNSENT_MOST:
+            peer.unsent_since = None
+            return False
+        if peer.unsent_since is None:
+            peer.unsent_since = now
+        elif now - peer.unsent_since > UNSENT_FOR:
+            log_decision(LOG, Decision.FEED_DAEMON_DOES_NOT_READ, peer=peer.vm)
+            peer.stream.abort()
+        return True
 
     def _lacks_configuration(self, peer: Peer, version: int) -> bool:
         """Tell whether to send the configuration, and note that it is sent."""
@@ -211,36 +205,6 @@
         peer.told_configuration_at = now
         return True
 
-    def _add_rows(self, peer: Peer, update: Any, led: set[str]) -> None:
-        """Add what a peer has not been told; another leader gets only rows led here."""
-        known = self._rows()
-        rows = known
-        if peer.leads:
-            rows = {k: each for k, each in known.items() if each.data_centre in led}
-        update.rows = []
-        update.changes = []
-        for endpoint in rows.values():
-            before = peer.told.get(endpoint.id)
-            if before is endpoint or before == endpoint:
-                continue
-            if before is not None and differs_in_weights_only(before, endpoint):
-                update.changes.append(encode_change(before, endpoint))
-            else:
-                update.rows.append(encode_endpoint(endpoint))
-        update.gone = [each for each in peer.told if each not in known]
-        update.whole = peer.whole
-        peer.whole = False
-        peer.told = dict(rows)
-
-    def _add_versions(self, peer: Peer, update: Any) -> None:
-        versions = self._versions()
-        update.versions = [
-            encode_weights(key, number)
-            for key, number in versions.items()
-            if peer.told_versions.get(key) != number
-        ]
-        peer.told_versions = versions
-
     own_in_flight: Callable[[], dict[EndpointId, int]]
 
     def count_group(self) -> int:
@@ -268,9 +232,3 @@
         for name, count in peer.in_flight.items():
             totals[EndpointId(name)] += count
     return totals
-
-
-def _encode_lease(led: LedDataCentre) -> Any:
-    return IDL.LeaseRow(
-        data_centre=led.data_centre, fence=led.fence, revision=led.revision
-    )
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -51,6 +51,15 @@
   3: i64 revision,
 }
 
+// Who leads the engines of a data centre, and where it hears followers.
+struct LeaderRow {
+  1: string data_centre,
+  2: string vm,
+  3: string host,
+  4: i32 port,
+  5: i64 fence,
+}
+
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
 // store_age tells how long ago the store answered a renewal, seconds.
 struct Report {
@@ -66,7 +75,8 @@
   10: i32 daemons,
 }
 
-// From a leader to a daemon. Seconds count back from the sending.
+// From a leader to a daemon. Seconds count back from the sending. in_flight, daemons and
+// leaders come with the regular updates only, not with those that a change brings on.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -82,4 +92,5 @@
   12: i32 daemons,
   13: i64 configuration_version,
   14: binary configuration,
+  15: list<LeaderRow> leaders,
 }
--- /dev/null
+++ b/src/kestreltally/knowledge/updates.py
@@ -0,0 +1,228 @@
+"""What a leader tells each other daemon: what changed since it was last told.
+
+Daemons that were last told the same are told the same now: the difference of two
+snapshots is worked out once a round, however many daemons follow.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from kestreltally.deployment import Listening
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
+from kestreltally.knowledge.frames import IDL
+from kestreltally.knowledge.rows import (
+    differs_in_weights_only,
+    encode_change,
+    encode_endpoint,
+    encode_weights,
+)
+
+# Stands for "never" in what daemons tell each other.
+AGE_UNKNOWN: Final[Seconds] = 1e6
+
+Rows = Mapping[EndpointId, Endpoint]
+Versions = Mapping[WeightsKey, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LedDataCentre:
+    """A lease that is held, or was resigned, with its number and revision."""
+
+    data_centre: str
+    fence: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownLeader:
+    """Who leads the engines of a data centre, under which number, and its address."""
+
+    vm: str
+    address: Listening
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderState:
+    """What each update tells besides rows."""
+
+    leader: str
+    leads: tuple[LedDataCentre, ...]
+    resigned: tuple[LedDataCentre, ...]
+    leaders: Mapping[str, KnownLeader]
+    store_age: Seconds
+    load_wait: Seconds
+    configuration_version: int
+    configuration: bytes
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Snapshot:
+    """The rows and versions that a daemon was told; the same one is the same object."""
+
+    rows: Rows
+    versions: Versions
+
+
+NOTHING_TOLD: Final = Snapshot({}, {})
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Difference:
+    """The structs that lead from one snapshot to another, ``before`` to now."""
+
+    before: Snapshot
+    rows: list[Any]
+    changes: list[Any]
+    gone: list[str]
+    versions: list[Any]
+
+
+class SnapshotKeeper:
+    """Keeps the same snapshot as long as nothing changes."""
+
+    def __init__(self) -> None:
+        self._current = NOTHING_TOLD
+
+    def take(self, rows: Rows, versions: Versions) -> Snapshot:
+        """Return a snapshot of these rows and versions."""
+        now = self._current
+        if now.rows != rows or now.versions != versions:
+            self._current = Snapshot(rows, versions)
+        return self._current
+
+
+class UpdateRound:
+    """The updates of one moment: what followers and other leaders are to know."""
+
+    def __init__(
+        self,
+        state: LeaderState,
+        known: Rows,
+        for_followers: Snapshot,
+        for_leaders: Snapshot,
+    ) -> None:
+        self.state = state
+        self._known = known
+        self._for_followers = for_followers
+        self._for_leaders = for_leaders
+        # By the identity of what was told before; each entry keeps that alive.
+        self._differences: dict[tuple[int, bool], Difference] = {}
+
+    def make_update(
+        self, told: Snapshot, *, leads: bool, whole: bool
+    ) -> tuple[Any, Snapshot]:
+        """Return an update for a daemon, and what it is told with it.
+
+        ``leads`` tells that it is another leader, which hears only of rows led here.
+        """
+        state = self.state
+        update = IDL.Update(
+            leader=state.leader,
+            leads=[_encode_lease(each) for each in state.leads],
+            resigned=[_encode_lease(each) for each in state.resigned],
+            store_age=min(state.store_age, AGE_UNKNOWN),
+            whole=False,
+            load_wait=state.load_wait,
+            configuration_version=state.configuration_version,
+        )
+        if not state.leads:
+            return update, told
+        now = self._for_leaders if leads else self._for_followers
+        difference = self._find_difference(told, now, leads=leads)
+        update.whole = whole
+        update.rows = difference.rows
+        update.changes = difference.changes
+        update.gone = difference.gone
+        update.versions = difference.versions
+        return update, now
+
+    def _find_difference(
+        self, told: Snapshot, now: Snapshot, *, leads: bool
+    ) -> Difference:
+        name = (id(told), leads)
+        found = self._differences.get(name)
+        if found is None:
+            found = self._differences[name] = self._compare(told, now)
+        return found
+
+    def _compare(self, told: Snapshot, now: Snapshot) -> Difference:
+        rows = []
+        changes = []
+        for endpoint in now.rows.values():
+            before = told.rows.get(endpoint.id)
+            if before is endpoint or before == endpoint:
+                continue
+            if before is not None and differs_in_weights_only(before, endpoint):
+                changes.append(encode_change(before, endpoint))
+            else:
+                rows.append(encode_endpoint(endpoint))
+        return Difference(
+            before=told,
+            rows=rows,
+            changes=changes,
+            # What is known but led elsewhere is not gone.
+            gone=[each for each in told.rows if each not in self._known],
+            versions=[
+                encode_weights(key, number)
+                for key, number in now.versions.items()
+                if told.versions.get(key) != number
+            ],
+        )
+
+
+class UpdateMaker:
+    """Takes the snapshots from which a leader's updates are made."""
+
+    def __init__(
+        self,
+        state: Callable[[], LeaderState],
+        rows: Callable[[], Rows],
+        versions: Callable[[], Versions],
+    ) -> None:
+        self._state = state
+        self._rows = rows
+        self._versions = versions
+        self._for_followers = SnapshotKeeper()
+        self._for_leaders = SnapshotKeeper()
+
+    def begin_round(self) -> UpdateRound:
+        """Return the round of updates of this moment."""
+        state = self._state()
+        known = dict(self._rows())
+        versions = self._versions()
+        led = {each.data_centre for each in state.leads}
+        own = {k: each for k, each in known.items() if each.data_centre in led}
+        return UpdateRound(
+            state,
+            known,
+            self._for_followers.take(known, versions),
+            self._for_leaders.take(own, versions),
+        )
+
+
+def encode_leaders(leaders: Mapping[str, KnownLeader]) -> list[Any]:
+    """Return the structs of the leaders known, by data centre."""
+    return [
+        IDL.LeaderRow(
+            data_centre=name,
+            vm=each.vm,
+            host=each.address.host,
+            port=each.address.port,
+            fence=each.fence,
+        )
+        for name, each in leaders.items()
+    ]
+
+
+def decode_leader(row: Any) -> tuple[str, KnownLeader]:
+    """Return a data centre and its leader."""
+    address = Listening(row.host, row.port)
+    return row.data_centre, KnownLeader(row.vm, address, row.fence)
+
+
+def _encode_lease(led: LedDataCentre) -> Any:
+    return IDL.LeaseRow(
+        data_centre=led.data_centre, fence=led.fence, revision=led.revision
+    )
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -18,10 +18,6 @@
 
 LOG = logging.getLogger("kestreltally.knowledge")
 
-# A store that fell silent may never answer a watch that waited, also once it is back.
-# So watches are short: with their margin no change is missed for longer than four
-# seconds.
-WATCH_WAIT: Final[Seconds] = 3.0
 RETRY_LEAST: Final[Seconds] = 0.15
 RETRY_MOST: Final[Seconds] = 0.6
 
@@ -40,6 +36,8 @@
     """Keeps a follower up to date while it is switched on.
 
     ``gap`` is the least time between two calls: changes within it come together.
+    ``wait`` is how long one call waits for a change. A store that fell silent may never
+    answer a watch that waited, also once it is back, so waits are short.
     """
 
     def __init__(
@@ -48,12 +46,14 @@
         kind: str,
         follower: Follower,
         gap: Seconds,
+        wait: Seconds,
         clock: Callable[[], Seconds],
     ) -> None:
         self._store = store
         self._kind = kind
         self._follower = follower
         self._gap = gap
+        self._wait = wait
         self._clock = clock
         self._on = asyncio.Event()
         self.answered_at: Seconds = float("-inf")
@@ -102,7 +102,7 @@
             self._follower.take_listing(listing)
             self._revision = listing.revision
             return
-        changes = await self._store.watch(self._kind, self._revision, WATCH_WAIT)
+        changes = await self._store.watch(self._kind, self._revision, self._wait)
         self._note_answer()
         if not self._on.is_set():
             return
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -20,7 +20,7 @@
 from typing import Any, Final
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.deployment import Listening
+from kestreltally.deployment import Listening, Strength
 from kestreltally.fleet.model import Seconds
 from kestreltally.platform.documents import LEASE_KIND
 from kestreltally.platform.store import Conflict, Store, StoredObject, StoreError
@@ -42,12 +42,23 @@
 RELEASED_PATIENCE: Final[Seconds] = 2.8
 # Daemons of other data centres leave a lease that long to those of its own.
 FOREIGN_PATIENCE: Final[Seconds] = 3.0
+# A leader of 26 daemons and 15 engines used 0.33 cores and, before frames were deflated
+# 8 Mbit/s (quiet-1 of the grown dala-points). A machine with less than about twice that
+# leaves the lease to stronger ones for WEAK_PATIENCE.
+LEADER_CORES: Final = 0.66
+LEADER_MBPS: Final = 20.0
+WEAK_PATIENCE: Final[Seconds] = 0.8
 # A holder resigns when another daemon had an answer of the store so long after its own
 # last one: then it alone is cut off, and its validity is about to end. Its word lets a
 # successor begin its wait at once.
 RESIGN_AFTER: Final[Seconds] = 4.5
 RESIGNED_FOR: Final[Seconds] = 3.0
+# How often a daemon without a leader looks, and how many of such looks a second are
+# enough for all daemons of a data centre together: the first one to see a free lease
+# takes it, and its address spreads by the feed.
 READ_EVERY: Final[Seconds] = 0.3
+READ_SELDOM: Final[Seconds] = 2.0
+READS_PER_SECOND: Final = 20.0
 # How long an order may be on its way to an engine.
 ORDER_TRANSIT: Final[Seconds] = 0.4
 # Orders stop this long before the validity ends.
@@ -85,6 +96,12 @@
     since: Seconds
 
 
+def find_weakness(strength: Strength) -> Seconds:
+    """Return how long a machine leaves a free lease to stronger ones."""
+    weak = strength.cores < LEADER_CORES or strength.link_mbps < LEADER_MBPS
+    return WEAK_PATIENCE if weak else 0.0
+
+
 class Lease:
     """This daemon's part in who leads the engines of one data centre."""
 
@@ -347,10 +364,12 @@
         store: Store,
         leases: Mapping[str, Lease],
         wants_look: Callable[[Lease], bool],
+        count_daemons: Callable[[], int] = lambda: 1,
     ) -> None:
         self._store = store
         self._leases = leases
         self._wants_look = wants_look
+        self._count_daemons = count_daemons
 
     async def run(self) -> None:
         """Look for ever, whenever it is wanted."""
@@ -360,7 +379,13 @@
                     await self._look()
                 except StoreError as error:
                     log_decision(LOG, Decision.LEASE_NOT_READ, reason=str(error))
-            await asyncio.sleep(READ_EVERY)
+            await asyncio.sleep(self._find_pause())
+
+    def _find_pause(self) -> Seconds:
+        """Return how long to wait until the next look, so that all share the rate."""
+        group = self._count_daemons() / len(self._leases)
+        usual = min(READ_SELDOM, max(READ_EVERY, group / READS_PER_SECOND))
+        return usual * random.uniform(0.7, 1.3)
 
     async def _look(self) -> None:
         listing = await self._store.list_objects(LEASE_KIND)
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from kestreltally.deployment import Bounds, Deployment, Listening
+from kestreltally.deployment import Bounds, Deployment, Listening, Strength
 
 PATH_VARIABLE: Final = "KESTRELTALLY_CONFIG"
 DEFAULT_PATH: Final = "/etc/kestreltally/local.json"
@@ -50,12 +50,17 @@
         peers=Listening(content["IpAddress"], first_internal),
         metrics_port=int(metrics_port),
         store=read_address(content["Platform"]["Address"]),
-        heartbeat=content["HeartbeatMs"] / MILLISECONDS,
-        file_descriptors=content["Limits"]["FileDescriptors"],
+        strength=_decode_strength(content["Limits"]),
         bounds=_decode_bounds(content["Bounds"]),
     )
 
 
+def _decode_strength(limits: dict[str, Any]) -> Strength:
+    # "Cores" is not a number of cores: the one core is that many times as fast.
+    cores = float(limits["CpuShare"]) * float(limits["Cores"])
+    return Strength(cores=cores, link_mbps=float(limits["LinkMbps"]))
+
+
 def _decode_bounds(bounds: dict[str, Any]) -> Bounds:
     return Bounds(
         drain=bounds["DrainMs"] / MILLISECONDS,
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from kestreltally.deployment import Deployment, Listening
+from kestreltally.deployment import Deployment, Listening, Strength
 from kestreltally.fleet_daemon import FleetDaemon
 from kestreltally.logs import LineWriter
 from standins.platform_engine import PlatformEngine, make_engine_app
@@ -120,8 +120,7 @@
             peers=Listening("127.0.0.1", find_port()),
             metrics_port=find_port(),
             store=Listening("127.0.0.1", self.store_port),
-            heartbeat=0.3,
-            file_descriptors=1000,
+            strength=Strength(cores=1.0, link_mbps=1000.0),
             bounds=BOUNDS,
         )
         daemon = FleetDaemon(deployment, LineWriter(io.StringIO(), vm))
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -8,7 +8,7 @@
 
 from kestreltally.fleet.model import Endpoint, EndpointId, RequestKind, WeightsKey
 from kestreltally.fleet.tables import Fleet, RouteTable
-from kestreltally.knowledge.feed import FeedServer, LeaderState, LedDataCentre, Peer
+from kestreltally.knowledge.feed import UNSENT_FOR, UNSENT_MOST, FeedServer, Peer
 from kestreltally.knowledge.followers import LAPSE_PATIENCE, EndpointsFollower
 from kestreltally.knowledge.frames import IDL, FrameStream, MalformedFrame
 from kestreltally.knowledge.rows import (
@@ -17,6 +17,7 @@
     encode_change,
     encode_endpoint,
 )
+from kestreltally.knowledge.updates import LeaderState, LedDataCentre
 from kestreltally.platform.documents import (
     MalformedDocument,
     decode_configuration,
@@ -203,6 +204,21 @@
     assert apply_change(before, encode_change(before, after)) == after
 
 
+class FakeStream:
+    """The updates sent to a daemon, which may be slow to read them."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+        self.unsent = 0
+        self.aborted = False
+
+    def send(self, message: Any) -> None:
+        self.sent.append(message)
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
 class FeedRig:
     """A feed of a leader of the north that knows two data centres."""
 
@@ -217,14 +233,17 @@
             self.make_state, lambda: self.rows, dict, lambda _: None, self.clock
         )
         self.feed.own_in_flight = dict
-        self.peer = Peer(stream=None, vm="other")  # type: ignore[arg-type]
+        self.stream = FakeStream()
+        self.peer = Peer(self.stream, vm="other")  # type: ignore[arg-type]
+        self.feed._peers.add(self.peer)
 
     def make_state(self) -> LeaderState:
         leads = (LedDataCentre("north", 1, 1),)
-        return LeaderState("me", leads, (), 0.0, 0.0, self.version, b"{}")
+        return LeaderState("me", leads, (), {}, 0.0, 0.0, self.version, b"{}")
 
     def update(self) -> Any:
-        return self.feed._make_update(self.peer)
+        self.feed.send_all()
+        return self.stream.sent[-1]
 
 
 def test_a_follower_hears_of_all_endpoints_and_then_of_changes_only() -> None:
@@ -248,6 +267,28 @@
     assert rig.update().gone == []
 
 
+def test_a_follower_that_is_slow_to_read_is_told_the_latest_only() -> None:
+    # trouble-1 of the grown ondalunga-catchup: on a thin link each change was queued
+    # behind those before, and daemons acted upon configurations seconds old.
+    rig = FeedRig()
+    rig.update()
+    rig.stream.unsent = UNSENT_MOST + 1
+    for version in range(1, 50):
+        rig.rows[EndpointId("n1")] = replace(
+            make_endpoint("n1"), weights={KEY: version}
+        )
+        rig.feed.send_all()
+    assert len(rig.stream.sent) == 1
+    rig.stream.unsent = 0
+    change = rig.update().changes[0]
+    assert [row.version for row in change.put] == [49]
+    rig.stream.unsent = UNSENT_MOST + 1
+    rig.feed.send_all()
+    rig.clock.now += UNSENT_FOR + 0.1
+    rig.feed.send_all()
+    assert rig.stream.aborted
+
+
 def test_a_configuration_is_sent_once_until_it_must_have_come() -> None:
     rig = FeedRig()
     rig.version = 5
--- /dev/null
+++ b/tests/test_watching.py
@@ -0,0 +1,76 @@
+"""How soon a daemon knows that the store has fallen silent."""
+
+import asyncio
+
+import pytest
+
+from kestreltally.fleet.model import Seconds
+from kestreltally.fleet_daemon import (
+    ENDPOINTS_GAP,
+    ENDPOINTS_WAIT,
+    FEED_AGE_LIMIT,
+)
+from kestreltally.knowledge.watching import KindWatch
+from kestreltally.platform.store import (
+    WATCH_MARGIN,
+    Changes,
+    Listing,
+    StoreError,
+)
+
+pytestmark = pytest.mark.looptime
+
+DRAIN_BOUND = 2.0
+
+
+class SilentStore:
+    """A store that answers until it falls silent; then calls run out of time."""
+
+    def __init__(self) -> None:
+        self.silent = False
+
+    async def list_objects(self, kind: str) -> Listing:
+        return Listing((), 1)
+
+    async def watch(self, kind: str, revision: int, wait: Seconds) -> Changes:
+        await asyncio.sleep(wait + (WATCH_MARGIN if self.silent else 0.0))
+        if self.silent:
+            raise StoreError("no answer")
+        return Changes((), revision)
+
+
+class Nobody:
+    """Takes in what the store holds, and keeps nothing."""
+
+    def take_listing(self, listing: Listing) -> None:
+        pass
+
+    def take_changes(self, changes: Changes) -> None:
+        pass
+
+
+async def test_a_silent_store_is_noticed_before_a_leaving_endpoint_must_be() -> None:
+    # trouble-1 of the grown ondalunga-catchup, DRAIN 3,008 ms: the leader's watch
+    # waited on a silent store, and its followers took it for fresh all the while.
+    store = SilentStore()
+    clock = asyncio.get_running_loop().time
+    watch = KindWatch(
+        store,  # type: ignore[arg-type]
+        "endpoints",
+        Nobody(),
+        ENDPOINTS_GAP,
+        ENDPOINTS_WAIT,
+        clock,
+    )
+    watch.switch(True)
+    running = asyncio.create_task(watch.run())
+    for phase in range(8):
+        store.silent = False
+        await asyncio.sleep(3.0 + phase * 0.13)
+        assert watch.find_age() == 0.0
+        store.silent = True
+        fell_at = clock()
+        while watch.find_age() < FEED_AGE_LIMIT:
+            await asyncio.sleep(0.01)
+        assert clock() - fell_at < DRAIN_BOUND - 0.3
+    running.cancel()
