Ask the store seldom where many daemons would, and follow a leader that knows it

Change: a daemon whose leader lost the store follows another data centre's leader; one that finds no fresh leader tries one kind only until the store answers, and many of them pause longer. The YAML reader is no longer imported by the daemon.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -72,8 +72,6 @@
 VERSIONS_GAP: Final[Seconds] = 0.1
 CONFIGURATION_GAP: Final[Seconds] = 0.1
 OTHERS_WAIT: Final[Seconds] = 3.0
-# A leader whose own knowledge of endpoints is older than this is not relied upon.
-FEED_AGE_LIMIT: Final[Seconds] = 1.0
 # The balancer asks each second and takes a daemon out after two misses.
 STOP_LEAST: Final[Seconds] = 3.2
 # What is left of the grace time when the last requests are cut.
@@ -187,7 +185,9 @@
     def _make_watch(
         self, kind: str, follower: Follower, gap: Seconds, wait: Seconds
     ) -> KindWatch:
-        return KindWatch(self._store, kind, follower, gap, wait, self._clock)
+        return KindWatch(
+            self._store, kind, follower, gap, wait, self._count_watchers, self._clock
+        )
 
     def _read_gauges(self) -> GaugeValues:
         """Return what the tables show now."""
@@ -245,16 +245,22 @@
                 log_left_out(LOG, self._lines.take_dropped())
 
     def _follow_store(self) -> None:
-        """Watch the store here unless a leader's feed tells what is there."""
-        needed = self._exchange.leads or not self._exchange.is_fed(FEED_AGE_LIMIT)
+        """Watch the store here unless a leader's feed tells what is there.
+
+        A daemon that leads nobody tries one kind only while the store does not answer.
+        """
+        leads = self._exchange.leads
+        needed = leads or not self._exchange.is_fed()
         if needed and not self._endpoints_watch.on:
             self._endpoints.adopt(self._fleet.endpoints.values())
-        for watch in (
-            self._configuration_watch,
-            self._endpoints_watch,
-            self._versions_watch,
-        ):
-            watch.switch(needed)
+        self._endpoints_watch.switch(needed)
+        others = needed and (leads or not self._endpoints_watch.failing)
+        self._configuration_watch.switch(others)
+        self._versions_watch.switch(others)
+
+    def _count_watchers(self) -> int:
+        """Return how many daemons ask the store again when it does not answer."""
+        return 1 if self._exchange.leads else self._relay.budget.daemons
 
     # Start and stop.
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -56,6 +56,8 @@
 LEADER_SOON: Final[Seconds] = 1.0
 LEADER_SOON_WAIT: Final[Seconds] = 0.35
 
+# A leader whose own knowledge of endpoints is older than this is not relied upon.
+FEED_AGE_LIMIT: Final[Seconds] = 1.0
 # A leader whose loads take longer than this is not asked for what it had lately.
 HAND_WAIT_MOST: Final[Seconds] = 0.5
 
@@ -128,17 +130,24 @@
         return lease.data_centre == own or self.leads or not self.is_heard(own)
 
     def find_primary(self) -> str | None:
-        """Return the data centre whose leader this daemon follows, if it leads none."""
+        """Return the data centre whose leader this daemon follows, if it leads none.
+
+        That is the own one, unless only another's knows what the store holds now.
+        """
         own = self._deployment.data_centre
-        if self.clients[own].is_alive():
-            return own
-        alive = (name for name, each in self.clients.items() if each.is_alive())
-        return next(alive, None)
+        names = [own, *(name for name in self.clients if name != own)]
+        alive = [name for name in names if self.clients[name].is_alive()]
+        fresh = (name for name in alive if self._is_fresh(name))
+        return next(fresh, alive[0] if alive else None)
+
+    def _is_fresh(self, data_centre: str) -> bool:
+        """Tell whether a leader is heard that knows what the store holds now."""
+        client = self.clients[data_centre]
+        return client.is_alive() and client.store_age < FEED_AGE_LIMIT
 
-    def is_fed(self, age_limit: Seconds) -> bool:
+    def is_fed(self) -> bool:
         """Tell whether a leader's fresh knowledge of endpoints reaches this daemon."""
-        primary = self.find_primary()
-        return primary is not None and self.clients[primary].store_age < age_limit
+        return any(self._is_fresh(name) for name in self.clients)
 
     def _find_known_leader(self, data_centre: str) -> KnownLeader | None:
         """Return who leads a data centre, by the store or by another leader's word."""
@@ -168,7 +177,7 @@
         if self._leases[data_centre].leads:
             return None
         own = self._deployment.data_centre
-        if data_centre != own and not self.leads and self.is_heard(own):
+        if data_centre != own and not self.leads and self._is_fresh(own):
             return None
         return known.address
 
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -20,6 +20,10 @@
 
 RETRY_LEAST: Final[Seconds] = 0.15
 RETRY_MOST: Final[Seconds] = 0.6
+# So many daemons may ask again within those times; more of them ask more seldom, down
+# to RETRY_SELDOM: every call is priced, also one that is refused.
+RETRY_TOGETHER: Final = 8
+RETRY_SELDOM: Final[Seconds] = 3.0
 
 
 class Follower(Protocol):
@@ -38,6 +42,7 @@
     ``gap`` is the least time between two calls: changes within it come together.
     ``wait`` is how long one call waits for a change. A store that fell silent may never
     answer a watch that waited, also once it is back, so waits are short.
+    ``count_watchers`` tells how many daemons ask alike when the store does not answer.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         follower: Follower,
         gap: Seconds,
         wait: Seconds,
+        count_watchers: Callable[[], int],
         clock: Callable[[], Seconds],
     ) -> None:
         self._store = store
@@ -54,6 +60,7 @@
         self._follower = follower
         self._gap = gap
         self._wait = wait
+        self._count_watchers = count_watchers
         self._clock = clock
         self._on = asyncio.Event()
         self.answered_at: Seconds = float("-inf")
@@ -75,9 +82,14 @@
         elif not on:
             self._on.clear()
 
+    @property
+    def failing(self) -> bool:
+        """Tell whether the store did not answer the last call."""
+        return self.failed_at > self.answered_at
+
     def find_age(self) -> Seconds:
         """Return how old this knowledge may be: a watch that waits is fresh."""
-        if self.failed_at > self.answered_at:
+        if self.failing:
             return self._clock() - self.answered_at
         return 0.0 if self._revision is not None else float("inf")
 
@@ -93,7 +105,14 @@
                 self._revision = None
             except StoreError as error:
                 self._note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_LEAST, RETRY_MOST))
+                await asyncio.sleep(self._find_pause())
+
+    def _find_pause(self) -> Seconds:
+        """Return how long to wait before the store is asked again."""
+        pause = random.uniform(RETRY_LEAST, RETRY_MOST)
+        return min(
+            RETRY_SELDOM, pause * max(1.0, self._count_watchers() / RETRY_TOGETHER)
+        )
 
     async def _step(self) -> None:
         if self._revision is None:
--- a/src/kestreltally/logs.py
+++ b/src/kestreltally/logs.py
@@ -6,12 +6,15 @@
 import threading
 import time
 from collections import deque
-from typing import Final, TextIO
+from typing import TYPE_CHECKING, Final, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 from kestreltally.decisions import FIELDS
-from kestreltally.settings import Logging
+
+if TYPE_CHECKING:
+    # At run time it would bring the YAML reader into daemons that read none.
+    from kestreltally.settings import Logging
 
 TEXT_FORMAT: Final = "%(asctime)s %(levelname)s %(message)s"
 # Lines that wait for the writer: some seconds' worth at the highest rate.
@@ -23,7 +26,7 @@
 JSON_FORMAT: Final = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
 
-def set_up_logs(wanted: Logging, vm: str) -> None:
+def set_up_logs(wanted: "Logging", vm: str) -> None:
     """Send all logs to standard error in the wanted form."""
     handler = logging.StreamHandler(sys.stderr)
     if wanted.format == "json":
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -308,7 +308,7 @@
         now: Seconds,
     ) -> None:
         self._hand_over(service, now)
-        wanted = self._list_wanted(service, now)
+        wanted = self._list_wanted(service, spec, now)
         self.missing += sum(
             1 for w in wanted if w.waiting and not w.holders and not w.coming
         )
@@ -339,14 +339,20 @@
     def _is_handed(self, service: ServiceName, key: WeightsKey) -> bool:
         return any((service, key) in each for each in self.handed.values())
 
-    def _list_wanted(self, service: ServiceName, now: Seconds) -> list[Wanted]:
+    def _list_wanted(
+        self, service: ServiceName, spec: EngineSpec, now: Seconds
+    ) -> list[Wanted]:
         """Return the adapters asked for, and where they stand in the whole fleet."""
         holders: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
         coming: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
+        roomy: set[WeightsKey] = set()
         for endpoint in self._fleet.list_service(service):
             where = endpoint.data_centre
+            has_room = self.in_flight.get(endpoint.id, 0) < spec.batch
             for key in endpoint.weights:
                 holders[key][where] = holders[key].get(where, 0) + 1
+                if has_room:
+                    roomy.add(key)
             for key in endpoint.loading:
                 coming[key][where] = coming[key].get(where, 0) + 1
         wanted = []
@@ -363,6 +369,8 @@
                     missed=row.missed,
                     holders=holders.get(key, {}),
                     coming=coming.get(key, {}),
+                    batch=spec.batch,
+                    crowded=key in holders and key not in roomy,
                 )
             )
         return wanted
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -24,9 +24,14 @@
 NEAR_GAIN: Final = 0.12
 # A copy pays when it spares the price of its load (0.7 of a request) within 10 s.
 COPY_RATE: Final = 0.7
-# One engine serves about this many requests a second of one adapter without its
-# batch filling with it.
-ENGINE_RATE: Final = 14.0
+# A place of a batch serves about this many requests a second of one adapter while the
+# batch has room for others (14 a second at a batch of 32).
+PLACE_RATE: Final = 0.44
+# What a copy is worth more, in parts of a request a second, where every engine that
+# holds the adapter has a full batch: requests there wait for others to end.
+CROWDED_WORTH: Final = 2.0
+# An adapter asked for less often than this is not what crowds its engines.
+CROWDED_RATE: Final = 0.5
 # Copies are brought a few at a time, behind the adapters that nobody has.
 COPIES_AT_ONCE: Final = 2
 
@@ -61,7 +66,8 @@
 class Wanted:
     """An adapter that is asked for.
 
-    ``holders`` and ``coming`` count engines by data centre.
+    ``holders`` and ``coming`` count engines by data centre; ``crowded`` tells that the
+    batches of all holders are full. ``batch`` is that of one engine.
     """
 
     key: WeightsKey
@@ -70,6 +76,8 @@
     missed: float
     holders: dict[str, int]
     coming: dict[str, int]
+    batch: int = 32
+    crowded: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,11 +143,16 @@
         holders = sum(each.holders.values()) + sum(each.coming.values())
         if not holders:
             continue
+        if each.crowded and not each.coming and sum(each.rates.values()) > CROWDED_RATE:
+            busiest = max(each.rates, key=lambda dc: each.rates[dc])
+            worth = CROWDED_WORTH * each.rates[busiest]
+            yield _Want(each.key, busiest, worth, is_copy=True)
+            continue
         for data_centre, rate in each.rates.items():
             near = each.holders.get(data_centre, 0) + each.coming.get(data_centre, 0)
             if not near and rate > COPY_RATE:
                 yield _Want(each.key, data_centre, NEAR_GAIN * rate * 10, True)
-            elif near and rate > ENGINE_RATE * near:
+            elif near and rate > PLACE_RATE * each.batch * near:
                 yield _Want(each.key, data_centre, rate / (near + 1), True)
 
 
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -255,6 +255,21 @@
         assert reply.whole and read_runs(reply) == {"a7@1"}
 
 
+async def test_a_follower_of_a_leader_that_lost_the_store_follows_another() -> None:
+    # scale-1 of the grown dala-points: 26 followers of such a leader asked the store
+    # themselves, each several times a second.
+    async with run_fleet() as rig:
+        follower = await rig.add_daemon("north-2", "north")
+        await asyncio.sleep(0.8)
+        leader = rig.daemons["north-1"]
+        leader._store._base = f"http://127.0.0.1:{find_port()}/objects"
+        await asyncio.sleep(2.5)
+        calls = follower._store.calls
+        await asyncio.sleep(1.0)
+        assert follower._exchange.find_primary() == "south"
+        assert follower._store.calls == calls
+
+
 async def test_the_store_may_go_away_and_come_back() -> None:
     async with run_fleet() as rig:
         assert (await rig.ask("north-1", "/m/x", "a1")).whole
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from collections import deque
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 from typing import Any
@@ -372,3 +373,17 @@
     wanted = [make_wanted("one", 1), make_wanted("many", 5)]
     (placed,) = plan_most_missed_first([engine], wanted, 10.0)
     assert placed.key == WeightsKey(MODEL, "many")
+
+
+@pytest.mark.parametrize("crowded", [True, False])
+async def test_a_copy_relieves_an_adapter_whose_engines_are_full(crowded: bool) -> None:
+    # trouble-1 of the grown ondalunga-catchup: three engines refused 4,700 requests
+    # for adapters that only they held, while the others had room.
+    engine = make_view("e1", "north", make_held("cold", 0.1))
+    wanted = replace(
+        make_wanted("hot", 0, rate=1.0),
+        holders={"north": 1},
+        crowded=crowded,
+    )
+    placed = plan_most_missed_first([engine], [wanted], 10.0)
+    assert [each.key.adapter for each in placed] == (["hot"] if crowded else [])
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -8,8 +8,8 @@
 from kestreltally.fleet_daemon import (
     ENDPOINTS_GAP,
     ENDPOINTS_WAIT,
-    FEED_AGE_LIMIT,
 )
+from kestreltally.knowledge.exchange import FEED_AGE_LIMIT
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.platform.store import (
     WATCH_MARGIN,
@@ -60,6 +60,7 @@
         Nobody(),
         ENDPOINTS_GAP,
         ENDPOINTS_WAIT,
+        lambda: 1,
         clock,
     )
     watch.switch(True)
