Leave endpoints alone where most daemons' requests fail

Change: daemons report how requests ended; the endpoint's leader spares one where most of late failed (a second at first, four at most, half of a service at most) and has its adapters brought elsewhere.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -76,6 +76,7 @@
 
     ORDER_GIVEN = ("orders: order given", Level.INFO, 100)
     ORDER_HELD_BACK = ("leader: order held back", Level.INFO, 20)
+    ENDPOINT_SPARED = ("leader: endpoint spared", Level.WARNING, 50)
     ENGINE_SILENT = ("leader: engine silent", Level.INFO, 50)
     ENGINE_LACKS_WEIGHTS = ("leader: engine lacks weights", Level.INFO, 50)
     LOAD_NOT_SEEN_TO_END = ("leader: load not seen to end", Level.WARNING, 20)
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from kestreltally.entry.outcomes import OutcomeCounter
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
 
 # A sound endpoint starts to answer in some 100 ms. One that has let a request wait
@@ -42,6 +43,8 @@
     def __init__(self) -> None:
         self._rows: dict[EndpointId, Health] = {}
         self._next_token = 0
+        # For the leaders, which judge endpoints by what all daemons have seen.
+        self.outcomes = OutcomeCounter()
 
     def row(self, endpoint: EndpointId) -> Health:
         """Return an endpoint's row, made when there is none."""
@@ -72,6 +75,7 @@
 
     def note_success(self, endpoint: EndpointId) -> None:
         """Count a whole answer."""
+        self.outcomes.note_whole(endpoint)
         health = self.row(endpoint)
         health.failure_rate *= 1 - RATE_WEIGHT
         health.failed_at.clear()
@@ -79,6 +83,7 @@
 
     def note_failure(self, endpoint: EndpointId, now: Seconds) -> bool:
         """Count a failure; tell whether the endpoint is ejected by it."""
+        self.outcomes.note_failed(endpoint)
         health = self.row(endpoint)
         health.failure_rate += RATE_WEIGHT * (1 - health.failure_rate)
         health.failed_at.append(now)
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -125,7 +125,8 @@
     """One start of an engine or a plain service, as it lists itself.
 
     ``weights`` maps what it holds to the version held, and ``loading`` names what is
-    on its way.
+    on its way. ``spared`` tells that its leader has it left alone for a while, for
+    requests of many daemons failed there.
     """
 
     id: EndpointId
@@ -137,3 +138,4 @@
     leaving: bool
     weights: dict[WeightsKey, int]
     loading: frozenset[WeightsKey] = frozenset()
+    spared: bool = False
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -141,9 +141,13 @@
             self.endpoints[endpoint_id] = replace(known, leaving=True)
 
     def list_service(self, service: ServiceName) -> list[Endpoint]:
-        """Return the endpoints of a service that are not leaving."""
+        """Return the endpoints of a service that stay, without those that are spared.
+
+        Where none would be left, those that are spared are better than nothing.
+        """
         found = (self.endpoints[each] for each in self._by_service.get(service, ()))
-        return [each for each in found if not each.leaving]
+        staying = [each for each in found if not each.leaving]
+        return [each for each in staying if not each.spared] or staying
 
     def list_holders(
         self, service: ServiceName, key: WeightsKey, now: Seconds
@@ -158,6 +162,7 @@
             for each in found
             if each.service == service
             and not each.leaving
+            and not each.spared
             and self._absent.get((each.id, key), now) <= now
             and not self.is_outdated(each, key, now)
         ]
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -235,7 +235,7 @@
             self._follow_store()
             self._exchange.lead_own()
             self._exchange.forget_leader()
-            self._exchange.forget_loads()
+            self._exchange.forget_word()
             self._endpoints.drop_lapsed()
             self._fleet.forget_absences(now)
             self._pool.close_expired(now)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -9,12 +9,13 @@
 import json
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from typing import Any, Final
 
 from kestreltally.deployment import Deployment, Listening
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.outcomes import Outcome, OutcomeCounter
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import DAEMONS_AT_FIRST
 from kestreltally.fleet.model import (
@@ -34,9 +35,11 @@
     apply_change,
     decode_demand,
     decode_endpoint,
+    decode_outcome,
     decode_use,
     decode_weights,
     encode_demand,
+    encode_outcomes,
     encode_use,
 )
 from kestreltally.knowledge.updates import (
@@ -105,6 +108,8 @@
         # What leaders tell of each other, by data centre.
         self._told_leaders: dict[str, KnownLeader] = {}
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
+        # How requests of this group ended, for the leaders of the endpoints.
+        self._outcomes = {name: OutcomeCounter() for name in leases}
         # Requests of this group for weights that only engines elsewhere hold, by the
         # data centre whose leader must know how much they are used.
         self._served_afar: dict[str, dict[tuple[ServiceName, WeightsKey], int]] = {
@@ -226,6 +231,22 @@
         for row in report.refused or ():
             endpoint, key, _ = decode_use(row)
             self._note_refused(endpoint, key)
+        self._take_outcomes(decode_outcome(row) for row in report.outcomes or ())
+
+    def _take_outcomes(self, outcomes: Iterable[Outcome]) -> None:
+        """Judge endpoints led here by how requests ended; hand others' on."""
+        if self.leader is None:
+            return
+        now = self._clock()
+        for each in outcomes:
+            endpoint = self._fleet.endpoints.get(each.endpoint)
+            if endpoint is None:
+                continue
+            lease = self.find_lease(endpoint)
+            if lease.leads:
+                self.leader.soundness.note(each, now)
+            else:
+                self._outcomes[lease.data_centre].add([each])
 
     def _take_demand(
         self, vm: str, data_centre: str, told: list[WeightsDemand]
@@ -273,6 +294,7 @@
             in_flight={},
             uses=[],
             refused=[],
+            outcomes=[],
             configuration=configuration.version if configuration else 0,
             store_age=self._find_store_age(),
             daemons=1,
@@ -295,6 +317,7 @@
         report.demand = [encode_demand(each) for each in demand.take()]
         report.uses = [encode_use(e, key, n) for (e, key), n in demand.uses.items()]
         report.refused = [encode_use(e, key, 1) for e, key in demand.take_refused()]
+        report.outcomes = encode_outcomes(self._relay.health.outcomes.take())
 
     def _add_group(self, report: Any, data_centre: str) -> None:
         """Sum up this leader's daemons for another leader."""
@@ -304,6 +327,7 @@
             report.uses.extend(encode_use(e, key, n) for (e, key), n in uses.items())
         refused, self._refused[data_centre] = self._refused[data_centre], set()
         report.refused = [encode_use(e, key, 1) for e, key in refused]
+        report.outcomes = encode_outcomes(self._outcomes[data_centre].take())
         demand = [*self._list_handed(data_centre), *self._take_afar(data_centre)]
         report.demand = [encode_demand(each) for each in demand]
 
@@ -448,6 +472,7 @@
         self._take_demand(own.vm, own.data_centre, demand.take())
         for endpoint, key in demand.take_refused():
             self._note_refused(endpoint, key)
+        self._take_outcomes(self._relay.health.outcomes.take())
         peers = (*self.feed.list_followers(), *self.feed.list_leaders())
         self.leader.uses = {peer.vm: peer.uses for peer in peers}
         self.leader.uses[own.vm] = dict(demand.uses)
@@ -459,14 +484,18 @@
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
 
-    def forget_loads(self) -> None:
-        """Await no load whose leader is not heard: another one may then bring it."""
+    def forget_word(self) -> None:
+        """Drop what only a leader could tell that is no longer heard.
+
+        Its loads may be brought by another one, and what it spared may be used.
+        """
         if not self.leads and self.find_primary() is not None:
             return
         for endpoint in list(self._fleet.endpoints.values()):
             leader = self.find_lease(endpoint).data_centre
-            if endpoint.loading and not self.is_heard(leader):
-                self.put_row(replace(endpoint, loading=frozenset()))
+            told = endpoint.loading or endpoint.spared
+            if told and not self.is_heard(leader):
+                self.put_row(replace(endpoint, loading=frozenset(), spared=False))
 
     def forget_leader(self) -> None:
         """Plan with nobody's word while no leader is heard."""
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -17,6 +17,7 @@
   7: bool leaving,
   8: list<WeightsVersion> weights,
   9: list<WeightsVersion> loading,
+  10: bool spared,
 }
 
 struct DemandRow {
@@ -36,6 +37,13 @@
   4: i32 count,
 }
 
+// How requests ended at an endpoint since the report before: whole, or failed.
+struct OutcomeRow {
+  1: string endpoint,
+  2: i32 whole,
+  3: i32 failed,
+}
+
 // What changed of the weights on an engine since the row or change before.
 struct WeightsChange {
   1: string id,
@@ -73,6 +81,7 @@
   8: i64 configuration,
   9: double store_age,
   10: i32 daemons,
+  11: list<OutcomeRow> outcomes,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, daemons and
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -1,9 +1,11 @@
 """Translates between the tables' types and the structs of the feed."""
 
+from collections.abc import Iterable
 from dataclasses import replace
 from typing import Any
 
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.outcomes import Outcome
 from kestreltally.fleet.model import Endpoint, EndpointId, ServiceName, WeightsKey
 from kestreltally.knowledge.frames import IDL
 
@@ -30,6 +32,7 @@
         leaving=endpoint.leaving,
         weights=[encode_weights(k, v) for k, v in endpoint.weights.items()],
         loading=[encode_weights(k, 0) for k in endpoint.loading],
+        spared=endpoint.spared,
     )
 
 
@@ -45,6 +48,7 @@
         leaving=row.leaving,
         weights=dict(decode_weights(each) for each in row.weights or ()),
         loading=frozenset(decode_weights(each)[0] for each in row.loading or ()),
+        spared=bool(row.spared),
     )
 
 
@@ -83,6 +87,19 @@
     return EndpointId(row.endpoint), WeightsKey(row.model, row.adapter), row.count
 
 
+def encode_outcomes(outcomes: Iterable[Outcome]) -> list[Any]:
+    """Return the structs of how requests ended."""
+    return [
+        IDL.OutcomeRow(endpoint=each.endpoint, whole=each.whole, failed=each.failed)
+        for each in outcomes
+    ]
+
+
+def decode_outcome(row: Any) -> Outcome:
+    """Return how requests ended at an endpoint."""
+    return Outcome(EndpointId(row.endpoint), row.whole, row.failed)
+
+
 def encode_change(before: Endpoint, after: Endpoint) -> Any:
     """Return the struct of how an engine's weights changed."""
     put = [
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -52,6 +52,7 @@
     busy: bool = False
     failing_until: Seconds = 0.0
     silences: int = 0
+    spared: bool = False
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     read_at: Seconds = 0.0
     ordered_at: Seconds = 0.0
@@ -148,7 +149,9 @@
         What a silent engine holds is to be loaded elsewhere, so it shows nothing.
         """
         if self.silences >= SILENCES_TO_CLOSE:
-            return replace(self.endpoint, weights={}, loading=frozenset())
+            return replace(
+                self.endpoint, weights={}, loading=frozenset(), spared=self.spared
+            )
         # What is replaced refuses requests until the new version is there.
         closed = self.leaving.keys() | self.incoming.keys()
         usable = {k: v for k, v in self.weights.items() if k not in closed}
@@ -156,4 +159,5 @@
             self.endpoint,
             weights=usable,
             loading=frozenset(self.incoming),
+            spared=self.spared,
         )
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -30,6 +30,7 @@
     HeldAdapter,
     Wanted,
 )
+from kestreltally.placing.soundness import SPARED_PART, SoundnessTable
 
 LOG = logging.getLogger("kestreltally.leader")
 
@@ -93,6 +94,7 @@
         self._wake = asyncio.Event()
         self.missing = 0
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
+        self.soundness = SoundnessTable()
 
     @property
     def load_time(self) -> Seconds:
@@ -128,6 +130,7 @@
     def drop_endpoint(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone."""
         self.books.pop(endpoint, None)
+        self.soundness.forget(endpoint)
 
     def take_demand(
         self, vm: str, data_centre: str, told: Iterable[WeightsDemand]
@@ -206,10 +209,32 @@
         if configuration is None:
             return
         self.missing = 0
+        self._spare_unsound(now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._step_service(service.name, service.engine, now)
 
+    def _spare_unsound(self, now: Seconds) -> None:
+        """Have endpoints left alone where most requests fail, and tried again later."""
+        for name, book in self.books.items():
+            spared = self.soundness.is_spared(name, now)
+            if not spared and self.soundness.is_suspect(name, now):
+                spared = self._may_spare(book.endpoint.service)
+                if spared:
+                    pause = self.soundness.spare(name, now)
+                    log_decision(
+                        LOG, Decision.ENDPOINT_SPARED, endpoint=name, pause=pause
+                    )
+            if spared != book.spared:
+                book.spared = spared
+                self._publish(book.make_row())
+
+    def _may_spare(self, service: ServiceName) -> bool:
+        """Tell whether one more endpoint of a service may be left alone."""
+        known = [e for e in self._fleet.endpoints.values() if e.service == service]
+        spared = sum(1 for each in known if each.spared)
+        return spared + 1 <= SPARED_PART * len(known)
+
     def _step_service(
         self, service: ServiceName, spec: EngineSpec, now: Seconds
     ) -> None:
@@ -242,6 +267,7 @@
             and len(book.incoming) < INCOMING_MOST
             and all(key.adapter for key in book.incoming)
             and not book.endpoint.leaving
+            and not book.spared
             and now >= book.failing_until
         )
 
--- /dev/null
+++ b/src/kestreltally/placing/soundness.py
@@ -0,0 +1,90 @@
+"""Which endpoints to leave alone for a while, by what all daemons' requests met there.
+
+In a large fleet each daemon sends an endpoint too few requests to judge it: one request
+in some seconds. The leader sums what all report.
+"""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from kestreltally.entry.outcomes import Outcome
+from kestreltally.fleet.model import EndpointId, Seconds
+
+# What happened longer ago than this hardly counts.
+MEMORY: Final[Seconds] = 1.0
+# So many failures of late, and such a part of all requests, make an endpoint suspect.
+# Endpoints that lose some answers in a hundred stay far below.
+FAILURES_LEAST: Final = 2.5
+FAILED_PART: Final = 0.6
+# How long an endpoint is left alone at first; twice as long each time again.
+SPARE_FIRST: Final[Seconds] = 1.0
+SPARE_MOST: Final[Seconds] = 4.0
+# One that has been sound for this long starts anew.
+FORGIVEN_AFTER: Final[Seconds] = 10.0
+# Not more than this part of a service's endpoints is spared: beyond it the fault is
+# more likely on the way to them.
+SPARED_PART: Final = 0.5
+
+
+@dataclass(slots=True)
+class Standing:
+    """What requests met at one endpoint of late, as of ``at``."""
+
+    at: Seconds
+    whole: float = 0.0
+    failed: float = 0.0
+    spared_until: Seconds = float("-inf")
+    times_spared: int = 0
+
+    def decay(self, now: Seconds) -> None:
+        """Let what happened fade to a moment."""
+        kept = math.exp(-max(0.0, now - self.at) / MEMORY)
+        self.whole *= kept
+        self.failed *= kept
+        self.at = now
+
+
+class SoundnessTable:
+    """The standing of the endpoints that a leader judges."""
+
+    def __init__(self) -> None:
+        self._rows: dict[EndpointId, Standing] = {}
+
+    def note(self, outcome: Outcome, now: Seconds) -> None:
+        """Take in how requests ended at an endpoint."""
+        row = self._rows.setdefault(outcome.endpoint, Standing(now))
+        row.decay(now)
+        row.whole += outcome.whole
+        row.failed += outcome.failed
+
+    def is_spared(self, endpoint: EndpointId, now: Seconds) -> bool:
+        """Tell whether an endpoint is to be left alone still."""
+        row = self._rows.get(endpoint)
+        return row is not None and now < row.spared_until
+
+    def is_suspect(self, endpoint: EndpointId, now: Seconds) -> bool:
+        """Tell whether most requests of late failed at an endpoint."""
+        row = self._rows.get(endpoint)
+        if row is None:
+            return False
+        row.decay(now)
+        if row.failed < FAILURES_LEAST:
+            return False
+        return row.failed >= FAILED_PART * (row.failed + row.whole)
+
+    def spare(self, endpoint: EndpointId, now: Seconds) -> Seconds:
+        """Leave an endpoint alone for a while; return for how long."""
+        row = self._rows.setdefault(endpoint, Standing(now))
+        if now - row.spared_until > FORGIVEN_AFTER:
+            row.times_spared = 0
+        pause = min(SPARE_MOST, SPARE_FIRST * 2.0**row.times_spared)
+        row.spared_until = now + pause
+        row.times_spared += 1
+        # Only what happens after the pause counts then.
+        row.whole = row.failed = 0.0
+        return pause
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop an endpoint that is gone."""
+        self._rows.pop(endpoint, None)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -11,6 +11,7 @@
 import pytest
 
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.outcomes import Outcome
 from kestreltally.entry.upstream import ChannelPool
 from kestreltally.fleet.model import (
     Configuration,
@@ -387,3 +388,36 @@
     )
     placed = plan_most_missed_first([engine], [wanted], 10.0)
     assert [each.key.adapter for each in placed] == (["hot"] if crowded else [])
+
+
+async def test_an_engine_where_most_requests_fail_is_left_alone_for_a_while() -> None:
+    # scale-1 of the grown dala-points: engines that went down and up by turns lost
+    # 300 requests, for no daemon alone saw enough of them.
+    rig = LeaderRig()
+    await asyncio.sleep(1.0)
+    rig.ask(7)
+    await asyncio.sleep(0.5)
+    clock = asyncio.get_running_loop().time
+    key = WeightsKey(MODEL, "a7")
+    (holder,) = rig.fleet.list_holders(MODELS, key, clock())
+    rig.leader.soundness.note(Outcome(holder.id, whole=1, failed=4), clock())
+    await asyncio.sleep(0.1)
+    assert rig.fleet.list_holders(MODELS, key, clock()) == []
+    rig.ask(7)
+    await asyncio.sleep(0.5)
+    (other,) = rig.fleet.list_holders(MODELS, key, clock())
+    assert other.id != holder.id
+    await asyncio.sleep(1.0)
+    assert len(rig.fleet.list_holders(MODELS, key, clock())) == 2
+    rig.close()
+
+
+async def test_not_more_than_half_of_a_services_endpoints_are_left_alone() -> None:
+    rig = LeaderRig()
+    await asyncio.sleep(0.5)
+    for name in rig.engines:
+        failed = Outcome(EndpointId(name), whole=0, failed=9)
+        rig.leader.soundness.note(failed, asyncio.get_running_loop().time())
+    await asyncio.sleep(0.1)
+    assert sum(each.spared for each in rig.fleet.endpoints.values()) == 1
+    rig.close()
