Route around engines that are busy reading long prompts

Change: daemons count and tell the prompt tokens that endpoints have yet to read; 20,000 weigh as much as a full batch in the choice of an endpoint and of an engine to load on. How full endpoints are is one type now, summed and taken apart in one place.

--- a/src/kestreltally/entry/choice.py
+++ b/src/kestreltally/entry/choice.py
@@ -12,6 +12,9 @@
 FAR_COST: Final = 0.5
 # A full batch makes the next request wait for a whole one to end.
 QUEUE_COST: Final = 1.0
+# So many prompt tokens that an endpoint has yet to read cost as much as a full batch:
+# it reads them for half a second, most of an objective, before it begins with others.
+UNREAD_TOKENS: Final = 20_000.0
 # What a prompt read before on an endpoint is worth, if it is all of it.
 PREFIX_GAIN: Final = 0.4
 
@@ -20,14 +23,16 @@
 class Option:
     """An endpoint that could take a request.
 
-    ``under_way`` counts the requests of all daemons there, ``known_part`` is the part
-    of the prompt that it has read before.
+    ``under_way`` counts the requests of all daemons there, ``unread`` the prompt tokens
+    that it has yet to read for them, ``known_part`` is the part of this prompt that it
+    has read before.
     """
 
     endpoint: Endpoint
     under_way: int
     far: bool
     known_part: float = 0.0
+    unread: int = 0
 
 
 Chooser = Callable[[Sequence[Option]], Option]
@@ -51,6 +56,7 @@
     cost = option.under_way / slots
     if option.under_way >= slots:
         cost += QUEUE_COST
+    cost += option.unread / UNREAD_TOKENS
     if option.far:
         cost += FAR_COST
     return cost - PREFIX_GAIN * option.known_part
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -9,6 +9,7 @@
 from kestreltally.entry.affinity import Affinity
 from kestreltally.entry.choice import ENDPOINT_CHOOSERS, Option
 from kestreltally.entry.demand import DemandCounter
+from kestreltally.entry.fullness import EMPTY
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.progress import (
     RETRY_SOON,
@@ -18,7 +19,7 @@
 )
 from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.entry.waiting import WeightsWaiters
-from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
+from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
 from kestreltally.fleet.tables import Fleet
 
 LOG = logging.getLogger("kestreltally.finder")
@@ -33,7 +34,7 @@
 class EndpointFinder:
     """Knows who could serve what, and how full the endpoints are.
 
-    ``others`` counts the requests of other daemons under way, by endpoint;
+    ``others`` tells what other daemons have under way, by endpoint;
     ``load_wait`` is the leader's word on how long a load takes from now, none without a
     leader; ``hurry`` has the leader told of new demand at once.
     """
@@ -46,7 +47,7 @@
         self.demand = DemandCounter()
         self.waiters = WeightsWaiters()
         self.affinity = Affinity()
-        self.others: dict[EndpointId, int] = {}
+        self.others = EMPTY
         self.load_wait: Seconds | None = None
         self.hurry: Callable[[], None] = lambda: None
 
@@ -132,13 +133,20 @@
         )
         return chosen.endpoint
 
+    def count_unread(self, request: ClientRequest, endpoint: Endpoint) -> int:
+        """Return how many tokens of a prompt an endpoint has not read before."""
+        key = request.head.weights
+        known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
+        return int(request.head.prompt_tokens * (1.0 - min(1.0, known)))
+
     def _make_option(self, request: ClientRequest, endpoint: Endpoint) -> Option:
         key = request.head.weights
-        own = self._health.row(endpoint.id).in_flight
+        under_way, unread = self._health.measure_one(endpoint.id)
         known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
         return Option(
             endpoint=endpoint,
-            under_way=own + self.others.get(endpoint.id, 0),
+            under_way=under_way + self.others.under_way.get(endpoint.id, 0),
+            unread=unread + self.others.unread.get(endpoint.id, 0),
             far=endpoint.data_centre != self._data_centre,
             known_part=known,
         )
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from kestreltally.entry.fullness import Fullness
 from kestreltally.entry.outcomes import OutcomeCounter
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
 
@@ -24,12 +25,20 @@
 RATE_WEIGHT: Final = 0.12
 
 
+@dataclass(frozen=True, slots=True)
+class Awaited:
+    """A request whose answer has not begun: when it was sent, and its unread tokens."""
+
+    since: Seconds
+    unread: int
+
+
 @dataclass(slots=True)
 class Health:
     """What one endpoint has done for this daemon's requests lately."""
 
     in_flight: int = 0
-    awaiting: dict[int, Seconds] = field(default_factory=dict)
+    awaiting: dict[int, Awaited] = field(default_factory=dict)
     answered_at: Seconds = 0.0
     failed_at: deque[Seconds] = field(default_factory=lambda: deque(maxlen=8))
     failure_rate: float = 0.0
@@ -53,12 +62,15 @@
             health = self._rows[endpoint] = Health()
         return health
 
-    def begin(self, endpoint: EndpointId, now: Seconds) -> int:
-        """Note that a request goes to an endpoint; return a token for its answer."""
+    def begin(self, endpoint: EndpointId, now: Seconds, unread: int = 0) -> int:
+        """Note that a request goes to an endpoint; return a token for its answer.
+
+        ``unread`` are the tokens of its prompt that the endpoint has yet to read.
+        """
         self._next_token += 1
         health = self.row(endpoint)
         health.in_flight += 1
-        health.awaiting[self._next_token] = now
+        health.awaiting[self._next_token] = Awaited(now, unread)
         return self._next_token
 
     def note_head(self, endpoint: EndpointId, token: int, now: Seconds) -> None:
@@ -105,7 +117,8 @@
             return True
         if now < health.ejected_until:
             return False
-        oldest = next(iter(health.awaiting.values()), now)
+        first = next(iter(health.awaiting.values()), None)
+        oldest = first.since if first is not None else now
         silent = now - oldest > SILENT_AFTER and health.answered_at < oldest
         return not silent
 
@@ -128,9 +141,24 @@
         ]
         return kept if len(kept) >= len(endpoints) * (1 - EJECT_SHARE) else endpoints
 
-    def count_in_flight(self) -> dict[EndpointId, int]:
-        """Return this daemon's requests under way by endpoint."""
-        return {e: h.in_flight for e, h in self._rows.items() if h.in_flight}
+    def measure(self) -> Fullness:
+        """Return what of this daemon's requests is under way."""
+        busy = {e: h for e, h in self._rows.items() if h.in_flight}
+        unread = {
+            endpoint: sum(each.unread for each in health.awaiting.values())
+            for endpoint, health in busy.items()
+        }
+        return Fullness(
+            under_way={endpoint: health.in_flight for endpoint, health in busy.items()},
+            unread={endpoint: tokens for endpoint, tokens in unread.items() if tokens},
+        )
+
+    def measure_one(self, endpoint: EndpointId) -> tuple[int, int]:
+        """Return the requests under way at an endpoint, and their unread tokens."""
+        health = self._rows.get(endpoint)
+        if health is None:
+            return 0, 0
+        return health.in_flight, sum(each.unread for each in health.awaiting.values())
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the row of an endpoint that is gone, once it is idle."""
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -160,7 +160,8 @@
     ) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
         progress.tried.add(endpoint.id)
-        token = self.health.begin(endpoint.id, loop.time())
+        unread = self.finder.count_unread(request, endpoint)
+        token = self.health.begin(endpoint.id, loop.time(), unread)
         self._note_use(request, endpoint, 1)
         keep = False
         channel: Channel | None = None
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -15,6 +15,7 @@
 
 from kestreltally.deployment import Deployment, Listening
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.fullness import EMPTY
 from kestreltally.entry.outcomes import Outcome, OutcomeCounter
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import DAEMONS_AT_FIRST
@@ -35,10 +36,12 @@
     apply_change,
     decode_demand,
     decode_endpoint,
+    decode_fullness,
     decode_outcome,
     decode_use,
     decode_weights,
     encode_demand,
+    encode_fullness,
     encode_outcomes,
     encode_use,
 )
@@ -94,7 +97,7 @@
             self._take_report,
             clock,
         )
-        self.feed.own_in_flight = relay.health.count_in_flight
+        self.feed.measure_own = relay.health.measure
         self.clients = {
             name: FeedClient(
                 name, self._find_leader, self._make_report, self._take_update, clock
@@ -102,7 +105,7 @@
             for name in leases
         }
         self.leader: Leader | None = None
-        self._reported: dict[EndpointId, int] = {}
+        self._reported = EMPTY
         self._heard_at = clock()
         self._resigned: tuple[LedDataCentre, ...] = ()
         # What leaders tell of each other, by data centre.
@@ -312,8 +315,8 @@
 
     def _add_own(self, report: Any) -> None:
         demand = self._relay.finder.demand
-        self._reported = self._relay.health.count_in_flight()
-        report.in_flight = dict(self._reported)
+        self._reported = self._relay.health.measure()
+        encode_fullness(report, self._reported)
         report.demand = [encode_demand(each) for each in demand.take()]
         report.uses = [encode_use(e, key, n) for (e, key), n in demand.uses.items()]
         report.refused = [encode_use(e, key, 1) for e, key in demand.take_refused()]
@@ -321,7 +324,7 @@
 
     def _add_group(self, report: Any, data_centre: str) -> None:
         """Sum up this leader's daemons for another leader."""
-        report.in_flight = self.feed.sum_group()
+        encode_fullness(report, self.feed.sum_group())
         report.daemons = self.feed.count_group()
         for uses in (self._relay.finder.demand.uses, *self._list_group_uses()):
             report.uses.extend(encode_use(e, key, n) for (e, key), n in uses.items())
@@ -392,8 +395,7 @@
         """Take in how full all is; only the regular updates tell the counts."""
         self._relay.finder.load_wait = update.load_wait
         if update.in_flight is not None:
-            totals = {EndpointId(k): v for k, v in update.in_flight.items()}
-            self._relay.finder.others = _subtract(totals, self._reported)
+            self._relay.finder.others = decode_fullness(update).minus(self._reported)
             self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
@@ -476,11 +478,9 @@
         peers = (*self.feed.list_followers(), *self.feed.list_leaders())
         self.leader.uses = {peer.vm: peer.uses for peer in peers}
         self.leader.uses[own.vm] = dict(demand.uses)
-        totals = self.feed.sum_in_flight()
-        self.leader.in_flight = totals
-        self._relay.finder.others = _subtract(
-            totals, self._relay.health.count_in_flight()
-        )
+        total = self.feed.sum_fullness()
+        self.leader.fullness = total
+        self._relay.finder.others = total.minus(self._relay.health.measure())
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
 
@@ -505,10 +505,4 @@
             return
         soon = now - self._heard_at < LEADER_SOON
         self._relay.finder.load_wait = LEADER_SOON_WAIT if soon else None
-        self._relay.finder.others = {}
-
-
-def _subtract(
-    totals: dict[EndpointId, int], own: dict[EndpointId, int]
-) -> dict[EndpointId, int]:
-    return {each: max(0, count - own.get(each, 0)) for each, count in totals.items()}
+        self._relay.finder.others = EMPTY
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import logging
-from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from kestreltally.decisions import Decision, log_decision
+from kestreltally.entry.fullness import EMPTY, Fullness
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 from kestreltally.knowledge.frames import IDL, FrameStream, MalformedFrame
-from kestreltally.knowledge.rows import decode_use
+from kestreltally.knowledge.rows import decode_fullness, decode_use, encode_fullness
 from kestreltally.knowledge.updates import (
     NOTHING_TOLD,
     LeaderState,
@@ -50,7 +50,7 @@
     unsent_since: Seconds | None = None
     configuration: int = 0
     daemons: int = 1
-    in_flight: dict[str, int] = field(default_factory=dict)
+    fullness: Fullness = EMPTY
     uses: dict[tuple[EndpointId, WeightsKey], int] = field(default_factory=dict)
     store_answered_at: Seconds = float("-inf")
     told_configuration: int = 0
@@ -125,7 +125,7 @@
         peer.leads = frozenset(report.leads or ())
         peer.configuration = report.configuration
         peer.daemons = report.daemons or 1
-        peer.in_flight = report.in_flight or {}
+        peer.fullness = decode_fullness(report)
         uses = [decode_use(each) for each in report.uses or ()]
         peer.uses = {(endpoint, key): count for endpoint, key, count in uses}
         peer.store_answered_at = self._clock() - report.store_age
@@ -168,7 +168,7 @@
             if counts:
                 update.leaders = encode_leaders(current.state.leaders)
             if counts and not peer.leads:
-                update.in_flight = self.sum_in_flight()
+                encode_fullness(update, self.sum_fullness())
                 update.daemons = self.count_daemons()
         if self._lacks_configuration(peer, current.state.configuration_version):
             update.configuration = current.state.configuration
@@ -205,7 +205,7 @@
         peer.told_configuration_at = now
         return True
 
-    own_in_flight: Callable[[], dict[EndpointId, int]]
+    measure_own: Callable[[], Fullness]
 
     def count_group(self) -> int:
         """Return how many daemons this one and its followers are."""
@@ -215,20 +215,17 @@
         """Return how many daemons there are over all leaders heard."""
         return self.count_group() + sum(peer.daemons for peer in self.list_leaders())
 
-    def sum_group(self) -> dict[EndpointId, int]:
-        """Return the requests under way of this daemon and its followers."""
-        return _sum_counts(self.own_in_flight(), self.list_followers())
+    def sum_group(self) -> Fullness:
+        """Return what this daemon and its followers have under way."""
+        return _sum(self.measure_own(), self.list_followers())
 
-    def sum_in_flight(self) -> dict[EndpointId, int]:
-        """Return the requests under way over all daemons, by endpoint."""
-        return _sum_counts(self.sum_group(), self.list_leaders())
+    def sum_fullness(self) -> Fullness:
+        """Return what all daemons have under way."""
+        return _sum(self.sum_group(), self.list_leaders())
 
 
-def _sum_counts(
-    own: dict[EndpointId, int], peers: Iterable[Peer]
-) -> dict[EndpointId, int]:
-    totals: dict[EndpointId, int] = defaultdict(int, own)
+def _sum(own: Fullness, peers: Iterable[Peer]) -> Fullness:
+    total = own
     for peer in peers:
-        for name, count in peer.in_flight.items():
-            totals[EndpointId(name)] += count
-    return totals
+        total = total.plus(peer.fullness)
+    return total
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -82,10 +82,11 @@
   9: double store_age,
   10: i32 daemons,
   11: list<OutcomeRow> outcomes,
+  12: map<string, i32> unread,
 }
 
-// From a leader to a daemon. Seconds count back from the sending. in_flight, daemons and
-// leaders come with the regular updates only, not with those that a change brings on.
+// From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
+// daemons and leaders come with the regular updates only, not with those that a change brings on.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -102,4 +103,5 @@
   13: i64 configuration_version,
   14: binary configuration,
   15: list<LeaderRow> leaders,
+  16: map<string, i32> unread,
 }
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.fullness import Fullness
 from kestreltally.entry.outcomes import Outcome
 from kestreltally.fleet.model import Endpoint, EndpointId, ServiceName, WeightsKey
 from kestreltally.knowledge.frames import IDL
@@ -87,6 +88,20 @@
     return EndpointId(row.endpoint), WeightsKey(row.model, row.adapter), row.count
 
 
+def encode_fullness(message: Any, fullness: Fullness) -> None:
+    """Put how full endpoints are into a report or an update."""
+    message.in_flight = dict(fullness.under_way)
+    message.unread = dict(fullness.unread)
+
+
+def decode_fullness(message: Any) -> Fullness:
+    """Return how full endpoints are by a report or an update."""
+    return Fullness(
+        under_way={EndpointId(k): v for k, v in (message.in_flight or {}).items()},
+        unread={EndpointId(k): v for k, v in (message.unread or {}).items()},
+    )
+
+
 def encode_outcomes(outcomes: Iterable[Outcome]) -> list[Any]:
     """Return the structs of how requests ended."""
     return [
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -9,6 +9,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Bounds
 from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.fullness import EMPTY
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -81,7 +82,7 @@
         self._plan = PLANNERS["most-missed-first"]
         self.books: dict[EndpointId, EngineBook] = {}
         self.demand = DemandTable()
-        self.in_flight: dict[EndpointId, int] = {}
+        self.fullness = EMPTY
         # What other leaders tell that a load takes there; none when none is heard.
         self.other_wait: Callable[[], Seconds | None] = lambda: None
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
@@ -374,7 +375,7 @@
         roomy: set[WeightsKey] = set()
         for endpoint in self._fleet.list_service(service):
             where = endpoint.data_centre
-            has_room = self.in_flight.get(endpoint.id, 0) < spec.batch
+            has_room = self.fullness.under_way.get(endpoint.id, 0) < spec.batch
             for key in endpoint.weights:
                 holders[key][where] = holders[key].get(where, 0) + 1
                 if has_room:
@@ -435,7 +436,8 @@
             free=book.count_free(spec),
             held=tuple(held),
             warm=frozenset(book.warm),
-            running=self.in_flight.get(book.endpoint.id, 0),
+            running=self.fullness.under_way.get(book.endpoint.id, 0),
+            unread=self.fullness.unread.get(book.endpoint.id, 0),
             batch=spec.batch,
         )
 
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
+from kestreltally.entry.choice import UNREAD_TOKENS
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 
 # A request that waits counts as much as a rate of one a second would in this time.
@@ -51,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineView:
-    """An engine that may take a load now."""
+    """An engine that may take a load now; ``unread`` are tokens it has yet to read."""
 
     id: EndpointId
     data_centre: str
@@ -60,6 +61,7 @@
     warm: frozenset[WeightsKey]
     running: int
     batch: int
+    unread: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +186,7 @@
         if cost * VICTIM_FACTOR >= want.score:
             continue
         cost += engine.running / max(1, engine.batch)
+        cost += engine.unread / UNREAD_TOKENS
         cost += sum(each.rate / max(1, each.holders) for each in engine.held) / 100
         if engine.data_centre != want.data_centre:
             cost += 0.5
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,45 @@
+"""Which endpoint is chosen for a request."""
+
+import pytest
+
+from kestreltally.entry.choice import Option, choose_least_cost
+from kestreltally.entry.fullness import EMPTY, Fullness
+from kestreltally.fleet.model import Endpoint, EndpointId
+from tests.entryrig import MODELS
+
+
+def make_option(name: str, *, far: bool = False, **counts: float) -> Option:
+    endpoint = Endpoint(EndpointId(name), MODELS, "h", 1, "north", 8, False, {})
+    return Option(
+        endpoint=endpoint,
+        under_way=int(counts.get("under_way", 0)),
+        far=far,
+        known_part=counts.get("known_part", 0.0),
+        unread=int(counts.get("unread", 0)),
+    )
+
+
+@pytest.mark.parametrize(
+    ("other", "chosen"),
+    [
+        (make_option("b", under_way=4), "a"),
+        (make_option("b", far=True), "a"),
+        # Its batch is empty, but a long prompt keeps it from beginning.
+        (make_option("b", unread=15_000), "a"),
+        (make_option("b", unread=500), "b"),
+        (make_option("b", under_way=3, known_part=1.0), "b"),
+    ],
+)
+def test_the_endpoint_that_begins_soonest_is_chosen(other: Option, chosen: str) -> None:
+    option = choose_least_cost([make_option("a", under_way=2), other])
+    assert option.endpoint.id == chosen
+
+
+def test_fullness_is_summed_and_taken_apart_without_falling_below_zero() -> None:
+    one, two = EndpointId("e1"), EndpointId("e2")
+    some = Fullness({one: 2}, {one: 900})
+    more = Fullness({one: 1, two: 4}, {})
+    total = some.plus(more)
+    assert total == Fullness({one: 3, two: 4}, {one: 900})
+    assert total.minus(some) == more
+    assert EMPTY.minus(some) == EMPTY
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from kestreltally.entry.fullness import EMPTY
 from kestreltally.fleet.model import Endpoint, EndpointId, RequestKind, WeightsKey
 from kestreltally.fleet.tables import Fleet, RouteTable
 from kestreltally.knowledge.feed import UNSENT_FOR, UNSENT_MOST, FeedServer, Peer
@@ -232,7 +233,7 @@
         self.feed = FeedServer(
             self.make_state, lambda: self.rows, dict, lambda _: None, self.clock
         )
-        self.feed.own_in_flight = dict
+        self.feed.measure_own = lambda: EMPTY
         self.stream = FakeStream()
         self.peer = Peer(self.stream, vm="other")  # type: ignore[arg-type]
         self.feed._peers.add(self.peer)
