Bear a settings signal during the start; a fault soak of true processes

It is ignored from the first line now; the settings are read later in any case. An update that names no endpoint at all takes none away.

--- /dev/null
+++ b/bench/faultsoak/plan.py
@@ -0,0 +1,98 @@
+"""What a soak does, made from its seed: faults, signals and changes, in series and
+overlapping."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from bench.faultsoak.proxy import ProxyMode
+
+# Faults begin this long after the daemons are ready, seconds.
+FIRST_AT: Final = 1.0
+# The mean pause between two beginnings, and the length of a fault, seconds.
+PAUSE_MEAN: Final = 0.9
+LENGTHS: Final = (0.3, 5.0)
+# The last fault ends so long before recovery is measured.
+GRACE: Final = 8.0
+
+
+class Action(Enum):
+    """What is done to the system or its surroundings."""
+
+    STORE_PATH = "path of a daemon to the store"
+    ENDPOINT_PATH = "path of all daemons to an endpoint"
+    STORE_DOWN = "store down"
+    STORE_SLOW = "store slow"
+    STORE_LOSES = "store loses answers"
+    STORE_FORGETS = "store forgets its history"
+    PAUSE = "daemon paused"
+    KILL = "daemon killed"
+    KILL_MANY = "most daemons killed at once"
+    PLANNED_STOP = "daemon stopped as planned"
+    RELOAD = "daemon told of new settings"
+    ENGINE_CRASH = "engine crashes"
+    ENGINE_LEAVES = "endpoint leaves, another comes"
+    ENGINE_ERRORS = "endpoint answers 500"
+    CONFIGURE = "new configuration"
+    VERSION = "new version of an adapter"
+
+
+# How often each is drawn: what the system must bear most often comes most often.
+_WEIGHTS: Final = {
+    Action.STORE_PATH: 4,
+    Action.ENDPOINT_PATH: 4,
+    Action.STORE_DOWN: 1,
+    Action.STORE_SLOW: 1,
+    Action.STORE_LOSES: 1,
+    Action.STORE_FORGETS: 1,
+    Action.PAUSE: 3,
+    Action.KILL: 3,
+    Action.KILL_MANY: 1,
+    Action.PLANNED_STOP: 3,
+    Action.RELOAD: 1,
+    Action.ENGINE_CRASH: 2,
+    Action.ENGINE_LEAVES: 2,
+    Action.ENGINE_ERRORS: 1,
+    Action.CONFIGURE: 3,
+    Action.VERSION: 1,
+}
+_DISTURBING: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
+
+
+@dataclass(frozen=True)
+class Step:
+    """One thing done at a moment, seconds from the start; ``target`` is a number."""
+
+    at: float
+    lasts: float
+    action: Action
+    target: int
+    mode: ProxyMode
+
+    def __str__(self) -> str:
+        how = f" ({self.mode.value})" if self.action.value.startswith("path") else ""
+        return (
+            f"{self.at:6.2f} +{self.lasts:.2f} {self.action.value}{how} {self.target}"
+        )
+
+
+def make_plan(seed: int, seconds: float) -> list[Step]:
+    """Return the steps of a seed: the same for the same seed and length."""
+    draw = random.Random(seed)
+    steps = []
+    at = FIRST_AT
+    while at < seconds:
+        (action,) = draw.choices(list(_WEIGHTS), list(_WEIGHTS.values()))
+        lasts = min(draw.uniform(*LENGTHS), seconds - at)
+        steps.append(
+            Step(
+                at=at,
+                lasts=lasts,
+                action=action,
+                target=draw.randrange(1000),
+                mode=draw.choice(_DISTURBING),
+            )
+        )
+        at += draw.expovariate(1 / PAUSE_MEAN)
+    return steps
--- /dev/null
+++ b/bench/faultsoak/proxy.py
@@ -0,0 +1,105 @@
+"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+
+import asyncio
+import contextlib
+from enum import Enum
+from typing import Final
+
+HOST: Final = "127.0.0.1"
+CHUNK: Final = 2**16
+DELAY: Final = 0.25
+
+
+class ProxyMode(Enum):
+    """What becomes of the bytes that cross."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    # Open connections are reset once, and new ones at once.
+    RESET = "reset"
+    # Bytes of one direction are swallowed.
+    CUT_TO_TARGET = "cut to target"
+    CUT_FROM_TARGET = "cut from target"
+    # Connections are taken, and nothing crosses.
+    SILENT = "silent"
+
+
+class Proxy:
+    """Passes connections to a target; its mode holds for open ones too."""
+
+    def __init__(self, target: int = 0) -> None:
+        self.target = target
+        self.mode = ProxyMode.PASS
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> int:
+        """Listen; return the port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self.port
+
+    def set_mode(self, mode: ProxyMode) -> None:
+        """Change what becomes of the bytes from now on."""
+        before, self.mode = self.mode, mode
+        swallowed = before not in (ProxyMode.PASS, ProxyMode.DELAY)
+        if mode is ProxyMode.RESET or swallowed:
+            # What was swallowed cannot be made good: the connection has to end.
+            for writer in self._writers:
+                writer.transport.abort()
+
+    def close(self) -> None:
+        """Stop listening and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            if self.mode is not ProxyMode.RESET:
+                await self._cross(reader, writer)
+        except OSError:
+            # The target does not listen: the caller sees a reset, as without a proxy.
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _cross(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(HOST, self.target)
+        self._writers.add(far_writer)
+        to_target = self._pump(reader, far_writer, ProxyMode.CUT_TO_TARGET)
+        from_target = self._pump(far_reader, writer, ProxyMode.CUT_FROM_TARGET)
+        tasks = [asyncio.create_task(each) for each in (to_target, from_target)]
+        try:
+            # When one side has ended, what the other still says is passed on.
+            await tasks[1]
+        finally:
+            for task in tasks:
+                task.cancel()
+            self._writers.discard(far_writer)
+            far_writer.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        cut: ProxyMode,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while content := await reader.read(CHUNK):
+                if self.mode is ProxyMode.DELAY:
+                    await asyncio.sleep(DELAY)
+                if self.mode in (ProxyMode.SILENT, cut):
+                    continue
+                writer.write(content)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/bench/faultsoak/run.py
@@ -0,0 +1,381 @@
+"""Run the soak: one seed makes one plan; a seed that fails prints it and is shrunk."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import click
+from aiohttp import ClientSession, TCPConnector
+
+from bench.cluster import wait_for_answer
+from bench.faultsoak.plan import Action, Step, make_plan
+from bench.faultsoak.proxy import ProxyMode
+from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
+from bench.faultsoak.witness import Witness
+
+# Requests a second by each daemon's client, and how many adapters they name.
+RATE: Final = 8.0
+ADAPTERS: Final = 12
+PROBE_EVERY: Final = 0.5
+READY_WITHIN: Final = 15.0
+# After the last disturbance all must be served again, seconds and part of requests.
+RECOVERY: Final = 12.0
+RECOVERY_PART: Final = 0.9
+MEASURE_FOR: Final = 3.0
+LEAVES_FOR: Final = 4.0
+DRAWS_TO_SHRINK: Final = 12
+
+RunPlan = Callable[[list[Step]], Coroutine[Any, Any, Witness]]
+Perform = Callable[["Soak", Step], Awaitable[None]]
+PERFORMERS: Final[dict[Action, Perform]] = {}
+
+
+def performs(*actions: Action) -> Callable[[Perform], Perform]:
+    """Register what carries an action out."""
+
+    def register(perform: Perform) -> Perform:
+        PERFORMERS.update(dict.fromkeys(actions, perform))
+        return perform
+
+    return register
+
+
+@dataclass
+class Soak:
+    """One soak under way."""
+
+    system: SoakSystem
+    witness: Witness
+
+    def pick_daemon(self, step: Step) -> Daemon:
+        """Return the daemon that a step is about."""
+        return self.system.daemons[step.target % len(self.system.daemons)]
+
+    def pick_endpoint(self, step: Step, service: str = "") -> SoakEndpoint:
+        """Return the endpoint that a step is about."""
+        fitting = [
+            each
+            for each in self.system.endpoints
+            if service in ("", each.engine.service)
+        ]
+        return fitting[step.target % len(fitting)]
+
+    async def perform(self, step: Step) -> None:
+        """Carry a step out, and note how long it disturbed the system."""
+        clock = asyncio.get_running_loop().time
+        began = clock()
+        # Until it is over it disturbs without an end in sight.
+        span = (began, float("inf"))
+        self.witness.disturbed.append(span)
+        await PERFORMERS[step.action](self, step)
+        self.witness.disturbed.remove(span)
+        self.witness.disturbed.append((began, clock()))
+        if step.action is Action.PLANNED_STOP:
+            self.witness.stops.append((self.pick_daemon(step), began, clock()))
+        if step.action in (Action.PAUSE, Action.STORE_PATH, Action.ENDPOINT_PATH):
+            self.witness.healed.append(clock())
+
+    async def use(self, daemon: Daemon, seed: int) -> None:
+        """Keep asking a daemon, over connections that are kept while they hold."""
+        draw = random.Random(seed)
+        async with open_client() as http:
+            pending: set[asyncio.Task[object]] = set()
+            while True:
+                adapter = ""
+                path = "/plain/"
+                if draw.random() < 0.6:
+                    adapter = f"a{min(ADAPTERS, int(draw.paretovariate(0.8)))}"
+                    path = "/models/"
+                asking = self.witness.ask(http, daemon, path, adapter)
+                task = asyncio.create_task(asking)
+                pending.add(task)
+                task.add_done_callback(pending.discard)
+                await asyncio.sleep(draw.expovariate(RATE))
+
+    async def probe(self, daemon: Daemon) -> None:
+        """Keep asking a daemon which configuration is in force."""
+        async with open_client() as http:
+            while True:
+                await self.witness.probe_configuration(http, daemon)
+                await asyncio.sleep(PROBE_EVERY)
+
+
+def open_client() -> ClientSession:
+    """Return a client that keeps its connections and sends each request once."""
+    session = ClientSession(connector=TCPConnector(limit=0))
+    session._retry_connection = False
+    return session
+
+
+@performs(Action.STORE_PATH)
+async def disturb_store_path(soak: Soak, step: Step) -> None:
+    """Disturb a daemon's path to the store."""
+    proxy = soak.pick_daemon(step).store
+    proxy.set_mode(step.mode)
+    await asyncio.sleep(step.lasts)
+    proxy.set_mode(ProxyMode.PASS)
+
+
+@performs(Action.ENDPOINT_PATH)
+async def disturb_endpoint_path(soak: Soak, step: Step) -> None:
+    """Disturb the path to an endpoint."""
+    proxy = soak.pick_endpoint(step).proxy
+    proxy.set_mode(step.mode)
+    await asyncio.sleep(step.lasts)
+    proxy.set_mode(ProxyMode.PASS)
+
+
+@performs(Action.STORE_DOWN, Action.STORE_SLOW, Action.STORE_LOSES)
+async def disturb_store(soak: Soak, step: Step) -> None:
+    """Have the store down, slow, or losing answers of writes."""
+    faults = soak.system.store.faults
+    wanted: dict[Action, dict[str, Any]] = {
+        Action.STORE_DOWN: {"down": True},
+        Action.STORE_SLOW: {"slow": 0.2},
+        Action.STORE_LOSES: {"lose_answers": 0.3},
+    }
+    faults.set(**wanted[step.action])
+    await asyncio.sleep(step.lasts)
+    faults.set(down=False, slow=0.0, lose_answers=0.0)
+
+
+@performs(Action.STORE_FORGETS)
+async def forget_history(soak: Soak, _: Step) -> None:
+    """Have the store forget its history."""
+    soak.system.store.forget()
+
+
+@performs(Action.PAUSE)
+async def pause(soak: Soak, step: Step) -> None:
+    """Stop a daemon's process for a while, and let it go on."""
+    daemon = soak.pick_daemon(step)
+    daemon.signal(signal.SIGSTOP)
+    await asyncio.sleep(step.lasts)
+    daemon.signal(signal.SIGCONT)
+
+
+@performs(Action.KILL)
+async def kill(soak: Soak, step: Step) -> None:
+    """Kill a daemon, which is then started again."""
+    daemon = soak.pick_daemon(step)
+    daemon.signal(signal.SIGKILL)
+    await soak.system.wait_for_restart(daemon)
+
+
+@performs(Action.KILL_MANY)
+async def kill_many(soak: Soak, _: Step) -> None:
+    """Kill all daemons but one at the same moment."""
+    killed = soak.system.daemons[1:]
+    for daemon in killed:
+        daemon.signal(signal.SIGKILL)
+    await asyncio.gather(*(soak.system.wait_for_restart(each) for each in killed))
+
+
+@performs(Action.PLANNED_STOP)
+async def stop_as_planned(soak: Soak, step: Step) -> None:
+    """Have a daemon stop as planned, and start it again."""
+    daemon = soak.pick_daemon(step)
+    daemon.signal(signal.SIGTERM)
+    await soak.system.wait_for_restart(daemon)
+
+
+@performs(Action.RELOAD)
+async def reload(soak: Soak, step: Step) -> None:
+    """Tell a daemon that its settings have changed."""
+    soak.pick_daemon(step).signal(signal.SIGHUP)
+
+
+@performs(Action.ENGINE_CRASH)
+async def crash_engine(soak: Soak, step: Step) -> None:
+    """End an engine at once; a new start of it comes after a while."""
+    endpoint = soak.pick_endpoint(step, "models")
+    await soak.system.end_endpoint(endpoint)
+    await asyncio.sleep(step.lasts)
+    await soak.system.add_endpoint(endpoint.engine.service, endpoint.engine.zone)
+
+
+@performs(Action.ENGINE_LEAVES)
+async def have_endpoint_leave(soak: Soak, step: Step) -> None:
+    """Have an endpoint leave as planned, once another has come."""
+    endpoint = soak.pick_endpoint(step)
+    if endpoint.leaving_at is not None:
+        return
+    await soak.system.add_endpoint(endpoint.engine.service, endpoint.engine.zone)
+    endpoint.engine.state = "draining"
+    # Its next heartbeat tells the store.
+    await asyncio.sleep(0.6)
+    endpoint.leaving_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(LEAVES_FOR)
+    await soak.system.end_endpoint(endpoint)
+
+
+@performs(Action.ENGINE_ERRORS)
+async def have_errors(soak: Soak, step: Step) -> None:
+    """Have an endpoint answer 500 for a while."""
+    faults = soak.pick_endpoint(step).engine.faults
+    faults.set(errors=True)
+    await asyncio.sleep(step.lasts)
+    faults.set(errors=False)
+
+
+@performs(Action.CONFIGURE)
+async def configure(soak: Soak, _: Step) -> None:
+    """Put a new configuration in force."""
+    soak.system.version += 1
+    await soak.system.configure()
+
+
+@performs(Action.VERSION)
+async def name_version(soak: Soak, step: Step) -> None:
+    """Name a new version of an adapter."""
+    await soak.system.name_version(f"a{step.target % ADAPTERS + 1}")
+
+
+async def run_plan(
+    plan: list[Step], directory: Path, base_port: int, daemons: int
+) -> Witness:
+    """Carry a plan out on a new system; return what was seen."""
+    system = SoakSystem(directory, base_port)
+    witness = Witness(system)
+    soak = Soak(system, witness)
+    tasks: list[asyncio.Task[None]] = []
+    try:
+        await system.start(daemons)
+        await _wait_until_ready(system)
+        for number, daemon in enumerate(system.daemons):
+            tasks.append(asyncio.create_task(system.keep_running(daemon)))
+            tasks.append(asyncio.create_task(soak.use(daemon, number)))
+            tasks.append(asyncio.create_task(soak.probe(daemon)))
+        await _perform_all(soak, plan)
+        await _check_recovery(soak)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        witness.check_end()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await system.close()
+    return witness
+
+
+async def _wait_until_ready(system: SoakSystem) -> None:
+    async with asyncio.timeout(READY_WITHIN), ClientSession() as http:
+        for daemon in system.daemons:
+            await wait_for_answer(http, f"http://127.0.0.1:{daemon.port + 1}/ready")
+    # Leaders are chosen and engines listed.
+    await asyncio.sleep(1.0)
+
+
+async def _perform_all(soak: Soak, plan: list[Step]) -> None:
+    clock = asyncio.get_running_loop().time
+    began = clock()
+    running = []
+    for step in plan:
+        await asyncio.sleep(max(0.0, began + step.at - clock()))
+        running.append(asyncio.create_task(soak.perform(step)))
+    await asyncio.gather(*running)
+
+
+async def _check_recovery(soak: Soak) -> None:
+    """Check that requests are served again some time after all disturbance."""
+    await asyncio.sleep(RECOVERY)
+    since = asyncio.get_running_loop().time()
+    await asyncio.sleep(MEASURE_FOR)
+    asks = [a for a in soak.witness.asks if a.began >= since and a.ended]
+    asks = [ask for ask in asks if not ask.path.startswith("/v")]
+    served = sum(ask.status == 200 and ask.whole for ask in asks)
+    if not asks or served < RECOVERY_PART * len(asks):
+        soak.witness.problems.append(f"recovered: {served} of {len(asks)} served")
+
+
+async def shrink(plan: list[Step], run: RunPlan) -> list[Step]:
+    """Return a smaller plan that fails too, found within some runs."""
+    runs = 0
+    part = len(plan) // 2
+    while part and runs < DRAWS_TO_SHRINK:
+        for start in range(0, len(plan), part):
+            fewer = plan[:start] + plan[start + part :]
+            runs += 1
+            if fewer and (await run(fewer)).problems:
+                plan = fewer
+                break
+            if runs >= DRAWS_TO_SHRINK:
+                break
+        else:
+            part //= 2
+    return plan
+
+
+def report(witness: Witness, seed: int) -> None:
+    """Print what came of a seed."""
+    statuses = Counter(ask.status for ask in witness.asks)
+    orders = sum(len(e.engine.holders) for e in witness.system.every_endpoint)
+    click.echo(
+        f"seed {seed}: requests {len(witness.asks)}, by status "
+        f"{dict(sorted(statuses.items()))}, orders {orders}, "
+        f"problems {len(witness.problems)}"
+    )
+    for problem in witness.problems[:20]:
+        click.echo(f"  {problem}")
+
+
+@click.command()
+@click.option("--seed", default=1, help="The first seed.")
+@click.option("--seeds", default=1, help="How many seeds, one after the other.")
+@click.option("--seconds", default=20.0, help="How long each plan disturbs.")
+@click.option("--daemons", default=4)
+@click.option("--base-port", default=23_000)
+@click.option("--keep", type=Path, help="Where logs of failed seeds are kept.")
+@click.option("--shrunk/--whole", default=False, help="Shrink a plan that fails.")
+def main(
+    seed: int,
+    seeds: int,
+    seconds: float,
+    daemons: int,
+    base_port: int,
+    keep: Path | None,
+    shrunk: bool,
+) -> None:
+    """Soak true daemons under faults; exit 0 only if no promise was broken."""
+    # The stand-ins' servers run here, and tell of each connection that a fault breaks.
+    logging.disable(logging.ERROR)
+    failed = []
+    for number in range(seed, seed + seeds):
+        plan = make_plan(number, seconds)
+        with contextlib.ExitStack() as stack:
+            if keep is not None:
+                directory = keep / f"seed-{number}"
+                directory.mkdir(parents=True, exist_ok=True)
+            else:
+                directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            run = _make_runner(directory, base_port, daemons)
+            witness = asyncio.run(run(plan))
+            report(witness, number)
+            if witness.problems:
+                failed.append(number)
+                if shrunk:
+                    plan = asyncio.run(shrink(plan, run))
+                click.echo("\n".join(f"    {step}" for step in plan))
+    click.echo(f"fault soak: seeds {seeds}, failed {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+def _make_runner(directory: Path, base_port: int, daemons: int) -> RunPlan:
+    async def run(plan: list[Step]) -> Witness:
+        return await run_plan(plan, directory, base_port, daemons)
+
+    return run
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/faultsoak/system.py
@@ -0,0 +1,232 @@
+"""The system under soak: true daemons as processes, and stand-ins around them.
+
+The store and the endpoints run in this process, so that what they see can be checked
+at once. Each daemon reaches the store, and all daemons each endpoint, by a proxy.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+from aiohttp import web
+
+from bench.cluster import REPOSITORY
+from bench.faultsoak.proxy import HOST, Proxy
+from bench.fleet_demo import BOUNDS, CONFIGURATION, DATA_CENTRES, MODEL, make_route
+from standins.platform_engine import PlatformEngine, make_engine_app
+from standins.platform_store import PlatformStore, make_store_app
+
+PORTS_A_DAEMON: Final = 10
+# Endpoints of one data centre by service.
+ENDPOINTS: Final = {"models": 2, "plain": 1}
+# How long the platform waits before it starts a daemon again.
+RESTART_AFTER: Final = 0.4
+WATCH_EVERY: Final = 0.02
+# A planned stop ends with 0, or by its signal where the daemon had only just started.
+EXPECTED_ENDS: Final = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
+
+
+@dataclass
+class Daemon:
+    """One daemon's place, and the process that runs there now."""
+
+    vm: str
+    data_centre: str
+    port: int
+    store: Proxy
+    log: Path
+    process: subprocess.Popen[bytes] | None = None
+    boots: int = 0
+    resumed_at: float = float("-inf")
+
+    @property
+    def url(self) -> str:
+        """Return the clients' URL."""
+        return f"http://{HOST}:{self.port}"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it lives."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+@dataclass
+class SoakEndpoint:
+    """One start of an endpoint behind its proxy."""
+
+    engine: PlatformEngine
+    proxy: Proxy
+    runner: web.AppRunner
+    leaving_at: float | None = None
+
+
+@dataclass
+class SoakSystem:
+    """All that runs, and all endpoints that ever ran."""
+
+    directory: Path
+    base_port: int
+    daemons: list[Daemon] = field(default_factory=list)
+    endpoints: list[SoakEndpoint] = field(default_factory=list)
+    gone: list[SoakEndpoint] = field(default_factory=list)
+    store: PlatformStore = field(default_factory=lambda: PlatformStore({}))
+    store_port: int = 0
+    version: int = 1
+    configured_at: float = 0.0
+    newest: dict[str, int] = field(default_factory=dict)
+    odd_ends: list[str] = field(default_factory=list)
+    _runner: web.AppRunner | None = None
+
+    @property
+    def every_endpoint(self) -> list[SoakEndpoint]:
+        """Return all starts of endpoints, also those that are gone."""
+        return [*self.endpoints, *self.gone]
+
+    async def start(self, daemons: int) -> None:
+        """Start everything."""
+        self._runner, self.store_port = await _serve(make_store_app(self.store))
+        await self.configure()
+        for zone in DATA_CENTRES:
+            for service, count in ENDPOINTS.items():
+                for _ in range(count):
+                    await self.add_endpoint(service, zone)
+        for number in range(daemons):
+            await self._add_daemon(number)
+
+    async def _add_daemon(self, number: int) -> None:
+        store = Proxy(self.store_port)
+        await store.start()
+        vm = f"vm-{number}"
+        daemon = Daemon(
+            vm=vm,
+            data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
+            port=self.base_port + PORTS_A_DAEMON * number,
+            store=store,
+            log=self.directory / f"{vm}.log",
+        )
+        self.daemons.append(daemon)
+        self.boot(daemon)
+
+    def boot(self, daemon: Daemon) -> None:
+        """Start a daemon's process."""
+        settings = {
+            "NodeName": daemon.vm,
+            "IpAddress": HOST,
+            "Zone": daemon.data_centre,
+            "Zones": dict.fromkeys(DATA_CENTRES, "region"),
+            "Listen": {
+                "Front": f"{HOST}:{daemon.port}",
+                "Ready": f"{HOST}:{daemon.port + 1}",
+            },
+            "InternalPorts": [daemon.port + 2, daemon.port + 5],
+            "Platform": {"Address": f"{HOST}:{daemon.store.port}"},
+            "Limits": {"CpuShare": 1.0, "Cores": 1, "LinkMbps": 1000.0},
+            "Bounds": BOUNDS,
+        }
+        path = self.directory / f"{daemon.vm}.json"
+        path.write_text(json.dumps(settings), encoding="utf-8")
+        environment = {**os.environ, "PYTHONPATH": f"{REPOSITORY}/src"}
+        environment["KESTRELTALLY_CONFIG"] = str(path)
+        with daemon.log.open("ab") as log:
+            daemon.process = subprocess.Popen(
+                [sys.executable, "src/kestreltally_fleet.py"],
+                stdout=log,
+                stderr=log,
+                cwd=REPOSITORY,
+                env=environment,
+            )
+        daemon.boots += 1
+
+    async def keep_running(self, daemon: Daemon) -> None:
+        """Start a daemon again whenever its process has ended, as the platform does."""
+        while True:
+            await asyncio.sleep(WATCH_EVERY)
+            if daemon.process is None or daemon.process.poll() is None:
+                continue
+            if daemon.process.returncode not in EXPECTED_ENDS:
+                self.odd_ends.append(f"{daemon.vm} ended: {daemon.process.returncode}")
+            await asyncio.sleep(RESTART_AFTER)
+            self.boot(daemon)
+
+    async def wait_for_restart(self, daemon: Daemon) -> None:
+        """Wait until a daemon that is being ended has been started again."""
+        boots = daemon.boots
+        while daemon.boots == boots:
+            await asyncio.sleep(WATCH_EVERY)
+
+    async def add_endpoint(self, service: str, zone: str) -> SoakEndpoint:
+        """Start an endpoint behind a proxy."""
+        engine = PlatformEngine(
+            store=f"http://{HOST}:{self.store_port}",
+            service=service,
+            address="",
+            zone=zone,
+            model=MODEL if service == "models" else "",
+            newest=self.newest,
+        )
+        proxy = Proxy()
+        engine.address = f"{HOST}:{await proxy.start()}"
+        runner, proxy.target = await _serve(make_engine_app(engine))
+        endpoint = SoakEndpoint(engine, proxy, runner)
+        self.endpoints.append(endpoint)
+        return endpoint
+
+    async def end_endpoint(self, endpoint: SoakEndpoint) -> None:
+        """End an endpoint at once; its entry goes from the store."""
+        if endpoint not in self.endpoints:
+            return
+        self.endpoints.remove(endpoint)
+        self.gone.append(endpoint)
+        endpoint.proxy.close()
+        await endpoint.runner.cleanup()
+        await self.store.drop("servers", endpoint.engine.id)
+
+    async def configure(self) -> None:
+        """Put the next configuration in the store: its route is named by its number."""
+        routes = [
+            make_route(f"/v{self.version}/", "plain", "unsafe"),
+            make_route("/plain/", "plain", "unsafe"),
+            make_route("/models/", "models", "streaming"),
+        ]
+        content: dict[str, Any] = {
+            **CONFIGURATION,
+            "Version": self.version,
+            "Routes": routes,
+        }
+        await self.store.put("config", "main", content)
+        self.configured_at = asyncio.get_running_loop().time()
+
+    async def name_version(self, adapter: str) -> None:
+        """Put a new version of an adapter in the store."""
+        number = self.newest.get(adapter, 1) + 1
+        self.newest[adapter] = number
+        content = {"Model": MODEL, "Adapter": adapter, "Version": number}
+        await self.store.put("versions", f"{MODEL}.{adapter}", content)
+
+    async def close(self) -> None:
+        """End every process and server that this system has started."""
+        for daemon in self.daemons:
+            daemon.signal(signal.SIGCONT)
+            daemon.signal(signal.SIGKILL)
+            if daemon.process is not None:
+                daemon.process.wait()
+            daemon.store.close()
+        for endpoint in list(self.endpoints):
+            await self.end_endpoint(endpoint)
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+
+async def _serve(app: web.Application) -> tuple[web.AppRunner, int]:
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    port: int = runner.addresses[0][1]
+    return runner, port
--- /dev/null
+++ b/bench/faultsoak/witness.py
@@ -0,0 +1,181 @@
+"""What clients and endpoints see, held against the promises of docs/PROMISES.md."""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Final
+
+from aiohttp import ClientError, ClientPayloadError, ClientSession, ClientTimeout
+
+from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
+from bench.fleet_demo import BOUNDS, HOST_NAME, MODEL
+from standins.platform_engine import EVENTS
+
+PROMISES_NOT_RUN: Final = frozenset({408, 421, 429, 503})
+TIMEOUT: Final = 8.0
+LEASE_APART: Final = BOUNDS["LeaseMs"] / 1000
+DRAIN: Final = BOUNDS["DrainMs"] / 1000
+CONFIGURATION: Final = BOUNDS["ConfigurationMs"] / 1000
+# Bounds hold after so much time without disturbance, before and throughout.
+CALM: Final = 3.0
+# What the machine under the soak may be late by.
+SLACK: Final = 0.5
+# Orders of a daemon just let go on, or over a path just healed, do not count.
+THAW: Final = 0.6
+
+
+@dataclass
+class Ask:
+    """One request and what came of it; ``status`` 0 means no answer."""
+
+    id: str
+    daemon: Daemon
+    boot: int
+    path: str
+    adapter: str
+    began: float
+    ended: float = 0.0
+    status: int = 0
+    whole: bool = False
+
+
+@dataclass
+class Witness:
+    """Sends requests, keeps what came of them, and says what was broken."""
+
+    system: SoakSystem
+    asks: list[Ask] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    # When something disturbed the system: its beginning and end.
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
+    healed: list[float] = field(default_factory=list)
+    # The newest configuration that each process was seen to act upon.
+    seen: dict[tuple[str, int], int] = field(default_factory=dict)
+
+    def is_calm(self, begin: float, end: float) -> bool:
+        """Tell whether nothing disturbed the system around a span."""
+        return not any(b < end and e > begin - CALM for b, e in self.disturbed)
+
+    async def ask(
+        self, http: ClientSession, daemon: Daemon, path: str, adapter: str = ""
+    ) -> Ask:
+        """Send one request, and check what its answer says."""
+        clock = asyncio.get_running_loop().time
+        name = f"s{len(self.asks)}"
+        ask = Ask(name, daemon, daemon.boots, f"{path}{name}", adapter, clock())
+        self.asks.append(ask)
+        headers = {"Host": HOST_NAME, "X-Request-Id": name}
+        if adapter:
+            headers["X-Model-Name"] = f"{MODEL}/{adapter}"
+        try:
+            async with http.post(
+                f"{daemon.url}{ask.path}",
+                headers=headers,
+                data=b"x",
+                timeout=ClientTimeout(total=TIMEOUT),
+            ) as answer:
+                ask.status = answer.status
+                text = await answer.text()
+                ask.whole = True
+        except ClientPayloadError:
+            ask.whole = False
+        except (TimeoutError, ClientError, OSError):
+            ask.status = 0
+        ask.ended = clock()
+        if ask.status == 200 and ask.whole:
+            self._check_answer(ask, answer.headers.get("X-Request-Id"), text)
+        return ask
+
+    def _check_answer(self, ask: Ask, answered: str | None, text: str) -> None:
+        if answered != ask.id:
+            self.problems.append(f"{ask.id} got the answer of {answered}")
+        if not ask.adapter:
+            if text != f"POST {ask.path} 1":
+                self.problems.append(f"{ask.id} got {text!r} for {ask.path}")
+            return
+        lines = [line for line in text.splitlines() if line.startswith("data:")]
+        events = [json.loads(line.removeprefix("data:")) for line in lines]
+        if [each["number"] for each in events] != list(range(1, EVENTS + 1)):
+            self.problems.append(f"{ask.id}: events {text!r}")
+        ran = {each["ran"].partition("@")[0] for each in events}
+        if ran != {ask.adapter}:
+            self.problems.append(f"{ask.id} for {ask.adapter} was run by {ran}")
+
+    async def probe_configuration(self, http: ClientSession, daemon: Daemon) -> None:
+        """Ask on the newest configuration's own route, and judge the answer."""
+        version, since = self.system.version, self.system.configured_at
+        ask = await self.ask(http, daemon, f"/v{version}/")
+        boot = (daemon.vm, ask.boot)
+        if ask.status == 404 and self.system.version == version:
+            late = ask.began > since + CONFIGURATION + SLACK
+            if self.seen.get(boot, 0) >= version:
+                self.problems.append(f"{daemon.vm} went back from version {version}")
+            elif late and self.is_calm(since, ask.ended):
+                self.problems.append(f"{daemon.vm} lacks version {version}")
+        elif ask.status == 200:
+            self.seen[boot] = max(version, self.seen.get(boot, 0))
+
+    def check_end(self) -> None:
+        """Judge what only the whole soak can tell."""
+        endpoints = self.system.every_endpoint
+        self.problems.extend(self.system.odd_ends)
+        self._check_runs(endpoints)
+        for endpoint in endpoints:
+            self._check_orders(endpoint)
+            self._check_leaving(endpoint)
+        self._check_stops()
+
+    def _check_runs(self, endpoints: list[SoakEndpoint]) -> None:
+        runs: Counter[str] = Counter()
+        for endpoint in endpoints:
+            runs.update(endpoint.engine.runs)
+        for ask in self.asks:
+            if ask.status in PROMISES_NOT_RUN and runs[ask.id]:
+                self.problems.append(f"{ask.id}: {ask.status}, but it ran")
+            if not ask.adapter and runs[ask.id] > 1:
+                self.problems.append(f"{ask.id} ran {runs[ask.id]} times")
+
+    def _check_orders(self, endpoint: SoakEndpoint) -> None:
+        engine = endpoint.engine
+        if engine.falls:
+            self.problems.append(f"{engine.id} was ordered beyond its places")
+        orders = list(zip(engine.order_times, engine.holders, strict=True))
+        for (at, (holder, fence)), (later, (next_holder, next_fence)) in pairwise(
+            orders
+        ):
+            if any(0 <= later - healed < THAW for healed in self.healed):
+                continue
+            if next_fence < fence:
+                self.problems.append(f"{engine.id}: number {next_fence} after {fence}")
+            if next_holder != holder and later - at < LEASE_APART:
+                self.problems.append(
+                    f"{engine.id}: {next_holder} {later - at:.2f} s after {holder}"
+                )
+
+    def _check_leaving(self, endpoint: SoakEndpoint) -> None:
+        if endpoint.leaving_at is None:
+            return
+        last = endpoint.leaving_at + DRAIN + SLACK
+        for name, at in endpoint.engine.run_times.items():
+            if at > last and self.is_calm(endpoint.leaving_at, at):
+                self.problems.append(f"{name} ran at a leaving endpoint")
+
+    def _check_stops(self) -> None:
+        for daemon, began, ended in self.stops:
+            others = [span for span in self.disturbed if span != (began, ended)]
+            if any(b < ended and e > began - CALM for b, e in others):
+                continue
+            cut = [
+                ask.id
+                for ask in self.asks
+                if ask.daemon is daemon
+                and ask.status != 404
+                and not ask.whole
+                and ask.began < began
+                and ask.ended > began
+            ]
+            if cut:
+                self.problems.append(f"{daemon.vm} cut {cut} in its planned stop")
--- a/bench/fleet_demo.py
+++ b/bench/fleet_demo.py
@@ -132,8 +132,7 @@
             "Listen": {"Front": f"{HOST}:{port}", "Ready": f"{HOST}:{port + 1}"},
             "InternalPorts": [port + 2, port + 5],
             "Platform": {"Address": f"{HOST}:{self.port('store')}"},
-            "HeartbeatMs": 300,
-            "Limits": {"FileDescriptors": 1000},
+            "Limits": {"CpuShare": 1.0, "Cores": 1, "LinkMbps": 1000.0},
             "Bounds": BOUNDS,
         }
         path = self.shape.directory / f"{vm}.json"
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -413,7 +413,13 @@
             self.take_version(*decode_weights(each))
 
     def _drop_missing(self, present: set[str], led: set[str]) -> None:
-        """Forget what a whole update does not name, as far as its sender leads it."""
+        """Forget what a whole update does not name, as far as its sender leads it.
+
+        One that names nothing comes from a leader that has just started, maybe while
+        entries had lapsed: what is known here is better.
+        """
+        if not present:
+            return
         for endpoint in list(self._fleet.endpoints.values()):
             mine = not self.leads or endpoint.data_centre in led
             if mine and endpoint.id not in present:
--- a/src/kestreltally_fleet.py
+++ b/src/kestreltally_fleet.py
@@ -1,6 +1,19 @@
 """Starts the daemon on the users' platform from a checkout."""
 
-from kestreltally.fleet_daemon import main
+import signal
+
+
+def start() -> None:
+    """Run the daemon; a signal for changed settings must not end it while it starts.
+
+    Its modules take a third of a second to be read, and by default that signal ends a
+    process. What it tells is known all the same: the settings are read after this.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from kestreltally.fleet_daemon import main
 
-if __name__ == "__main__":
     main()
+
+
+if __name__ == "__main__":
+    start()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -43,7 +43,10 @@
     loading: set[str] = field(default_factory=set)
     newest: dict[str, int] = field(default_factory=dict)
     runs: Counter[str] = field(default_factory=Counter)
+    # When each run began, and each order came, by the loop's clock.
+    run_times: dict[str, float] = field(default_factory=dict)
     holders: list[tuple[str, int]] = field(default_factory=list)
+    order_times: list[float] = field(default_factory=list)
     faults: Faults = field(default_factory=lambda: Faults(silent=False, errors=False))
 
     def __post_init__(self) -> None:
@@ -115,6 +118,7 @@
         if order.get("ExpectedRevision", self.sequence) != self.sequence:
             return 409
         self.holders.append((order["Holder"], order["Fence"]))
+        self.order_times.append(asyncio.get_running_loop().time())
         name = order["Adapter"]
         if order["Operation"] == "unload":
             if self.held.pop(name, None) is None:
@@ -163,6 +167,7 @@
             return self._misdirect(http)
         body = await http.read()
         self.runs[request_id] += 1
+        self.run_times[request_id] = asyncio.get_running_loop().time()
         if self.faults.get("silent"):
             await asyncio.sleep(3600)
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.id}.stamp"}
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -11,6 +11,7 @@
 
 from kestreltally.deployment import Deployment, Listening, Strength
 from kestreltally.fleet_daemon import FleetDaemon
+from kestreltally.knowledge.frames import IDL
 from kestreltally.logs import LineWriter
 from standins.platform_engine import PlatformEngine, make_engine_app
 from standins.platform_store import PlatformStore, make_store_app
@@ -270,6 +271,16 @@
         assert follower._store.calls == calls
 
 
+async def test_a_leader_that_knows_no_endpoint_takes_none_away() -> None:
+    async with run_fleet() as rig:
+        exchange = rig.daemons["north-1"]._exchange
+        known = set(exchange._fleet.endpoints)
+        lease = IDL.LeaseRow(data_centre="north", fence=1, revision=1)
+        update = IDL.Update(leader="x", leads=[lease], whole=True, rows=[])
+        exchange._take_update("north", update)
+        assert known and set(exchange._fleet.endpoints) == known
+
+
 async def test_the_store_may_go_away_and_come_back() -> None:
     async with run_fleet() as rig:
         assert (await rig.ask("north-1", "/m/x", "a1")).whole
