Mutations for the fault soak, longer streams and more adapters in it

Four of eight mutations had survived: streams were too short for a stop to cut, few orders were given, endpoints that leave excused themselves, and a planned stop counted as trouble beside itself.

--- /dev/null
+++ b/bench/faultsoak/mutations.py
@@ -0,0 +1,164 @@
+"""Show that the soak can fail: it plays daemons that lack one mechanism each.
+
+Each mutation changes one place of a copy of the program; a plan of the kind of trouble
+that the mechanism is for must then break a promise.
+"""
+
+import asyncio
+import logging
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import click
+
+from bench.cluster import REPOSITORY
+from bench.faultsoak.plan import Action, Step
+from bench.faultsoak.proxy import ProxyMode
+from bench.faultsoak.run import run_plan
+from bench.faultsoak.system import SoakSystem
+
+DAEMONS: Final = 4
+SECONDS: Final = 18
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """A mechanism taken away: the text that stands for it, and what replaces it.
+
+    ``action`` is the trouble that must show it, done each ``every`` seconds to one
+    target after the other, ``lasts`` seconds long.
+    """
+
+    name: str
+    module: str
+    before: str
+    after: str
+    action: Action
+    mode: ProxyMode = ProxyMode.RESET
+    every: float = 0.7
+    lasts: float = 0.4
+
+    def make_plan(self) -> list[Step]:
+        """Return the steps that must show it."""
+        count = int(SECONDS / self.every)
+        return [
+            Step(1.0 + number * self.every, self.lasts, self.action, number, self.mode)
+            for number in range(count)
+        ]
+
+    def write_source(self, directory: Path) -> Path:
+        """Write the changed program into a directory; return its source folder."""
+        source = directory / "src"
+        shutil.copytree(REPOSITORY / "src", source)
+        path = source / "kestreltally" / self.module
+        text = path.read_text(encoding="utf-8")
+        if text.count(self.before) != 1:
+            raise ValueError(f"{self.name}: {self.module} does not hold its text once")
+        path.write_text(text.replace(self.before, self.after), encoding="utf-8")
+        return source
+
+
+MUTATIONS: Final = (
+    Mutation(
+        name="a false promise that a request has not run",
+        module="entry/progress.py",
+        before="    if progress.runs:\n",
+        after="    if False:\n",
+        action=Action.ENDPOINT_PATH,
+        mode=ProxyMode.CUT_FROM_TARGET,
+    ),
+    Mutation(
+        name="an unsafe request sent twice",
+        module="entry/relay.py",
+        before="return request.route.repeatable and progress.runs < request.route.",
+        after="return True or request.route.",
+        action=Action.ENDPOINT_PATH,
+        mode=ProxyMode.CUT_FROM_TARGET,
+    ),
+    Mutation(
+        name="a planned stop that does not wait",
+        module="fleet_daemon.py",
+        before="        while self._clock() < last:\n",
+        after="        while False:\n",
+        action=Action.PLANNED_STOP,
+        every=5.0,
+    ),
+    Mutation(
+        name="a lease that is not waited out",
+        module="placing/lease.py",
+        before="        return last + ORDER_TRANSIT + self._apart\n",
+        after="        return now\n",
+        action=Action.STORE_PATH,
+        mode=ProxyMode.SILENT,
+        every=8.0,
+        lasts=7.0,
+    ),
+    Mutation(
+        name="numbers that do not rise",
+        module="placing/lease.py",
+        before="self._make_record(former.fence + 1,",
+        after="self._make_record(former.fence,",
+        action=Action.STORE_PATH,
+        mode=ProxyMode.SILENT,
+        every=8.0,
+        lasts=7.0,
+    ),
+    Mutation(
+        name="leaving endpoints used on",
+        module="platform/documents.py",
+        before='leaving=entry["State"] == _LEAVING',
+        after="leaving=False",
+        action=Action.ENGINE_LEAVES,
+        every=6.0,
+    ),
+    Mutation(
+        name="places not counted",
+        module="placing/books.py",
+        before="        return max(0, spec.adapter_places - self.count_taken())\n",
+        after="        return spec.adapter_places\n",
+        action=Action.RELOAD,
+    ),
+    Mutation(
+        name="configurations of the store not followed",
+        module="fleet/tables.py",
+        before="current is not None and configuration.version <= current.version",
+        after="current is not None",
+        action=Action.CONFIGURE,
+        every=6.0,
+    ),
+)
+
+
+async def play(mutation: Mutation, base_port: int) -> str:
+    """Play a mutation's plan; return the first problem, empty when it survived."""
+    with tempfile.TemporaryDirectory() as name:
+        directory = Path(name)
+        source = mutation.write_source(directory)
+        system = SoakSystem(directory, base_port, source)
+        witness = await run_plan(system, mutation.make_plan(), DAEMONS)
+    return witness.problems[0] if witness.problems else ""
+
+
+@click.command()
+@click.option("--base-port", default=26_000)
+@click.option("--only", default="", help="A part of the names to play.")
+def main(base_port: int, only: str) -> None:
+    """Print a table of mutations; exit 0 only if none survived."""
+    logging.disable(logging.ERROR)
+    survivors = 0
+    click.echo("| mechanism taken away | the first problem |\n| --- | --- |")
+    for mutation in MUTATIONS:
+        if only in mutation.name:
+            problem = asyncio.run(play(mutation, base_port))
+            survivors += not problem
+            click.echo(f"| {mutation.name} | {problem or 'SURVIVED'} |")
+    click.echo(f"survivors: {survivors}")
+    sys.exit(1 if survivors else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -22,9 +22,10 @@
 from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
 from bench.faultsoak.witness import Witness
 
-# Requests a second by each daemon's client, and how many adapters they name.
+# Requests a second by each daemon's client, and how many adapters they name: more than
+# there are places, so that orders are given all the time.
 RATE: Final = 8.0
-ADAPTERS: Final = 12
+ADAPTERS: Final = 30
 PROBE_EVERY: Final = 0.5
 READY_WITHIN: Final = 15.0
 # After the last disturbance all must be served again, seconds and part of requests.
@@ -35,6 +36,11 @@
 DRAWS_TO_SHRINK: Final = 12
 
 RunPlan = Callable[[list[Step]], Coroutine[Any, Any, Witness]]
+# What is planned, and excuses nothing.
+HARMLESS: Final = frozenset(
+    {Action.RELOAD, Action.ENGINE_LEAVES, Action.CONFIGURE, Action.VERSION}
+)
+
 Perform = Callable[["Soak", Step], Awaitable[None]]
 PERFORMERS: Final[dict[Action, Perform]] = {}
 
@@ -71,6 +77,9 @@
 
     async def perform(self, step: Step) -> None:
         """Carry a step out, and note how long it disturbed the system."""
+        if step.action in HARMLESS:
+            await PERFORMERS[step.action](self, step)
+            return
         clock = asyncio.get_running_loop().time
         began = clock()
         # Until it is over it disturbs without an end in sight.
@@ -78,11 +87,12 @@
         self.witness.disturbed.append(span)
         await PERFORMERS[step.action](self, step)
         self.witness.disturbed.remove(span)
-        self.witness.disturbed.append((began, clock()))
+        ended = clock()
+        self.witness.disturbed.append((began, ended))
         if step.action is Action.PLANNED_STOP:
-            self.witness.stops.append((self.pick_daemon(step), began, clock()))
+            self.witness.stops.append((self.pick_daemon(step), began, ended))
         if step.action in (Action.PAUSE, Action.STORE_PATH, Action.ENDPOINT_PATH):
-            self.witness.healed.append(clock())
+            self.witness.healed.append(ended)
 
     async def use(self, daemon: Daemon, seed: int) -> None:
         """Keep asking a daemon, over connections that are kept while they hold."""
@@ -240,11 +250,8 @@
     await soak.system.name_version(f"a{step.target % ADAPTERS + 1}")
 
 
-async def run_plan(
-    plan: list[Step], directory: Path, base_port: int, daemons: int
-) -> Witness:
-    """Carry a plan out on a new system; return what was seen."""
-    system = SoakSystem(directory, base_port)
+async def run_plan(system: SoakSystem, plan: list[Step], daemons: int) -> Witness:
+    """Carry a plan out on a system that has not been started; return what was seen."""
     witness = Witness(system)
     soak = Soak(system, witness)
     tasks: list[asyncio.Task[None]] = []
@@ -372,7 +379,7 @@
 
 def _make_runner(directory: Path, base_port: int, daemons: int) -> RunPlan:
     async def run(plan: list[Step]) -> Witness:
-        return await run_plan(plan, directory, base_port, daemons)
+        return await run_plan(SoakSystem(directory, base_port), plan, daemons)
 
     return run
 
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -25,6 +25,8 @@
 PORTS_A_DAEMON: Final = 10
 # Endpoints of one data centre by service.
 ENDPOINTS: Final = {"models": 2, "plain": 1}
+# Streams of a third of a second: some are under way whenever something happens.
+EVENT_TIME: Final = 0.06
 # How long the platform waits before it starts a daemon again.
 RESTART_AFTER: Final = 0.4
 WATCH_EVERY: Final = 0.02
@@ -72,6 +74,7 @@
 
     directory: Path
     base_port: int
+    source: Path = REPOSITORY / "src"
     daemons: list[Daemon] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     gone: list[SoakEndpoint] = field(default_factory=list)
@@ -131,11 +134,11 @@
         }
         path = self.directory / f"{daemon.vm}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
-        environment = {**os.environ, "PYTHONPATH": f"{REPOSITORY}/src"}
+        environment = {**os.environ, "PYTHONPATH": str(self.source)}
         environment["KESTRELTALLY_CONFIG"] = str(path)
         with daemon.log.open("ab") as log:
             daemon.process = subprocess.Popen(
-                [sys.executable, "src/kestreltally_fleet.py"],
+                [sys.executable, str(self.source / "kestreltally_fleet.py")],
                 stdout=log,
                 stderr=log,
                 cwd=REPOSITORY,
@@ -169,6 +172,7 @@
             zone=zone,
             model=MODEL if service == "models" else "",
             newest=self.newest,
+            event_time=EVENT_TIME,
         )
         proxy = Proxy()
         engine.address = f"{HOST}:{await proxy.start()}"
--- a/bench/faultsoak/witness.py
+++ b/bench/faultsoak/witness.py
@@ -150,6 +150,8 @@
                 continue
             if next_fence < fence:
                 self.problems.append(f"{engine.id}: number {next_fence} after {fence}")
+            if next_holder != holder and next_fence == fence:
+                self.problems.append(f"{engine.id}: number {fence} of two holders")
             if next_holder != holder and later - at < LEASE_APART:
                 self.problems.append(
                     f"{engine.id}: {next_holder} {later - at:.2f} s after {holder}"
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -34,6 +34,7 @@
     model: str = ""
     places: int = 4
     load_time: float = LOAD_TIME
+    event_time: float = EVENT_TIME
     id: str = ""
     sequence: int = 0
     beats: int = 0
@@ -186,7 +187,7 @@
         await response.prepare(http)
         first = int(http.headers.get("Last-Event-Id", 0)) + 1
         for number in range(first, EVENTS + 1):
-            await asyncio.sleep(EVENT_TIME)
+            await asyncio.sleep(self.event_time)
             data = json.dumps({"ran": ran, "number": number})
             await response.write(f"id: {number}\ndata: {data}\n\n".encode())
         return response
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -7,6 +7,7 @@
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import ProxyMode
 from bench.faultsoak.run import PERFORMERS, run_plan
+from bench.faultsoak.system import SoakSystem
 
 DAEMONS = 3
 # Below the range of ports that the kernel hands out, and the other runs' ports.
@@ -41,11 +42,15 @@
 async def test_a_plan_that_failed_once_breaks_no_promise(
     name: str, tmp_path: Path
 ) -> None:
-    witness = await run_plan(REGRESSIONS[name], tmp_path, BASE_PORT, DAEMONS)
+    witness = await run_plan(
+        SoakSystem(tmp_path, BASE_PORT), REGRESSIONS[name], DAEMONS
+    )
     assert witness.problems == []
 
 
 async def test_a_short_soak_breaks_no_promise(tmp_path: Path) -> None:
-    witness = await run_plan(make_plan(1, 6.0), tmp_path, BASE_PORT, DAEMONS)
+    witness = await run_plan(
+        SoakSystem(tmp_path, BASE_PORT), make_plan(1, 6.0), DAEMONS
+    )
     assert witness.problems == []
     assert sum(ask.status == 200 for ask in witness.asks) > 50
