--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -13,6 +13,7 @@
     each.text
     for each in (
         Decision.ENDPOINT_LEFT_OUT,
+        Decision.ENDPOINT_SPARED,
         Decision.ENDPOINT_GONE,
         Decision.ENDPOINT_LEAVING,
         Decision.STORE_LOST,
@@ -203,6 +204,10 @@
         if line.event not in _ENDS:
             continue
         cause = find_cause([line])
+        weights = line.fields.get("weights")
+        if weights:
+            # One cause, whichever adapter it befell.
+            cause = cause.replace(weights, "an adapter")
         if cause != "served":
             causes[cause] = causes.get(cause, 0) + 1
     return causes
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -15,7 +15,12 @@
 from kestreltally.decisions import COUNTS, FIELDS, Decision, Thinner, log_decision
 from kestreltally.fleet.model import RequestKind
 from kestreltally.logs import LINES_WAITING, LineWriter
-from kestreltally.timeline.loglines import explain_request, read_lines
+from kestreltally.timeline.loglines import (
+    LogLine,
+    count_causes,
+    explain_request,
+    read_lines,
+)
 from tests.entryrig import ScriptedEndpoint, make_route, run_entry
 from tests.test_entry import answer_whole, hang_up, refuse, stay_silent
 
@@ -156,3 +161,18 @@
     run = CliRunner().invoke(logs, ["causes", str(path)])
     assert run.output.split() == ["1", "m/a1", "is", "not", "loaded"]
     assert CliRunner().invoke(logs, ["explain", "zz", str(path)]).exit_code == 1
+
+
+def test_what_was_not_served_is_counted_by_cause_whichever_adapter_it_befell() -> None:
+    ends = [
+        {"reason": "base/a1 is not loaded", "weights": "base/a1"},
+        {"reason": "base/a2 is not loaded", "weights": "base/a2"},
+        {"reason": "no route", "weights": None},
+    ]
+    lines = [
+        LogLine(
+            float(at), "vm-1", Decision.REQUEST_REFUSED.text, {"request": at, **end}
+        )
+        for at, end in enumerate(ends)
+    ]
+    assert count_causes(lines) == {"an adapter is not loaded": 2, "no route": 1}
