--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 # Sets of names are ordered by their hashes: with a fixed seed a run repeats exactly.
 export PYTHONHASHSEED = 0
 
-.PHONY: install demo test lint matrix soak chaos fault-soak bench-slopes bench-path bench-policy up down
+.PHONY: install demo test lint matrix soak chaos fault-soak bench-slopes bench-path bench-policy bench-logs up down
 
 install: $(VENV)/.installed
 
@@ -53,6 +53,9 @@
 bench-policy: install
 	$(RUN) -m tests.policies
 
+bench-logs: install
+	$(RUN) -m bench.logcost
+
 up: install
 	$(RUN) -m bench.play up
 
--- /dev/null
+++ b/bench/logcost.py
@@ -0,0 +1,127 @@
+"""What the decision lines cost in processor time and bytes.
+
+Measured at the usual rate, at ten times that, and with a reader that has stopped.
+
+One daemon at its peak on the first sites ends some 35 requests a second.
+"""
+
+import asyncio
+import logging
+import os
+import threading
+import time
+from dataclasses import dataclass
+from typing import Final
+
+import click
+
+from kestreltally.decisions import Decision, log_decision, log_left_out
+from kestreltally.logs import LineWriter
+
+USUAL_RATE: Final = 35
+SECONDS: Final = 5.0
+CHUNK: Final = 2**16
+LOG: Final = logging.getLogger("bench.logcost")
+
+
+@dataclass(frozen=True)
+class LogCost:
+    """What the lines of one run cost."""
+
+    case: str
+    lines: int
+    bytes: int
+    processor: float
+    longest: float
+
+
+class _Reader(threading.Thread):
+    """Reads the lines, or does not."""
+
+    def __init__(self, descriptor: int, *, reads: bool) -> None:
+        super().__init__(daemon=True)
+        self._descriptor = descriptor
+        self._reads = reads
+        self.bytes = 0
+        self.lines = 0
+
+    def run(self) -> None:
+        while self._reads:
+            content = os.read(self._descriptor, CHUNK)
+            if not content:
+                return
+            self.bytes += len(content)
+            self.lines += content.count(b"\n")
+
+
+async def log_requests(rate: int) -> float:
+    """Log what a request logs, so many a second; return the longest call, seconds."""
+    longest = 0.0
+    for number in range(int(rate * SECONDS)):
+        began = time.perf_counter()
+        log_decision(
+            LOG,
+            Decision.REQUEST_DONE,
+            request=f"request-{number:08x}",
+            route="r-wewyf3w",
+            weights="govo10305c/a1211",
+            configuration=7,
+            status=200,
+            reason=None,
+            retry_after=None,
+            waited=0.0,
+            first=0.036,
+            took=1.613,
+            trail=["i-54cdb84ec1 of 3, 2 under way"],
+        )
+        longest = max(longest, time.perf_counter() - began)
+        await asyncio.sleep(1 / rate)
+    log_left_out(LOG, 0)
+    return longest
+
+
+def measure(case: str, rate: int, *, reads: bool) -> LogCost:
+    """Return what the lines cost at a rate."""
+    source, target = os.pipe()
+    reader = _Reader(source, reads=reads)
+    reader.start()
+    writer = LineWriter(os.fdopen(target, "w"), "vm-1")
+    root = logging.getLogger()
+    root.handlers[:] = [writer]
+    root.setLevel(logging.INFO)
+    quiet = time.process_time()
+    asyncio.run(_idle(rate))
+    quiet = time.process_time() - quiet
+    began = time.process_time()
+    longest = asyncio.run(log_requests(rate))
+    time.sleep(0.2)
+    spent = time.process_time() - began
+    return LogCost(case, reader.lines, reader.bytes, (spent - quiet) / SECONDS, longest)
+
+
+async def _idle(rate: int) -> None:
+    """Do the same without any line."""
+    for _ in range(int(rate * SECONDS)):
+        await asyncio.sleep(1 / rate)
+
+
+@click.command()
+def main() -> None:
+    """Print the table."""
+    click.echo("| case | lines/s read | kB/s read | of a core | longest call, ms |")
+    click.echo("| --- | ---: | ---: | ---: | ---: |")
+    for case, rate, reads in (
+        ("usual rate", USUAL_RATE, True),
+        ("ten times the usual rate", 10 * USUAL_RATE, True),
+        ("ten times, the reader has stopped", 10 * USUAL_RATE, False),
+    ):
+        cost = measure(case, rate, reads=reads)
+        click.echo(
+            f"| {cost.case} | {cost.lines / SECONDS:.0f} "
+            f"| {cost.bytes / SECONDS / 1000:.1f} | {cost.processor:.4f} "
+            f"| {1000 * cost.longest:.2f} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
