Tell at once that an endpoint begins or ends with a long prompt

Cause: how much an engine has yet to read was known to other daemons 0.2 to 0.4 s late, while a long prompt is read for 0.24 s.

A prompt of 2,048 unread tokens or more now brings reports and counts on between the regular ones; counts go out every 40 ms at most, more seldom with many followers (250 sends a second of a leader). The leader sums them once a round, not once a follower.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -87,6 +88,8 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
+        # Called with the tokens of a prompt that an endpoint begins or ends to read.
+        self.note_reading: Callable[[int], None] = lambda _: None
 
     async def serve(
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
@@ -168,6 +171,7 @@
             endpoint.id, loop.time(), unread, request.route.priority
         )
         self._note_use(request, endpoint, 1)
+        self.note_reading(unread)
         keep = False
         channel: Channel | None = None
         try:
@@ -175,6 +179,7 @@
             progress.sends += 1
             answer = await self._ask(request, progress, endpoint, channel, token)
             self.health.note_head(endpoint.id, token, loop.time())
+            self.note_reading(unread)
             progress.first_byte_at = progress.first_byte_at or loop.time()
             channel.note_keep_alive(answer, loop.time())
             response = await self._hand_on(request, client, progress, endpoint, answer)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -28,7 +28,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import FeedServer
+from kestreltally.knowledge.feed import NOTABLE_TOKENS, FeedServer, Peer
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
 from kestreltally.knowledge.frames import IDL
@@ -98,6 +98,8 @@
             clock,
         )
         self.feed.measure_own = relay.health.measure
+        self.feed.note_counts = self._note_counts
+        relay.note_reading = self._note_own_reading
         self.clients = {
             name: FeedClient(
                 name, self._find_leader, self._make_report, self._take_update, clock
@@ -484,11 +486,44 @@
         peers = (*self.feed.list_followers(), *self.feed.list_leaders())
         self.leader.uses = {peer.vm: peer.uses for peer in peers}
         self.leader.uses[own.vm] = dict(demand.uses)
+        self._sum_counts()
+        self._relay.finder.load_wait = self.leader.estimate_load_wait()
+        self._relay.budget.daemons = self.feed.count_daemons()
+
+    def _sum_counts(self) -> None:
+        """Take in how full all is, as a leader."""
+        if self.leader is None:
+            return
         total = self.feed.sum_fullness()
         self.leader.fullness = total
         self._relay.finder.others = total.minus(self._relay.health.measure())
-        self._relay.finder.load_wait = self.leader.estimate_load_wait()
-        self._relay.budget.daemons = self.feed.count_daemons()
+
+    def _note_counts(self, peer: Peer) -> None:
+        """Hand on that a daemon's endpoints have notably more or less to read."""
+        if not self.leads:
+            return
+        self._sum_counts()
+        self.feed.hurry_counts()
+        if not peer.leads:
+            self._hurry_leaders()
+
+    def _note_own_reading(self, tokens: int) -> None:
+        """Tell others at once that an endpoint begins or ends with a long prompt."""
+        if tokens < NOTABLE_TOKENS:
+            return
+        if self.leads:
+            self.feed.hurry_counts()
+            self._hurry_leaders()
+            return
+        primary = self.find_primary()
+        if primary is not None:
+            self.hurry(primary)
+
+    def _hurry_leaders(self) -> None:
+        """Report to the other leaders at once."""
+        for client in self.clients.values():
+            if client.is_alive():
+                client.hurry()
 
     def forget_word(self) -> None:
         """Drop what only a leader could tell that is no longer heard.
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -29,6 +29,13 @@
 UPDATE_EVERY: Final[Seconds] = 0.2
 # Changes within this time go out together: a tenth of what a load takes.
 GATHER: Final[Seconds] = 0.02
+# Counts that have changed notably go out between the regular updates, not more often
+# than this: a long prompt is read for some 0.25 s.
+COUNTS_GAP: Final[Seconds] = 0.04
+# With many followers less often: a leader sends at most some 250 counts a second.
+COUNTS_GAP_PER_FOLLOWER: Final[Seconds] = 0.004
+# A change by so many tokens, which take 50 to 100 ms to read, is notable.
+NOTABLE_TOKENS: Final = 2_048
 # A daemon that has more than this still to read is told nothing new until it has read
 # it, so that what it hears is fresh: on the thinnest link, 10 Mbit/s, some 25 ms.
 UNSENT_MOST: Final = 2**15
@@ -75,6 +82,9 @@
         self._peers: set[Peer] = set()
         self._wake = asyncio.Event()
         self._counts_at: Seconds = float("-inf")
+        self._counts_changed = False
+        # Called when daemons that report here have notably more or less to be read.
+        self.note_counts: Callable[[Peer], None] = lambda _: None
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -85,6 +95,11 @@
         """Send what has changed soon."""
         self._wake.set()
 
+    def hurry_counts(self) -> None:
+        """Send how full endpoints are soon."""
+        self._counts_changed = True
+        self._wake.set()
+
     def list_followers(self) -> list[Peer]:
         """Return the daemons that follow this one."""
         return [peer for peer in self._peers if peer.vm and not peer.leads]
@@ -111,7 +126,7 @@
                 report = await peer.stream.receive(IDL.Report)
                 self._note_report(peer, report)
                 if peer.whole or not self._state().leads:
-                    self._send(peer, self._maker.begin_round(), counts=True)
+                    self._send(peer, self._maker.begin_round(), self.sum_fullness())
         except (OSError, EOFError, MalformedFrame, asyncio.IncompleteReadError) as lost:
             log_decision(
                 LOG, Decision.FEED_DAEMON_LOST, peer=peer.vm, reason=repr(lost)
@@ -125,17 +140,19 @@
         peer.leads = frozenset(report.leads or ())
         peer.configuration = report.configuration
         peer.daemons = report.daemons or 1
-        peer.fullness = decode_fullness(report)
+        before, peer.fullness = peer.fullness, decode_fullness(report)
         uses = [decode_use(each) for each in report.uses or ()]
         peer.uses = {(endpoint, key): count for endpoint, key, count in uses}
         peer.store_answered_at = self._clock() - report.store_age
         self._take_report(report)
+        if differs_notably(before, peer.fullness):
+            self.note_counts(peer)
 
     async def run(self) -> None:
         """Send updates for ever while this daemon leads."""
         while True:
             try:
-                async with asyncio.timeout(UPDATE_EVERY):
+                async with asyncio.timeout(self._find_next_update()):
                     await self._wake.wait()
                 await asyncio.sleep(GATHER)
             except TimeoutError:
@@ -143,19 +160,36 @@
             self._wake.clear()
             if self._state().leads:
                 self.send_all()
+            else:
+                self._counts_at = self._clock()
+
+    def _find_counts_gap(self) -> Seconds:
+        """Return how long counts are not sent again."""
+        if not self._counts_changed:
+            return UPDATE_EVERY
+        followers = len(self.list_followers())
+        gap = max(COUNTS_GAP, COUNTS_GAP_PER_FOLLOWER * followers)
+        return min(UPDATE_EVERY, gap)
+
+    def _find_next_update(self) -> Seconds:
+        """Return how long until counts are due."""
+        passed = self._clock() - self._counts_at
+        return max(0.0, min(UPDATE_EVERY, self._find_counts_gap() - passed))
 
     def send_all(self) -> None:
         """Send an update to every daemon that has reported."""
         now = self._clock()
-        counts = now - self._counts_at >= UPDATE_EVERY
-        if counts:
+        counts = None
+        if now - self._counts_at >= self._find_counts_gap():
+            counts = self.sum_fullness()
             self._counts_at = now
+            self._counts_changed = False
         current = self._maker.begin_round()
         for peer in list(self._peers):
             if peer.vm:
-                self._send(peer, current, counts=counts)
+                self._send(peer, current, counts)
 
-    def _send(self, peer: Peer, current: UpdateRound, *, counts: bool) -> None:
+    def _send(self, peer: Peer, current: UpdateRound, counts: Fullness | None) -> None:
         """Write an update, unless the peer has yet to read the one before."""
         if self._is_behind(peer):
             return
@@ -165,10 +199,10 @@
         if current.state.leads:
             peer.told = told
             peer.whole = False
-            if counts:
+            if counts is not None:
                 update.leaders = encode_leaders(current.state.leaders)
-            if counts and not peer.leads:
-                encode_fullness(update, self.sum_fullness())
+            if counts is not None and not peer.leads:
+                encode_fullness(update, counts)
                 update.daemons = self.count_daemons()
         if self._lacks_configuration(peer, current.state.configuration_version):
             update.configuration = current.state.configuration
@@ -224,6 +258,14 @@
         return _sum(self.sum_group(), self.list_leaders())
 
 
+def differs_notably(before: Fullness, after: Fullness) -> bool:
+    """Tell whether notably more or less is to be read at some endpoint."""
+    return any(
+        abs(before.unread.get(name, 0) - after.unread.get(name, 0)) >= NOTABLE_TOKENS
+        for name in before.unread.keys() | after.unread.keys()
+    )
+
+
 def _sum(own: Fullness, peers: Iterable[Peer]) -> Fullness:
     total = own
     for peer in peers:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -1,15 +1,23 @@
 """What is made of the store's objects and of the leaders' feeds."""
 
 import asyncio
+import time
 from dataclasses import replace
 from typing import Any
 
 import pytest
 
-from kestreltally.entry.fullness import EMPTY
+from kestreltally.entry.fullness import EMPTY, Fullness
 from kestreltally.fleet.model import Endpoint, EndpointId, RequestKind, WeightsKey
 from kestreltally.fleet.tables import Fleet, RouteTable
-from kestreltally.knowledge.feed import UNSENT_FOR, UNSENT_MOST, FeedServer, Peer
+from kestreltally.knowledge.feed import (
+    COUNTS_GAP,
+    UNSENT_FOR,
+    UNSENT_MOST,
+    FeedServer,
+    Peer,
+    differs_notably,
+)
 from kestreltally.knowledge.followers import LAPSE_PATIENCE, EndpointsFollower
 from kestreltally.knowledge.frames import IDL, FrameStream, MalformedFrame
 from kestreltally.knowledge.rows import (
@@ -260,6 +268,41 @@
     assert rig.update().gone == ["n1"]
 
 
+def test_a_long_prompt_is_told_between_the_regular_updates() -> None:
+    # quiet-1 of the radar tiles' days: counts were 0.2 to 0.4 s old, and a long prompt
+    # is read for 0.24 s.
+    rig = FeedRig()
+    rig.clock.now = 5.0
+    assert rig.update().unread == {}
+    rig.feed.measure_own = lambda: Fullness({}, {EndpointId("n1"): 9_000})
+    rig.clock.now += COUNTS_GAP / 2
+    assert rig.update().unread is None
+    rig.feed.hurry_counts()
+    assert rig.update().unread is None
+    rig.clock.now += COUNTS_GAP
+    assert rig.update().unread == {"n1": 9_000}
+
+
+@pytest.mark.parametrize(("tokens", "notable"), [(100, False), (9_000, True)])
+def test_only_what_takes_long_to_read_is_told_at_once(
+    tokens: int, notable: bool
+) -> None:
+    before = Fullness({}, {EndpointId("n1"): 20_000})
+    after = Fullness({}, {EndpointId("n1"): 20_000 - tokens})
+    assert differs_notably(before, after) is notable
+
+
+async def test_a_daemon_that_does_not_lead_rests_between_updates() -> None:
+    rig = FeedRig()
+    rig.feed._state = lambda: LeaderState("me", (), (), {}, 0.0, 0.0, 0, b"{}")
+    rig.feed._clock = asyncio.get_running_loop().time
+    before = time.process_time()
+    running = asyncio.create_task(rig.feed.run())
+    await asyncio.sleep(2.0)
+    running.cancel()
+    assert time.process_time() - before < 0.5
+
+
 def test_a_follower_that_becomes_a_leader_is_not_told_that_others_are_gone() -> None:
     # quiet-1 of dala-points: a new leader forgot all plain endpoints elsewhere.
     rig = FeedRig()
