Give an order without an answer again at once

An order expects the engine's count of orders taken, so sent again it is carried out once at most, however late the first comes; grants and leases are checked before each send.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -75,6 +75,7 @@
     LEASE_NOT_RELEASED = ("lease: not released", Level.WARNING, 20)
 
     ORDER_GIVEN = ("orders: order given", Level.INFO, 100)
+    ORDER_SENT_AGAIN = ("orders: order sent again", Level.INFO, 50)
     ORDER_HELD_BACK = ("leader: order held back", Level.INFO, 20)
     ENDPOINT_SPARED = ("leader: endpoint spared", Level.WARNING, 50)
     ENGINE_SILENT = ("leader: engine silent", Level.INFO, 50)
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -40,6 +40,10 @@
 # Engines answer within some ms; what is sent meanwhile is guarded by its expected
 # count. Not longer than the lease takes an order to be on its way.
 CALL_TIMEOUT: Final[Seconds] = 0.2
+# An order without an answer is sent again at once: both expect the same count of
+# orders taken, so the engine carries out one of them at most. A third of the answers
+# may be missing for seconds; then three sends leave one in thirty unanswered.
+ORDER_SENDS: Final = 3
 BODY_LIMIT: Final = 2**20
 # An engine's report is some 100 to 200 ms old; after this it shows what came before.
 REPORT_LAG: Final[Seconds] = 0.3
@@ -114,9 +118,7 @@
         lease = self._find_lease(book.endpoint)
         grant = Grant(lease, lease.fence)
         order = Order(kind, key, self._holder, grant.fence, book.sequence)
-        status, _ = await self._call(
-            book.endpoint, "POST", ORDER_PATH, encode_order(order), grant
-        )
+        status = await self._send_order(book.endpoint, order, grant)
         outcome = decode_outcome(status)
         now = self._clock()
         book.ordered_at = now
@@ -137,6 +139,28 @@
         )
         return outcome
 
+    async def _send_order(self, endpoint: Endpoint, order: Order, grant: Grant) -> int:
+        """Return the status of an order's answer; raises ``EngineSilent``."""
+        body = encode_order(order)
+        for left in reversed(range(ORDER_SENDS)):
+            try:
+                status, _ = await self._call(endpoint, "POST", ORDER_PATH, body, grant)
+                return status
+            except EngineUnreachable:
+                raise
+            except EngineSilent as silent:
+                if not left:
+                    raise
+                log_decision(
+                    LOG,
+                    Decision.ORDER_SENT_AGAIN,
+                    endpoint=endpoint.id,
+                    order=order.kind.value,
+                    weights=str(order.weights),
+                    reason=str(silent),
+                )
+        raise EngineSilent("never sent")
+
     def _book(
         self, book: EngineBook, order: Order, outcome: OrderOutcome, now: Seconds
     ) -> None:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -25,6 +25,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.orders import (
+    CALL_TIMEOUT,
     EngineCaller,
     EngineSilent,
     EngineUnreachable,
@@ -128,6 +129,7 @@
         self.random = Random(seed)
         self.faulty = False
         self.unreachable: set[str] = set()
+        self.lost_orders = 0
         self.now = clock
 
     async def _call(
@@ -147,6 +149,10 @@
         if method == "GET":
             return 200, engine.read(self.now())
         order = json.loads(body)
+        if self.lost_orders:
+            self.lost_orders -= 1
+            await asyncio.sleep(CALL_TIMEOUT)
+            raise EngineSilent("lost")
         fate = self.random.random() if self.faulty else 1.0
         if fate < 0.2:
             asyncio.get_running_loop().call_later(
@@ -245,6 +251,19 @@
     rig.close()
 
 
+async def test_an_order_without_an_answer_is_given_again_at_once() -> None:
+    # scale-1 of the radar tiles' days: with a third of the orders unanswered, each
+    # such order kept its engine from others for 0.5 s and more.
+    rig = LeaderRig()
+    await asyncio.sleep(1.0)
+    rig.caller.lost_orders = 1
+    rig.ask(7)
+    await asyncio.sleep(CALL_TIMEOUT + LOAD_TIME + 0.1)
+    assert rig.is_held(7)
+    assert sum(each.loads for each in rig.engines.values()) == 1
+    rig.close()
+
+
 async def test_an_engine_that_restarted_empty_gets_its_model_first() -> None:
     rig = LeaderRig()
     await asyncio.sleep(0.5)
