Have leaders with room bring what a leader has no place for

Cause: each leader places adapters on the engines of its own data centre (two here).

Ruled out: orders that queue (engines were able), the least stay of an adapter (1.5 of 9).

Leaders now tell how many more adapters their engines could take, and ask the one with most room for what has no place at home, for 0.6 s; what was passed on goes no further. Handing over moves into a module of its own.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -178,8 +178,9 @@
             self._exchange.put_row,
         )
         leader.other_wait = self._exchange.find_other_wait
-        leader.can_hand = self._exchange.can_hand
-        leader.hurry = self._exchange.hurry
+        leader.handover.can_hand = self._exchange.can_hand
+        leader.handover.find_rooms = self._exchange.find_rooms
+        leader.handover.hurry = self._exchange.hurry
         return leader
 
     def _make_watch(
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -226,6 +226,7 @@
             load_wait=self.leader.estimate_load_wait() if self.leader else 0.0,
             configuration_version=configuration.version if configuration else 0,
             configuration=self._configuration.encoded,
+            room=self.leader.room if self.leader else 0,
         )
 
     def _take_report(self, report: Any) -> None:
@@ -364,6 +365,14 @@
             return False
         return client.load_wait < HAND_WAIT_MOST
 
+    def find_rooms(self) -> dict[str, int]:
+        """Return how many more adapters other leaders that order now could take."""
+        return {
+            name: client.room
+            for name, client in self.clients.items()
+            if self.can_hand(name)
+        }
+
     def hurry(self, data_centre: str) -> None:
         """Have the leader of a data centre told of new demand at once."""
         self.clients[data_centre].hurry()
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -86,7 +86,8 @@
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
-// daemons and leaders come with the regular updates only, not with those that a change brings on.
+// daemons and leaders come with the regular updates only, not with those that a change
+// brings on. room is how many more adapters the engines led could take.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -104,4 +105,5 @@
   14: binary configuration,
   15: list<LeaderRow> leaders,
   16: map<string, i32> unread,
+  17: i32 room,
 }
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -42,6 +42,7 @@
         self._hurry = asyncio.Event()
         self.store_age: Seconds = float("inf")
         self.load_wait: Seconds = float("inf")
+        self.room = 0
 
     def is_alive(self) -> bool:
         """Tell whether the leader's feed has been heard within its usual time."""
@@ -90,6 +91,7 @@
             stream.abort()
             self._heard_at = float("-inf")
             self.load_wait = float("inf")
+            self.room = 0
 
     async def _take_updates(self, stream: FrameStream, address: Listening) -> None:
         while self._find_leader(self.data_centre) == address:
@@ -109,6 +111,7 @@
                 self._heard_at = self._clock()
                 self.store_age = update.store_age
                 self.load_wait = update.load_wait
+                self.room = update.room or 0
             self._take_update(self.data_centre, update)
             if not leads:
                 return
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -45,7 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaderState:
-    """What each update tells besides rows."""
+    """What each update tells besides rows.
+
+    ``load_wait`` is how long a load takes from now, ``room`` how many more adapters
+    the engines led could take.
+    """
 
     leader: str
     leads: tuple[LedDataCentre, ...]
@@ -55,6 +59,7 @@
     load_wait: Seconds
     configuration_version: int
     configuration: bytes
+    room: int = 0
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -125,6 +130,7 @@
             store_age=min(state.store_age, AGE_UNKNOWN),
             whole=False,
             load_wait=state.load_wait,
+            room=state.room,
             configuration_version=state.configuration_version,
         )
         if not state.leads:
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -22,6 +22,7 @@
 from kestreltally.placing.books import EngineBook
 from kestreltally.placing.ceiling import LoadCeiling
 from kestreltally.placing.demand import DemandTable, WeightsRow
+from kestreltally.placing.handover import Handover
 from kestreltally.placing.lease import Lease
 from kestreltally.placing.loads import Loader
 from kestreltally.placing.orders import REPORT_LAG, EngineCaller
@@ -30,6 +31,8 @@
     EngineView,
     HeldAdapter,
     Wanted,
+    count_room,
+    score_missing,
 )
 from kestreltally.placing.soundness import SPARED_PART, SoundnessTable
 
@@ -47,8 +50,6 @@
 LISTING_AGE: Final[Seconds] = 3.0
 # The wait that is told while this daemon does not lead.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
-# How long another leader may take to bring what its engines have had lately.
-HAND_FOR: Final[Seconds] = 0.2
 # What it takes to have a leader of another data centre load an adapter instead.
 FORWARD_TIME: Final[Seconds] = 0.1
 
@@ -86,14 +87,12 @@
         # What other leaders tell that a load takes there; none when none is heard.
         self.other_wait: Callable[[], Seconds | None] = lambda: None
         self._ceilings: dict[ServiceName, LoadCeiling] = {}
-        # What leaders of other data centres are asked for, as their engines have had
-        # it lately, and whether such a leader can be asked.
-        self.handed: dict[str, set[tuple[ServiceName, WeightsKey]]] = {}
-        self.can_hand: Callable[[str], bool] = lambda _: False
-        self.hurry: Callable[[str], None] = lambda _: None
+        self.handover = Handover(fleet, self.demand)
         self._led: set[str] = set()
         self._wake = asyncio.Event()
         self.missing = 0
+        # How many adapters the engines led here could take beyond what is missing.
+        self.room = 0
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
         self.soundness = SoundnessTable()
 
@@ -168,8 +167,8 @@
         ]
 
     def list_handed(self, data_centre: str) -> list[WeightsDemand]:
-        """Return what another leader is asked for, as its engines have had it."""
-        handed = self.handed.get(data_centre, ())
+        """Return what another leader is asked for."""
+        handed = self.handover.list_for(data_centre)
         return [make_waiting(service, key, 1) for service, key in handed]
 
     def _follow_leases(self) -> None:
@@ -210,7 +209,9 @@
         if configuration is None:
             return
         self.missing = 0
+        self.room = 0
         self._spare_unsound(now)
+        self.handover.renew(self._led, now)
         for service in configuration.services.values():
             if service.engine is not None:
                 self._step_service(service.name, service.engine, now)
@@ -244,13 +245,14 @@
             if not book.busy and self._needs_report(book, now):
                 self._loader.start(book, self._loader.read(book))
         books = [b for b in books if self._find_lease(b.endpoint).may_order()]
+        open_books = [b for b in books if self._is_open(b, now)]
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
         part = len(self._led) / len(self._leases)
         ceiling.refill(part * spec.loads_per_second, now)
         able = [b for b in books if self._is_able(b, now)]
         able = self._order_models(able, spec, ceiling)
         able = self._order_versions(able, ceiling)
-        self._order_adapters(service, spec, able, now)
+        self._order_adapters(service, spec, open_books, able, now)
 
     def _needs_report(self, book: EngineBook, now: Seconds) -> bool:
         if book.endpoint.leaving or now < book.failing_until:
@@ -260,18 +262,25 @@
             return since >= REPORT_LAG
         return bool(book.leaving) and since >= REPORT_EVERY
 
-    def _is_able(self, book: EngineBook, now: Seconds) -> bool:
+    def _is_open(self, book: EngineBook, now: Seconds) -> bool:
+        """Tell whether an engine takes adapters, if not at this very moment."""
         return (
-            not book.busy
-            and book.sequence is not None
-            and not book.leaving
-            and len(book.incoming) < INCOMING_MOST
+            book.sequence is not None
             and all(key.adapter for key in book.incoming)
             and not book.endpoint.leaving
             and not book.spared
             and now >= book.failing_until
         )
 
+    def _is_able(self, book: EngineBook, now: Seconds) -> bool:
+        """Tell whether an engine may be given an order now."""
+        return (
+            self._is_open(book, now)
+            and not book.busy
+            and not book.leaving
+            and len(book.incoming) < INCOMING_MOST
+        )
+
     def _order_models(
         self, books: list[EngineBook], spec: EngineSpec, ceiling: LoadCeiling
     ) -> list[EngineBook]:
@@ -331,40 +340,38 @@
         self,
         service: ServiceName,
         spec: EngineSpec,
+        open_books: list[EngineBook],
         able: list[EngineBook],
         now: Seconds,
     ) -> None:
-        self._hand_over(service, now)
         wanted = self._list_wanted(service, spec, now)
-        self.missing += sum(
-            1 for w in wanted if w.waiting and not w.holders and not w.coming
-        )
         in_use = self._list_in_use()
-        views = [self._view(service, book, spec, in_use, now) for book in able]
-        for placement in self._plan(views, wanted, now):
+        views = [self._view(service, book, spec, in_use, now) for book in open_books]
+        names = {book.endpoint.id for book in able}
+        able_views = [view for view in views if view.id in names]
+        for placement in self._plan(able_views, wanted, now):
             book = self.books[placement.engine]
             self._loader.start(book, self._loader.place(book, placement))
+        self._pass_on(service, views, wanted, now)
 
-    def _hand_over(self, service: ServiceName, now: Seconds) -> None:
-        """Have another leader bring what its engines loaded before, for a while."""
-        before, self.handed = self.handed, {}
-        for (asked, key), row in self.demand.rows.items():
-            if asked != service or not row.count_waiting(now):
-                continue
-            if now - row.waiting_since > HAND_FOR:
-                continue
-            home = self._fleet.find_last_holder(key)
-            where = home.data_centre if home is not None else ""
-            if where in self._led or not self.can_hand(where):
-                continue
-            if self._fleet.list_holders(service, key, now):
-                continue
-            self.handed.setdefault(where, set()).add((service, key))
-            if (service, key) not in before.get(where, ()):
-                self.hurry(where)
-
-    def _is_handed(self, service: ServiceName, key: WeightsKey) -> bool:
-        return any((service, key) in each for each in self.handed.values())
+    def _pass_on(
+        self,
+        service: ServiceName,
+        views: list[EngineView],
+        wanted: list[Wanted],
+        now: Seconds,
+    ) -> None:
+        """Ask other leaders for what the engines led here have no place for."""
+        missing = sorted(
+            (w for w in wanted if w.waiting and not w.holders and not w.coming),
+            key=score_missing,
+            reverse=True,
+        )
+        room = sum(count_room(view, now) for view in views)
+        crowded_out = [(service, each.key) for each in missing[room:]]
+        passed = self.handover.pass_on(crowded_out, self._led, now)
+        self.missing += len(missing) - passed
+        self.room += max(0, room - len(missing))
 
     def _list_wanted(
         self, service: ServiceName, spec: EngineSpec, now: Seconds
@@ -386,7 +393,7 @@
         for (asked, key), row in self.demand.rows.items():
             if asked != service or not key.adapter or key in self._loader.placing:
                 continue
-            if self._is_handed(service, key):
+            if self.handover.is_handed((service, key)):
                 continue
             wanted.append(
                 Wanted(
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -158,15 +158,30 @@
                 yield _Want(each.key, data_centre, rate / (near + 1), True)
 
 
-def _choose_victim(engine: EngineView, now: Seconds) -> tuple[float, WeightsKey | None]:
-    """Return what an engine's next place costs, and which adapter makes way."""
-    if engine.free > 0:
-        return 0.0, None
-    settled = [
+def _list_settled(engine: EngineView, now: Seconds) -> list[HeldAdapter]:
+    """Return the adapters that may make way."""
+    return [
         each
         for each in engine.held
         if now - each.since >= STAY_LEAST and not each.in_use
     ]
+
+
+def count_room(engine: EngineView, now: Seconds) -> int:
+    """Return how many adapters that one request waits for an engine could take."""
+    weak = [
+        each
+        for each in _list_settled(engine, now)
+        if score_held(each) * VICTIM_FACTOR < WAITING_WORTH
+    ]
+    return engine.free + len(weak)
+
+
+def _choose_victim(engine: EngineView, now: Seconds) -> tuple[float, WeightsKey | None]:
+    """Return what an engine's next place costs, and which adapter makes way."""
+    if engine.free > 0:
+        return 0.0, None
+    settled = _list_settled(engine, now)
     if not settled:
         return float("inf"), None
     victim = min(settled, key=lambda each: (score_held(each), each.since))
