Predict the time to the first event, and choose endpoints by it

Hypothesis: what an engine has to read before it begins, told as time by what was observed of it, decides better than parts of a batch.

estimates/pace.py learns, while running, each engine's time a token, what every request adds, and for how much of what is ahead each priority waits. Requests that wait for their turn count as read as time passes. Every request's last line tells predicted and actual.

Four of five requests have one holder to choose from, so this decides little by itself; kept as what the next decisions are made of.

--- a/src/kestreltally/entry/choice.py
+++ b/src/kestreltally/entry/choice.py
@@ -4,35 +4,29 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from kestreltally.fleet.model import Endpoint
+from kestreltally.fleet.model import Endpoint, Seconds
 
-# An endpoint of another data centre counts as this much fuller (parts of its batch):
-# the bytes between data centres of one request cost about an eighth of its worth,
-# while a batch that is half full still answers in time.
-FAR_COST: Final = 0.5
+# An endpoint of another data centre counts as this much later: the bytes between data
+# centres of one request cost a part of its worth, and hardly any time.
+FAR_TIME: Final[Seconds] = 0.25
+# A batch that is full when a request joins it slows each of its tokens so much.
+BATCH_TIME: Final[Seconds] = 0.5
 # A full batch makes the next request wait for a whole one to end.
-QUEUE_COST: Final = 1.0
-# So many prompt tokens that an endpoint has yet to read cost as much as a full batch:
-# it reads them for half a second, most of an objective, before it begins with others.
-UNREAD_TOKENS: Final = 20_000.0
-# What a prompt read before on an endpoint is worth, if it is all of it.
-PREFIX_GAIN: Final = 0.4
+QUEUE_TIME: Final[Seconds] = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Option:
     """An endpoint that could take a request.
 
-    ``under_way`` counts the requests of all daemons there, ``unread`` the prompt tokens
-    that it has yet to read for them, ``known_part`` is the part of this prompt that it
-    has read before.
+    ``under_way`` counts the requests of all daemons there; ``first`` is the predicted
+    time to the first event.
     """
 
     endpoint: Endpoint
     under_way: int
     far: bool
-    known_part: float = 0.0
-    unread: int = 0
+    first: Seconds = 0.0
 
 
 Chooser = Callable[[Sequence[Option]], Option]
@@ -50,16 +44,15 @@
     return register
 
 
-def weigh_option(option: Option) -> float:
-    """Return what a request at an endpoint costs, in parts of its batch."""
+def weigh_option(option: Option) -> Seconds:
+    """Return what a request at an endpoint costs, as time to its first event."""
     slots = max(1, option.endpoint.slots)
-    cost = option.under_way / slots
+    cost = option.first + BATCH_TIME * option.under_way / slots
     if option.under_way >= slots:
-        cost += QUEUE_COST
-    cost += option.unread / UNREAD_TOKENS
+        cost += QUEUE_TIME
     if option.far:
-        cost += FAR_COST
-    return cost - PREFIX_GAIN * option.known_part
+        cost += FAR_TIME
+    return cost
 
 
 @chooses_option("least-cost")
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -19,6 +19,7 @@
 )
 from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.entry.waiting import WeightsWaiters
+from kestreltally.estimates.pace import PaceTable, Reading
 from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
 from kestreltally.fleet.tables import Fleet
 
@@ -47,6 +48,7 @@
         self.demand = DemandCounter()
         self.waiters = WeightsWaiters()
         self.affinity = Affinity()
+        self.paces = PaceTable()
         self.others = EMPTY
         self.load_wait: Seconds | None = None
         self.hurry: Callable[[], None] = lambda: None
@@ -125,28 +127,36 @@
     ) -> Endpoint:
         fresh = [each for each in found if each.id not in progress.tried] or found
         sound = self._health.keep_sound(fresh, now)
-        options = [self._make_option(request, each) for each in sound]
+        options = [self._make_option(request, each, now) for each in sound]
         chosen = self._choose(options)
         progress.trail.append(
             f"{chosen.endpoint.id} of {len(found)}, {chosen.under_way} under way"
             + (", far" if chosen.far else "")
+            + f", {chosen.first:.3f} s"
         )
         return chosen.endpoint
 
-    def count_unread(self, request: ClientRequest, endpoint: Endpoint) -> int:
-        """Return how many tokens of a prompt an endpoint has not read before."""
+    def measure_reading(
+        self, request: ClientRequest, endpoint: Endpoint, now: Seconds
+    ) -> Reading:
+        """Return what an endpoint has to read before it would begin with a request."""
         key = request.head.weights
         known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
-        return int(request.head.prompt_tokens * (1.0 - min(1.0, known)))
+        _, unread = self._health.measure_one(endpoint.id, now)
+        return Reading(
+            own=int(request.head.prompt_tokens * (1.0 - min(1.0, known))),
+            ahead=unread + self.others.unread.get(endpoint.id, 0),
+            priority=request.route.priority,
+        )
 
-    def _make_option(self, request: ClientRequest, endpoint: Endpoint) -> Option:
-        key = request.head.weights
-        under_way, unread = self._health.measure_one(endpoint.id)
-        known = self.affinity.known_part(request, key, endpoint.id) if key else 0.0
+    def _make_option(
+        self, request: ClientRequest, endpoint: Endpoint, now: Seconds
+    ) -> Option:
+        under_way, _ = self._health.measure_one(endpoint.id, now)
+        reading = self.measure_reading(request, endpoint, now)
         return Option(
             endpoint=endpoint,
             under_way=under_way + self.others.under_way.get(endpoint.id, 0),
-            unread=unread + self.others.unread.get(endpoint.id, 0),
             far=endpoint.data_centre != self._data_centre,
-            known_part=known,
+            first=self.paces.predict(endpoint.id, reading),
         )
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -23,18 +23,30 @@
 # A part of failed requests above that of the service by this much is an outlier.
 OUTLIER_MARGIN: Final = 0.25
 RATE_WEIGHT: Final = 0.12
+# Until an answer begins, this part of its prompt at the most counts as read.
+READ_MOST: Final = 0.9
 
 
 @dataclass(frozen=True, slots=True)
 class Awaited:
     """A request whose answer has not begun: when it was sent, and its unread tokens.
 
-    ``priority`` 0 is the most urgent.
+    ``priority`` 0 is the most urgent. The endpoint is expected to begin with its prompt
+    at ``reads_at`` and to read it for ``reads_for``.
     """
 
     since: Seconds
     unread: int
     priority: int
+    reads_at: Seconds
+    reads_for: Seconds
+
+    def count_left(self, now: Seconds) -> int:
+        """Return how many tokens are expected to be unread still at a moment."""
+        if now <= self.reads_at or self.reads_for <= 0:
+            return self.unread
+        done = min(READ_MOST, (now - self.reads_at) / self.reads_for)
+        return int(self.unread * (1 - done))
 
 
 @dataclass(slots=True)
@@ -73,17 +85,26 @@
         return health
 
     def begin(
-        self, endpoint: EndpointId, now: Seconds, unread: int = 0, priority: int = 0
+        self,
+        endpoint: EndpointId,
+        now: Seconds,
+        unread: int = 0,
+        priority: int = 0,
+        *,
+        reads_in: Seconds = 0.0,
+        reads_for: Seconds = 0.0,
     ) -> int:
         """Note that a request goes to an endpoint; return a token for its answer.
 
-        ``unread`` are the tokens of its prompt that the endpoint has yet to read;
-        tokens rise.
+        ``unread`` are the tokens of its prompt that the endpoint has yet to read, from
+        ``reads_in`` from now on and for ``reads_for``; the tokens returned rise.
         """
         self._next_token += 1
         health = self.row(endpoint)
         health.in_flight += 1
-        health.awaiting[self._next_token] = Awaited(now, unread, priority)
+        health.awaiting[self._next_token] = Awaited(
+            now, unread, priority, now + reads_in, reads_for
+        )
         return self._next_token
 
     def note_head(self, endpoint: EndpointId, token: int, now: Seconds) -> None:
@@ -172,27 +193,30 @@
         ]
         return kept if len(kept) >= len(endpoints) * (1 - EJECT_SHARE) else endpoints
 
-    def measure(self) -> Fullness:
+    def measure(self, now: Seconds) -> Fullness:
         """Return what of this daemon's requests is under way."""
         busy = {e: h for e, h in self._rows.items() if h.in_flight}
         unread = {
-            endpoint: sum(each.unread for each in health.awaiting.values())
-            for endpoint, health in busy.items()
+            endpoint: _count_left(health, now) for endpoint, health in busy.items()
         }
         return Fullness(
             under_way={endpoint: health.in_flight for endpoint, health in busy.items()},
             unread={endpoint: tokens for endpoint, tokens in unread.items() if tokens},
         )
 
-    def measure_one(self, endpoint: EndpointId) -> tuple[int, int]:
+    def measure_one(self, endpoint: EndpointId, now: Seconds) -> tuple[int, int]:
         """Return the requests under way at an endpoint, and their unread tokens."""
         health = self._rows.get(endpoint)
         if health is None:
             return 0, 0
-        return health.in_flight, sum(each.unread for each in health.awaiting.values())
+        return health.in_flight, _count_left(health, now)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the row of an endpoint that is gone, once it is idle."""
         health = self._rows.get(endpoint)
         if health is not None and not health.in_flight:
             del self._rows[endpoint]
+
+
+def _count_left(health: Health, now: Seconds) -> int:
+    return sum(each.count_left(now) for each in health.awaiting.values())
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -15,6 +15,14 @@
 RETRY_SOON: Final[Seconds] = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Prediction:
+    """The time to the first event as it was predicted, and as it was."""
+
+    predicted: Seconds
+    actual: Seconds
+
+
 @dataclass(slots=True)
 class Progress:
     """What has become of one request so far.
@@ -28,6 +36,7 @@
     last_fault: str = ""
     trail: list[str] = field(default_factory=list)
     waited: Seconds = 0.0
+    predictions: list[Prediction] = field(default_factory=list)
     first_byte_at: Seconds | None = None
     events: EventReader = field(default_factory=EventReader)
     response: web.StreamResponse | None = None
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -28,6 +28,7 @@
     RETRY_SOON,
     UNAVAILABLE,
     MoveOn,
+    Prediction,
     Progress,
     StreamBroken,
     give_up,
@@ -61,6 +62,7 @@
 LOG = logging.getLogger("kestreltally.relay")
 
 GATEWAY_TIMEOUT: Final = 504
+ERRORS_FROM: Final = 400
 # Statuses that promise that a request has not run: an endpoint's own is handed on
 # only where it says so itself.
 PROMISING: Final = frozenset({408, 421, 429, 503})
@@ -166,12 +168,21 @@
     ) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
         progress.tried.add(endpoint.id)
-        unread = self.finder.count_unread(request, endpoint)
+        began = loop.time()
+        paces = self.finder.paces
+        reading = self.finder.measure_reading(request, endpoint, began)
+        predicted = paces.predict(endpoint.id, reading)
+        reads_for = paces.find_pace(endpoint.id) * reading.own
         token = self.health.begin(
-            endpoint.id, loop.time(), unread, request.route.priority
+            endpoint.id,
+            began,
+            reading.own,
+            reading.priority,
+            reads_in=predicted - reads_for,
+            reads_for=reads_for,
         )
         self._note_use(request, endpoint, 1)
-        self.note_reading(unread)
+        self.note_reading(reading.own)
         keep = False
         channel: Channel | None = None
         try:
@@ -179,8 +190,12 @@
             progress.sends += 1
             answer = await self._ask(request, progress, endpoint, channel, token)
             self.health.note_head(endpoint.id, token, loop.time())
-            self.note_reading(unread)
+            self.note_reading(reading.own)
             progress.first_byte_at = progress.first_byte_at or loop.time()
+            if request.service.engine is not None and answer.status < ERRORS_FROM:
+                took = loop.time() - began
+                paces.learn(endpoint.id, reading, took)
+                progress.predictions.append(Prediction(predicted, took))
             channel.note_keep_alive(answer, loop.time())
             response = await self._hand_on(request, client, progress, endpoint, answer)
             keep = True
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -207,6 +207,10 @@
             first=round(first - call.began, 3) if first is not None else None,
             took=round(now - call.began, 3),
             trail=call.progress.trail,
+            predicted=[
+                (round(each.predicted, 3), round(each.actual, 3))
+                for each in call.progress.predictions
+            ],
         )
         self._note_end(
             RequestEnd(
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -203,7 +203,7 @@
             "requests_live": {"entry": self._surface.live},
             "requests_in_flight": {
                 str(name): float(count)
-                for name, count in self._relay.health.measure().under_way.items()
+                for name, count in self._relay.health.measure(now).under_way.items()
             },
             "retries_left": {name: budget.left(name, now) for name in services},
             "leases_held": {
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -97,7 +97,7 @@
             self._take_report,
             clock,
         )
-        self.feed.measure_own = relay.health.measure
+        self.feed.measure_own = lambda: relay.health.measure(clock())
         self.feed.note_counts = self._note_counts
         relay.note_reading = self._note_own_reading
         self.clients = {
@@ -318,7 +318,7 @@
 
     def _add_own(self, report: Any) -> None:
         demand = self._relay.finder.demand
-        self._reported = self._relay.health.measure()
+        self._reported = self._relay.health.measure(self._clock())
         encode_fullness(report, self._reported)
         report.demand = [encode_demand(each) for each in demand.take()]
         report.uses = [encode_use(e, key, n) for (e, key), n in demand.uses.items()]
@@ -451,6 +451,7 @@
             self.leader.drop_endpoint(endpoint)
         self._fleet.drop_endpoint(endpoint)
         self._relay.health.forget(endpoint)
+        self._relay.finder.paces.forget(endpoint)
         if self.leads:
             self.feed.hurry()
 
@@ -505,7 +506,9 @@
             return
         total = self.feed.sum_fullness()
         self.leader.fullness = total
-        self._relay.finder.others = total.minus(self._relay.health.measure())
+        self._relay.finder.others = total.minus(
+            self._relay.health.measure(self._clock())
+        )
 
     def _note_counts(self, peer: Peer) -> None:
         """Hand on that a daemon's endpoints have notably more or less to read."""
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from kestreltally.entry.choice import UNREAD_TOKENS
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 
 # A request that waits counts as much as a rate of one a second would in this time.
@@ -33,6 +32,9 @@
 CROWDED_WORTH: Final = 2.0
 # An adapter asked for less often than this is not what crowds its engines.
 CROWDED_RATE: Final = 0.5
+# So many prompt tokens that an engine has yet to read cost as much as a full batch:
+# it reads them for half a second, most of an objective, before it begins with others.
+UNREAD_TOKENS: Final = 20_000.0
 # Copies are brought a few at a time, behind the adapters that nobody has.
 COPIES_AT_ONCE: Final = 2
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -14,8 +14,7 @@
         endpoint=endpoint,
         under_way=int(counts.get("under_way", 0)),
         far=far,
-        known_part=counts.get("known_part", 0.0),
-        unread=int(counts.get("unread", 0)),
+        first=counts.get("first", 0.1),
     )
 
 
@@ -25,9 +24,10 @@
         (make_option("b", under_way=4), "a"),
         (make_option("b", far=True), "a"),
         # Its batch is empty, but a long prompt keeps it from beginning.
-        (make_option("b", unread=15_000), "a"),
-        (make_option("b", unread=500), "b"),
-        (make_option("b", under_way=3, known_part=1.0), "b"),
+        (make_option("b", first=0.6), "a"),
+        (make_option("b", first=0.12), "b"),
+        # It has read the prompt before.
+        (make_option("b", under_way=3, first=0.02), "b"),
     ],
 )
 def test_the_endpoint_that_begins_soonest_is_chosen(other: Option, chosen: str) -> None:
