Place adapters by predicted time, and serve first what can be in time

Hypothesis: an adapter should come where its requests begin soonest, counted in seconds with what it holds up there (long prompts beside streams, streams beside reading), and those that can still be in time should come before those that cannot.

Daemons tell the tokens of requests that wait, and how many can still be in time; the planner's sum of parts of a batch, tokens and rates becomes one delay in seconds.

--- a/src/kestreltally/entry/demand.py
+++ b/src/kestreltally/entry/demand.py
@@ -3,15 +3,16 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from kestreltally.fleet.model import EndpointId, ServiceName, WeightsKey
+from kestreltally.fleet.model import EndpointId, Seconds, ServiceName, WeightsKey
 
 
 @dataclass(frozen=True, slots=True)
 class WeightsDemand:
     """The requests for some weights since the last report.
 
-    ``waiting`` counts those that wait for the weights to come now, ``missed`` those
-    that were refused for want of them.
+    ``waiting`` counts those that wait for the weights to come now, ``timely`` those of
+    them that can still be answered within their objective; ``prompt_tokens`` and
+    ``output_tokens`` are those of all that wait. ``missed`` were refused.
     """
 
     service: ServiceName
@@ -19,6 +20,18 @@
     arrivals: int
     waiting: int
     missed: int
+    timely: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """A request that waits: in time if its weights have come at ``timely_until``."""
+
+    timely_until: Seconds
+    prompt_tokens: int
+    output_tokens: int
 
 
 class DemandCounter:
@@ -27,7 +40,7 @@
     def __init__(self) -> None:
         self._arrivals: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
         self._missed: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
-        self._waiting: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
+        self._waiting: dict[tuple[ServiceName, WeightsKey], list[Waiter]] = {}
         self.uses: dict[tuple[EndpointId, WeightsKey], int] = defaultdict(int)
         self._refused: set[tuple[EndpointId, WeightsKey]] = set()
 
@@ -35,10 +48,15 @@
         """Count a request."""
         self._arrivals[(service, key)] += 1
 
-    def note_waiting(self, service: ServiceName, key: WeightsKey, step: int) -> None:
-        """Count a request that begins (1) or ends (-1) to wait for its weights."""
-        self._waiting[(service, key)] += step
-        if not self._waiting[(service, key)]:
+    def begin_wait(self, service: ServiceName, key: WeightsKey, waiter: Waiter) -> None:
+        """Count a request that begins to wait for its weights."""
+        self._waiting.setdefault((service, key), []).append(waiter)
+
+    def end_wait(self, service: ServiceName, key: WeightsKey, waiter: Waiter) -> None:
+        """Count a request that waits no longer."""
+        waiters = self._waiting[(service, key)]
+        waiters.remove(waiter)
+        if not waiters:
             del self._waiting[(service, key)]
 
     def note_missed(self, service: ServiceName, key: WeightsKey) -> None:
@@ -60,19 +78,25 @@
         taken, self._refused = self._refused, set()
         return taken
 
-    def take(self) -> list[WeightsDemand]:
+    def take(self, now: Seconds) -> list[WeightsDemand]:
         """Return the counts since the last call and start anew."""
         names = self._arrivals.keys() | self._waiting.keys() | self._missed.keys()
-        taken = [
-            WeightsDemand(
-                service=service,
-                key=key,
-                arrivals=self._arrivals.get((service, key), 0),
-                waiting=self._waiting.get((service, key), 0),
-                missed=self._missed.get((service, key), 0),
-            )
-            for service, key in names
-        ]
+        taken = [self._sum_up(service, key, now) for service, key in names]
         self._arrivals.clear()
         self._missed.clear()
         return taken
+
+    def _sum_up(
+        self, service: ServiceName, key: WeightsKey, now: Seconds
+    ) -> WeightsDemand:
+        waiters = self._waiting.get((service, key), ())
+        return WeightsDemand(
+            service=service,
+            key=key,
+            arrivals=self._arrivals.get((service, key), 0),
+            waiting=len(waiters),
+            missed=self._missed.get((service, key), 0),
+            timely=sum(1 for each in waiters if now <= each.timely_until),
+            prompt_tokens=sum(each.prompt_tokens for each in waiters),
+            output_tokens=sum(each.output_tokens for each in waiters),
+        )
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -8,7 +8,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.affinity import Affinity
 from kestreltally.entry.choice import ENDPOINT_CHOOSERS, Option
-from kestreltally.entry.demand import DemandCounter
+from kestreltally.entry.demand import DemandCounter, Waiter
 from kestreltally.entry.fullness import EMPTY
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.progress import (
@@ -90,14 +90,25 @@
                 load_wait=self.load_wait,
                 at_most=round(timeout, 3),
             )
-        self.demand.note_waiting(request.service_name, key, 1)
+        waiter = self._make_waiter(request)
+        self.demand.begin_wait(request.service_name, key, waiter)
         self.hurry()
         try:
             await self.waiters.wait(key, timeout)
         finally:
-            self.demand.note_waiting(request.service_name, key, -1)
+            self.demand.end_wait(request.service_name, key, waiter)
             progress.waited += loop.time() - began
 
+    def _make_waiter(self, request: ClientRequest) -> Waiter:
+        """Return what its leader is to know of a request that waits."""
+        head = request.head
+        reading = self.paces.base + self.paces.usual * head.prompt_tokens
+        return Waiter(
+            timely_until=request.arrived + request.route.objective - reading,
+            prompt_tokens=head.prompt_tokens,
+            output_tokens=head.output_tokens,
+        )
+
     def _check_wait(
         self,
         request: ClientRequest,
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -177,6 +177,7 @@
             self._clock,
             self._exchange.put_row,
         )
+        leader.paces = self._relay.finder.paces
         leader.other_wait = self._exchange.find_other_wait
         leader.handover.can_hand = self._exchange.can_hand
         leader.handover.find_rooms = self._exchange.find_rooms
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -320,7 +320,7 @@
         demand = self._relay.finder.demand
         self._reported = self._relay.health.measure(self._clock())
         encode_fullness(report, self._reported)
-        report.demand = [encode_demand(each) for each in demand.take()]
+        report.demand = [encode_demand(each) for each in demand.take(self._clock())]
         report.uses = [encode_use(e, key, n) for (e, key), n in demand.uses.items()]
         report.refused = [encode_use(e, key, 1) for e, key in demand.take_refused()]
         report.outcomes = encode_outcomes(self._relay.health.outcomes.take())
@@ -489,7 +489,7 @@
             return
         own = self._deployment
         demand = self._relay.finder.demand
-        self._take_demand(own.vm, own.data_centre, demand.take())
+        self._take_demand(own.vm, own.data_centre, demand.take(self._clock()))
         for endpoint, key in demand.take_refused():
             self._note_refused(endpoint, key)
         self._take_outcomes(self._relay.health.outcomes.take())
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -62,6 +62,9 @@
         arrivals=demand.arrivals,
         waiting=demand.waiting,
         missed=demand.missed,
+        timely=demand.timely,
+        prompt_tokens=demand.prompt_tokens,
+        output_tokens=demand.output_tokens,
     )
 
 
@@ -73,6 +76,9 @@
         arrivals=row.arrivals,
         waiting=row.waiting,
         missed=row.missed,
+        timely=row.timely or 0,
+        prompt_tokens=row.prompt_tokens or 0,
+        output_tokens=row.output_tokens or 0,
     )
 
 
--- a/src/kestreltally/placing/demand.py
+++ b/src/kestreltally/placing/demand.py
@@ -17,19 +17,41 @@
 FORGET_BELOW: Final = 0.01
 
 
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """What one daemon told of its requests that wait, and when."""
+
+    data_centre: str
+    told: WeightsDemand
+    at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingTotal:
+    """The requests that wait for some weights, over all daemons."""
+
+    count: int = 0
+    timely: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+NOTHING_WAITS: Final = WaitingTotal()
+
+
 @dataclass(slots=True)
 class WeightsRow:
     """The demand for some weights.
 
     ``rates`` are requests a second by data centre, ``missed`` the requests sent back
-    lately, both as of ``at``; ``waiting`` tells of each daemon its data centre, its
-    count and when it told. ``waiting_since`` is when the first of them was told.
+    lately, both as of ``at``; ``waiting`` holds what each daemon told.
+    ``waiting_since`` is when the first of them was told.
     """
 
     at: Seconds
     rates: dict[str, float] = field(default_factory=lambda: defaultdict(float))
     missed: float = 0.0
-    waiting: dict[str, tuple[str, int, Seconds]] = field(default_factory=dict)
+    waiting: dict[str, Waiting] = field(default_factory=dict)
     waiting_since: Seconds = 0.0
 
     def decay(self, now: Seconds) -> None:
@@ -50,7 +72,23 @@
     def count_waiting(self, now: Seconds) -> int:
         """Return how many requests wait now."""
         return sum(
-            count for _, count, at in self.waiting.values() if now - at < WAITING_LIFE
+            each.told.waiting
+            for each in self.waiting.values()
+            if now - each.at < WAITING_LIFE
+        )
+
+    def sum_waiting(self, now: Seconds) -> WaitingTotal:
+        """Return what waits now."""
+        told = [
+            each.told for each in self.waiting.values() if now - each.at < WAITING_LIFE
+        ]
+        if not told:
+            return NOTHING_WAITS
+        return WaitingTotal(
+            count=sum(each.waiting for each in told),
+            timely=sum(each.timely for each in told),
+            prompt_tokens=sum(each.prompt_tokens for each in told),
+            output_tokens=sum(each.output_tokens for each in told),
         )
 
 
@@ -73,7 +111,7 @@
         if told.waiting:
             if not row.count_waiting(now):
                 row.waiting_since = now
-            row.waiting[vm] = (data_centre, told.waiting, now)
+            row.waiting[vm] = Waiting(data_centre, told, now)
         else:
             row.waiting.pop(vm, None)
 
--- a/src/kestreltally/placing/handover.py
+++ b/src/kestreltally/placing/handover.py
@@ -97,4 +97,6 @@
 
 def _waits_here(row: WeightsRow | None, led: set[str]) -> bool:
     """Tell whether own daemons wait: what was passed on to here is not passed on."""
-    return row is not None and any(dc in led for dc, _, _ in row.waiting.values())
+    return row is not None and any(
+        each.data_centre in led for each in row.waiting.values()
+    )
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -10,6 +10,8 @@
 from kestreltally.deployment import Bounds
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.fullness import EMPTY
+from kestreltally.estimates.pace import PaceTable
+from kestreltally.estimates.reading import ReadingShares
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -95,6 +97,8 @@
         self.room = 0
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
         self.soundness = SoundnessTable()
+        self.reading = ReadingShares()
+        self.paces = PaceTable()
 
     @property
     def load_time(self) -> Seconds:
@@ -131,6 +135,7 @@
         """Forget an endpoint that is gone."""
         self.books.pop(endpoint, None)
         self.soundness.forget(endpoint)
+        self.reading.forget(endpoint)
 
     def take_demand(
         self, vm: str, data_centre: str, told: Iterable[WeightsDemand]
@@ -211,6 +216,8 @@
         self.missing = 0
         self.room = 0
         self._spare_unsound(now)
+        for name in self.books:
+            self.reading.note(name, self.fullness.unread.get(name, 0) > 0, now)
         self.handover.renew(self._led, now)
         for service in configuration.services.values():
             if service.engine is not None:
@@ -395,11 +402,15 @@
                 continue
             if self.handover.is_handed((service, key)):
                 continue
+            waiting = row.sum_waiting(now)
             wanted.append(
                 Wanted(
                     key=key,
                     rates=dict(row.rates),
-                    waiting=row.count_waiting(now),
+                    waiting=waiting.count,
+                    timely=waiting.timely,
+                    prompt_tokens=waiting.prompt_tokens,
+                    output_tokens=waiting.output_tokens,
                     missed=row.missed,
                     holders=holders.get(key, {}),
                     coming=coming.get(key, {}),
@@ -444,10 +455,21 @@
             held=tuple(held),
             warm=frozenset(book.warm),
             running=self.fullness.under_way.get(book.endpoint.id, 0),
-            unread=self.fullness.unread.get(book.endpoint.id, 0),
+            unread=self.fullness.unread.get(book.endpoint.id, 0)
+            + self._count_coming(service, book, now),
             batch=spec.batch,
+            pace=self.paces.find_pace(book.endpoint.id),
+            load_time=self._loader.load_time,
+            reading=self.reading.find(book.endpoint.id),
         )
 
+    def _count_coming(
+        self, service: ServiceName, book: EngineBook, now: Seconds
+    ) -> int:
+        """Return the prompt tokens that wait for what is on its way to an engine."""
+        rows = (self.demand.rows.get((service, key)) for key in book.incoming)
+        return sum(row.sum_waiting(now).prompt_tokens for row in rows if row)
+
 
 def make_waiting(service: ServiceName, key: WeightsKey, count: int) -> WeightsDemand:
     """Return the demand of requests that wait, for another leader."""
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -8,10 +8,13 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
+from kestreltally.entry.choice import BATCH_TIME, FAR_TIME
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 
 # A request that waits counts as much as a rate of one a second would in this time.
 WAITING_WORTH: Final = 1.0
+# One that can no longer be answered within its objective is worth less to its caller.
+LATE_WORTH: Final = 0.3
 MISSED_WORTH: Final = 0.5
 RATE_WORTH: Final[Seconds] = 1.0
 # A newcomer must be worth this much more than what makes way for it, or two adapters
@@ -32,9 +35,18 @@
 CROWDED_WORTH: Final = 2.0
 # An adapter asked for less often than this is not what crowds its engines.
 CROWDED_RATE: Final = 0.5
-# So many prompt tokens that an engine has yet to read cost as much as a full batch:
-# it reads them for half a second, most of an objective, before it begins with others.
-UNREAD_TOKENS: Final = 20_000.0
+# What a place of an engine is worth, in seconds of waiting for each second it is held:
+# long prompts read beside streams make these hold their places longer.
+PLACE_PRICE: Final = 0.1
+# While an engine reads a prompt, a token of a stream takes some six times as long.
+READING_DRAG: Final = 0.8
+# A token of a stream takes so long while nothing is read.
+TOKEN_TIME: Final[Seconds] = 0.0055
+# A load from an engine's own copy costs no load from the weight store, whose price is
+# some third of a request.
+WARM_GAIN: Final[Seconds] = 0.5
+# What makes way will be asked for again: a load for each request a second.
+VICTIM_TIME: Final[Seconds] = 0.5
 # Copies are brought a few at a time, behind the adapters that nobody has.
 COPIES_AT_ONCE: Final = 2
 
@@ -54,7 +66,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineView:
-    """An engine that may take a load now; ``unread`` are tokens it has yet to read."""
+    """An engine that may take a load now.
+
+    ``unread`` are the tokens that it has yet to read, also for the adapters on their
+    way; ``pace`` is the time that one takes, ``load_time`` that of a load.
+    ``reading`` is the part of its time that it spent reading of late.
+    """
 
     id: EndpointId
     data_centre: str
@@ -64,12 +81,17 @@
     running: int
     batch: int
     unread: int = 0
+    pace: Seconds = 0.0
+    load_time: Seconds = 0.25
+    reading: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
     """An adapter that is asked for.
 
+    Of the requests ``waiting``, ``timely`` can still be in time; their tokens are
+    ``prompt_tokens`` and ``output_tokens``.
     ``holders`` and ``coming`` count engines by data centre; ``crowded`` tells that the
     batches of all holders are full. ``batch`` is that of one engine.
     """
@@ -82,6 +104,9 @@
     coming: dict[str, int]
     batch: int = 32
     crowded: bool = False
+    timely: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,8 +137,11 @@
 
 def score_missing(wanted: Wanted) -> float:
     """Return how much an adapter that no engine holds is missed."""
-    waits = WAITING_WORTH * wanted.waiting + MISSED_WORTH * wanted.missed
-    return waits + RATE_WORTH * sum(wanted.rates.values())
+    late = wanted.waiting - wanted.timely
+    waits = WAITING_WORTH * wanted.timely + LATE_WORTH * late
+    return (
+        MISSED_WORTH * wanted.missed + waits + RATE_WORTH * sum(wanted.rates.values())
+    )
 
 
 def score_held(held: HeldAdapter) -> float:
@@ -131,6 +159,8 @@
     data_centre: str | None
     score: float
     is_copy: bool
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 def _list_missing(wanted: Sequence[Wanted]) -> Iterator[_Want]:
@@ -139,7 +169,14 @@
             continue
         if each.waiting or each.missed >= 0.05:
             busiest = max(each.rates, key=lambda dc: each.rates[dc], default=None)
-            yield _Want(each.key, busiest, score_missing(each), is_copy=False)
+            yield _Want(
+                each.key,
+                busiest,
+                score_missing(each),
+                is_copy=False,
+                prompt_tokens=each.prompt_tokens,
+                output_tokens=each.output_tokens,
+            )
 
 
 def _list_copies(wanted: Sequence[Wanted]) -> Iterator[_Want]:
@@ -190,6 +227,24 @@
     return score_held(victim), victim.key
 
 
+def predict_delay(engine: EngineView, want: _Want) -> Seconds:
+    """Return how late requests would begin on an engine, and what they hold up there.
+
+    What is held up is told as seconds of waiting, too.
+    """
+    backlog = max(0.0, engine.pace * engine.unread - engine.load_time)
+    held_up = engine.running * engine.pace * want.prompt_tokens
+    stretch = 1.0 / (1.0 - READING_DRAG * engine.reading)
+    stream = want.output_tokens * TOKEN_TIME * stretch
+    cost = backlog + PLACE_PRICE * (held_up + stream)
+    cost += BATCH_TIME * engine.running / max(1, engine.batch)
+    if engine.data_centre != want.data_centre:
+        cost += FAR_TIME
+    if want.key in engine.warm:
+        cost -= WARM_GAIN
+    return cost
+
+
 def _choose_engine(
     want: _Want, engines: Sequence[EngineView], now: Seconds
 ) -> Placement | None:
@@ -202,13 +257,7 @@
         cost, victim = _choose_victim(engine, now)
         if cost * VICTIM_FACTOR >= want.score:
             continue
-        cost += engine.running / max(1, engine.batch)
-        cost += engine.unread / UNREAD_TOKENS
-        cost += sum(each.rate / max(1, each.holders) for each in engine.held) / 100
-        if engine.data_centre != want.data_centre:
-            cost += 0.5
-        if want.key in engine.warm:
-            cost -= 1.0
+        cost = VICTIM_TIME * cost + predict_delay(engine, want)
         if best is None or cost < best[0]:
             best = (cost, engine, victim)
     if best is None:
