Refuse at once what its client will not wait for; tell when places free

The leader's word on how long a load takes knew nothing of full engines.

Routes now carry that patience; a request is refused once its first event is predicted after it, and looked at five times a second. GIVE_UP_PART and WAIT_PART are gone: a new request is refused where waiting for weights makes it late, by its own reading time. The word on loads adds the time until places free, by how fast loads ended of late.

--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -25,10 +25,13 @@
 
 LOG = logging.getLogger("kestreltally.finder")
 
-# Requests wait for an adapter only where it can come within this part of the
-# objective; one that waits in vain is sent back after this part of its time.
-WAIT_PART: Final = 0.85
-GIVE_UP_PART: Final = 0.4
+# An adapter from the weight store takes a quarter of a second and more.
+LOAD_LEAST: Final[Seconds] = 0.25
+# A request that waits is looked at this often: the leader's word on loads is renewed
+# five times a second.
+LOOK_EVERY: Final[Seconds] = 0.2
+# What is told, at the most, as the time to come back; and what a load is taken to last
+# where no leader is heard.
 RETRY_MOST: Final[Seconds] = 2.0
 
 
@@ -63,21 +66,19 @@
                 progress.last_fault = progress.last_fault or "no endpoint"
                 raise give_up(progress)
             return self._pick(request, progress, found, loop.time())
-        until = request.arrived + GIVE_UP_PART * (request.ends - request.arrived)
         while True:
             now = loop.time()
             found = self._fleet.list_holders(request.service_name, key, now)
             if found:
                 return self._pick(request, progress, found, now)
-            self._check_wait(request, progress, key, now, until)
-            await self._wait_for_weights(request, progress, key, until - now)
+            self._check_wait(request, progress, key, now)
+            await self._wait_for_weights(request, progress, key)
 
     async def _wait_for_weights(
         self,
         request: ClientRequest,
         progress: Progress,
         key: WeightsKey,
-        timeout: Seconds,
     ) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -88,25 +89,29 @@
                 request=request.head.id,
                 weights=str(key),
                 load_wait=self.load_wait,
-                at_most=round(timeout, 3),
+                at_most=round(request.first_by - began, 3),
             )
         waiter = self._make_waiter(request)
         self.demand.begin_wait(request.service_name, key, waiter)
-        self.hurry()
+        if not progress.waited:
+            self.hurry()
         try:
-            await self.waiters.wait(key, timeout)
+            await self.waiters.wait(key, LOOK_EVERY)
         finally:
             self.demand.end_wait(request.service_name, key, waiter)
             progress.waited += loop.time() - began
 
+    def _predict_reading(self, request: ClientRequest) -> Seconds:
+        """Return the time to the first event at an engine with nothing else to read."""
+        return self.paces.base + self.paces.usual * request.head.prompt_tokens
+
     def _make_waiter(self, request: ClientRequest) -> Waiter:
         """Return what its leader is to know of a request that waits."""
-        head = request.head
-        reading = self.paces.base + self.paces.usual * head.prompt_tokens
+        reading = self._predict_reading(request)
         return Waiter(
             timely_until=request.arrived + request.route.objective - reading,
-            prompt_tokens=head.prompt_tokens,
-            output_tokens=head.output_tokens,
+            prompt_tokens=request.head.prompt_tokens,
+            output_tokens=request.head.output_tokens,
         )
 
     def _check_wait(
@@ -115,20 +120,33 @@
         progress: Progress,
         key: WeightsKey,
         now: Seconds,
-        until: Seconds,
     ) -> None:
-        """Raise ``Refused`` unless the weights can come in time."""
-        coming = self._fleet.is_coming(request.service_name, key)
-        wait = self.load_wait if self.load_wait is not None else RETRY_MOST
-        late = now + wait > request.arrived + WAIT_PART * request.route.objective
+        """Raise ``Refused`` unless the weights are predicted to come in time."""
         if progress.runs:
             raise give_up(progress)
-        if now >= until or (late and not coming):
+        wait = self.load_wait if self.load_wait is not None else RETRY_MOST
+        coming = self._fleet.is_coming(request.service_name, key)
+        ready = now + (0.0 if coming else wait)
+        if ready > self._find_latest(request, new=not progress.waited and not coming):
             self.demand.note_missed(request.service_name, key)
             self.hurry()
             after = min(RETRY_MOST, max(RETRY_SOON, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", after)
 
+    def _find_latest(self, request: ClientRequest, *, new: bool) -> Seconds:
+        """Return by when weights must have come for a request to be worth its wait.
+
+        A new one is sent back at once where it would be late; one that has waited is
+        served late rather than sent back, while its client is still there. What no
+        engine could read in time is not sent back for that.
+        """
+        reading = self._predict_reading(request)
+        lost = request.first_by - reading
+        timely = request.route.objective - reading
+        if not new or timely <= LOAD_LEAST:
+            return lost
+        return request.arrived + timely
+
     def _pick(
         self,
         request: ClientRequest,
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -47,7 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
-    """A whole request, with its route and the moment by which it must be answered."""
+    """A whole request, with its route and the moment by which it must be answered.
+
+    Its client leaves unless the first event, or the whole answer, comes by
+    ``first_by``.
+    """
 
     method: str
     path: str
@@ -59,6 +63,13 @@
     arrived: Seconds
     ends: Seconds
 
+    @property
+    def first_by(self) -> Seconds:
+        """Return by when the client must hear something."""
+        if not self.route.patience:
+            return self.ends
+        return min(self.ends, self.arrived + self.route.patience)
+
     @property
     def service_name(self) -> ServiceName:
         """Return the name of the service that takes it."""
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -34,7 +34,8 @@
 
     ``priority`` 0 is the most urgent. ``objective`` counts to the first event of a
     stream, or to the whole answer. ``attempts`` bounds the endpoints that may run
-    one request.
+    one request. Clients give a stream up that tells them nothing for ``patience``, also
+    before its first event; none is known where it is zero.
     """
 
     name: str
@@ -47,6 +48,7 @@
     attempts: int
     priority: int
     resumable: bool
+    patience: Seconds = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -93,8 +93,9 @@
         self._led: set[str] = set()
         self._wake = asyncio.Event()
         self.missing = 0
-        # How many adapters the engines led here could take beyond what is missing.
+        # How many adapters the engines led here could take, and beyond what is missing.
         self.room = 0
+        self.places = 0
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
         self.soundness = SoundnessTable()
         self.reading = ReadingShares()
@@ -154,13 +155,21 @@
 
     def estimate_load_wait(self) -> Seconds:
         """Return how long it takes from now until an adapter asked for now is there."""
-        engines = max(1, len(self.books))
-        turns = 1 + self.missing / (INCOMING_MOST * engines)
         quiet = self.find_order_wait()
-        own = WAIT_UNKNOWN if quiet is None else quiet + turns * self._loader.load_time
+        own = WAIT_UNKNOWN if quiet is None else quiet + self._predict_load()
         other = self.other_wait()
         return own if other is None else min(own, other + FORWARD_TIME)
 
+    def _predict_load(self) -> Seconds:
+        """Return how long a load takes with those before it, and until a place frees.
+
+        Places free as fast as loads have ended of late.
+        """
+        engines = max(1, len(self.books))
+        turns = 1 + self.missing / (INCOMING_MOST * engines)
+        short = max(0, self.missing + 1 - self.places)
+        return turns * self._loader.load_time + short / self._loader.find_turnover()
+
     def list_unmet(self) -> list[WeightsDemand]:
         """Return what is asked for and held nowhere, for a leader that may order."""
         now = self._clock()
@@ -215,6 +224,7 @@
             return
         self.missing = 0
         self.room = 0
+        self.places = 0
         self._spare_unsound(now)
         for name in self.books:
             self.reading.note(name, self.fullness.unread.get(name, 0) > 0, now)
@@ -378,6 +388,7 @@
         crowded_out = [(service, each.key) for each in missing[room:]]
         passed = self.handover.pass_on(crowded_out, self._led, now)
         self.missing += len(missing) - passed
+        self.places += room
         self.room += max(0, room - len(missing))
 
     def _list_wanted(
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 
@@ -30,6 +31,9 @@
 ASK_EVERY: Final[Seconds] = 0.025
 # A load that was not seen to end after this is taken as failed.
 LOAD_GIVEN_UP: Final[Seconds] = 4.0
+# Loads of this time tell how fast places turn over; of so many at the most.
+TURNOVER_TIME: Final[Seconds] = 2.0
+TURNOVER_ROWS: Final = 256
 # An engine that did not answer an order is left alone this long.
 SILENT_PAUSE: Final[Seconds] = 0.2
 
@@ -57,6 +61,13 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.placing: set[WeightsKey] = set()
         self.load_time = LOAD_TIME
+        self._ended_at: deque[Seconds] = deque(maxlen=TURNOVER_ROWS)
+
+    def find_turnover(self) -> float:
+        """Return how many loads a second ended of late, one at the least."""
+        now = self._clock()
+        recent = sum(1 for at in self._ended_at if now - at < TURNOVER_TIME)
+        return max(1.0, recent / TURNOVER_TIME)
 
     def start(self, book: EngineBook, work: Coroutine[Any, Any, None]) -> None:
         """Do work on an engine, which takes no other meanwhile."""
@@ -107,6 +118,7 @@
             self._spawn(self._await_load(book, key, warm))
 
     def _end_load(self, book: EngineBook, key: WeightsKey) -> None:
+        self._ended_at.append(self._clock())
         version = self._fleet.newest_version(key) or 1
         book.note_held(key, version, self._clock())
         self.publish(book)
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -12,6 +12,7 @@
     ModelSpec,
     RequestKind,
     Route,
+    Seconds,
     ServiceName,
     ServiceSpec,
     Share,
@@ -36,6 +37,13 @@
 Document = Mapping[str, Any]
 
 
+# Clients give a stream up after the longest of this silence, so many objectives, and so
+# many of the longest pauses that their sheet allows between events.
+PATIENCE_LEAST: Final[Seconds] = 2.0
+PATIENCE_OBJECTIVES: Final = 4.0
+PATIENCE_PAUSES: Final = 8.0
+
+
 class MalformedDocument(ValueError):
     """An object of the store does not have the published form."""
 
@@ -61,17 +69,27 @@
         if split
         else (Share(ServiceName(route["Service"]), 1.0),)
     )
+    objective = route["ObjectiveMs"] / MILLISECONDS
+    pause = route.get("GapTargetMs", 0.0) / MILLISECONDS
+    kind = _KINDS[route["Kind"]]
     return Route(
         name=route["Name"],
         host=route["Host"].lower(),
         prefix=route["PathPrefix"],
-        kind=_KINDS[route["Kind"]],
+        kind=kind,
         shares=shares,
         timeout=route["TimeoutMs"] / MILLISECONDS,
-        objective=route["ObjectiveMs"] / MILLISECONDS,
+        objective=objective,
         attempts=int(route.get("Attempts", 1)),
         priority=int(route.get("Priority", 5)),
         resumable=bool(route.get("Resumable", False)),
+        patience=(
+            max(
+                PATIENCE_LEAST, PATIENCE_OBJECTIVES * objective, PATIENCE_PAUSES * pause
+            )
+            if kind is RequestKind.STREAM
+            else 0.0
+        ),
     )
 
 
