Let late requests yield at engines, and free places as soon as they are idle

A request whose first event is predicted after its objective now goes to the engine with a priority behind those in time; a stream that has begun is not late.

Cause: when requests waited for a place, 4 to 5 of some 45 adapters had no use but were kept for their first second, and the leader heard of a last use up to 0.2 s late. An adapter now stays 0.4 s at the least, and where places are short first and last uses are told at once and planned upon.

--- a/src/kestreltally/entry/demand.py
+++ b/src/kestreltally/entry/demand.py
@@ -63,11 +63,17 @@
         """Count a request that was refused because its weights were not there."""
         self._missed[(service, key)] += 1
 
-    def note_use(self, endpoint: EndpointId, key: WeightsKey, step: int) -> None:
-        """Count a request that begins (1) or ends (-1) to use weights on an engine."""
-        self.uses[(endpoint, key)] += step
-        if not self.uses[(endpoint, key)]:
-            del self.uses[(endpoint, key)]
+    def note_use(self, endpoint: EndpointId, key: WeightsKey, step: int) -> bool:
+        """Count a request that begins (1) or ends (-1) to use weights on an engine.
+
+        Tell whether the first one began, or the last one ended.
+        """
+        before = self.uses.get((endpoint, key), 0)
+        self.uses[(endpoint, key)] = before + step
+        if before + step:
+            return not before
+        del self.uses[(endpoint, key)]
+        return True
 
     def note_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
         """Note that an engine refused a request for want of its weights."""
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -25,8 +25,9 @@
 
 LOG = logging.getLogger("kestreltally.finder")
 
-# An adapter from the weight store takes a quarter of a second and more.
-LOAD_LEAST: Final[Seconds] = 0.25
+# Nobody is sent back for a wait so short, late or not: an adapter from the weight store
+# takes a quarter of a second, and twice that where some are on their way.
+ORDINARY_WAIT: Final[Seconds] = 0.5
 # A request that waits is looked at this often: the leader's word on loads is renewed
 # five times a second.
 LOOK_EVERY: Final[Seconds] = 0.2
@@ -136,16 +137,16 @@
     def _find_latest(self, request: ClientRequest, *, new: bool) -> Seconds:
         """Return by when weights must have come for a request to be worth its wait.
 
-        A new one is sent back at once where it would be late; one that has waited is
-        served late rather than sent back, while its client is still there. What no
-        engine could read in time is not sent back for that.
+        A new one is sent back at once where more than an ordinary wait would make it
+        late; one that has waited is served late rather than sent back, while its client
+        is still there.
         """
         reading = self._predict_reading(request)
         lost = request.first_by - reading
-        timely = request.route.objective - reading
-        if not new or timely <= LOAD_LEAST:
+        if not new:
             return lost
-        return request.arrived + timely
+        timely = max(ORDINARY_WAIT, request.route.objective - reading)
+        return min(lost, request.arrived + timely)
 
     def _pick(
         self,
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 from aiohttp import web
@@ -63,6 +64,9 @@
 
 GATEWAY_TIMEOUT: Final = 504
 ERRORS_FROM: Final = 400
+# Priorities of engines end here; those of late requests begin in their middle.
+LEAST_URGENT: Final = 9
+LATE_FROM: Final = 5
 # Statuses that promise that a request has not run: an endpoint's own is handed on
 # only where it says so itself.
 PROMISING: Final = frozenset({408, 421, 429, 503})
@@ -74,6 +78,18 @@
 TRY_AGAIN_PAUSE: Final[Seconds] = 0.1
 
 
+def find_urgency(request: ClientRequest, first_at: Seconds, *, resumes: bool) -> int:
+    """Return the priority for an engine, 0 the most urgent.
+
+    What is late already yields to what can still be in time, but keeps its order among
+    what is late. A stream that has begun is not late.
+    """
+    priority = request.route.priority
+    if resumes or first_at <= request.arrived + request.route.objective:
+        return priority
+    return min(LEAST_URGENT, LATE_FROM + priority)
+
+
 class Relay:
     """Relays requests to endpoints."""
 
@@ -92,6 +108,8 @@
         self.finder = EndpointFinder(data_centre, fleet, health)
         # Called with the tokens of a prompt that an endpoint begins or ends to read.
         self.note_reading: Callable[[int], None] = lambda _: None
+        # Called when an adapter on an engine begins or ends to be used from here.
+        self.note_turn: Callable[[], None] = lambda: None
 
     async def serve(
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
@@ -172,6 +190,12 @@
         paces = self.finder.paces
         reading = self.finder.measure_reading(request, endpoint, began)
         predicted = paces.predict(endpoint.id, reading)
+        reading = replace(
+            reading,
+            priority=find_urgency(
+                request, began + predicted, resumes=progress.response is not None
+            ),
+        )
         reads_for = paces.find_pace(endpoint.id) * reading.own
         token = self.health.begin(
             endpoint.id,
@@ -188,7 +212,9 @@
         try:
             channel = await self._connect(request, endpoint)
             progress.sends += 1
-            answer = await self._ask(request, progress, endpoint, channel, token)
+            answer = await self._ask(
+                request, progress, endpoint, channel, token, reading.priority
+            )
             self.health.note_head(endpoint.id, token, loop.time())
             self.note_reading(reading.own)
             progress.first_byte_at = progress.first_byte_at or loop.time()
@@ -211,8 +237,10 @@
 
     def _note_use(self, request: ClientRequest, endpoint: Endpoint, step: int) -> None:
         key = request.head.weights
-        if key is not None and key.adapter:
-            self.finder.demand.note_use(endpoint.id, key, step)
+        if key is None or not key.adapter:
+            return
+        if self.finder.demand.note_use(endpoint.id, key, step):
+            self.note_turn()
 
     async def _connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         try:
@@ -239,8 +267,9 @@
         endpoint: Endpoint,
         channel: Channel,
         token: int,
+        urgency: int,
     ) -> Answer:
-        head = self._encode(request, progress, endpoint)
+        head = self._encode(request, progress, endpoint, urgency)
         # From here on it may run, whatever interrupts the wait for its answer.
         progress.runs += 1
         sending = asyncio.ensure_future(
@@ -323,7 +352,11 @@
         raise MoveOn(f"not run ({answer.status})", may_have_run=False)
 
     def _encode(
-        self, request: ClientRequest, progress: Progress, endpoint: Endpoint
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        urgency: int,
     ) -> bytes:
         now = asyncio.get_running_loop().time()
         headers = list(request.headers)
@@ -336,7 +369,7 @@
             encode_request(
                 remaining=request.ends - now,
                 instance=endpoint.id,
-                priority=request.route.priority if is_engine else None,
+                priority=urgency if is_engine else None,
                 version=self._find_version(request, endpoint),
             )
         )
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -100,6 +100,7 @@
         self.feed.measure_own = lambda: relay.health.measure(clock())
         self.feed.note_counts = self._note_counts
         relay.note_reading = self._note_own_reading
+        relay.note_turn = self._note_turn
         self.clients = {
             name: FeedClient(
                 name, self._find_leader, self._make_report, self._take_update, clock
@@ -232,6 +233,9 @@
     def _take_report(self, report: Any) -> None:
         if self.leader is None or not self.leads:
             return
+        self._gather_uses()
+        if self.leader.is_short:
+            self.leader.wake()
         told = [decode_demand(each) for each in report.demand or ()]
         self._take_demand(report.vm, report.data_centre, told)
         for row in report.refused or ():
@@ -493,13 +497,32 @@
         for endpoint, key in demand.take_refused():
             self._note_refused(endpoint, key)
         self._take_outcomes(self._relay.health.outcomes.take())
-        peers = (*self.feed.list_followers(), *self.feed.list_leaders())
-        self.leader.uses = {peer.vm: peer.uses for peer in peers}
-        self.leader.uses[own.vm] = dict(demand.uses)
+        self._gather_uses()
         self._sum_counts()
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
 
+    def _gather_uses(self) -> None:
+        """Take in which adapters are in use, as a leader."""
+        if self.leader is None:
+            return
+        peers = (*self.feed.list_followers(), *self.feed.list_leaders())
+        self.leader.uses = {peer.vm: peer.uses for peer in peers}
+        own = self._deployment.vm
+        self.leader.uses[own] = dict(self._relay.finder.demand.uses)
+
+    def _note_turn(self) -> None:
+        """Tell at once of an adapter's first or last use where places are short."""
+        if self.leads and self.leader is not None:
+            self._gather_uses()
+            if self.leader.is_short:
+                self.leader.wake()
+                self._hurry_leaders()
+            return
+        primary = self.find_primary()
+        if primary is not None and self.clients[primary].room <= 0:
+            self.hurry(primary)
+
     def _sum_counts(self) -> None:
         """Take in how full all is, as a leader."""
         if self.leader is None:
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -148,6 +148,15 @@
             if each.waiting:
                 self._wake.set()
 
+    @property
+    def is_short(self) -> bool:
+        """Tell whether something waits that no engine has a place for."""
+        return self.missing > 0 and not self.room
+
+    def wake(self) -> None:
+        """Plan at once."""
+        self._wake.set()
+
     def find_order_wait(self) -> Seconds | None:
         """Return how long until some engine may be given an order; none: unknown."""
         held = [lease for lease in self._leases.values() if lease.leads]
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -20,8 +20,9 @@
 # A newcomer must be worth this much more than what makes way for it, or two adapters
 # would take turns.
 VICTIM_FACTOR: Final = 1.5
-# An adapter stays this long at least.
-STAY_LEAST: Final[Seconds] = 1.0
+# An adapter stays this long at least: until those that wait for it have begun to use
+# it, and the leader has heard so, which takes some 0.1 s.
+STAY_LEAST: Final[Seconds] = 0.4
 # What one request costs less when it is served in its own data centre, in parts of a
 # request: the price of its bytes between data centres.
 NEAR_GAIN: Final = 0.12
