Resign when followers read a store that this leader cannot reach

Reports now tell when the daemon itself last read the store, as followers of a leader that lost it do.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -114,6 +114,7 @@
             self._leases,
             self._configuration,
             lambda: self._endpoints_watch.find_age(),
+            lambda: self._endpoints_watch.answered_at,
             self._clock,
         )
         self._board = LeaseBoard(
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -81,6 +81,7 @@
         leases: Mapping[str, Lease],
         configuration: ConfigurationFollower,
         endpoints_age: Callable[[], Seconds],
+        store_read_at: Callable[[], Seconds],
         clock: Callable[[], Seconds],
     ) -> None:
         self._deployment = deployment
@@ -89,6 +90,7 @@
         self._leases = leases
         self._configuration = configuration
         self._endpoints_age = endpoints_age
+        self._store_read_at = store_read_at
         self._clock = clock
         self.feed = FeedServer(
             self._make_state,
@@ -194,9 +196,13 @@
 
     def resign_if_cut_off(self) -> None:
         """Give the leases up when only this daemon has lost the store."""
-        answered_at = self.feed.find_store_answered_at()
+        renewed_at = self.feed.find_store_answered_at()
+        read_at = self.feed.find_store_read_at()
+        own_read_at = self._store_read_at()
         held = [
-            lease for lease in self._leases.values() if lease.should_resign(answered_at)
+            lease
+            for lease in self._leases.values()
+            if lease.should_resign(renewed_at, read_at, own_read_at)
         ]
         if not held:
             return
@@ -307,6 +313,7 @@
             outcomes=[],
             configuration=configuration.version if configuration else 0,
             store_age=self._find_store_age(),
+            read_age=min(self._clock() - self._store_read_at(), AGE_UNKNOWN),
             daemons=1,
         )
         if self.leads:
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -60,6 +60,7 @@
     fullness: Fullness = EMPTY
     uses: dict[tuple[EndpointId, WeightsKey], int] = field(default_factory=dict)
     store_answered_at: Seconds = float("-inf")
+    store_read_at: Seconds = float("-inf")
     told_configuration: int = 0
     told_configuration_at: Seconds = float("-inf")
 
@@ -113,6 +114,11 @@
         times = (peer.store_answered_at for peer in self._peers)
         return max(times, default=float("-inf"))
 
+    def find_store_read_at(self) -> Seconds:
+        """Return when another daemon last read the store, as far as is known."""
+        times = (peer.store_read_at for peer in self._peers)
+        return max(times, default=float("-inf"))
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -144,6 +150,8 @@
         uses = [decode_use(each) for each in report.uses or ()]
         peer.uses = {(endpoint, key): count for endpoint, key, count in uses}
         peer.store_answered_at = self._clock() - report.store_age
+        if report.read_age is not None:
+            peer.store_read_at = self._clock() - report.read_age
         self._take_report(report)
         if differs_notably(before, peer.fullness):
             self.note_counts(peer)
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -72,7 +72,8 @@
 }
 
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
-// store_age tells how long ago the store answered a renewal, seconds.
+// store_age tells how long ago the store answered a renewal, read_age how long ago it
+// told this daemon itself of endpoints, seconds.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -86,6 +87,7 @@
   10: i32 daemons,
   11: list<OutcomeRow> outcomes,
   12: map<string, i32> unread,
+  13: double read_age,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -237,9 +237,20 @@
         """Return when the store last answered a renewal."""
         return self._renewed_at
 
-    def should_resign(self, others_answered_at: Seconds) -> bool:
-        """Tell whether the store answered others, but not this holder for long."""
-        return self.leads and others_answered_at - self._renewed_at > RESIGN_AFTER
+    def should_resign(
+        self,
+        others_renewed_at: Seconds,
+        others_read_at: Seconds = float("-inf"),
+        own_read_at: Seconds = float("-inf"),
+    ) -> bool:
+        """Tell whether the store answered others, but not this holder for long.
+
+        Renewals are compared with renewals, and reads with reads: where the store only
+        reads for anybody, nobody could take the lease over.
+        """
+        own_at = max(self._renewed_at, own_read_at)
+        renewed = others_renewed_at - self._renewed_at > RESIGN_AFTER
+        return self.leads and (renewed or others_read_at - own_at > RESIGN_AFTER)
 
     def resign(self) -> int:
         """Give no more orders under this number, for the store is out of reach."""
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -303,6 +303,15 @@
     assert time.process_time() - before < 0.5
 
 
+def test_when_followers_read_the_store_is_known_to_their_leader() -> None:
+    rig = FeedRig()
+    rig.clock.now = 50.0
+    report = IDL.Report(vm="other", store_age=60.0, read_age=0.3)
+    rig.feed._note_report(rig.peer, report)
+    assert rig.feed.find_store_read_at() == pytest.approx(49.7)
+    assert rig.feed.find_store_answered_at() == pytest.approx(-10.0)
+
+
 def test_a_follower_that_becomes_a_leader_is_not_told_that_others_are_gone() -> None:
     # quiet-1 of dala-points: a new leader forgot all plain endpoints elsewhere.
     rig = FeedRig()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -11,6 +11,7 @@
 from kestreltally.placing.lease import (
     ORDER_TRANSIT,
     READ_EVERY,
+    RESIGN_AFTER,
     TAKE_AFTER,
     TAKE_JITTER,
     VALIDITY,
@@ -216,6 +217,24 @@
         await asyncio.sleep(1.0)
 
 
+async def test_a_blind_holder_resigns_though_all_other_holders_are_blind() -> None:
+    # scale-2 of the grown dala-points: all three leaders were cut from the store, and
+    # knew of its answers from each other only, while their followers read it.
+    store = FakeStore()
+    first = make_contender(store, "a")
+    first.start()
+    await wait_until_ordering(first, 1.0)
+    first.view.down = True
+    own_read_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(RESIGN_AFTER + 0.5)
+    now = asyncio.get_running_loop().time()
+    assert first.lease.should_resign(own_read_at, others_read_at=now)
+    # With own reads that are answered the store only takes no writes.
+    assert not first.lease.should_resign(
+        own_read_at, others_read_at=now, own_read_at=now
+    )
+
+
 async def test_a_daemon_restarted_on_its_vm_need_not_wait() -> None:
     store = FakeStore()
     former = make_contender(store, "a", "boot-1")
