--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -221,6 +221,9 @@
                 took=now - call.began,
                 waited=call.progress.waited,
                 first=first - call.began if first is not None else None,
+                errors=tuple(
+                    each.predicted - each.actual for each in call.progress.predictions
+                ),
             )
         )
 
--- a/src/kestreltally/fleet_metrics.py
+++ b/src/kestreltally/fleet_metrics.py
@@ -35,7 +35,8 @@
     """How a request ended: ``outcome`` is done, refused, broken_off or abandoned.
 
     ``first`` is the time to the first byte of the endpoint's answer, ``waited`` that
-    for weights to come.
+    for weights to come; ``errors`` tell by how much times to the first event were
+    predicted too long (above zero) or too short, once a send that was answered.
     """
 
     service: str
@@ -45,6 +46,7 @@
     took: Seconds
     waited: Seconds
     first: Seconds | None
+    errors: tuple[Seconds, ...] = ()
 
 
 class FleetMetrics:
@@ -68,6 +70,13 @@
         self._took = self._make_histogram("request", "its first byte to its end")
         self._first = self._make_histogram("first_byte", "it to an answer's first byte")
         self._waited = self._make_histogram("weights_wait", "waiting for weights")
+        self._errors = Histogram(
+            "kestreltally_first_event_error_seconds",
+            "Seconds by which the time to the first event was predicted amiss, by kind "
+            "and by whether it was predicted too long or too short.",
+            buckets=LATENCY_BUCKETS,
+            registry=own,
+        )
 
     def _make_histogram(self, name: str, text: str) -> Histogram:
         return Histogram(
@@ -91,6 +100,9 @@
         self._took.observe(labels, end.took)
         if end.first is not None:
             self._first.observe(labels, end.first)
+        for error in end.errors:
+            amiss = "too_long" if error > 0 else "too_short"
+            self._errors.observe({**labels, "amiss": amiss}, abs(error))
         if end.waited:
             self._waited.observe(labels, end.waited)
 
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -143,6 +143,11 @@
         """Tell whether the engine holds a base model."""
         return WeightsKey(model) in self.weights
 
+    @property
+    def has_any_model(self) -> bool:
+        """Tell whether the engine holds some base model."""
+        return any(not key.adapter for key in self.weights)
+
     def make_row(self) -> Endpoint:
         """Return the engine as the other daemons should see it.
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -271,7 +271,7 @@
             if not book.busy and self._needs_report(book, now):
                 self._loader.start(book, self._loader.read(book))
         books = [b for b in books if self._find_lease(b.endpoint).may_order()]
-        open_books = [b for b in books if self._is_open(b, now)]
+        open_books = [b for b in books if self._is_open(b, now) and b.has_any_model]
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
         part = len(self._led) / len(self._leases)
         ceiling.refill(part * spec.loads_per_second, now)
@@ -313,7 +313,7 @@
         """Have engines without any base model load one; return the others."""
         ready = []
         for book in books:
-            if any(not key.adapter for key in book.weights):
+            if book.has_any_model:
                 ready.append(book)
             elif not book.incoming and spec.models and ceiling.available:
                 model = self._choose_model(books, spec)
