Bring adapters for requests that wait, not for those that were sent back

Hypothesis: an adapter brought for a request that was sent back takes a place and a load before anybody uses it; the request that comes back is late by then and can wait for it.

--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -168,7 +168,7 @@
     for each in wanted:
         if sum(each.holders.values()) + sum(each.coming.values()):
             continue
-        if each.waiting or each.missed >= 0.05:
+        if each.waiting:
             busiest = max(each.rates, key=lambda dc: each.rates[dc], default=None)
             yield _Want(
                 each.key,
