Let daemons that lead nobody rest, and sum counts in one pass

Counts are summed in one pass, by a leader 25 times a second at the most. Changes of weights are gathered up to 50 ms where many follow (25 followers), not 20 ms.

--- a/src/kestreltally/entry/fullness.py
+++ b/src/kestreltally/entry/fullness.py
@@ -1,7 +1,6 @@
 """How full endpoints are: requests under way, and prompts still to be read."""
 
-from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -19,12 +18,15 @@
     under_way: Mapping[EndpointId, int]
     unread: Mapping[EndpointId, int]
 
-    def plus(self, other: "Fullness") -> "Fullness":
-        """Return the counts of both together."""
-        return Fullness(
-            under_way=_add(self.under_way, other.under_way),
-            unread=_add(self.unread, other.unread),
-        )
+    @classmethod
+    def total(cls, parts: "Iterable[Fullness]") -> "Fullness":
+        """Return the counts of all parts together."""
+        under_way: dict[EndpointId, int] = {}
+        unread: dict[EndpointId, int] = {}
+        for part in parts:
+            _add(under_way, part.under_way)
+            _add(unread, part.unread)
+        return cls(under_way, unread)
 
     def minus(self, other: "Fullness") -> "Fullness":
         """Return these counts without others, which may be of another moment."""
@@ -37,16 +39,13 @@
 EMPTY: Final = Fullness({}, {})
 
 
-def _add(
-    some: Mapping[EndpointId, int], more: Mapping[EndpointId, int]
-) -> Mapping[EndpointId, int]:
-    if not more:
-        return some
-    return Counter(some) + Counter(more)
+def _add(total: dict[EndpointId, int], more: Mapping[EndpointId, int]) -> None:
+    for endpoint, count in more.items():
+        total[endpoint] = total.get(endpoint, 0) + count
 
 
 def _subtract(
     some: Mapping[EndpointId, int], less: Mapping[EndpointId, int]
 ) -> Mapping[EndpointId, int]:
-    # A counter's difference drops what is not above zero.
-    return Counter(some) - Counter(less)
+    left = ((endpoint, n - less.get(endpoint, 0)) for endpoint, n in some.items())
+    return {endpoint: count for endpoint, count in left if count > 0}
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -28,7 +28,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import NOTABLE_TOKENS, FeedServer, Peer
+from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer, Peer
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
 from kestreltally.knowledge.frames import IDL
@@ -112,6 +112,7 @@
         self.leader: Leader | None = None
         self._reported = EMPTY
         self._heard_at = clock()
+        self._summed_at: Seconds = float("-inf")
         self._resigned: tuple[LedDataCentre, ...] = ()
         # What leaders tell of each other, by data centre.
         self._told_leaders: dict[str, KnownLeader] = {}
@@ -534,6 +535,7 @@
         """Take in how full all is, as a leader."""
         if self.leader is None:
             return
+        self._summed_at = self._clock()
         total = self.feed.sum_fullness()
         self.leader.fullness = total
         self._relay.finder.others = total.minus(
@@ -544,7 +546,8 @@
         """Hand on that a daemon's endpoints have notably more or less to read."""
         if not self.leads:
             return
-        self._sum_counts()
+        if self._clock() - self._summed_at >= COUNTS_GAP:
+            self._sum_counts()
         self.feed.hurry_counts()
         if not peer.leads:
             self._hurry_leaders()
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -27,8 +27,11 @@
 
 # Followers hold a feed that is silent for three of these as lost.
 UPDATE_EVERY: Final[Seconds] = 0.2
-# Changes within this time go out together: a tenth of what a load takes.
+# Changes within this time go out together: a tenth of what a load takes, and with many
+# followers, each of whom wakes for every update, up to a fifth.
 GATHER: Final[Seconds] = 0.02
+GATHER_MOST: Final[Seconds] = 0.05
+GATHER_PER_FOLLOWER: Final[Seconds] = 0.002
 # Counts that have changed notably go out between the regular updates, not more often
 # than this: a long prompt is read for some 0.25 s.
 COUNTS_GAP: Final[Seconds] = 0.04
@@ -162,7 +165,7 @@
             try:
                 async with asyncio.timeout(self._find_next_update()):
                     await self._wake.wait()
-                await asyncio.sleep(GATHER)
+                await asyncio.sleep(self._find_gather_time())
             except TimeoutError:
                 pass
             self._wake.clear()
@@ -171,6 +174,11 @@
             else:
                 self._counts_at = self._clock()
 
+    def _find_gather_time(self) -> Seconds:
+        """Return how long changes are gathered."""
+        scaled = GATHER_PER_FOLLOWER * len(self.list_followers())
+        return min(GATHER_MOST, max(GATHER, scaled))
+
     def _find_counts_gap(self) -> Seconds:
         """Return how long counts are not sent again."""
         if not self._counts_changed:
@@ -259,11 +267,13 @@
 
     def sum_group(self) -> Fullness:
         """Return what this daemon and its followers have under way."""
-        return _sum(self.measure_own(), self.list_followers())
+        followers = (peer.fullness for peer in self.list_followers())
+        return Fullness.total((self.measure_own(), *followers))
 
     def sum_fullness(self) -> Fullness:
         """Return what all daemons have under way."""
-        return _sum(self.sum_group(), self.list_leaders())
+        peers = (peer.fullness for peer in self._peers if peer.vm)
+        return Fullness.total((self.measure_own(), *peers))
 
 
 def differs_notably(before: Fullness, after: Fullness) -> bool:
@@ -272,10 +282,3 @@
         abs(before.unread.get(name, 0) - after.unread.get(name, 0)) >= NOTABLE_TOKENS
         for name in before.unread.keys() | after.unread.keys()
     )
-
-
-def _sum(own: Fullness, peers: Iterable[Peer]) -> Fullness:
-    total = own
-    for peer in peers:
-        total = total.plus(peer.fullness)
-    return total
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -41,6 +41,8 @@
 LOG = logging.getLogger("kestreltally.leader")
 
 TICK: Final[Seconds] = 0.04
+# A daemon that leads nobody looks this often whether it does.
+IDLE_TICK: Final[Seconds] = 0.1
 # New demand is looked at at once, but not more often than this.
 TICK_LEAST: Final[Seconds] = 0.01
 # Four adapters may be on their way to one engine at once; over all engines more
@@ -210,6 +212,11 @@
     async def run(self) -> None:
         """Plan for ever, while a lease is held."""
         while True:
+            if not any(lease.leads for lease in self._leases.values()):
+                self._led = set()
+                self.books.clear()
+                await asyncio.sleep(IDLE_TICK)
+                continue
             await self._wait_for_demand()
             self._follow_leases()
             if self._led:
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -29,6 +29,9 @@
 
 RENEW_EVERY: Final[Seconds] = 1.0
 RENEW_RETRY: Final[Seconds] = 0.2
+# A lease that is not held is looked at this often for whether it is now: its taking is
+# a renewal, and the next one is due a second later.
+IDLE_EVERY: Final[Seconds] = 0.5
 # Outlasts the store's usual outages (3 to 5 s were played), in which nobody could take
 # over. A holder that is lost costs its successor as much longer a wait, but other data
 # centres' leaders bring adapters meanwhile, and a restart on the same VM need not wait.
@@ -167,7 +170,7 @@
         """Renew the lease for ever, while it is held."""
         while True:
             if not self.leads:
-                await asyncio.sleep(RENEW_RETRY)
+                await asyncio.sleep(IDLE_EVERY)
                 continue
             try:
                 await self._renew()
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -131,6 +131,7 @@
     timeout: float = 2.0,
     resumable: bool = False,
     objective: float = 0.2,
+    patience: float = 0.0,
 ) -> Route:
     return Route(
         name=prefix,
@@ -143,6 +144,7 @@
         attempts=attempts,
         priority=2,
         resumable=resumable,
+        patience=patience,
     )
 
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,102 @@
+"""Nobody in time is sent back, and nobody is held who is known to be lost."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from kestreltally.entry.finder import EndpointFinder
+from kestreltally.entry.health import HealthTable
+from kestreltally.entry.progress import Progress
+from kestreltally.entry.request import ClientRequest, Refused
+from kestreltally.fleet.model import RequestKind, ServiceSpec
+from kestreltally.fleet.tables import Fleet
+from kestreltally.platform.documents import decode_configuration
+from kestreltally.platform.headers import RequestHead
+from tests.entryrig import KEY, MODELS, make_route
+from tests.test_knowledge import CONFIGURATION
+
+ARRIVED = 100.0
+OBJECTIVE = 0.8
+PATIENCE = 3.2
+TIMEOUT = 5.0
+# Beliefs of a daemon that has seen nothing yet: estimates/pace.py.
+BASE, PACE = 0.02, 1 / 40_000
+
+
+def make_request(prompt_tokens: int) -> ClientRequest:
+    route = make_route(
+        RequestKind.STREAM,
+        service=MODELS,
+        objective=OBJECTIVE,
+        timeout=TIMEOUT,
+        patience=PATIENCE,
+    )
+    return ClientRequest(
+        method="POST",
+        path="/r/x",
+        headers=(),
+        body=b"",
+        head=RequestHead("q", None, KEY, prompt_tokens, 50, (), resumes=False),
+        route=route,
+        service=ServiceSpec(MODELS, "/health", 100, None),
+        arrived=ARRIVED,
+        ends=ARRIVED + TIMEOUT,
+    )
+
+
+def is_refused(
+    prompt_tokens: int, load_wait: float, passed: float, waited: float
+) -> bool:
+    finder = EndpointFinder("north", Fleet(), HealthTable())
+    finder.load_wait = load_wait
+    progress = Progress(waited=waited)
+    request = make_request(prompt_tokens)
+    try:
+        finder._check_wait(request, progress, KEY, ARRIVED + passed)
+    except Refused as refused:
+        assert refused.status == 503
+        assert refused.retry_after is not None and refused.retry_after > 0
+        return True
+    return False
+
+
+PROMPTS = st.integers(0, 100_000)
+WAITS = st.floats(0.0, 6.0)
+
+
+@given(PROMPTS, WAITS, WAITS, st.booleans())
+def test_what_is_predicted_in_time_is_never_sent_back(
+    prompt_tokens: int, load_wait: float, passed: float, has_waited: bool
+) -> None:
+    first = passed + load_wait + BASE + PACE * prompt_tokens
+    if first <= OBJECTIVE - 1e-6:
+        assert not is_refused(prompt_tokens, load_wait, passed, passed * has_waited)
+
+
+@given(PROMPTS, WAITS, WAITS, st.booleans())
+def test_what_its_client_will_not_wait_for_is_never_held(
+    prompt_tokens: int, load_wait: float, passed: float, has_waited: bool
+) -> None:
+    first = passed + load_wait + BASE + PACE * prompt_tokens
+    if first > PATIENCE + 1e-6:
+        assert is_refused(prompt_tokens, load_wait, passed, passed * has_waited)
+
+
+@pytest.mark.parametrize(
+    ("load_wait", "waited", "refused"),
+    [(0.3, 0.0, False), (1.5, 0.0, True), (1.5, 0.2, False), (0.45, 0.0, False)],
+)
+def test_a_new_request_is_sent_back_where_waiting_makes_it_late(
+    load_wait: float, waited: float, refused: bool
+) -> None:
+    assert is_refused(9_000, load_wait, waited, waited) is refused
+
+
+def test_how_long_clients_wait_is_read_from_the_route() -> None:
+    route = decode_configuration(CONFIGURATION).routes[0]
+    assert route.patience == pytest.approx(2.4)
+    with_pauses = {
+        **CONFIGURATION,
+        "Routes": [{**CONFIGURATION["Routes"][0], "GapTargetMs": 400}],  # type: ignore[dict-item]
+    }
+    assert decode_configuration(with_pauses).routes[0].patience == pytest.approx(3.2)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -39,7 +39,7 @@
     one, two = EndpointId("e1"), EndpointId("e2")
     some = Fullness({one: 2}, {one: 900})
     more = Fullness({one: 1, two: 4}, {})
-    total = some.plus(more)
+    total = Fullness.total([some, more])
     assert total == Fullness({one: 3, two: 4}, {one: 900})
     assert total.minus(some) == more
     assert EMPTY.minus(some) == EMPTY
