--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -22,7 +22,7 @@
 VICTIM_FACTOR: Final = 1.5
 # An adapter stays this long at least: until those that wait for it have begun to use
 # it, and the leader has heard so, which takes some 0.1 s.
-STAY_LEAST: Final[Seconds] = 0.4
+STAY_LEAST: Final[Seconds] = 1.0
 # What one request costs less when it is served in its own data centre, in parts of a
 # request: the price of its bytes between data centres.
 NEAR_GAIN: Final = 0.12
