--- a/src/kestreltally/entry/demand.py
+++ b/src/kestreltally/entry/demand.py
@@ -11,8 +11,8 @@
     """The requests for some weights since the last report.
 
     ``waiting`` counts those that wait for the weights to come now, ``timely`` those of
-    them that can still be answered within their objective; ``prompt_tokens`` and
-    ``output_tokens`` are those of all that wait. ``missed`` were refused.
+    them that can still be answered within their objective; ``prompt_tokens`` are those
+    of all that wait. ``missed`` were refused.
     """
 
     service: ServiceName
@@ -22,7 +22,6 @@
     missed: int
     timely: int = 0
     prompt_tokens: int = 0
-    output_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +30,6 @@
 
     timely_until: Seconds
     prompt_tokens: int
-    output_tokens: int
 
 
 class DemandCounter:
@@ -104,5 +102,4 @@
             missed=self._missed.get((service, key), 0),
             timely=sum(1 for each in waiters if now <= each.timely_until),
             prompt_tokens=sum(each.prompt_tokens for each in waiters),
-            output_tokens=sum(each.output_tokens for each in waiters),
         )
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -112,7 +112,6 @@
         return Waiter(
             timely_until=request.arrived + request.route.objective - reading,
             prompt_tokens=request.head.prompt_tokens,
-            output_tokens=request.head.output_tokens,
         )
 
     def _check_wait(
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -29,7 +29,6 @@
   6: i32 missed,
   7: i32 timely,
   8: i32 prompt_tokens,
-  9: i32 output_tokens,
 }
 
 // Weights on an engine: how many requests use them there, or that it refused one.
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -64,7 +64,6 @@
         missed=demand.missed,
         timely=demand.timely,
         prompt_tokens=demand.prompt_tokens,
-        output_tokens=demand.output_tokens,
     )
 
 
@@ -78,7 +77,6 @@
         missed=row.missed,
         timely=row.timely or 0,
         prompt_tokens=row.prompt_tokens or 0,
-        output_tokens=row.output_tokens or 0,
     )
 
 
--- a/src/kestreltally/placing/demand.py
+++ b/src/kestreltally/placing/demand.py
@@ -33,7 +33,6 @@
     count: int = 0
     timely: int = 0
     prompt_tokens: int = 0
-    output_tokens: int = 0
 
 
 NOTHING_WAITS: Final = WaitingTotal()
@@ -88,7 +87,6 @@
             count=sum(each.waiting for each in told),
             timely=sum(each.timely for each in told),
             prompt_tokens=sum(each.prompt_tokens for each in told),
-            output_tokens=sum(each.output_tokens for each in told),
         )
 
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -11,7 +11,6 @@
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.fullness import EMPTY
 from kestreltally.estimates.pace import PaceTable
-from kestreltally.estimates.reading import ReadingShares
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -100,7 +99,6 @@
         self.places = 0
         self.uses: dict[str, dict[tuple[EndpointId, WeightsKey], int]] = {}
         self.soundness = SoundnessTable()
-        self.reading = ReadingShares()
         self.paces = PaceTable()
 
     @property
@@ -138,7 +136,6 @@
         """Forget an endpoint that is gone."""
         self.books.pop(endpoint, None)
         self.soundness.forget(endpoint)
-        self.reading.forget(endpoint)
 
     def take_demand(
         self, vm: str, data_centre: str, told: Iterable[WeightsDemand]
@@ -242,8 +239,6 @@
         self.room = 0
         self.places = 0
         self._spare_unsound(now)
-        for name in self.books:
-            self.reading.note(name, self.fullness.unread.get(name, 0) > 0, now)
         self.handover.renew(self._led, now)
         for service in configuration.services.values():
             if service.engine is not None:
@@ -436,8 +431,6 @@
                     rates=dict(row.rates),
                     waiting=waiting.count,
                     timely=waiting.timely,
-                    prompt_tokens=waiting.prompt_tokens,
-                    output_tokens=waiting.output_tokens,
                     missed=row.missed,
                     holders=holders.get(key, {}),
                     coming=coming.get(key, {}),
@@ -487,7 +480,6 @@
             batch=spec.batch,
             pace=self.paces.find_pace(book.endpoint.id),
             load_time=self._loader.load_time,
-            reading=self.reading.find(book.endpoint.id),
         )
 
     def _count_coming(
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -36,13 +36,6 @@
 CROWDED_WORTH: Final = 2.0
 # An adapter asked for less often than this is not what crowds its engines.
 CROWDED_RATE: Final = 0.5
-# What a place of an engine is worth, in seconds of waiting for each second it is held:
-# long prompts read beside streams make these hold their places longer.
-PLACE_PRICE: Final = 0.1
-# While an engine reads a prompt, a token of a stream takes some six times as long.
-READING_DRAG: Final = 0.8
-# A token of a stream takes so long while nothing is read.
-TOKEN_TIME: Final[Seconds] = 0.0055
 # A load from an engine's own copy costs no load from the weight store, whose price is
 # some third of a request.
 WARM_GAIN: Final[Seconds] = 0.5
@@ -71,7 +64,6 @@
 
     ``unread`` are the tokens that it has yet to read, also for the adapters on their
     way; ``pace`` is the time that one takes, ``load_time`` that of a load.
-    ``reading`` is the part of its time that it spent reading of late.
     """
 
     id: EndpointId
@@ -84,15 +76,13 @@
     unread: int = 0
     pace: Seconds = 0.0
     load_time: Seconds = 0.25
-    reading: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Wanted:
     """An adapter that is asked for.
 
-    Of the requests ``waiting``, ``timely`` can still be in time; their tokens are
-    ``prompt_tokens`` and ``output_tokens``.
+    Of the requests ``waiting``, ``timely`` can still be in time.
     ``holders`` and ``coming`` count engines by data centre; ``crowded`` tells that the
     batches of all holders are full. ``batch`` is that of one engine.
     """
@@ -106,8 +96,6 @@
     batch: int = 32
     crowded: bool = False
     timely: int = 0
-    prompt_tokens: int = 0
-    output_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,8 +148,6 @@
     data_centre: str | None
     score: float
     is_copy: bool
-    prompt_tokens: int = 0
-    output_tokens: int = 0
 
 
 def _list_missing(wanted: Sequence[Wanted]) -> Iterator[_Want]:
@@ -175,8 +161,6 @@
                 busiest,
                 score_missing(each),
                 is_copy=False,
-                prompt_tokens=each.prompt_tokens,
-                output_tokens=each.output_tokens,
             )
 
 
@@ -229,21 +213,14 @@
 
 
 def predict_delay(engine: EngineView, want: _Want) -> Seconds:
-    """Return how late requests would begin on an engine, and what they hold up there.
-
-    What is held up is told as seconds of waiting, too.
-    """
-    backlog = max(0.0, engine.pace * engine.unread - engine.load_time)
-    held_up = engine.running * engine.pace * want.prompt_tokens
-    stretch = 1.0 / (1.0 - READING_DRAG * engine.reading)
-    stream = want.output_tokens * TOKEN_TIME * stretch
-    cost = backlog + PLACE_PRICE * (held_up + stream)
-    cost += BATCH_TIME * engine.running / max(1, engine.batch)
+    """Return how late requests would begin on an engine, after the adapter's load."""
+    delay = max(0.0, engine.pace * engine.unread - engine.load_time)
+    delay += BATCH_TIME * engine.running / max(1, engine.batch)
     if engine.data_centre != want.data_centre:
-        cost += FAR_TIME
+        delay += FAR_TIME
     if want.key in engine.warm:
-        cost -= WARM_GAIN
-    return cost
+        delay -= WARM_GAIN
+    return delay
 
 
 def _choose_engine(
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -16,7 +16,6 @@
 _MODEL: Final = "X-Model-Name"
 _TOKENS: Final = "X-Token-Counts"
 _PREFIX: Final = "X-Prompt-Prefix"
-_LENGTH_HINT: Final = "X-Length-Hint"
 _EXPECT_INSTANCE: Final = "X-Expect-Instance"
 _EXPECT_VERSION: Final = "X-Expect-Version"
 _PRIORITY: Final = "X-Request-Priority"
@@ -49,10 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """What a request's headers say; ``deadline`` is how long the client waits.
-
-    ``output_tokens`` is the client's guess of what comes out, or else the most.
-    """
+    """What a request's headers say; ``deadline`` is how long the client waits."""
 
     id: str
     deadline: Seconds | None
@@ -67,9 +63,6 @@
     """Read a request's headers; raises ``ValueError`` naming the bad one."""
     deadline = headers.get(_DEADLINE)
     prompt, output = _read_tokens(headers.get(_TOKENS))
-    hint = headers.get(_LENGTH_HINT, "")
-    if hint.isdigit():
-        output = int(hint)
     return RequestHead(
         id=read_request_id(headers),
         deadline=_read_number(_DEADLINE, deadline) / MILLISECONDS if deadline else None,
--- a/tests/test_estimates.py
+++ b/tests/test_estimates.py
@@ -12,7 +12,6 @@
     PaceTable,
     Reading,
 )
-from kestreltally.estimates.reading import ReadingShares
 from kestreltally.fleet.model import EndpointId
 
 FAST, SLOW = EndpointId("fast"), EndpointId("slow")
@@ -107,14 +106,3 @@
     health.begin(FAST, 1.0, LONG, reads_in=0.2, reads_for=0.3)
     assert health.measure(now).unread[FAST] == pytest.approx(left, abs=1)
     assert health.measure_one(FAST, now)[1] == pytest.approx(left, abs=1)
-
-
-def test_the_part_of_its_time_that_an_engine_reads_fades() -> None:
-    shares = ReadingShares()
-    for tick in range(100):
-        shares.note(FAST, reads=tick % 2 == 0, now=tick / 10)
-    assert shares.find(FAST) == pytest.approx(0.5, abs=0.1)
-    shares.note(FAST, reads=False, now=10.0)
-    shares.note(FAST, reads=False, now=20.0)
-    assert shares.find(FAST) < 0.05
-    assert shares.find(SLOW) == 0.0
