Hold the ports that tests have picked until servers listen there

Cause: test_the_store_may_go_away_and_come_back failed once beside load, as the daemon's create_server found its port taken (OSError at Surface.listen). A port was picked by binding any free one and letting it go; until the daemon listened, the kernel could give it to any connection that was opened meanwhile. Change: a socket stays bound to each picked port, with addresses to be used again, and does not listen. The kernel then gives the port to nobody, and a server of ours can still listen there. Ruled out: binding another port on refusal, which a daemon with addresses in its settings cannot do. Shown by: tests/test_ports.py; tests/test_entry.py and tests/test_fleet_daemon.py pass.

--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -1,7 +1,6 @@
 """An entry before scripted endpoints on loopback, and raw clients of it."""
 
 import asyncio
-import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -28,6 +27,7 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.platform.headers import RequestHead
+from tests.ports import reserve_port
 
 BOUNDS = Bounds(
     drain=2.0,
@@ -256,13 +256,6 @@
         body += content[:-2]
 
 
-def find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 @asynccontextmanager
 async def run_entry(
     endpoints: list[ScriptedEndpoint], *routes: Route
@@ -278,7 +271,7 @@
     pool = ChannelPool()
     relay = Relay("north", fleet, pool, HealthTable(), RetryBudget(BOUNDS))
     surface = EntrySurface(fleet, relay)
-    front, ready = find_port(), find_port()
+    front, ready = reserve_port(), reserve_port()
     await surface.start(Listening("127.0.0.1", front), Listening("127.0.0.1", ready))
     try:
         yield EntryRig(fleet, relay, surface, front)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -15,13 +15,13 @@
     EntryRig,
     ScriptedEndpoint,
     SeenRequest,
-    find_port,
     make_answer,
     make_configuration,
     make_route,
     mark_version,
     run_entry,
 )
+from tests.ports import reserve_port
 
 UNSAFE = RequestKind.UNSAFE
 STREAM = RequestKind.STREAM
@@ -440,7 +440,7 @@
 async def test_weights_on_an_engine_out_of_reach_are_sought_elsewhere() -> None:
     engine = make_engine("e1", make_streamer(1, 2, whole=True), "north")
     async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
-        gone = replace(engine.make_row(), id=EndpointId("gone"), port=find_port())
+        gone = replace(engine.make_row(), id=EndpointId("gone"), port=reserve_port())
         rig.fleet.drop_endpoint(engine.make_row().id)
         rig.fleet.put_endpoint(gone)
         rig.relay.finder.load_wait = 0.3
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -15,7 +15,8 @@
 from kestreltally.logs import LineWriter
 from standins.platform_engine import PlatformEngine, make_engine_app
 from standins.platform_store import PlatformStore, make_store_app
-from tests.entryrig import BOUNDS, Reply, find_port, read_reply
+from tests.entryrig import BOUNDS, Reply, read_reply
+from tests.ports import reserve_port
 
 DATA_CENTRES = ("north", "south")
 MODEL = "base"
@@ -84,7 +85,7 @@
 
     def __init__(self) -> None:
         self.store = PlatformStore({})
-        self.store_port = find_port()
+        self.store_port = reserve_port()
         self.engines: list[PlatformEngine] = []
         self.daemons: dict[str, FleetDaemon] = {}
         self.fronts: dict[str, int] = {}
@@ -98,7 +99,7 @@
         return runner
 
     async def add_endpoint(self, zone: str, model: str = "") -> PlatformEngine:
-        port = find_port()
+        port = reserve_port()
         engine = PlatformEngine(
             store=f"http://127.0.0.1:{self.store_port}",
             service="models" if model else "plain",
@@ -111,15 +112,15 @@
         return engine
 
     async def add_daemon(self, vm: str, data_centre: str) -> FleetDaemon:
-        front = find_port()
+        front = reserve_port()
         deployment = Deployment(
             vm=vm,
             data_centre=data_centre,
             data_centres=DATA_CENTRES,
             clients=Listening("127.0.0.1", front),
-            readiness=Listening("127.0.0.1", find_port()),
-            peers=Listening("127.0.0.1", find_port()),
-            metrics_port=find_port(),
+            readiness=Listening("127.0.0.1", reserve_port()),
+            peers=Listening("127.0.0.1", reserve_port()),
+            metrics_port=reserve_port(),
             store=Listening("127.0.0.1", self.store_port),
             strength=Strength(cores=1.0, link_mbps=1000.0),
             bounds=BOUNDS,
@@ -263,7 +264,7 @@
         follower = await rig.add_daemon("north-2", "north")
         await asyncio.sleep(0.8)
         leader = rig.daemons["north-1"]
-        leader._store._base = f"http://127.0.0.1:{find_port()}/objects"
+        leader._store._base = f"http://127.0.0.1:{reserve_port()}/objects"
         await asyncio.sleep(2.5)
         calls = follower._store.calls
         await asyncio.sleep(1.0)
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,27 @@
+"""Ports picked for servers before these listen."""
+
+import asyncio
+import socket
+
+import pytest
+
+from tests.ports import reserve_port
+
+
+def test_a_reserved_port_is_given_to_nobody_else() -> None:
+    port = reserve_port()
+    with socket.socket() as other, pytest.raises(OSError):
+        other.bind(("127.0.0.1", port))
+
+
+def test_a_server_listens_at_a_reserved_port_again_and_again() -> None:
+    async def listen(port: int) -> None:
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", port)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.close()
+        server.close()
+        await server.wait_closed()
+
+    port = reserve_port()
+    asyncio.run(listen(port))
+    asyncio.run(listen(port))
