Resign only after a renewal failed that others' answers came before

Cause: a holder resigned when others had been answered 4.5 s after itself. When the store comes back after 8 s that is true of everyone whose turn has not come: leaders of two data centres of five resigned 0.06 and 0.12 s after another's first renewal, and their engines had no orders until a successor's wait was over. Change: a renewal sent after that answer was known must have failed too. So that this still ends before the validity, the first condition is 3.5 s, not 4.5. Ruled out: a longer wait alone, which an outage of that length more would meet again. Tests: the store's return with calls that the outage swallowed, in twelve phases (failed before); the two tests of a blind holder now ask each 0.1 s as the daemon does, with the same bounds on when it resigns.

--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -52,9 +52,12 @@
 LEADER_MBPS: Final = 20.0
 WEAK_PATIENCE: Final[Seconds] = 0.8
 # A holder resigns when another daemon had an answer of the store so long after its own
-# last one: then it alone is cut off, and its validity is about to end. Its word lets a
-# successor begin its wait at once.
-RESIGN_AFTER: Final[Seconds] = 4.5
+# last one, and a renewal sent since has failed too: then it alone is cut off. Its word
+# lets a successor begin its wait at once. With one more renewal tried it resigns
+# some 1.5 s before its validity ends. Without that, two of five holders resigned
+# as a store came back that had been away from all for 8 s: their engines got no
+# orders for 1.7 s and more.
+RESIGN_AFTER: Final[Seconds] = 3.5
 RESIGNED_FOR: Final[Seconds] = 3.0
 # How often a daemon without a leader looks, and how many of such looks a second are
 # enough for all daemons of a data centre together: the first one to see a free lease
@@ -133,6 +136,10 @@
         self._valid_until: Seconds = float("-inf")
         self._orders_from: Seconds = float("inf")
         self._renewed_at: Seconds = float("-inf")
+        # When the last renewal that failed was sent, and since when others have had
+        # answers that this holder has not.
+        self._failed_sent_at: Seconds = float("-inf")
+        self._behind_since: Seconds | None = None
         self._not_before: Seconds = float("-inf")
         self._resigned: dict[int, Seconds] = {}
         self.leads = False
@@ -172,9 +179,11 @@
             if not self.leads:
                 await asyncio.sleep(IDLE_EVERY)
                 continue
+            sent_at = self._clock()
             try:
                 await self._renew()
             except StoreError as error:
+                self._failed_sent_at = sent_at
                 log_decision(
                     LOG,
                     Decision.LEASE_NOT_RENEWED,
@@ -249,11 +258,19 @@
         """Tell whether the store answered others, but not this holder for long.
 
         Renewals are compared with renewals, and reads with reads: where the store only
-        reads for anybody, nobody could take the lease over.
+        reads for anybody, nobody could take the lease over. To be asked every moment: a
+        renewal counts as failed in vain if it was sent after the others' answer was
+        first known.
         """
         own_at = max(self._renewed_at, own_read_at)
         renewed = others_renewed_at - self._renewed_at > RESIGN_AFTER
-        return self.leads and (renewed or others_read_at - own_at > RESIGN_AFTER)
+        behind = self.leads and (renewed or others_read_at - own_at > RESIGN_AFTER)
+        if not behind:
+            self._behind_since = None
+            return False
+        if self._behind_since is None:
+            self._behind_since = self._clock()
+        return self._failed_sent_at >= self._behind_since
 
     def resign(self) -> int:
         """Give no more orders under this number, for the store is out of reach."""
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -11,7 +11,6 @@
 from kestreltally.placing.lease import (
     ORDER_TRANSIT,
     READ_EVERY,
-    RESIGN_AFTER,
     TAKE_AFTER,
     TAKE_JITTER,
     VALIDITY,
@@ -49,8 +48,9 @@
         self.latency = 0.004
 
     async def _cross(self) -> None:
+        swallowed = self.down
         await asyncio.sleep(self.latency)
-        if self.down:
+        if self.down or swallowed:
             raise StoreError("down")
 
     async def list_objects(self, kind: str) -> Listing:
@@ -184,6 +184,23 @@
     assert APART <= took < APART + ORDER_TRANSIT + 1.0
 
 
+async def wait_until_resigning(
+    holder: Contender, others_renewed_at: float | None = None
+) -> float:
+    """Ask as a daemon does until the holder is to resign; return how long it took.
+
+    Others read the store all the while, and renew unless it is told when they last did.
+    """
+    clock = asyncio.get_running_loop().time
+    began = clock()
+    while clock() - began < 20.0:
+        renewed_at = clock() if others_renewed_at is None else others_renewed_at
+        if holder.lease.should_resign(renewed_at, others_read_at=clock()):
+            return clock() - began
+        await asyncio.sleep(0.1)
+    raise AssertionError("never resigned")
+
+
 async def test_a_resigned_number_may_be_followed_without_its_validity() -> None:
     store = FakeStore()
     former, successor = make_contender(store, "a"), make_contender(store, "b")
@@ -191,9 +208,7 @@
     await wait_until_ordering(former, 1.0)
     successor.start()
     former.view.down = True
-    await asyncio.sleep(VALIDITY - 0.5)
-    now = asyncio.get_running_loop().time()
-    assert former.lease.should_resign(now)
+    assert await wait_until_resigning(former) < VALIDITY - 0.5
     successor.lease.note_resigned(former.lease.resign())
     assert not former.lease.may_order()
     took = await wait_until_ordering(successor, 15.0)
@@ -217,6 +232,27 @@
         await asyncio.sleep(1.0)
 
 
+async def test_no_holder_resigns_as_the_store_returns_to_all() -> None:
+    # The store was away for 8 s. When it was back another's renewal came first, and
+    # two of five holders gave up before they had tried their own again.
+    store = FakeStore()
+    first = make_contender(store, "a")
+    first.start()
+    await wait_until_ordering(first, 1.0)
+    clock = asyncio.get_running_loop().time
+    for phase in range(12):
+        others_answered_at = clock()
+        first.view.latency = 0.6
+        first.view.down = True
+        await asyncio.sleep(8.0 + 0.07 * phase)
+        first.view.down = False
+        first.view.latency = 0.004
+        for _ in range(20):
+            assert not first.lease.should_resign(others_answered_at), phase
+            await asyncio.sleep(0.1)
+            others_answered_at = clock()
+
+
 async def test_a_blind_holder_resigns_though_all_other_holders_are_blind() -> None:
     # scale-2 of the grown dala-points: all three leaders were cut from the store, and
     # knew of its answers from each other only, while their followers read it.
@@ -226,9 +262,9 @@
     await wait_until_ordering(first, 1.0)
     first.view.down = True
     own_read_at = asyncio.get_running_loop().time()
-    await asyncio.sleep(RESIGN_AFTER + 0.5)
+    took = await wait_until_resigning(first, others_renewed_at=own_read_at)
+    assert took < VALIDITY - 1.0
     now = asyncio.get_running_loop().time()
-    assert first.lease.should_resign(own_read_at, others_read_at=now)
     # With own reads that are answered the store only takes no writes.
     assert not first.lease.should_resign(
         own_read_at, others_read_at=now, own_read_at=now
