Let the first leader tell everything at the very first start

Cause: at a first start each daemon listed configuration, endpoints and versions and watched all three until a leader was heard. Change: a daemon that is started with all others for the first time leaves the store alone for 2.5 s but for looking who leads; the leader's first update is whole. Ruled out: the same at later starts, where clients wait for it. Test: eight daemons started together; the six that follow never read endpoints and make at most eight calls (failed before).

--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -45,7 +45,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Who this daemon is, where it listens, and where the store is."""
+    """Who this daemon is, where it listens, and where the store is.
+
+    ``first_start`` tells that all daemons of the deployment start together, for the
+    first time: nothing leads yet, and no client is there.
+    """
 
     vm: str
     data_centre: str
@@ -57,3 +61,4 @@
     store: Listening
     strength: Strength
     bounds: Bounds
+    first_start: bool = False
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -72,6 +72,9 @@
 VERSIONS_GAP: Final[Seconds] = 0.1
 CONFIGURATION_GAP: Final[Seconds] = 0.1
 OTHERS_WAIT: Final[Seconds] = 3.0
+# At the very first start of all daemons the first leader is there within some 1.5 s,
+# and tells everything; until then the others need not read the store themselves.
+FIRST_LEADER_WITHIN: Final[Seconds] = 2.5
 # The balancer asks each second and takes a daemon out after two misses.
 STOP_LEAST: Final[Seconds] = 3.2
 # What is left of the grace time when the last requests are cut.
@@ -142,6 +145,7 @@
             OTHERS_WAIT,
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._began = self._clock()
 
     def _make_leases(self) -> dict[str, Lease]:
         own = self._deployment
@@ -254,7 +258,8 @@
         A daemon that leads nobody tries one kind only while the store does not answer.
         """
         leads = self._exchange.leads
-        needed = leads or not self._exchange.is_fed()
+        fed = self._exchange.is_fed() or self._awaits_first_leader()
+        needed = leads or not fed
         if needed and not self._endpoints_watch.on:
             self._endpoints.adopt(self._fleet.endpoints.values())
         self._endpoints_watch.switch(needed)
@@ -262,6 +267,11 @@
         self._configuration_watch.switch(others)
         self._versions_watch.switch(others)
 
+    def _awaits_first_leader(self) -> bool:
+        """Tell whether all daemons have just been started and one will lead soon."""
+        passed = self._clock() - self._began
+        return self._deployment.first_start and passed < FIRST_LEADER_WITHIN
+
     def _count_watchers(self) -> int:
         """Return how many daemons ask the store again when it does not answer."""
         return 1 if self._exchange.leads else self._relay.budget.daemons
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -52,6 +52,7 @@
         store=read_address(content["Platform"]["Address"]),
         strength=_decode_strength(content["Limits"]),
         bounds=_decode_bounds(content["Bounds"]),
+        first_start=bool(content.get("FirstStart")),
     )
 
 
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -111,7 +111,9 @@
         self.engines.append(engine)
         return engine
 
-    async def add_daemon(self, vm: str, data_centre: str) -> FleetDaemon:
+    async def add_daemon(
+        self, vm: str, data_centre: str, *, first_start: bool = False
+    ) -> FleetDaemon:
         front = reserve_port()
         deployment = Deployment(
             vm=vm,
@@ -124,6 +126,7 @@
             store=Listening("127.0.0.1", self.store_port),
             strength=Strength(cores=1.0, link_mbps=1000.0),
             bounds=BOUNDS,
+            first_start=first_start,
         )
         daemon = FleetDaemon(deployment, LineWriter(io.StringIO(), vm))
         await daemon.start()
@@ -203,6 +206,29 @@
         assert all(len(holders) == 1 for holders in orders)
 
 
+async def test_at_the_first_start_only_leaders_read_the_store() -> None:
+    # 195 daemons made some 2,000 calls of the store before the first client came.
+    rig = FleetRig()
+    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.store.put("config", "main", make_configuration(1, "/a/"))
+    try:
+        for zone in DATA_CENTRES:
+            await rig.add_endpoint(zone)
+            for number in range(1, 5):
+                await rig.add_daemon(f"{zone}-{number}", zone, first_start=True)
+        await asyncio.sleep(3.5)
+        followers = [each for each in rig.daemons.values() if not each._exchange.leads]
+        assert len(followers) == 6
+        for follower in followers:
+            assert follower._endpoints_watch.answered_at == float("-inf")
+            # What it looks at is who leads.
+            assert follower._store.calls <= 8
+        for vm in rig.daemons:
+            assert (await rig.ask(vm, "/a/x")).status == 200
+    finally:
+        await rig.close()
+
+
 async def test_a_newer_configuration_and_version_are_soon_in_force() -> None:
     async with run_fleet() as rig:
         await rig.store.put("config", "main", make_configuration(4, "/b/"))
