--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from hypothesis import given, strategies
+from hypothesis import given, settings, strategies
 
 from kestreltally.fleet.copies import DEPTH_FIRST, ROWS_MOST, CopyTable
 from kestreltally.fleet.model import EndpointId, WeightsKey
@@ -65,6 +65,7 @@
     assert table.measure_age(FIRST, make_key(ROWS_MOST)) == 9
 
 
+@settings(derandomize=True, deadline=None)
 @given(strategies.lists(strategies.integers(0, 9), max_size=60))
 def test_the_age_counts_the_drops_since(drops: list[int]) -> None:
     table = CopyTable()
