Take what planning looks at out of the leader, and view only what may be loaded

Change: PlanningRound (placing/views.py) lists and views; the leader orders. No decision differs: what is left out met no condition of the planner. Shown by: tests/test_leader.py, test_copies.py, test_handover.py.

--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import logging
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
@@ -23,21 +21,20 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.books import EngineBook
 from kestreltally.placing.ceiling import LoadCeiling
-from kestreltally.placing.demand import DemandTable, WeightsRow
+from kestreltally.placing.demand import DemandTable
 from kestreltally.placing.handover import Handover
 from kestreltally.placing.lease import Lease
 from kestreltally.placing.loads import Loader
 from kestreltally.placing.orders import REPORT_LAG, EngineCaller
 from kestreltally.placing.planner import (
-    COPY_RATE,
     PLANNERS,
     EngineView,
-    HeldAdapter,
     Wanted,
     count_room,
     score_missing,
 )
 from kestreltally.placing.soundness import SPARED_PART, SoundnessTable
+from kestreltally.placing.views import PlanningRound
 
 LOG = logging.getLogger("kestreltally.leader")
 
@@ -376,17 +373,29 @@
         able: list[EngineBook],
         now: Seconds,
     ) -> None:
-        wanted = self._list_wanted(service, spec, now)
-        in_use = self.list_uses()
+        known = PlanningRound(
+            service=service,
+            spec=spec,
+            now=now,
+            fleet=self._fleet,
+            demand=self.demand,
+            fullness=self.fullness,
+            paces=self.paces,
+            uses=self.list_uses(),
+            load_time=self._loader.load_time,
+        )
+        wanted = known.list_wanted(
+            lambda key: key in self._loader.placing
+            or self.handover.is_handed((service, key))
+        )
+        copies = known.find_copies(wanted)
         names = {book.endpoint.id for book in able}
-        roomy = {b.endpoint.id for b in able if len(b.incoming) < INCOMING_COLD}
-        copies = self._find_copies(wanted)
         views = [
-            replace(
-                self._view(service, book, spec, in_use, now),
-                warm=frozenset(copies.get(book.endpoint.id, ())),
+            known.view_engine(
+                book,
+                frozenset(copies.get(book.endpoint.id, ())),
                 able=book.endpoint.id in names,
-                able_cold=book.endpoint.id in roomy,
+                able_cold=len(book.incoming) < INCOMING_COLD,
             )
             for book in open_books
         ]
@@ -395,15 +404,6 @@
             self._loader.start(book, self._loader.place(book, placement))
         self._pass_on(service, views, wanted, now)
 
-    def _find_copies(self, wanted: list[Wanted]) -> dict[EndpointId, set[WeightsKey]]:
-        """Return of which adapters that may be loaded each engine keeps a copy."""
-        copies: dict[EndpointId, set[WeightsKey]] = defaultdict(set)
-        for each in wanted:
-            if each.waiting or sum(each.rates.values()) > COPY_RATE:
-                for endpoint in self._fleet.copies.list_engines(each.key):
-                    copies[endpoint].add(each.key)
-        return copies
-
     def _pass_on(
         self,
         service: ServiceName,
@@ -424,91 +424,6 @@
         self.places += room
         self.room += max(0, room - len(missing))
 
-    def _list_wanted(
-        self, service: ServiceName, spec: EngineSpec, now: Seconds
-    ) -> list[Wanted]:
-        """Return the adapters asked for, and where they stand in the whole fleet."""
-        holders: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
-        coming: dict[WeightsKey, dict[str, int]] = defaultdict(dict)
-        roomy: set[WeightsKey] = set()
-        for endpoint in self._fleet.list_service(service):
-            where = endpoint.data_centre
-            has_room = self.fullness.under_way.get(endpoint.id, 0) < spec.batch
-            for key in endpoint.weights:
-                holders[key][where] = holders[key].get(where, 0) + 1
-                if has_room:
-                    roomy.add(key)
-            for key in endpoint.loading:
-                coming[key][where] = coming[key].get(where, 0) + 1
-        wanted = []
-        for (asked, key), row in self.demand.rows.items():
-            if asked != service or not key.adapter or key in self._loader.placing:
-                continue
-            if self.handover.is_handed((service, key)):
-                continue
-            waiting = row.sum_waiting(now)
-            wanted.append(
-                Wanted(
-                    key=key,
-                    rates=dict(row.rates),
-                    waiting=waiting.count,
-                    timely=waiting.timely,
-                    missed=row.missed,
-                    holders=holders.get(key, {}),
-                    coming=coming.get(key, {}),
-                    batch=spec.batch,
-                    crowded=key in holders and key not in roomy,
-                    waited=now - row.waiting_since,
-                )
-            )
-        return wanted
-
-    def _view(
-        self,
-        service: ServiceName,
-        book: EngineBook,
-        spec: EngineSpec,
-        in_use: set[tuple[EndpointId, WeightsKey]],
-        now: Seconds,
-    ) -> EngineView:
-        where = book.endpoint.data_centre
-        nobody = WeightsRow(at=now)
-        held = []
-        for key in book.weights:
-            if not key.adapter or key in book.leaving or key in book.incoming:
-                continue
-            row = self.demand.rows.get((service, key), nobody)
-            held.append(
-                HeldAdapter(
-                    key=key,
-                    since=book.held_since.get(key, 0.0),
-                    rate=row.rate(),
-                    near=row.rates.get(where, 0.0),
-                    holders=len(self._fleet.list_holders(service, key, now)),
-                    in_use=(book.endpoint.id, key) in in_use,
-                )
-            )
-        return EngineView(
-            id=book.endpoint.id,
-            data_centre=where,
-            free=book.count_free(spec),
-            held=tuple(held),
-            warm=frozenset(),
-            running=self.fullness.under_way.get(book.endpoint.id, 0),
-            unread=self.fullness.unread.get(book.endpoint.id, 0)
-            + self._count_coming(service, book, now),
-            batch=spec.batch,
-            pace=self.paces.find_pace(book.endpoint.id),
-            load_time=self._loader.load_time,
-        )
-
-    def _count_coming(
-        self, service: ServiceName, book: EngineBook, now: Seconds
-    ) -> int:
-        """Return the prompt tokens that wait for what is on its way to an engine."""
-        rows = (self.demand.rows.get((service, key)) for key in book.incoming)
-        return sum(row.sum_waiting(now).prompt_tokens for row in rows if row)
-
 
 def make_waiting(service: ServiceName, key: WeightsKey, count: int) -> WeightsDemand:
     """Return the demand of requests that wait, for another leader."""
