--- a/src/kestreltally/placing/views.py
+++ b/src/kestreltally/placing/views.py
@@ -67,7 +67,8 @@
     def list_wanted(self, is_seen_to: Callable[[WeightsKey], bool]) -> list[Wanted]:
         """Return the adapters that may be loaded: waited for, or asked for often.
 
-        What is being seen to already is left out. The others change no plan, and are most of those asked for lately.
+        What is being seen to already is left out. The others change no plan, and are
+        most of those asked for lately.
         """
         standing = self._find_standing()
         wanted = []
