--- a/src/kestreltally/placing/handover.py
+++ b/src/kestreltally/placing/handover.py
@@ -85,8 +85,10 @@
         able = [name for name in places if self.can_hand(name)]
         if before in able:
             return before
+        if len(able) < 2:
+            return able[0] if able else None
         rooms = self.find_rooms()
-        return max(able, key=lambda name: (rooms.get(name, 0), name), default=None)
+        return max(able, key=lambda name: (rooms.get(name, 0), name))
 
     def pass_on(self, crowded_out: Iterable[Asked], led: set[str], now: Seconds) -> int:
         """Ask leaders with room for what has no place here; return for how many."""
