--- a/src/kestreltally/callers/__init__.py
+++ b/src/kestreltally/callers/__init__.py
@@ -1,1 +1,1 @@
-"""callers of kestreltally; see docs/DESIGN.md."""
+"""The callers' HTTP interface of the product's own way."""
--- a/src/kestreltally/cli/__init__.py
+++ b/src/kestreltally/cli/__init__.py
@@ -1,1 +1,1 @@
-"""cli of kestreltally; see docs/DESIGN.md."""
+"""The operators' command line."""
--- a/src/kestreltally/endpoints/__init__.py
+++ b/src/kestreltally/endpoints/__init__.py
@@ -1,1 +1,1 @@
-"""endpoints of kestreltally; see docs/DESIGN.md."""
+"""Engines and plain services of the product's own way, over HTTP."""
--- a/src/kestreltally/entities/__init__.py
+++ b/src/kestreltally/entities/__init__.py
@@ -1,1 +1,1 @@
-"""entities of kestreltally; see docs/DESIGN.md."""
+"""Rows of the tables of the product's own way."""
--- a/src/kestreltally/operators/__init__.py
+++ b/src/kestreltally/operators/__init__.py
@@ -1,1 +1,1 @@
-"""operators of kestreltally; see docs/DESIGN.md."""
+"""What operators read and change, and their language."""
--- a/src/kestreltally/peers/__init__.py
+++ b/src/kestreltally/peers/__init__.py
@@ -1,1 +1,1 @@
-"""peers of kestreltally; see docs/DESIGN.md."""
+"""Messages between daemons of the product's own way, by thrift."""
--- a/src/kestreltally/policies/__init__.py
+++ b/src/kestreltally/policies/__init__.py
@@ -1,1 +1,1 @@
-"""policies of kestreltally; see docs/DESIGN.md."""
+"""Placement policies of the product's own way, in a registry."""
--- a/src/kestreltally/requests/__init__.py
+++ b/src/kestreltally/requests/__init__.py
@@ -1,1 +1,1 @@
-"""requests of kestreltally; see docs/DESIGN.md."""
+"""Requests of the product's own way, from admission to the end of the answer."""
--- a/src/kestreltally/systems/__init__.py
+++ b/src/kestreltally/systems/__init__.py
@@ -1,1 +1,1 @@
-"""systems of kestreltally; see docs/DESIGN.md."""
+"""Systems of the product's own way: decisions over a daemon's tables, each tick."""
--- a/src/kestreltally/timeline/__init__.py
+++ b/src/kestreltally/timeline/__init__.py
@@ -1,1 +1,1 @@
-"""timeline of kestreltally; see docs/DESIGN.md."""
+"""What daemons decided: events, their merge, and explanations from logs."""
