--- a/src/kestreltally/fleet/copies.py
+++ b/src/kestreltally/fleet/copies.py
@@ -20,7 +20,7 @@
 # load is slow on one engine as on another.
 DEPTH_STEP: Final = 0.2
 DEPTH_RISE: Final = 0.25
-# Adapters remembered at the most, some 300 bytes each: 37 engines keep copies of 2,000,
+# Adapters remembered at the most, 440 bytes each: 37 engines keep copies of some 2,000,
 # and a daemon's memory must not grow with the fleet.
 ROWS_MOST: Final = 8_192
 
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -42,7 +42,7 @@
 # An engine with a copy that is just given another order is free for the next after some
 # 10 to 100 ms; a load from the store takes longer. Until then the adapter is held back,
 # as long as such a load takes: of 349 adapters that came from the store though an own
-# engine kept a copy, 244 had found that engine so (dala-points, scale-2).
+# engine kept a copy, 245 had found that engine so (dala-points, scale-2).
 BUSY_TIME: Final[Seconds] = 0.1
 HOLD_FOR: Final[Seconds] = 0.25
 # What makes way will be asked for again: a load for each request a second.
