Let each run of the suite claim its own ports for the fault soak's daemons

Cause: two runs at once on one machine failed both plans of tests/test_faultsoak.py ("vm-0 ended: 3", cannot listen; "s0 ran 2 times"): the daemons count ports up from one fixed base. Holding single ports had mended the same race for the other tests only. Change: a run claims a block by a socket bound to the port before it, which another run finds taken. The plans, daemons and checks are as they were.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -2,6 +2,11 @@
 
 import socket
 
+# Below the range that the kernel hands out, and above the fixed ports of the demos and
+# the soaks. A block is larger than what the daemons of one short soak use.
+BLOCKS_FROM = 27_000
+BLOCKS_UNTIL = 32_000
+BLOCK_PORTS = 49
 _HELD: list[socket.socket] = []
 
 
@@ -18,3 +23,21 @@
     _HELD.append(held)
     port: int = held.getsockname()[1]
     return port
+
+
+def claim_ports() -> int:
+    """Return the first of ``BLOCK_PORTS`` in a row that no other run of tests is given.
+
+    For processes that count their ports up. A socket bound to the port before the first
+    keeps the block until this process ends: another run finds that port taken.
+    """
+    for keeper in range(BLOCKS_FROM, BLOCKS_UNTIL, 1 + BLOCK_PORTS):
+        held = socket.socket()
+        try:
+            held.bind(("127.0.0.1", keeper))
+        except OSError:
+            held.close()
+            continue
+        _HELD.append(held)
+        return keeper + 1
+    raise AssertionError("all blocks of ports are taken")
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -8,10 +8,9 @@
 from bench.faultsoak.proxy import ProxyMode
 from bench.faultsoak.run import PERFORMERS, run_plan
 from bench.faultsoak.system import SoakSystem
+from tests.ports import claim_ports
 
 DAEMONS = 3
-# Below the range of ports that the kernel hands out, and the other runs' ports.
-BASE_PORT = 24_500
 
 
 def make_step(at: float, lasts: float, action: Action, target: int = 0) -> Step:
@@ -43,14 +42,14 @@
     name: str, tmp_path: Path
 ) -> None:
     witness = await run_plan(
-        SoakSystem(tmp_path, BASE_PORT), REGRESSIONS[name], DAEMONS
+        SoakSystem(tmp_path, claim_ports()), REGRESSIONS[name], DAEMONS
     )
     assert witness.problems == []
 
 
 async def test_a_short_soak_breaks_no_promise(tmp_path: Path) -> None:
     witness = await run_plan(
-        SoakSystem(tmp_path, BASE_PORT), make_plan(1, 6.0), DAEMONS
+        SoakSystem(tmp_path, claim_ports()), make_plan(1, 6.0), DAEMONS
     )
     assert witness.problems == []
     assert sum(ask.status == 200 for ask in witness.asks) > 50
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.ports import reserve_port
+from tests.ports import BLOCK_PORTS, claim_ports, reserve_port
 
 
 def test_a_reserved_port_is_given_to_nobody_else() -> None:
@@ -25,3 +25,10 @@
     port = reserve_port()
     asyncio.run(listen(port))
     asyncio.run(listen(port))
+
+
+def test_no_two_runs_claim_the_same_ports() -> None:
+    first, second = claim_ports(), claim_ports()
+    assert abs(first - second) > BLOCK_PORTS
+    with socket.socket() as other, pytest.raises(OSError):
+        other.bind(("127.0.0.1", first - 1))
