--- /dev/null
+++ b/tests/leaderrig.py
@@ -0,0 +1,263 @@
+"""A leader of fake engines, and rows for its planner."""
+
+import asyncio
+import json
+from collections import deque
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.upstream import ChannelPool
+from kestreltally.fleet.model import (
+    Configuration,
+    Endpoint,
+    EndpointId,
+    EngineSpec,
+    ModelSpec,
+    ServiceSpec,
+    WeightsKey,
+)
+from kestreltally.fleet.tables import Fleet
+from kestreltally.placing.leader import Leader
+from kestreltally.placing.orders import (
+    CALL_TIMEOUT,
+    EngineCaller,
+    EngineSilent,
+    EngineUnreachable,
+    Grant,
+    NotHolding,
+)
+from kestreltally.placing.planner import EngineView, HeldAdapter, Wanted
+from tests.entryrig import BOUNDS, MODELS, make_configuration
+
+MODEL = "base"
+PLACES = 4
+LOAD_TIME = 0.25
+REPORT_LAG = 0.2
+# An engine keeps a copy of what it dropped last, and loads that quickly again.
+COPIES = 24
+QUICK_LOAD_TIME = 0.025
+
+
+class FakeEngine:
+    """An engine that takes orders as the platform describes them."""
+
+    def __init__(self, name: str, data_centre: str) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.sequence = 0
+        self.held: dict[str, int] = {}
+        self.has_model = True
+        self.incoming: dict[str, float] = {}
+        self.fell = 0
+        self.loads = 0
+        self.quick_loads = 0
+        self.load_time = LOAD_TIME
+        self.copies: deque[str] = deque(maxlen=COPIES)
+        self.history: deque[tuple[float, bytes]] = deque(maxlen=400)
+
+    def settle(self, now: float) -> None:
+        for adapter, ends in list(self.incoming.items()):
+            if now >= ends:
+                del self.incoming[adapter]
+                self.held[adapter] = 1
+
+    def take(self, order: dict[str, Any], now: float) -> int:
+        self.settle(now)
+        if order["ExpectedRevision"] != self.sequence:
+            return 409
+        adapter = order.get("Adapter")
+        if adapter is None:
+            self.has_model = True
+            self.sequence += 1
+            return 200
+        if order["Operation"] == "unload":
+            if adapter not in self.held:
+                return 421
+            del self.held[adapter]
+            self.copies.append(adapter)
+            self.sequence += 1
+            return 200
+        if adapter in self.held:
+            return 200
+        if adapter in self.incoming:
+            return 202
+        self.sequence += 1
+        self.loads += 1
+        quick = adapter in self.copies
+        self.quick_loads += quick
+        self.incoming[adapter] = now + (QUICK_LOAD_TIME if quick else self.load_time)
+        if len(self.held) + len(self.incoming) > PLACES:
+            self.fell += 1
+        return 202
+
+    def note(self, now: float) -> None:
+        self.settle(now)
+        report = {
+            "Models": [
+                {
+                    "Name": MODEL,
+                    "Version": 1,
+                    "Adapters": [f"{name}@{n}" for name, n in self.held.items()],
+                }
+            ],
+            "Incoming": [f"{MODEL}/{name}@1" for name in self.incoming],
+            "BusySlots": False,
+            "Sequence": self.sequence,
+            "RunningCount": 0,
+            "WaitingCount": 0,
+        }
+        if not self.has_model:
+            report["Models"] = []
+        self.history.append((now, json.dumps(report).encode()))
+
+    def read(self, now: float) -> bytes:
+        old = [text for at, text in self.history if at <= now - REPORT_LAG]
+        return old[-1] if old else self.history[0][1]
+
+
+class FakeCaller(EngineCaller):
+    """Calls fake engines instead of the network, and loses what it is told to."""
+
+    def __init__(self, engines: dict[str, FakeEngine], lease: Any, seed: int) -> None:
+        clock = asyncio.get_running_loop().time
+        super().__init__(ChannelPool(), "me", lambda _: lease, clock)
+        self.engines = engines
+        self.random = Random(seed)
+        self.faulty = False
+        self.unreachable: set[str] = set()
+        self.lost_orders = 0
+        self.now = clock
+
+    async def _call(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        body: bytes,
+        grant: Grant | None,
+    ) -> tuple[int, bytes]:
+        engine = self.engines[endpoint.id]
+        await asyncio.sleep(0.001)
+        if endpoint.id in self.unreachable:
+            raise EngineUnreachable("refused")
+        if grant is not None and not grant.holds():
+            raise NotHolding()
+        if method == "GET":
+            return 200, engine.read(self.now())
+        order = json.loads(body)
+        if self.lost_orders:
+            self.lost_orders -= 1
+            await asyncio.sleep(CALL_TIMEOUT)
+            raise EngineSilent("lost")
+        fate = self.random.random() if self.faulty else 1.0
+        if fate < 0.2:
+            asyncio.get_running_loop().call_later(
+                self.random.uniform(2.0, 12.0),
+                lambda: engine.take(order, self.now()),
+            )
+            await asyncio.sleep(0.4)
+            raise EngineSilent("late")
+        status = engine.take(order, self.now())
+        if fate < 0.3:
+            raise EngineSilent("answer lost")
+        return status, b""
+
+
+class LeaderRig:
+    """A leader of two fake engines, and the demand it is told."""
+
+    def __init__(self, seed: int = 1, engines: int = 2) -> None:
+        self.lease: Any = SimpleNamespace(
+            data_centre="north",
+            leads=True,
+            fence=1,
+            may_order=lambda: True,
+            find_order_wait=lambda: 0.0,
+        )
+        names = [f"e{number}" for number in range(1, engines + 1)]
+        self.engines = {name: FakeEngine(name, "north") for name in names}
+        self.fleet = Fleet()
+        self.fleet.take_configuration(make_model_configuration())
+        self.caller = FakeCaller(self.engines, self.lease, seed)
+        self.leader = Leader(
+            self.fleet,
+            {"north": self.lease},
+            lambda _: self.lease,
+            self.caller,
+            BOUNDS,
+            asyncio.get_running_loop().time,
+            self.fleet.put_endpoint,
+        )
+        for engine in self.engines.values():
+            self.fleet.put_endpoint(make_engine_row(engine))
+        self.tasks = [
+            asyncio.create_task(self.leader.run()),
+            asyncio.create_task(self.write_reports()),
+        ]
+
+    async def write_reports(self) -> None:
+        while True:
+            for engine in self.engines.values():
+                engine.note(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.02)
+
+    def ask(self, number: int, waiting: int = 1) -> None:
+        key = WeightsKey(MODEL, f"a{number}")
+        told = WeightsDemand(MODELS, key, arrivals=1, waiting=waiting, missed=0)
+        self.leader.take_demand("vm", "north", [told])
+
+    def list_holders(self, number: int) -> list[str]:
+        return [n for n, each in self.engines.items() if f"a{number}" in each.held]
+
+    def is_held(self, number: int) -> bool:
+        return bool(self.list_holders(number))
+
+    def close(self) -> None:
+        for task in (*self.tasks, *self.leader._loader.tasks):
+            task.cancel()
+
+
+def make_model_configuration() -> Configuration:
+    base = make_configuration(1)
+    model = ModelSpec(MODEL, 90.0, 0.6, 100, 1.0)
+    spec = EngineSpec(4, 100.0, PLACES, 9.0, (model,))
+    service = ServiceSpec(MODELS, "/health", 100, spec)
+    return Configuration(1, (), {MODELS: service}, base.limits)
+
+
+def make_engine_row(engine: FakeEngine) -> Endpoint:
+    held = {WeightsKey(MODEL): 1} if engine.has_model else {}
+    return Endpoint(
+        id=EndpointId(engine.name),
+        service=MODELS,
+        host="127.0.0.1",
+        port=1,
+        data_centre=engine.data_centre,
+        slots=4,
+        leaving=False,
+        weights=held,
+    )
+
+
+def make_view(name: str, data_centre: str, *held: HeldAdapter) -> EngineView:
+    return EngineView(
+        id=EndpointId(name),
+        data_centre=data_centre,
+        free=max(0, 2 - len(held)),
+        held=held,
+        warm=frozenset(),
+        running=0,
+        batch=8,
+    )
+
+
+def make_held(adapter: str, rate: float, *, in_use: bool = False) -> HeldAdapter:
+    key = WeightsKey(MODEL, adapter)
+    return HeldAdapter(key, 0.0, rate, rate, holders=1, in_use=in_use)
+
+
+def make_wanted(adapter: str, waiting: int, rate: float = 0.2) -> Wanted:
+    key = WeightsKey(MODEL, adapter)
+    return Wanted(key, {"north": rate}, waiting, 0.0, holders={}, coming={})
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -14,7 +14,7 @@
     Wanted,
     plan_most_missed_first,
 )
-from tests.test_leader import LOAD_TIME, MODEL, LeaderRig, make_view, make_wanted
+from tests.leaderrig import LOAD_TIME, MODEL, LeaderRig, make_view, make_wanted
 
 FIRST, SECOND = EndpointId("e1"), EndpointId("e2")
 
