Grant no more to who loses the leaders' word again and again; read once more

A daemon whose leader's updates come late lost the word and got a new, full bucket each time. The bucket goes on now (test first: 10 s of an organisation at its limit that is lost each 0.6 s). A request in flight as a configuration ceases to name organisations is not refused any more.

--- a/src/kestreltally/entry/identity.py
+++ b/src/kestreltally/entry/identity.py
@@ -47,7 +47,8 @@
 
     def check_again(self, caller: Caller) -> None:
         """Raise ``Refused`` when a key has been taken away, or may have been."""
-        self._find(caller.digest)
+        if self._fleet.keys is not None:
+            self._find(caller.digest)
 
     def _find(self, digest: KeyDigest) -> Organisation:
         if not self._authority.check():
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -169,7 +169,7 @@
         call = ClientCall(client, asyncio.get_running_loop().time())
         try:
             call.request = await self._read(client)
-            response = await self._serve_granted(call)
+            response = await self._serve_granted(call, call.request)
         except Refused as refused:
             self._log_end(Decision.REQUEST_REFUSED, call, refused)
             response = make_refusal(refused, read_request_id(client.headers))
@@ -185,10 +185,10 @@
             response.force_close()
         return response
 
-    async def _serve_granted(self, call: ClientCall) -> web.StreamResponse:
+    async def _serve_granted(
+        self, call: ClientCall, request: ClientRequest
+    ) -> web.StreamResponse:
         """Serve a request within its organisation's quota; raises ``Refused``."""
-        request = call.request
-        assert request is not None
         self._gate.grant(request)
         try:
             return await self._relay.serve(request, call.client, call.progress)
--- a/src/kestreltally/quotas/limiters.py
+++ b/src/kestreltally/quotas/limiters.py
@@ -184,8 +184,10 @@
         if share.alone_since != self._told_at:
             share.alone_since = self._told_at
             word = self._words.get(name)
-            limited = word.ratio < 1.0 if word is not None else self._told_at == NEVER
-            share.alone = Bucket(now, 1.0 if limited else ALONE_DEPTH * rate)
+            if word is not None and word.ratio < 1.0:
+                # What fills up while words come is not for who is at its limit.
+                share.alone.level = min(share.alone.level, 1.0)
+                share.alone.at = now
         granted = share.alone.take(units, rate, ALONE_DEPTH * rate, now)
         return None if granted else ALONE_WAIT
 
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -210,6 +210,17 @@
     assert not check.is_alone
 
 
+def test_a_configuration_that_names_nobody_any_more_asks_for_no_key() -> None:
+    clock = ManualClock()
+    check, authority = make_check(clock)
+    authority.note(clock.now)
+    caller = check.identify(["key-a"], make_route())
+    assert caller is not None
+    check._fleet.take_configuration(make_configuration(2, make_route()))
+    check.check_again(caller)
+    assert check.identify([], make_route()) is None
+
+
 def test_a_key_named_twice_is_the_first_ones() -> None:
     table = KeyTable([ALPHA, Organisation(OrganisationName("thief"), ("key-a",))])
     assert table.find(digest_key("key-a")) is ALPHA
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -187,6 +187,20 @@
     assert granted <= 0.1 * QUOTA.rate * 10 + 200
 
 
+def test_losing_the_word_again_and_again_grants_no_more() -> None:
+    clock = ManualClock()
+    limiter = LIMITERS[DEFAULT](clock, BOUNDS)
+    limiter.daemons = 10
+    granted = 0
+    for step in range(1_000):
+        clock.now += 0.01
+        if step % 60 == 0:
+            limiter.note_words([Word(NAME, ratio=0.0, asked=10_000.0, wait=1.0)])
+        granted += 100 * (limiter.grant(NAME, QUOTA, 100) is None)
+    # It alone is asked, so its share is the whole: 0.6 of that for ten seconds.
+    assert granted <= 0.6 * QUOTA.rate * 10 + 200
+
+
 def test_a_ratio_treats_large_and_small_requests_alike() -> None:
     random.seed(3)
     clock = ManualClock()
