--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -397,7 +397,9 @@
             b"POST /r/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q\r\n"
             b"X-Model-Name: base/a1\r\nContent-Length: 0\r\n\r\n"
         )
-        await asyncio.sleep(0.1)
+        async with asyncio.timeout(5.0):
+            while not engine.seen:
+                await asyncio.sleep(0.01)
         assert len(engine.seen) == 1
         writer.transport.abort()
         await asyncio.sleep(0.1)
