One wait for an event, one pause before a store is asked again, one clock in tests

Read once more: what stood twice has one place now, behaviour as before. - Waiting for an event at the most so long stood in the feed (twice), the feed's client and the leader: events.wait_at_most. - The pause before a silent store is asked again, with its constants, stood in watching and authority: pauses.draw_pause; how seldom at the most stays with each (3 s and 2 s). - The name of a request's organisation, its quota, and a daemon's part of a rate were worked out in two places each. - A comment in leader.py contradicted the one below it; an enum stood among constants.

--- a/src/kestreltally/entry/gate.py
+++ b/src/kestreltally/entry/gate.py
@@ -6,6 +6,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.identity import IdentityCheck
 from kestreltally.entry.request import ClientRequest, Refused
+from kestreltally.fleet.model import Quota
 from kestreltally.quotas.limiters import Limiter
 
 LOG = logging.getLogger("kestreltally.gate")
@@ -22,27 +23,30 @@
 
     def grant(self, request: ClientRequest) -> None:
         """Count a request against its quota; raises ``Refused`` beyond it."""
-        organisation = request.organisation
-        if organisation is None or organisation.quota is None:
+        name, quota = request.organisation_name, _find_quota(request)
+        if name is None or quota is None:
             return
-        units = organisation.quota.measure(request.head.tokens)
-        wait = self._limiter.grant(organisation.name, organisation.quota, units)
+        units = quota.measure(request.head.tokens)
+        wait = self._limiter.grant(name, quota, units)
         if wait is None:
             return
         log_decision(
             LOG,
             Decision.QUOTA_USED_UP,
             request=request.head.id,
-            organisation=organisation.name,
+            organisation=name,
             units=units,
             wait=round(wait, 3),
         )
-        raise Refused(TOO_MANY, f"the quota of {organisation.name} is used up", wait)
+        raise Refused(TOO_MANY, f"the quota of {name} is used up", wait)
 
     def give_back(self, request: ClientRequest) -> None:
         """Take back what was counted for a request that has not run."""
-        organisation = request.organisation
-        if organisation is None or organisation.quota is None:
-            return
-        units = organisation.quota.measure(request.head.tokens)
-        self._limiter.give_back(organisation.name, units)
+        name, quota = request.organisation_name, _find_quota(request)
+        if name is not None and quota is not None:
+            self._limiter.give_back(name, quota.measure(request.head.tokens))
+
+
+def _find_quota(request: ClientRequest) -> Quota | None:
+    organisation = request.organisation
+    return organisation.quota if organisation is not None else None
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -382,9 +382,7 @@
                 instance=endpoint.id,
                 priority=urgency if is_engine else None,
                 version=self._find_version(request, endpoint),
-                organisation=(
-                    request.organisation.name if request.organisation else None
-                ),
+                organisation=request.organisation_name,
             )
         )
         if request.body or request.method in BODY_METHODS:
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -9,6 +9,7 @@
 
 from kestreltally.fleet.model import (
     Organisation,
+    OrganisationName,
     Route,
     Seconds,
     ServiceName,
@@ -84,6 +85,12 @@
         """Return whose request it is, if it needed a key."""
         return self.caller.organisation if self.caller is not None else None
 
+    @property
+    def organisation_name(self) -> OrganisationName | None:
+        """Return the name of the organisation whose request it is, if any."""
+        organisation = self.organisation
+        return organisation.name if organisation is not None else None
+
     @property
     def priority(self) -> int:
         """Return how urgent it is, 0 the most: an organisation's own goes first."""
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -207,13 +207,14 @@
         configuration = self._fleet.configuration
         request = call.request
         weights = request.head.weights if request is not None else None
+        organisation = request.organisation_name if request is not None else None
         first = call.progress.first_byte_at
         log_decision(
             LOG,
             decision,
             request=read_request_id(call.client.headers),
             route=request.route.name if request is not None else None,
-            organisation=_name_organisation(request),
+            organisation=organisation,
             weights=str(weights) if weights is not None else None,
             configuration=configuration.version if configuration else None,
             status=getattr(end, "status", None),
@@ -231,7 +232,7 @@
         self._note_end(
             RequestEnd(
                 service=request.service_name if request is not None else "",
-                organisation=_name_organisation(request) or "",
+                organisation=organisation or "",
                 kind=request.route.kind.value if request is not None else "",
                 outcome=decision.name.lower().removeprefix("request_"),
                 status=str(getattr(end, "status", "")),
@@ -297,8 +298,3 @@
         # Bodies come within some multiple of the time that heads have.
         timeout = 4 * limits.header_timeout
         return await read_body(client, limits.body_bytes, timeout)
-
-
-def _name_organisation(request: ClientRequest | None) -> str | None:
-    organisation = request.organisation if request is not None else None
-    return organisation.name if organisation is not None else None
--- a/src/kestreltally/knowledge/authority.py
+++ b/src/kestreltally/knowledge/authority.py
@@ -14,12 +14,12 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
+from kestreltally.knowledge.pauses import draw_pause
 from kestreltally.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from kestreltally.platform.store import Store, StoredObject, StoreError
 
@@ -36,11 +36,8 @@
 # Leaders read so often: with the feed's 0.4 s a word is some 2 s old at the most, of
 # the 5 s it may be.
 READ_EVERY: Final[Seconds] = 1.5
-RETRY_LEAST: Final[Seconds] = 0.15
-RETRY_MOST: Final[Seconds] = 0.6
-# So many daemons may try again within those times, more of them more seldom, down to
-# RETRY_SELDOM: calls that fail are priced too.
-RETRY_TOGETHER: Final = 8
+# However many daemons read for themselves, each tries again within this time: sooner
+# than watches, for requests with a key are refused meanwhile.
 RETRY_SELDOM: Final[Seconds] = 2.0
 
 
@@ -136,7 +133,7 @@
                 await asyncio.sleep(READ_EVERY)
             except StoreError as error:
                 log_decision(LOG, Decision.CONFIGURATION_NOT_READ, reason=str(error))
-                await asyncio.sleep(self._find_pause())
+                await asyncio.sleep(draw_pause(self._count_readers(), RETRY_SELDOM))
 
     async def read(self) -> None:
         """Read once; raises ``StoreError``."""
@@ -144,8 +141,3 @@
         stored = await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
         if stored is not None and self._take(stored):
             self._authority.note(asked_at)
-
-    def _find_pause(self) -> Seconds:
-        pause = random.uniform(RETRY_LEAST, RETRY_MOST)
-        crowd = max(1.0, self._count_readers() / RETRY_TOGETHER)
-        return min(RETRY_SELDOM, pause * crowd)
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -8,6 +8,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.fullness import EMPTY, Fullness
+from kestreltally.events import wait_at_most
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
 from kestreltally.knowledge.frames import FrameStream, MalformedFrame
 from kestreltally.knowledge.rows import (
@@ -199,26 +200,15 @@
         while True:
             if not self.is_leading():
                 self._counts_at = self._clock()
-                await self._wait_for_wake(IDLE_EVERY)
+                if await wait_at_most(self._wake, IDLE_EVERY):
+                    self._wake.clear()
                 continue
-            try:
-                async with asyncio.timeout(self._find_next_update()):
-                    await self._wake.wait()
+            if await wait_at_most(self._wake, self._find_next_update()):
                 await asyncio.sleep(self._find_gather_time())
-            except TimeoutError:
-                pass
             self._wake.clear()
             if self.is_leading():
                 self.send_all()
 
-    async def _wait_for_wake(self, at_most: Seconds) -> None:
-        try:
-            async with asyncio.timeout(at_most):
-                await self._wake.wait()
-        except TimeoutError:
-            return
-        self._wake.clear()
-
     def _find_gather_time(self) -> Seconds:
         """Return how long changes are gathered."""
         scaled = GATHER_PER_FOLLOWER * len(self.list_followers())
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -7,6 +7,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
+from kestreltally.events import wait_at_most
 from kestreltally.fleet.model import Seconds
 from kestreltally.knowledge.frames import FrameStream, MalformedFrame
 from kestreltally.knowledge.structs import Update
@@ -136,9 +137,5 @@
             self._hurry.clear()
             stream.send(self._make_report(self.data_centre))
             sent_at = self._clock()
-            try:
-                async with asyncio.timeout(REPORT_EVERY):
-                    await self._hurry.wait()
-            except TimeoutError:
-                continue
-            await asyncio.sleep(max(0.0, sent_at + REPORT_GAP - self._clock()))
+            if await wait_at_most(self._hurry, REPORT_EVERY):
+                await asyncio.sleep(max(0.0, sent_at + REPORT_GAP - self._clock()))
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable
 from typing import Final, Protocol
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
+from kestreltally.knowledge.pauses import draw_pause
 from kestreltally.platform.store import (
     Changes,
     HistoryGone,
@@ -18,11 +18,7 @@
 
 LOG = logging.getLogger("kestreltally.knowledge")
 
-RETRY_LEAST: Final[Seconds] = 0.15
-RETRY_MOST: Final[Seconds] = 0.6
-# So many daemons may ask again within those times; more of them ask more seldom, down
-# to RETRY_SELDOM: every call is priced, also one that is refused.
-RETRY_TOGETHER: Final = 8
+# However many daemons ask alike, each asks again within this time.
 RETRY_SELDOM: Final[Seconds] = 3.0
 
 
@@ -105,14 +101,7 @@
                 self._revision = None
             except StoreError as error:
                 self._note_failure(error)
-                await asyncio.sleep(self._find_pause())
-
-    def _find_pause(self) -> Seconds:
-        """Return how long to wait before the store is asked again."""
-        pause = random.uniform(RETRY_LEAST, RETRY_MOST)
-        return min(
-            RETRY_SELDOM, pause * max(1.0, self._count_watchers() / RETRY_TOGETHER)
-        )
+                await asyncio.sleep(draw_pause(self._count_watchers(), RETRY_SELDOM))
 
     async def _step(self) -> None:
         if self._revision is None:
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -10,6 +10,7 @@
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.fullness import EMPTY
 from kestreltally.estimates.pace import PaceTable
+from kestreltally.events import wait_at_most
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -39,7 +40,6 @@
 LOG = logging.getLogger("kestreltally.leader")
 
 TICK: Final[Seconds] = 0.04
-# A daemon that leads nobody looks this often whether it does.
 # Without a lease there is nothing to plan until one begins, which is told.
 IDLE_TICK: Final[Seconds] = 1.0
 # New demand is looked at at once, but not more often than this.
@@ -218,7 +218,8 @@
             if not any(lease.leads for lease in self._leases.values()):
                 self._led = set()
                 self.books.clear()
-                await self._wait_for_wake(IDLE_TICK)
+                await wait_at_most(self._wake, IDLE_TICK)
+                self._wake.clear()
                 continue
             await self._wait_for_demand()
             self._follow_leases()
@@ -228,14 +229,7 @@
     async def _wait_for_demand(self) -> None:
         """Wait for the next tick, or for a request that waits."""
         await asyncio.sleep(TICK_LEAST)
-        await self._wait_for_wake(TICK - TICK_LEAST)
-
-    async def _wait_for_wake(self, at_most: Seconds) -> None:
-        try:
-            async with asyncio.timeout(at_most):
-                await self._wake.wait()
-        except TimeoutError:
-            pass
+        await wait_at_most(self._wake, TICK - TICK_LEAST)
         self._wake.clear()
 
     def _step(self) -> None:
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -44,6 +44,8 @@
 # Loads of this time tell how fast places turn over; of so many at the most.
 TURNOVER_TIME: Final[Seconds] = 2.0
 TURNOVER_ROWS: Final = 256
+# An engine that did not answer an order is left alone this long.
+SILENT_PAUSE: Final[Seconds] = 0.2
 
 
 class LoadOrigin(Enum):
@@ -57,10 +59,6 @@
     COPY_ELSEWHERE = "copy_elsewhere"
 
 
-# An engine that did not answer an order is left alone this long.
-SILENT_PAUSE: Final[Seconds] = 0.2
-
-
 class Loader:
     """Works on engines, each of which takes one piece of work at a time.
 
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -133,8 +133,9 @@
         words = []
         for name, account in self._accounts.items():
             grant = self._grants[name]
-            account.settle(self._find_rate(grant), now)
-            used = account.predict(self._find_rate(grant), now)
+            rate = self._find_rate(grant)
+            account.settle(rate, now)
+            used = account.predict(rate, now)
             if name_all or used > FREE_PART * grant.burst:
                 words.append(self._make_word(name, grant, account, now))
         return words
--- a/src/kestreltally/quotas/limiters.py
+++ b/src/kestreltally/quotas/limiters.py
@@ -178,9 +178,7 @@
         now: Seconds,
     ) -> Seconds | None:
         """Grant this daemon's share, which leaders that miss it take as spent."""
-        equal = 1.0 / max(1, self.daemons)
-        part = share.part if share.part is not None else equal
-        rate = ALONE_PART * part * grant.rate
+        rate = ALONE_PART * self._find_part(share) * grant.rate
         if share.alone_since != self._told_at:
             share.alone_since = self._told_at
             word = self._words.get(name)
@@ -191,6 +189,10 @@
         granted = share.alone.take(units, rate, ALONE_DEPTH * rate, now)
         return None if granted else ALONE_WAIT
 
+    def _find_part(self, share: Share) -> float:
+        """Return this daemon's part of an organisation's requests, or an equal one."""
+        return share.part if share.part is not None else 1.0 / max(1, self.daemons)
+
     def _grants(
         self, grant: Grant, units: int, share: Share, word: Word, now: Seconds
     ) -> bool:
@@ -222,8 +224,7 @@
     def _grants(
         self, grant: Grant, units: int, share: Share, word: Word, now: Seconds
     ) -> bool:
-        part = share.part if share.part is not None else 1.0 / max(1, self.daemons)
-        rate = part * grant.rate
+        rate = self._find_part(share) * grant.rate
         return share.lent.take(units, rate, SHARE_DEPTH * rate, now)
 
 
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -30,6 +30,7 @@
 from kestreltally.platform.documents import MalformedDocument, decode_configuration
 from kestreltally.platform.store import StoredObject, StoreError
 from kestreltally.quotas.spending import Word
+from tests.clocks import ManualClock
 from tests.entryrig import (
     EntryRig,
     ScriptedEndpoint,
@@ -50,14 +51,6 @@
 BOUND = 5.0
 
 
-class ManualClock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
     writer.write(make_answer(seen))
 
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -40,6 +40,7 @@
 from kestreltally.platform.documents import decode_endpoint as decode_entry
 from kestreltally.platform.engines import decode_report
 from kestreltally.platform.store import Change, Changes, Listing, StoredObject
+from tests.clocks import ManualClock
 from tests.entryrig import KEY, MODELS, make_route
 
 ENTRY = {
@@ -140,19 +141,11 @@
     assert table.find("other.example", "/a/") is None
 
 
-class Clock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 class LapseRig:
     """An endpoints' follower whose store was away until ``returned_at``."""
 
     def __init__(self) -> None:
-        self.clock = Clock()
+        self.clock = ManualClock()
         self.returned_at = float("-inf")
         self.known: dict[EndpointId, Endpoint] = {}
         self.follower = EndpointsFollower(
@@ -241,7 +234,7 @@
             each.id: each
             for each in (make_endpoint("n1"), make_endpoint("s1", "south"))
         }
-        self.clock = Clock()
+        self.clock = ManualClock()
         self.version = 0
         self.feed = FeedServer(
             self.make_state, lambda: self.rows, dict, lambda _: None, self.clock
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -11,6 +11,7 @@
 from kestreltally.quotas.ledger import FREE_PART, Ledger
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS, WORD_LIFE, Bucket
 from kestreltally.quotas.spending import Pace, Spending, SpendingCounter, Word
+from tests.clocks import ManualClock
 from tests.quotasim import LOADS, NAME, Load, Simulation
 
 # In 8 s 9,000 units may run: 1,000 a second evenly, and 1,000 at once.
@@ -18,14 +19,6 @@
 QUOTA = Quota(QuotaUnit.TOKENS, rate=1_000.0, burst=1_000.0, plain_tokens=200)
 
 
-class ManualClock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 def make_ledger() -> Ledger:
     ledger = Ledger(BOUNDS)
     ledger.take_organisations([Organisation(NAME, ("k",), None, QUOTA)])
