Show in a failed request's last line what content it had, as a keyed digest

Cause sought: which requests come again under other ids, and whether one content is at each end of an engine. Lines could not tell: ids are new each time. The digest's secret is made by a leader and told with updates, so that lines of two VMs can be compared. No logic changes. Bodies of served requests are not read.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -65,6 +65,7 @@
     read_instance,
     says_not_run,
 )
+from kestreltally.poison.secret import SharedSecret
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -112,6 +113,7 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
+        self.secret = SharedSecret()
         # Called with the tokens of a prompt that an endpoint begins or ends to read.
         self.note_reading: Callable[[int], None] = lambda _: None
         # Called when an adapter on an engine begins or ends to be used from here.
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -37,6 +37,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import RequestEnd
 from kestreltally.platform.headers import decode_request, read_keys, read_request_id
+from kestreltally.poison.fingerprints import make_fingerprint
 
 LOG = logging.getLogger("kestreltally.entry")
 
@@ -217,6 +218,7 @@
             organisation=organisation,
             weights=str(weights) if weights is not None else None,
             configuration=configuration.version if configuration else None,
+            content=self._show_content(decision, call),
             status=getattr(end, "status", None),
             reason=str(end) if isinstance(end, Exception) else None,
             retry_after=getattr(end, "retry_after", None),
@@ -245,6 +247,17 @@
             )
         )
 
+    def _show_content(self, decision: Decision, call: ClientCall) -> str | None:
+        """Return what tells a request again that an endpoint may have failed.
+
+        Others are not digested: a body may be long.
+        """
+        secret = self._relay.secret.value
+        failed = decision is not Decision.REQUEST_DONE and call.progress.runs > 0
+        if call.request is None or not secret or not failed:
+            return None
+        return str(make_fingerprint(call.request, secret))
+
     def _tear(self, client: web.BaseRequest) -> web.StreamResponse:
         """Close a client's channel so that its answer does not look complete.
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -186,6 +186,7 @@
             configuration=self._configuration.encoded,
             room=self.leader.room if self.leader else 0,
             known_at=self._find_known_at(),
+            secret=self._relay.secret.lead() if leads else b"",
         )
 
     def _has_listed(self) -> bool:
@@ -390,6 +391,7 @@
             self._configuration.take_document(json.loads(update.configuration))
         if not update.leads:
             return
+        self._relay.secret.take(update.secret or b"", leads=self.leaders.leads)
         self._take_authority(update)
         self._take_rows(update, {each.data_centre for each in update.leads})
         if not self.leaders.leads and self.leaders.find_primary() == data_centre:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -112,6 +112,7 @@
 // brings on, and so do words, where organisations have quotas. room is how many more
 // adapters the engines led could take. echo is the stamp of a report, and all that the
 // store had acknowledged known_by seconds after its arrival is known to the sender.
+// secret is what the digests of requests are taken under.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -133,4 +134,5 @@
   18: double echo,
   19: double known_by,
   20: list<WordRow> words,
+  21: binary secret,
 }
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -290,6 +290,7 @@
     18: (TType.DOUBLE, "echo", False),
     19: (TType.DOUBLE, "known_by", False),
     20: (TType.LIST, "words", (TType.STRUCT, WordRow), False),
+    21: (TType.BINARY, "secret", False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -312,5 +313,6 @@
     ("echo", None),
     ("known_by", None),
     ("words", None),
+    ("secret", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -62,6 +62,7 @@
     configuration: bytes
     room: int = 0
     known_at: Seconds | None = None
+    secret: bytes = b""
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -137,6 +138,7 @@
         )
         if not state.leads:
             return update, told
+        update.secret = state.secret
         now = self._for_leaders if leads else self._for_followers
         difference = self._find_difference(told, now, leads=leads)
         update.whole = whole
--- /dev/null
+++ b/src/kestreltally/poison/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the engines that run them: known again, counted, and stopped."""
