Count the time of a suspension in the daemons' clock

Cause: all times of a daemon come from its event loop, which reads the steady clock; that stands still while a machine is suspended. After 8 s of it a lease, the word on keys and a request's deadline were believed for as long as before. Change: the loop reads CLOCK_BOOTTIME, at one place for all users. Ruled out: asking the clock at each user (nine places, one forgotten is enough); the time of day, which jumps.

--- a/src/kestreltally/daemon.py
+++ b/src/kestreltally/daemon.py
@@ -17,6 +17,7 @@
 from kestreltally.endpoints.engines import HttpEngineClient
 from kestreltally.endpoints.services import HttpServiceClient
 from kestreltally.entities.ids import DataCentre, Seconds, VmId
+from kestreltally.eventloop import run_with_suspensions
 from kestreltally.invariants import Invariants
 from kestreltally.logs import set_up_logs
 from kestreltally.metrics import Metrics
@@ -252,7 +253,7 @@
         click.echo(f"{path}: the settings are good")
         return
     set_up_logs(settings.logging, settings.vm)
-    sys.exit(asyncio.run(run_daemon(settings)))
+    sys.exit(run_with_suspensions(run_daemon(settings)))
 
 
 if __name__ == "__main__":
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -26,6 +26,7 @@
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.surface import EntrySurface
 from kestreltally.entry.upstream import ChannelPool
+from kestreltally.eventloop import run_with_suspensions
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
@@ -446,6 +447,6 @@
         sys.stderr.write(f"{error}\n")
         sys.exit(EXIT_BAD_SETTINGS)
     lines = set_up_structured_logs(deployment.vm)
-    status = asyncio.run(run_daemon(deployment, lines))
+    status = run_with_suspensions(run_daemon(deployment, lines))
     lines.close()
     sys.exit(status)
--- /dev/null
+++ b/tests/test_suspension.py
@@ -0,0 +1,87 @@
+"""A machine is suspended for seconds: what a daemon believed before is not believed.
+
+The steady clock does not count a suspension. A leader that was suspended for 8 s went
+on giving orders under a lease that another had taken, for as long as was left of it
+before; a key that was taken away meanwhile ran requests for as long.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import pytest
+
+from kestreltally.eventloop import run_with_suspensions
+from kestreltally.knowledge.authority import Authority
+from tests.test_lease import FakeStore, make_contender, wait_until_ordering
+
+SUSPENDED = 8.0
+
+
+@pytest.fixture
+def suspend(monkeypatch: pytest.MonkeyPatch) -> Callable[[], None]:
+    """Return what has the machine suspended, as the system's clocks show it."""
+    real = time.clock_gettime
+    passed = [0.0]
+
+    def read(clock: int) -> float:
+        return real(clock) + (passed[0] if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    def begin() -> None:
+        passed[0] += SUSPENDED
+
+    monkeypatch.setattr(time, "clock_gettime", read)
+    return begin
+
+
+def test_a_lease_is_not_believed_after_a_suspension(
+    suspend: Callable[[], None],
+) -> None:
+    async def play() -> None:
+        holder = make_contender(FakeStore(), "a")
+        holder.start()
+        await wait_until_ordering(holder, 2.0)
+        suspend()
+        assert not holder.lease.may_order()
+        holder.kill()
+
+    run_with_suspensions(play())
+
+
+def test_the_word_on_keys_is_as_old_as_it_is_after_a_suspension(
+    suspend: Callable[[], None],
+) -> None:
+    async def play() -> None:
+        clock = asyncio.get_running_loop().time
+        authority = Authority(5.0, clock)
+        authority.note(clock())
+        assert authority.holds
+        suspend()
+        assert not authority.holds and authority.find_age() >= SUSPENDED
+
+    run_with_suspensions(play())
+
+
+def test_a_request_in_hand_ends_by_its_time_after_a_suspension(
+    suspend: Callable[[], None],
+) -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        began = time.monotonic()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout_at(loop.time() + 5.0):
+                loop.call_later(0.05, suspend)
+                while True:
+                    await asyncio.sleep(0.02)
+        assert time.monotonic() - began < 1.0
+
+    run_with_suspensions(play())
+
+
+def test_daemons_run_on_that_clock() -> None:
+    async def read() -> float:
+        return asyncio.get_running_loop().time() - time.clock_gettime(
+            time.CLOCK_BOOTTIME
+        )
+
+    assert abs(run_with_suspensions(read())) < 0.1
