Stop a request under which three endpoints have ended, at all daemons

Cause: what is remembered of a failure is kept by endpoint; a request that comes again under another id, at another daemon, is new to it, and ends the next engine. Change: package poison/. A daemon keeps its requests by endpoint; where one ends (its address refuses right after requests broke off; its entry goes while it is silent; it was started anew), those without a whole answer are told to all daemons as digests by path, organisation and body. A request at three ends one after another that never ran well in between, and whose ends no other request explains better, is refused at once with 503 and the time for which that holds. A good run, or an operator, clears it. Engines that start again under their id are told by born: rows, books and reports of an earlier life are let go of, and late ones not taken. Ruled out: judging by the leader alone (lost with it: facts are merged by all instead); two ends (a client's one repeat may meet two crashes of another's); an agreed table in the store (a call for each end, and none while it is away); 4xx (it may run later).

--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -211,6 +211,12 @@
             return 0, 0
         return health.in_flight, _count_left(health, now)
 
+    def renew(self, endpoint: EndpointId) -> None:
+        """Start anew with an endpoint that has; its requests under way still end."""
+        health = self._rows.get(endpoint)
+        if health is not None:
+            self._rows[endpoint] = Health(in_flight=health.in_flight)
+
     def forget(self, endpoint: EndpointId) -> None:
         """Drop the row of an endpoint that is gone, once it is idle."""
         health = self._rows.get(endpoint)
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -8,6 +8,7 @@
 from kestreltally.entry.events import EventReader
 from kestreltally.entry.request import Refused
 from kestreltally.fleet.model import EndpointId, Seconds
+from kestreltally.poison.ends import Flight
 
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
@@ -27,7 +28,8 @@
 class Progress:
     """What has become of one request so far.
 
-    ``runs`` counts the sends of which no endpoint has said that they did not run.
+    ``runs`` counts the sends of which no endpoint has said that they did not run;
+    ``flight`` is the last one, as it is watched.
     """
 
     sends: int = 0
@@ -40,6 +42,23 @@
     first_byte_at: Seconds | None = None
     events: EventReader = field(default_factory=EventReader)
     response: web.StreamResponse | None = None
+    flight: Flight | None = None
+
+    def note_answered(self, *, whole: bool) -> None:
+        """Note that some of an answer was good, or all of it."""
+        if self.flight is not None:
+            self.flight.answered = True
+            self.flight.whole = whole
+
+    def note_ended(self) -> None:
+        """Note that the last send's answer is whole, or says that nothing ran."""
+        if self.flight is not None:
+            self.flight.whole = True
+
+    def note_broken(self) -> None:
+        """Note that the channel of the last send broke off."""
+        if self.flight is not None:
+            self.flight.broke = True
 
 
 class MoveOn(Exception):
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -53,6 +53,7 @@
 )
 from kestreltally.fleet.model import (
     Endpoint,
+    EndpointId,
     RequestKind,
     Seconds,
 )
@@ -65,7 +66,7 @@
     read_instance,
     says_not_run,
 )
-from kestreltally.poison.secret import SharedSecret
+from kestreltally.poison.guard import PoisonGuard
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -113,7 +114,8 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
-        self.secret = SharedSecret()
+        self.poison = PoisonGuard(lambda endpoint: health.row(endpoint).heard_at)
+        self.poison.ends.find_staying = self._find_staying
         # Called with the tokens of a prompt that an endpoint begins or ends to read.
         self.note_reading: Callable[[int], None] = lambda _: None
         # Called when an adapter on an engine begins or ends to be used from here.
@@ -121,10 +123,16 @@
         # Raises ``Refused`` when a key has been taken away since its request was read.
         self.check_caller: Callable[[Caller], None] = lambda _: None
 
+    def _find_staying(self, endpoint: EndpointId) -> Endpoint | None:
+        """Return an endpoint that is listed and does not leave."""
+        known = self._fleet.endpoints.get(endpoint)
+        return known if known is not None and not known.leaving else None
+
     async def serve(
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
     ) -> web.StreamResponse:
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
+        self._check_poison(request, progress)
         self.budget.note_request(request.service_name, request.arrived)
         if request.head.weights is not None and request.service.engine is not None:
             self.finder.demand.note_arrival(request.service_name, request.head.weights)
@@ -145,6 +153,7 @@
             option = await self.finder.find(request, progress)
             if request.caller is not None and not progress.runs:
                 self.check_caller(request.caller)
+            self._check_poison(request, progress)
             if progress.sends and not self._may_repeat(request):
                 raise give_up(progress)
             try:
@@ -158,6 +167,19 @@
                     # All have been tried: give them a moment.
                     await asyncio.sleep(TRY_AGAIN_PAUSE)
 
+    def _check_poison(self, request: ClientRequest, progress: Progress) -> None:
+        """End a request under which endpoints have ended.
+
+        It would end the next one as well, with all that others have running there.
+        """
+        block = self.poison.find_block(request)
+        if block is None:
+            return
+        progress.last_fault = f"stopped: {block.ends} endpoints ended under it"
+        if progress.runs or progress.response is not None:
+            raise give_up(progress)
+        raise Refused(UNAVAILABLE, progress.last_fault, block.wait)
+
     def _log_move(
         self,
         request: ClientRequest,
@@ -221,6 +243,7 @@
         try:
             channel = await self._connect(request, endpoint)
             progress.sends += 1
+            progress.flight = self.poison.ends.begin(request, endpoint)
             answer = await self._ask(
                 request, progress, endpoint, channel, token, urgency
             )
@@ -237,13 +260,21 @@
             return response
         except MoveOn as moved:
             keep = not moved.may_have_run
+            if not moved.may_have_run:
+                progress.note_ended()
             raise
         finally:
+            self._end_flight(progress)
             self.health.end(endpoint.id, token)
             self._note_use(request, endpoint, -1)
             if channel is not None:
                 self._pool.release(endpoint.host, endpoint.port, channel, keep=keep)
 
+    def _end_flight(self, progress: Progress) -> None:
+        if progress.flight is not None:
+            self.poison.ends.end(progress.flight)
+            progress.flight = None
+
     def _note_use(self, request: ClientRequest, endpoint: Endpoint, step: int) -> None:
         key = request.head.weights
         if key is None or not key.adapter:
@@ -255,6 +286,8 @@
         try:
             return await self._pool.acquire(endpoint.host, endpoint.port)
         except NotConnected as error:
+            if error.refused:
+                self.poison.ends.note_refused(endpoint)
             self._note_failure(endpoint, str(error))
             self._note_unreachable(request, endpoint)
             raise MoveOn("no connection", may_have_run=False) from error
@@ -291,6 +324,7 @@
                     request, progress, endpoint, token, sending, patience
                 )
         except AnswerLost as error:
+            progress.note_broken()
             self._note_failure(endpoint, str(error))
             raise MoveOn("the answer was lost", may_have_run=True) from error
         if says_not_run(answer.status, answer.headers):
@@ -431,10 +465,12 @@
         try:
             body = await answer.read_whole(WHOLE_LIMIT)
         except AnswerTorn as error:
+            progress.note_broken()
             self._note_failure(endpoint, str(error))
             raise MoveOn("the answer was torn", may_have_run=True) from error
         if body is None:
             return await self._hand_on_long(client, progress, endpoint, answer)
+        progress.note_answered(whole=True)
         self._judge_status(request, progress, endpoint, answer)
         return make_whole_answer(answer, body)
 
@@ -473,8 +509,10 @@
             while not answer.body.at_eof():
                 await response.write(await answer.read_some())
         except AnswerTorn as error:
+            progress.note_broken()
             self._note_failure(endpoint, str(error))
             raise StreamBroken(str(error)) from error
+        progress.note_answered(whole=True)
         self.health.note_success(endpoint.id)
         return response
 
@@ -497,8 +535,11 @@
             if events.has_rest:
                 raise AnswerTorn("ended within an event")
         except (AnswerTorn, EventTooLong, TimeoutError) as error:
+            if isinstance(error, AnswerTorn):
+                progress.note_broken()
             self._note_failure(endpoint, repr(error))
             raise MoveOn("the stream broke off", may_have_run=True) from error
+        progress.note_ended()
         self.health.note_success(endpoint.id)
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
@@ -515,6 +556,7 @@
         whole = progress.events.feed(content)
         if not whole:
             return
+        progress.note_answered(whole=False)
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
             await progress.response.prepare(client)
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -252,7 +252,7 @@
 
         Others are not digested: a body may be long.
         """
-        secret = self._relay.secret.value
+        secret = self._relay.poison.secret.value
         failed = decision is not Decision.REQUEST_DONE and call.progress.runs > 0
         if call.request is None or not secret or not failed:
             return None
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -38,7 +38,14 @@
 
 
 class NotConnected(Exception):
-    """No channel could be opened: nothing was sent."""
+    """No channel could be opened: nothing was sent.
+
+    ``refused`` tells that nobody listens there.
+    """
+
+    def __init__(self, reason: str, *, refused: bool = False) -> None:
+        super().__init__(reason)
+        self.refused = refused
 
 
 class AnswerLost(Exception):
@@ -210,7 +217,8 @@
             )
         except (OSError, TimeoutError) as error:
             connection.close()
-            raise NotConnected(f"{host}:{port}: {error!r}") from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise NotConnected(f"{host}:{port}: {error!r}", refused=refused) from error
         except BaseException:
             connection.close()
             raise
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -173,9 +173,10 @@
 class Endpoint:
     """One start of an engine or a plain service, as it lists itself.
 
-    ``weights`` maps what it holds to the version held, and ``loading`` names what is
-    on its way. ``spared`` tells that its leader has it left alone for a while, for
-    requests of many daemons failed there.
+    An engine may be started again under its id: ``born`` is when, in Unix milliseconds,
+    0 where it is not told. ``weights`` maps what it holds to the version held, and
+    ``loading`` names what is on its way. ``spared`` tells that its leader has it left
+    alone for a while, for requests of many daemons failed there.
     """
 
     id: EndpointId
@@ -188,3 +189,9 @@
     weights: dict[WeightsKey, int]
     loading: frozenset[WeightsKey] = frozenset()
     spared: bool = False
+    born: int = 0
+
+
+def is_other_life(known: Endpoint, told: Endpoint) -> bool:
+    """Tell whether what is told of an endpoint is of another start of it."""
+    return bool(known.born and told.born) and known.born != told.born
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -260,6 +260,7 @@
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
+            "poison_requests": self._relay.poison.register.count(),
             "daemons_known": {"feed": self._relay.budget.daemons},
         }
 
@@ -293,6 +294,7 @@
             self._fleet.forget_absences(now)
             if now >= tidied_at + TIDY_EVERY:
                 tidied_at = now
+                self._relay.poison.forget_old()
                 self._pool.close_expired(now)
                 self._control_pool.close_expired(now)
                 log_left_out(LOG, self._lines.take_dropped())
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -26,6 +26,7 @@
     Seconds,
     ServiceName,
     WeightsKey,
+    is_other_life,
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
@@ -37,6 +38,7 @@
     apply_change,
     decode_demand,
     decode_endpoint,
+    decode_facts,
     decode_fullness,
     decode_outcome,
     decode_spending,
@@ -44,6 +46,7 @@
     decode_weights,
     decode_word,
     encode_demand,
+    encode_facts,
     encode_fullness,
     encode_outcomes,
     encode_spending,
@@ -120,6 +123,8 @@
         self.feed.is_leading = lambda: self.leaders.leads and self._has_listed()
         relay.note_reading = self._note_own_reading
         relay.note_turn = self._note_turn
+        relay.poison.register.note_news = self._note_poison
+        self.feed.register = relay.poison.register
         self.leaders = Leaders(deployment, leases)
         self.leaders.clients = {
             name: FeedClient(
@@ -135,6 +140,7 @@
         self._reported = EMPTY
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
+        self._told_leader = ""
         self._resigned: tuple[LedDataCentre, ...] = ()
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
         # How requests of this group ended, for the leaders of the endpoints.
@@ -186,7 +192,7 @@
             configuration=self._configuration.encoded,
             room=self.leader.room if self.leader else 0,
             known_at=self._find_known_at(),
-            secret=self._relay.secret.lead() if leads else b"",
+            secret=self._relay.poison.secret.lead() if leads else b"",
         )
 
     def _has_listed(self) -> bool:
@@ -216,6 +222,8 @@
             endpoint, key, _ = decode_use(row)
             self._note_refused(endpoint, key)
         self._take_outcomes(decode_outcome(row) for row in report.outcomes or ())
+        if self._relay.poison.register.note_told(decode_facts(report, self._clock())):
+            self.feed.hurry()
         spendings = [decode_spending(row) for row in report.spendings or ()]
         self._take_spendings(spendings, of_group=not report.leads)
 
@@ -315,6 +323,8 @@
         report.outcomes = encode_outcomes(self._relay.health.outcomes.take())
         spendings = self._limiter.take_spendings()
         report.spendings = [encode_spending(each) for each in spendings]
+        unheard = self._relay.poison.register.list_unheard()
+        encode_facts(report, unheard, self._clock())
 
     def _add_group(self, report: Any, data_centre: str) -> None:
         """Sum up this leader's daemons for another leader."""
@@ -391,12 +401,38 @@
             self._configuration.take_document(json.loads(update.configuration))
         if not update.leads:
             return
-        self._relay.secret.take(update.secret or b"", leads=self.leaders.leads)
+        self._take_poison(data_centre, update)
         self._take_authority(update)
         self._take_rows(update, {each.data_centre for each in update.leads})
         if not self.leaders.leads and self.leaders.find_primary() == data_centre:
             self._take_counts(update)
 
+    def _take_poison(self, data_centre: str, update: Any) -> None:
+        """Take in what a leader knows of requests that were at ends of endpoints."""
+        register = self._relay.poison.register
+        leads = self.leaders.leads
+        self._relay.poison.secret.take(update.secret or b"", leads=leads)
+        followed = not leads and self.leaders.find_primary() == data_centre
+        if followed and update.leader != self._told_leader:
+            # Of what another one was told last, this one may know nothing.
+            self._told_leader = update.leader
+            register.tell_again()
+        facts = decode_facts(update, self._clock())
+        if not facts:
+            return
+        register.note_echo(facts)
+        if register.note_told(facts) and leads:
+            self.feed.hurry()
+
+    def _note_poison(self) -> None:
+        """Tell at once what was seen here of requests at an end."""
+        if self.leaders.leads:
+            self.feed.hurry()
+            return
+        primary = self.leaders.find_primary()
+        if primary is not None:
+            self.hurry(primary)
+
     def _take_authority(self, update: Any) -> None:
         """Take in up to when the leader knows all, once all that is known here too."""
         configuration = self._fleet.configuration
@@ -446,13 +482,35 @@
 
     def put_row(self, endpoint: Endpoint) -> None:
         """Take a row in, wake who waits for its weights, and feed it to followers."""
+        known = self._fleet.endpoints.get(endpoint.id)
+        if known is not None and not self._take_life(known, endpoint):
+            return
         self._fleet.put_endpoint(endpoint)
         self._relay.finder.waiters.wake(endpoint.weights)
         if self.leaders.leads:
             self.feed.hurry()
 
+    def _take_life(self, known: Endpoint, endpoint: Endpoint) -> bool:
+        """Let go of an engine's earlier life; tell whether a row is not of one.
+
+        An engine that starts again under its id holds nothing of before, and a word on
+        its earlier life may come late.
+        """
+        if not is_other_life(known, endpoint):
+            return True
+        if endpoint.born < known.born:
+            return False
+        self._relay.poison.ends.note_replaced(known)
+        self._fleet.drop_endpoint(known.id)
+        self._relay.health.renew(known.id)
+        self._relay.finder.paces.forget(known.id)
+        return True
+
     def drop_row(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is not None:
+            self._relay.poison.ends.note_gone(known)
         if self.leader is not None:
             self.leader.drop_endpoint(endpoint)
         self._fleet.drop_endpoint(endpoint)
@@ -483,7 +541,8 @@
         elif (
             self.leaders.clients[lease.data_centre].is_alive() and not endpoint.leaving
         ):
-            if endpoint.id not in self._fleet.endpoints:
+            known = self._fleet.endpoints.get(endpoint.id)
+            if known is None or is_other_life(known, endpoint):
                 self.put_row(endpoint)
         else:
             self.put_row(endpoint)
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -14,6 +14,7 @@
 from kestreltally.knowledge.rows import (
     decode_fullness,
     decode_use,
+    encode_facts,
     encode_fullness,
     encode_word,
 )
@@ -28,6 +29,7 @@
     Versions,
     encode_leaders,
 )
+from kestreltally.poison.register import PoisonRegister
 from kestreltally.quotas.spending import Word
 from kestreltally.sockets import harden_socket
 
@@ -79,6 +81,8 @@
     stamped_at: Seconds = 0.0
     told_configuration: int = 0
     told_configuration_at: Seconds = float("-inf")
+    # Up to where it was told what is known of requests at ends.
+    told_facts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +123,8 @@
         # Returns the words on organisations at their limit, none without quotas.
         self.make_words: Callable[[], Iterable[Word] | None] = lambda: None
         self._server: asyncio.Server | None = None
+        # What is known of requests at ends of endpoints.
+        self.register: PoisonRegister | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError``."""
@@ -266,10 +272,20 @@
                 update.daemons = counts.daemons
                 update.words = counts.words
             _tell_authority(update, peer, current.state)
+            self._tell_facts(update, peer)
         if self._lacks_configuration(peer, current.state.configuration_version):
             update.configuration = current.state.configuration
         peer.stream.send(update)
 
+    def _tell_facts(self, update: Any, peer: Peer) -> None:
+        """Tell a peer what it has not been told of requests at ends."""
+        register = self.register
+        if register is None or peer.told_facts == register.position:
+            return
+        facts = register.list_since(peer.told_facts)
+        encode_facts(update, facts, self._clock())
+        peer.told_facts = register.position
+
     def _is_behind(self, peer: Peer) -> bool:
         """Tell whether a peer has much to read still; drop one that does not read."""
         now = self._clock()
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -18,6 +18,7 @@
   8: list<WeightsVersion> weights,
   9: list<WeightsVersion> loading,
   10: bool spared,
+  11: i64 born,
 }
 
 struct DemandRow {
@@ -86,6 +87,25 @@
   4: double wait,
 }
 
+// A request was at an endpoint when that ended; life is that start of the endpoint,
+// answered tells that events had come. Seconds count back from the sending.
+struct SightingRow {
+  1: binary digest,
+  2: i64 outline,
+  3: string life,
+  4: double sent_ago,
+  5: double ended_ago,
+  6: bool answered,
+}
+
+// A request ran well: what was seen of it before is void.
+struct ClearingRow {
+  1: binary digest,
+  2: i64 outline,
+  3: double ago,
+  4: i64 number,
+}
+
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
 // store_age tells how long ago the store answered a renewal, read_age how long ago it
 // told this daemon itself of endpoints, seconds. stamp is the sender's own time.
@@ -105,6 +125,8 @@
   13: double read_age,
   14: double stamp,
   15: list<SpendingRow> spendings,
+  16: list<SightingRow> sightings,
+  17: list<ClearingRow> clearings,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
@@ -112,7 +134,8 @@
 // brings on, and so do words, where organisations have quotas. room is how many more
 // adapters the engines led could take. echo is the stamp of a report, and all that the
 // store had acknowledged known_by seconds after its arrival is known to the sender.
-// secret is what the digests of requests are taken under.
+// secret is what the digests of requests are taken under; of sightings and clearings
+// each daemon is told once.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -135,4 +158,6 @@
   19: double known_by,
   20: list<WordRow> words,
   21: binary secret,
+  22: list<SightingRow> sightings,
+  23: list<ClearingRow> clearings,
 }
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -11,21 +11,28 @@
     Endpoint,
     EndpointId,
     OrganisationName,
+    Seconds,
     ServiceName,
     WeightsKey,
 )
 from kestreltally.knowledge.structs import (
+    ClearingRow,
     DemandRow,
     EndpointRow,
     OutcomeRow,
+    SightingRow,
     SpendingRow,
     UseRow,
     WeightsChange,
     WeightsVersion,
     WordRow,
 )
+from kestreltally.poison.facts import Clearing, Life, Sighting
+from kestreltally.poison.fingerprints import Digest, Fingerprint
 from kestreltally.quotas.spending import Spending, Word
 
+Fact = Sighting | Clearing
+
 
 def encode_weights(key: WeightsKey, version: int) -> Any:
     """Return the struct of some weights' version."""
@@ -50,6 +57,7 @@
         weights=[encode_weights(k, v) for k, v in endpoint.weights.items()],
         loading=[encode_weights(k, 0) for k in endpoint.loading],
         spared=endpoint.spared,
+        born=endpoint.born,
     )
 
 
@@ -66,6 +74,7 @@
         weights=dict(decode_weights(each) for each in row.weights or ()),
         loading=frozenset(decode_weights(each)[0] for each in row.loading or ()),
         spared=bool(row.spared),
+        born=row.born or 0,
     )
 
 
@@ -194,3 +203,55 @@
 def decode_word(row: Any) -> Word:
     """Return the word on an organisation at its limit."""
     return Word(OrganisationName(row.organisation), row.ratio, row.asked, row.wait)
+
+
+def encode_facts(message: Any, facts: Iterable[Fact], now: Seconds) -> None:
+    """Put what is known of requests at ends into a report or an update."""
+    message.sightings = []
+    message.clearings = []
+    for fact in facts:
+        if isinstance(fact, Clearing):
+            message.clearings.append(_encode_clearing(fact, now))
+        else:
+            message.sightings.append(_encode_sighting(fact, now))
+
+
+def _encode_clearing(clearing: Clearing, now: Seconds) -> Any:
+    return ClearingRow(
+        digest=clearing.fingerprint.digest,
+        outline=clearing.fingerprint.outline,
+        ago=now - clearing.at,
+        number=clearing.number,
+    )
+
+
+def _encode_sighting(sighting: Sighting, now: Seconds) -> Any:
+    return SightingRow(
+        digest=sighting.fingerprint.digest,
+        outline=sighting.fingerprint.outline,
+        life=sighting.life,
+        sent_ago=now - sighting.sent_at,
+        ended_ago=now - sighting.ended_at,
+        answered=sighting.answered,
+    )
+
+
+def decode_facts(message: Any, now: Seconds) -> list[Fact]:
+    """Return what a report or an update tells of requests at ends."""
+    facts: list[Fact] = [
+        Sighting(
+            fingerprint=Fingerprint(row.outline, Digest(row.digest)),
+            life=Life(row.life),
+            sent_at=now - row.sent_ago,
+            ended_at=now - row.ended_ago,
+            answered=bool(row.answered),
+        )
+        for row in message.sightings or ()
+    ]
+    facts.extend(
+        Clearing(
+            Fingerprint(row.outline, Digest(row.digest)), now - row.ago, row.number
+        )
+        for row in message.clearings or ()
+    )
+    return facts
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -52,6 +52,7 @@
     8: (TType.LIST, "weights", (TType.STRUCT, WeightsVersion), False),
     9: (TType.LIST, "loading", (TType.STRUCT, WeightsVersion), False),
     10: (TType.BOOL, "spared", False),
+    11: (TType.I64, "born", False),
 }
 EndpointRow.default_spec = [
     ("id", None),
@@ -64,6 +65,7 @@
     ("weights", None),
     ("loading", None),
     ("spared", None),
+    ("born", None),
 ]
 gen_init(EndpointRow, EndpointRow.thrift_spec, EndpointRow.default_spec)
 
@@ -224,6 +226,48 @@
 gen_init(WordRow, WordRow.thrift_spec, WordRow.default_spec)
 
 
+class SightingRow(Struct):
+    """``SightingRow`` of the IDL."""
+
+
+SightingRow.thrift_spec = {
+    1: (TType.BINARY, "digest", False),
+    2: (TType.I64, "outline", False),
+    3: (TType.STRING, "life", False),
+    4: (TType.DOUBLE, "sent_ago", False),
+    5: (TType.DOUBLE, "ended_ago", False),
+    6: (TType.BOOL, "answered", False),
+}
+SightingRow.default_spec = [
+    ("digest", None),
+    ("outline", None),
+    ("life", None),
+    ("sent_ago", None),
+    ("ended_ago", None),
+    ("answered", None),
+]
+gen_init(SightingRow, SightingRow.thrift_spec, SightingRow.default_spec)
+
+
+class ClearingRow(Struct):
+    """``ClearingRow`` of the IDL."""
+
+
+ClearingRow.thrift_spec = {
+    1: (TType.BINARY, "digest", False),
+    2: (TType.I64, "outline", False),
+    3: (TType.DOUBLE, "ago", False),
+    4: (TType.I64, "number", False),
+}
+ClearingRow.default_spec = [
+    ("digest", None),
+    ("outline", None),
+    ("ago", None),
+    ("number", None),
+]
+gen_init(ClearingRow, ClearingRow.thrift_spec, ClearingRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -244,6 +288,8 @@
     13: (TType.DOUBLE, "read_age", False),
     14: (TType.DOUBLE, "stamp", False),
     15: (TType.LIST, "spendings", (TType.STRUCT, SpendingRow), False),
+    16: (TType.LIST, "sightings", (TType.STRUCT, SightingRow), False),
+    17: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -261,6 +307,8 @@
     ("read_age", None),
     ("stamp", None),
     ("spendings", None),
+    ("sightings", None),
+    ("clearings", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -291,6 +339,8 @@
     19: (TType.DOUBLE, "known_by", False),
     20: (TType.LIST, "words", (TType.STRUCT, WordRow), False),
     21: (TType.BINARY, "secret", False),
+    22: (TType.LIST, "sightings", (TType.STRUCT, SightingRow), False),
+    23: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -314,5 +364,7 @@
     ("known_by", None),
     ("words", None),
     ("secret", None),
+    ("sightings", None),
+    ("clearings", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -53,8 +53,16 @@
     ordered_at: Seconds = 0.0
 
     def take_report(self, report: EngineReport, now: Seconds) -> None:
-        """Take a report in; one older than the last order only confirms loads."""
+        """Take a report in; one older than the last order only confirms loads.
+
+        One of an earlier life of the engine, which had other counts, says nothing.
+        """
         self.read_at = now
+        if report.born and self.endpoint.born:
+            if report.born < self.endpoint.born:
+                return
+            if report.born > self.endpoint.born:
+                self.begin_life(report.born)
         self.silences = 0
         if self.sequence is not None and report.sequence < self.sequence:
             self._confirm_loads(report, now)
@@ -73,6 +81,15 @@
         self._check_leaving(report, now)
         self.held_since = {k: self.held_since.get(k, now) for k in report.weights}
 
+    def begin_life(self, born: int) -> None:
+        """Start anew with an engine that has, under the same id."""
+        self.endpoint = replace(self.endpoint, born=born, weights={})
+        self.weights = {}
+        self.held_since = {}
+        self.incoming = {}
+        self.leaving = {}
+        self.sequence = None
+
     def _check_leaving(self, report: EngineReport, now: Seconds) -> None:
         """Use again what was to be unloaded, if the engine did not take the order."""
         self.leaving = {
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -18,6 +18,7 @@
     Seconds,
     ServiceName,
     WeightsKey,
+    is_other_life,
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.books import EngineBook
@@ -115,6 +116,12 @@
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry of the store."""
         book = self.books.get(endpoint.id)
+        if book is not None and is_other_life(book.endpoint, endpoint):
+            if endpoint.born < book.endpoint.born:
+                return
+            # What was loaded, ordered and counted before is no longer so.
+            self.drop_endpoint(endpoint.id)
+            book = None
         if book is None:
             book = self.books[endpoint.id] = EngineBook(endpoint)
             book.weights = dict(endpoint.weights)
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -190,11 +190,23 @@
             leaving=entry["State"] == _LEAVING,
             # The entry's "Sequence" counts heartbeats, unlike that of a report.
             weights=decode_weights(entry.get("Models") or ()),
+            born=read_born(entry),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise MalformedDocument(f"endpoint {name}: {error!r}") from error
 
 
+def read_born(document: Document) -> int:
+    """Return when an endpoint was started, Unix milliseconds, 0 where it is not told.
+
+    Raises ``TypeError`` for anything but a whole number.
+    """
+    born = document.get("born", 0)
+    if not isinstance(born, int) or isinstance(born, bool):
+        raise TypeError(f"born: {born!r} is not a whole number")
+    return born
+
+
 def decode_weights(models: Any) -> dict[WeightsKey, int]:
     """Return the versions of the models and adapters that an engine lists."""
     held: dict[WeightsKey, int] = {}
--- a/src/kestreltally/platform/engines.py
+++ b/src/kestreltally/platform/engines.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from kestreltally.fleet.model import WeightsKey
-from kestreltally.platform.documents import decode_weights
+from kestreltally.platform.documents import decode_weights, read_born
 
 REPORT_PATH: Final = "/report"
 ORDER_PATH: Final = "/order"
@@ -59,7 +59,8 @@
 class EngineReport:
     """What an engine says of itself, some hundred ms old.
 
-    ``warm`` names adapters of which it keeps a copy, so that they load quickly.
+    ``warm`` names adapters of which it keeps a copy, so that they load quickly;
+    ``born`` is when it was started, Unix milliseconds, 0 where it does not tell.
     """
 
     weights: dict[WeightsKey, int]
@@ -69,6 +70,7 @@
     sequence: int
     running: int
     waiting: int
+    born: int = 0
 
 
 def encode_order(order: Order) -> bytes:
@@ -102,6 +104,7 @@
         sequence=int(report["Sequence"]),
         running=int(report["RunningCount"]),
         waiting=int(report["WaitingCount"]),
+        born=read_born(report),
     )
 
 
--- /dev/null
+++ b/src/kestreltally/poison/guard.py
@@ -0,0 +1,42 @@
+"""Stops requests that end endpoints, and watches for them: what the relay calls."""
+
+import asyncio
+from collections.abc import Callable
+
+from kestreltally.entry.request import ClientRequest
+from kestreltally.fleet.model import EndpointId, Seconds
+from kestreltally.poison.ends import EndWatch
+from kestreltally.poison.register import Block, PoisonRegister
+from kestreltally.poison.secret import SharedSecret
+
+
+def _read_clock() -> Seconds:
+    return asyncio.get_running_loop().time()
+
+
+class PoisonGuard:
+    """The watch for ends, the register of suspects, and the secret they share."""
+
+    def __init__(self, heard_at: Callable[[EndpointId], Seconds]) -> None:
+        self.secret = SharedSecret(self._forget_digests)
+        self.register = PoisonRegister(_read_clock)
+        self.ends = EndWatch(self.register, self.secret, heard_at, _read_clock)
+
+    def find_block(self, request: ClientRequest) -> Block | None:
+        """Return why a request may not run now, if it may not.
+
+        Asked before each send: whatever the attempt, a send counts before it leaves.
+        """
+        fingerprint = self.ends.identify(request)
+        if fingerprint is None:
+            return None
+        return self.register.find_block(fingerprint.digest)
+
+    def forget_old(self) -> None:
+        """Forget what no longer counts."""
+        self.ends.forget_old()
+        self.register.forget_old()
+
+    def _forget_digests(self) -> None:
+        self.register.clear()
+        self.ends.clear()
--- /dev/null
+++ b/src/kestreltally/poison/register.py
@@ -0,0 +1,348 @@
+"""Which requests end the endpoints that run them, by what all daemons have seen.
+
+An end cuts off all that ran at the endpoint, and one request at most is to blame. What
+tells it from the others: it was at several ends, one after another, and never ran well
+in between; and no other request was at all of these ends and more.
+"""
+
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from kestreltally.decisions import Decision, log_decision
+from kestreltally.fleet.model import Seconds
+from kestreltally.poison.facts import Clearing, Life, Sighting, make_clearing
+from kestreltally.poison.fingerprints import Digest, Fingerprint
+
+LOG = logging.getLogger("kestreltally.poison")
+
+# A request is stopped after so many ends. With two, one that its client repeats once
+# and that meets another's crash both times would be stopped for it.
+ENDS_TO_STOP: Final = 3
+# What other daemons have to say of an end is awaited for this long: a word takes some
+# 0.15 s over two leaders. Until then the request is held back.
+SETTLE: Final[Seconds] = 0.3
+# Two ends that daemons date closer together are not told apart: what one tells another
+# arrives some ms after its age was written.
+DATED_WITHIN: Final[Seconds] = 0.05
+# What would end an engine today may run well on its next version: after this nothing is
+# known of it. Operators may say so sooner.
+KEEP: Final[Seconds] = 900.0
+# Suspects and sightings kept at the most, some 0.3 kB each, and requests that are
+# stopped among them, which others never push out.
+SIGHTINGS_MOST: Final = 2_048
+STOPPED_MOST: Final = 256
+# Facts kept for daemons that have not been told yet.
+FACTS_MOST: Final = 2 * SIGHTINGS_MOST
+
+Fact = Sighting | Clearing
+
+
+@dataclass(frozen=True, slots=True)
+class Block:
+    """A request may not run now; ``wait`` is how long that holds."""
+
+    ends: int
+    wait: Seconds
+    settled: bool
+
+
+@dataclass(slots=True)
+class Suspect:
+    """What is known of one request."""
+
+    fingerprint: Fingerprint
+    sightings: dict[Life, Sighting] = field(default_factory=dict)
+    cleared_at: Seconds = float("-inf")
+    noted_at: Seconds = float("-inf")
+
+    def list_valid(self, now: Seconds) -> list[Sighting]:
+        """Return what still counts, by the end's time."""
+        since = max(self.cleared_at, now - KEEP)
+        valid = [each for each in self.sightings.values() if each.ended_at > since]
+        return sorted(valid, key=lambda each: each.ended_at)
+
+    def list_ends(self, now: Seconds) -> list[Sighting]:
+        """Return ends that came one after another: sent again after each.
+
+        What many callers send at once is at many ends when a rack goes down; these are
+        no more than one.
+        """
+        ends: list[Sighting] = []
+        for each in self.list_valid(now):
+            if not ends or _comes_after(each, ends[-1]):
+                ends.append(each)
+        return ends
+
+
+class PoisonRegister:
+    """The facts that this daemon has seen or been told, and what follows from them."""
+
+    def __init__(self, clock: Callable[[], Seconds]) -> None:
+        self._clock = clock
+        self._suspects: OrderedDict[Digest, Suspect] = OrderedDict()
+        self._outlines: dict[int, set[Digest]] = {}
+        self._count = 0
+        self._stopped: set[Digest] = set()
+        self._clearings: dict[int, None] = {}
+        self._facts: deque[tuple[int, Fact]] = deque(maxlen=FACTS_MOST)
+        self.position = 0
+        # Own facts that no leader has told back yet, and all own ones of late.
+        self._unheard: dict[Fact, None] = {}
+        self._own: deque[Fact] = deque(maxlen=FACTS_MOST)
+        # Called when there is something to tell.
+        self.note_news: Callable[[], None] = lambda: None
+
+    # What is asked of it.
+
+    def is_outlined(self, outline: int) -> bool:
+        """Tell whether any suspect has this outline: then a digest is worth it."""
+        return outline in self._outlines
+
+    def is_suspect(self, digest: Digest) -> bool:
+        """Tell whether anything counts against a request."""
+        suspect = self._suspects.get(digest)
+        return suspect is not None and bool(suspect.list_valid(self._clock()))
+
+    def find_block(self, digest: Digest) -> Block | None:
+        """Return why a request may not run now, if it may not."""
+        suspect = self._suspects.get(digest)
+        if suspect is None:
+            return None
+        now = self._clock()
+        ends = suspect.list_ends(now)
+        stopped = len(ends) >= ENDS_TO_STOP and not self._is_explained(suspect, now)
+        self._note_verdict(suspect, len(ends), stopped=stopped)
+        if not stopped:
+            return None
+        unsettled = suspect.noted_at + SETTLE - now
+        if unsettled > 0:
+            return Block(len(ends), unsettled, settled=False)
+        lapses = ends[-ENDS_TO_STOP].ended_at + KEEP
+        return Block(len(ends), lapses - now, settled=True)
+
+    def _is_explained(self, suspect: Suspect, now: Seconds) -> bool:
+        """Tell whether another request was at all the same ends, and rather made them.
+
+        That is one at more ends, or one that fewer events had come of.
+        """
+        lives = {each.life for each in suspect.list_valid(now)}
+        weight = _weigh(suspect, now)
+        return any(
+            lives <= {each.life for each in other.list_valid(now)}
+            and _weigh(other, now) > weight
+            for other in self._suspects.values()
+            if other is not suspect and len(other.sightings) >= len(lives)
+        )
+
+    def _note_verdict(self, suspect: Suspect, ends: int, *, stopped: bool) -> None:
+        digest = suspect.fingerprint.digest
+        if stopped == (digest in self._stopped):
+            return
+        if stopped:
+            self._stopped.add(digest)
+        else:
+            self._stopped.discard(digest)
+        log_decision(
+            LOG,
+            Decision.POISON_STOPPED if stopped else Decision.POISON_PARDONED,
+            content=str(suspect.fingerprint),
+            ends=ends,
+            lives=sorted(suspect.sightings),
+        )
+
+    def count(self) -> dict[str, float]:
+        """Return how many requests are known, by what is held of them."""
+        return {
+            "suspected": float(len(self._suspects) - len(self._stopped)),
+            "stopped": float(len(self._stopped)),
+        }
+
+    # What it is told.
+
+    def note_own(self, facts: Iterable[Fact]) -> None:
+        """Take in what this daemon has seen, and tell the others."""
+        news = [fact for fact in facts if self._add(fact)]
+        for fact in news:
+            self._unheard[fact] = None
+            self._own.append(fact)
+        while len(self._unheard) > FACTS_MOST:
+            del self._unheard[next(iter(self._unheard))]
+        if news:
+            self.note_news()
+
+    def note_told(self, facts: Iterable[Fact]) -> bool:
+        """Take in what another daemon tells; tell whether any of it is news."""
+        added = [self._add(fact) for fact in facts]
+        return any(added)
+
+    def note_echo(self, facts: Iterable[Fact]) -> None:
+        """Take in what a leader tells: own facts among it need no telling more."""
+        told = {_identify(fact) for fact in facts}
+        for fact in [each for each in self._unheard if _identify(each) in told]:
+            del self._unheard[fact]
+
+    def tell_again(self) -> None:
+        """Tell all own facts again: whom they were told may not have passed them on."""
+        now = self._clock()
+        for fact in self._own:
+            if now - _find_time(fact) < KEEP:
+                self._unheard[fact] = None
+
+    def list_unheard(self) -> list[Fact]:
+        """Return the own facts that no leader has told back yet."""
+        return list(self._unheard)
+
+    def list_since(self, position: int) -> list[Fact]:
+        """Return the facts after a position, the oldest first."""
+        found: list[Fact] = []
+        if position == self.position:
+            return found
+        oldest = self._clock() - KEEP
+        for number, fact in reversed(self._facts):
+            if number <= position:
+                break
+            if _find_time(fact) > oldest:
+                found.append(fact)
+        found.reverse()
+        return found
+
+    def pardon(self, shown: str) -> int:
+        """Void what counts against requests whose shown digest begins so."""
+        now = self._clock()
+        named = [
+            digest
+            for digest, suspect in self._suspects.items()
+            if shown and digest.hex().startswith(shown) and suspect.list_valid(now)
+        ]
+        self.note_own(
+            make_clearing(self._suspects[digest].fingerprint, now) for digest in named
+        )
+        return len(named)
+
+    def clear(self) -> None:
+        """Forget all: the digests were made under another secret."""
+        self._suspects.clear()
+        self._outlines.clear()
+        self._stopped.clear()
+        self._facts.clear()
+        self._clearings.clear()
+        self._unheard.clear()
+        self._own.clear()
+        self._count = 0
+
+    def _add(self, fact: Fact) -> bool:
+        """Take a fact in; tell whether it is news."""
+        if isinstance(fact, Clearing):
+            return self._add_clearing(fact)
+        now = self._clock()
+        digest = fact.fingerprint.digest
+        suspect = self._suspects.get(digest)
+        if suspect is None:
+            suspect = self._open_case(fact.fingerprint)
+        if fact.life in suspect.sightings or fact.ended_at <= now - KEEP:
+            return False
+        suspect.sightings[fact.life] = fact
+        suspect.noted_at = now
+        self._suspects.move_to_end(digest)
+        self._count += 1
+        self._append(fact)
+        ends = len(suspect.list_ends(now))
+        if ends > 1:
+            log_decision(
+                LOG,
+                Decision.POISON_SUSPECTED,
+                content=str(suspect.fingerprint),
+                ends=ends,
+                lives=sorted(suspect.sightings),
+            )
+        self._make_room()
+        return True
+
+    def _open_case(self, fingerprint: Fingerprint) -> Suspect:
+        suspect = self._suspects[fingerprint.digest] = Suspect(fingerprint)
+        self._outlines.setdefault(fingerprint.outline, set()).add(fingerprint.digest)
+        self._count += 1
+        return suspect
+
+    def _add_clearing(self, fact: Clearing) -> bool:
+        """Take a clearing in, also one that comes before what it voids."""
+        if fact.number in self._clearings:
+            return False
+        self._clearings[fact.number] = None
+        while len(self._clearings) > FACTS_MOST:
+            del self._clearings[next(iter(self._clearings))]
+        digest = fact.fingerprint.digest
+        suspect = self._suspects.get(digest) or self._open_case(fact.fingerprint)
+        suspect.cleared_at = max(suspect.cleared_at, fact.at)
+        self._append(fact)
+        self.find_block(digest)
+        return True
+
+    def _append(self, fact: Fact) -> None:
+        self.position += 1
+        self._facts.append((self.position, fact))
+
+    def _make_room(self) -> None:
+        """Forget those at the fewest ends first, the oldest among them."""
+        while len(self._stopped) > STOPPED_MOST:
+            self._forget(next(each for each in self._suspects if each in self._stopped))
+        while self._count > SIGHTINGS_MOST:
+            self._forget(self._find_least())
+
+    def _find_least(self) -> Digest:
+        """Return the suspect that was at the fewest ends, the oldest among them."""
+        open_cases = {
+            digest: len(suspect.sightings)
+            for digest, suspect in self._suspects.items()
+            if digest not in self._stopped
+        }
+        for most in range(1, ENDS_TO_STOP):
+            for digest, ends in open_cases.items():
+                if ends <= most:
+                    return digest
+        return next(iter(open_cases or self._suspects))
+
+    def _forget(self, digest: Digest) -> None:
+        suspect = self._suspects.pop(digest)
+        self._count -= 1 + len(suspect.sightings)
+        self._stopped.discard(digest)
+        known = self._outlines[suspect.fingerprint.outline]
+        known.discard(digest)
+        if not known:
+            del self._outlines[suspect.fingerprint.outline]
+
+    def forget_old(self) -> None:
+        """Forget what no longer counts."""
+        now = self._clock()
+        for digest, suspect in list(self._suspects.items()):
+            ends = (each.ended_at for each in suspect.sightings.values())
+            if max(ends, default=suspect.cleared_at) <= now - KEEP:
+                self._note_verdict(suspect, 0, stopped=False)
+                self._forget(digest)
+
+
+def _weigh(suspect: Suspect, now: Seconds) -> tuple[int, int, Digest]:
+    """Return how much speaks against a request, to be compared with another's."""
+    valid = suspect.list_valid(now)
+    silent = sum(1 for each in valid if not each.answered)
+    return len(valid), silent, suspect.fingerprint.digest
+
+
+def _comes_after(later: Sighting, earlier: Sighting) -> bool:
+    """Tell whether a request was sent again after an end, and then met another."""
+    sent_again = later.sent_at >= earlier.ended_at - DATED_WITHIN
+    return sent_again and later.ended_at >= earlier.ended_at + DATED_WITHIN
+
+
+def _find_time(fact: Fact) -> Seconds:
+    return fact.at if isinstance(fact, Clearing) else fact.ended_at
+
+
+def _identify(fact: Fact) -> tuple[Digest, Life | int]:
+    """Return what makes two facts the same, however late they came."""
+    if isinstance(fact, Clearing):
+        return fact.fingerprint.digest, fact.number
+    return fact.fingerprint.digest, fact.life
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -12,7 +12,7 @@
 
 The cause: what daemons remember of a failure is kept by endpoint, and nothing by
 request; an end is nobody's. The evidence: of 134 requests that were cut in a bout, none
-was sent to two endpoints; at each of ten ends in a row was one request for an adapter
+was sent to two endpoints; and at each of ten ends in a row was a request for an adapter
 that nobody else asked for, under ten ids at four daemons.
 """
 
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,164 @@
+"""Which request is to blame for ends: the register's rules, by themselves."""
+
+from random import Random
+
+import pytest
+
+from kestreltally.poison.facts import Clearing, Life, Sighting, make_clearing
+from kestreltally.poison.fingerprints import Digest, Fingerprint
+from kestreltally.poison.register import (
+    ENDS_TO_STOP,
+    KEEP,
+    SETTLE,
+    SIGHTINGS_MOST,
+    Fact,
+    PoisonRegister,
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def name(text: str) -> Fingerprint:
+    return Fingerprint(1, Digest(text.encode().ljust(16, b".")))
+
+
+def see(
+    text: str, life: str, sent: float, ended: float, *, answered: bool = False
+) -> Sighting:
+    return Sighting(name(text), Life(life), sent, ended, answered)
+
+
+def see_ends(text: str, count: int = ENDS_TO_STOP, first: float = 990.0) -> list[Fact]:
+    return [
+        see(text, f"e{number}", first + number, first + number + 0.1)
+        for number in range(count)
+    ]
+
+
+def make_register(facts: list[Fact]) -> tuple[PoisonRegister, Clock]:
+    clock = Clock()
+    register = PoisonRegister(clock)
+    register.note_told(facts)
+    return register, clock
+
+
+def is_stopped(register: PoisonRegister, text: str) -> bool:
+    block = register.find_block(name(text).digest)
+    return block is not None and block.settled
+
+
+def test_three_ends_one_after_another_stop_a_request_for_a_true_time() -> None:
+    register, clock = make_register(see_ends("bad", 2))
+    assert register.find_block(name("bad").digest) is None
+    register.note_told(see_ends("bad"))
+    held = register.find_block(name("bad").digest)
+    assert held is not None and not held.settled
+    assert held.wait == pytest.approx(SETTLE)
+    clock.now += SETTLE
+    stopped = register.find_block(name("bad").digest)
+    assert stopped is not None and stopped.settled
+    clock.now += stopped.wait - 0.01
+    assert is_stopped(register, "bad")
+    clock.now += 0.02
+    assert register.find_block(name("bad").digest) is None
+
+
+def test_many_copies_at_one_moment_are_no_series() -> None:
+    # A rack goes down: each of its engines ran the request that everybody sends.
+    register, clock = make_register(
+        [see("hot", f"e{number}", 999.0, 999.5 + number / 100) for number in range(8)]
+    )
+    clock.now += SETTLE
+    assert register.find_block(name("hot").digest) is None
+
+
+def test_a_good_run_clears_what_was_before_and_not_what_comes_after() -> None:
+    register, clock = make_register([*see_ends("hot")])
+    clock.now += SETTLE
+    assert is_stopped(register, "hot")
+    register.note_told([make_clearing(name("hot"), 995.0)])
+    assert register.find_block(name("hot").digest) is None
+    register.note_told(
+        [
+            see("hot", f"f{number}", 996.0 + number, 996.1 + number)
+            for number in range(3)
+        ]
+    )
+    clock.now += SETTLE
+    assert is_stopped(register, "hot")
+
+
+def test_one_that_met_the_same_ends_by_chance_is_not_blamed() -> None:
+    # Its client repeats as well, and twice it had begun to be answered.
+    bystander = [
+        see("by", f"e{number}", 989.9 + number, 990.1 + number, answered=number > 0)
+        for number in range(3)
+    ]
+    register, clock = make_register([*bystander, *see_ends("bad")])
+    clock.now += SETTLE
+    assert is_stopped(register, "bad")
+    assert register.find_block(name("by").digest) is None
+
+
+def test_what_was_at_more_ends_is_blamed_rather() -> None:
+    bystander = [see("by", f"e{n}", 990.0 + n, 990.1 + n) for n in range(3)]
+    register, clock = make_register([*bystander, *see_ends("bad", 4)])
+    clock.now += SETTLE
+    assert is_stopped(register, "bad") and not is_stopped(register, "by")
+
+
+def test_facts_in_any_order_and_told_twice_give_the_same_verdict() -> None:
+    facts: list[Fact] = [*see_ends("bad", 5), *see_ends("ok", 4)]
+    facts.append(make_clearing(name("ok"), 994.5))
+    for seed in range(50):
+        drawn = Random(seed).choices(facts, k=40) + Random(seed).sample(
+            facts, len(facts)
+        )
+        register, clock = make_register(drawn)
+        clock.now += SETTLE
+        assert is_stopped(register, "bad") and not is_stopped(register, "ok")
+        assert len(register.list_since(0)) <= len(facts)
+
+
+def test_each_fact_is_told_once_and_own_ones_until_they_are_heard() -> None:
+    register, _ = make_register([])
+    facts = see_ends("bad")
+    register.note_own(facts)
+    assert register.list_unheard() == facts
+    assert register.list_since(0) == facts
+    assert register.list_since(1) == facts[1:]
+    register.note_echo(facts[:2])
+    assert register.list_unheard() == facts[2:]
+    register.tell_again()
+    assert set(register.list_unheard()) == set(facts)
+
+
+def test_a_flood_fills_no_memory_and_pushes_out_nothing_that_is_known() -> None:
+    register, clock = make_register(see_ends("bad"))
+    clock.now += SETTLE
+    assert is_stopped(register, "bad")
+    flood = 2 * SIGHTINGS_MOST
+    for number in range(flood):
+        register.note_told([see(f"odd{number}", f"x{number}", 1000.0, 1000.1)])
+    assert is_stopped(register, "bad")
+    assert register.count()["suspected"] <= SIGHTINGS_MOST
+    clock.now += KEEP
+    register.forget_old()
+    assert register.count() == {"suspected": 0.0, "stopped": 0.0}
+
+
+def test_an_operator_pardons_by_what_lines_show() -> None:
+    register, clock = make_register(see_ends("bad"))
+    clock.now += SETTLE
+    assert is_stopped(register, "bad")
+    assert register.pardon("00") == 0
+    assert register.pardon(str(name("bad"))) == 1
+    assert register.find_block(name("bad").digest) is None
+    # The others are told.
+    assert isinstance(register.list_unheard()[0], Clearing)
