Leave out odd entries one by one, and let none stop the others

Cause: decode_endpoint took three kinds of errors as another form. Change: all fields that are used later are checked by type and bounds at the boundary; one tuple names what reading another form raises; a page of the store keeps its other objects, also where bytes are no text. Reports of engines, versions alike.

--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -22,6 +22,7 @@
 from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
 from kestreltally.placing.books import EngineBook, Incoming
 from kestreltally.placing.lease import Lease
+from kestreltally.platform.documents import MalformedDocument
 from kestreltally.platform.engines import (
     ORDER_PATH,
     REPORT_PATH,
@@ -96,8 +97,8 @@
             raise EngineSilent(f"report: status {status}")
         try:
             return decode_report(body)
-        except (ValueError, KeyError, TypeError) as error:
-            raise EngineSilent(f"report: {error!r}") from error
+        except MalformedDocument as error:
+            raise EngineSilent(str(error)) from error
 
     async def order(
         self, book: EngineBook, kind: OrderKind, key: WeightsKey
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -1,6 +1,7 @@
 """Decodes the objects of the store into the project's types."""
 
 from collections.abc import Mapping
+from ipaddress import IPv4Address
 from typing import Any, Final
 
 from kestreltally.fleet.model import (
@@ -37,7 +38,8 @@
     "streaming": RequestKind.STREAM,
 }
 _UNITS: Final = {"requests": QuotaUnit.REQUESTS, "tokens": QuotaUnit.TOKENS}
-_LEAVING: Final = "draining"
+# Whether an endpoint of a state leaves; one in another state is not to be used.
+_STATES: Final = {"ready": False, "draining": True}
 
 Document = Mapping[str, Any]
 
@@ -49,6 +51,15 @@
 PATIENCE_PAUSES: Final = 8.0
 
 
+# What reading a document of another form raises.
+ODD_FORM: Final = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+# The longest text and the largest count that a document may hold.
+TEXT_MOST: Final = 512
+COUNT_MOST: Final = 2**31 - 1
+PORT_MOST: Final = 2**16 - 1
+BORN_MOST: Final = 2**62
+
+
 class MalformedDocument(ValueError):
     """An object of the store does not have the published form."""
 
@@ -66,13 +77,7 @@
                 _decode_organisation(each) for each in document.get("Tenants") or ()
             ),
         )
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except ODD_FORM as error:
         raise MalformedDocument(f"configuration: {error!r}") from error
 
 
@@ -177,52 +182,77 @@
 
 
 def decode_endpoint(name: str, entry: Document) -> Endpoint:
-    """Return an endpoint by its own entry; raises ``MalformedDocument``."""
+    """Return an endpoint by its own entry; raises ``MalformedDocument``.
+
+    Others may write entries too: all that is used later is checked here.
+    """
     try:
-        address = read_address(entry["Address"])
+        address = read_address(_read_text(entry["Address"]))
         return Endpoint(
-            id=EndpointId(name),
-            service=ServiceName(entry["Service"]),
-            host=address.host,
-            port=address.port,
-            data_centre=entry["Zone"],
-            slots=int(entry["Slots"]),
-            leaving=entry["State"] == _LEAVING,
+            id=EndpointId(_read_text(name)),
+            service=ServiceName(_read_text(entry["Service"])),
+            # No names are looked up: an address is a number.
+            host=str(IPv4Address(address.host)),
+            port=_read_count(address.port, most=PORT_MOST),
+            data_centre=_read_text(entry["Zone"]),
+            slots=_read_count(entry["Slots"]),
+            leaving=_STATES[_read_text(entry["State"])],
             # The entry's "Sequence" counts heartbeats, unlike that of a report.
             weights=decode_weights(entry.get("Models") or ()),
             born=read_born(entry),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except ODD_FORM as error:
         raise MalformedDocument(f"endpoint {name}: {error!r}") from error
 
 
 def read_born(document: Document) -> int:
     """Return when an endpoint was started, Unix milliseconds, 0 where it is not told.
 
-    Raises ``TypeError`` for anything but a whole number.
+    Raises ``TypeError`` or ``ValueError`` for anything but a whole number.
     """
     born = document.get("born", 0)
-    if not isinstance(born, int) or isinstance(born, bool):
-        raise TypeError(f"born: {born!r} is not a whole number")
-    return born
+    return _read_count(born, least=0, most=BORN_MOST)
 
 
 def decode_weights(models: Any) -> dict[WeightsKey, int]:
     """Return the versions of the models and adapters that an engine lists."""
     held: dict[WeightsKey, int] = {}
     for model in models:
-        name = model["Name"]
-        held[WeightsKey(name)] = int(model.get("Version", 1))
+        name = _read_text(model["Name"])
+        held[WeightsKey(name)] = _read_count(model.get("Version", 1), least=0)
         for listed in model.get("Adapters") or ():
-            adapter, _, version = listed.rpartition("@")
-            held[WeightsKey(name, adapter)] = int(version)
+            adapter, _, version = _read_text(listed).rpartition("@")
+            key = WeightsKey(name, _read_text(adapter))
+            held[key] = _read_count(int(version), least=0)
     return held
 
 
+def _read_text(value: Any) -> str:
+    """Return a text that can be told on; raises ``TypeError`` or ``ValueError``."""
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    if not 0 < len(value) <= TEXT_MOST:
+        raise ValueError(f"a text of {len(value)} signs")
+    value.encode()
+    return value
+
+
+def _read_count(value: Any, *, least: int = 1, most: int = COUNT_MOST) -> int:
+    """Return a whole number within bounds; raises ``TypeError``, ``ValueError``."""
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{value!r} is not a whole number")
+    if not least <= value <= most:
+        raise ValueError(f"{value} is not in {least} to {most}")
+    return value
+
+
 def decode_version(document: Document) -> tuple[WeightsKey, int]:
     """Return what a new version is of, and its number."""
     try:
-        key = WeightsKey(document["Model"], document.get("Adapter") or "")
-        return key, int(document["Version"])
-    except (KeyError, TypeError, ValueError) as error:
+        adapter = document.get("Adapter")
+        key = WeightsKey(
+            _read_text(document["Model"]), _read_text(adapter) if adapter else ""
+        )
+        return key, _read_count(document["Version"], least=0)
+    except ODD_FORM as error:
         raise MalformedDocument(f"version: {error!r}") from error
--- a/src/kestreltally/platform/engines.py
+++ b/src/kestreltally/platform/engines.py
@@ -6,7 +6,12 @@
 from typing import Any, Final
 
 from kestreltally.fleet.model import WeightsKey
-from kestreltally.platform.documents import decode_weights, read_born
+from kestreltally.platform.documents import (
+    ODD_FORM,
+    MalformedDocument,
+    decode_weights,
+    read_born,
+)
 
 REPORT_PATH: Final = "/report"
 ORDER_PATH: Final = "/order"
@@ -94,8 +99,14 @@
 
 
 def decode_report(content: bytes) -> EngineReport:
-    """Read an engine's report; raises ``ValueError`` or ``KeyError``."""
-    report = json.loads(content)
+    """Read an engine's report; raises ``MalformedDocument``."""
+    try:
+        return _decode_report(json.loads(content))
+    except ODD_FORM as error:
+        raise MalformedDocument(f"report: {error!r}") from error
+
+
+def _decode_report(report: Any) -> EngineReport:
     return EngineReport(
         weights=decode_weights(report["Models"]),
         loading=frozenset(_read_listed(each) for each in report.get("Incoming") or ()),
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -9,8 +9,10 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Listening
 from kestreltally.fleet.model import Seconds
+from kestreltally.platform.documents import ODD_FORM
 from kestreltally.sockets import harden_socket
 
 LOG = logging.getLogger("kestreltally.store")
@@ -83,6 +85,8 @@
 
 def _decode_object(item: dict[str, Any]) -> StoredObject:
     metadata = item["Metadata"]
+    if not isinstance(metadata["Name"], str):
+        raise TypeError("an object without a name")
     return StoredObject(
         name=metadata["Name"],
         revision=int(metadata["Revision"]),
@@ -90,6 +94,28 @@
     )
 
 
+def read_listed(items: list[Any]) -> list[StoredObject]:
+    """Return the objects of a page; what is no object is left out."""
+    objects = []
+    for item in items:
+        try:
+            objects.append(_decode_object(item))
+        except ODD_FORM as error:
+            log_decision(LOG, Decision.OBJECT_REJECTED, reason=repr(error))
+    return objects
+
+
+def read_page(call: str, content: bytes) -> Any:
+    """Return what a body holds; raises ``StoreError``.
+
+    Where a writer has put bytes that are no text, they alone are lost.
+    """
+    try:
+        return json.loads(content.decode("utf-8", "replace"), strict=False)
+    except ValueError as error:
+        raise StoreError(f"{call}: not JSON: {error}") from error
+
+
 class Store:
     """Calls to the store. Every call is priced, also one that is refused."""
 
@@ -103,7 +129,7 @@
         objects: list[StoredObject] = []
         revision = 0
         async for page in self._list_pages(kind):
-            objects.extend(_decode_object(item) for item in page["items"])
+            objects.extend(read_listed(page["items"]))
             # The first page's revision: what changes during the listing is
             # then seen again by the watch.
             revision = revision or int(page["CurrentRev"])
@@ -124,8 +150,9 @@
         query = {"Watch": str(revision), "WaitMs": str(int(wait * 1000))}
         page = await self._call("GET", kind, query=query, limit=wait + WATCH_MARGIN)
         changes = tuple(
-            Change(_decode_object(event["Object"]), bool(event["Tombstone"]))
+            Change(each, bool(event["Tombstone"]))
             for event in page["events"]
+            for each in read_listed([event["Object"]])
         )
         return Changes(changes, int(page["CurrentRev"]))
 
@@ -182,10 +209,7 @@
         raise HistoryGone(call)
     if status not in (OK, CREATED, CONFLICT):
         raise StoreRefused(f"{call}: status {status}")
-    try:
-        decoded = json.loads(content)
-    except ValueError as error:
-        raise StoreError(f"{call}: not JSON: {error}") from error
+    decoded = read_page(call, content)
     if status == CONFLICT:
         known = isinstance(decoded, dict) and "Metadata" in decoded
         raise Conflict(_decode_object(decoded) if known else None)
