--- a/tests/leaderrig.py
+++ b/tests/leaderrig.py
@@ -56,6 +56,16 @@
         self.load_time = LOAD_TIME
         self.copies: deque[str] = deque(maxlen=COPIES)
         self.history: deque[tuple[float, bytes]] = deque(maxlen=400)
+        self.born = 0
+
+    def begin_again(self, born: int) -> None:
+        """Start anew under the same id: nothing is held, and all counts begin."""
+        self.born = born
+        self.sequence = 0
+        self.held.clear()
+        self.incoming.clear()
+        self.copies.clear()
+        self.has_model = False
 
     def settle(self, now: float) -> None:
         for adapter, ends in list(self.incoming.items()):
@@ -108,6 +118,8 @@
             "RunningCount": 0,
             "WaitingCount": 0,
         }
+        if self.born:
+            report["born"] = self.born
         if not self.has_model:
             report["Models"] = []
         self.history.append((now, json.dumps(report).encode()))
@@ -238,6 +250,7 @@
         slots=4,
         leaving=False,
         weights=held,
+        born=engine.born,
     )
 
 
