--- a/src/kestreltally/cli/logs.py
+++ b/src/kestreltally/cli/logs.py
@@ -33,7 +33,9 @@
     for sentence in explanation.sentences:
         click.echo(f"  {sentence}")
     if explanation.nearby:
-        click.echo("decided by that daemon shortly before:")
+        click.echo(
+            "decided by that daemon shortly before, or by any on the same content:"
+        )
         for line in explanation.nearby:
             click.echo(f"  {line}")
 
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -29,7 +29,8 @@
     """What has become of one request so far.
 
     ``runs`` counts the sends of which no endpoint has said that they did not run;
-    ``flight`` is the last one, as it is watched.
+    ``flight`` is the last one, as it is watched. ``content`` is what lines show of a
+    request that is stopped.
     """
 
     sends: int = 0
@@ -43,6 +44,7 @@
     events: EventReader = field(default_factory=EventReader)
     response: web.StreamResponse | None = None
     flight: Flight | None = None
+    content: str | None = None
 
     def note_answered(self, *, whole: bool) -> None:
         """Note that some of an answer was good, or all of it."""
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -175,6 +175,7 @@
         block = self.poison.find_block(request)
         if block is None:
             return
+        progress.content = block.content
         progress.last_fault = f"stopped: {block.ends} endpoints ended under it"
         if progress.runs or progress.response is not None:
             raise give_up(progress)
--- a/src/kestreltally/entry/surface.py
+++ b/src/kestreltally/entry/surface.py
@@ -248,10 +248,12 @@
         )
 
     def _show_content(self, decision: Decision, call: ClientCall) -> str | None:
-        """Return what tells a request again that an endpoint may have failed.
+        """Return what a stopped request, or one that failed once sent, is known by.
 
         Others are not digested: a body may be long.
         """
+        if call.progress.content is not None:
+            return call.progress.content
         secret = self._relay.poison.secret.value
         failed = decision is not Decision.REQUEST_DONE and call.progress.runs > 0
         if call.request is None or not secret or not failed:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -59,6 +59,7 @@
     load_deployment,
 )
 from kestreltally.platform.store import Store, open_store_session
+from kestreltally.poison.surface import PoisonSurface
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS
 
 LOG = logging.getLogger("kestreltally.daemon")
@@ -351,8 +352,9 @@
         self._follow_store()
         await self._exchange.feed.start(own.peers.host, own.peers.port)
         await self._surface.start(own.clients, own.readiness)
+        operators = PoisonSurface(self._relay.poison.register, self._metrics.serve)
         await self._surface.listen(
-            web.Server(self._metrics.serve, access_log=None),
+            web.Server(operators.serve, access_log=None),
             Listening(own.peers.host, own.metrics_port),
         )
         loops = (
--- a/src/kestreltally/poison/register.py
+++ b/src/kestreltally/poison/register.py
@@ -42,13 +42,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Block:
-    """A request may not run now; ``wait`` is how long that holds."""
+    """A request may not run now; ``wait`` is how long that holds.
 
+    It is ``settled`` once no other daemon is awaited; ``content`` is what lines show.
+    """
+
+    content: str
     ends: int
     wait: Seconds
     settled: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """What operators see of a request; ``last_ended`` counts back from now."""
+
+    content: str
+    ends: int
+    stopped: bool
+    lives: tuple[Life, ...]
+    last_ended: Seconds
+
+
 @dataclass(slots=True)
 class Suspect:
     """What is known of one request."""
@@ -119,9 +134,9 @@
             return None
         unsettled = suspect.noted_at + SETTLE - now
         if unsettled > 0:
-            return Block(len(ends), unsettled, settled=False)
+            return Block(str(suspect.fingerprint), len(ends), unsettled, settled=False)
         lapses = ends[-ENDS_TO_STOP].ended_at + KEEP
-        return Block(len(ends), lapses - now, settled=True)
+        return Block(str(suspect.fingerprint), len(ends), lapses - now, settled=True)
 
     def _is_explained(self, suspect: Suspect, now: Seconds) -> bool:
         """Tell whether another request was at all the same ends, and rather made them.
@@ -153,6 +168,22 @@
             lives=sorted(suspect.sightings),
         )
 
+    def list_suspects(self, least: int = 1) -> list[Standing]:
+        """Return the requests that were at so many ends, the worst first."""
+        now = self._clock()
+        found = [
+            Standing(
+                content=str(suspect.fingerprint),
+                ends=len(ends),
+                stopped=digest in self._stopped,
+                lives=tuple(each.life for each in ends),
+                last_ended=now - ends[-1].ended_at,
+            )
+            for digest, suspect in self._suspects.items()
+            if len(ends := suspect.list_ends(now)) >= least
+        ]
+        return sorted(found, key=lambda each: each.ends, reverse=True)
+
     def count(self) -> dict[str, float]:
         """Return how many requests are known, by what is held of them."""
         return {
@@ -258,6 +289,7 @@
                 ends=ends,
                 lives=sorted(suspect.sightings),
             )
+        self.find_block(digest)
         self._make_room()
         return True
 
--- /dev/null
+++ b/src/kestreltally/poison/surface.py
@@ -0,0 +1,43 @@
+"""What operators see and do about requests that end endpoints, over HTTP.
+
+``GET /poison`` lists those that were at two ends or more; ``POST /poison/pardon`` with
+``content`` in the query, as lines show it, lets a request run again, at all daemons.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+from typing import Final
+
+from aiohttp import web
+
+from kestreltally.poison.register import PoisonRegister
+
+LIST_PATH: Final = "/poison"
+PARDON_PATH: Final = "/poison/pardon"
+SHOWN_ENDS: Final = 2
+
+Serve = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class PoisonSurface:
+    """Serves these paths, and leaves all others to another surface."""
+
+    def __init__(self, register: PoisonRegister, others: Serve) -> None:
+        self._register = register
+        self._others = others
+
+    async def serve(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer an operator."""
+        if http.path == LIST_PATH and http.method == "GET":
+            listed = self._register.list_suspects(SHOWN_ENDS)
+            return web.json_response([asdict(each) for each in listed])
+        if http.path == PARDON_PATH and http.method == "POST":
+            return self._pardon(http.query.get("content", ""))
+        return await self._others(http)
+
+    def _pardon(self, content: str) -> web.Response:
+        count = self._register.pardon(content)
+        if not count:
+            error = f"no request is suspected whose content is {content!r}"
+            return web.json_response({"error": error}, status=404)
+        return web.json_response({"pardoned": count})
--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -36,6 +36,18 @@
 )
 
 
+# What any daemon saw of a request's content, whatever its id.
+_OF_CONTENT: Final = frozenset(
+    each.text
+    for each in (
+        Decision.ENDPOINT_ENDED,
+        Decision.POISON_SUSPECTED,
+        Decision.POISON_STOPPED,
+        Decision.POISON_PARDONED,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True)
 class LogLine:
     """One line of a daemon; ``at`` is its time of day, seconds."""
@@ -172,15 +184,29 @@
         teller = TELLERS.get(line.event)
         told = teller(line.fields) if teller is not None else line.event
         sentences.append(f"{line.at:.3f} {line.vm}: {told}")
-    last = own[-1]
     nearby = tuple(
         f"{line.at:.3f} {line.vm}: {line.event} {line.fields}"
         for line in lines
-        if line.event in _NEARBY
+        if _is_nearby(line, own) or _is_of_content(line, own[-1])
+    )
+    return Explanation(request, tuple(sentences), find_cause(own), nearby)
+
+
+def _is_nearby(line: LogLine, own: Sequence[LogLine]) -> bool:
+    last = own[-1]
+    return (
+        line.event in _NEARBY
         and line.vm == last.vm
         and own[0].at - NEARBY <= line.at <= last.at
     )
-    return Explanation(request, tuple(sentences), find_cause(own), nearby)
+
+
+def _is_of_content(line: LogLine, last: LogLine) -> bool:
+    content = last.fields.get("content")
+    if content is None or line.event not in _OF_CONTENT:
+        return False
+    named = line.fields.get("content")
+    return content == named or (isinstance(named, list) and content in named)
 
 
 def find_cause(own: Sequence[LogLine]) -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -41,7 +41,7 @@
 
 
 def test_no_line_of_the_platforms_way_is_outside_the_catalogue() -> None:
-    parts = ("entry", "knowledge", "placing", "fleet", "platform")
+    parts = ("entry", "knowledge", "placing", "fleet", "platform", "poison")
     for part in parts:
         for path in (SOURCES / part).glob("*.py"):
             found = re.findall(r"LOG\.(info|warning|error|exception)", path.read_text())
@@ -153,6 +153,26 @@
     assert "leader lost" in explanation.nearby[0]
 
 
+STOPPED = """
+{"at": 1.0, "vm": "b", "event": "poison: endpoint ended under requests", \
+"endpoint": "e1", "content": ["c0ffee", "beef"]}
+{"at": 1.5, "vm": "b", "event": "poison: endpoint ended under requests", \
+"endpoint": "e2", "content": ["beef"]}
+{"at": 9.0, "vm": "a", "event": "poison: request stopped", "content": "c0ffee"}
+{"at": 90.0, "vm": "a", "event": "entry: request refused", "request": "q1", \
+"status": 503, "reason": "stopped", "retry_after": 800.0, "content": "c0ffee"}
+"""
+
+
+def test_what_other_daemons_saw_of_a_stopped_request_is_told() -> None:
+    explanation = explain_request(read_lines([io.StringIO(STOPPED)]), "q1")
+    assert explanation is not None
+    assert [line.partition(" {")[0] for line in explanation.nearby] == [
+        "1.000 b: poison: endpoint ended under requests",
+        "9.000 a: poison: request stopped",
+    ]
+
+
 def test_the_command_explains_and_counts(tmp_path: Path) -> None:
     path = tmp_path / "a.log"
     path.write_text(LINES)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -18,6 +18,8 @@
 
 import asyncio
 
+from aiohttp import ClientSession
+
 from tests.poisonrig import make_deadly, run_poison_fleet
 
 # The third end, and those that a word on its way may come too late for.
@@ -37,3 +39,25 @@
         for number, vm in enumerate(vms):
             reply = await rig.send(vm, b"sound", f"sound-{number}")
             assert reply is not None and reply.status == 200 and reply.whole
+
+
+async def test_an_operator_lets_a_stopped_request_run_again() -> None:
+    async with run_poison_fleet() as rig:
+        vms = list(rig.daemons)
+        for number in range(5):
+            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
+            await asyncio.sleep(0.6)
+        assert len(rig.crashes) == ENDS_MOST
+        async with ClientSession() as session:
+            url = f"http://127.0.0.1:{rig.daemons[vms[1]]._deployment.metrics_port}"
+            async with session.get(f"{url}/poison") as answer:
+                (listed,) = await answer.json()
+            assert listed["ends"] == ENDS_MOST and listed["stopped"]
+            pardon = f"{url}/poison/pardon?content="
+            async with session.post(f"{pardon}beef") as answer:
+                assert answer.status == 404 and "beef" in await answer.text()
+            async with session.post(pardon + listed["content"]) as answer:
+                assert await answer.json() == {"pardoned": 1}
+        await asyncio.sleep(0.5)
+        for daemon in rig.daemons.values():
+            assert daemon._relay.poison.register.count()["stopped"] == 0
