--- /dev/null
+++ b/tests/poisonsim.py
@@ -0,0 +1,276 @@
+"""One request that ends engines, under virtual time: how soon every daemon knows.
+
+Daemons hold true registers; what they tell each other takes its way over the leaders.
+``python -m tests.poisonsim`` prints the figures of each way of knowing and trouble.
+"""
+
+import heapq
+import logging
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from itertools import count
+from random import Random
+from statistics import mean
+
+from kestreltally.poison.facts import Life, Sighting, make_clearing
+from kestreltally.poison.fingerprints import Digest, Fingerprint
+from kestreltally.poison.register import Fact, PoisonRegister
+
+SEEDS = 200
+LASTS = 40.0
+# The operators' bound: sends later than this after the third end are counted.
+CONTACT = 3.0
+POISON = "poison"
+ENGINE_BACK = (2.0, 4.0)
+AGAIN_AFTER = (0.3, 2.0)
+# How long an engine runs the request before it ends, seconds.
+RUNS_FOR = (0.02, 0.1)
+# Each daemon's requests at each engine at a moment; how long each lasts.
+OTHERS_EACH = 0.6
+OTHER_LASTS = 1.2
+# So many of those that are cut off come again once.
+REPEATED = 0.6
+# A report leaves at once, an update is gathered; both cross the network.
+REPORT = (0.005, 0.03)
+UPDATE = (0.025, 0.08)
+
+
+class Sharing(Enum):
+    """How daemons know of each other's sightings."""
+
+    NONE = "each daemon alone"
+    LEADERS = "over the leaders"
+
+
+class Trouble(Enum):
+    """What befalls the word on its way."""
+
+    NONE = "none"
+    SLOW = "each message a second late"
+    LEADER_LOST = "a leader is lost as the second end is told"
+    WITNESS_LOST = "who saw the second end is killed with it"
+    ONE_SEES_ALL = "one daemon gets all sends"
+
+
+@dataclass
+class Figures:
+    """What came of one play."""
+
+    ends: int = 0
+    late_sends: int = 0
+    others: int = 0
+    others_refused: int = 0
+    known_after: float = 0.0
+    facts: int = 0
+
+
+@dataclass(eq=False)
+class Daemon:
+    """A daemon's register, its group, and when its leader hears it again."""
+
+    register: PoisonRegister
+    group: int
+    lost: bool = False
+    # Requests of others under way: engine, name, since.
+    flights: list[tuple[int, str, float]] = field(default_factory=list)
+
+
+class Play:
+    """One play of a seed."""
+
+    def __init__(
+        self, seed: int, daemons: int, groups: int, sharing: Sharing, trouble: Trouble
+    ) -> None:
+        self._draw = Random(seed)
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._sharing = sharing
+        self._trouble = trouble
+        self.figures = Figures()
+        self._engines = 9 * max(1, daemons // 40)
+        self._lives = dict.fromkeys(range(self._engines), 0)
+        self._up = set(range(self._engines))
+        self._daemons = [
+            Daemon(PoisonRegister(lambda: self._now), number % groups)
+            for number in range(daemons)
+        ]
+        self._groups = groups
+        self._third_at: float | None = None
+        self._deaf_until: dict[int, float] = {}
+
+    def at(self, moment: float, work: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (moment, next(self._numbers), work))
+
+    def later(self, bounds: tuple[float, float], work: Callable[[], None]) -> None:
+        self.at(self._now + self._draw.uniform(*bounds), work)
+
+    def run(self) -> Figures:
+        self.at(1.0, self._send_poison)
+        self.at(0.0, self._send_others)
+        while self._events:
+            self._now, _, work = heapq.heappop(self._events)
+            if self._now > LASTS:
+                break
+            work()
+        self.figures.facts = max(each.register.position for each in self._daemons)
+        return self.figures
+
+    # Requests.
+
+    def _choose_daemon(self) -> Daemon:
+        if self._trouble is Trouble.ONE_SEES_ALL:
+            return self._daemons[-1]
+        return self._draw.choice([each for each in self._daemons if not each.lost])
+
+    def _send_poison(self) -> None:
+        daemon = self._choose_daemon()
+        blocked = daemon.register.find_block(make_fingerprint(POISON).digest)
+        if blocked is None and self._up:
+            if self._third_at is not None and self._now > self._third_at + CONTACT:
+                self.figures.late_sends += 1
+            engine = self._draw.choice(sorted(self._up))
+            sent_at = self._now
+            self.later(RUNS_FOR, lambda: self._end_engine(engine, daemon, sent_at))
+        self.later(AGAIN_AFTER, self._send_poison)
+
+    def _send_others(self) -> None:
+        """Begin others' requests: each daemon has some at each engine."""
+        rate = OTHERS_EACH / OTHER_LASTS * len(self._up)
+        for daemon in self._daemons:
+            if not daemon.lost and self._draw.random() < rate * 0.1:
+                self._send_other(daemon, f"other-{next(self._numbers)}", repeats=1)
+        self.later((0.1, 0.1), self._send_others)
+
+    def _send_other(self, daemon: Daemon, name: str, repeats: int) -> None:
+        if not self._up:
+            return
+        self.figures.others += 1
+        if daemon.register.find_block(make_fingerprint(name).digest) is not None:
+            self.figures.others_refused += 1
+            return
+        flight = (self._draw.choice(sorted(self._up)), name, self._now)
+        daemon.flights.append(flight)
+
+        def finish() -> None:
+            if flight in daemon.flights:
+                daemon.flights.remove(flight)
+                digest = make_fingerprint(name).digest
+                if daemon.register.is_suspect(digest):
+                    clearing = make_clearing(make_fingerprint(name), self._now)
+                    self._tell(daemon, [clearing])
+            elif repeats and self._draw.random() < REPEATED:
+                self._send_other(self._choose_daemon(), name, repeats - 1)
+
+        self.later((0.1, 2 * OTHER_LASTS), finish)
+
+    # Ends.
+
+    def _end_engine(self, engine: int, sender: Daemon, sent_at: float) -> None:
+        if engine not in self._up:
+            return
+        self._up.discard(engine)
+        life = Life(f"e{engine}.{self._lives[engine]}")
+        self._lives[engine] += 1
+        self.figures.ends += 1
+        if self.figures.ends == 3:
+            self._third_at = self._now
+            self.at(self._now + 0.001, self._watch_knowledge)
+        self._meet_trouble(sender)
+        for daemon in self._daemons:
+            seen = [each for each in daemon.flights if each[0] == engine]
+            daemon.flights = [each for each in daemon.flights if each[0] != engine]
+            facts: list[Fact] = [
+                Sighting(make_fingerprint(name), life, since, self._now, answered=True)
+                for _, name, since in seen
+            ]
+            if daemon is sender:
+                poison = make_fingerprint(POISON)
+                facts.append(Sighting(poison, life, sent_at, self._now, False))
+            if facts and not daemon.lost:
+                self._tell(daemon, facts)
+        self.later(ENGINE_BACK, lambda: self._up.add(engine))
+
+    def _meet_trouble(self, sender: Daemon) -> None:
+        if self.figures.ends != 2:
+            return
+        if self._trouble is Trouble.WITNESS_LOST:
+            sender.lost = True
+        elif self._trouble is Trouble.LEADER_LOST:
+            self._deaf_until[sender.group] = self._now + 2.0
+
+    def _watch_knowledge(self) -> None:
+        digest = make_fingerprint(POISON).digest
+        known = all(
+            each.lost or each.register.find_block(digest) for each in self._daemons
+        )
+        if self._third_at is not None:
+            self.figures.known_after = self._now - self._third_at
+        if not known:
+            self.later((0.01, 0.01), self._watch_knowledge)
+
+    # The word's way: to the group's leader, to all groups, to all daemons.
+
+    def _tell(self, daemon: Daemon, facts: list[Fact]) -> None:
+        daemon.register.note_own(facts)
+        if self._sharing is Sharing.NONE:
+            return
+        extra = 1.0 if self._trouble is Trouble.SLOW else 0.0
+        heard = max(
+            self._now + self._draw.uniform(*REPORT),
+            self._deaf_until.get(daemon.group, 0.0),
+        )
+        for other in self._daemons:
+            if other is daemon:
+                continue
+            way = self._draw.uniform(*UPDATE)
+            if other.group != daemon.group:
+                way += self._draw.uniform(*UPDATE)
+            self.at(
+                heard + way + extra,
+                lambda to=other: to.register.note_told(facts),  # type: ignore[misc]
+            )
+
+
+def make_fingerprint(name: str) -> Fingerprint:
+    return Fingerprint(1, Digest(name.encode().ljust(16, b".")))
+
+
+def play_seeds(
+    seeds: int, daemons: int, groups: int, sharing: Sharing, trouble: Trouble
+) -> list[Figures]:
+    return [
+        Play(seed, daemons, groups, sharing, trouble).run() for seed in range(seeds)
+    ]
+
+
+def describe(played: list[Figures]) -> str:
+    return (
+        f"ends mean {mean(each.ends for each in played):.2f} "
+        f"most {max(each.ends for each in played)}; "
+        f"late sends most {max(each.late_sends for each in played)}; "
+        f"others refused {sum(each.others_refused for each in played)} "
+        f"of {sum(each.others for each in played)}; "
+        f"known after mean {mean(each.known_after for each in played):.2f} "
+        f"most {max(each.known_after for each in played):.2f} s; "
+        f"facts {mean(each.facts for each in played):.0f}"
+    )
+
+
+def main() -> None:
+    logging.disable()
+    seeds = int(sys.argv[1]) if len(sys.argv) > 1 else SEEDS
+    for daemons, groups in ((6, 3), (79, 3)):
+        for sharing in Sharing:
+            for trouble in Trouble:
+                if sharing is Sharing.NONE and trouble is not Trouble.NONE:
+                    continue
+                played = play_seeds(seeds, daemons, groups, sharing, trouble)
+                print(f"{daemons} daemons, {sharing.value}, {trouble.value}: ", end="")
+                print(describe(played), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -14,6 +14,7 @@
     Fact,
     PoisonRegister,
 )
+from tests.poisonsim import Sharing, Trouble, play_seeds
 
 
 class Clock:
@@ -162,3 +163,20 @@
     assert register.find_block(name("bad").digest) is None
     # The others are told.
     assert isinstance(register.list_unheard()[0], Clearing)
+
+
+@pytest.mark.parametrize("trouble", list(Trouble), ids=lambda each: each.name.lower())
+def test_all_daemons_stop_it_in_time_whatever_befalls_the_word(
+    trouble: Trouble,
+) -> None:
+    # 200 seeds of each by hand: tests/poisonsim.py.
+    for figures in play_seeds(6, 6, 3, Sharing.LEADERS, trouble):
+        assert figures.late_sends <= 3 and figures.ends <= ENDS_TO_STOP + 2
+        assert figures.others_refused == 0 and figures.others > 500
+
+
+def test_daemons_that_tell_nothing_do_not_stop_it() -> None:
+    assert all(
+        figures.late_sends > 3
+        for figures in play_seeds(3, 6, 3, Sharing.NONE, Trouble.NONE)
+    )
