Keep what is known of ends when leaders start again, and soak it

Shown by: the fault soak's new action, a request that ends engines at any daemon, with three daemons killed meanwhile: ten engines ended, three at each of three secrets. Cause: a leader that is started again leads at once, had no secret, made one, and its followers took it: digests under the one before were dropped. Its followers also told it own facts only, and not those of the daemon that was lost. Change: all daemons tell the secret they know, a daemon makes one only where nobody has told one within a second of its start; who hears a leader anew tells it what it does not tell back, others' facts after a drawn wait. The witness of the soak judges ends, and that nobody else is stopped; two mutations.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -119,7 +119,7 @@
     Mutation(
         name="leaving endpoints used on",
         module="platform/documents.py",
-        before='leaving=entry["State"] == _LEAVING',
+        before='leaving=_STATES[_read_text(entry["State"])]',
         after="leaving=False",
         action=Action.ENGINE_LEAVES,
         every=6.0,
@@ -156,6 +156,24 @@
         after="        ratio = 1.0 if True else",
         action=Action.RELOAD,
     ),
+    Mutation(
+        name="ends of endpoints that daemons do not tell each other",
+        module="knowledge/exchange.py",
+        before="        if register.note_told(facts) and leads:\n",
+        after="        if False:\n",
+        action=Action.POISON,
+        every=16.0,
+        lasts=16.0,
+    ),
+    Mutation(
+        name="a request that ends engines not stopped",
+        module="poison/register.py",
+        before="        if not stopped:\n",
+        after="        if True:\n",
+        action=Action.POISON,
+        every=16.0,
+        lasts=16.0,
+    ),
     Mutation(
         name="a client's key handed on",
         module="platform/headers.py",
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -37,6 +37,7 @@
     CONFIGURE = "new configuration"
     VERSION = "new version of an adapter"
     REVOKE = "a key is taken away"
+    POISON = "a request that ends engines comes again and again"
 
 
 # How often each is drawn: what the system must bear most often comes most often.
@@ -58,6 +59,9 @@
     Action.CONFIGURE: 3,
     Action.VERSION: 1,
 }
+# In a part of the plans a request that ends engines comes again and again, for seconds.
+POISON_PART: Final = 0.5
+POISON_LASTS: Final = 10.0
 # Keys are taken away so often beside all that, seconds.
 REVOKE_MEAN: Final = 3.0
 _DISTURBING: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
@@ -100,9 +104,19 @@
         at += draw.expovariate(1 / PAUSE_MEAN)
     # Drawn apart, so that each seed's other steps stay as they were.
     steps.extend(_revoke(random.Random(f"keys {seed}"), seconds))
+    steps.extend(_poison(random.Random(f"poison {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
+def _poison(draw: random.Random, seconds: float) -> list[Step]:
+    lasts = min(POISON_LASTS, seconds - FIRST_AT)
+    if draw.random() >= POISON_PART or lasts <= 0:
+        return []
+    at = draw.uniform(FIRST_AT, seconds - lasts)
+    target = draw.randrange(1000)
+    return [Step(at, lasts, Action.POISON, target, ProxyMode.PASS)]
+
+
 def _revoke(draw: random.Random, seconds: float) -> list[Step]:
     steps = []
     at = FIRST_AT + draw.expovariate(1 / REVOKE_MEAN)
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -23,7 +23,7 @@
 from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
 from bench.faultsoak.witness import Witness
 from kestreltally.objectapi.http import open_session
-from standins.platform_engine import HEARTBEAT
+from standins.platform_engine import DEADLY, HEARTBEAT
 
 # Requests a second by each daemon's client, and how many adapters they name: more than
 # there are places, so that orders are given all the time.
@@ -51,6 +51,9 @@
 STORE_SLOW: Final = 0.2
 STORE_LOSES: Final = 0.3
 DRAWS_TO_SHRINK: Final = 12
+# How soon a request that ends engines comes again, seconds.
+DEADLY_AGAIN: Final = (0.2, 1.0)
+DEADLY_TEXT: Final = DEADLY.decode()
 
 RunPlan = Callable[[list[Step]], Coroutine[Any, Any, Witness]]
 # What is planned, and excuses nothing.
@@ -61,6 +64,7 @@
         Action.CONFIGURE,
         Action.VERSION,
         Action.REVOKE,
+        Action.POISON,
     }
 )
 
@@ -276,6 +280,19 @@
     await soak.system.revoke()
 
 
+@performs(Action.POISON)
+async def send_deadly(soak: Soak, step: Step) -> None:
+    """Have a request come again and again, at any daemon, that ends engines."""
+    draw = random.Random(step.target)
+    clock = asyncio.get_running_loop().time
+    until = clock() + step.lasts
+    async with open_session() as http:
+        while clock() < until:
+            daemon = draw.choice(soak.system.daemons)
+            await soak.witness.ask_deadly(http, daemon, f"{DEADLY_TEXT} {step.target}")
+            await asyncio.sleep(draw.uniform(*DEADLY_AGAIN))
+
+
 @performs(Action.VERSION)
 async def name_version(soak: Soak, step: Step) -> None:
     """Name a new version of an adapter."""
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -37,6 +37,8 @@
 # How long the platform waits before it starts a daemon again.
 RESTART_AFTER: Final = 0.4
 WATCH_EVERY: Final = 0.02
+# An engine that a request has ended is back after so long, its old entry gone.
+BACK_AFTER: Final = 1.0
 # A planned stop ends with 0, or by its signal where the daemon had only just started.
 EXPECTED_ENDS: Final = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
 
@@ -93,6 +95,7 @@
     keys: Keys = field(default_factory=Keys)
     odd_ends: list[str] = field(default_factory=list)
     _runner: web.AppRunner | None = None
+    _crashes: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
     def every_endpoint(self) -> list[SoakEndpoint]:
@@ -175,9 +178,36 @@
         engine.address = f"{HOST}:{await proxy.start()}"
         runner, proxy.target = await _serve(make_engine_app(engine))
         endpoint = SoakEndpoint(engine, proxy, runner)
+        engine.crash = lambda: self._begin_crash(endpoint)
         self.endpoints.append(endpoint)
         return endpoint
 
+    def _begin_crash(self, endpoint: SoakEndpoint) -> None:
+        task = asyncio.create_task(self._crash(endpoint))
+        self._crashes.add(task)
+        task.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, endpoint: SoakEndpoint) -> None:
+        """End an engine at once, and start it again, in turn under its id or another.
+
+        Under its id its entry stays, and is written anew.
+        """
+        if endpoint not in self.endpoints:
+            return
+        self.endpoints.remove(endpoint)
+        self.gone.append(endpoint)
+        endpoint.proxy.close()
+        await endpoint.runner.cleanup()
+        await asyncio.sleep(BACK_AFTER)
+        before = endpoint.engine
+        if len(self.gone) % 2:
+            await self.store.drop("servers", before.id)
+            await self.add_endpoint(before.service, before.zone)
+        else:
+            again = await self.add_endpoint(before.service, before.zone)
+            again.engine.id = before.id
+            again.engine.born = max(again.engine.born, before.born + 1)
+
     async def end_endpoint(self, endpoint: SoakEndpoint) -> None:
         """End an endpoint at once; its entry goes from the store."""
         if endpoint not in self.endpoints:
@@ -221,6 +251,7 @@
 
     async def close(self) -> None:
         """End every process and server that this system has started."""
+        await asyncio.gather(*self._crashes, return_exceptions=True)
         for daemon in self.daemons:
             daemon.signal(signal.SIGCONT)
             daemon.signal(signal.SIGKILL)
--- a/bench/faultsoak/witness.py
+++ b/bench/faultsoak/witness.py
@@ -1,6 +1,7 @@
 """What clients and endpoints see, held against the promises of docs/PROMISES.md."""
 
 import asyncio
+import contextlib
 from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
@@ -20,6 +21,11 @@
 from bench.fleet_demo import BOUNDS, HOST_NAME, MODEL, read_events
 from standins.platform_engine import EVENTS
 
+OK: Final = 200
+# A request may end so many engines, and so many more once all can know.
+ENDS_ALLOWED: Final = 3
+# What a refusal says of a request that ends engines.
+STOPPED: Final = "ended under it"
 PROMISES_NOT_RUN: Final = frozenset({408, 421, 429, 503})
 TIMEOUT: Final = 8.0
 LEASE_APART: Final = BOUNDS["LeaseMs"] / 1000
@@ -47,6 +53,7 @@
     ended: float = 0.0
     status: int = 0
     whole: bool = False
+    reason: str = ""
 
 
 @dataclass
@@ -60,6 +67,7 @@
     disturbed: list[tuple[float, float]] = field(default_factory=list)
     stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
     healed: list[float] = field(default_factory=list)
+    deadly: int = 0
     # The newest configuration that each process was seen to act upon.
     seen: dict[tuple[str, int], int] = field(default_factory=dict)
 
@@ -94,6 +102,7 @@
                 ask.status = answer.status
                 text = await answer.text()
                 ask.whole = True
+                ask.reason = text if answer.status != OK else ""
         except ClientPayloadError:
             ask.whole = False
         except (TimeoutError, ClientError, OSError):
@@ -142,6 +151,43 @@
             self._check_orders(endpoint)
             self._check_leaving(endpoint)
         self._check_stops()
+        self._check_poison(endpoints)
+
+    async def ask_deadly(self, http: ClientSession, daemon: Daemon, body: str) -> None:
+        """Send a request that ends the engine that begins to run it."""
+        key = self.system.keys.current[STEADY]
+        self.deadly += 1
+        headers = {
+            "Host": HOST_NAME,
+            "X-Request-Id": f"d{self.deadly}",
+            "X-Credential": key,
+            "X-Model-Name": f"{MODEL}/a1",
+        }
+        with contextlib.suppress(TimeoutError, ClientError, OSError):
+            async with http.post(
+                f"{daemon.url}/models/deadly",
+                headers=headers,
+                data=body.encode(),
+                timeout=ClientTimeout(total=TIMEOUT),
+            ) as answer:
+                await answer.read()
+
+    def _check_poison(self, endpoints: list[SoakEndpoint]) -> None:
+        """Check that what ends engines is stopped, and nothing else."""
+        runs: dict[str, list[float]] = {}
+        for endpoint in endpoints:
+            for body, times in endpoint.engine.deadly_runs.items():
+                runs.setdefault(body, []).extend(times)
+        for body, times in runs.items():
+            times.sort()
+            third = times[ENDS_ALLOWED - 1 : ENDS_ALLOWED]
+            late = [at for at in times if third and at > third[0] + CALM]
+            counted = [at for at in late if self.is_calm(at, at)]
+            if len(counted) > ENDS_ALLOWED:
+                self.problems.append(f"{body} ended {len(times)}, {len(late)} late")
+        for ask in self.asks:
+            if STOPPED in ask.reason:
+                self.problems.append(f"{ask.id} was stopped: {ask.reason}")
 
     def _check_runs(self, endpoints: list[SoakEndpoint]) -> None:
         runs: Counter[str] = Counter()
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -6,8 +6,10 @@
 leader. A daemon without a leader of its own follows one of another data centre.
 """
 
+import asyncio
 import json
 import logging
+import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
@@ -78,6 +80,9 @@
 ROOM_WAIT_MOST: Final[Seconds] = 0.5
 HAND_WAIT_MOST: Final[Seconds] = 2.0
 
+# A leader that is heard anew gets what it does not know within this time.
+TELL_REST_AFTER: Final[tuple[Seconds, Seconds]] = (0.2, 1.0)
+
 Use = tuple[EndpointId, WeightsKey]
 
 
@@ -136,11 +141,12 @@
             )
             for name in leases
         }
+        for client in self.leaders.clients.values():
+            client.note_heard = self._note_leader_heard
         self.leader: Leader | None = None
         self._reported = EMPTY
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
-        self._told_leader = ""
         self._resigned: tuple[LedDataCentre, ...] = ()
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
         # How requests of this group ended, for the leaders of the endpoints.
@@ -212,6 +218,7 @@
         return self.ledger.make_words(now)
 
     def _take_report(self, report: Any) -> None:
+        self._relay.poison.secret.take(report.secret)
         if self.leader is None or not self.leaders.leads:
             return
         if self.leader.is_short:
@@ -301,6 +308,7 @@
             read_age=min(self._clock() - self._store_read_at(), AGE_UNKNOWN),
             daemons=1,
             stamp=self._clock() if self._fleet.keys is not None else None,
+            secret=self._relay.poison.secret.value,
         )
         if self.leaders.leads:
             self._add_group(report, data_centre)
@@ -411,19 +419,26 @@
         """Take in what a leader knows of requests that were at ends of endpoints."""
         register = self._relay.poison.register
         leads = self.leaders.leads
-        self._relay.poison.secret.take(update.secret or b"", leads=leads)
-        followed = not leads and self.leaders.find_primary() == data_centre
-        if followed and update.leader != self._told_leader:
-            # Of what another one was told last, this one may know nothing.
-            self._told_leader = update.leader
-            register.tell_again()
+        self._relay.poison.secret.take(update.secret)
         facts = decode_facts(update, self._clock())
         if not facts:
             return
-        register.note_echo(facts)
+        if self.leaders.find_primary() == data_centre:
+            register.note_echo(facts)
         if register.note_told(facts) and leads:
             self.feed.hurry()
 
+    def _note_leader_heard(self, _: str) -> None:
+        """Have a leader that is heard anew told what this daemon knows of ends.
+
+        Each daemon waits a drawn time with what others saw: the first one's telling is
+        told back, and spares the rest theirs.
+        """
+        register = self._relay.poison.register
+        register.begin_telling()
+        wait = random.uniform(*TELL_REST_AFTER)
+        asyncio.get_running_loop().call_later(wait, register.tell_rest)
+
     def _note_poison(self) -> None:
         """Tell at once what was seen here of requests at an end."""
         if self.leaders.leads:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -108,7 +108,8 @@
 
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
 // store_age tells how long ago the store answered a renewal, read_age how long ago it
-// told this daemon itself of endpoints, seconds. stamp is the sender's own time.
+// told this daemon itself of endpoints, seconds. stamp is the sender's own time, secret
+// what the digests of requests are taken under.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -127,6 +128,7 @@
   15: list<SpendingRow> spendings,
   16: list<SightingRow> sightings,
   17: list<ClearingRow> clearings,
+  18: binary secret,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -44,6 +44,8 @@
         self._hurry = asyncio.Event()
         # Set from a look that found a leader to follow until none is.
         self._wanted = asyncio.Event()
+        # Called when the leader is heard, after it was not.
+        self.note_heard: Callable[[str], None] = lambda _: None
         self.store_age: Seconds = float("inf")
         self.load_wait: Seconds = float("inf")
         self.room = 0
@@ -123,6 +125,7 @@
                     lease=self.data_centre,
                     leader=update.leader,
                 )
+                self.note_heard(self.data_centre)
             if leads:
                 self._heard_at = self._clock()
                 self.store_age = update.store_age
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -290,6 +290,7 @@
     15: (TType.LIST, "spendings", (TType.STRUCT, SpendingRow), False),
     16: (TType.LIST, "sightings", (TType.STRUCT, SightingRow), False),
     17: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
+    18: (TType.BINARY, "secret", False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -309,6 +310,7 @@
     ("spendings", None),
     ("sightings", None),
     ("clearings", None),
+    ("secret", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
--- a/src/kestreltally/poison/ends.py
+++ b/src/kestreltally/poison/ends.py
@@ -78,7 +78,6 @@
         self._asking: set[asyncio.Task[None]] = set()
         # Returns an endpoint that is listed and does not leave.
         self.find_staying: Callable[[EndpointId], Endpoint | None] = lambda _: None
-        self.ends = 0
 
     # What happens to requests.
 
@@ -193,9 +192,8 @@
         for flight in at_end:
             if flight.over_at is not None:
                 self._drop(flight)
-        if not sightings:
+        if not self._register.note_own(sightings):
             return
-        self.ends += 1
         log_decision(
             LOG,
             Decision.ENDPOINT_ENDED,
@@ -204,7 +202,6 @@
             cause=cause,
             content=[str(each.fingerprint) for each in sightings],
         )
-        self._register.note_own(sightings)
 
     def _was_at_end(self, flight: Flight) -> bool:
         """Tell whether nothing was heard of an endpoint since a request was over."""
--- a/src/kestreltally/poison/guard.py
+++ b/src/kestreltally/poison/guard.py
@@ -18,7 +18,7 @@
     """The watch for ends, the register of suspects, and the secret they share."""
 
     def __init__(self, heard_at: Callable[[EndpointId], Seconds]) -> None:
-        self.secret = SharedSecret(self._forget_digests)
+        self.secret = SharedSecret(_read_clock, self._forget_digests)
         self.register = PoisonRegister(_read_clock)
         self.ends = EndWatch(self.register, self.secret, heard_at, _read_clock)
 
--- a/src/kestreltally/poison/register.py
+++ b/src/kestreltally/poison/register.py
@@ -104,8 +104,9 @@
         self._clearings: dict[int, None] = {}
         self._facts: deque[tuple[int, Fact]] = deque(maxlen=FACTS_MOST)
         self.position = 0
-        # Own facts that no leader has told back yet, and all own ones of late.
+        # Facts that the leader has not told back yet, which it has, and all own ones.
         self._unheard: dict[Fact, None] = {}
+        self._heard: set[tuple[Digest, Life | int]] = set()
         self._own: deque[Fact] = deque(maxlen=FACTS_MOST)
         # Called when there is something to tell.
         self.note_news: Callable[[], None] = lambda: None
@@ -193,8 +194,8 @@
 
     # What it is told.
 
-    def note_own(self, facts: Iterable[Fact]) -> None:
-        """Take in what this daemon has seen, and tell the others."""
+    def note_own(self, facts: Iterable[Fact]) -> bool:
+        """Take in what this daemon has seen, and tell the others if it is news."""
         news = [fact for fact in facts if self._add(fact)]
         for fact in news:
             self._unheard[fact] = None
@@ -203,6 +204,7 @@
             del self._unheard[next(iter(self._unheard))]
         if news:
             self.note_news()
+        return bool(news)
 
     def note_told(self, facts: Iterable[Fact]) -> bool:
         """Take in what another daemon tells; tell whether any of it is news."""
@@ -210,20 +212,30 @@
         return any(added)
 
     def note_echo(self, facts: Iterable[Fact]) -> None:
-        """Take in what a leader tells: own facts among it need no telling more."""
+        """Take in what the leader tells: it needs not be told that."""
         told = {_identify(fact) for fact in facts}
+        self._heard |= told
         for fact in [each for each in self._unheard if _identify(each) in told]:
             del self._unheard[fact]
 
-    def tell_again(self) -> None:
-        """Tell all own facts again: whom they were told may not have passed them on."""
-        now = self._clock()
-        for fact in self._own:
-            if now - _find_time(fact) < KEEP:
+    def begin_telling(self) -> None:
+        """Tell a leader that is heard anew all own facts: it may know nothing."""
+        self._heard.clear()
+        self._unheard.clear()
+        self._tell_unheard(self._own)
+
+    def tell_rest(self) -> None:
+        """Tell the leader whatever it has not told, whoever saw it."""
+        self._tell_unheard(self.list_since(0))
+
+    def _tell_unheard(self, facts: Iterable[Fact]) -> None:
+        oldest = self._clock() - KEEP
+        for fact in facts:
+            if _find_time(fact) > oldest and _identify(fact) not in self._heard:
                 self._unheard[fact] = None
 
     def list_unheard(self) -> list[Fact]:
-        """Return the own facts that no leader has told back yet."""
+        """Return the facts that the leader has yet to be told, or to tell back."""
         return list(self._unheard)
 
     def list_since(self, position: int) -> list[Fact]:
@@ -261,6 +273,7 @@
         self._facts.clear()
         self._clearings.clear()
         self._unheard.clear()
+        self._heard.clear()
         self._own.clear()
         self._count = 0
 
@@ -349,6 +362,8 @@
     def forget_old(self) -> None:
         """Forget what no longer counts."""
         now = self._clock()
+        if len(self._heard) > FACTS_MOST:
+            self._heard &= {_identify(fact) for fact in self.list_since(0)}
         for digest, suspect in list(self._suspects.items()):
             ends = (each.ended_at for each in suspect.sightings.values())
             if max(ends, default=suspect.cleared_at) <= now - KEEP:
--- a/src/kestreltally/poison/secret.py
+++ b/src/kestreltally/poison/secret.py
@@ -1,37 +1,44 @@
 """The secret under which all daemons take the digests of requests.
 
-Daemons keep nothing on their VMs: a leader that has heard of no secret makes one, and
-tells it. It may change when daemons that had no word of each other meet.
+Daemons keep nothing on their VMs: a leader makes one where nobody has told it any, and
+all daemons tell the one they know. A daemon that is started again, and may lead at
+once, thus takes the others' before it makes one of its own: what was digested under
+another is of no more use.
 """
 
 from collections.abc import Callable
 from secrets import token_bytes
+from typing import Final
 
+from kestreltally.fleet.model import Seconds
 from kestreltally.poison.fingerprints import SECRET_BYTES
 
+# A daemon hears of others within half a second of its start.
+MAKE_AFTER: Final[Seconds] = 1.0
 
-class SharedSecret:
-    """This daemon's word on the secret; none until a leader has told one."""
 
-    def __init__(self, note_changed: Callable[[], None] = lambda: None) -> None:
+class SharedSecret:
+    """This daemon's word on the secret; empty until one is told or made."""
+
+    def __init__(
+        self,
+        clock: Callable[[], Seconds],
+        note_changed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._clock = clock
         self._note_changed = note_changed
+        self._since = clock()
         self.value = b""
 
     def lead(self) -> bytes:
-        """Return the secret that a leader tells, made when there is none."""
-        if not self.value:
+        """Return the secret that a leader tells, made when nobody has told one."""
+        if not self.value and self._clock() - self._since >= MAKE_AFTER:
             self.value = token_bytes(SECRET_BYTES)
         return self.value
 
-    def take(self, told: bytes, *, leads: bool) -> None:
-        """Take a leader's secret in.
-
-        Leaders that made one each agree on the lowest; who does not lead takes what it
-        is told. What was digested under another one is of no more use.
-        """
-        if not told or told == self.value:
-            return
-        if leads and self.value and told > self.value:
+    def take(self, told: bytes | None) -> None:
+        """Take another daemon's secret in: of two that were made, the lowest holds."""
+        if not told or (self.value and told >= self.value):
             return
         changed = bool(self.value)
         self.value = told
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -56,6 +56,8 @@
     holders: list[tuple[str, int]] = field(default_factory=list)
     order_times: list[float] = field(default_factory=list)
     faults: Faults = field(default_factory=lambda: Faults(silent=False, errors=False))
+    # When deadly requests began to run, by their bodies.
+    deadly_runs: dict[str, list[float]] = field(default_factory=dict)
     # When this start was, Unix milliseconds, and what ends it.
     born: int = 0
     crash: Callable[[], None] = lambda: None
@@ -193,6 +195,8 @@
         if "X-Credential" in http.headers:
             self.keyed.add(request_id)
         if body.startswith(DEADLY):
+            now = asyncio.get_running_loop().time()
+            self.deadly_runs.setdefault(body.decode(), []).append(now)
             self.crash()
             await asyncio.sleep(3600)
         if self.faults.get("silent"):
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -53,3 +53,17 @@
     )
     assert witness.problems == []
     assert sum(ask.status == 200 for ask in witness.asks) > 50
+
+
+async def test_a_request_that_ends_engines_is_stopped_though_daemons_are_killed(
+    tmp_path: Path,
+) -> None:
+    plan = [
+        make_step(0.5, 8.0, Action.POISON),
+        *(make_step(2.0 + 2.5 * n, 0.0, Action.KILL, n) for n in range(3)),
+    ]
+    system = SoakSystem(tmp_path, claim_ports())
+    witness = await run_plan(system, plan, DAEMONS)
+    assert witness.problems == []
+    ended = [e for e in system.every_endpoint if e.engine.deadly_runs]
+    assert 3 <= len(ended) <= 5
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -61,3 +61,29 @@
         await asyncio.sleep(0.5)
         for daemon in rig.daemons.values():
             assert daemon._relay.poison.register.count()["stopped"] == 0
+
+
+async def test_a_leader_that_starts_again_learns_what_its_followers_know() -> None:
+    # In a soak a leader that was killed made a new secret as it came back; all others
+    # took it, and forgot what they knew of a request that went on ending engines.
+    async with run_poison_fleet() as rig:
+        vms = list(rig.daemons)
+        for number in range(5):
+            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
+            await asyncio.sleep(0.6)
+        assert len(rig.crashes) == ENDS_MOST
+        leaders = [vm for vm in vms if rig.daemons[vm]._exchange.leaders.leads]
+        secret = rig.daemons[vms[0]]._relay.poison.secret.value
+        assert secret
+        for vm in leaders:
+            zone = vm.partition("-")[0]
+            await rig.daemons.pop(vm).close()
+            await rig.add_daemon(vm, zone)
+        await asyncio.sleep(3.0)
+        for vm in vms:
+            poison = rig.daemons[vm]._relay.poison
+            assert poison.secret.value == secret
+            assert poison.register.count()["stopped"] == 1
+            reply = await rig.send(vm, make_deadly(), f"again-{vm}")
+            assert reply is not None and reply.status == 503
+        assert len(rig.crashes) == ENDS_MOST
