Keep what is stopped in the store, for the loss of all daemons at once

Cause: state lives in daemons only; after a loss of power of all of them a request that was stopped would end three more engines. Change: each leader writes the ends of what is stopped, and the digests' secret, as they change, and reads all such records once as it begins to lead. No secret is made before that read, or 5 s where the store is away. Cost: one listing for each beginning of a lead, one write for each change of what is stopped and leader; none otherwise, none by who follows. Ruled out: writing each end (a call for each), reading by all daemons (one for each). Test: all daemons of a rig are closed and started: 3 engines ended in all.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -47,6 +47,7 @@
     POISON_SUSPECTED = ("poison: request suspected", Level.WARNING, 50)
     POISON_STOPPED = ("poison: request stopped", Level.ERROR, 50)
     POISON_PARDONED = ("poison: request pardoned", Level.WARNING, 50)
+    POISON_NOT_KEPT = ("poison: record not kept", Level.INFO, 20)
     ENDPOINT_LEFT_OUT = ("relay: endpoint left out", Level.WARNING, 50)
 
     CONFIGURATION_IN_FORCE = (
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -11,6 +11,7 @@
 import logging
 import signal
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 from uuid import uuid4
@@ -59,6 +60,7 @@
     load_deployment,
 )
 from kestreltally.platform.store import Store, open_store_session
+from kestreltally.poison.keeping import PoisonKeeper
 from kestreltally.poison.surface import PoisonSurface
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS
 
@@ -175,6 +177,14 @@
             VERSIONS_GAP,
             OTHERS_WAIT,
         )
+        self._keeper = PoisonKeeper(
+            self._store,
+            self._relay.poison,
+            deployment.data_centre,
+            lambda: self._exchange.leaders.leads,
+            self._clock,
+            time.time,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._began = self._clock()
 
@@ -365,6 +375,7 @@
             self._leader.run,
             self._exchange.feed.run,
             self._reader.run,
+            self._keeper.run,
             self._keep_house,
             *(lease.run for lease in self._leases.values()),
             *(client.run for client in self._exchange.leaders.clients.values()),
--- /dev/null
+++ b/src/kestreltally/poison/keeping.py
@@ -0,0 +1,177 @@
+"""Keeps what is stopped in the store, for the case that all daemons are lost at once.
+
+Daemons keep nothing on their VMs. Without this each request that ends engines would end
+three more after every loss of all daemons. Only leaders call the store: once as they
+begin to lead, and once for each change of what is stopped.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, Final
+
+from kestreltally.decisions import Decision, log_decision
+from kestreltally.fleet.model import Seconds
+from kestreltally.platform.store import Conflict, Store, StoredObject, StoreError
+from kestreltally.poison.facts import Life, Sighting
+from kestreltally.poison.fingerprints import Digest, Fingerprint
+from kestreltally.poison.guard import PoisonGuard
+
+LOG = logging.getLogger("kestreltally.poison")
+
+POISON_KIND: Final = "kestreltally-poison"
+LOOK_EVERY: Final[Seconds] = 0.5
+# A store that does not answer is asked again after this.
+RETRY_AFTER: Final[Seconds] = 2.0
+# What reading a record of another form raises.
+ODD_RECORD: Final = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What a leader keeps: the secret, and the ends of what is stopped.
+
+    Its times are those of day, Unix seconds: it outlives the daemons' clocks.
+    """
+
+    secret: bytes
+    sightings: tuple[Sighting, ...]
+
+    def encode(self) -> dict[str, Any]:
+        """Return the content of the store's object."""
+        return {
+            "secret": self.secret.hex(),
+            "sightings": [
+                {
+                    "digest": each.fingerprint.digest.hex(),
+                    "outline": each.fingerprint.outline,
+                    "life": each.life,
+                    "sent_at": each.sent_at,
+                    "ended_at": each.ended_at,
+                    "answered": each.answered,
+                }
+                for each in self.sightings
+            ],
+        }
+
+    @classmethod
+    def decode(cls, content: Any) -> "Record":
+        """Return the record of an object; raises one of ``ODD_RECORD``."""
+        return cls(
+            bytes.fromhex(content["secret"]),
+            tuple(_decode_sighting(each) for each in content["sightings"]),
+        )
+
+
+def _decode_sighting(row: Any) -> Sighting:
+    digest = Digest(bytes.fromhex(row["digest"]))
+    return Sighting(
+        fingerprint=Fingerprint(int(row["outline"]), digest),
+        life=Life(str(row["life"])),
+        sent_at=float(row["sent_at"]),
+        ended_at=float(row["ended_at"]),
+        answered=bool(row["answered"]),
+    )
+
+
+class PoisonKeeper:
+    """Reads what was stopped as this daemon begins to lead, and writes what is."""
+
+    def __init__(
+        self,
+        store: Store,
+        poison: PoisonGuard,
+        name: str,
+        leads: Callable[[], bool],
+        clock: Callable[[], Seconds],
+        wall: Callable[[], Seconds],
+    ) -> None:
+        self._store = store
+        self._poison = poison
+        self._name = name
+        self._leads = leads
+        self._clock = clock
+        self._wall = wall
+        self._revision: int | None = None
+        self._kept: frozenset[tuple[Digest, Life]] | None = frozenset()
+        self._has_read = False
+
+    async def run(self) -> None:
+        """Keep it for ever."""
+        while True:
+            await asyncio.sleep(LOOK_EVERY)
+            if not self._leads():
+                self._has_read = False
+                continue
+            try:
+                await self._step()
+            except StoreError as error:
+                log_decision(LOG, Decision.POISON_NOT_KEPT, reason=str(error))
+                await asyncio.sleep(RETRY_AFTER)
+
+    async def _step(self) -> None:
+        if not self._has_read:
+            await self._read()
+            self._has_read = True
+            self._poison.secret.has_looked = True
+        sightings = self._poison.register.list_stopped()
+        marks = frozenset((each.fingerprint.digest, each.life) for each in sightings)
+        if marks != self._kept and await self._write(sightings):
+            self._kept = marks
+
+    async def _read(self) -> None:
+        """Take in what any leader has kept."""
+        listing = await self._store.list_objects(POISON_KIND)
+        self._revision = None
+        for stored in listing.objects:
+            if stored.name == self._name:
+                self._revision = stored.revision
+            self._take(stored)
+        # What stands under this name is written anew.
+        self._kept = frozenset() if self._revision is None else None
+
+    def _take(self, stored: StoredObject) -> None:
+        try:
+            record = Record.decode(stored.content)
+        except ODD_RECORD as error:
+            log_decision(LOG, Decision.POISON_NOT_KEPT, reason=repr(error))
+            return
+        self._poison.secret.take(record.secret)
+        if record.secret == self._poison.secret.value:
+            shift = self._clock() - self._wall()
+            self._poison.register.note_told(_shift(record.sightings, shift))
+
+    async def _write(self, sightings: list[Sighting]) -> bool:
+        """Write what is stopped; tell whether it was written."""
+        shift = self._wall() - self._clock()
+        kept = tuple(_shift(sightings, shift))
+        content = Record(self._poison.secret.value, kept).encode()
+        try:
+            if self._revision is None:
+                stored = await self._store.create(POISON_KIND, self._name, content)
+            else:
+                stored = await self._store.replace(
+                    POISON_KIND, self._name, self._revision, content
+                )
+        except Conflict as conflict:
+            # Another leader of this name wrote: its record is read before the next try.
+            self._revision = conflict.current.revision if conflict.current else None
+            self._has_read = False
+            return False
+        self._revision = stored.revision
+        return True
+
+
+def _shift(sightings: Iterable[Sighting], by: Seconds) -> list[Sighting]:
+    """Return sightings whose times are by another clock."""
+    return [
+        Sighting(
+            each.fingerprint,
+            each.life,
+            each.sent_at + by,
+            each.ended_at + by,
+            each.answered,
+        )
+        for each in sightings
+    ]
--- a/src/kestreltally/poison/register.py
+++ b/src/kestreltally/poison/register.py
@@ -185,6 +185,12 @@
         ]
         return sorted(found, key=lambda each: each.ends, reverse=True)
 
+    def list_stopped(self) -> list[Sighting]:
+        """Return the ends for which requests are stopped."""
+        now = self._clock()
+        stopped = [self._suspects[digest] for digest in sorted(self._stopped)]
+        return [end for suspect in stopped for end in suspect.list_ends(now)]
+
     def count(self) -> dict[str, float]:
         """Return how many requests are known, by what is held of them."""
         return {
--- a/src/kestreltally/poison/secret.py
+++ b/src/kestreltally/poison/secret.py
@@ -13,8 +13,10 @@
 from kestreltally.fleet.model import Seconds
 from kestreltally.poison.fingerprints import SECRET_BYTES
 
-# A daemon hears of others within half a second of its start.
+# A daemon hears of others within half a second of its start, and of what was kept in
+# the store with its first call as a leader; where the store is away, not at all.
 MAKE_AFTER: Final[Seconds] = 1.0
+MAKE_BLIND_AFTER: Final[Seconds] = 5.0
 
 
 class SharedSecret:
@@ -29,10 +31,13 @@
         self._note_changed = note_changed
         self._since = clock()
         self.value = b""
+        # Set once the store has told what was kept.
+        self.has_looked = False
 
     def lead(self) -> bytes:
         """Return the secret that a leader tells, made when nobody has told one."""
-        if not self.value and self._clock() - self._since >= MAKE_AFTER:
+        wait = MAKE_AFTER if self.has_looked else MAKE_BLIND_AFTER
+        if not self.value and self._clock() - self._since >= wait:
             self.value = token_bytes(SECRET_BYTES)
         return self.value
 
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -87,3 +87,35 @@
             reply = await rig.send(vm, make_deadly(), f"again-{vm}")
             assert reply is not None and reply.status == 503
         assert len(rig.crashes) == ENDS_MOST
+
+
+async def test_what_is_stopped_outlasts_the_loss_of_all_daemons() -> None:
+    async with run_poison_fleet() as rig:
+        vms = list(rig.daemons)
+        for number in range(5):
+            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
+            await asyncio.sleep(0.6)
+        assert len(rig.crashes) == ENDS_MOST
+        await asyncio.sleep(0.6)
+        await asyncio.gather(*(each.close() for each in rig.daemons.values()))
+        rig.daemons.clear()
+        for vm in vms:
+            await rig.add_daemon(vm, vm.partition("-")[0])
+        await asyncio.sleep(3.0)
+        for vm in vms:
+            reply = await rig.send(vm, make_deadly(), f"again-{vm}")
+            assert reply is not None and reply.status == 503
+            reply = await rig.send(vm, b"sound", f"sound-{vm}")
+            assert reply is not None and reply.status == 200
+        assert len(rig.crashes) == ENDS_MOST
+
+
+async def test_odd_records_are_left_out() -> None:
+    async with run_poison_fleet() as rig:
+        await rig.store.put("kestreltally-poison", "north", {"secret": 5})
+        await rig.store.put("kestreltally-poison", "other", ["?"])
+        leader = await rig.add_daemon("north-9", "north")
+        keeper = leader._keeper
+        await keeper._read()
+        keeper._poison.secret.lead()
+        assert await keeper._write([])
