--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -6,10 +6,8 @@
 leader. A daemon without a leader of its own follows one of another data centre.
 """
 
-import asyncio
 import json
 import logging
-import random
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
@@ -32,6 +30,7 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
+from kestreltally.knowledge.ends import EndsExchange
 from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer, Peer
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
@@ -40,7 +39,6 @@
     apply_change,
     decode_demand,
     decode_endpoint,
-    decode_facts,
     decode_fullness,
     decode_outcome,
     decode_spending,
@@ -48,7 +46,6 @@
     decode_weights,
     decode_word,
     encode_demand,
-    encode_facts,
     encode_fullness,
     encode_outcomes,
     encode_spending,
@@ -80,9 +77,6 @@
 ROOM_WAIT_MOST: Final[Seconds] = 0.5
 HAND_WAIT_MOST: Final[Seconds] = 2.0
 
-# A leader that is heard anew gets what it does not know within this time.
-TELL_REST_AFTER: Final[tuple[Seconds, Seconds]] = (0.2, 1.0)
-
 Use = tuple[EndpointId, WeightsKey]
 
 
@@ -128,8 +122,8 @@
         self.feed.is_leading = lambda: self.leaders.leads and self._has_listed()
         relay.note_reading = self._note_own_reading
         relay.note_turn = self._note_turn
-        relay.poison.register.note_news = self._note_poison
-        self.feed.register = relay.poison.register
+        self._ends = EndsExchange(relay.poison, self._hurry_ends, clock)
+        self.feed.ends = self._ends
         self.leaders = Leaders(deployment, leases)
         self.leaders.clients = {
             name: FeedClient(
@@ -142,7 +136,7 @@
             for name in leases
         }
         for client in self.leaders.clients.values():
-            client.note_heard = self._note_leader_heard
+            client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
         self._reported = EMPTY
         self._heard_at = clock()
@@ -198,7 +192,7 @@
             configuration=self._configuration.encoded,
             room=self.leader.room if self.leader else 0,
             known_at=self._find_known_at(),
-            secret=self._relay.poison.secret.lead() if leads else b"",
+            secret=self._ends.lead() if leads else b"",
         )
 
     def _has_listed(self) -> bool:
@@ -218,7 +212,7 @@
         return self.ledger.make_words(now)
 
     def _take_report(self, report: Any) -> None:
-        self._relay.poison.secret.take(report.secret)
+        self._ends.take_secret(report)
         if self.leader is None or not self.leaders.leads:
             return
         if self.leader.is_short:
@@ -229,8 +223,7 @@
             endpoint, key, _ = decode_use(row)
             self._note_refused(endpoint, key)
         self._take_outcomes(decode_outcome(row) for row in report.outcomes or ())
-        if self._relay.poison.register.note_told(decode_facts(report, self._clock())):
-            self.feed.hurry()
+        self._ends.take_report(report)
         spendings = [decode_spending(row) for row in report.spendings or ()]
         self._take_spendings(spendings, of_group=not report.leads)
 
@@ -308,8 +301,8 @@
             read_age=min(self._clock() - self._store_read_at(), AGE_UNKNOWN),
             daemons=1,
             stamp=self._clock() if self._fleet.keys is not None else None,
-            secret=self._relay.poison.secret.value,
         )
+        self._ends.name_secret(report)
         if self.leaders.leads:
             self._add_group(report, data_centre)
         elif self.leaders.find_primary() in (data_centre, None):
@@ -331,8 +324,7 @@
         report.outcomes = encode_outcomes(self._relay.health.outcomes.take())
         spendings = self._limiter.take_spendings()
         report.spendings = [encode_spending(each) for each in spendings]
-        unheard = self._relay.poison.register.list_unheard()
-        encode_facts(report, unheard, self._clock())
+        self._ends.fill_report(report)
 
     def _add_group(self, report: Any, data_centre: str) -> None:
         """Sum up this leader's daemons for another leader."""
@@ -409,45 +401,13 @@
             self._configuration.take_document(json.loads(update.configuration))
         if not update.leads:
             return
-        self._take_poison(data_centre, update)
+        followed = self.leaders.find_primary() == data_centre
+        self._ends.take_update(update, followed=followed, leads=self.leaders.leads)
         self._take_authority(update)
         self._take_rows(update, {each.data_centre for each in update.leads})
-        if not self.leaders.leads and self.leaders.find_primary() == data_centre:
+        if not self.leaders.leads and followed:
             self._take_counts(update)
 
-    def _take_poison(self, data_centre: str, update: Any) -> None:
-        """Take in what a leader knows of requests that were at ends of endpoints."""
-        register = self._relay.poison.register
-        leads = self.leaders.leads
-        self._relay.poison.secret.take(update.secret)
-        facts = decode_facts(update, self._clock())
-        if not facts:
-            return
-        if self.leaders.find_primary() == data_centre:
-            register.note_echo(facts)
-        if register.note_told(facts) and leads:
-            self.feed.hurry()
-
-    def _note_leader_heard(self, _: str) -> None:
-        """Have a leader that is heard anew told what this daemon knows of ends.
-
-        Each daemon waits a drawn time with what others saw: the first one's telling is
-        told back, and spares the rest theirs.
-        """
-        register = self._relay.poison.register
-        register.begin_telling()
-        wait = random.uniform(*TELL_REST_AFTER)
-        asyncio.get_running_loop().call_later(wait, register.tell_rest)
-
-    def _note_poison(self) -> None:
-        """Tell at once what was seen here of requests at an end."""
-        if self.leaders.leads:
-            self.feed.hurry()
-            return
-        primary = self.leaders.find_primary()
-        if primary is not None:
-            self.hurry(primary)
-
     def _take_authority(self, update: Any) -> None:
         """Take in up to when the leader knows all, once all that is known here too."""
         configuration = self._fleet.configuration
@@ -591,6 +551,15 @@
         own = self._relay.finder.demand.uses
         return set(own).union(*self.feed.list_uses())
 
+    def _hurry_ends(self) -> None:
+        """Tell at once what is new of requests at ends."""
+        if self.leaders.leads:
+            self.feed.hurry()
+            return
+        primary = self.leaders.find_primary()
+        if primary is not None:
+            self.hurry(primary)
+
     def _note_turn(self) -> None:
         """Tell at once of an adapter's first or last use where places are short."""
         if self.leaders.leads and self.leader is not None:
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -10,11 +10,11 @@
 from kestreltally.entry.fullness import EMPTY, Fullness
 from kestreltally.events import wait_at_most
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
+from kestreltally.knowledge.ends import EndsExchange
 from kestreltally.knowledge.frames import FrameStream, MalformedFrame
 from kestreltally.knowledge.rows import (
     decode_fullness,
     decode_use,
-    encode_facts,
     encode_fullness,
     encode_word,
 )
@@ -29,7 +29,6 @@
     Versions,
     encode_leaders,
 )
-from kestreltally.poison.register import PoisonRegister
 from kestreltally.quotas.spending import Word
 from kestreltally.sockets import harden_socket
 
@@ -124,7 +123,7 @@
         self.make_words: Callable[[], Iterable[Word] | None] = lambda: None
         self._server: asyncio.Server | None = None
         # What is known of requests at ends of endpoints.
-        self.register: PoisonRegister | None = None
+        self.ends: EndsExchange | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError``."""
@@ -272,20 +271,12 @@
                 update.daemons = counts.daemons
                 update.words = counts.words
             _tell_authority(update, peer, current.state)
-            self._tell_facts(update, peer)
+            if self.ends is not None:
+                peer.told_facts = self.ends.fill_update(update, peer.told_facts)
         if self._lacks_configuration(peer, current.state.configuration_version):
             update.configuration = current.state.configuration
         peer.stream.send(update)
 
-    def _tell_facts(self, update: Any, peer: Peer) -> None:
-        """Tell a peer what it has not been told of requests at ends."""
-        register = self.register
-        if register is None or peer.told_facts == register.position:
-            return
-        facts = register.list_since(peer.told_facts)
-        encode_facts(update, facts, self._clock())
-        peer.told_facts = register.position
-
     def _is_behind(self, peer: Peer) -> bool:
         """Tell whether a peer has much to read still; drop one that does not read."""
         now = self._clock()
