Tests of what is an end and what is none; an answer of another start is one

A hanging request at an address where another start answers was at an end too: its row was dropped without that being noted. Requests without a whole answer are remembered for 12 s: with a slow store an entry goes later than 6 s after an engine fell silent.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -388,6 +388,7 @@
         if answer.status == MISDIRECTED:
             instance = read_instance(answer.headers)
             if instance and instance != endpoint.id:
+                self.poison.ends.note_replaced(endpoint)
                 self._fleet.drop_endpoint(endpoint.id)
             elif key is not None:
                 self._fleet.note_absent(endpoint.id, key, now)
--- a/src/kestreltally/poison/ends.py
+++ b/src/kestreltally/poison/ends.py
@@ -28,8 +28,9 @@
 LOG = logging.getLogger("kestreltally.poison")
 
 # An end is known by its address at once, and by its entry within four heartbeats of
-# 1.2 s; until then requests without a whole answer are remembered.
-REMEMBER_FOR: Final[Seconds] = 6.0
+# 1.2 s, or some seconds more where the store is slow; until then requests without a
+# whole answer are remembered.
+REMEMBER_FOR: Final[Seconds] = 12.0
 # Who has been silent for so long as its entry goes did not leave as planned: those
 # serve on.
 SILENT_FOR: Final[Seconds] = 2.0
@@ -174,7 +175,7 @@
             self._note_end(endpoint, "silent, and its entry went")
 
     def note_replaced(self, endpoint: Endpoint) -> None:
-        """Take in that an endpoint that was listed has been started anew."""
+        """Take in that another start answers in place of an endpoint."""
         if self._flights.get(endpoint.id):
             self._note_end(endpoint, "started anew")
 
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,214 @@
+"""What is an end of an endpoint, what is none, and which requests were there."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from kestreltally.entry.request import ClientRequest
+from kestreltally.fleet.model import Endpoint, EndpointId, ServiceSpec
+from kestreltally.platform.headers import RequestHead
+from kestreltally.poison.ends import REMEMBER_FOR, SILENT_FOR, EndWatch, Flight
+from kestreltally.poison.facts import Life, name_life
+from kestreltally.poison.fingerprints import make_fingerprint, make_outline
+from kestreltally.poison.register import PoisonRegister
+from kestreltally.poison.secret import MAKE_AFTER, MAKE_BLIND_AFTER, SharedSecret
+from tests.clocks import ManualClock
+from tests.entryrig import PLAIN, make_route
+from tests.ports import reserve_port
+
+SECRET = b"s" * 16
+
+
+def make_request(
+    path: str = "/r/x", body: bytes = b"body", name: str = "q"
+) -> ClientRequest:
+    head = RequestHead(name, None, None, 0, 0, (), False)
+    service = ServiceSpec(PLAIN, "/h", 10, None)
+    return ClientRequest("POST", path, (), body, head, make_route(), service, 0.0, 5.0)
+
+
+def make_endpoint(port: int = 1, born: int = 7) -> Endpoint:
+    return Endpoint(
+        EndpointId("e1"), PLAIN, "127.0.0.1", port, "north", 4, False, {}, born=born
+    )
+
+
+@dataclass
+class Rig:
+    """A watch whose clock and endpoints are set by hand."""
+
+    clock: ManualClock = field(default_factory=ManualClock)
+    heard_at: float = 0.0
+    staying: bool = True
+
+    def __post_init__(self) -> None:
+        self.secret = SharedSecret(self.clock)
+        self.secret.value = SECRET
+        self.register = PoisonRegister(self.clock)
+        self.watch = EndWatch(
+            self.register, self.secret, lambda _: self.heard_at, self.clock
+        )
+        self.watch.find_staying = lambda _: make_endpoint() if self.staying else None
+
+    def fly(self, endpoint: Endpoint, request: ClientRequest | None = None) -> Flight:
+        return self.watch.begin(request or make_request(), endpoint)
+
+    def list_lives(self, request: ClientRequest | None = None) -> set[Life]:
+        digest = make_fingerprint(request or make_request(), SECRET).digest
+        facts = self.register.list_since(0)
+        return {
+            each.life  # type: ignore[union-attr]
+            for each in facts
+            if each.fingerprint.digest == digest
+        }
+
+
+@asynccontextmanager
+async def listen() -> AsyncIterator[int]:
+    async def close(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.close()
+
+    server = await asyncio.start_server(close, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+async def test_a_request_is_at_the_end_of_an_endpoint_that_refuses_channels() -> None:
+    rig = Rig()
+    endpoint = make_endpoint(reserve_port())
+    flight = rig.fly(endpoint)
+    flight.broke = True
+    rig.watch.end(flight)
+    await asyncio.sleep(0.1)
+    assert rig.list_lives() == {name_life(endpoint)}
+
+
+async def test_a_channel_that_breaks_while_its_endpoint_lives_is_no_end() -> None:
+    rig = Rig()
+    async with listen() as port:
+        flight = rig.fly(make_endpoint(port))
+        flight.broke = True
+        rig.watch.end(flight)
+        await asyncio.sleep(0.1)
+    assert rig.list_lives() == set()
+
+
+async def test_who_leaves_as_planned_ends_nobodys_fault() -> None:
+    rig = Rig(staying=False)
+    endpoint = make_endpoint(reserve_port())
+    rig.fly(endpoint)
+    rig.watch.note_refused(endpoint)
+    rig.watch.note_gone(endpoint)
+    rig.watch.note_replaced(endpoint)
+    assert rig.list_lives() == set()
+
+
+END_SIGNS: list[Callable[[EndWatch, Endpoint], None]] = [
+    EndWatch.note_refused,
+    EndWatch.note_gone,
+    EndWatch.note_replaced,
+]
+
+
+@pytest.mark.parametrize("show", END_SIGNS, ids=lambda each: each.__name__)
+async def test_a_request_that_hangs_as_its_endpoint_ends_was_there(
+    show: Callable[[EndWatch, Endpoint], None],
+) -> None:
+    rig = Rig()
+    rig.fly(make_endpoint())
+    rig.clock.now += SILENT_FOR + 0.1
+    show(rig.watch, make_endpoint())
+    assert rig.list_lives() == {name_life(make_endpoint())}
+
+
+async def test_an_entry_that_goes_while_the_endpoint_answers_is_no_end() -> None:
+    # Some never say that they leave: their entry goes, and they serve on.
+    rig = Rig()
+    rig.fly(make_endpoint())
+    rig.clock.now += 10.0
+    rig.heard_at = rig.clock.now - SILENT_FOR / 2
+    rig.watch.note_gone(make_endpoint())
+    assert rig.list_lives() == set()
+
+
+async def test_a_request_that_its_endpoint_outlived_was_not_there() -> None:
+    rig = Rig()
+    flight = rig.fly(make_endpoint())
+    rig.watch.end(flight)
+    rig.clock.now += 1.0
+    rig.heard_at = rig.clock.now
+    rig.watch.note_refused(make_endpoint())
+    assert rig.list_lives() == set()
+
+
+async def test_a_request_that_was_over_long_ago_is_not_remembered() -> None:
+    rig = Rig()
+    rig.watch.end(rig.fly(make_endpoint()))
+    rig.clock.now += REMEMBER_FOR + 0.1
+    rig.watch.forget_old()
+    rig.watch.note_refused(make_endpoint())
+    assert rig.list_lives() == set()
+
+
+async def test_only_requests_of_the_life_that_ended_were_there() -> None:
+    rig = Rig()
+    other = make_request(body=b"other")
+    rig.fly(make_endpoint(born=7))
+    rig.fly(make_endpoint(born=9), other)
+    rig.watch.note_replaced(make_endpoint(born=7))
+    assert rig.list_lives() and not rig.list_lives(other)
+
+
+async def test_a_good_run_clears_a_request() -> None:
+    rig = Rig()
+    rig.fly(make_endpoint())
+    rig.watch.note_replaced(make_endpoint())
+    digest = make_fingerprint(make_request(), SECRET).digest
+    assert rig.register.is_suspect(digest)
+    rig.clock.now += 1.0
+    flight = rig.fly(make_endpoint(born=9))
+    flight.whole = flight.answered = True
+    rig.watch.end(flight)
+    assert not rig.register.is_suspect(digest)
+
+
+def test_a_request_is_known_by_path_organisation_and_body_only() -> None:
+    request = make_request()
+    known = make_fingerprint(request, SECRET)
+    again = replace(
+        request,
+        arrived=9.0,
+        ends=10.0,
+        head=replace(request.head, id="z", resumes=True),
+    )
+    assert make_fingerprint(again, SECRET) == known
+    for other in (make_request(path="/r/y"), make_request(body=b"bodY")):
+        assert make_fingerprint(other, SECRET).digest != known.digest
+    assert make_fingerprint(request, b"t" * 16).digest != known.digest
+    assert make_outline(make_request(body=b"bodY")) == known.outline
+    assert b"body" not in known.digest and "body" not in str(known)
+
+
+def test_a_secret_is_made_only_where_nobody_has_told_one() -> None:
+    clock = ManualClock()
+    changes: list[None] = []
+    secret = SharedSecret(clock, lambda: changes.append(None))
+    assert secret.lead() == b""
+    secret.has_looked = True
+    clock.now += MAKE_AFTER
+    made = secret.lead()
+    assert len(made) == 16 and secret.lead() == made
+    secret.take(b"\xff" * 16)
+    assert secret.value == made and not changes
+    secret.take(b"\0" * 16)
+    assert secret.value == b"\0" * 16 and len(changes) == 1
+    blind = SharedSecret(clock)
+    clock.now += MAKE_AFTER
+    assert blind.lead() == b""
+    clock.now += MAKE_BLIND_AFTER
+    assert blind.lead() != b""
