Stop a poison request for longer with each end, and judge once all had their say

Found by reading: a verdict that lapsed by its third last end let three engines be ended in each quarter of an hour, within seconds of each other; an innocent request that met the same three ends was logged as stopped until the other's sighting came; what explains an end must itself be at three. Change: 15 minutes from the last end, doubled with each end more up to 8 hours; a good run or an operator clears it all the same. Verdicts are noted once settled, by a tick where nobody asks.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -305,7 +305,7 @@
             self._fleet.forget_absences(now)
             if now >= tidied_at + TIDY_EVERY:
                 tidied_at = now
-                self._relay.poison.forget_old()
+                self._relay.poison.keep_house()
                 self._pool.close_expired(now)
                 self._control_pool.close_expired(now)
                 log_left_out(LOG, self._lines.take_dropped())
--- a/src/kestreltally/poison/guard.py
+++ b/src/kestreltally/poison/guard.py
@@ -32,8 +32,9 @@
             return None
         return self.register.find_block(fingerprint.digest)
 
-    def forget_old(self) -> None:
-        """Forget what no longer counts."""
+    def keep_house(self) -> None:
+        """Give the verdicts that are due, and forget what no longer counts."""
+        self.register.judge()
         self.ends.forget_old()
         self.register.forget_old()
 
--- a/src/kestreltally/poison/register.py
+++ b/src/kestreltally/poison/register.py
@@ -27,9 +27,13 @@
 # Two ends that daemons date closer together are not told apart: what one tells another
 # arrives some ms after its age was written.
 DATED_WITHIN: Final[Seconds] = 0.05
-# What would end an engine today may run well on its next version: after this nothing is
-# known of it. Operators may say so sooner.
-KEEP: Final[Seconds] = 900.0
+# What would end an engine today may run well on its next version: a request is stopped
+# for this long at first, and may then run; each end more doubles it. With a fixed time
+# it would end three engines in each such span.
+STOP_FIRST: Final[Seconds] = 900.0
+STOP_MOST: Final[Seconds] = 8 * 3600.0
+# After this nothing is known of an end.
+MEMORY: Final[Seconds] = 24 * 3600.0
 # Suspects and sightings kept at the most, some 0.3 kB each, and requests that are
 # stopped among them, which others never push out.
 SIGHTINGS_MOST: Final = 2_048
@@ -75,7 +79,7 @@
 
     def list_valid(self, now: Seconds) -> list[Sighting]:
         """Return what still counts, by the end's time."""
-        since = max(self.cleared_at, now - KEEP)
+        since = max(self.cleared_at, now - MEMORY)
         valid = [each for each in self.sightings.values() if each.ended_at > since]
         return sorted(valid, key=lambda each: each.ended_at)
 
@@ -129,15 +133,26 @@
             return None
         now = self._clock()
         ends = suspect.list_ends(now)
-        stopped = len(ends) >= ENDS_TO_STOP and not self._is_explained(suspect, now)
-        self._note_verdict(suspect, len(ends), stopped=stopped)
-        if not stopped:
+        content = str(suspect.fingerprint)
+        if len(ends) < ENDS_TO_STOP or self._is_explained(suspect, now):
+            self._note_verdict(suspect, len(ends), stopped=False)
             return None
         unsettled = suspect.noted_at + SETTLE - now
         if unsettled > 0:
-            return Block(str(suspect.fingerprint), len(ends), unsettled, settled=False)
-        lapses = ends[-ENDS_TO_STOP].ended_at + KEEP
-        return Block(str(suspect.fingerprint), len(ends), lapses - now, settled=True)
+            return Block(content, len(ends), unsettled, settled=False)
+        self._note_verdict(suspect, len(ends), stopped=True)
+        wait = ends[-1].ended_at + _find_stop_time(len(ends)) - now
+        return Block(content, len(ends), wait, settled=True) if wait > 0 else None
+
+    def judge(self) -> None:
+        """Give the verdicts that are due, also where nobody asks for them."""
+        due = [
+            digest
+            for digest, suspect in self._suspects.items()
+            if len(suspect.sightings) >= ENDS_TO_STOP
+        ]
+        for digest in due:
+            self.find_block(digest)
 
     def _is_explained(self, suspect: Suspect, now: Seconds) -> bool:
         """Tell whether another request was at all the same ends, and rather made them.
@@ -148,6 +163,7 @@
         weight = _weigh(suspect, now)
         return any(
             lives <= {each.life for each in other.list_valid(now)}
+            and len(other.list_ends(now)) >= ENDS_TO_STOP
             and _weigh(other, now) > weight
             for other in self._suspects.values()
             if other is not suspect and len(other.sightings) >= len(lives)
@@ -235,7 +251,7 @@
         self._tell_unheard(self.list_since(0))
 
     def _tell_unheard(self, facts: Iterable[Fact]) -> None:
-        oldest = self._clock() - KEEP
+        oldest = self._clock() - MEMORY
         for fact in facts:
             if _find_time(fact) > oldest and _identify(fact) not in self._heard:
                 self._unheard[fact] = None
@@ -249,7 +265,7 @@
         found: list[Fact] = []
         if position == self.position:
             return found
-        oldest = self._clock() - KEEP
+        oldest = self._clock() - MEMORY
         for number, fact in reversed(self._facts):
             if number <= position:
                 break
@@ -292,7 +308,7 @@
         suspect = self._suspects.get(digest)
         if suspect is None:
             suspect = self._open_case(fact.fingerprint)
-        if fact.life in suspect.sightings or fact.ended_at <= now - KEEP:
+        if fact.life in suspect.sightings or fact.ended_at <= now - MEMORY:
             return False
         suspect.sightings[fact.life] = fact
         suspect.noted_at = now
@@ -308,7 +324,6 @@
                 ends=ends,
                 lives=sorted(suspect.sightings),
             )
-        self.find_block(digest)
         self._make_room()
         return True
 
@@ -372,7 +387,7 @@
             self._heard &= {_identify(fact) for fact in self.list_since(0)}
         for digest, suspect in list(self._suspects.items()):
             ends = (each.ended_at for each in suspect.sightings.values())
-            if max(ends, default=suspect.cleared_at) <= now - KEEP:
+            if max(ends, default=suspect.cleared_at) <= now - MEMORY:
                 self._note_verdict(suspect, 0, stopped=False)
                 self._forget(digest)
 
@@ -384,6 +399,11 @@
     return len(valid), silent, suspect.fingerprint.digest
 
 
+def _find_stop_time(ends: int) -> Seconds:
+    """Return how long after its last end a request is stopped."""
+    return min(STOP_MOST, STOP_FIRST * 2.0 ** (ends - ENDS_TO_STOP))
+
+
 def _comes_after(later: Sighting, earlier: Sighting) -> bool:
     """Tell whether a request was sent again after an end, and then met another."""
     sent_again = later.sent_at >= earlier.ended_at - DATED_WITHIN
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -8,9 +8,10 @@
 from kestreltally.poison.fingerprints import Digest, Fingerprint
 from kestreltally.poison.register import (
     ENDS_TO_STOP,
-    KEEP,
+    MEMORY,
     SETTLE,
     SIGHTINGS_MOST,
+    STOP_FIRST,
     Fact,
     PoisonRegister,
 )
@@ -68,6 +69,12 @@
     assert is_stopped(register, "bad")
     clock.now += 0.02
     assert register.find_block(name("bad").digest) is None
+    # It may run then; if it ends one more engine it is stopped for twice as long.
+    register.note_told([see("bad", "e9", clock.now, clock.now + 0.1)])
+    clock.now += 0.1 + SETTLE
+    again = register.find_block(name("bad").digest)
+    assert again is not None and again.settled
+    assert again.wait == pytest.approx(2 * STOP_FIRST - SETTLE)
 
 
 def test_many_copies_at_one_moment_are_no_series() -> None:
@@ -103,6 +110,8 @@
     ]
     register, clock = make_register([*bystander, *see_ends("bad")])
     clock.now += SETTLE
+    register.judge()
+    assert register.count() == {"suspected": 1.0, "stopped": 1.0}
     assert is_stopped(register, "bad")
     assert register.find_block(name("by").digest) is None
 
@@ -160,7 +169,7 @@
         register.note_told([see(f"odd{number}", f"x{number}", 1000.0, 1000.1)])
     assert is_stopped(register, "bad")
     assert register.count()["suspected"] <= SIGHTINGS_MOST
-    clock.now += KEEP
+    clock.now += MEMORY
     register.forget_old()
     assert register.count() == {"suspected": 0.0, "stopped": 0.0}
 
