Part the handing on of answers from the relay; a failure clears no suspect

With it: an answer of 500 no longer clears a suspect. An engine that fails a part of its requests may have failed a poison request unlooked at, which then had three ends more. Each mutation of the soak is checked to find its place.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -158,8 +158,8 @@
     ),
     Mutation(
         name="ends of endpoints that daemons do not tell each other",
-        module="knowledge/exchange.py",
-        before="        if register.note_told(facts) and leads:\n",
+        module="knowledge/ends.py",
+        before="        if self._poison.register.note_told(facts) and leads:\n",
         after="        if False:\n",
         action=Action.POISON,
         every=16.0,
@@ -168,8 +168,8 @@
     Mutation(
         name="a request that ends engines not stopped",
         module="poison/register.py",
-        before="        if not stopped:\n",
-        after="        if True:\n",
+        before="settled=True) if wait > 0 else None\n",
+        after="settled=True) if False else None\n",
         action=Action.POISON,
         every=16.0,
         lasts=16.0,
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -14,16 +14,14 @@
 from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.answers import make_streamed_answer, make_whole_answer
 from kestreltally.entry.choice import Option
-from kestreltally.entry.events import EventTooLong
+from kestreltally.entry.delivery import WHOLE_LIMIT, Delivery, find_patience
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.patience import (
     LOOK_EVERY,
     Unanswered,
     Verdict,
-    find_first_look,
     judge_silence,
 )
 from kestreltally.entry.progress import (
@@ -54,7 +52,6 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
-    RequestKind,
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
@@ -75,11 +72,6 @@
 # Priorities of engines end here; those of late requests begin in their middle.
 LEAST_URGENT: Final = 9
 LATE_FROM: Final = 5
-# Statuses that promise that a request has not run: an endpoint's own is handed on
-# only where it says so itself.
-PROMISING: Final = frozenset({408, 421, 429, 503})
-# Bodies up to this many bytes are handed on whole, so that a torn one can be retried.
-WHOLE_LIMIT: Final = 2**18
 # What is left of a request's time when it is given up, so that the refusal gets out.
 LAST_MARGIN: Final[Seconds] = 0.03
 # The pause before endpoints that have all been tried are tried again.
@@ -114,6 +106,7 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
+        self._delivery = Delivery(health, budget)
         self.poison = PoisonGuard(lambda endpoint: health.row(endpoint).heard_at)
         self.poison.ends.find_staying = self._find_staying
         # Called with the tokens of a prompt that an endpoint begins or ends to read.
@@ -289,7 +282,7 @@
         except NotConnected as error:
             if error.refused:
                 self.poison.ends.note_refused(endpoint)
-            self._note_failure(endpoint, str(error))
+            self._delivery.note_failure(endpoint, str(error))
             self._note_unreachable(request, endpoint)
             raise MoveOn("no connection", may_have_run=False) from error
 
@@ -316,7 +309,7 @@
         # From here on it may run, whatever interrupts the wait for its answer.
         progress.runs += 1
         sending = channel.send(head, request.body, request.head.id)
-        patience = self._find_patience(request, progress)
+        patience = find_patience(request, progress)
         try:
             if patience is None:
                 answer = await sending
@@ -326,13 +319,13 @@
                 )
         except AnswerLost as error:
             progress.note_broken()
-            self._note_failure(endpoint, str(error))
+            self._delivery.note_failure(endpoint, str(error))
             raise MoveOn("the answer was lost", may_have_run=True) from error
         if says_not_run(answer.status, answer.headers):
             progress.runs -= 1
             await self._note_not_run(request, endpoint, answer)
         if not is_genuine(answer.status, answer.headers):
-            self._note_failure(endpoint, "not an answer of an endpoint")
+            self._delivery.note_failure(endpoint, "not an answer of an endpoint")
             raise MoveOn("the answer was spoiled", may_have_run=True)
         return answer
 
@@ -351,7 +344,7 @@
             while not (await asyncio.wait({answering}, timeout=patience))[0]:
                 verdict = self._judge_silence(request, progress, endpoint, token)
                 if verdict is not Verdict.WAIT:
-                    self._note_failure(endpoint, "silent")
+                    self._delivery.note_failure(endpoint, "silent")
                     raise MoveOn(verdict.value, may_have_run=True)
                 patience = LOOK_EVERY
             return await answering
@@ -435,21 +428,6 @@
         newest = self._fleet.newest_version(key)
         return newest if endpoint.weights.get(key) == newest else None
 
-    def _find_patience(
-        self, request: ClientRequest, progress: Progress
-    ) -> Seconds | None:
-        route = request.route
-        if not route.repeatable or progress.runs >= route.attempts:
-            return None
-        return find_first_look(route.objective)
-
-    def _note_failure(self, endpoint: Endpoint, fault: str) -> None:
-        now = asyncio.get_running_loop().time()
-        if self.health.note_failure(endpoint.id, now):
-            log_decision(
-                LOG, Decision.ENDPOINT_LEFT_OUT, endpoint=endpoint.id, fault=fault
-            )
-
     async def _hand_on(
         self,
         request: ClientRequest,
@@ -460,106 +438,4 @@
     ) -> web.StreamResponse:
         if request.head.weights is not None:
             self.finder.affinity.note(request, request.head.weights, endpoint.id)
-        if request.route.kind is RequestKind.STREAM and answer.status < 300:
-            return await self._hand_on_events(
-                request, client, progress, endpoint, answer
-            )
-        try:
-            body = await answer.read_whole(WHOLE_LIMIT)
-        except AnswerTorn as error:
-            progress.note_broken()
-            self._note_failure(endpoint, str(error))
-            raise MoveOn("the answer was torn", may_have_run=True) from error
-        if body is None:
-            return await self._hand_on_long(client, progress, endpoint, answer)
-        progress.note_answered(whole=True)
-        self._judge_status(request, progress, endpoint, answer)
-        return make_whole_answer(answer, body)
-
-    def _judge_status(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> None:
-        """Raise ``MoveOn`` for an answer that another endpoint may better."""
-        if answer.status < 500:
-            self.health.note_success(endpoint.id)
-            return
-        now = asyncio.get_running_loop().time()
-        self.health.row(endpoint.id).answered_at = now
-        again = request.route.repeatable and progress.runs < request.route.attempts
-        if progress.response is not None:
-            raise MoveOn(f"status {answer.status}", may_have_run=True)
-        if answer.status in PROMISING:
-            raise MoveOn(f"status {answer.status}", may_have_run=True)
-        if again and self.budget.left(request.service_name, now) >= 1:
-            raise MoveOn(f"status {answer.status}", may_have_run=True)
-
-    async def _hand_on_long(
-        self,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
-        response = make_streamed_answer(answer)
-        progress.response = response
-        await response.prepare(client)
-        try:
-            while not answer.body.at_eof():
-                await response.write(await answer.read_some())
-        except AnswerTorn as error:
-            progress.note_broken()
-            self._note_failure(endpoint, str(error))
-            raise StreamBroken(str(error)) from error
-        progress.note_answered(whole=True)
-        self.health.note_success(endpoint.id)
-        return response
-
-    async def _hand_on_events(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
-        events = progress.events
-        events.restart()
-        try:
-            while not answer.body.at_eof():
-                async with asyncio.timeout(self._find_patience(request, progress)):
-                    content = await answer.read_some()
-                self.health.note_heard(endpoint.id, asyncio.get_running_loop().time())
-                await self._write_events(client, progress, answer, content)
-            if events.has_rest:
-                raise AnswerTorn("ended within an event")
-        except (AnswerTorn, EventTooLong, TimeoutError) as error:
-            if isinstance(error, AnswerTorn):
-                progress.note_broken()
-            self._note_failure(endpoint, repr(error))
-            raise MoveOn("the stream broke off", may_have_run=True) from error
-        progress.note_ended()
-        self.health.note_success(endpoint.id)
-        if progress.response is None:
-            progress.response = make_streamed_answer(answer)
-            await progress.response.prepare(client)
-        return progress.response
-
-    async def _write_events(
-        self,
-        client: web.BaseRequest,
-        progress: Progress,
-        answer: Answer,
-        content: bytes,
-    ) -> None:
-        whole = progress.events.feed(content)
-        if not whole:
-            return
-        progress.note_answered(whole=False)
-        if progress.response is None:
-            progress.response = make_streamed_answer(answer)
-            await progress.response.prepare(client)
-        await progress.response.write(whole)
+        return await self._delivery.hand_on(request, client, progress, endpoint, answer)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -8,15 +8,22 @@
 import pytest
 
 from kestreltally.entry.request import ClientRequest
-from kestreltally.fleet.model import Endpoint, EndpointId, ServiceSpec
+from kestreltally.fleet.model import Endpoint, EndpointId, RequestKind, ServiceSpec
 from kestreltally.platform.headers import RequestHead
 from kestreltally.poison.ends import REMEMBER_FOR, SILENT_FOR, EndWatch, Flight
-from kestreltally.poison.facts import Life, name_life
+from kestreltally.poison.facts import Life, Sighting, name_life
 from kestreltally.poison.fingerprints import make_fingerprint, make_outline
 from kestreltally.poison.register import PoisonRegister
 from kestreltally.poison.secret import MAKE_AFTER, MAKE_BLIND_AFTER, SharedSecret
 from tests.clocks import ManualClock
-from tests.entryrig import PLAIN, make_route
+from tests.entryrig import (
+    PLAIN,
+    ScriptedEndpoint,
+    SeenRequest,
+    make_answer,
+    make_route,
+    run_entry,
+)
 from tests.ports import reserve_port
 
 SECRET = b"s" * 16
@@ -212,3 +219,55 @@
     assert blind.lead() == b""
     clock.now += MAKE_BLIND_AFTER
     assert blind.lead() != b""
+
+
+@pytest.mark.parametrize(
+    ("status", "suspected"), [(b"200 OK", False), (b"500 Failed", True)]
+)
+async def test_a_failure_shows_of_no_request_that_it_runs_well(
+    status: bytes, suspected: bool
+) -> None:
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_answer(seen, status=status))
+
+    route = make_route(kind=RequestKind.UNSAFE)
+    async with run_entry([ScriptedEndpoint("a", answer)], route) as rig:
+        poison = rig.relay.poison
+        poison.secret.value = SECRET
+        request = replace(make_request(body=b"abc"), route=route)
+        seen = make_fingerprint(request, SECRET)
+        now = asyncio.get_running_loop().time()
+        poison.register.note_told(
+            [Sighting(seen, Life("b"), now - 1, now - 0.9, False)]
+        )
+        await rig.ask("POST", body=b"abc")
+        assert poison.register.is_suspect(seen.digest) is suspected
+
+
+@pytest.mark.parametrize("runs", [0, 1])
+async def test_a_stopped_request_is_refused_truly(runs: int) -> None:
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        # While it runs here, the ends that stop it are told.
+        tell()
+        writer.transport.abort()
+
+    route = make_route(kind=RequestKind.SAFE)
+    async with run_entry([ScriptedEndpoint("a", answer)], route) as rig:
+        poison = rig.relay.poison
+        poison.secret.value = SECRET
+        seen = make_fingerprint(replace(make_request(body=b"abc"), route=route), SECRET)
+        clock = asyncio.get_running_loop().time
+
+        def tell() -> None:
+            first = clock() - 9
+            poison.register.note_told(
+                Sighting(seen, Life(f"b{n}"), first + n, first + n + 0.1, False)
+                for n in range(3)
+            )
+
+        if not runs:
+            tell()
+        reply = await rig.ask("POST", body=b"abc")
+        assert reply.status == (502 if runs else 503)
+        assert ("retry-after" in reply.headers) is (runs == 0)
+        assert b"ended under it" in reply.body
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench.faultsoak.mutations import MUTATIONS, Mutation
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import ProxyMode
 from bench.faultsoak.run import PERFORMERS, run_plan
@@ -33,6 +34,11 @@
     assert make_plan(7, 20.0) != make_plan(8, 20.0)
 
 
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda each: each.name)
+def test_each_mutation_finds_its_place(mutation: Mutation, tmp_path: Path) -> None:
+    mutation.write_source(tmp_path)
+
+
 def test_every_action_can_be_carried_out() -> None:
     assert set(PERFORMERS) == set(Action)
 
