--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -8,15 +8,13 @@
 
 import json
 import logging
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any, Final
 
 from kestreltally.deployment import Deployment
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.fullness import EMPTY
-from kestreltally.entry.outcomes import Outcome, OutcomeCounter
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import DAEMONS_AT_FIRST
 from kestreltally.fleet.model import (
@@ -24,7 +22,6 @@
     Endpoint,
     EndpointId,
     Seconds,
-    ServiceName,
     WeightsKey,
     is_other_life,
 )
@@ -34,6 +31,7 @@
 from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer, Peer
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
+from kestreltally.knowledge.group import GroupBook, Use
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.rows import (
     apply_change,
@@ -62,7 +60,7 @@
 from kestreltally.placing.lease import Lease
 from kestreltally.quotas.ledger import Ledger
 from kestreltally.quotas.limiters import Limiter
-from kestreltally.quotas.spending import Spending, SpendingCounter, Word
+from kestreltally.quotas.spending import Word
 
 LOG = logging.getLogger("kestreltally.exchange")
 
@@ -77,8 +75,6 @@
 ROOM_WAIT_MOST: Final[Seconds] = 0.5
 HAND_WAIT_MOST: Final[Seconds] = 2.0
 
-Use = tuple[EndpointId, WeightsKey]
-
 
 class Exchange:
     """Makes reports and updates, and takes those of other daemons in."""
@@ -106,8 +102,9 @@
         self._authority = authority
         self._limiter = limiter
         self.ledger = Ledger(deployment.bounds.quota)
-        # What this group's organisations spent, for the leaders of the others.
-        self._spendings = {name: SpendingCounter() for name in leases}
+        self._group = GroupBook(
+            fleet, leases, self.ledger, lambda: self.leader, self.find_lease, clock
+        )
         self._clock = clock
         self.feed = FeedServer(
             self._make_state,
@@ -142,14 +139,6 @@
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
         self._resigned: tuple[LedDataCentre, ...] = ()
-        self._refused: dict[str, set[Use]] = {name: set() for name in leases}
-        # How requests of this group ended, for the leaders of the endpoints.
-        self._outcomes = {name: OutcomeCounter() for name in leases}
-        # Requests of this group for weights that only engines elsewhere hold, by the
-        # data centre whose leader must know how much they are used.
-        self._served_afar: dict[str, dict[tuple[ServiceName, WeightsKey], int]] = {
-            name: defaultdict(int) for name in leases
-        }
 
     def resign_if_cut_off(self) -> None:
         """Give the leases up when only this daemon has lost the store."""
@@ -218,70 +207,14 @@
         if self.leader.is_short:
             self.leader.wake()
         told = [decode_demand(each) for each in report.demand or ()]
-        self._take_demand(report.vm, report.data_centre, told)
+        self._group.take_demand(report.vm, report.data_centre, told)
         for row in report.refused or ():
             endpoint, key, _ = decode_use(row)
-            self._note_refused(endpoint, key)
-        self._take_outcomes(decode_outcome(row) for row in report.outcomes or ())
+            self._group.note_refused(endpoint, key)
+        self._group.take_outcomes(decode_outcome(row) for row in report.outcomes or ())
         self._ends.take_report(report)
         spendings = [decode_spending(row) for row in report.spendings or ()]
-        self._take_spendings(spendings, of_group=not report.leads)
-
-    def _take_spendings(self, spendings: list[Spending], *, of_group: bool) -> None:
-        """Book what organisations spent; this group's is for the other leaders too."""
-        self.ledger.note(spendings, self._clock())
-        if of_group:
-            for counter in self._spendings.values():
-                counter.add(spendings)
-
-    def _take_outcomes(self, outcomes: Iterable[Outcome]) -> None:
-        """Judge endpoints led here by how requests ended; hand others' on."""
-        if self.leader is None:
-            return
-        now = self._clock()
-        for each in outcomes:
-            endpoint = self._fleet.endpoints.get(each.endpoint)
-            if endpoint is None:
-                continue
-            lease = self.find_lease(endpoint)
-            if lease.leads:
-                self.leader.soundness.note(each, now)
-            else:
-                self._outcomes[lease.data_centre].add([each])
-
-    def _take_demand(
-        self, vm: str, data_centre: str, told: list[WeightsDemand]
-    ) -> None:
-        """Book demand here, and for the leaders whose engines will serve it."""
-        if self.leader is None:
-            return
-        self.leader.take_demand(vm, data_centre, told)
-        if data_centre not in self._leases or not self._is_of_group(data_centre):
-            return
-        now = self._clock()
-        for each in told:
-            if not each.arrivals:
-                continue
-            holders = self._fleet.list_holders(each.service, each.key, now)
-            where = {endpoint.data_centre for endpoint in holders}
-            if data_centre in where:
-                continue
-            for name in where & self._served_afar.keys():
-                self._served_afar[name][(each.service, each.key)] += each.arrivals
-
-    def _is_of_group(self, data_centre: str) -> bool:
-        """Tell whether a data centre's daemons report to this one."""
-        return self._leases[data_centre].leads
-
-    def _note_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
-        """Book a refusal here, or hand it to the leader of the engine."""
-        known = self._fleet.endpoints.get(endpoint)
-        if known is None or self.leader is None:
-            return
-        if endpoint in self.leader.books:
-            self.leader.note_refused(endpoint, key)
-        elif known.data_centre in self._refused:
-            self._refused[known.data_centre].add((endpoint, key))
+        self._group.take_spendings(spendings, of_group=not report.leads)
 
     # What a daemon reports.
 
@@ -330,27 +263,10 @@
         """Sum up this leader's daemons for another leader."""
         encode_fullness(report, self.feed.sum_group())
         report.daemons = self.feed.count_group()
-        for uses in (self._relay.finder.demand.uses, *self._list_group_uses()):
+        followers = (peer.uses for peer in self.feed.list_followers())
+        for uses in (self._relay.finder.demand.uses, *followers):
             report.uses.extend(encode_use(e, key, n) for (e, key), n in uses.items())
-        refused, self._refused[data_centre] = self._refused[data_centre], set()
-        report.refused = [encode_use(e, key, 1) for e, key in refused]
-        report.outcomes = encode_outcomes(self._outcomes[data_centre].take())
-        spendings = self._spendings[data_centre].take(self._clock())
-        report.spendings = [encode_spending(each) for each in spendings]
-        demand = [*self._list_handed(data_centre), *self._take_afar(data_centre)]
-        report.demand = [encode_demand(each) for each in demand]
-
-    def _take_afar(self, data_centre: str) -> list[WeightsDemand]:
-        """Return the requests that a data centre's engines served for this group."""
-        served = self._served_afar[data_centre]
-        self._served_afar[data_centre] = defaultdict(int)
-        return [
-            WeightsDemand(service, key, arrivals=count, waiting=0, missed=0)
-            for (service, key), count in served.items()
-        ]
-
-    def _list_group_uses(self) -> list[dict[Use, int]]:
-        return [peer.uses for peer in self.feed.list_followers()]
+        self._group.fill_report(report, data_centre, self._list_handed(data_centre))
 
     def _list_handed(self, data_centre: str) -> list[WeightsDemand]:
         """Return the demand that another leader is to meet."""
@@ -533,11 +449,11 @@
             return
         own = self._deployment
         demand = self._relay.finder.demand
-        self._take_demand(own.vm, own.data_centre, demand.take(self._clock()))
+        self._group.take_demand(own.vm, own.data_centre, demand.take(self._clock()))
         for endpoint, key in demand.take_refused():
-            self._note_refused(endpoint, key)
-        self._take_outcomes(self._relay.health.outcomes.take())
-        self._take_spendings(self._limiter.take_spendings(), of_group=True)
+            self._group.note_refused(endpoint, key)
+        self._group.take_outcomes(self._relay.health.outcomes.take())
+        self._group.take_spendings(self._limiter.take_spendings(), of_group=True)
         words = self._make_words()
         if words is not None:
             self._limiter.note_words(words)
