--- a/src/kestreltally/knowledge/ends.py
+++ b/src/kestreltally/knowledge/ends.py
@@ -38,7 +38,7 @@
     @property
     def position(self) -> int:
         """Return up to where there is something to tell."""
-        return self._poison.register.position
+        return self._poison.register.news.position
 
     def lead(self) -> bytes:
         """Return the secret that a leader tells, empty where there is none yet."""
@@ -46,13 +46,13 @@
 
     def fill_report(self, report: Any) -> None:
         """Put into a report what the leader has yet to be told."""
-        facts = self._poison.register.list_unheard()
+        facts = self._poison.register.news.list_unheard()
         encode_facts(report, facts, self._clock())
 
     def fill_update(self, update: Any, told: int) -> int:
         """Put into an update what came after a position; return the new position."""
         if told != self.position:
-            facts = self._poison.register.list_since(told)
+            facts = self._poison.register.news.list_since(told)
             encode_facts(update, facts, self._clock())
         return self.position
 
@@ -76,7 +76,7 @@
         if not facts:
             return
         if followed:
-            self._poison.register.note_echo(facts)
+            self._poison.register.news.note_echo(facts)
         if self._poison.register.note_told(facts) and leads:
             self._hurry()
 
@@ -86,7 +86,7 @@
         Each daemon waits a drawn time with what others saw: the first one's telling is
         told back, and spares the rest theirs.
         """
-        register = self._poison.register
-        register.begin_telling()
+        news = self._poison.register.news
+        news.begin_telling()
         wait = random.uniform(*TELL_REST_AFTER)
-        asyncio.get_running_loop().call_later(wait, register.tell_rest)
+        asyncio.get_running_loop().call_later(wait, news.tell_rest)
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -27,12 +27,10 @@
     WeightsVersion,
     WordRow,
 )
-from kestreltally.poison.facts import Clearing, Life, Sighting
+from kestreltally.poison.facts import Clearing, Fact, Life, Sighting
 from kestreltally.poison.fingerprints import Digest, Fingerprint
 from kestreltally.quotas.spending import Spending, Word
 
-Fact = Sighting | Clearing
-
 
 def encode_weights(key: WeightsKey, version: int) -> Any:
     """Return the struct of some weights' version."""
--- a/src/kestreltally/poison/facts.py
+++ b/src/kestreltally/poison/facts.py
@@ -51,3 +51,6 @@
 def make_clearing(fingerprint: Fingerprint, at: Seconds) -> Clearing:
     """Return a new clearing."""
     return Clearing(fingerprint, at, randbits(NUMBER_BITS))
+
+
+Fact = Sighting | Clearing
--- /dev/null
+++ b/src/kestreltally/poison/news.py
@@ -0,0 +1,107 @@
+"""Facts on their way: which this daemon has yet to tell, and to whom.
+
+A leader tells each daemon that is connected all facts once, by their positions. Who
+follows reports its own, and what the leader lacks, until the leader tells them back.
+"""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from kestreltally.fleet.model import Seconds
+from kestreltally.poison.facts import Clearing, Fact, Life
+from kestreltally.poison.fingerprints import Digest
+from kestreltally.poison.suspects import MEMORY
+
+# Facts kept for daemons that have not been told yet: twice what a register holds.
+FACTS_MOST: Final = 4_096
+
+
+class News:
+    """The facts in the order in which they came to this daemon."""
+
+    def __init__(self, clock: Callable[[], Seconds]) -> None:
+        self._clock = clock
+        self._facts: deque[tuple[int, Fact]] = deque(maxlen=FACTS_MOST)
+        self.position = 0
+        # Facts that the leader has not told back yet, which it has, and all own ones.
+        self._unheard: dict[Fact, None] = {}
+        self._heard: set[tuple[Digest, Life | int]] = set()
+        self._own: deque[Fact] = deque(maxlen=FACTS_MOST)
+
+    def add(self, fact: Fact) -> None:
+        """Take in a fact that is new here."""
+        self.position += 1
+        self._facts.append((self.position, fact))
+
+    def add_own(self, facts: Iterable[Fact]) -> None:
+        """Note that facts were seen here: the leader is to be told."""
+        for fact in facts:
+            self._unheard[fact] = None
+            self._own.append(fact)
+        while len(self._unheard) > FACTS_MOST:
+            del self._unheard[next(iter(self._unheard))]
+
+    def note_echo(self, facts: Iterable[Fact]) -> None:
+        """Take in what the leader tells: it needs not be told that."""
+        told = {_identify(fact) for fact in facts}
+        self._heard |= told
+        for fact in [each for each in self._unheard if _identify(each) in told]:
+            del self._unheard[fact]
+
+    def begin_telling(self) -> None:
+        """Tell a leader that is heard anew all own facts: it may know nothing."""
+        self._heard.clear()
+        self._unheard.clear()
+        self._tell_unheard(self._own)
+
+    def tell_rest(self) -> None:
+        """Tell the leader whatever it has not told, whoever saw it."""
+        self._tell_unheard(self.list_since(0))
+
+    def _tell_unheard(self, facts: Iterable[Fact]) -> None:
+        oldest = self._clock() - MEMORY
+        for fact in facts:
+            if _find_time(fact) > oldest and _identify(fact) not in self._heard:
+                self._unheard[fact] = None
+
+    def list_unheard(self) -> list[Fact]:
+        """Return the facts that the leader has yet to be told, or to tell back."""
+        return list(self._unheard)
+
+    def list_since(self, position: int) -> list[Fact]:
+        """Return the facts after a position, the oldest first."""
+        found: list[Fact] = []
+        if position == self.position:
+            return found
+        oldest = self._clock() - MEMORY
+        for number, fact in reversed(self._facts):
+            if number <= position:
+                break
+            if _find_time(fact) > oldest:
+                found.append(fact)
+        found.reverse()
+        return found
+
+    def forget_old(self) -> None:
+        """Forget what the leader has told of facts that are no longer kept."""
+        if len(self._heard) > FACTS_MOST:
+            self._heard &= {_identify(fact) for fact in self.list_since(0)}
+
+    def clear(self) -> None:
+        """Forget all."""
+        self._facts.clear()
+        self._unheard.clear()
+        self._heard.clear()
+        self._own.clear()
+
+
+def _find_time(fact: Fact) -> Seconds:
+    return fact.at if isinstance(fact, Clearing) else fact.ended_at
+
+
+def _identify(fact: Fact) -> tuple[Digest, Life | int]:
+    """Return what makes two facts the same, however late they came."""
+    if isinstance(fact, Clearing):
+        return fact.fingerprint.digest, fact.number
+    return fact.fingerprint.digest, fact.life
--- a/src/kestreltally/poison/register.py
+++ b/src/kestreltally/poison/register.py
@@ -6,15 +6,17 @@
 """
 
 import logging
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
-from kestreltally.poison.facts import Clearing, Life, Sighting, make_clearing
+from kestreltally.poison.facts import Clearing, Fact, Life, Sighting, make_clearing
 from kestreltally.poison.fingerprints import Digest, Fingerprint
+from kestreltally.poison.news import News
+from kestreltally.poison.suspects import MEMORY, Suspect
 
 LOG = logging.getLogger("kestreltally.poison")
 
@@ -24,24 +26,17 @@
 # What other daemons have to say of an end is awaited for this long: a word takes some
 # 0.15 s over two leaders. Until then the request is held back.
 SETTLE: Final[Seconds] = 0.3
-# Two ends that daemons date closer together are not told apart: what one tells another
-# arrives some ms after its age was written.
-DATED_WITHIN: Final[Seconds] = 0.05
 # What would end an engine today may run well on its next version: a request is stopped
 # for this long at first, and may then run; each end more doubles it. With a fixed time
 # it would end three engines in each such span.
 STOP_FIRST: Final[Seconds] = 900.0
 STOP_MOST: Final[Seconds] = 8 * 3600.0
-# After this nothing is known of an end.
-MEMORY: Final[Seconds] = 24 * 3600.0
 # Suspects and sightings kept at the most, some 0.3 kB each, and requests that are
 # stopped among them, which others never push out.
 SIGHTINGS_MOST: Final = 2_048
 STOPPED_MOST: Final = 256
-# Facts kept for daemons that have not been told yet.
-FACTS_MOST: Final = 2 * SIGHTINGS_MOST
-
-Fact = Sighting | Clearing
+# Clearings whose numbers are remembered, so that none is taken in twice.
+CLEARINGS_MOST: Final = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,34 +63,6 @@
     last_ended: Seconds
 
 
-@dataclass(slots=True)
-class Suspect:
-    """What is known of one request."""
-
-    fingerprint: Fingerprint
-    sightings: dict[Life, Sighting] = field(default_factory=dict)
-    cleared_at: Seconds = float("-inf")
-    noted_at: Seconds = float("-inf")
-
-    def list_valid(self, now: Seconds) -> list[Sighting]:
-        """Return what still counts, by the end's time."""
-        since = max(self.cleared_at, now - MEMORY)
-        valid = [each for each in self.sightings.values() if each.ended_at > since]
-        return sorted(valid, key=lambda each: each.ended_at)
-
-    def list_ends(self, now: Seconds) -> list[Sighting]:
-        """Return ends that came one after another: sent again after each.
-
-        What many callers send at once is at many ends when a rack goes down; these are
-        no more than one.
-        """
-        ends: list[Sighting] = []
-        for each in self.list_valid(now):
-            if not ends or _comes_after(each, ends[-1]):
-                ends.append(each)
-        return ends
-
-
 class PoisonRegister:
     """The facts that this daemon has seen or been told, and what follows from them."""
 
@@ -106,12 +73,7 @@
         self._count = 0
         self._stopped: set[Digest] = set()
         self._clearings: dict[int, None] = {}
-        self._facts: deque[tuple[int, Fact]] = deque(maxlen=FACTS_MOST)
-        self.position = 0
-        # Facts that the leader has not told back yet, which it has, and all own ones.
-        self._unheard: dict[Fact, None] = {}
-        self._heard: set[tuple[Digest, Life | int]] = set()
-        self._own: deque[Fact] = deque(maxlen=FACTS_MOST)
+        self.news = News(clock)
         # Called when there is something to tell.
         self.note_news: Callable[[], None] = lambda: None
 
@@ -160,11 +122,11 @@
         That is one at more ends, or one that fewer events had come of.
         """
         lives = {each.life for each in suspect.list_valid(now)}
-        weight = _weigh(suspect, now)
+        weight = suspect.weigh(now)
         return any(
             lives <= {each.life for each in other.list_valid(now)}
             and len(other.list_ends(now)) >= ENDS_TO_STOP
-            and _weigh(other, now) > weight
+            and other.weigh(now) > weight
             for other in self._suspects.values()
             if other is not suspect and len(other.sightings) >= len(lives)
         )
@@ -219,11 +181,7 @@
     def note_own(self, facts: Iterable[Fact]) -> bool:
         """Take in what this daemon has seen, and tell the others if it is news."""
         news = [fact for fact in facts if self._add(fact)]
-        for fact in news:
-            self._unheard[fact] = None
-            self._own.append(fact)
-        while len(self._unheard) > FACTS_MOST:
-            del self._unheard[next(iter(self._unheard))]
+        self.news.add_own(news)
         if news:
             self.note_news()
         return bool(news)
@@ -233,47 +191,6 @@
         added = [self._add(fact) for fact in facts]
         return any(added)
 
-    def note_echo(self, facts: Iterable[Fact]) -> None:
-        """Take in what the leader tells: it needs not be told that."""
-        told = {_identify(fact) for fact in facts}
-        self._heard |= told
-        for fact in [each for each in self._unheard if _identify(each) in told]:
-            del self._unheard[fact]
-
-    def begin_telling(self) -> None:
-        """Tell a leader that is heard anew all own facts: it may know nothing."""
-        self._heard.clear()
-        self._unheard.clear()
-        self._tell_unheard(self._own)
-
-    def tell_rest(self) -> None:
-        """Tell the leader whatever it has not told, whoever saw it."""
-        self._tell_unheard(self.list_since(0))
-
-    def _tell_unheard(self, facts: Iterable[Fact]) -> None:
-        oldest = self._clock() - MEMORY
-        for fact in facts:
-            if _find_time(fact) > oldest and _identify(fact) not in self._heard:
-                self._unheard[fact] = None
-
-    def list_unheard(self) -> list[Fact]:
-        """Return the facts that the leader has yet to be told, or to tell back."""
-        return list(self._unheard)
-
-    def list_since(self, position: int) -> list[Fact]:
-        """Return the facts after a position, the oldest first."""
-        found: list[Fact] = []
-        if position == self.position:
-            return found
-        oldest = self._clock() - MEMORY
-        for number, fact in reversed(self._facts):
-            if number <= position:
-                break
-            if _find_time(fact) > oldest:
-                found.append(fact)
-        found.reverse()
-        return found
-
     def pardon(self, shown: str) -> int:
         """Void what counts against requests whose shown digest begins so."""
         now = self._clock()
@@ -292,11 +209,8 @@
         self._suspects.clear()
         self._outlines.clear()
         self._stopped.clear()
-        self._facts.clear()
         self._clearings.clear()
-        self._unheard.clear()
-        self._heard.clear()
-        self._own.clear()
+        self.news.clear()
         self._count = 0
 
     def _add(self, fact: Fact) -> bool:
@@ -314,7 +228,7 @@
         suspect.noted_at = now
         self._suspects.move_to_end(digest)
         self._count += 1
-        self._append(fact)
+        self.news.add(fact)
         ends = len(suspect.list_ends(now))
         if ends > 1:
             log_decision(
@@ -338,19 +252,15 @@
         if fact.number in self._clearings:
             return False
         self._clearings[fact.number] = None
-        while len(self._clearings) > FACTS_MOST:
+        while len(self._clearings) > CLEARINGS_MOST:
             del self._clearings[next(iter(self._clearings))]
         digest = fact.fingerprint.digest
         suspect = self._suspects.get(digest) or self._open_case(fact.fingerprint)
         suspect.cleared_at = max(suspect.cleared_at, fact.at)
-        self._append(fact)
+        self.news.add(fact)
         self.find_block(digest)
         return True
 
-    def _append(self, fact: Fact) -> None:
-        self.position += 1
-        self._facts.append((self.position, fact))
-
     def _make_room(self) -> None:
         """Forget those at the fewest ends first, the oldest among them."""
         while len(self._stopped) > STOPPED_MOST:
@@ -383,8 +293,7 @@
     def forget_old(self) -> None:
         """Forget what no longer counts."""
         now = self._clock()
-        if len(self._heard) > FACTS_MOST:
-            self._heard &= {_identify(fact) for fact in self.list_since(0)}
+        self.news.forget_old()
         for digest, suspect in list(self._suspects.items()):
             ends = (each.ended_at for each in suspect.sightings.values())
             if max(ends, default=suspect.cleared_at) <= now - MEMORY:
@@ -392,30 +301,6 @@
                 self._forget(digest)
 
 
-def _weigh(suspect: Suspect, now: Seconds) -> tuple[int, int, Digest]:
-    """Return how much speaks against a request, to be compared with another's."""
-    valid = suspect.list_valid(now)
-    silent = sum(1 for each in valid if not each.answered)
-    return len(valid), silent, suspect.fingerprint.digest
-
-
 def _find_stop_time(ends: int) -> Seconds:
     """Return how long after its last end a request is stopped."""
     return min(STOP_MOST, STOP_FIRST * 2.0 ** (ends - ENDS_TO_STOP))
-
-
-def _comes_after(later: Sighting, earlier: Sighting) -> bool:
-    """Tell whether a request was sent again after an end, and then met another."""
-    sent_again = later.sent_at >= earlier.ended_at - DATED_WITHIN
-    return sent_again and later.ended_at >= earlier.ended_at + DATED_WITHIN
-
-
-def _find_time(fact: Fact) -> Seconds:
-    return fact.at if isinstance(fact, Clearing) else fact.ended_at
-
-
-def _identify(fact: Fact) -> tuple[Digest, Life | int]:
-    """Return what makes two facts the same, however late they came."""
-    if isinstance(fact, Clearing):
-        return fact.fingerprint.digest, fact.number
-    return fact.fingerprint.digest, fact.life
--- /dev/null
+++ b/src/kestreltally/poison/suspects.py
@@ -0,0 +1,54 @@
+"""One request that was at ends of endpoints, and which of these count."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from kestreltally.fleet.model import Seconds
+from kestreltally.poison.facts import Life, Sighting
+from kestreltally.poison.fingerprints import Digest, Fingerprint
+
+# Two ends that daemons date closer together are not told apart: what one tells another
+# arrives some ms after its age was written.
+DATED_WITHIN: Final[Seconds] = 0.05
+# After this nothing is known of an end.
+MEMORY: Final[Seconds] = 24 * 3600.0
+
+
+@dataclass(slots=True)
+class Suspect:
+    """What is known of one request."""
+
+    fingerprint: Fingerprint
+    sightings: dict[Life, Sighting] = field(default_factory=dict)
+    cleared_at: Seconds = float("-inf")
+    noted_at: Seconds = float("-inf")
+
+    def list_valid(self, now: Seconds) -> list[Sighting]:
+        """Return what still counts, by the end's time."""
+        since = max(self.cleared_at, now - MEMORY)
+        valid = [each for each in self.sightings.values() if each.ended_at > since]
+        return sorted(valid, key=lambda each: each.ended_at)
+
+    def list_ends(self, now: Seconds) -> list[Sighting]:
+        """Return ends that came one after another: sent again after each.
+
+        What many callers send at once is at many ends when a rack goes down; these are
+        no more than one.
+        """
+        ends: list[Sighting] = []
+        for each in self.list_valid(now):
+            if not ends or _comes_after(each, ends[-1]):
+                ends.append(each)
+        return ends
+
+    def weigh(self, now: Seconds) -> tuple[int, int, Digest]:
+        """Return how much speaks against it, to be compared with another's."""
+        valid = self.list_valid(now)
+        silent = sum(1 for each in valid if not each.answered)
+        return len(valid), silent, self.fingerprint.digest
+
+
+def _comes_after(later: Sighting, earlier: Sighting) -> bool:
+    """Tell whether a request was sent again after an end, and then met another."""
+    sent_again = later.sent_at >= earlier.ended_at - DATED_WITHIN
+    return sent_again and later.ended_at >= earlier.ended_at + DATED_WITHIN
--- a/tests/poisonsim.py
+++ b/tests/poisonsim.py
@@ -14,9 +14,9 @@
 from random import Random
 from statistics import mean
 
-from kestreltally.poison.facts import Life, Sighting, make_clearing
+from kestreltally.poison.facts import Fact, Life, Sighting, make_clearing
 from kestreltally.poison.fingerprints import Digest, Fingerprint
-from kestreltally.poison.register import Fact, PoisonRegister
+from kestreltally.poison.register import PoisonRegister
 
 SEEDS = 200
 LASTS = 40.0
@@ -115,7 +115,7 @@
             if self._now > LASTS:
                 break
             work()
-        self.figures.facts = max(each.register.position for each in self._daemons)
+        self.figures.facts = max(each.register.news.position for each in self._daemons)
         return self.figures
 
     # Requests.
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -65,7 +65,7 @@
 
     def list_lives(self, request: ClientRequest | None = None) -> set[Life]:
         digest = make_fingerprint(request or make_request(), SECRET).digest
-        facts = self.register.list_since(0)
+        facts = self.register.news.list_since(0)
         return {
             each.life  # type: ignore[union-attr]
             for each in facts
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -4,17 +4,16 @@
 
 import pytest
 
-from kestreltally.poison.facts import Clearing, Life, Sighting, make_clearing
+from kestreltally.poison.facts import Clearing, Fact, Life, Sighting, make_clearing
 from kestreltally.poison.fingerprints import Digest, Fingerprint
 from kestreltally.poison.register import (
     ENDS_TO_STOP,
-    MEMORY,
     SETTLE,
     SIGHTINGS_MOST,
     STOP_FIRST,
-    Fact,
     PoisonRegister,
 )
+from kestreltally.poison.suspects import MEMORY
 from tests.poisonsim import Sharing, Trouble, play_seeds
 
 
@@ -133,31 +132,31 @@
         register, clock = make_register(drawn)
         clock.now += SETTLE
         assert is_stopped(register, "bad") and not is_stopped(register, "ok")
-        assert len(register.list_since(0)) <= len(facts)
+        assert len(register.news.list_since(0)) <= len(facts)
 
 
 def test_each_fact_is_told_once_and_own_ones_until_they_are_heard() -> None:
     register, _ = make_register([])
     facts = see_ends("bad")
     register.note_own(facts)
-    assert register.list_unheard() == facts
-    assert register.list_since(0) == facts
-    assert register.list_since(1) == facts[1:]
-    register.note_echo(facts[:2])
-    assert register.list_unheard() == facts[2:]
-    register.begin_telling()
-    assert register.list_unheard() == facts
+    assert register.news.list_unheard() == facts
+    assert register.news.list_since(0) == facts
+    assert register.news.list_since(1) == facts[1:]
+    register.news.note_echo(facts[:2])
+    assert register.news.list_unheard() == facts[2:]
+    register.news.begin_telling()
+    assert register.news.list_unheard() == facts
 
 
 def test_a_leader_heard_anew_gets_what_it_does_not_tell_whoever_saw_it() -> None:
     facts = see_ends("bad", 4)
     register, _ = make_register(facts[1:])
     register.note_own(facts[:1])
-    register.begin_telling()
-    assert register.list_unheard() == facts[:1]
-    register.note_echo(facts[:2])
-    register.tell_rest()
-    assert register.list_unheard() == facts[2:]
+    register.news.begin_telling()
+    assert register.news.list_unheard() == facts[:1]
+    register.news.note_echo(facts[:2])
+    register.news.tell_rest()
+    assert register.news.list_unheard() == facts[2:]
 
 
 def test_a_flood_fills_no_memory_and_pushes_out_nothing_that_is_known() -> None:
@@ -182,7 +181,7 @@
     assert register.pardon(str(name("bad"))) == 1
     assert register.find_block(name("bad").digest) is None
     # The others are told.
-    assert isinstance(register.list_unheard()[0], Clearing)
+    assert isinstance(register.news.list_unheard()[0], Clearing)
 
 
 @pytest.mark.parametrize("trouble", list(Trouble), ids=lambda each: each.name.lower())
