--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -20,7 +20,7 @@
 
 from aiohttp import ClientSession
 
-from tests.poisonrig import make_deadly, run_poison_fleet
+from tests.poisonrig import PoisonRig, make_deadly, run_poison_fleet
 
 # The third end, and those that a word on its way may come too late for.
 ENDS_MOST = 3
@@ -41,13 +41,19 @@
             assert reply is not None and reply.status == 200 and reply.whole
 
 
+async def have_it_stopped(rig: PoisonRig) -> list[str]:
+    """Send a request at each daemon until it is stopped; return the daemons."""
+    vms = list(rig.daemons)
+    for number in range(5):
+        await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
+        await asyncio.sleep(0.6)
+    assert len(rig.crashes) == ENDS_MOST
+    return vms
+
+
 async def test_an_operator_lets_a_stopped_request_run_again() -> None:
     async with run_poison_fleet() as rig:
-        vms = list(rig.daemons)
-        for number in range(5):
-            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
-            await asyncio.sleep(0.6)
-        assert len(rig.crashes) == ENDS_MOST
+        vms = await have_it_stopped(rig)
         async with ClientSession() as session:
             url = f"http://127.0.0.1:{rig.daemons[vms[1]]._deployment.metrics_port}"
             async with session.get(f"{url}/poison") as answer:
@@ -67,11 +73,7 @@
     # In a soak a leader that was killed made a new secret as it came back; all others
     # took it, and forgot what they knew of a request that went on ending engines.
     async with run_poison_fleet() as rig:
-        vms = list(rig.daemons)
-        for number in range(5):
-            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
-            await asyncio.sleep(0.6)
-        assert len(rig.crashes) == ENDS_MOST
+        vms = await have_it_stopped(rig)
         leaders = [vm for vm in vms if rig.daemons[vm]._exchange.leaders.leads]
         secret = rig.daemons[vms[0]]._relay.poison.secret.value
         assert secret
@@ -91,11 +93,7 @@
 
 async def test_what_is_stopped_outlasts_the_loss_of_all_daemons() -> None:
     async with run_poison_fleet() as rig:
-        vms = list(rig.daemons)
-        for number in range(5):
-            await rig.send(vms[number % 4], make_deadly(), f"deadly-{number}")
-            await asyncio.sleep(0.6)
-        assert len(rig.crashes) == ENDS_MOST
+        vms = await have_it_stopped(rig)
         await asyncio.sleep(0.6)
         await asyncio.gather(*(each.close() for each in rig.daemons.values()))
         rig.daemons.clear()
