Sight: read what an answer says of its endpoint, and write a line for it

Cause looked for: lines could not tell whether an answer named a time to come back or said that its endpoint leaves, so "nobody reads it" and "it is read, and undone" were told apart by the users' records of arrivals only.

Change: the platform's folder decodes both into one typed notice; a channel, through which all that an endpoint says comes, notes it in a table of the fleet, which writes a line. Nothing looks at the table yet: no decision changes. Channels know the endpoint that they lead to.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -262,7 +262,7 @@
             self.health.end(endpoint.id, token)
             self._note_use(request, endpoint, -1)
             if channel is not None:
-                self._pool.release(endpoint.host, endpoint.port, channel, keep=keep)
+                self._pool.release(channel, keep=keep)
 
     def _end_flight(self, progress: Progress) -> None:
         if progress.flight is not None:
@@ -278,7 +278,7 @@
 
     async def _connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         try:
-            return await self._pool.acquire(endpoint.host, endpoint.port)
+            return await self._pool.acquire(endpoint)
         except NotConnected as error:
             if error.refused:
                 self.poison.ends.note_refused(endpoint)
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -9,7 +9,7 @@
 import re
 import socket
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -17,9 +17,16 @@
 from aiohttp.client_exceptions import ClientError
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
-
-from kestreltally.fleet.model import Seconds
-from kestreltally.platform.headers import read_answer_id
+from multidict import MultiMapping
+
+from kestreltally.fleet.model import Endpoint, Seconds
+from kestreltally.fleet.notices import NoticeTable
+from kestreltally.platform.headers import (
+    is_genuine,
+    read_answer_id,
+    read_instance,
+    read_notice,
+)
 from kestreltally.sockets import harden_socket
 
 # Channels cross half a ms to a few ms; the first opening packet that is dropped is
@@ -72,7 +79,7 @@
 
     status: int
     reason: str
-    headers: Mapping[str, str]
+    headers: MultiMapping[str]
     raw_headers: tuple[tuple[bytes, bytes], ...]
     body: StreamReader
 
@@ -98,11 +105,29 @@
 
 
 class Channel:
-    """One connection to an endpoint."""
+    """One connection to an endpoint, to one start of it.
+
+    It is where all that an endpoint says comes through: answers that are handed on,
+    refusals, reports, answers to orders, and those that nobody waits for any more.
+    """
 
-    def __init__(self, protocol: _Protocol, now: Seconds) -> None:
+    def __init__(
+        self, protocol: _Protocol, endpoint: Endpoint, notices: NoticeTable
+    ) -> None:
         self._protocol = protocol
-        self.usable_until = now + IDLE_UNNAMED
+        self._endpoint = endpoint
+        self._notices = notices
+        self._loop = asyncio.get_running_loop()
+        self.usable_until = self._loop.time() + IDLE_UNNAMED
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return where the endpoint listens."""
+        return self._endpoint.host, self._endpoint.port
+
+    def serve(self, endpoint: Endpoint) -> None:
+        """Use the channel for an endpoint as it is known now."""
+        self._endpoint = endpoint
 
     @property
     def reusable(self) -> bool:
@@ -133,6 +158,7 @@
         try:
             answer = await self._read_head()
             for _ in range(SURPLUS_LIMIT):
+                self._hear(answer, signed=request_id is not None)
                 if request_id in (None, read_answer_id(answer.headers)):
                     return answer
                 protocol.force_close()
@@ -154,6 +180,20 @@
             body=payload,
         )
 
+    def _hear(self, answer: Answer, *, signed: bool) -> None:
+        """Take in what an answer says of its endpoint.
+
+        One of another endpoint at the same address, or one that no endpoint gave, says
+        nothing; answers to ``signed`` requests show that they are genuine.
+        """
+        instance = read_instance(answer.headers)
+        if instance and instance != self._endpoint.id:
+            return
+        if signed and not is_genuine(answer.status, answer.headers):
+            return
+        notice = read_notice(answer.status, answer.headers)
+        self._notices.note(self._endpoint, notice, self._loop.time())
+
     def note_keep_alive(self, answer: Answer, now: Seconds) -> None:
         """Take in how long the endpoint keeps the channel open when idle."""
         named = _KEEP_ALIVE.search(answer.headers.get("Keep-Alive", ""))
@@ -172,7 +212,8 @@
 class ChannelPool:
     """Kept channels by address, the one used last first."""
 
-    def __init__(self) -> None:
+    def __init__(self, notices: NoticeTable) -> None:
+        self._notices = notices
         self._idle: dict[tuple[str, int], deque[Channel]] = defaultdict(deque)
         self._open: dict[tuple[str, int], int] = defaultdict(int)
         self.opened = 0
@@ -181,16 +222,17 @@
         """Return how many channels to an address are in use."""
         return self._open[(host, port)]
 
-    async def acquire(self, host: str, port: int) -> Channel:
+    async def acquire(self, endpoint: Endpoint) -> Channel:
         """Return a kept channel or a new one; raises ``NotConnected``."""
-        address = (host, port)
+        address = (endpoint.host, endpoint.port)
         loop = asyncio.get_running_loop()
         channel = self._take_idle(address, loop.time())
         self._open[address] += 1
         if channel is not None:
+            channel.serve(endpoint)
             return channel
         try:
-            return await self._connect(host, port)
+            return await self._connect(endpoint)
         except BaseException:
             self._open[address] -= 1
             raise
@@ -204,7 +246,8 @@
             channel.close()
         return None
 
-    async def _connect(self, host: str, port: int) -> Channel:
+    async def _connect(self, endpoint: Endpoint) -> Channel:
+        host, port = endpoint.host, endpoint.port
         loop = asyncio.get_running_loop()
         connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         connection.setblocking(False)
@@ -223,11 +266,11 @@
             connection.close()
             raise
         self.opened += 1
-        return Channel(protocol, loop.time())
+        return Channel(protocol, endpoint, self._notices)
 
-    def release(self, host: str, port: int, channel: Channel, *, keep: bool) -> None:
+    def release(self, channel: Channel, *, keep: bool) -> None:
         """Give a channel back; one that is not kept is closed at once."""
-        address = (host, port)
+        address = channel.address
         self._open[address] -= 1
         if keep and channel.reusable:
             self._idle[address].append(channel)
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple, NewType
+from typing import Final, NamedTuple, NewType
 
 Seconds = float
 EndpointId = NewType("EndpointId", str)
@@ -192,6 +192,17 @@
     born: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """What one answer says of its endpoint; ``rest`` is 0 where it asks for none."""
+
+    leaves: bool
+    rest: Seconds
+
+
+SILENT: Final = Notice(leaves=False, rest=0.0)
+
+
 def is_other_life(known: Endpoint, told: Endpoint) -> bool:
     """Tell whether what is told of an endpoint is of another start of it."""
     return bool(known.born and told.born) and known.born != told.born
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -16,6 +16,7 @@
     ServiceSpec,
     WeightsKey,
 )
+from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.organisations import KeyTable
 
 # How long an engine's "I do not hold that" is believed over the tables: two rounds
@@ -76,6 +77,7 @@
         self._holders: dict[WeightsKey, set[EndpointId]] = defaultdict(set)
         self._absent: dict[tuple[EndpointId, WeightsKey], Seconds] = {}
         self.copies = CopyTable()
+        self.notices = NoticeTable()
 
     def take_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is older; tell whether it was."""
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -106,8 +106,8 @@
         self._session: ClientSession = open_store_session()
         self._store = Store(self._session, deployment.store)
         self._fleet = Fleet()
-        self._pool = ChannelPool()
-        self._control_pool = ChannelPool()
+        self._pool = ChannelPool(self._fleet.notices)
+        self._control_pool = ChannelPool(self._fleet.notices)
         self._relay = Relay(
             deployment.data_centre,
             self._fleet,
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -195,7 +195,7 @@
             headers.append(("Content-Length", str(len(body))))
         head = encode_head(method, path, headers)
         try:
-            channel = await self._pool.acquire(endpoint.host, endpoint.port)
+            channel = await self._pool.acquire(endpoint)
         except NotConnected as error:
             raise EngineUnreachable(str(error)) from error
         keep = False
@@ -212,4 +212,4 @@
         except (AnswerLost, AnswerTorn, TimeoutError) as error:
             raise EngineSilent(repr(error)) from error
         finally:
-            self._pool.release(endpoint.host, endpoint.port, channel, keep=keep)
+            self._pool.release(channel, keep=keep)
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -1,15 +1,23 @@
 """The headers of requests and answers that the platform gives a meaning."""
 
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Final
 
 from multidict import MultiMapping
 
-from kestreltally.fleet.model import OrganisationName, Seconds, WeightsKey
+from kestreltally.fleet.model import (
+    SILENT,
+    Notice,
+    OrganisationName,
+    Seconds,
+    WeightsKey,
+)
 
 MILLISECONDS: Final = 1000.0
 MISDIRECTED: Final = 421
+UNAVAILABLE: Final = 503
 
 REQUEST_ID: Final = "X-Request-Id"
 RETRY_AFTER: Final = "Retry-After"
@@ -25,6 +33,13 @@
 _INSTANCE: Final = "X-Instance-Id"
 _KEY: Final = "X-Credential"
 _ORGANISATION: Final = "X-Tenant-Name"
+_LEAVING: Final = "Server-Leaving"
+_LEAVES: Final = "1"
+# A time in seconds, fractions included. Nothing else is one: neither a date, which the
+# platform does not use and clocks that jump would spoil, nor a sign or an exponent.
+_TIME: Final = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
+# No endpoint lives to see the end of a longer rest; it bounds what a misprint does.
+REST_MOST: Final[Seconds] = 3600.0
 
 # A client's own values for these are dropped: only the system may set them, and a key
 # is for nobody else.
@@ -148,6 +163,24 @@
     return status == MISDIRECTED or _NOT_RUN in headers
 
 
+def read_notice(status: int, headers: MultiMapping[str]) -> Notice:
+    """Return what an endpoint says of itself in an answer.
+
+    Of several times of rest the longest holds; what is no time says nothing.
+    """
+    leaves = headers.get(_LEAVING, "").strip() == _LEAVES
+    if status != UNAVAILABLE:
+        return Notice(leaves=True, rest=0.0) if leaves else SILENT
+    return Notice(leaves, _read_rest(headers.getall(RETRY_AFTER, [])))
+
+
+def _read_rest(values: Iterable[str]) -> Seconds:
+    """Return the longest of some times, seconds, 0 where there is none."""
+    texts = [part.strip() for value in values for part in value.split(",")]
+    times = [float(text) for text in texts if _TIME.fullmatch(text)]
+    return min(REST_MOST, max(times, default=0.0))
+
+
 def read_request_id(headers: Mapping[str, str]) -> str:
     """Return the id that a client gave its request, empty when it gave none."""
     return headers.get(REQUEST_ID, "")
--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -13,6 +13,8 @@
     each.text
     for each in (
         Decision.ENDPOINT_LEFT_OUT,
+        Decision.ENDPOINT_SAYS_LEAVING,
+        Decision.ENDPOINT_WANTS_REST,
         Decision.ENDPOINT_SPARED,
         Decision.ENDPOINT_GONE,
         Decision.ENDPOINT_LEAVING,
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -274,7 +274,7 @@
         endpoint.port = server.sockets[0].getsockname()[1]
         servers.append(server)
         fleet.put_endpoint(endpoint.make_row())
-    pool = ChannelPool()
+    pool = ChannelPool(fleet.notices)
     relay = Relay("north", fleet, pool, HealthTable(), RetryBudget(BOUNDS))
     clock = asyncio.get_running_loop().time
     authority = Authority(bound=5.0, clock=clock)
--- a/tests/leaderrig.py
+++ b/tests/leaderrig.py
@@ -18,6 +18,7 @@
     ServiceSpec,
     WeightsKey,
 )
+from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.orders import (
@@ -134,7 +135,7 @@
 
     def __init__(self, engines: dict[str, FakeEngine], lease: Any, seed: int) -> None:
         clock = asyncio.get_running_loop().time
-        super().__init__(ChannelPool(), "me", lambda _: lease, clock)
+        super().__init__(ChannelPool(NoticeTable()), "me", lambda _: lease, clock)
         self.engines = engines
         self.random = Random(seed)
         self.faulty = False
