--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -2,7 +2,8 @@
 
 It keeps its entry in the store, takes orders by their expected count, reports with a
 lag, streams events that name what ran, and counts its runs by request. An engine
-ordered beyond its places falls: it loses all and starts anew.
+ordered beyond its places falls: it loses all and starts anew. All its answers say when
+it leaves, and while it wants rest it turns requests away.
 """
 
 import asyncio
@@ -58,6 +59,11 @@
     faults: Faults = field(default_factory=lambda: Faults(silent=False, errors=False))
     # When deadly requests began to run, by their bodies.
     deadly_runs: dict[str, list[float]] = field(default_factory=dict)
+    # What its answers say of it, and until when it wants rest, by the loop's clock.
+    says_leaving: bool = False
+    rests_until: float = 0.0
+    # When each request reached it, run or not, by the loop's clock.
+    arrivals: list[float] = field(default_factory=list)
     # When this start was, Unix milliseconds, and what ends it.
     born: int = 0
     crash: Callable[[], None] = lambda: None
@@ -170,6 +176,19 @@
             self.loading.discard(name)
             self.held[name] = self.newest.get(name, 1)
 
+    async def say_leaving(self, _: web.Request, answer: web.StreamResponse) -> None:
+        """Put into the head of an answer whether the endpoint leaves."""
+        if self.says_leaving:
+            answer.headers["Server-Leaving"] = "1"
+
+    def _turn_away(self, http: web.Request, rest: float) -> web.Response:
+        headers = {
+            "X-Not-Run": "1",
+            "X-Request-Id": http.headers.get("X-Request-Id", ""),
+            "Retry-After": f"{rest:.2f}",
+        }
+        return web.Response(status=503, headers=headers)
+
     def _misdirect(self, http: web.Request) -> web.Response:
         headers = {
             "X-Instance-Id": self.id,
@@ -179,6 +198,10 @@
 
     async def serve(self, http: web.Request) -> web.StreamResponse:
         """Run a request, or say that it is not run."""
+        now = asyncio.get_running_loop().time()
+        self.arrivals.append(now)
+        if now < self.rests_until:
+            return self._turn_away(http, self.rests_until - now)
         request_id = http.headers.get("X-Request-Id", "")
         adapter = http.headers.get("X-Model-Name", "").partition("/")[2]
         wrong = http.headers.get("X-Expect-Instance", self.id) != self.id
@@ -227,6 +250,7 @@
     """Return the application that serves an endpoint."""
     app = web.Application()
     engine.faults.add_routes(app)
+    app.on_response_prepare.append(engine.say_leaving)
     app.router.add_get("/report", engine.report)
     app.router.add_post("/order", engine.order)
     app.router.add_route("*", "/{path:.*}", engine.serve)
