Heed what an endpoint says of itself: no work once it leaves, none while it rests

Cause: a daemon knew an endpoint by the store's entry and the leader's row only.

Change: one table of endpoints' own word, filled where all that an endpoint says comes through (the channel), and looked at where endpoints are chosen and once more as bytes leave, for requests, second sends, orders and reports alike. It overrules rows and entries; another start of the endpoint ends it. Daemons tell each other in the reports that they send in any case; a leader loads elsewhere what a resting or leaving engine holds. After a rest one request goes alone. Where all that could serve rest, callers are refused at once with the time when the first is back, spread by a quarter.

Ruled out: marking the row only (the next row of the leader undoes it); taking rest as a failure of health (half of the endpoints are kept in use in any case).

--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Final
 
@@ -36,6 +37,17 @@
 RETRY_MOST: Final[Seconds] = 2.0
 
 
+ALL_REST: Final = "all that could serve rest"
+# Who is sent back until a rest ends comes within this part of it after its end, so that
+# not all come in one moment.
+RETURN_SPREAD: Final = 0.25
+
+
+def spread_return(rest: Seconds) -> Seconds:
+    """Return a time to come back after a rest, apart from those told to others."""
+    return max(RETRY_SOON, rest * random.uniform(1.0, 1.0 + RETURN_SPREAD))
+
+
 class EndpointFinder:
     """Knows who could serve what, and how full the endpoints are.
 
@@ -62,11 +74,7 @@
         loop = asyncio.get_running_loop()
         key = request.head.weights
         if request.service.engine is None or key is None:
-            found = self._fleet.list_service(request.service_name)
-            if not found:
-                progress.last_fault = progress.last_fault or "no endpoint"
-                raise give_up(progress)
-            return self._pick(request, progress, found, loop.time())
+            return await self._find_plain(request, progress)
         while True:
             now = loop.time()
             found = self._fleet.list_holders(request.service_name, key, now)
@@ -75,6 +83,23 @@
             self._check_wait(request, progress, key, now)
             await self._wait_for_weights(request, progress, key)
 
+    async def _find_plain(self, request: ClientRequest, progress: Progress) -> Option:
+        """Return the endpoint to ask where any of the service can serve."""
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            found = self._fleet.list_service(request.service_name, now)
+            if found:
+                return self._pick(request, progress, found, now)
+            rest = self._fleet.find_rest(request.service_name, None, now)
+            if rest is None or progress.runs:
+                progress.last_fault = progress.last_fault or "no endpoint"
+                raise give_up(progress)
+            if now + rest > request.first_by:
+                raise Refused(UNAVAILABLE, ALL_REST, spread_return(rest))
+            await asyncio.sleep(min(rest, LOOK_EVERY))
+            progress.waited += loop.time() - now
+
     async def _wait_for_weights(
         self,
         request: ClientRequest,
@@ -121,11 +146,14 @@
         if progress.runs:
             raise give_up(progress)
         wait = self.load_wait if self.load_wait is not None else RETRY_MOST
+        rest = self._fleet.find_rest(request.service_name, key, now)
         coming = self._fleet.is_coming(request.service_name, key)
-        ready = now + (0.0 if coming else wait)
+        ready = now + (0.0 if coming else min(wait, rest or wait))
         if ready > self._find_latest(request, new=not progress.waited and not coming):
             self.demand.note_missed(request.service_name, key)
             self.hurry()
+            if rest is not None and rest < wait:
+                raise Refused(UNAVAILABLE, ALL_REST, spread_return(rest))
             after = min(RETRY_MOST, max(RETRY_SOON, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", after)
 
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -54,6 +54,7 @@
     EndpointId,
     Seconds,
 )
+from kestreltally.fleet.notices import NotWanted
 from kestreltally.fleet.tables import Fleet
 from kestreltally.platform.headers import (
     LAST_EVENT_ID,
@@ -317,6 +318,10 @@
                 answer = await self._wait_patiently(
                     request, progress, endpoint, token, sending, patience
                 )
+        except NotWanted as error:
+            progress.runs -= 1
+            progress.sends -= 1
+            raise MoveOn("it wants nothing now", may_have_run=False) from error
         except AnswerLost as error:
             progress.note_broken()
             self._delivery.note_failure(endpoint, str(error))
@@ -365,7 +370,8 @@
         holders = self._fleet.list_holders(request.service_name, key, now)
         return judge_silence(
             Unanswered(
-                serves=any(each.id == endpoint.id for each in holders),
+                serves=any(each.id == endpoint.id for each in holders)
+                or self._fleet.rests(endpoint, now),
                 others=any(each.id not in progress.tried for each in holders),
                 quiet_for=now - self.health.row(endpoint.id).heard_at,
                 overtaken=self.health.is_overtaken(endpoint.id, token),
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -135,7 +135,7 @@
         return self._protocol.is_connected() and not self._protocol.should_close
 
     async def send(self, head: bytes, body: bytes, request_id: str | None) -> Answer:
-        """Send a request and return the head of its answer.
+        """Send a request and return the head of its answer; raises ``NotWanted``.
 
         A faulty endpoint may send a second answer to an earlier request; such are
         skipped, and the channel is not kept; without a ``request_id`` any answer is
@@ -154,6 +154,7 @@
             max_line_size=HEAD_LIMIT,
             max_field_size=HEAD_LIMIT,
         )
+        trial = self._notices.begin_send(self._endpoint, self._loop.time())
         transport.write(head + body if body else head)
         try:
             answer = await self._read_head()
@@ -166,6 +167,9 @@
                 answer = await self._read_head()
         except (ClientError, OSError, HttpProcessingError) as error:
             raise AnswerLost(repr(error)) from error
+        finally:
+            if trial:
+                self._notices.end_trial(self._endpoint)
         raise AnswerLost("answers of other requests only")
 
     async def _read_head(self) -> Answer:
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -203,6 +203,19 @@
 SILENT: Final = Notice(leaves=False, rest=0.0)
 
 
+@dataclass(frozen=True, slots=True)
+class KnownNotice:
+    """What one start of an endpoint has said of itself, as daemons tell it.
+
+    ``rest`` is what is left of it, and was asked of the daemon that tells it.
+    """
+
+    endpoint: EndpointId
+    born: int
+    leaves: bool
+    rest: Seconds
+
+
 def is_other_life(known: Endpoint, told: Endpoint) -> bool:
     """Tell whether what is told of an endpoint is of another start of it."""
     return bool(known.born and told.born) and known.born != told.born
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -1,31 +1,66 @@
 """What endpoints say of themselves in their answers: that they leave, or want a rest.
 
-An endpoint's own word is no suspicion: it overrules the store's entry and a leader's
-row, which may be older, and it ends with that start of the endpoint. A rest ends with
-its time, too.
+An endpoint's own word is no suspicion: no rule that keeps a part of the endpoints in
+use holds against it. Who is right:
+
+- It leaves, by its answers here or at another daemon: overrules the store's entry and
+  the rows of leaders, however new, for they may not know yet. Another start of it ends
+  that.
+- It wants rest of this daemon, by its 503 here: overrules all else. Its time ends that,
+  or another start of it.
+- It wants rest of another daemon, by that daemon's word: overrules nothing here; a
+  leader has what it holds brought elsewhere for those who may not ask it.
 """
 
 import logging
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Container, Iterable
+from dataclasses import dataclass, replace
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.fleet.model import SILENT, Endpoint, EndpointId, Notice, Seconds
+from kestreltally.fleet.model import (
+    SILENT,
+    Endpoint,
+    EndpointId,
+    KnownNotice,
+    Notice,
+    Seconds,
+)
 
 LOG = logging.getLogger("kestreltally.notices")
 
+# An endpoint that leaves is gone within a minute as a rule; its notice is kept for that
+# long after the last word on it, for its entry may lapse and come back.
+KEPT_FOR: Final[Seconds] = 60.0
+# After a rest one request goes alone; the others wait so long for its answer's head.
+# Sound engines begin to answer within some 0.1 s, queues of a second are usual.
+TRIAL_MOST: Final[Seconds] = 1.0
+# What is told of an endpoint that is being tried: when to look again.
+TRIAL_LOOK: Final[Seconds] = 0.05
 NEVER: Final[Seconds] = float("-inf")
+FOR_EVER: Final[Seconds] = float("inf")
+
+
+class NotWanted(Exception):
+    """The endpoint has said that it wants nothing now: nothing was sent."""
 
 
 @dataclass(slots=True)
 class _Standing:
-    """What is known of one start of an endpoint."""
+    """What is known of one start of an endpoint.
+
+    ``resting`` holds on past the rest until an answer shows that it is over;
+    ``tried_at`` is when a request went to find out. ``rests_elsewhere_until`` is the
+    longest rest that another daemon was asked for.
+    """
 
     born: int
     noted_at: Seconds
     leaves: bool = False
+    resting: bool = False
     rests_until: Seconds = NEVER
+    tried_at: Seconds = NEVER
+    rests_elsewhere_until: Seconds = NEVER
 
 
 class NoticeTable:
@@ -33,41 +68,149 @@
 
     def __init__(self) -> None:
         self._rows: dict[EndpointId, _Standing] = {}
-        # Called with what is new.
-        self.note_news: Callable[[Endpoint, Notice], None] = lambda *_: None
+        # Called with the endpoint of which something is new.
+        self.note_news: Callable[[EndpointId], None] = lambda _: None
 
     def note(self, endpoint: Endpoint, notice: Notice, now: Seconds) -> None:
         """Take in what an answer of an endpoint says."""
         if notice == SILENT:
+            self._end_rest(endpoint, now)
             return
-        row = self._find_row(endpoint, now)
+        row = self._find_row(endpoint.id, endpoint.born, now)
         if row is None:
             return
-        news = notice.leaves and not row.leaves
-        if news:
-            log_decision(LOG, Decision.ENDPOINT_SAYS_LEAVING, endpoint=endpoint.id)
-        row.leaves = row.leaves or notice.leaves
+        if notice.leaves:
+            self._note_leaving(endpoint.id, row)
         if notice.rest > 0:
-            news = news or now >= row.rests_until
-            row.rests_until = max(row.rests_until, now + notice.rest)
+            self._begin_rest(endpoint.id, row, notice.rest, now)
+        else:
+            self._end_rest(endpoint, now)
+
+    def _note_leaving(self, endpoint: EndpointId, row: _Standing) -> None:
+        if row.leaves:
+            return
+        row.leaves = True
+        log_decision(LOG, Decision.ENDPOINT_SAYS_LEAVING, endpoint=endpoint)
+        self.note_news(endpoint)
+
+    def _begin_rest(
+        self, endpoint: EndpointId, row: _Standing, rest: Seconds, now: Seconds
+    ) -> None:
+        news = now >= row.rests_until
+        row.resting = True
+        row.rests_until = max(row.rests_until, now + rest)
+        if news:
             log_decision(
-                LOG,
-                Decision.ENDPOINT_WANTS_REST,
-                endpoint=endpoint.id,
-                rest=notice.rest,
+                LOG, Decision.ENDPOINT_WANTS_REST, endpoint=endpoint, rest=rest
             )
-        if news:
-            self.note_news(endpoint, notice)
+            self.note_news(endpoint)
 
-    def _find_row(self, endpoint: Endpoint, now: Seconds) -> _Standing | None:
-        """Return the row of an endpoint's start, none where a later one is known."""
-        row = self._rows.get(endpoint.id)
-        if row is not None and row.born and endpoint.born:
-            if endpoint.born < row.born:
+    def _end_rest(self, endpoint: Endpoint, now: Seconds) -> None:
+        """Take an endpoint as awake once it answers after its rest."""
+        row = self._look_up(endpoint)
+        if row is not None and now >= row.rests_until:
+            row.resting = False
+
+    def _find_row(
+        self, endpoint: EndpointId, born: int, now: Seconds
+    ) -> _Standing | None:
+        """Return the row of an endpoint's start, none where a later one is known.
+
+        A late answer of an earlier start says nothing of the newer.
+        """
+        row = self._rows.get(endpoint)
+        if row is not None and row.born and born:
+            if born < row.born:
                 return None
-            if endpoint.born > row.born:
+            if born > row.born:
                 row = None
         if row is None:
-            row = self._rows[endpoint.id] = _Standing(endpoint.born, now)
+            row = self._rows[endpoint] = _Standing(born, now)
         row.noted_at = now
         return row
+
+    def _look_up(self, endpoint: Endpoint) -> _Standing | None:
+        """Return what is known of this start of an endpoint."""
+        row = self._rows.get(endpoint.id)
+        if row is None or (row.born and endpoint.born and row.born != endpoint.born):
+            return None
+        return row
+
+    def heed(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint as it is told, leaving where it has said so itself."""
+        row = self._look_up(endpoint)
+        if row is None or not row.leaves or endpoint.leaving:
+            return endpoint
+        return replace(endpoint, leaving=True)
+
+    def find_rest(self, endpoint: Endpoint, now: Seconds) -> Seconds:
+        """Return how long an endpoint is to be left alone, 0 where it may be asked."""
+        if not self._rows:
+            return 0.0
+        row = self._look_up(endpoint)
+        if row is None:
+            return 0.0
+        if row.leaves:
+            return FOR_EVER
+        if not row.resting:
+            return 0.0
+        if now < row.rests_until:
+            return row.rests_until - now
+        return TRIAL_LOOK if now - row.tried_at < TRIAL_MOST else 0.0
+
+    def is_short(self, endpoint: Endpoint, now: Seconds) -> bool:
+        """Tell whether some daemon cannot use an endpoint for its own word."""
+        if self.find_rest(endpoint, now) > 0:
+            return True
+        row = self._look_up(endpoint)
+        return row is not None and now < row.rests_elsewhere_until
+
+    def begin_send(self, endpoint: Endpoint, now: Seconds) -> bool:
+        """Note that a request leaves for an endpoint; tell whether it is a trial.
+
+        Raises ``NotWanted``. To be called with no pause before the bytes leave: what
+        was chosen before the endpoint's word must not follow it.
+        """
+        if self.find_rest(endpoint, now) > 0:
+            raise NotWanted(endpoint.id)
+        row = self._look_up(endpoint)
+        if row is None or not row.resting:
+            return False
+        row.tried_at = now
+        return True
+
+    def end_trial(self, endpoint: Endpoint) -> None:
+        """Note that a trial has an answer, or will get none."""
+        row = self._look_up(endpoint)
+        if row is not None:
+            row.tried_at = NEVER
+
+    # What daemons tell each other.
+
+    def list_known(self, now: Seconds) -> list[KnownNotice]:
+        """Return what is in force."""
+        known = []
+        for name, row in self._rows.items():
+            rest = max(0.0, row.rests_until - now)
+            if row.leaves or rest:
+                known.append(KnownNotice(name, row.born, row.leaves, rest))
+        return known
+
+    def take_told(self, told: Iterable[KnownNotice], now: Seconds) -> None:
+        """Take in what another daemon heard."""
+        for each in told:
+            row = self._find_row(each.endpoint, each.born, now)
+            if row is None:
+                continue
+            if each.leaves:
+                self._note_leaving(each.endpoint, row)
+            row.rests_elsewhere_until = max(row.rests_elsewhere_until, now + each.rest)
+
+    def forget_old(self, listed: Container[EndpointId], now: Seconds) -> None:
+        """Drop what is over, and what is known of endpoints that are gone."""
+        for name, row in list(self._rows.items()):
+            if name in listed and row.leaves:
+                row.noted_at = now
+            rests = max(row.rests_until, row.rests_elsewhere_until)
+            if now > KEPT_FOR + max(row.noted_at, rests):
+                del self._rows[name]
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Final
 
 from kestreltally.fleet.copies import CopyTable
@@ -16,7 +16,7 @@
     ServiceSpec,
     WeightsKey,
 )
-from kestreltally.fleet.notices import NoticeTable
+from kestreltally.fleet.notices import FOR_EVER, NoticeTable
 from kestreltally.fleet.organisations import KeyTable
 
 # How long an engine's "I do not hold that" is believed over the tables: two rounds
@@ -98,6 +98,7 @@
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Add an endpoint, or replace what was known of it."""
+        endpoint = self.notices.heed(endpoint)
         known = self.endpoints.get(endpoint.id)
         self.endpoints[endpoint.id] = endpoint
         if known is None or known.service != endpoint.service:
@@ -132,20 +133,42 @@
                 self._drop_holder(endpoint, key)
         self.copies.forget(endpoint)
 
-    def mark_leaving(self, endpoint_id: EndpointId) -> None:
-        """Give an endpoint no more work: it has shown by itself that it leaves."""
-        known = self.endpoints.get(endpoint_id)
-        if known is not None and not known.leaving:
-            self.endpoints[endpoint_id] = replace(known, leaving=True)
+    def list_staying(self, service: ServiceName) -> list[Endpoint]:
+        """Return the endpoints of a service that stay, also those that rest."""
+        found = (self.endpoints[each] for each in self._by_service.get(service, ()))
+        return [each for each in found if not each.leaving]
 
-    def list_service(self, service: ServiceName) -> list[Endpoint]:
-        """Return the endpoints of a service that stay, without those that are spared.
+    def list_service(self, service: ServiceName, now: Seconds) -> list[Endpoint]:
+        """Return the endpoints of a service to ask, without those that are spared.
 
-        Where none would be left, those that are spared are better than nothing.
+        Where none would be left, those that are spared are better than nothing; one
+        that rests by its own word is never asked.
         """
-        found = (self.endpoints[each] for each in self._by_service.get(service, ()))
-        staying = [each for each in found if not each.leaving]
-        return [each for each in staying if not each.spared] or staying
+        awake = [
+            each
+            for each in self.list_staying(service)
+            if not self.notices.find_rest(each, now)
+        ]
+        return [each for each in awake if not each.spared] or awake
+
+    def rests(self, endpoint: Endpoint, now: Seconds) -> bool:
+        """Tell whether an endpoint rests, but stays."""
+        return 0 < self.notices.find_rest(endpoint, now) < FOR_EVER
+
+    def find_rest(
+        self, service: ServiceName, key: WeightsKey | None, now: Seconds
+    ) -> Seconds | None:
+        """Return until when the first endpoint rests that could serve otherwise.
+
+        That is from now on; none where no such endpoint rests. Without ``key`` any
+        endpoint of the service could serve.
+        """
+        rests = (
+            self.notices.find_rest(each, now)
+            for each in self.list_staying(service)
+            if key is None or key in each.weights
+        )
+        return min((rest for rest in rests if 0 < rest < FOR_EVER), default=None)
 
     def list_holders(
         self, service: ServiceName, key: WeightsKey, now: Seconds
@@ -159,13 +182,19 @@
             each
             for each in found
             if _takes_work(each, service)
+            and not self.notices.find_rest(each, now)
             and self._absent.get((each.id, key), now) <= now
             and not self.is_outdated(each, key, now)
         ]
 
+    def is_held(self, service: ServiceName, key: WeightsKey, now: Seconds) -> bool:
+        """Tell whether some weights can be used, by all daemons as far as is known."""
+        holders = self.list_holders(service, key, now)
+        return any(not self.notices.is_short(each, now) for each in holders)
+
     def is_coming(self, service: ServiceName, key: WeightsKey) -> bool:
         """Tell whether some weights are on their way to an engine of a service."""
-        return any(key in each.loading for each in self.list_service(service))
+        return any(key in each.loading for each in self.list_staying(service))
 
     def note_absent(self, endpoint: EndpointId, key: WeightsKey, now: Seconds) -> None:
         """Remember that an engine has just refused for want of some weights."""
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -38,6 +38,7 @@
     decode_demand,
     decode_endpoint,
     decode_fullness,
+    decode_notice,
     decode_outcome,
     decode_spending,
     decode_use,
@@ -45,6 +46,7 @@
     decode_word,
     encode_demand,
     encode_fullness,
+    encode_notice,
     encode_outcomes,
     encode_spending,
     encode_use,
@@ -121,6 +123,7 @@
         relay.note_turn = self._note_turn
         self._ends = EndsExchange(relay.poison, self._hurry_ends, clock)
         self.feed.ends = self._ends
+        fleet.notices.note_news = self._note_notice
         self.leaders = Leaders(deployment, leases)
         self.leaders.clients = {
             name: FeedClient(
@@ -213,6 +216,9 @@
             self._group.note_refused(endpoint, key)
         self._group.take_outcomes(decode_outcome(row) for row in report.outcomes or ())
         self._ends.take_report(report)
+        self._fleet.notices.take_told(
+            [decode_notice(each) for each in report.notices or ()], self._clock()
+        )
         spendings = [decode_spending(row) for row in report.spendings or ()]
         self._group.take_spendings(spendings, of_group=not report.leads)
 
@@ -235,6 +241,8 @@
             daemons=1,
             stamp=self._clock() if self._fleet.keys is not None else None,
         )
+        known = self._fleet.notices.list_known(self._clock())
+        report.notices = [encode_notice(each) for each in known]
         self._ends.name_secret(report)
         if self.leaders.leads:
             self._add_group(report, data_centre)
@@ -467,6 +475,18 @@
         own = self._relay.finder.demand.uses
         return set(own).union(*self.feed.list_uses())
 
+    def _note_notice(self, endpoint: EndpointId) -> None:
+        """Heed at once what an endpoint says of itself, and tell it."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is not None:
+            self._fleet.put_endpoint(known)
+        if self.leader is not None:
+            self.leader.note_notice(endpoint)
+        self._hurry_ends()
+        if self.leaders.leads:
+            # The leader of the endpoint is told by a report, as by any other daemon.
+            self._hurry_leaders()
+
     def _hurry_ends(self) -> None:
         """Tell at once what is new of requests at ends."""
         if self.leaders.leads:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -107,6 +107,15 @@
   4: i64 number,
 }
 
+// What one start of an endpoint has said of itself: that it leaves, and how many seconds
+// it is to be left alone by the daemon that tells it.
+struct NoticeRow {
+  1: string endpoint,
+  2: i64 born,
+  3: bool leaves,
+  4: double rest,
+}
+
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
 // store_age tells how long ago the store answered a renewal, read_age how long ago it
 // told this daemon itself of endpoints, seconds. stamp is the sender's own time, secret
@@ -130,6 +139,7 @@
   16: list<SightingRow> sightings,
   17: list<ClearingRow> clearings,
   18: binary secret,
+  19: list<NoticeRow> notices,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -10,6 +10,7 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
+    KnownNotice,
     OrganisationName,
     Seconds,
     ServiceName,
@@ -19,6 +20,7 @@
     ClearingRow,
     DemandRow,
     EndpointRow,
+    NoticeRow,
     OutcomeRow,
     SightingRow,
     SpendingRow,
@@ -113,6 +115,26 @@
     return EndpointId(row.endpoint), WeightsKey(row.model, row.adapter), row.count
 
 
+def encode_notice(notice: KnownNotice) -> Any:
+    """Return the struct of what an endpoint said of itself."""
+    return NoticeRow(
+        endpoint=notice.endpoint,
+        born=notice.born,
+        leaves=notice.leaves,
+        rest=notice.rest,
+    )
+
+
+def decode_notice(row: Any) -> KnownNotice:
+    """Return what an endpoint said of itself."""
+    return KnownNotice(
+        endpoint=EndpointId(row.endpoint),
+        born=row.born or 0,
+        leaves=bool(row.leaves),
+        rest=row.rest or 0.0,
+    )
+
+
 def encode_fullness(message: Any, fullness: Fullness) -> None:
     """Put how full endpoints are into a report or an update."""
     message.in_flight = dict(fullness.under_way)
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -270,6 +270,25 @@
 gen_init(ClearingRow, ClearingRow.thrift_spec, ClearingRow.default_spec)
 
 
+class NoticeRow(Struct):
+    """``NoticeRow`` of the IDL."""
+
+
+NoticeRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.BOOL, "leaves", False),
+    4: (TType.DOUBLE, "rest", False),
+}
+NoticeRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("leaves", None),
+    ("rest", None),
+]
+gen_init(NoticeRow, NoticeRow.thrift_spec, NoticeRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -293,6 +312,7 @@
     16: (TType.LIST, "sightings", (TType.STRUCT, SightingRow), False),
     17: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
     18: (TType.BINARY, "secret", False),
+    19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -313,6 +333,7 @@
     ("sightings", None),
     ("clearings", None),
     ("secret", None),
+    ("notices", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
--- a/src/kestreltally/placing/handover.py
+++ b/src/kestreltally/placing/handover.py
@@ -60,7 +60,7 @@
         for asked, row in self._demand.waiting.items():
             if not row.count_waiting(now) or now - row.waiting_since > HAND_FOR:
                 continue
-            if self._fleet.list_holders(*asked, now):
+            if self._fleet.is_held(*asked, now):
                 continue
             where = self._find_home(asked, led, before.get(asked))
             if where is None:
@@ -69,7 +69,7 @@
             if before.get(asked) != where:
                 self.hurry(where)
         for asked, passed in list(self._passed.items()):
-            if passed.until <= now or self._fleet.list_holders(*asked, now):
+            if passed.until <= now or self._fleet.is_held(*asked, now):
                 del self._passed[asked]
 
     def _find_home(self, asked: Asked, led: set[str], before: str | None) -> str | None:
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -115,6 +115,7 @@
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry of the store."""
+        endpoint = self._fleet.notices.heed(endpoint)
         book = self.books.get(endpoint.id)
         if book is not None and is_other_life(book.endpoint, endpoint):
             if endpoint.born < book.endpoint.born:
@@ -145,6 +146,14 @@
             )
             book.doubt(self._clock())
 
+    def note_notice(self, endpoint: EndpointId) -> None:
+        """Take in that an endpoint has said something of itself."""
+        book = self.books.get(endpoint)
+        if book is not None:
+            book.endpoint = self._fleet.notices.heed(book.endpoint)
+            self._publish(book.make_row())
+        self.wake()
+
     def drop_endpoint(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone."""
         self.books.pop(endpoint, None)
@@ -197,8 +206,7 @@
         return [
             make_waiting(service, key, row.count_waiting(now))
             for (service, key), row in self.demand.waiting.items()
-            if row.count_waiting(now)
-            and not self._fleet.list_holders(service, key, now)
+            if row.count_waiting(now) and not self._fleet.is_held(service, key, now)
         ]
 
     def list_handed(self, data_centre: str) -> list[WeightsDemand]:
@@ -295,6 +303,8 @@
     def _needs_report(self, book: EngineBook, now: Seconds) -> bool:
         if book.endpoint.leaving or now < book.failing_until:
             return False
+        if self._fleet.notices.find_rest(book.endpoint, now):
+            return False
         since = now - book.read_at
         if book.sequence is None:
             return since >= REPORT_LAG
@@ -307,6 +317,7 @@
             and all(key.adapter for key in book.incoming)
             and not book.endpoint.leaving
             and not book.spared
+            and not self._fleet.notices.is_short(book.endpoint, now)
             and now >= book.failing_until
         )
 
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -9,6 +9,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
+from kestreltally.fleet.notices import NotWanted
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.books import SILENCES_TO_CLOSE, EngineBook
 from kestreltally.placing.orders import (
@@ -118,7 +119,7 @@
                 endpoint=book.endpoint.id,
                 reason=str(silent),
             )
-        except NotHolding:
+        except (NotHolding, NotWanted):
             log_decision(LOG, Decision.ORDER_HELD_BACK)
         finally:
             book.busy = False
@@ -169,7 +170,7 @@
             if book.sequence is not None:
                 try:
                     outcome = await self._caller.order(book, OrderKind.LOAD, key)
-                except (EngineSilent, NotHolding):
+                except (EngineSilent, NotHolding, NotWanted):
                     book.doubt(self._clock())
                     outcome = OrderOutcome.UNKNOWN
                 if outcome is OrderOutcome.DONE:
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -20,6 +20,7 @@
     encode_head,
 )
 from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
+from kestreltally.fleet.notices import NotWanted
 from kestreltally.placing.books import EngineBook, Incoming
 from kestreltally.placing.lease import Lease
 from kestreltally.platform.documents import MalformedDocument
@@ -91,7 +92,7 @@
         self._calls = 0
 
     async def read_report(self, endpoint: Endpoint) -> EngineReport:
-        """Return an engine's report; raises ``EngineSilent``."""
+        """Return an engine's report; raises ``EngineSilent`` or ``NotWanted``."""
         status, body = await self._call(endpoint, "GET", REPORT_PATH, b"", None)
         if status != 200:
             raise EngineSilent(f"report: status {status}")
@@ -103,7 +104,7 @@
     async def order(
         self, book: EngineBook, kind: OrderKind, key: WeightsKey
     ) -> OrderOutcome:
-        """Give an order and book its outcome; raises ``EngineSilent``.
+        """Give an order and book its outcome; raises ``EngineSilent``, ``NotWanted``.
 
         To repeat a load is to ask whether it has ended: the engine's answer is of the
         moment, unlike its report, and changes nothing.
@@ -209,6 +210,9 @@
             channel.note_keep_alive(answer, self._clock())
             keep = True
             return answer.status, content or b""
+        except NotWanted:
+            keep = True
+            raise
         except (AnswerLost, AnswerTorn, TimeoutError) as error:
             raise EngineSilent(repr(error)) from error
         finally:
--- a/src/kestreltally/placing/views.py
+++ b/src/kestreltally/placing/views.py
@@ -97,7 +97,10 @@
 
     def _find_standing(self) -> Standing:
         standing = Standing()
-        for endpoint in self.fleet.list_service(self.service):
+        for endpoint in self.fleet.list_service(self.service, self.now):
+            if self.fleet.notices.is_short(endpoint, self.now):
+                # What it holds is brought elsewhere for who may not ask it.
+                continue
             where = endpoint.data_centre
             under_way = self.fullness.under_way.get(endpoint.id, 0)
             for key in endpoint.weights:
