--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -62,6 +62,8 @@
     # What its answers say of it, and until when it wants rest, by the loop's clock.
     says_leaving: bool = False
     rests_until: float = 0.0
+    # Until when it writes no entry, by the loop's clock.
+    silent_until: float = 0.0
     # When each request reached it, run or not, by the loop's clock.
     arrivals: list[float] = field(default_factory=list)
     # When this start was, Unix milliseconds, and what ends it.
@@ -84,11 +86,18 @@
         """Write the own entry to the store for ever."""
         async with ClientSession() as session:
             while True:
+                if asyncio.get_running_loop().time() < self.silent_until:
+                    await asyncio.sleep(HEARTBEAT)
+                    continue
                 # With the store away the next heartbeat tries again.
                 with contextlib.suppress(ClientError, OSError):
                     await self._write_entry(session)
                 await asyncio.sleep(HEARTBEAT)
 
+    def keeps_silent_in_the_store(self, lasts: float) -> None:
+        """Write no entry for some seconds."""
+        self.silent_until = asyncio.get_running_loop().time() + lasts
+
     async def _write_entry(self, session: ClientSession) -> None:
         self.beats += 1
         entry = {
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,10 +1,13 @@
 """Stand-in for the store of the users' platform: objects by kind, and watches.
 
 One counter of revisions, conditional writes, listings in pages, watches that wait, and
-a history that can be forgotten. Faults: down, slow, answers lost after the write.
+a history that can be forgotten. Faults: down, slow, answers lost after the write. It
+may come back from a copy of some seconds ago: what was written since is gone, revisions
+are given out again, and the era that all answers name rises by one.
 """
 
 import asyncio
+import copy
 import random
 from dataclasses import dataclass
 from typing import Any
@@ -26,6 +29,14 @@
     revision: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """All objects of a moment, and the revision then."""
+
+    objects: dict[str, dict[str, dict[str, Any]]]
+    revision: int
+
+
 class PlatformStore:
     """Objects by kind and name, as the platform's pages describe them."""
 
@@ -38,6 +49,24 @@
         self._revision = 0
         self._changed = asyncio.Condition()
         self.calls = 0
+        self.era = 1
+
+    def copy(self) -> StoreCopy:
+        """Return what the store may come back from later."""
+        return StoreCopy(copy.deepcopy(self._objects), self._revision)
+
+    async def restore(self, kept: StoreCopy, moved_on: int = 0) -> None:
+        """Come back from a copy, after which others have made some changes already."""
+        self._objects = copy.deepcopy(kept.objects)
+        self._revision = kept.revision + moved_on
+        self._events = [e for e in self._events if e.revision <= kept.revision]
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def name_era(self, _: web.Request, answer: web.StreamResponse) -> None:
+        """Put the era into the head of an answer."""
+        answer.headers["Store-Era"] = str(self.era)
 
     async def _disturb(self) -> web.Response | None:
         self.calls += 1
@@ -73,8 +102,8 @@
         )
 
     async def _watch(self, kind: str, revision: int, wait: float) -> web.Response:
-        if revision < self._forgotten:
-            return web.json_response({"Error": "gone"}, status=410)
+        def is_unknown() -> bool:
+            return not self._forgotten <= revision <= self._revision
 
         def list_events() -> list[Event]:
             return [e for e in self._events if e.kind == kind and e.revision > revision]
@@ -82,9 +111,11 @@
         async with self._changed:
             try:
                 async with asyncio.timeout(wait):
-                    await self._changed.wait_for(list_events)
+                    await self._changed.wait_for(lambda: is_unknown() or list_events())
             except TimeoutError:
                 pass
+        if is_unknown():
+            return web.json_response({"Error": "gone"}, status=410)
         return web.json_response(
             {
                 "events": [
@@ -169,6 +200,7 @@
     """Return the application that serves a store."""
     app = web.Application()
     store.faults.add_routes(app)
+    app.on_response_prepare.append(store.name_era)
     app.router.add_get("/objects/{path:.+}", store.read)
     app.router.add_post("/objects/{path:.+}", store.write)
     app.router.add_put("/objects/{path:.+}", store.write)
--- /dev/null
+++ b/tests/test_eras.py
@@ -0,0 +1,119 @@
+"""The store comes back from a copy of some seconds ago.
+
+What users see: adapters are no longer brought, a configuration is not put in force, two
+daemons order the same engine.
+
+The order of events: the store is away for a moment and comes back as it was some
+seconds before; what was written since is gone, leases too, and revisions are given out
+again. A daemon that knows a later revision waits for one that is newer still, writes
+under the condition of a number that now names another object, or goes on watching from
+it past changes that it never saw.
+
+The cause: a revision was a number alone, where it says something within its era only.
+The evidence: a holder met its own older record, took its revision for an old one, and
+asked again at once, without end.
+"""
+
+import asyncio
+
+from tests.test_fleet_daemon import (
+    FleetRig,
+    make_configuration,
+    read_runs,
+    run_fleet,
+)
+
+# What the store forgets.
+LOST = 2.0
+
+
+async def lose_what_is_new(rig: FleetRig) -> None:
+    """Have the store come back from a copy of some seconds ago."""
+    kept = rig.store.copy()
+    await asyncio.sleep(LOST)
+    await rig.store.restore(kept)
+
+
+def check_orders(rig: FleetRig) -> None:
+    """Check that no engine was ordered by two holders under one number."""
+    for engine in rig.engines:
+        numbers = [fence for _, fence in engine.holders]
+        assert numbers == sorted(numbers)
+        named = set(engine.holders)
+        assert len({fence for _, fence in named}) == len(named)
+
+
+async def test_leaders_go_on_as_the_store_comes_back_from_a_copy() -> None:
+    async with run_fleet() as rig:
+        for number in range(2):
+            await lose_what_is_new(rig)
+            calls = rig.store.calls
+            await asyncio.sleep(1.0)
+            # Four engines write 3.3 times a second each, two daemons renew and watch.
+            assert rig.store.calls - calls < 60
+            for vm in rig.daemons:
+                name = f"a{number}{vm[0]}"
+                reply = await rig.ask(vm, "/m/x", name, f"q-{name}")
+                assert reply.whole and read_runs(reply) == {f"{name}@1"}
+        check_orders(rig)
+        assert all(each._exchange.leaders.leads for each in rig.daemons.values())
+
+
+async def test_a_configuration_is_in_force_though_its_revision_was_given_before() -> (
+    None
+):
+    async with run_fleet() as rig:
+        kept = rig.store.copy()
+        await asyncio.sleep(LOST)
+        # The operator has written already, and others have moved the revisions on: no
+        # daemon sees the store with a lower one than it knows.
+        kept.objects["config"]["main"]["Specification"] = make_configuration(7, "/b/")
+        await rig.store.restore(kept, moved_on=200)
+        for vm in rig.daemons:
+            await rig.ask_until(vm, "/b/x", 200, 2.0)
+
+
+async def test_an_older_configuration_replaces_no_newer_one() -> None:
+    async with run_fleet() as rig:
+        kept = rig.store.copy()
+        await rig.store.put("config", "main", make_configuration(4, "/b/"))
+        for vm in rig.daemons:
+            await rig.ask_until(vm, "/b/x", 200, 2.0)
+        await rig.store.restore(kept)
+        for _ in range(10):
+            await asyncio.sleep(0.1)
+            for vm in rig.daemons:
+                assert (await rig.ask(vm, "/b/x")).status == 200
+
+
+async def test_endpoints_that_the_copy_lacks_are_used_on() -> None:
+    async with run_fleet() as rig:
+        kept = rig.store.copy()
+        kept.objects["servers"].clear()
+        assert (await rig.ask("north-1", "/m/x", "a1", "begin")).whole
+        for engine in rig.engines:
+            engine.keeps_silent_in_the_store(1.5)
+        await rig.store.restore(kept)
+        for number in range(10):
+            await asyncio.sleep(0.1)
+            assert (await rig.ask("south-1", "/a/x")).status == 200
+            reply = await rig.ask("north-1", "/m/x", "a1", f"q-{number}")
+            assert reply.whole and read_runs(reply) == {"a1@1"}
+
+
+async def test_an_endpoint_that_said_it_leaves_stays_left_alone() -> None:
+    async with run_fleet() as rig:
+        first, second = [each for each in rig.engines if not each.model]
+        kept = rig.store.copy()
+        first.state = "draining"
+        await asyncio.sleep(1.2)
+        first.keeps_silent_in_the_store(1.5)
+        before = sum(first.runs.values())
+        await rig.store.restore(kept)
+        for number in range(12):
+            await asyncio.sleep(0.1)
+            for vm in rig.daemons:
+                reply = await rig.ask(vm, "/a/x", request_id=f"{vm}-{number}")
+                assert reply.status == 200
+        assert sum(first.runs.values()) == before
+        assert sum(second.runs.values()) >= 24
