--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -38,6 +38,9 @@
     VERSION = "new version of an adapter"
     REVOKE = "a key is taken away"
     POISON = "a request that ends engines comes again and again"
+    STORE_RETURNS = "store comes back from a copy"
+    SAYS_LEAVING = "endpoint leaves, and only its answers say so"
+    WANTS_REST = "endpoint turns requests away and asks for rest"
 
 
 # How often each is drawn: what the system must bear most often comes most often.
@@ -64,6 +67,12 @@
 POISON_LASTS: Final = 10.0
 # Keys are taken away so often beside all that, seconds.
 REVOKE_MEAN: Final = 3.0
+# Endpoints speak for themselves, and the store comes back from a copy, so often,
+# seconds.
+SPEAK_MEAN: Final = 5.0
+RETURN_MEAN: Final = 15.0
+# What the store loses, or how long an endpoint rests, seconds.
+SPOKEN_LENGTHS: Final = (1.0, 4.0)
 _DISTURBING: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -105,6 +114,8 @@
     # Drawn apart, so that each seed's other steps stay as they were.
     steps.extend(_revoke(random.Random(f"keys {seed}"), seconds))
     steps.extend(_poison(random.Random(f"poison {seed}"), seconds))
+    steps.extend(_speak(random.Random(f"notices {seed}"), seconds))
+    steps.extend(_return(random.Random(f"eras {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -117,6 +128,27 @@
     return [Step(at, lasts, Action.POISON, target, ProxyMode.PASS)]
 
 
+def _speak(draw: random.Random, seconds: float) -> list[Step]:
+    steps = []
+    at = FIRST_AT + draw.expovariate(1 / SPEAK_MEAN)
+    while at < seconds:
+        action = draw.choice([Action.SAYS_LEAVING, Action.WANTS_REST])
+        lasts = min(draw.uniform(*SPOKEN_LENGTHS), seconds - at)
+        steps.append(Step(at, lasts, action, draw.randrange(1000), ProxyMode.PASS))
+        at += draw.expovariate(1 / SPEAK_MEAN)
+    return steps
+
+
+def _return(draw: random.Random, seconds: float) -> list[Step]:
+    steps = []
+    at = FIRST_AT + draw.expovariate(1 / RETURN_MEAN)
+    while at < seconds:
+        lasts = min(draw.uniform(*SPOKEN_LENGTHS), seconds - at)
+        steps.append(Step(at, lasts, Action.STORE_RETURNS, 0, ProxyMode.PASS))
+        at += draw.expovariate(1 / RETURN_MEAN)
+    return steps
+
+
 def _revoke(draw: random.Random, seconds: float) -> list[Step]:
     steps = []
     at = FIRST_AT + draw.expovariate(1 / REVOKE_MEAN)
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -65,8 +65,14 @@
         Action.VERSION,
         Action.REVOKE,
         Action.POISON,
+        Action.SAYS_LEAVING,
+        Action.WANTS_REST,
     }
 )
+# How long the store is away before it comes back from a copy, and until the operators
+# have written again what they wrote since, seconds.
+RETURN_AWAY: Final = 0.4
+REWRITTEN_AFTER: Final = 1.0
 
 Perform = Callable[["Soak", Step], Awaitable[None]]
 PERFORMERS: Final[dict[Action, Perform]] = {}
@@ -195,6 +201,48 @@
     soak.system.store.forget()
 
 
+@performs(Action.STORE_RETURNS)
+async def return_from_copy(soak: Soak, step: Step) -> None:
+    """Have the store lose what it acknowledged for a while."""
+    store = soak.system.store
+    kept = store.copy()
+    await asyncio.sleep(step.lasts)
+    store.faults.set(down=True)
+    await asyncio.sleep(RETURN_AWAY)
+    await store.restore(kept)
+    store.faults.set(down=False)
+    await asyncio.sleep(REWRITTEN_AFTER)
+    await soak.system.write_again()
+
+
+@performs(Action.SAYS_LEAVING)
+async def say_leaving(soak: Soak, step: Step) -> None:
+    """Have an endpoint leave that cannot write so to the store; another comes."""
+    endpoint = soak.pick_endpoint(step)
+    if endpoint.leaving_at is not None or endpoint.said_at is not None:
+        return
+    await soak.system.add_endpoint(endpoint.engine.service, endpoint.engine.zone)
+    endpoint.engine.keeps_silent_in_the_store(LEAVES_FOR)
+    endpoint.engine.says_leaving = True
+    endpoint.said_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(LEAVES_FOR)
+    await soak.system.end_endpoint(endpoint)
+
+
+@performs(Action.WANTS_REST)
+async def want_rest(soak: Soak, step: Step) -> None:
+    """Have an endpoint turn all requests away for a while, and say for how long."""
+    endpoint = soak.pick_endpoint(step)
+    now = asyncio.get_running_loop().time()
+    if now < endpoint.engine.rests_until:
+        return
+    boots = sum(daemon.boots for daemon in soak.system.daemons)
+    endpoint.engine.rests_until = now + step.lasts
+    await asyncio.sleep(step.lasts)
+    booted = sum(daemon.boots for daemon in soak.system.daemons) - boots
+    soak.witness.check_rest(endpoint, now, booted)
+
+
 @performs(Action.PAUSE)
 async def pause(soak: Soak, step: Step) -> None:
     """Stop a daemon's process for a while, and let it go on."""
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -75,6 +75,8 @@
     proxy: Proxy
     runner: web.AppRunner
     leaving_at: float | None = None
+    # Since when its answers say that it leaves.
+    said_at: float | None = None
 
 
 @dataclass
@@ -249,6 +251,16 @@
         content = {"Model": MODEL, "Adapter": adapter, "Version": number}
         await self.store.put("versions", f"{MODEL}.{adapter}", content)
 
+    async def write_again(self) -> None:
+        """Write what the operators wrote, which the store may have lost."""
+        began = self.configured_at
+        await self.configure()
+        # It was acknowledged before, and all its bounds run from then.
+        self.configured_at = began
+        for adapter, number in self.newest.items():
+            content = {"Model": MODEL, "Adapter": adapter, "Version": number}
+            await self.store.put("versions", f"{MODEL}.{adapter}", content)
+
     async def close(self) -> None:
         """End every process and server that this system has started."""
         await asyncio.gather(*self._crashes, return_exceptions=True)
--- a/bench/faultsoak/witness.py
+++ b/bench/faultsoak/witness.py
@@ -268,12 +268,32 @@
                 )
 
     def _check_leaving(self, endpoint: SoakEndpoint) -> None:
-        if endpoint.leaving_at is None:
+        if endpoint.leaving_at is not None:
+            last = endpoint.leaving_at + DRAIN + SLACK
+            for name, at in endpoint.engine.run_times.items():
+                if at > last and self.is_calm(endpoint.leaving_at, at):
+                    self.problems.append(f"{name} ran at a leaving endpoint")
+
+        if endpoint.said_at is None:
             return
-        last = endpoint.leaving_at + DRAIN + SLACK
-        for name, at in endpoint.engine.run_times.items():
-            if at > last and self.is_calm(endpoint.leaving_at, at):
-                self.problems.append(f"{name} ran at a leaving endpoint")
+        # Daemons learn of it from the first answer, theirs or another's.
+        answered = [at for at in endpoint.engine.arrivals if at >= endpoint.said_at]
+        last = min(answered, default=0.0) + DRAIN + SLACK
+        for at in answered:
+            if at > last and self.is_calm(endpoint.said_at, at):
+                self.problems.append(f"{endpoint.engine.id}: asked though it leaves")
+
+    def check_rest(self, endpoint: SoakEndpoint, began: float, booted: int) -> None:
+        """Check that an endpoint that asked for rest got it.
+
+        Each process learns of it by a request of its own, or two sent at once.
+        """
+        arrivals = [at for at in endpoint.engine.arrivals if at > began + SLACK]
+        allowed = 2 * (len(self.system.daemons) + booted)
+        if len(arrivals) > allowed:
+            self.problems.append(
+                f"{endpoint.engine.id}: asked {len(arrivals)} times while it rested"
+            )
 
     def _check_stops(self) -> None:
         for daemon, began, ended in self.stops:
