Do not count on a load at an engine that rests

What is on its way to an engine that wants rest of this daemon was awaited as if it could be used at once. What is spared is left out again, as before the word of endpoints was heeded.

--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -147,7 +147,7 @@
             raise give_up(progress)
         wait = self.load_wait if self.load_wait is not None else RETRY_MOST
         rest = self._fleet.find_rest(request.service_name, key, now)
-        coming = self._fleet.is_coming(request.service_name, key)
+        coming = self._fleet.is_coming(request.service_name, key, now)
         ready = now + (0.0 if coming else min(wait, rest or wait))
         if ready > self._find_latest(request, new=not progress.waited and not coming):
             self.demand.note_missed(request.service_name, key)
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -199,9 +199,9 @@
         holders = self.list_holders(service, key, now)
         return any(not self.notices.is_short(each, now) for each in holders)
 
-    def is_coming(self, service: ServiceName, key: WeightsKey) -> bool:
+    def is_coming(self, service: ServiceName, key: WeightsKey, now: Seconds) -> bool:
         """Tell whether some weights are on their way to an engine of a service."""
-        return any(key in each.loading for each in self.list_staying(service))
+        return any(key in each.loading for each in self.list_service(service, now))
 
     def note_absent(self, endpoint: EndpointId, key: WeightsKey, now: Seconds) -> None:
         """Remember that an engine has just refused for want of some weights."""
