--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -223,6 +223,14 @@
                 known.append(KnownNotice(name, row.born, row.leaves, rest))
         return known
 
+    def count(self, now: Seconds) -> dict[str, float]:
+        """Return how many endpoints are left alone by their own word, by which."""
+        known = self.list_known(now)
+        return {
+            "leaving": float(sum(each.leaves for each in known)),
+            "resting": float(sum(each.rest > 0 for each in known)),
+        }
+
     def take_told(self, told: Iterable[KnownNotice], now: Seconds) -> None:
         """Take in what another daemon heard."""
         for each in told:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -272,6 +272,7 @@
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
             "poison_requests": self._relay.poison.register.count(),
+            "endpoints_by_word": self._fleet.notices.count(now),
             "daemons_known": {"feed": self._relay.budget.daemons},
         }
 
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -21,7 +21,7 @@
 
 import pytest
 
-from kestreltally.fleet.model import RequestKind
+from kestreltally.fleet.model import EndpointId, RequestKind
 from tests.entryrig import (
     MODELS,
     STAMP,
@@ -170,3 +170,26 @@
         during = [at for at in engine.arrivals if at > rested_from + ON_THE_WAY]
         assert len(during) <= len(rig.daemons)
         assert sum(missed) <= 2
+
+
+async def test_all_daemons_heed_an_endpoints_word_soon() -> None:
+    async with run_fleet() as rig:
+        for number in range(2, 5):
+            for zone in ("north", "south"):
+                await rig.add_daemon(f"{zone}-{number}", zone)
+        await asyncio.sleep(1.0)
+        engine = next(each for each in rig.engines if not each.model)
+        engine.says_leaving = True
+        rig.store.faults.set(down=True)
+        loop = asyncio.get_running_loop()
+        while not any(_is_leaving(rig, vm, engine.id) for vm in rig.daemons):
+            await rig.ask("north-4", "/a/x")
+        heard_at = loop.time()
+        while not all(_is_leaving(rig, vm, engine.id) for vm in rig.daemons):
+            await asyncio.sleep(0.01)
+            assert loop.time() - heard_at < 1.0
+
+
+def _is_leaving(rig: FleetRig, vm: str, engine: str) -> bool:
+    known = rig.daemons[vm]._fleet.endpoints.get(EndpointId(engine))
+    return known is not None and known.leaving
