--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -35,8 +35,8 @@
 KEPT_FOR: Final[Seconds] = 60.0
 # After a rest one request goes alone, and with each answer one more may be under way
 # at once, until RISEN are. Of 30 requests a second that wait for an engine that can run
-# 53, 6 daemons had 84 turned away in 12 s after a rest, instead of 240 as all went at
-# once, or all after the first one; as many were served (virtual time, 20 seeds).
+# 53, 6 daemons had 87 turned away in 12 s after a rest, instead of 246 as all went at
+# once, or all after the first one; as many were served (virtual time, 200 seeds).
 RISE_FIRST: Final = 1
 RISE_STEP: Final = 1
 RISEN: Final = 16
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -3,7 +3,7 @@
 What users saw: with the store away, requests went on to an engine for 2 s and more
 after its answers had begun to say that it leaves. An engine that had turned a daemon
 away, and asked for 3 s of rest, got 44 requests from it in that time; one request was
-sent to it seven times in 0.5 s, and what that engine held was brought nowhere else.
+sent to it eight times in 0.6 s, and what that engine held was brought nowhere else.
 
 The order of events: an engine answers (200, or 503 and "not run"), and its answer's
 head says that it leaves, or how long it wants to be left alone. The daemon hands the
