--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -17,7 +17,7 @@
     encode_weights,
 )
 from kestreltally.knowledge.structs import LeaderRow, LeaseRow, Update
-from kestreltally.platform.store import Revision
+from kestreltally.platform.store import NO_ERA, Revision
 
 # Stands for "never" in what daemons tell each other.
 AGE_UNKNOWN: Final[Seconds] = 1e6
@@ -244,4 +244,4 @@
 
 def decode_revision(row: Any) -> Revision:
     """Return the revision of a lease that a leader tells."""
-    return Revision(row.era or 0, row.revision)
+    return Revision(NO_ERA if row.era is None else row.era, row.revision)
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -35,9 +35,9 @@
 OK: Final = 200
 CREATED: Final = 201
 _ERA: Final = "Store-Era"
-# The era before any return from a copy, and the one of a store that tells none.
-FIRST_ERA: Final = 1
-NO_ERA: Final = 0
+# The era before any return from a copy, and what stands for one that is not told.
+FIRST_ERA: Final = 0
+NO_ERA: Final = -1
 # What others had written is written again within some two seconds of the return, as
 # what has lapsed while the store was away.
 REWRITTEN_WITHIN: Final[Seconds] = 2.2
