--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -109,8 +109,8 @@
     Mutation(
         name="numbers that do not rise",
         module="placing/lease.py",
-        before="self._make_record(self._next_fence(former.fence),",
-        after="self._make_record(former.fence,",
+        before="self._next_fence(former.fence), quiet=",
+        after="former.fence, quiet=",
         action=Action.STORE_PATH,
         mode=ProxyMode.SILENT,
         every=8.0,
