Say things once: lives, the word of endpoints, times apart, versions in the soak

Found in reading the whole change. Behaviour stays as it is.

- Starts of an endpoint were told apart by four checks; all call is_other_life now, which takes the two times.
- Leader and fleet each remembered a listed leaving and then heeded the table: heeding does both.
The table's row tells its own rest, and is looked up once a question.
- The rest of what holds an adapter is sought among its holders, not among all endpoints of the service, at each look of each request that waits: that cost grew with the fleet.
- The pool counted channels in use by address, which nobody read.
- One record's decoder had its own copy of ODD_FORM; one way to refuse for a rest; one place for the time that holders keep apart.

--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -2,6 +2,7 @@
 overlapping."""
 
 import random
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Final
@@ -128,31 +129,36 @@
     return [Step(at, lasts, Action.POISON, target, ProxyMode.PASS)]
 
 
+def _draw_times(draw: random.Random, mean: float, seconds: float) -> Iterator[float]:
+    """Yield moments that are ``mean`` seconds apart on average.
+
+    Each pause is drawn after what is drawn for the moment before it.
+    """
+    at = FIRST_AT + draw.expovariate(1 / mean)
+    while at < seconds:
+        yield at
+        at += draw.expovariate(1 / mean)
+
+
 def _speak(draw: random.Random, seconds: float) -> list[Step]:
     steps = []
-    at = FIRST_AT + draw.expovariate(1 / SPEAK_MEAN)
-    while at < seconds:
+    for at in _draw_times(draw, SPEAK_MEAN, seconds):
         action = draw.choice([Action.SAYS_LEAVING, Action.WANTS_REST])
         lasts = min(draw.uniform(*SPOKEN_LENGTHS), seconds - at)
         steps.append(Step(at, lasts, action, draw.randrange(1000), ProxyMode.PASS))
-        at += draw.expovariate(1 / SPEAK_MEAN)
     return steps
 
 
 def _return(draw: random.Random, seconds: float) -> list[Step]:
     steps = []
-    at = FIRST_AT + draw.expovariate(1 / RETURN_MEAN)
-    while at < seconds:
+    for at in _draw_times(draw, RETURN_MEAN, seconds):
         lasts = min(draw.uniform(*SPOKEN_LENGTHS), seconds - at)
         steps.append(Step(at, lasts, Action.STORE_RETURNS, 0, ProxyMode.PASS))
-        at += draw.expovariate(1 / RETURN_MEAN)
     return steps
 
 
 def _revoke(draw: random.Random, seconds: float) -> list[Step]:
-    steps = []
-    at = FIRST_AT + draw.expovariate(1 / REVOKE_MEAN)
-    while at < seconds:
-        steps.append(Step(at, 0.0, Action.REVOKE, 0, ProxyMode.PASS))
-        at += draw.expovariate(1 / REVOKE_MEAN)
-    return steps
+    return [
+        Step(at, 0.0, Action.REVOKE, 0, ProxyMode.PASS)
+        for at in _draw_times(draw, REVOKE_MEAN, seconds)
+    ]
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -248,6 +248,9 @@
         """Put a new version of an adapter in the store."""
         number = self.newest.get(adapter, 1) + 1
         self.newest[adapter] = number
+        await self._write_version(adapter, number)
+
+    async def _write_version(self, adapter: str, number: int) -> None:
         content = {"Model": MODEL, "Adapter": adapter, "Version": number}
         await self.store.put("versions", f"{MODEL}.{adapter}", content)
 
@@ -258,8 +261,7 @@
         # It was acknowledged before, and all its bounds run from then.
         self.configured_at = began
         for adapter, number in self.newest.items():
-            content = {"Model": MODEL, "Adapter": adapter, "Version": number}
-            await self.store.put("versions", f"{MODEL}.{adapter}", content)
+            await self._write_version(adapter, number)
 
     async def close(self) -> None:
         """End every process and server that this system has started."""
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -35,17 +35,15 @@
 # What is told, at the most, as the time to come back; and what a load is taken to last
 # where no leader is heard.
 RETRY_MOST: Final[Seconds] = 2.0
-
-
-ALL_REST: Final = "all that could serve rest"
 # Who is sent back until a rest ends comes within this part of it after its end, so that
 # not all come in one moment.
 RETURN_SPREAD: Final = 0.25
 
 
-def spread_return(rest: Seconds) -> Seconds:
-    """Return a time to come back after a rest, apart from those told to others."""
-    return max(RETRY_SOON, rest * random.uniform(1.0, 1.0 + RETURN_SPREAD))
+def refuse_for_rest(rest: Seconds) -> Refused:
+    """Return a refusal until a rest is over, at a time apart from those of others."""
+    after = max(RETRY_SOON, rest * random.uniform(1.0, 1.0 + RETURN_SPREAD))
+    return Refused(UNAVAILABLE, "all that could serve rest", after)
 
 
 class EndpointFinder:
@@ -96,7 +94,7 @@
                 progress.last_fault = progress.last_fault or "no endpoint"
                 raise give_up(progress)
             if now + rest > request.first_by:
-                raise Refused(UNAVAILABLE, ALL_REST, spread_return(rest))
+                raise refuse_for_rest(rest)
             await asyncio.sleep(min(rest, LOOK_EVERY))
             progress.waited += loop.time() - now
 
@@ -153,7 +151,7 @@
             self.demand.note_missed(request.service_name, key)
             self.hurry()
             if rest is not None and rest < wait:
-                raise Refused(UNAVAILABLE, ALL_REST, spread_return(rest))
+                raise refuse_for_rest(rest)
             after = min(RETRY_MOST, max(RETRY_SOON, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", after)
 
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -219,27 +219,17 @@
     def __init__(self, notices: NoticeTable) -> None:
         self._notices = notices
         self._idle: dict[tuple[str, int], deque[Channel]] = defaultdict(deque)
-        self._open: dict[tuple[str, int], int] = defaultdict(int)
         self.opened = 0
 
-    def count_open(self, host: str, port: int) -> int:
-        """Return how many channels to an address are in use."""
-        return self._open[(host, port)]
-
     async def acquire(self, endpoint: Endpoint) -> Channel:
         """Return a kept channel or a new one; raises ``NotConnected``."""
         address = (endpoint.host, endpoint.port)
         loop = asyncio.get_running_loop()
         channel = self._take_idle(address, loop.time())
-        self._open[address] += 1
         if channel is not None:
             channel.serve(endpoint)
             return channel
-        try:
-            return await self._connect(endpoint)
-        except BaseException:
-            self._open[address] -= 1
-            raise
+        return await self._connect(endpoint)
 
     def _take_idle(self, address: tuple[str, int], now: Seconds) -> Channel | None:
         idle = self._idle[address]
@@ -274,10 +264,8 @@
 
     def release(self, channel: Channel, *, keep: bool) -> None:
         """Give a channel back; one that is not kept is closed at once."""
-        address = channel.address
-        self._open[address] -= 1
         if keep and channel.reusable:
-            self._idle[address].append(channel)
+            self._idle[channel.address].append(channel)
         else:
             channel.abort()
 
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -216,6 +216,9 @@
     rest: Seconds
 
 
-def is_other_life(known: Endpoint, told: Endpoint) -> bool:
-    """Tell whether what is told of an endpoint is of another start of it."""
-    return bool(known.born and told.born) and known.born != told.born
+def is_other_life(known: int, told: int) -> bool:
+    """Tell whether what is told of an endpoint is of another start of it.
+
+    Starts are told apart by ``born``; one that is not told may be either.
+    """
+    return bool(known and told) and known != told
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -26,6 +26,7 @@
     KnownNotice,
     Notice,
     Seconds,
+    is_other_life,
 )
 
 LOG = logging.getLogger("kestreltally.notices")
@@ -72,6 +73,18 @@
     trials: deque[Seconds] = field(default_factory=deque)
     rests_elsewhere_until: Seconds = NEVER
 
+    def find_rest(self, now: Seconds) -> Seconds:
+        """Return how long it is to be left alone, 0 where it may be asked."""
+        if self.leaves:
+            return FOR_EVER
+        if not self.resting:
+            return 0.0
+        if now < self.rests_until:
+            return self.rests_until - now
+        while self.trials and now - self.trials[0] >= TRIAL_MOST:
+            self.trials.popleft()
+        return 0.0 if len(self.trials) < self.allowed else TRIAL_LOOK
+
 
 class NoticeTable:
     """The word of endpoints on themselves, as far as it was heard here."""
@@ -81,18 +94,6 @@
         # Called with the endpoint of which something is new.
         self.note_news: Callable[[EndpointId], None] = lambda _: None
 
-    def keep_leaving(self, endpoint: Endpoint) -> None:
-        """Remember that an endpoint is listed as leaving.
-
-        Its entry in a copy from which the store comes back may not say so again yet.
-        """
-        row = self._rows.get(endpoint.id)
-        if row is not None and row.leaves and row.born == endpoint.born:
-            return
-        row = self._find_row(endpoint.id, endpoint.born, NEVER)
-        if row is not None:
-            row.leaves = True
-
     def note(self, endpoint: Endpoint, notice: Notice, now: Seconds) -> None:
         """Take in what an answer of an endpoint says."""
         if notice == SILENT:
@@ -144,11 +145,10 @@
         A late answer of an earlier start says nothing of the newer.
         """
         row = self._rows.get(endpoint)
-        if row is not None and row.born and born:
+        if row is not None and is_other_life(row.born, born):
             if born < row.born:
                 return None
-            if born > row.born:
-                row = None
+            row = None
         if row is None:
             row = self._rows[endpoint] = _Standing(born, now)
         row.noted_at = max(row.noted_at, now)
@@ -157,40 +157,36 @@
     def _look_up(self, endpoint: Endpoint) -> _Standing | None:
         """Return what is known of this start of an endpoint."""
         row = self._rows.get(endpoint.id)
-        if row is None or (row.born and endpoint.born and row.born != endpoint.born):
+        if row is None or is_other_life(row.born, endpoint.born):
             return None
         return row
 
     def heed(self, endpoint: Endpoint) -> Endpoint:
-        """Return an endpoint as it is told, leaving where it has said so itself."""
+        """Return an endpoint as it is told, leaving where it has said so itself.
+
+        That it is listed as leaving is remembered: its entry in a copy from which the
+        store comes back may not say so again yet.
+        """
         row = self._look_up(endpoint)
-        if row is None or not row.leaves or endpoint.leaving:
-            return endpoint
-        return replace(endpoint, leaving=True)
+        if row is not None and row.leaves:
+            return endpoint if endpoint.leaving else replace(endpoint, leaving=True)
+        if endpoint.leaving:
+            row = self._find_row(endpoint.id, endpoint.born, NEVER)
+            if row is not None:
+                row.leaves = True
+        return endpoint
 
     def find_rest(self, endpoint: Endpoint, now: Seconds) -> Seconds:
         """Return how long an endpoint is to be left alone, 0 where it may be asked."""
-        if not self._rows:
-            return 0.0
         row = self._look_up(endpoint)
-        if row is None:
-            return 0.0
-        if row.leaves:
-            return FOR_EVER
-        if not row.resting:
-            return 0.0
-        if now < row.rests_until:
-            return row.rests_until - now
-        while row.trials and now - row.trials[0] >= TRIAL_MOST:
-            row.trials.popleft()
-        return 0.0 if len(row.trials) < row.allowed else TRIAL_LOOK
+        return row.find_rest(now) if row is not None else 0.0
 
     def is_short(self, endpoint: Endpoint, now: Seconds) -> bool:
         """Tell whether some daemon cannot use an endpoint for its own word."""
-        if self.find_rest(endpoint, now) > 0:
-            return True
         row = self._look_up(endpoint)
-        return row is not None and now < row.rests_elsewhere_until
+        if row is None:
+            return False
+        return row.find_rest(now) > 0 or now < row.rests_elsewhere_until
 
     def begin_send(self, endpoint: Endpoint, now: Seconds) -> bool:
         """Note that a request leaves for an endpoint; tell whether it is a trial.
@@ -198,10 +194,12 @@
         Raises ``NotWanted``. To be called with no pause before the bytes leave: what
         was chosen before the endpoint's word must not follow it.
         """
-        if self.find_rest(endpoint, now) > 0:
-            raise NotWanted(endpoint.id)
         row = self._look_up(endpoint)
-        if row is None or not row.resting:
+        if row is None:
+            return False
+        if row.find_rest(now) > 0:
+            raise NotWanted(endpoint.id)
+        if not row.resting:
             return False
         row.trials.append(now)
         return True
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -1,7 +1,7 @@
 """The tables of a daemon: the configuration, endpoints, and who holds what."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -99,8 +99,6 @@
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Add an endpoint, or replace what was known of it."""
         endpoint = self.notices.heed(endpoint)
-        if endpoint.leaving:
-            self.notices.keep_leaving(endpoint)
         known = self.endpoints.get(endpoint.id)
         self.endpoints[endpoint.id] = endpoint
         if known is None or known.service != endpoint.service:
@@ -135,15 +133,12 @@
                 self._drop_holder(endpoint, key)
         self.copies.forget(endpoint)
 
-    def list_staying(self, service: ServiceName) -> list[Endpoint]:
-        """Return the endpoints of a service that stay, also those that rest."""
-        found = (self.endpoints[each] for each in self._by_service.get(service, ()))
-        return [each for each in found if not each.leaving]
+    def _list_known(self, service: ServiceName) -> Iterator[Endpoint]:
+        return (self.endpoints[each] for each in self._by_service.get(service, ()))
 
     def list_leaving(self, service: ServiceName) -> list[Endpoint]:
         """Return the endpoints of a service that leave."""
-        found = (self.endpoints[each] for each in self._by_service.get(service, ()))
-        return [each for each in found if each.leaving]
+        return [each for each in self._list_known(service) if each.leaving]
 
     def list_service(self, service: ServiceName, now: Seconds) -> list[Endpoint]:
         """Return the endpoints of a service to ask, without those that are spared.
@@ -153,8 +148,8 @@
         """
         awake = [
             each
-            for each in self.list_staying(service)
-            if not self.notices.find_rest(each, now)
+            for each in self._list_known(service)
+            if not each.leaving and not self.notices.find_rest(each, now)
         ]
         return [each for each in awake if not each.spared] or awake
 
@@ -170,10 +165,15 @@
         That is from now on; none where no such endpoint rests. Without ``key`` any
         endpoint of the service could serve.
         """
+        able = (
+            self._list_known(service)
+            if key is None
+            else (self.endpoints[each] for each in self._holders.get(key, ()))
+        )
         rests = (
             self.notices.find_rest(each, now)
-            for each in self.list_staying(service)
-            if key is None or key in each.weights
+            for each in able
+            if each.service == service and not each.leaving
         )
         return min((rest for rest in rests if 0 < rest < FOR_EVER), default=None)
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -400,7 +400,7 @@
         An engine that starts again under its id holds nothing of before, and a word on
         its earlier life may come late.
         """
-        if not is_other_life(known, endpoint):
+        if not is_other_life(known.born, endpoint.born):
             return True
         if endpoint.born < known.born:
             return False
@@ -446,7 +446,7 @@
             self.leaders.clients[lease.data_centre].is_alive() and not endpoint.leaving
         ):
             known = self._fleet.endpoints.get(endpoint.id)
-            if known is None or is_other_life(known, endpoint):
+            if known is None or is_other_life(known.born, endpoint.born):
                 self.put_row(endpoint)
         else:
             self.put_row(endpoint)
--- a/src/kestreltally/placing/books.py
+++ b/src/kestreltally/placing/books.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from kestreltally.fleet.model import Endpoint, EngineSpec, Seconds, WeightsKey
+from kestreltally.fleet.model import (
+    Endpoint,
+    EngineSpec,
+    Seconds,
+    WeightsKey,
+    is_other_life,
+)
 from kestreltally.platform.engines import EngineReport
 
 # An unload waits for the runs that use the adapter; those last some seconds.
@@ -58,11 +64,10 @@
         One of an earlier life of the engine, which had other counts, says nothing.
         """
         self.read_at = now
-        if report.born and self.endpoint.born:
+        if is_other_life(self.endpoint.born, report.born):
             if report.born < self.endpoint.born:
                 return
-            if report.born > self.endpoint.born:
-                self.begin_life(report.born)
+            self.begin_life(report.born)
         self.silences = 0
         if self.sequence is not None and report.sequence < self.sequence:
             self._confirm_loads(report, now)
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -115,11 +115,9 @@
 
     def put_endpoint(self, endpoint: Endpoint) -> None:
         """Take in an endpoint's entry of the store."""
-        if endpoint.leaving:
-            self._fleet.notices.keep_leaving(endpoint)
         endpoint = self._fleet.notices.heed(endpoint)
         book = self.books.get(endpoint.id)
-        if book is not None and is_other_life(book.endpoint, endpoint):
+        if book is not None and is_other_life(book.endpoint.born, endpoint.born):
             if endpoint.born < book.endpoint.born:
                 return
             # What was loaded, ordered and counted before is no longer so.
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -360,7 +360,7 @@
         start = began
         if absence.era > FIRST_ERA or self._store.copied_at > NEVER:
             # There was a holder, maybe: its record is lost.
-            start = absence.since + VALIDITY + ORDER_TRANSIT + self._apart
+            start = self._keep_apart(absence.since + VALIDITY)
         quiet = max(0.0, start - began)
         record = self._make_record(self._next_fence(), quiet)
         try:
@@ -390,7 +390,7 @@
     ) -> Seconds:
         """Return from when on orders are surely apart from a former holder's."""
         if self._is_outdated(former):
-            return sighting.since + VALIDITY + ORDER_TRANSIT + self._apart
+            return self._keep_apart(sighting.since + VALIDITY)
         if former.holder == self._vm:
             # One machine is one holder: only what it waited for itself counts.
             return now + former.quiet
@@ -398,6 +398,10 @@
         resigned = self._resigned.get(former.fence)
         if resigned is not None:
             last = min(last, resigned)
+        return self._keep_apart(last)
+
+    def _keep_apart(self, last: Seconds) -> Seconds:
+        """Return from when on orders are apart from one that left at ``last``."""
         return last + ORDER_TRANSIT + self._apart
 
     def _begin(self, start: Seconds) -> None:
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -125,6 +125,12 @@
         return Revision(self.era, int(self.body["CurrentRev"]))
 
 
+def _check_era(revision: Revision, era: int) -> None:
+    """Raise ``EraPassed`` where a revision is of an older era than is known."""
+    if revision.era != era:
+        raise EraPassed(f"era {revision.era} has passed, {era} is known")
+
+
 def read_era(headers: Mapping[str, str]) -> int | None:
     """Return the era that an answer names, none where it names none."""
     text = headers.get(_ERA, "")
@@ -190,10 +196,6 @@
             self.era = era
         return era
 
-    def _check_era(self, revision: Revision, era: int) -> None:
-        if revision.era != era:
-            raise EraPassed(f"era {revision.era} has passed, {era} is known")
-
     async def list_objects(self, kind: str) -> Listing:
         """Return all objects of a kind; raises ``StoreError``."""
         objects: list[StoredObject] = []
@@ -202,7 +204,7 @@
             # The first page's revision: what changes during the listing is
             # then seen again by the watch.
             revision = revision or page.read_revision()
-            self._check_era(revision, page.era)
+            _check_era(revision, page.era)
             objects.extend(read_listed(page.body["items"], page.era))
         return Listing(tuple(objects), revision or NO_REVISION)
 
@@ -218,10 +220,10 @@
 
     async def watch(self, kind: str, revision: Revision, wait: Seconds) -> Changes:
         """Wait for changes after a revision; raises ``StoreError``."""
-        self._check_era(revision, self.era)
+        _check_era(revision, self.era)
         query = {"Watch": str(revision.number), "WaitMs": str(int(wait * 1000))}
         page = await self._call("GET", kind, query=query, limit=wait + WATCH_MARGIN)
-        self._check_era(revision, page.era)
+        _check_era(revision, page.era)
         changes = tuple(
             Change(each, bool(event["Tombstone"]))
             for event in page.body["events"]
@@ -251,14 +253,14 @@
         came back from a copy before it answered: the number may have been another
         object's, and the write done all the same.
         """
-        self._check_era(revision, self.era)
+        _check_era(revision, self.era)
         metadata = {"Name": name, "Revision": revision.number}
         body = {"Metadata": metadata, "Specification": content}
         path = f"{kind}/{name}"
         written = await self._call("PUT", path, body=body, limit=WRITE_TIMEOUT)
         if written.body is None:
             raise Conflict(None)
-        self._check_era(revision, written.era)
+        _check_era(revision, written.era)
         return _decode_object(written.body, written.era)
 
     async def _call(
--- a/src/kestreltally/poison/keeping.py
+++ b/src/kestreltally/poison/keeping.py
@@ -13,6 +13,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
+from kestreltally.platform.documents import ODD_FORM
 from kestreltally.platform.store import (
     NO_ERA,
     Conflict,
@@ -31,8 +32,6 @@
 LOOK_EVERY: Final[Seconds] = 0.5
 # A store that does not answer is asked again after this.
 RETRY_AFTER: Final[Seconds] = 2.0
-# What reading a record of another form raises.
-ODD_RECORD: Final = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +64,7 @@
 
     @classmethod
     def decode(cls, content: Any) -> "Record":
-        """Return the record of an object; raises one of ``ODD_RECORD``."""
+        """Return the record of an object; raises one of ``ODD_FORM``."""
         return cls(
             bytes.fromhex(content["secret"]),
             tuple(_decode_sighting(each) for each in content["sightings"]),
@@ -148,7 +147,7 @@
     def _take(self, stored: StoredObject) -> None:
         try:
             record = Record.decode(stored.content)
-        except ODD_RECORD as error:
+        except ODD_FORM as error:
             log_decision(LOG, Decision.POISON_NOT_KEPT, reason=repr(error))
             return
         self._poison.secret.take(record.secret)
