One way to post a request in the rigs of whole daemons

The rig of engines that end wrote the same request and read its answer beside the rig that it extends. What tests assert stays; a daemon that does not listen is an error, as before.

--- a/tests/poisonrig.py
+++ b/tests/poisonrig.py
@@ -10,7 +10,7 @@
 from kestreltally.poison.register import SETTLE
 from standins.platform_engine import DEADLY, PlatformEngine, make_engine_app
 from standins.platform_store import make_store_app
-from tests.entryrig import Reply, read_reply
+from tests.entryrig import Reply
 from tests.ports import reserve_port
 from tests.test_fleet_daemon import (
     DATA_CENTRES,
@@ -106,19 +106,13 @@
         adapter: str = "a1",
     ) -> Reply | None:
         """Return the answer; none where the channel was closed without one."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.fronts[vm])
-        head = (
-            f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n"
-            f"X-Model-Name: {MODEL}/{adapter}\r\nX-Request-Id: {request_id}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        writer.write(head.encode() + body)
         try:
-            return await asyncio.wait_for(read_reply(reader), 8.0)
+            return await self.post(vm, path, body, adapter, request_id)
+        except ConnectionRefusedError:
+            # A daemon that does not listen has not closed a channel.
+            raise
         except (asyncio.IncompleteReadError, ConnectionError):
             return None
-        finally:
-            writer.close()
 
     async def wait_until_known(self) -> None:
         """Wait until all daemons know of each end so far, within the bound for it."""
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -136,13 +136,19 @@
 
     async def ask(
         self, vm: str, path: str, adapter: str = "", request_id: str = "q"
+    ) -> Reply:
+        return await self.post(vm, path, b"x", adapter, request_id)
+
+    async def post(
+        self, vm: str, path: str, body: bytes, adapter: str, request_id: str
     ) -> Reply:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.fronts[vm])
         model = f"X-Model-Name: {MODEL}/{adapter}\r\n" if adapter else ""
-        writer.write(
+        head = (
             f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n{model}"
-            f"X-Request-Id: {request_id}\r\nContent-Length: 1\r\n\r\nx".encode()
+            f"X-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
+        writer.write(head.encode() + body)
         try:
             return await asyncio.wait_for(read_reply(reader), 8.0)
         finally:
