See what endpoints say and nobody reads, and what is sent to them

Neither lines nor figures told whether anybody had read that two engines named a limit, nor how much of what reached them were orders. No logic is changed.

--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -23,6 +23,7 @@
 from kestreltally.fleet.notices import NoticeTable
 from kestreltally.platform.headers import (
     is_genuine,
+    list_unread,
     read_answer_id,
     read_instance,
     read_notice,
@@ -195,6 +196,7 @@
             return
         if signed and not is_genuine(answer.status, answer.headers):
             return
+        self._notices.unread.note(list_unread(answer.status, answer.headers))
         notice = read_notice(answer.status, answer.headers)
         self._notices.note(self._endpoint, notice, self._loop.time())
 
@@ -220,9 +222,11 @@
         self._notices = notices
         self._idle: dict[tuple[str, int], deque[Channel]] = defaultdict(deque)
         self.opened = 0
+        self.used = 0
 
     async def acquire(self, endpoint: Endpoint) -> Channel:
         """Return a kept channel or a new one; raises ``NotConnected``."""
+        self.used += 1
         address = (endpoint.host, endpoint.port)
         loop = asyncio.get_running_loop()
         channel = self._take_idle(address, loop.time())
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -28,6 +28,7 @@
     Seconds,
     is_other_life,
 )
+from kestreltally.fleet.unread import UnreadWords
 
 LOG = logging.getLogger("kestreltally.notices")
 
@@ -91,6 +92,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[EndpointId, _Standing] = {}
+        self.unread = UnreadWords()
         # Called with the endpoint of which something is new.
         self.note_news: Callable[[EndpointId], None] = lambda _: None
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -271,6 +271,11 @@
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
+            "endpoint_sends": {
+                "requests": self._pool.used,
+                "orders_and_reports": self._control_pool.used,
+            },
+            "unread_words": self._fleet.notices.unread.count(),
             "poison_requests": self._relay.poison.register.count(),
             "endpoints_by_word": self._fleet.notices.count(now),
             "daemons_known": {"feed": self._relay.budget.daemons},
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -35,6 +35,9 @@
 _ORGANISATION: Final = "X-Tenant-Name"
 _LEAVING: Final = "Server-Leaving"
 _LEAVES: Final = "1"
+# Headers of answers in which endpoints speak of themselves, and those read here.
+_SPEAKING: Final = "server-"
+_READ: Final = frozenset({_LEAVING.lower()})
 # A time in seconds, fractions included. Nothing else is one: neither a date, which the
 # platform does not use and clocks that jump would spoil, nor a sign or an exponent.
 _TIME: Final = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
@@ -174,6 +177,20 @@
     return Notice(leaves, _read_rest(headers.getall(RETRY_AFTER, [])))
 
 
+def list_unread(status: int, headers: Mapping[str, str]) -> list[str]:
+    """Name what an endpoint says in an answer that nothing here reads.
+
+    That is a header in which endpoints speak of themselves, or a status without a
+    meaning.
+    """
+    names = [name.lower() for name in headers]
+    unread = [each for each in names if each.startswith(_SPEAKING)]
+    unread = [each for each in unread if each not in _READ]
+    if not (200 <= status < 300 or 400 <= status < 600):
+        unread.append(f"status {status}")
+    return unread
+
+
 def _read_rest(values: Iterable[str]) -> Seconds:
     """Return the longest of some times, seconds, 0 where there is none."""
     texts = [part.strip() for value in values for part in value.split(",")]
--- /dev/null
+++ b/tests/test_unread.py
@@ -0,0 +1,41 @@
+"""What endpoints say and nobody reads is counted, and written once for each name."""
+
+from multidict import CIMultiDict
+
+from kestreltally.decisions import COUNTS, Decision
+from kestreltally.fleet.unread import NAMES_MOST, OTHERS, UnreadWords
+from kestreltally.platform.headers import list_unread
+
+
+def test_a_header_of_the_family_that_nobody_reads_is_named() -> None:
+    headers = CIMultiDict(
+        [("Server-Mood", "low"), ("server-leaving", "1"), ("Server", "x"), ("A", "b")]
+    )
+    assert list_unread(200, headers) == ["server-mood"]
+
+
+def test_a_status_without_a_meaning_is_named() -> None:
+    named = {status: list_unread(status, {}) for status in (200, 421, 503, 302, 600)}
+    assert named == {
+        200: [],
+        421: [],
+        503: [],
+        302: ["status 302"],
+        600: ["status 600"],
+    }
+
+
+def test_each_is_counted_and_written_once() -> None:
+    words = UnreadWords()
+    before = COUNTS[Decision.ENDPOINT_WORD_UNREAD]
+    for _ in range(3):
+        words.note(["server-mood"])
+    assert words.count() == {"server-mood": 3.0}
+    assert COUNTS[Decision.ENDPOINT_WORD_UNREAD] == before + 1
+
+
+def test_names_without_end_fill_no_memory() -> None:
+    words = UnreadWords()
+    words.note(f"server-{number}" for number in range(3 * NAMES_MOST))
+    assert len(words.count()) == NAMES_MOST + 1
+    assert words.count()[OTHERS] == 2 * NAMES_MOST
