Failing test: a limit that an endpoint names over all daemons

Callers saw nothing; two engines that had named 4.5 and 2.9 requests a second got 59 and 43 in 4 s, where 32 and 22 were allowed.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -62,10 +62,13 @@
     # What its answers say of it, and until when it wants rest, by the loop's clock.
     says_leaving: bool = False
     rests_until: float = 0.0
+    # How many requests a second it takes from all daemons, as its answers say.
+    limit: float | None = None
     # Until when it writes no entry, by the loop's clock.
     silent_until: float = 0.0
-    # When each request reached it, run or not, by the loop's clock.
+    # When each request, and each call of any kind, reached it, by the loop's clock.
     arrivals: list[float] = field(default_factory=list)
+    calls: list[float] = field(default_factory=list)
     # When this start was, Unix milliseconds, and what ends it.
     born: int = 0
     crash: Callable[[], None] = lambda: None
@@ -128,6 +131,7 @@
 
     async def report(self, _: web.Request) -> web.Response:
         """Serve the report."""
+        self.calls.append(asyncio.get_running_loop().time())
         return web.json_response(
             {
                 "Stage": "both",
@@ -146,6 +150,7 @@
 
     async def order(self, http: web.Request) -> web.Response:
         """Take an order."""
+        self.calls.append(asyncio.get_running_loop().time())
         if http.headers.get("X-Expect-Instance", self.id) != self.id:
             return self._misdirect(http)
         order = await http.json()
@@ -185,10 +190,12 @@
             self.loading.discard(name)
             self.held[name] = self.newest.get(name, 1)
 
-    async def say_leaving(self, _: web.Request, answer: web.StreamResponse) -> None:
-        """Put into the head of an answer whether the endpoint leaves."""
+    async def speak(self, _: web.Request, answer: web.StreamResponse) -> None:
+        """Put into the head of an answer what the endpoint says of itself."""
         if self.says_leaving:
             answer.headers["Server-Leaving"] = "1"
+        if self.limit is not None:
+            answer.headers["Server-Limit"] = f"{self.limit:g}"
 
     def _turn_away(self, http: web.Request, rest: float) -> web.Response:
         headers = {
@@ -209,6 +216,7 @@
         """Run a request, or say that it is not run."""
         now = asyncio.get_running_loop().time()
         self.arrivals.append(now)
+        self.calls.append(now)
         if now < self.rests_until:
             return self._turn_away(http, self.rests_until - now)
         request_id = http.headers.get("X-Request-Id", "")
@@ -259,7 +267,7 @@
     """Return the application that serves an endpoint."""
     app = web.Application()
     engine.faults.add_routes(app)
-    app.on_response_prepare.append(engine.say_leaving)
+    app.on_response_prepare.append(engine.speak)
     app.router.add_get("/report", engine.report)
     app.router.add_post("/order", engine.order)
     app.router.add_route("*", "/{path:.*}", engine.serve)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,115 @@
+"""A limit that an endpoint names holds over all daemons together.
+
+What users saw: two engines named in their answers how many requests a second they take
+from all daemons together, 4.5 and 2.9. Three seconds later they got 59 and 43 in 4 s.
+
+The order of events: an engine answers (200), and its answer's head names the limit.
+Daemons hand the answer on, choose endpoints as before, and the leader orders as before.
+"""
+
+import asyncio
+from bisect import bisect_left
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from standins.platform_engine import PlatformEngine
+from tests.test_fleet_daemon import FleetRig, run_fleet
+
+# What the operators' rule allows in any 4 s, from so long after the word on.
+WINDOW = 4.0
+HEARD_WITHIN = 1.5
+
+
+def count_allowed(limit: float) -> float:
+    """Return how many requests the rule allows in a window."""
+    return 1.5 * limit * WINDOW + 5
+
+
+def count_most(times: list[float], since: float) -> int:
+    """Return the most calls in any window that begins after a moment."""
+    late = sorted(at for at in times if at >= since)
+    ends = range(1, len(late) + 1)
+    return max(
+        (end - bisect_left(late, late[end - 1] - WINDOW) for end in ends), default=0
+    )
+
+
+@asynccontextmanager
+async def run_six() -> AsyncIterator[FleetRig]:
+    async with run_fleet() as rig:
+        for number in (2, 3):
+            for zone in ("north", "south"):
+                await rig.add_daemon(f"{zone}-{number}", zone)
+        await asyncio.sleep(1.0)
+        yield rig
+
+
+class Asking:
+    """Asks each daemon some times a second, and keeps what came of it."""
+
+    def __init__(self, rig: FleetRig, path: str, adapter: str, pause: float) -> None:
+        self._rig, self._path, self._adapter = rig, path, adapter
+        self._pause = pause
+        self.statuses: list[int] = []
+        self.waits: list[float] = []
+
+    async def run(self, lasts: float) -> None:
+        await asyncio.gather(*(self._ask(vm, lasts) for vm in self._rig.daemons))
+
+    async def _ask(self, vm: str, lasts: float) -> None:
+        loop = asyncio.get_running_loop()
+        asks = []
+        for number in range(int(lasts / self._pause)):
+            asks.append(loop.create_task(self._ask_once(vm, f"{vm}-{number}")))
+            await asyncio.sleep(self._pause)
+        await asyncio.gather(*asks)
+
+    async def _ask_once(self, vm: str, name: str) -> None:
+        reply = await self._rig.ask(vm, self._path, self._adapter, name)
+        self.statuses.append(reply.status)
+        if reply.status != 200:
+            self.waits.append(float(reply.headers.get("retry-after", "nan")))
+
+    def count_refused(self) -> int:
+        return sum(status != 200 for status in self.statuses)
+
+
+def find_plain(rig: FleetRig) -> PlatformEngine:
+    return next(each for each in rig.engines if not each.model)
+
+
+async def find_holder(rig: FleetRig, adapter: str) -> PlatformEngine:
+    assert (await rig.ask("north-1", "/m/x", adapter, "begin")).whole
+    (engine,) = [each for each in rig.engines if adapter in each.held]
+    return engine
+
+
+@pytest.mark.parametrize("store_away", [False, True])
+async def test_a_limit_holds_over_all_daemons(store_away: bool) -> None:
+    async with run_six() as rig:
+        engine = find_plain(rig)
+        engine.limit = 2.9
+        rig.store.faults.set(down=store_away)
+        loop = asyncio.get_running_loop()
+        named_at = loop.time()
+        asking = Asking(rig, "/a/x", "", 0.1)
+        await asking.run(7.0)
+        most = count_most(engine.calls, named_at + HEARD_WITHIN)
+        assert most <= count_allowed(engine.limit)
+        # The other endpoint has room for all.
+        assert asking.count_refused() == 0
+
+
+async def test_what_only_a_limited_engine_holds_is_brought_elsewhere() -> None:
+    async with run_six() as rig:
+        engine = await find_holder(rig, "a1")
+        engine.limit = 2.9
+        loop = asyncio.get_running_loop()
+        named_at = loop.time()
+        asking = Asking(rig, "/m/x", "a1", 0.1)
+        await asking.run(7.0)
+        most = count_most(engine.calls, named_at + HEARD_WITHIN)
+        assert most <= count_allowed(engine.limit)
+        assert asking.count_refused() <= 0.02 * len(asking.statuses)
