--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -13,7 +13,8 @@
 
 from kestreltally.fleet.model import Organisation, OrganisationName, Seconds
 from kestreltally.quotas.grants import Grant, QuotaBounds
-from kestreltally.quotas.spending import SHARE_TIME, Pace, Spending, Word
+from kestreltally.quotas.spending import SHARE_TIME, Spending, Word
+from kestreltally.rates import Pace
 
 # An organisation spends freely while less than this part of what it may spend at once
 # is used up. What it asks for in the 0.5 s until all daemons know better comes on top,
--- a/src/kestreltally/quotas/limiters.py
+++ b/src/kestreltally/quotas/limiters.py
@@ -13,11 +13,11 @@
 from kestreltally.quotas.grants import Grant, QuotaBounds
 from kestreltally.quotas.spending import (
     SHARE_TIME,
-    Pace,
     Spending,
     SpendingCounter,
     Word,
 )
+from kestreltally.rates import Bucket, Pace
 
 # A leader's words are believed this long: it sends some each 0.2 s.
 WORD_LIFE: Final[Seconds] = 0.45
@@ -41,24 +41,6 @@
 Clock = Callable[[], Seconds]
 
 
-@dataclass(slots=True)
-class Bucket:
-    """Units that fill up at a rate; one request may overdraw it, however large."""
-
-    at: Seconds
-    level: float = 1.0
-
-    def take(self, units: int, rate: float, depth: float, now: Seconds) -> bool:
-        """Take units if any are left; tell whether they were taken."""
-        filled = self.level + rate * max(0.0, now - self.at)
-        self.level = min(max(1.0, depth), filled)
-        self.at = now
-        if self.level <= 0:
-            return False
-        self.level -= units
-        return True
-
-
 @dataclass(slots=True)
 class Share:
     """This daemon's part in an organisation's requests."""
--- a/src/kestreltally/quotas/spending.py
+++ b/src/kestreltally/quotas/spending.py
@@ -1,6 +1,5 @@
 """What organisations asked for and were granted, as daemons tell each other."""
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -16,8 +15,6 @@
 # 2 s, an organisation at its usual pace was refused 9 in 100 units and not 7 where
 # nearly all daemons hear no leader (tests/quotasim.py).
 SHARE_TIME: Final[Seconds] = 6.0
-# A mean over a time of which less than this part has passed is taken as if it had.
-PACE_LEAST: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,30 +73,3 @@
             Spending(name, round(part * each.asked), round(part * each.granted))
             for name, each in counts.items()
         ]
-
-
-@dataclass(slots=True)
-class Pace:
-    """Units a second, a mean over the last ``time`` seconds or so.
-
-    Since ``began`` all was counted; before it nothing is known.
-    """
-
-    time: Seconds
-    at: Seconds
-    began: Seconds = float("-inf")
-    _sum: float = 0.0
-
-    def add(self, units: float, now: Seconds) -> None:
-        """Count some units at a moment."""
-        self._sum = self._sum * self._fade(now) + units
-        self.at = now
-
-    def read(self, now: Seconds) -> float:
-        """Return the units a second at a moment."""
-        # As long as it has not counted for long, the mean is of that time only.
-        part = 1.0 - math.exp(-max(0.0, now - self.began) / self.time)
-        return self._sum * self._fade(now) / (self.time * max(PACE_LEAST, part))
-
-    def _fade(self, now: Seconds) -> float:
-        return math.exp(-max(0.0, now - self.at) / self.time)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -9,8 +9,9 @@
 from kestreltally.fleet.model import Organisation, OrganisationName, Quota, QuotaUnit
 from kestreltally.quotas.grants import QuotaBounds
 from kestreltally.quotas.ledger import FREE_PART, Ledger
-from kestreltally.quotas.limiters import DEFAULT, LIMITERS, WORD_LIFE, Bucket
-from kestreltally.quotas.spending import Pace, Spending, SpendingCounter, Word
+from kestreltally.quotas.limiters import DEFAULT, LIMITERS, WORD_LIFE
+from kestreltally.quotas.spending import Spending, SpendingCounter, Word
+from kestreltally.rates import Bucket, Pace
 from tests.clocks import ManualClock
 from tests.quotasim import LOADS, NAME, Load, Simulation
 
