--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -135,12 +135,23 @@
     Mutation(
         name="rest that an endpoint asks for not given",
         module="fleet/notices.py",
-        before="        row.resting = True\n",
+        before="        row.begin_rise(now + rest)\n",
         after="",
         action=Action.WANTS_REST,
         every=6.0,
         lasts=4.0,
     ),
+    Mutation(
+        name="a limit that each daemon keeps alone",
+        module="fleet/limits.py",
+        before="        if lending.heard or daemons is None or daemons > ALONE_MOST + "
+        "self.rate:\n            return 0.0\n"
+        "        return ALONE_PART * self.rate / max(1, daemons)\n",
+        after="        return self.rate\n",
+        action=Action.NAMES_LIMIT,
+        every=8.5,
+        lasts=8.0,
+    ),
     Mutation(
         name="places not counted",
         module="placing/books.py",
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -42,6 +42,7 @@
     STORE_RETURNS = "store comes back from a copy"
     SAYS_LEAVING = "endpoint leaves, and only its answers say so"
     WANTS_REST = "endpoint turns requests away and asks for rest"
+    NAMES_LIMIT = "endpoint names how much it takes from all daemons"
 
 
 # How often each is drawn: what the system must bear most often comes most often.
@@ -74,6 +75,10 @@
 RETURN_MEAN: Final = 15.0
 # What the store loses, or how long an endpoint rests, seconds.
 SPOKEN_LENGTHS: Final = (1.0, 4.0)
+# Limits come so often, and hold for longer than the window in which they are counted,
+# seconds.
+LIMIT_MEAN: Final = 8.0
+LIMIT_LENGTHS: Final = (6.0, 9.0)
 _DISTURBING: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -116,6 +121,7 @@
     steps.extend(_revoke(random.Random(f"keys {seed}"), seconds))
     steps.extend(_poison(random.Random(f"poison {seed}"), seconds))
     steps.extend(_speak(random.Random(f"notices {seed}"), seconds))
+    steps.extend(_limit(random.Random(f"limits {seed}"), seconds))
     steps.extend(_return(random.Random(f"eras {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
@@ -149,6 +155,15 @@
     return steps
 
 
+def _limit(draw: random.Random, seconds: float) -> list[Step]:
+    steps = []
+    for at in _draw_times(draw, LIMIT_MEAN, seconds):
+        lasts = min(draw.uniform(*LIMIT_LENGTHS), seconds - at)
+        target = draw.randrange(1000)
+        steps.append(Step(at, lasts, Action.NAMES_LIMIT, target, ProxyMode.PASS))
+    return steps
+
+
 def _return(draw: random.Random, seconds: float) -> list[Step]:
     steps = []
     for at in _draw_times(draw, RETURN_MEAN, seconds):
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -67,6 +67,7 @@
         Action.POISON,
         Action.SAYS_LEAVING,
         Action.WANTS_REST,
+        Action.NAMES_LIMIT,
     }
 )
 # How long the store is away before it comes back from a copy, and until the operators
@@ -74,6 +75,11 @@
 RETURN_AWAY: Final = 0.4
 REWRITTEN_AFTER: Final = 1.0
 
+# The limits that endpoints name, requests a second, and how they change.
+LIMITS: Final = (0.5, 2.9, 8.0)
+LIMIT_CHANGES: Final = (0.8, 1.0)
+LIMIT_CHANGES_EVERY: Final = 0.5
+
 Perform = Callable[["Soak", Step], Awaitable[None]]
 PERFORMERS: Final[dict[Action, Perform]] = {}
 
@@ -243,6 +249,23 @@
     soak.witness.check_rest(endpoint, now, booted)
 
 
+@performs(Action.NAMES_LIMIT)
+async def name_limit(soak: Soak, step: Step) -> None:
+    """Have an endpoint name a limit that changes a little all the time."""
+    endpoint = soak.pick_endpoint(step)
+    engine = endpoint.engine
+    if engine.limit is not None:
+        return
+    clock = asyncio.get_running_loop().time
+    limit = LIMITS[step.target % len(LIMITS)]
+    began = clock()
+    while clock() < began + step.lasts:
+        engine.limit = limit * random.uniform(*LIMIT_CHANGES)
+        await asyncio.sleep(LIMIT_CHANGES_EVERY)
+    engine.limit = None
+    soak.witness.check_limit(endpoint, limit, began, clock())
+
+
 @performs(Action.PAUSE)
 async def pause(soak: Soak, step: Step) -> None:
     """Stop a daemon's process for a while, and let it go on."""
--- a/bench/faultsoak/witness.py
+++ b/bench/faultsoak/witness.py
@@ -33,6 +33,10 @@
 CONFIGURATION: Final = BOUNDS["ConfigurationMs"] / 1000
 # Bounds hold after so much time without disturbance, before and throughout.
 CALM: Final = 3.0
+# A limit that an endpoint names bounds the calls of all daemons in any such window.
+LIMIT_WINDOW: Final = 4.0
+LIMIT_FACTOR: Final = 1.5
+LIMIT_MORE: Final = 5
 # What the machine under the soak may be late by.
 SLACK: Final = 0.5
 # Orders of a daemon just let go on, or over a path just healed, do not count.
@@ -295,6 +299,24 @@
                 f"{endpoint.engine.id}: asked {len(arrivals)} times while it rested"
             )
 
+    def check_limit(
+        self, endpoint: SoakEndpoint, limit: float, began: float, ended: float
+    ) -> None:
+        """Check that what all daemons called kept a limit, in any window.
+
+        Only where all were in touch throughout, and had heard of it before.
+        """
+        calls = [at for at in endpoint.engine.calls if began + CALM < at < ended]
+        for number, at in enumerate(calls):
+            since = max(at - LIMIT_WINDOW, began + CALM)
+            in_window = number + 1 - bisect_left(calls, since)
+            allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW + LIMIT_MORE
+            if in_window > allowed and self.is_calm(since, at):
+                self.problems.append(
+                    f"{endpoint.engine.id}: called {in_window} times of {allowed:.0f}"
+                )
+                return
+
     def _check_stops(self) -> None:
         for daemon, began, ended in self.stops:
             others = [span for span in self.disturbed if span != (began, ended)]
--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -50,6 +50,7 @@
     POISON_NOT_KEPT = ("poison: record not kept", Level.INFO, 20)
     ENDPOINT_SAYS_LEAVING = ("notices: endpoint says it leaves", Level.INFO, 50)
     ENDPOINT_WANTS_REST = ("notices: endpoint wants rest", Level.INFO, 50)
+    ENDPOINT_NAMES_LIMIT = ("notices: endpoint names a limit", Level.INFO, 50)
     ENDPOINT_WORD_UNREAD = ("notices: a word nobody reads", Level.WARNING, 50)
     ENDPOINT_LEFT_OUT = ("relay: endpoint left out", Level.WARNING, 50)
 
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -19,9 +19,14 @@
     give_up,
 )
 from kestreltally.entry.request import ClientRequest, Refused
-from kestreltally.entry.waiting import WeightsWaiters
+from kestreltally.entry.waiting import LEAST_URGENT, Awaited, Waiters
 from kestreltally.estimates.pace import PaceTable, Reading
-from kestreltally.fleet.model import Endpoint, Seconds, WeightsKey
+from kestreltally.fleet.model import (
+    Endpoint,
+    Seconds,
+    ServiceName,
+    WeightsKey,
+)
 from kestreltally.fleet.tables import Fleet
 
 LOG = logging.getLogger("kestreltally.finder")
@@ -60,7 +65,7 @@
         self._health = health
         self._choose = ENDPOINT_CHOOSERS["least-cost"]
         self.demand = DemandCounter()
-        self.waiters = WeightsWaiters()
+        self.waiters = Waiters()
         self.affinity = Affinity()
         self.paces = PaceTable()
         self.others = EMPTY
@@ -73,6 +78,7 @@
         key = request.head.weights
         if request.service.engine is None or key is None:
             return await self._find_plain(request, progress)
+        self._want_turns(request, key)
         while True:
             now = loop.time()
             found = self._fleet.list_holders(request.service_name, key, now)
@@ -84,6 +90,7 @@
     async def _find_plain(self, request: ClientRequest, progress: Progress) -> Option:
         """Return the endpoint to ask where any of the service can serve."""
         loop = asyncio.get_running_loop()
+        self._want_turns(request, None)
         while True:
             now = loop.time()
             found = self._fleet.list_service(request.service_name, now)
@@ -95,7 +102,7 @@
                 raise give_up(progress)
             if now + rest > request.first_by:
                 raise refuse_for_rest(rest)
-            await asyncio.sleep(min(rest, LOOK_EVERY))
+            await self._wait_for_turn(request, None, min(rest, LOOK_EVERY))
             progress.waited += loop.time() - now
 
     async def _wait_for_weights(
@@ -120,11 +127,39 @@
         if not progress.waited:
             self.hurry()
         try:
-            await self.waiters.wait(key, LOOK_EVERY)
+            await self._wait_for_turn(request, key, LOOK_EVERY)
         finally:
             self.demand.end_wait(request.service_name, key, waiter)
             progress.waited += loop.time() - began
 
+    def _want_turns(self, request: ClientRequest, key: WeightsKey | None) -> None:
+        """Note that a request could use a turn at an endpoint that names a limit."""
+        now = asyncio.get_running_loop().time()
+        for each in self._fleet.list_limited(request.service_name, key, now):
+            self._fleet.notices.want_turn(each, now)
+
+    async def _wait_for_turn(
+        self, request: ClientRequest, key: WeightsKey | None, timeout: Seconds
+    ) -> None:
+        """Wait for weights to come, or a turn where what could serve has a limit."""
+        now = asyncio.get_running_loop().time()
+        service = request.service_name
+        awaited: Awaited = service if key is None else key
+        limited = self._fleet.list_limited(service, key, now)
+        soonest = sorted(limited, key=lambda e: self._fleet.notices.find_rest(e, now))
+        urgency = min(LEAST_URGENT, max(0, request.priority))
+        with self._fleet.notices.wait_for_turns(soonest[:1], urgency):
+            if limited and self._has_turn(service, key):
+                return
+            await self.waiters.wait(awaited, timeout, urgency)
+
+    def _has_turn(self, service: ServiceName, key: WeightsKey | None) -> bool:
+        """Tell whether some endpoint may be asked now."""
+        now = asyncio.get_running_loop().time()
+        if key is None:
+            return bool(self._fleet.list_service(service, now))
+        return bool(self._fleet.list_holders(service, key, now))
+
     def _make_waiter(self, request: ClientRequest) -> Waiter:
         """Return what its leader is to know of a request that waits."""
         reading = self.paces.predict_alone(request.head.prompt_tokens)
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -20,7 +20,7 @@
 from multidict import MultiMapping
 
 from kestreltally.fleet.model import Endpoint, Seconds
-from kestreltally.fleet.notices import NoticeTable
+from kestreltally.fleet.notices import NEVER, NoticeTable
 from kestreltally.platform.headers import (
     is_genuine,
     list_unread,
@@ -155,13 +155,17 @@
             max_line_size=HEAD_LIMIT,
             max_field_size=HEAD_LIMIT,
         )
-        trial = self._notices.begin_send(self._endpoint, self._loop.time())
+        sent_at = self._loop.time()
+        trial = self._notices.begin_send(self._endpoint, sent_at)
         transport.write(head + body if body else head)
         try:
             answer = await self._read_head()
             for _ in range(SURPLUS_LIMIT):
-                self._hear(answer, signed=request_id is not None)
-                if request_id in (None, read_answer_id(answer.headers)):
+                own = request_id in (None, read_answer_id(answer.headers))
+                # An answer of an earlier request may be as old as that.
+                asked_at = sent_at if own else NEVER
+                self._hear(answer, asked_at, signed=request_id is not None)
+                if own:
                     return answer
                 protocol.force_close()
                 await answer.body.read()
@@ -185,7 +189,7 @@
             body=payload,
         )
 
-    def _hear(self, answer: Answer, *, signed: bool) -> None:
+    def _hear(self, answer: Answer, sent_at: Seconds, *, signed: bool) -> None:
         """Take in what an answer says of its endpoint.
 
         One of another endpoint at the same address, or one that no endpoint gave, says
@@ -198,7 +202,9 @@
             return
         self._notices.unread.note(list_unread(answer.status, answer.headers))
         notice = read_notice(answer.status, answer.headers)
-        self._notices.note(self._endpoint, notice, self._loop.time())
+        self._notices.note(
+            self._endpoint, notice, self._loop.time(), sent_at, signed=signed
+        )
 
     def note_keep_alive(self, answer: Answer, now: Seconds) -> None:
         """Take in how long the endpoint keeps the channel open when idle."""
--- a/src/kestreltally/entry/waiting.py
+++ b/src/kestreltally/entry/waiting.py
@@ -1,37 +1,59 @@
-"""Requests that wait until an engine holds the weights they need."""
+"""Requests that wait until an endpoint can take them: for weights, or for a turn."""
 
 import asyncio
 from collections import defaultdict
 from collections.abc import Iterable
+from typing import Final
 
-from kestreltally.fleet.model import Seconds, WeightsKey
+from kestreltally.fleet.model import Seconds, ServiceName, WeightsKey
 
+# What a request waits for: weights on an engine, or an endpoint of a plain service.
+Awaited = WeightsKey | ServiceName
 
-class WeightsWaiters:
-    """Wakes requests when some weights have come."""
+LEAST_URGENT: Final = 9
+
+
+class Waiters:
+    """Wakes requests when what they wait for has come."""
 
     def __init__(self) -> None:
-        self._waiting: dict[WeightsKey, set[asyncio.Future[None]]] = defaultdict(set)
+        # By what they wait for: their urgency, 0 the most urgent, in their order.
+        self._waiting: dict[Awaited, dict[asyncio.Future[None], int]] = defaultdict(
+            dict
+        )
 
-    async def wait(self, key: WeightsKey, timeout: Seconds) -> bool:
-        """Wait until some weights have come; tell whether they did in time."""
+    async def wait(
+        self, awaited: Awaited, timeout: Seconds, urgency: int = LEAST_URGENT
+    ) -> bool:
+        """Wait until something has come; tell whether it did in time."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting[key].add(future)
+        self._waiting[awaited][future] = urgency
         try:
             async with asyncio.timeout(timeout):
                 await future
         except TimeoutError:
             return False
         finally:
-            waiting = self._waiting[key]
-            waiting.discard(future)
+            waiting = self._waiting[awaited]
+            del waiting[future]
             if not waiting:
-                del self._waiting[key]
+                del self._waiting[awaited]
         return True
 
-    def wake(self, keys: Iterable[WeightsKey]) -> None:
-        """Wake the requests that wait for any of some weights."""
-        for key in keys:
-            for future in self._waiting.get(key, ()):
+    def wake(self, come: Iterable[Awaited]) -> None:
+        """Wake the requests that wait for any of some things."""
+        for each in come:
+            for future in self._waiting.get(each, ()):
                 if not future.done():
                     future.set_result(None)
+
+    def wake_most_urgent(self, come: Iterable[Awaited]) -> None:
+        """Wake the most urgent of the requests that wait for any of some things."""
+        waiting = [
+            (urgency, future)
+            for each in come
+            for future, urgency in self._waiting.get(each, {}).items()
+            if not future.done()
+        ]
+        if waiting:
+            min(waiting, key=lambda each: each[0])[1].set_result(None)
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -194,10 +194,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Notice:
-    """What one answer says of its endpoint; ``rest`` is 0 where it asks for none."""
+    """What one answer says of its endpoint; ``rest`` is 0 where it asks for none.
+
+    ``limit`` is how many requests a second the endpoint takes from all daemons
+    together, none where it names none; ``unclear`` tells that it names one that cannot
+    be read.
+    """
 
     leaves: bool
     rest: Seconds
+    limit: float | None = None
+    unclear: bool = False
 
 
 SILENT: Final = Notice(leaves=False, rest=0.0)
@@ -207,13 +214,18 @@
 class KnownNotice:
     """What one start of an endpoint has said of itself, as daemons tell it.
 
-    ``rest`` is what is left of it, and was asked of the daemon that tells it.
+    ``rest`` is what is left of it, and was asked of the daemon that tells it. ``limit``
+    is the limit in force by the word ``limit_version``, which is 0 where none was ever
+    named; ``turn_wait`` is how long a call waits there for its turn, as leaders tell.
     """
 
     endpoint: EndpointId
     born: int
     leaves: bool
     rest: Seconds
+    limit: float | None = None
+    limit_version: int = 0
+    turn_wait: Seconds = 0.0
 
 
 def is_other_life(known: int, told: int) -> bool:
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -1,4 +1,5 @@
-"""What endpoints say of themselves in their answers: that they leave, or want a rest.
+"""What endpoints say of themselves in their answers: that they leave, want a rest, or
+take only so many requests a second.
 
 An endpoint's own word is no suspicion: no rule that keeps a part of the endpoints in
 use holds against it. Who is right:
@@ -10,15 +11,22 @@
   or another start of it.
 - It wants rest of another daemon, by that daemon's word: overrules nothing here; a
   leader has what it holds brought elsewhere for those who may not ask it.
+- It names a limit, by its answers here or at any daemon: the newest word holds at all
+  (``fleet/limits.py``). An answer without a limit ends it, or another start of it.
+
+They may come together: who leaves gets nothing, who rests gets nothing until its rest
+is over, and what is left to be sent needs a turn where a limit is named.
 """
 
 import logging
 from collections import deque
-from collections.abc import Callable, Container, Iterable
+from collections.abc import Callable, Container, Iterable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
+from kestreltally.fleet.limits import Lending, LimitStanding
 from kestreltally.fleet.model import (
     SILENT,
     Endpoint,
@@ -49,6 +57,7 @@
 TRIAL_LOOK: Final[Seconds] = 0.05
 NEVER: Final[Seconds] = float("-inf")
 FOR_EVER: Final[Seconds] = float("inf")
+NOBODY_LENDS: Final = Lending(heard=False, daemons=None)
 
 
 class NotWanted(Exception):
@@ -73,6 +82,13 @@
     allowed: int = RISE_FIRST
     trials: deque[Seconds] = field(default_factory=deque)
     rests_elsewhere_until: Seconds = NEVER
+    limit: LimitStanding = field(default_factory=LimitStanding)
+
+    def begin_rise(self, now: Seconds) -> None:
+        """Let requests return by steps from now on."""
+        self.resting = True
+        self.allowed = RISE_FIRST
+        self.rests_until = max(self.rests_until, now)
 
     def find_rest(self, now: Seconds) -> Seconds:
         """Return how long it is to be left alone, 0 where it may be asked."""
@@ -95,15 +111,35 @@
         self.unread = UnreadWords()
         # Called with the endpoint of which something is new.
         self.note_news: Callable[[EndpointId], None] = lambda _: None
+        # Tells who lends turns at an endpoint that names a limit.
+        self.find_lending: Callable[[Endpoint], Lending] = lambda _: NOBODY_LENDS
+        # Called with an endpoint at which a turn is waited for.
+        self.note_wanted: Callable[[EndpointId], None] = lambda _: None
+
+    def note(
+        self,
+        endpoint: Endpoint,
+        notice: Notice,
+        now: Seconds,
+        sent_at: Seconds | None = None,
+        *,
+        signed: bool = True,
+    ) -> None:
+        """Take in what an answer says of its endpoint.
 
-    def note(self, endpoint: Endpoint, notice: Notice, now: Seconds) -> None:
-        """Take in what an answer of an endpoint says."""
+        ``sent_at`` is when its request was sent, now where it is not told; ``signed``
+        tells that the answer is a request's, not a report's or an order's.
+        """
         if notice == SILENT:
-            self._end_rest(endpoint, now)
-            return
-        row = self._find_row(endpoint.id, endpoint.born, now)
+            row = self._look_up(endpoint)
+        else:
+            row = self._find_row(endpoint.id, endpoint.born, now)
         if row is None:
             return
+        sent_at = now if sent_at is None else sent_at
+        before = row.limit.limit
+        if row.limit.hear(notice, sent_at, now, signed=signed):
+            self._note_limit(endpoint.id, row, before, now)
         if notice.leaves:
             self._note_leaving(endpoint.id, row)
         if notice.rest > 0:
@@ -118,13 +154,31 @@
         log_decision(LOG, Decision.ENDPOINT_SAYS_LEAVING, endpoint=endpoint)
         self.note_news(endpoint)
 
+    def _note_limit(
+        self,
+        endpoint: EndpointId,
+        row: _Standing,
+        before: float | None,
+        now: Seconds,
+    ) -> None:
+        """Tell of a limit that has begun, ended, or changed notably."""
+        limit = row.limit.limit
+        log_decision(
+            LOG,
+            Decision.ENDPOINT_NAMES_LIMIT,
+            endpoint=endpoint,
+            limit=limit,
+            before=before,
+        )
+        if limit is None:
+            row.begin_rise(now)
+        self.note_news(endpoint)
+
     def _begin_rest(
         self, endpoint: EndpointId, row: _Standing, rest: Seconds, now: Seconds
     ) -> None:
         news = now >= row.rests_until
-        row.resting = True
-        row.allowed = RISE_FIRST
-        row.rests_until = max(row.rests_until, now + rest)
+        row.begin_rise(now + rest)
         if news:
             log_decision(
                 LOG, Decision.ENDPOINT_WANTS_REST, endpoint=endpoint, rest=rest
@@ -181,14 +235,24 @@
     def find_rest(self, endpoint: Endpoint, now: Seconds) -> Seconds:
         """Return how long an endpoint is to be left alone, 0 where it may be asked."""
         row = self._look_up(endpoint)
-        return row.find_rest(now) if row is not None else 0.0
+        if row is None:
+            return 0.0
+        return row.find_rest(now) or self._find_turn_wait(endpoint, row, now)
+
+    def _find_turn_wait(
+        self, endpoint: Endpoint, row: _Standing, now: Seconds
+    ) -> Seconds:
+        if row.limit.limit is None:
+            return 0.0
+        return row.limit.find_wait(self.find_lending(endpoint), now)
 
     def is_short(self, endpoint: Endpoint, now: Seconds) -> bool:
         """Tell whether some daemon cannot use an endpoint for its own word."""
         row = self._look_up(endpoint)
         if row is None:
             return False
-        return row.find_rest(now) > 0 or now < row.rests_elsewhere_until
+        rests = row.find_rest(now) > 0 or now < row.rests_elsewhere_until
+        return rests or row.limit.is_short()
 
     def begin_send(self, endpoint: Endpoint, now: Seconds) -> bool:
         """Note that a request leaves for an endpoint; tell whether it is a trial.
@@ -201,6 +265,10 @@
             return False
         if row.find_rest(now) > 0:
             raise NotWanted(endpoint.id)
+        if row.limit.limit is not None:
+            row.limit.wants.add(1, now)
+            if not row.limit.take(self.find_lending(endpoint), now):
+                raise NotWanted(endpoint.id)
         if not row.resting:
             return False
         row.trials.append(now)
@@ -212,15 +280,73 @@
         if row is not None and row.trials:
             row.trials.popleft()
 
+    # Turns at endpoints that name a limit.
+
+    @property
+    def any_limited(self) -> bool:
+        """Tell whether any endpoint names a limit."""
+        return any(row.limit.limit is not None for row in self._rows.values())
+
+    def is_limited(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint names a limit."""
+        return self.find_limit(endpoint.id, endpoint.born) is not None
+
+    def list_limits(self) -> list[tuple[EndpointId, int, LimitStanding]]:
+        """Return the endpoints that name a limit, and their starts."""
+        return [
+            (name, row.born, row.limit)
+            for name, row in self._rows.items()
+            if row.limit.limit is not None and not row.leaves
+        ]
+
+    def find_limit(self, endpoint: EndpointId, born: int) -> LimitStanding | None:
+        """Return the limit of an endpoint's start, none where none is in force."""
+        row = self._rows.get(endpoint)
+        if row is None or is_other_life(row.born, born):
+            return None
+        return row.limit if row.limit.limit is not None else None
+
+    def want_turn(self, endpoint: Endpoint, now: Seconds) -> None:
+        """Note that a call would be made at an endpoint if a turn were at hand."""
+        limit = self.find_limit(endpoint.id, endpoint.born)
+        if limit is not None:
+            limit.wants.add(1, now)
+
+    @contextmanager
+    def wait_for_turns(
+        self, endpoints: Iterable[Endpoint], urgency: int
+    ) -> Iterator[None]:
+        """Count a request that waits for a turn at any of some endpoints."""
+        found = ((each.id, self.find_limit(each.id, each.born)) for each in endpoints)
+        limits = [(name, limit) for name, limit in found if limit is not None]
+        for name, limit in limits:
+            limit.waiting[urgency] += 1
+            self.note_wanted(name)
+        try:
+            yield
+        finally:
+            for _, limit in limits:
+                limit.waiting[urgency] -= 1
+
     # What daemons tell each other.
 
     def list_known(self, now: Seconds) -> list[KnownNotice]:
-        """Return what is in force."""
+        """Return what is in force, and what is known of limits."""
         known = []
         for name, row in self._rows.items():
             rest = max(0.0, row.rests_until - now)
-            if row.leaves or rest:
-                known.append(KnownNotice(name, row.born, row.leaves, rest))
+            if row.leaves or rest or row.limit.version:
+                known.append(
+                    KnownNotice(
+                        endpoint=name,
+                        born=row.born,
+                        leaves=row.leaves,
+                        rest=rest,
+                        limit=row.limit.limit,
+                        limit_version=row.limit.version,
+                        turn_wait=row.limit.wait,
+                    )
+                )
         return known
 
     def count(self, now: Seconds) -> dict[str, float]:
@@ -229,11 +355,15 @@
         return {
             "leaving": float(sum(each.leaves for each in known)),
             "resting": float(sum(each.rest > 0 for each in known)),
+            "limited": float(sum(each.limit is not None for each in known)),
         }
 
     def take_told(self, told: Iterable[KnownNotice], now: Seconds) -> None:
         """Take in what another daemon heard."""
         for each in told:
+            self.take_limit_told(each, now)
+            if not each.leaves and not each.rest:
+                continue
             row = self._find_row(each.endpoint, each.born, now)
             if row is None:
                 continue
@@ -241,10 +371,29 @@
                 self._note_leaving(each.endpoint, row)
             row.rests_elsewhere_until = max(row.rests_elsewhere_until, now + each.rest)
 
+    def take_limit_told(self, told: KnownNotice, now: Seconds) -> None:
+        """Take in what another daemon knows of a limit.
+
+        That one is over is no reason to remember an endpoint: it would never end, for
+        daemons tell each other.
+        """
+        if told.limit is None:
+            row = self._rows.get(told.endpoint)
+            if row is None or is_other_life(row.born, told.born):
+                return
+        else:
+            row = self._find_row(told.endpoint, told.born, now)
+            if row is None:
+                return
+        before = row.limit.limit
+        if row.limit.take_told(told.limit, told.limit_version, now):
+            row.noted_at = now
+            self._note_limit(told.endpoint, row, before, now)
+
     def forget_old(self, listed: Container[EndpointId], now: Seconds) -> None:
         """Drop what is over, and what is known of endpoints that are gone."""
         for name, row in list(self._rows.items()):
-            if name in listed and row.leaves:
+            if name in listed and (row.leaves or row.limit.limit is not None):
                 row.noted_at = now
             rests = max(row.rests_until, row.rests_elsewhere_until)
             if now > KEPT_FOR + max(row.noted_at, rests):
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -180,7 +180,32 @@
     def list_holders(
         self, service: ServiceName, key: WeightsKey, now: Seconds
     ) -> list[Endpoint]:
-        """Return the endpoints of a service that can run requests for some weights."""
+        """Return the endpoints of a service to ask now for some weights."""
+        able = self._list_able(service, key, now)
+        return [each for each in able if not self.notices.find_rest(each, now)]
+
+    def list_limited(
+        self, service: ServiceName, key: WeightsKey | None, now: Seconds
+    ) -> list[Endpoint]:
+        """Return the endpoints that could serve, and name a limit.
+
+        Without ``key`` any endpoint of the service could serve.
+        """
+        if not self.notices.any_limited:
+            return []
+        if key is not None:
+            able = self._list_able(service, key, now)
+        else:
+            able = [each for each in self._list_known(service) if not each.leaving]
+        return [each for each in able if self.notices.is_limited(each)]
+
+    def _list_able(
+        self, service: ServiceName, key: WeightsKey, now: Seconds
+    ) -> list[Endpoint]:
+        """Return the endpoints of a service that can run requests for some weights.
+
+        Some of them may want nothing from this daemon at this moment.
+        """
         holders = self._holders.get(key)
         if not holders:
             return []
@@ -189,15 +214,26 @@
             each
             for each in found
             if _takes_work(each, service)
-            and not self.notices.find_rest(each, now)
             and self._absent.get((each.id, key), now) <= now
             and not self.is_outdated(each, key, now)
         ]
 
+    def list_useful(self, service: ServiceName, now: Seconds) -> list[Endpoint]:
+        """Return the endpoints of a service that all daemons can use, as far as known.
+
+        Where only spared ones are left, those.
+        """
+        useful = [
+            each
+            for each in self._list_known(service)
+            if not each.leaving and not self.notices.is_short(each, now)
+        ]
+        return [each for each in useful if not each.spared] or useful
+
     def is_held(self, service: ServiceName, key: WeightsKey, now: Seconds) -> bool:
         """Tell whether some weights can be used, by all daemons as far as is known."""
-        holders = self.list_holders(service, key, now)
-        return any(not self.notices.is_short(each, now) for each in holders)
+        able = self._list_able(service, key, now)
+        return any(not self.notices.is_short(each, now) for each in able)
 
     def is_coming(self, service: ServiceName, key: WeightsKey, now: Seconds) -> bool:
         """Tell whether some weights are on their way to an engine of a service."""
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -17,6 +17,7 @@
 from kestreltally.entry.fullness import EMPTY
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import DAEMONS_AT_FIRST
+from kestreltally.entry.waiting import Awaited
 from kestreltally.fleet.model import (
     Configuration,
     Endpoint,
@@ -52,6 +53,7 @@
     encode_use,
 )
 from kestreltally.knowledge.structs import Report
+from kestreltally.knowledge.turns import TurnExchange
 from kestreltally.knowledge.updates import (
     AGE_UNKNOWN,
     LeaderState,
@@ -137,7 +139,14 @@
             )
             for name in leases
         }
+        self.turns = TurnExchange(
+            fleet, leases, self.leaders, self.find_lease, self.feed, clock
+        )
+        self.turns.note_turn = self._note_turn_come
+        self.feed.take_wanted = self.turns.take_report
+        self.feed.fill_turns = self.turns.fill_update
         for client in self.leaders.clients.values():
+            client.note_connected = self.turns.note_connected
             client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
         self._reported = EMPTY
@@ -244,10 +253,11 @@
             store_age=self._find_store_age(),
             read_age=min(self._clock() - self._store_read_at(), AGE_UNKNOWN),
             daemons=1,
-            stamp=self._clock() if self._fleet.keys is not None else None,
+            stamp=self._clock(),
         )
         known = self._fleet.notices.list_known(self._clock())
         report.notices = [encode_notice(each) for each in known]
+        self.turns.fill_report(report, data_centre)
         self._ends.name_secret(report)
         if self.leaders.leads:
             self._add_group(report, data_centre)
@@ -334,13 +344,14 @@
         self._ends.take_update(update, followed=followed, leads=self.leaders.leads)
         self._take_authority(update)
         self._take_rows(update, {each.data_centre for each in update.leads})
+        self.turns.take_update(data_centre, update, followed=followed)
         if not self.leaders.leads and followed:
             self._take_counts(update)
 
     def _take_authority(self, update: Any) -> None:
         """Take in up to when the leader knows all, once all that is known here too."""
         configuration = self._fleet.configuration
-        if configuration is None or update.echo is None:
+        if configuration is None or update.known_by is None:
             return
         if configuration.version >= update.configuration_version:
             self._authority.note(update.echo + update.known_by)
@@ -353,6 +364,7 @@
         if update.in_flight is not None:
             self._relay.finder.others = decode_fullness(update).minus(self._reported)
             self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
+            self.turns.daemons = update.daemons
             self._limiter.daemons = self._relay.budget.daemons
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
@@ -473,6 +485,8 @@
         self._sum_counts()
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
+        self.turns.daemons = self._relay.budget.daemons
+        self.turns.lend()
         self._limiter.daemons = self._relay.budget.daemons
 
     def list_uses(self) -> set[Use]:
@@ -492,6 +506,11 @@
             # The leader of the endpoint is told by a report, as by any other daemon.
             self._hurry_leaders()
 
+    def _note_turn_come(self, endpoint: Endpoint) -> None:
+        """Wake the most urgent request that waits for a turn at an endpoint."""
+        awaited: list[Awaited] = [*endpoint.weights, endpoint.service]
+        self._relay.finder.waiters.wake_most_urgent(awaited)
+
     def _hurry_ends(self) -> None:
         """Tell at once what is new of requests at ends."""
         if self.leaders.leads:
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -29,6 +29,7 @@
     Versions,
     encode_leaders,
 )
+from kestreltally.placing.turns import Borrower
 from kestreltally.quotas.spending import Word
 from kestreltally.sockets import harden_socket
 
@@ -82,6 +83,8 @@
     told_configuration_at: Seconds = float("-inf")
     # Up to where it was told what is known of requests at ends.
     told_facts: int = 0
+    # The turns that it wants, and those lent to it.
+    borrower: Borrower = field(default_factory=Borrower)
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +124,10 @@
         self.is_leading: Callable[[], bool] = lambda: bool(state().leads)
         # Returns the words on organisations at their limit, none without quotas.
         self.make_words: Callable[[], Iterable[Word] | None] = lambda: None
+        # Take the turns that a daemon wants from a report, and put those lent to it,
+        # and all limits that endpoints name, into an update.
+        self.take_wanted: Callable[[Peer, Any], None] = lambda *_: None
+        self.fill_turns: Callable[[Any, Peer], None] = lambda *_: None
         self._server: asyncio.Server | None = None
         # What is known of requests at ends of endpoints.
         self.ends: EndsExchange | None = None
@@ -197,6 +204,7 @@
         if report.read_age is not None:
             peer.store_read_at = self._clock() - report.read_age
         self._take_report(report)
+        self.take_wanted(peer, report)
         if differs_notably(before, peer.fullness):
             self.note_counts(peer)
 
@@ -271,6 +279,7 @@
                 update.daemons = counts.daemons
                 update.words = counts.words
             _tell_authority(update, peer, current.state)
+            self.fill_turns(update, peer)
             if self.ends is not None:
                 peer.told_facts = self.ends.fill_update(update, peer.told_facts)
         if self._lacks_configuration(peer, current.state.configuration_version):
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -109,13 +109,32 @@
   4: i64 number,
 }
 
-// What one start of an endpoint has said of itself: that it leaves, and how many seconds
-// it is to be left alone by the daemon that tells it.
+// What one start of an endpoint has said of itself: that it leaves, how many seconds it
+// is to be left alone by the daemon that tells it, and the limit in force there, requests
+// a second, with its version and how many seconds a call waits there for its turn.
 struct NoticeRow {
   1: string endpoint,
   2: i64 born,
   3: bool leaves,
   4: double rest,
+  5: double limit,
+  6: i32 limit_version,
+  7: double turn_wait,
+}
+
+// How many turns are wanted at an endpoint that names a limit, by urgency, as received
+// turns there had come over this connection.
+struct WantedRow {
+  1: string endpoint,
+  2: i64 born,
+  3: map<i32, i32> counts,
+  4: i32 received,
+}
+
+// Turns that are lent at an endpoint: for how many seconds from the sending each lasts.
+struct TurnsRow {
+  1: string endpoint,
+  2: list<double> lasts,
 }
 
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
@@ -142,13 +161,15 @@
   17: list<ClearingRow> clearings,
   18: binary secret,
   19: list<NoticeRow> notices,
+  20: list<WantedRow> wanted,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
 // daemons and leaders come with the regular updates only, not with those that a change
 // brings on, and so do words, where organisations have quotas. room is how many more
 // adapters the engines led could take. echo is the stamp of a report, and all that the
-// store had acknowledged known_by seconds after its arrival is known to the sender.
+// store had acknowledged known_by seconds after its arrival is known to the sender;
+// echo_age seconds after its arrival the update was sent.
 // secret is what the digests of requests are taken under; of sightings and clearings
 // each daemon is told once.
 struct Update {
@@ -175,4 +196,7 @@
   21: binary secret,
   22: list<SightingRow> sightings,
   23: list<ClearingRow> clearings,
+  24: double echo_age,
+  25: list<NoticeRow> notices,
+  26: list<TurnsRow> turns,
 }
--- a/src/kestreltally/knowledge/following.py
+++ b/src/kestreltally/knowledge/following.py
@@ -44,6 +44,8 @@
         self._hurry = asyncio.Event()
         # Set from a look that found a leader to follow until none is.
         self._wanted = asyncio.Event()
+        # Called when a connection to the leader begins.
+        self.note_connected: Callable[[str], None] = lambda _: None
         # Called when the leader is heard, after it was not.
         self.note_heard: Callable[[str], None] = lambda _: None
         self.store_age: Seconds = float("inf")
@@ -88,6 +90,7 @@
             return
         harden_socket(writer.get_extra_info("socket"))
         stream = FrameStream(reader, writer)
+        self.note_connected(self.data_centre)
         sending = asyncio.create_task(self._send_reports(stream))
         try:
             await self._take_updates(stream, address)
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -24,7 +24,9 @@
     OutcomeRow,
     SightingRow,
     SpendingRow,
+    TurnsRow,
     UseRow,
+    WantedRow,
     WeightsChange,
     WeightsVersion,
     WordRow,
@@ -122,6 +124,9 @@
         born=notice.born,
         leaves=notice.leaves,
         rest=notice.rest,
+        limit=notice.limit,
+        limit_version=notice.limit_version,
+        turn_wait=notice.turn_wait,
     )
 
 
@@ -132,6 +137,9 @@
         born=row.born or 0,
         leaves=bool(row.leaves),
         rest=row.rest or 0.0,
+        limit=row.limit,
+        limit_version=row.limit_version or 0,
+        turn_wait=row.turn_wait or 0.0,
     )
 
 
@@ -225,6 +233,18 @@
     return Word(OrganisationName(row.organisation), row.ratio, row.asked, row.wait)
 
 
+def encode_wanted(
+    endpoint: EndpointId, born: int, wanted: dict[int, int], received: int
+) -> Any:
+    """Return the struct of turns wanted at an endpoint, by urgency."""
+    return WantedRow(endpoint=endpoint, born=born, counts=wanted, received=received)
+
+
+def encode_turns(endpoint: EndpointId, lasts: list[Seconds]) -> Any:
+    """Return the struct of turns lent at an endpoint, by how long each lasts."""
+    return TurnsRow(endpoint=endpoint, lasts=lasts)
+
+
 def encode_facts(message: Any, facts: Iterable[Fact], now: Seconds) -> None:
     """Put what is known of requests at ends into a report or an update."""
     message.sightings = []
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -281,16 +281,56 @@
     2: (TType.I64, "born", False),
     3: (TType.BOOL, "leaves", False),
     4: (TType.DOUBLE, "rest", False),
+    5: (TType.DOUBLE, "limit", False),
+    6: (TType.I32, "limit_version", False),
+    7: (TType.DOUBLE, "turn_wait", False),
 }
 NoticeRow.default_spec = [
     ("endpoint", None),
     ("born", None),
     ("leaves", None),
     ("rest", None),
+    ("limit", None),
+    ("limit_version", None),
+    ("turn_wait", None),
 ]
 gen_init(NoticeRow, NoticeRow.thrift_spec, NoticeRow.default_spec)
 
 
+class WantedRow(Struct):
+    """``WantedRow`` of the IDL."""
+
+
+WantedRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.MAP, "counts", (TType.I32, TType.I32), False),
+    4: (TType.I32, "received", False),
+}
+WantedRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("counts", None),
+    ("received", None),
+]
+gen_init(WantedRow, WantedRow.thrift_spec, WantedRow.default_spec)
+
+
+class TurnsRow(Struct):
+    """``TurnsRow`` of the IDL."""
+
+
+TurnsRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.LIST, "lasts", TType.DOUBLE, False),
+}
+TurnsRow.default_spec = [
+    ("endpoint", None),
+    ("lasts", None),
+]
+gen_init(TurnsRow, TurnsRow.thrift_spec, TurnsRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -315,6 +355,7 @@
     17: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
     18: (TType.BINARY, "secret", False),
     19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
+    20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -336,6 +377,7 @@
     ("clearings", None),
     ("secret", None),
     ("notices", None),
+    ("wanted", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -368,6 +410,9 @@
     21: (TType.BINARY, "secret", False),
     22: (TType.LIST, "sightings", (TType.STRUCT, SightingRow), False),
     23: (TType.LIST, "clearings", (TType.STRUCT, ClearingRow), False),
+    24: (TType.DOUBLE, "echo_age", False),
+    25: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
+    26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -393,5 +438,8 @@
     ("secret", None),
     ("sightings", None),
     ("clearings", None),
+    ("echo_age", None),
+    ("notices", None),
+    ("turns", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- /dev/null
+++ b/src/kestreltally/knowledge/turns.py
@@ -0,0 +1,252 @@
+"""Turns at endpoints that name a limit: who asks whom for them, and what is told.
+
+A daemon asks the leader it follows, a leader asks the one that leads the endpoint, each
+in its reports, which go out at once where a request waits. Turns come back with updates
+and are handed on the same way. A daemon's cost is by the endpoints that name a limit,
+not by the size of the fleet.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
+
+from kestreltally.fleet.limits import AHEAD, Lending
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
+from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.feed import FeedServer, Peer
+from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.rows import (
+    decode_notice,
+    encode_notice,
+    encode_turns,
+    encode_wanted,
+)
+from kestreltally.placing.lease import Lease
+from kestreltally.placing.turns import Borrower, TurnLender, Wanted
+
+
+class TurnExchange:
+    """Puts wants and turns into reports and updates, and takes them in.
+
+    ``note_turn`` is called with an endpoint at which a turn of this daemon's has come.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        leases: Mapping[str, Lease],
+        leaders: Leaders,
+        find_lease: Callable[[Endpoint], Lease],
+        feed: FeedServer,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._fleet = fleet
+        self._notices = fleet.notices
+        self._leases = leases
+        self._leaders = leaders
+        self._find_lease = find_lease
+        self._feed = feed
+        self._clock = clock
+        self._own = Borrower()
+        self._lender = TurnLender(
+            self._own, self._list_borrowers, self._take_own, clock
+        )
+        # Turns got from each leader since this daemon last connected to it.
+        self._received: dict[str, Counter[EndpointId]] = {
+            name: Counter() for name in leases
+        }
+        # Whose leaders the leader that is followed hears.
+        self._heard_there: frozenset[str] = frozenset()
+        self._look: asyncio.TimerHandle | None = None
+        self.daemons: int | None = None
+        self.note_turn: Callable[[Endpoint], None] = lambda _: None
+        self._notices.find_lending = self.find_lending
+        self._notices.note_wanted = self._note_wanted
+
+    # Who lends.
+
+    def find_lending(self, endpoint: Endpoint) -> Lending:
+        """Return who lends turns at an endpoint, as far as is known here."""
+        heard = self._is_heard(self._find_lease(endpoint))
+        return Lending(heard=heard, daemons=self.daemons)
+
+    def _is_heard(self, lease: Lease) -> bool:
+        if self._leaders.leads:
+            return self._leaders.is_heard(lease.data_centre)
+        primary = self._leaders.find_primary()
+        if primary is None:
+            return False
+        return primary == lease.data_centre or lease.data_centre in self._heard_there
+
+    def _list_borrowers(self, endpoint: EndpointId) -> Iterator[Borrower]:
+        yield self._own
+        known = self._fleet.endpoints.get(endpoint)
+        owns = known is not None and self._find_lease(known).leads
+        for peer in self._feed.list_followers():
+            yield peer.borrower
+        if owns:
+            for peer in self._feed.list_leaders():
+                yield peer.borrower
+
+    def lend(self) -> None:
+        """Lend, as a leader, what may be lent now, and come back for the rest."""
+        if self._look is not None:
+            self._look.cancel()
+            self._look = None
+        limits = self._notices.list_limits()
+        self._lender.forget(name for name, _, _ in limits)
+        if not limits or not self._leaders.leads:
+            return
+        waits = []
+        for name, born, limit in limits:
+            known = self._fleet.endpoints.get(name)
+            if known is None or not self._find_lease(known).is_valid():
+                continue
+            self._own.wanted[name] = limit.list_wanted(self._clock())
+            wait = self._lender.lend(name, born, limit)
+            if wait is not None:
+                waits.append(wait)
+        if waits:
+            loop = asyncio.get_running_loop()
+            self._look = loop.call_later(min(waits), self.lend)
+        self._tell_untold()
+
+    def _tell_untold(self) -> None:
+        followers = self._feed.list_followers()
+        if any(p.borrower.untold for p in (*followers, *self._feed.list_leaders())):
+            self._feed.hurry()
+
+    def _take_own(self, endpoint: EndpointId, ends: Seconds) -> None:
+        """Take a turn for this daemon's own calls."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is None:
+            return
+        limit = self._notices.find_limit(endpoint, known.born)
+        if limit is not None and ends > self._clock():
+            limit.turns.append(ends)
+            self._own.wanted[endpoint] = limit.list_wanted(self._clock())
+            self.note_turn(known)
+
+    # Asking.
+
+    def _note_wanted(self, endpoint: EndpointId) -> None:
+        """Ask at once for a turn that a request waits for."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is None:
+            return
+        if self._find_lease(known).leads:
+            self.lend()
+            return
+        self._hurry(known)
+
+    def _hurry(self, endpoint: Endpoint) -> None:
+        """Have the next report to who lends, or asks for it, sent at once."""
+        name: str | None = self._find_lease(endpoint).data_centre
+        if not self._leaders.leads:
+            name = self._leaders.find_primary()
+        if name is not None:
+            self._leaders.clients[name].hurry()
+
+    def note_connected(self, data_centre: str) -> None:
+        """Begin anew with a leader: it has lent nothing over this connection."""
+        self._received[data_centre].clear()
+
+    def fill_report(self, report: Any, data_centre: str) -> None:
+        """Put into a report which turns are wanted of a leader."""
+        rows = []
+        for name, born, wanted in self._list_wanted(data_centre):
+            got = self._received[data_centre][name]
+            rows.append(encode_wanted(name, born, wanted, got))
+        report.wanted = rows
+
+    def _list_wanted(
+        self, data_centre: str
+    ) -> Iterable[tuple[EndpointId, int, Wanted]]:
+        leads = self._leaders.leads
+        if not leads and self._leaders.find_primary() not in (data_centre, None):
+            return
+        for name, born, limit in self._notices.list_limits():
+            known = self._fleet.endpoints.get(name)
+            if known is None:
+                continue
+            wanted = limit.list_wanted(self._clock())
+            if leads:
+                if self._find_lease(known).data_centre != data_centre:
+                    continue
+                self._own.wanted[name] = wanted
+                wanted = self._lender.sum_open(name)
+            yield name, born, wanted
+
+    def take_report(self, peer: Peer, report: Any) -> None:
+        """Take in which turns a daemon wants, and lend them or ask for them."""
+        borrower = peer.borrower
+        borrower.wanted = {}
+        for row in report.wanted or ():
+            name = EndpointId(row.endpoint)
+            borrower.wanted[name] = dict(row.counts or {})
+            borrower.received[name] = row.received
+        if not self._leaders.leads or not borrower.wanted:
+            return
+        self.lend()
+        for name, wanted in borrower.wanted.items():
+            known = self._fleet.endpoints.get(name)
+            urgent = any(urgency < AHEAD for urgency in wanted)
+            if urgent and known is not None and not self._find_lease(known).leads:
+                self._hurry(known)
+
+    # Telling.
+
+    def fill_update(self, update: Any, peer: Peer) -> None:
+        """Put limits, and the turns lent to a daemon, into an update."""
+        now = self._clock()
+        known = self._notices.list_known(now)
+        update.notices = [encode_notice(each) for each in known if each.limit_version]
+        if peer.stamp is None:
+            return
+        update.echo = peer.stamp
+        update.echo_age = now - peer.stamped_at
+        update.turns = [
+            encode_turns(name, [end - now for end in ends])
+            for name, ends in peer.borrower.take_untold().items()
+        ]
+
+    def take_update(self, data_centre: str, update: Any, *, followed: bool) -> None:
+        """Take in limits and turns that a leader tells."""
+        now = self._clock()
+        told = [decode_notice(each) for each in update.notices or ()]
+        for each in told:
+            self._notices.take_limit_told(each, now)
+        if update.leaders is not None and followed:
+            self._heard_there = frozenset(each.data_centre for each in update.leaders)
+        led = {each.data_centre for each in update.leads}
+        for each in told:
+            known = self._fleet.endpoints.get(each.endpoint)
+            limit = self._notices.find_limit(each.endpoint, each.born)
+            if known is None or limit is None:
+                continue
+            owned = self._find_lease(known).data_centre in led
+            if owned or (followed and not self._leaders.leads):
+                limit.wait = each.turn_wait
+        if update.turns and update.echo is not None:
+            # Counted from when this daemon reported: no word that comes late, for what
+            # reason ever, lends more time than its sender gave.
+            self._take_turns(data_centre, update, update.echo + update.echo_age)
+
+    def _take_turns(self, data_centre: str, update: Any, sent_at: Seconds) -> None:
+        for row in update.turns:
+            name = EndpointId(row.endpoint)
+            ends = [sent_at + lasts for lasts in row.lasts]
+            self._received[data_centre][name] += len(ends)
+            known = self._fleet.endpoints.get(name)
+            limit = self._notices.find_limit(name, known.born) if known else None
+            if limit is None:
+                continue
+            if self._leaders.leads:
+                self._own.wanted[name] = limit.list_wanted(self._clock())
+                self._lender.hand_on(name, ends)
+            else:
+                for end in ends:
+                    self._take_own(name, end)
+        if self._leaders.leads:
+            self._tell_untold()
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -304,6 +304,7 @@
         if book.endpoint.leaving or now < book.failing_until:
             return False
         if self._fleet.notices.find_rest(book.endpoint, now):
+            self._fleet.notices.want_turn(book.endpoint, now)
             return False
         since = now - book.read_at
         if book.sequence is None:
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -129,11 +129,13 @@
         """Return the number of the lease as it was last known."""
         return self.record.fence if self.record is not None else 0
 
+    def is_valid(self) -> bool:
+        """Tell whether the lease is held at this very moment, by its record's time."""
+        return self.leads and self._clock() < self._valid_until - VALIDITY_MARGIN
+
     def may_order(self) -> bool:
         """Tell whether an order may leave at this very moment."""
-        now = self._clock()
-        until = self._valid_until - VALIDITY_MARGIN
-        return self.leads and self._orders_from <= now < until
+        return self.is_valid() and self._orders_from <= self._clock()
 
     def find_order_wait(self) -> Seconds:
         """Return how long until orders may be given; 0 when they may be now."""
--- /dev/null
+++ b/src/kestreltally/placing/turns.py
@@ -0,0 +1,184 @@
+"""Lends turns at endpoints that name a limit: one place counts for all daemons.
+
+Equal parts starve who asks alone, and everybody in a large fleet. One ratio for all, as
+quotas have it, keeps a mean over many requests, and no window of a few. So a turn is
+lent for each call, to who waits for it, the more urgent first.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from kestreltally.fleet.limits import AHEAD, LimitStanding
+from kestreltally.fleet.model import EndpointId, Seconds
+from kestreltally.rates import Bucket
+
+# A turn ends so long after it was lent.
+TURN_LIFE: Final[Seconds] = 0.4
+# In any such time an endpoint gets its limit, and so many calls more at the most.
+WINDOW: Final[Seconds] = 4.0
+WINDOW_MORE: Final = 4.0
+# Turns that may be lent at once, and what of the limit besides.
+DEPTH_LEAST: Final = 2.0
+DEPTH_TIME: Final[Seconds] = 0.05
+
+# A moment later a turn is surely there.
+LOOK_LEAST: Final[Seconds] = 0.001
+
+# Turns wanted, by urgency: the lower number first.
+Wanted = dict[int, int]
+
+
+@dataclass(slots=True, eq=False)
+class Borrower:
+    """A daemon that wants turns, or the leader of some; it begins anew as it connects.
+
+    ``received`` is how many turns it had got as it wrote ``wanted``; of those lent
+    since it does not know yet.
+    """
+
+    wanted: dict[EndpointId, Wanted] = field(default_factory=dict)
+    received: dict[EndpointId, int] = field(default_factory=dict)
+    lent: Counter[EndpointId] = field(default_factory=Counter)
+    last_turn: dict[EndpointId, int] = field(default_factory=dict)
+    # The ends of turns lent and not told yet.
+    untold: dict[EndpointId, list[Seconds]] = field(default_factory=dict)
+
+    def list_open(self, endpoint: EndpointId) -> Wanted:
+        """Return what is still wanted at an endpoint, beside what is on its way."""
+        coming = self.lent[endpoint] - self.received.get(endpoint, 0)
+        still = {}
+        for urgency, count in sorted(self.wanted.get(endpoint, {}).items()):
+            met = min(count, max(0, coming))
+            coming -= met
+            if count > met:
+                still[urgency] = count - met
+        return still
+
+    def lend(self, endpoint: EndpointId, number: int, ends: Seconds) -> None:
+        """Note a turn that is lent; it is told with the next update."""
+        self.lent[endpoint] += 1
+        self.last_turn[endpoint] = number
+        self.untold.setdefault(endpoint, []).append(ends)
+
+    def take_untold(self) -> dict[EndpointId, list[Seconds]]:
+        """Return the turns to be told, once."""
+        taken, self.untold = self.untold, {}
+        return taken
+
+
+@dataclass(slots=True)
+class _Pool:
+    """The turns that may be lent at one start of an endpoint."""
+
+    born: int
+    bucket: Bucket
+
+
+def find_depth(rate: float) -> float:
+    """Return how many turns at a limit may be lent at once.
+
+    More at a low limit, whose calls come unevenly, and as its window leaves room.
+    """
+    return max(DEPTH_LEAST, WINDOW_MORE - TURN_LIFE * rate) + DEPTH_TIME * rate
+
+
+def find_lent_rate(rate: float) -> float:
+    """Return how many turns a second are lent at a limit.
+
+    Not all of a high limit, for turns lent over a window, and in the time before it in
+    which they last, may all be used within that window.
+    """
+    most = WINDOW * rate + WINDOW_MORE - find_depth(rate)
+    return min(rate, most / (WINDOW + TURN_LIFE))
+
+
+class TurnLender:
+    """Lends turns at the endpoints led here, and hands on those lent by other leaders.
+
+    ``list_borrowers`` returns the daemons to lend to at an endpoint; ``own`` is this
+    one, whose turns are given to ``take_own``.
+    """
+
+    def __init__(
+        self,
+        own: Borrower,
+        list_borrowers: Callable[[EndpointId], Iterable[Borrower]],
+        take_own: Callable[[EndpointId, Seconds], None],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._own = own
+        self._list_borrowers = list_borrowers
+        self._take_own = take_own
+        self._clock = clock
+        self._pools: dict[EndpointId, _Pool] = {}
+        self._number = 0
+
+    def lend(
+        self, endpoint: EndpointId, born: int, limit: LimitStanding
+    ) -> Seconds | None:
+        """Lend what may be lent now; return when to look again, none if not."""
+        now = self._clock()
+        rate = find_lent_rate(limit.rate)
+        pool = self._pools.get(endpoint)
+        if pool is None or pool.born != born:
+            # Begins empty: another leader may just have lent what there was.
+            pool = self._pools[endpoint] = _Pool(born, Bucket(now, 0.0))
+        bucket = pool.bucket
+        depth = find_depth(limit.rate)
+        wait = None
+        while (found := self._find_next(endpoint)) is not None:
+            urgency, borrower = found
+            # Who does not wait for a turn leaves the others for who will.
+            kept = depth - 1 if urgency >= AHEAD else 0.0
+            level = bucket.fill(rate, depth, now)
+            if level <= kept:
+                wait = LOOK_LEAST + (kept - level) / rate
+                break
+            bucket.level -= 1
+            self._hand(endpoint, borrower, now + TURN_LIFE)
+        limit.wait = self._estimate_wait(endpoint, rate)
+        return wait
+
+    def hand_on(self, endpoint: EndpointId, ends: list[Seconds]) -> None:
+        """Hand on turns that another leader has lent; what nobody wants stays here."""
+        for each in ends:
+            found = self._find_next(endpoint)
+            self._hand(endpoint, found[1] if found else self._own, each)
+
+    def forget(self, endpoints: Iterable[EndpointId]) -> None:
+        """Drop all pools but those of some endpoints."""
+        kept = set(endpoints)
+        self._pools = {k: pool for k, pool in self._pools.items() if k in kept}
+
+    def _find_next(self, endpoint: EndpointId) -> tuple[int, Borrower] | None:
+        """Return who is next: the most urgent, then who had its last turn first."""
+        waiting = (
+            (min(still), borrower.last_turn.get(endpoint, 0), number, borrower)
+            for number, borrower in enumerate(self._list_borrowers(endpoint))
+            if (still := borrower.list_open(endpoint))
+        )
+        first = min(waiting, key=lambda each: each[:3], default=None)
+        return None if first is None else (first[0], first[3])
+
+    def _hand(self, endpoint: EndpointId, borrower: Borrower, ends: Seconds) -> None:
+        self._number += 1
+        if borrower is self._own:
+            self._own.last_turn[endpoint] = self._number
+            self._take_own(endpoint, ends)
+        else:
+            borrower.lend(endpoint, self._number, ends)
+
+    def sum_open(self, endpoint: EndpointId) -> Wanted:
+        """Return what all borrowers still want at an endpoint."""
+        total: Counter[int] = Counter()
+        for borrower in self._list_borrowers(endpoint):
+            total.update(borrower.list_open(endpoint))
+        return dict(total)
+
+    def _estimate_wait(self, endpoint: EndpointId, rate: float) -> Seconds:
+        """Return how long one more call waits for its turn behind those that do."""
+        still = self.sum_open(endpoint)
+        waiting = sum(n for urgency, n in still.items() if urgency < AHEAD)
+        return (1 + waiting) / rate if waiting else 0.0
--- a/src/kestreltally/placing/views.py
+++ b/src/kestreltally/placing/views.py
@@ -101,10 +101,8 @@
         standing = Standing()
         for endpoint in self.fleet.list_leaving(self.service):
             standing.leaving.update(endpoint.weights)
-        for endpoint in self.fleet.list_service(self.service, self.now):
-            if self.fleet.notices.is_short(endpoint, self.now):
-                # What it holds is brought elsewhere for who may not ask it.
-                continue
+        # What others hold is brought elsewhere for who may not ask them.
+        for endpoint in self.fleet.list_useful(self.service, self.now):
             where = endpoint.data_centre
             under_way = self.fullness.under_way.get(endpoint.id, 0)
             for key in endpoint.weights:
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -35,12 +35,14 @@
 _ORGANISATION: Final = "X-Tenant-Name"
 _LEAVING: Final = "Server-Leaving"
 _LEAVES: Final = "1"
+_LIMIT: Final = "Server-Limit"
 # Headers of answers in which endpoints speak of themselves, and those read here.
 _SPEAKING: Final = "server-"
-_READ: Final = frozenset({_LEAVING.lower()})
-# A time in seconds, fractions included. Nothing else is one: neither a date, which the
-# platform does not use and clocks that jump would spoil, nor a sign or an exponent.
-_TIME: Final = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
+_READ: Final = frozenset({_LEAVING.lower(), _LIMIT.lower()})
+# A time in seconds or a number a second, fractions included. Nothing else is one:
+# neither a date, which the platform does not use and clocks that jump would spoil, nor
+# a sign or an exponent.
+_DECIMAL: Final = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?")
 # No endpoint lives to see the end of a longer rest; it bounds what a misprint does.
 REST_MOST: Final[Seconds] = 3600.0
 
@@ -169,12 +171,19 @@
 def read_notice(status: int, headers: MultiMapping[str]) -> Notice:
     """Return what an endpoint says of itself in an answer.
 
-    Of several times of rest the longest holds; what is no time says nothing.
+    Of several times of rest the longest holds, of several limits the lowest; what is no
+    number says nothing.
     """
     leaves = headers.get(_LEAVING, "").strip() == _LEAVES
-    if status != UNAVAILABLE:
-        return Notice(leaves=True, rest=0.0) if leaves else SILENT
-    return Notice(leaves, _read_rest(headers.getall(RETRY_AFTER, [])))
+    named = headers.getall(_LIMIT, [])
+    if not leaves and not named and status != UNAVAILABLE:
+        return SILENT
+    rest = 0.0
+    if status == UNAVAILABLE:
+        times = _read_decimals(headers.getall(RETRY_AFTER, []))
+        rest = min(REST_MOST, max(times, default=0.0))
+    limit = min(_read_decimals(named), default=None)
+    return Notice(leaves, rest, limit, unclear=bool(named) and limit is None)
 
 
 def list_unread(status: int, headers: Mapping[str, str]) -> list[str]:
@@ -191,11 +200,10 @@
     return unread
 
 
-def _read_rest(values: Iterable[str]) -> Seconds:
-    """Return the longest of some times, seconds, 0 where there is none."""
+def _read_decimals(values: Iterable[str]) -> list[float]:
+    """Return the plain decimal numbers in some header values, each a list of them."""
     texts = [part.strip() for value in values for part in value.split(",")]
-    times = [float(text) for text in texts if _TIME.fullmatch(text)]
-    return min(REST_MOST, max(times, default=0.0))
+    return [float(text) for text in texts if _DECIMAL.fullmatch(text)]
 
 
 def read_request_id(headers: Mapping[str, str]) -> str:
--- a/src/kestreltally/rates.py
+++ b/src/kestreltally/rates.py
@@ -17,12 +17,16 @@
     at: Seconds
     level: float = 1.0
 
-    def take(self, units: int, rate: float, depth: float, now: Seconds) -> bool:
-        """Take units if any are left; tell whether they were taken."""
+    def fill(self, rate: float, depth: float, now: Seconds) -> float:
+        """Fill up to a moment; return the units in it."""
         filled = self.level + rate * max(0.0, now - self.at)
         self.level = min(max(1.0, depth), filled)
         self.at = now
-        if self.level <= 0:
+        return self.level
+
+    def take(self, units: int, rate: float, depth: float, now: Seconds) -> bool:
+        """Take units if any are left; tell whether they were taken."""
+        if self.fill(rate, depth, now) <= 0:
             return False
         self.level -= units
         return True
--- /dev/null
+++ b/tests/test_limit_table.py
@@ -0,0 +1,308 @@
+"""Limits as they are read, told and lent: the parts, without sockets."""
+
+from dataclasses import replace
+from itertools import permutations
+from random import Random
+
+import pytest
+from multidict import CIMultiDict
+
+from kestreltally.fleet.limits import (
+    AHEAD,
+    ALONE_MOST,
+    Lending,
+    LimitStanding,
+)
+from kestreltally.fleet.model import SILENT, EndpointId, KnownNotice, Notice
+from kestreltally.fleet.notices import FOR_EVER, KEPT_FOR, NoticeTable, NotWanted
+from kestreltally.placing.turns import Borrower, TurnLender
+from kestreltally.platform.headers import list_unread, read_notice
+from tests.limitsim import WINDOW, play
+from tests.test_notice_table import ENDPOINT, LEAVING, NOW, REBORN, RESTING
+
+LIMITED = Notice(leaves=False, rest=0.0, limit=2.0)
+HEARD = Lending(heard=True, daemons=6)
+E = EndpointId("e")
+
+
+@pytest.mark.parametrize(
+    ("values", "limit", "unclear"),
+    [
+        (["2.9"], 2.9, False),
+        ([" 4 "], 4.0, False),
+        (["0"], 0.0, False),
+        (["0.01"], 0.01, False),
+        (["999999999"], 999999999.0, False),
+        (["4", "2.5"], 2.5, False),
+        (["4, 2.5"], 2.5, False),
+        (["soon", "3"], 3.0, False),
+        ([], None, False),
+        ([""], None, True),
+        (["-2"], None, True),
+        (["nan"], None, True),
+        (["inf"], None, True),
+        (["1e3"], None, True),
+        (["9" * 400], None, True),
+        (["many"], None, True),
+    ],
+)
+def test_each_limit_has_one_meaning(
+    values: list[str], limit: float | None, unclear: bool
+) -> None:
+    headers = CIMultiDict([("Server-Limit", value) for value in values])
+    for status in (200, 421, 500, 503):
+        expected = Notice(leaves=False, rest=0.0, limit=limit, unclear=unclear)
+        assert read_notice(status, headers) == expected
+    assert list_unread(200, headers) == []
+
+
+def test_what_cannot_be_read_neither_begins_nor_ends_a_limit() -> None:
+    unclear = Notice(leaves=False, rest=0.0, unclear=True)
+    standing = LimitStanding()
+    assert not standing.hear(unclear, NOW, NOW, signed=True)
+    assert standing.limit is None
+    standing.hear(LIMITED, NOW, NOW, signed=True)
+    assert not standing.hear(unclear, NOW + 1, NOW + 1, signed=True)
+    assert standing.limit == 2.0
+
+
+def test_only_an_answer_to_what_was_sent_later_ends_a_limit() -> None:
+    standing = LimitStanding()
+    assert standing.hear(LIMITED, NOW, NOW + 0.1, signed=True)
+    assert not standing.hear(SILENT, NOW + 0.05, NOW + 0.2, signed=True)
+    assert standing.limit == 2.0
+    # Reports and orders may not tell limits at all.
+    assert not standing.hear(SILENT, NOW + 0.2, NOW + 0.3, signed=False)
+    assert standing.hear(SILENT, NOW + 0.3, NOW + 0.4, signed=True)
+    assert standing.limit is None
+    # Where they do, they end them too.
+    standing.hear(LIMITED, NOW + 1, NOW + 1, signed=False)
+    assert standing.hear(SILENT, NOW + 2, NOW + 2, signed=False)
+    assert standing.limit is None
+
+
+def test_an_older_answer_only_makes_a_limit_stricter() -> None:
+    standing = LimitStanding()
+    standing.hear(LIMITED, NOW, NOW + 0.1, signed=True)
+    standing.hear(replace(LIMITED, limit=3.0), NOW, NOW + 0.2, signed=True)
+    assert standing.limit == 2.0
+    standing.hear(replace(LIMITED, limit=1.5), NOW, NOW + 0.2, signed=True)
+    assert standing.limit == 1.5
+    standing.hear(replace(LIMITED, limit=3.0), NOW + 0.3, NOW + 0.4, signed=True)
+    assert standing.limit == 3.0
+
+
+def test_a_limit_that_changes_a_little_is_no_news() -> None:
+    news: list[EndpointId] = []
+    table = NoticeTable()
+    table.note_news = news.append
+    for number, limit in enumerate((2.9, 3.1, 2.7, 2.9)):
+        table.note(ENDPOINT, replace(LIMITED, limit=limit), NOW + number)
+    assert len(news) == 1
+    table.note(ENDPOINT, replace(LIMITED, limit=1.0), NOW + 9)
+    table.note(ENDPOINT, SILENT, NOW + 10)
+    assert len(news) == 3
+
+
+def test_in_whatever_order_words_come_the_newest_holds_at_all() -> None:
+    words = [(2.0, 1), (None, 2), (5.0, 3), (4.0, 3), (None, 3)]
+    for order in permutations(words):
+        standing = LimitStanding()
+        for limit, version in order:
+            standing.take_told(limit, version, NOW)
+            standing.take_told(limit, version, NOW)
+        assert (standing.limit, standing.version) == (4.0, 3)
+
+
+def test_a_daemon_that_hears_the_end_tells_all_and_it_is_forgotten() -> None:
+    first, second = NoticeTable(), NoticeTable()
+    first.note(ENDPOINT, LIMITED, NOW)
+    second.take_told(first.list_known(NOW), NOW)
+    assert second.is_limited(ENDPOINT)
+    second.note(ENDPOINT, SILENT, NOW + 1)
+    for after in range(1, 70):
+        # They tell each other all the time.
+        first.take_told(second.list_known(NOW + after), NOW + after)
+        second.take_told(first.list_known(NOW + after), NOW + after)
+        assert not first.is_limited(ENDPOINT)
+        first.forget_old({ENDPOINT.id}, NOW + after)
+        second.forget_old({ENDPOINT.id}, NOW + after)
+    assert first.list_known(NOW + KEPT_FOR + 10) == []
+    assert second.list_known(NOW + KEPT_FOR + 10) == []
+
+
+def test_a_limit_in_force_is_kept_while_its_endpoint_is_listed() -> None:
+    table = NoticeTable()
+    table.note(ENDPOINT, LIMITED, NOW)
+    for after in range(200):
+        table.forget_old({ENDPOINT.id}, NOW + after)
+    assert table.is_limited(ENDPOINT)
+
+
+def test_another_start_of_an_endpoint_has_no_limit() -> None:
+    table = NoticeTable()
+    table.note(ENDPOINT, LIMITED, NOW)
+    assert table.find_rest(ENDPOINT, NOW) > 0
+    assert table.find_rest(REBORN, NOW) == 0.0
+    table.begin_send(REBORN, NOW)
+
+
+def test_leaving_rest_and_limit_hold_together() -> None:
+    table = NoticeTable()
+    table.find_lending = lambda _: HEARD
+    table.note(ENDPOINT, replace(RESTING, limit=2.0), NOW)
+    limit = table.find_limit(ENDPOINT.id, ENDPOINT.born)
+    assert limit is not None
+    limit.turns.append(NOW + 60)
+    assert table.find_rest(ENDPOINT, NOW) == 3.0
+    with pytest.raises(NotWanted):
+        table.begin_send(ENDPOINT, NOW + 1)
+    # After the rest, one tries it, with its turn.
+    assert table.begin_send(ENDPOINT, NOW + 3)
+    assert limit.turns == []
+    table.note(ENDPOINT, replace(LEAVING, limit=2.0), NOW + 4)
+    assert table.find_rest(ENDPOINT, NOW + 4) == FOR_EVER
+    assert table.list_limits() == []
+
+
+def test_each_call_takes_a_turn_and_turns_end() -> None:
+    table = NoticeTable()
+    table.find_lending = lambda _: HEARD
+    table.note(ENDPOINT, LIMITED, NOW)
+    with pytest.raises(NotWanted):
+        table.begin_send(ENDPOINT, NOW)
+    limit = table.find_limit(ENDPOINT.id, ENDPOINT.born)
+    assert limit is not None
+    limit.turns += [NOW + 0.4, NOW + 0.2]
+    table.begin_send(ENDPOINT, NOW + 0.1)
+    # The one that ended first was used first.
+    assert limit.turns == [NOW + 0.4]
+    with pytest.raises(NotWanted):
+        table.begin_send(ENDPOINT, NOW + 0.4)
+
+
+def test_requests_return_by_steps_once_a_limit_is_over() -> None:
+    table = NoticeTable()
+    table.find_lending = lambda _: HEARD
+    told = KnownNotice(ENDPOINT.id, ENDPOINT.born, False, 0.0, 2.0, 1)
+    table.take_told([told], NOW)
+    table.take_told([replace(told, limit=None, limit_version=2)], NOW + 1)
+    assert table.begin_send(ENDPOINT, NOW + 1)
+    with pytest.raises(NotWanted):
+        table.begin_send(ENDPOINT, NOW + 1)
+
+
+@pytest.mark.parametrize(("daemons", "limit"), [(1, 2.9), (6, 2.9), (12, 8.0)])
+def test_without_a_lender_all_together_keep_to_half_a_limit(
+    daemons: int, limit: float
+) -> None:
+    nobody = Lending(heard=False, daemons=daemons)
+    standings = [LimitStanding() for _ in range(daemons)]
+    times = []
+    for standing in standings:
+        standing.take_told(limit, 1, NOW)
+    for step in range(1000):
+        now = NOW + step / 100
+        for standing in standings:
+            if standing.find_wait(nobody, now) == 0.0:
+                assert standing.take(nobody, now)
+                times.append(now)
+    windows = (sum(at <= each < at + WINDOW for each in times) for at in times)
+    assert 0 < max(windows) <= 0.5 * limit * WINDOW + daemons
+    assert daemons <= ALONE_MOST + limit
+
+
+@pytest.mark.parametrize("daemons", [None, 79, 1_100])
+def test_without_a_lender_nobody_of_many_or_of_unknown_number_calls(
+    daemons: int | None,
+) -> None:
+    nobody = Lending(heard=False, daemons=daemons)
+    standing = LimitStanding()
+    standing.take_told(2.9, 1, NOW)
+    assert standing.find_wait(nobody, NOW + 100) > 0
+    assert not standing.take(nobody, NOW + 100)
+
+
+class Rig:
+    """A lender and its borrowers, with a clock to be set."""
+
+    def __init__(self, count: int, limit: float) -> None:
+        self.now = NOW
+        self.borrowers = [Borrower() for _ in range(count)]
+        self.limit = LimitStanding()
+        self.limit.take_told(limit, 1, NOW)
+        self.lender = TurnLender(
+            Borrower(), lambda _: self.borrowers, lambda *_: None, lambda: self.now
+        )
+        self.lend()
+
+    def lend(self) -> float | None:
+        return self.lender.lend(E, 1, self.limit)
+
+    def list_lent(self) -> list[int]:
+        return [each.lent[E] for each in self.borrowers]
+
+
+def test_the_more_urgent_come_first_and_who_had_none() -> None:
+    rig = Rig(3, 2.0)
+    rig.borrowers[0].wanted = {E: {3: 5}}
+    rig.borrowers[1].wanted = {E: {1: 1, 3: 1}}
+    rig.borrowers[2].wanted = {E: {AHEAD: 9}}
+    order = []
+    for _ in range(6):
+        before = rig.list_lent()
+        # Time for one turn.
+        while rig.list_lent() == before:
+            rig.now += 0.05
+            rig.lend()
+        after = rig.list_lent()
+        order.extend(n for n in range(3) for _ in range(after[n] - before[n]))
+    assert order[:3] == [1, 0, 1] or order[:3] == [1, 1, 0]
+    assert 2 not in order[:6]
+
+
+def test_what_is_on_its_way_is_not_lent_again() -> None:
+    rig = Rig(1, 100.0)
+    borrower = rig.borrowers[0]
+    borrower.wanted = {E: {2: 2}}
+    for _ in range(10):
+        rig.now += 0.1
+        assert rig.lend() is None
+    assert borrower.lent[E] == 2
+    # The next report knows of one, and that another request has come.
+    borrower.wanted, borrower.received = {E: {2: 2}}, {E: 1}
+    rig.now += 0.1
+    rig.lend()
+    assert borrower.lent[E] == 3
+
+
+def test_who_waits_is_told_how_long() -> None:
+    rig = Rig(1, 2.0)
+    assert rig.limit.wait == 0.0
+    rig.borrowers[0].wanted = {E: {2: 20}}
+    rig.now += 0.1
+    rig.lend()
+    assert 5.0 < rig.limit.wait < 12.0
+    assert rig.limit.is_short()
+    rig.borrowers[0].wanted = {E: {AHEAD: 3}}
+    rig.lend()
+    assert not rig.limit.is_short()
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("daemons", [6, 79])
+@pytest.mark.parametrize("limit", [0.5, 2.9, 8.0, 40.0])
+def test_turns_keep_a_limit_in_any_window(
+    daemons: int, limit: float, seed: int
+) -> None:
+    even = Random(seed).random() < 0.5
+    played = play("turns", seed, daemons, limit, 3 * limit, even=even)
+    assert played.most <= WINDOW * limit + 5
+
+
+@pytest.mark.parametrize(("daemons", "limit"), [(6, 2.9), (6, 40.0), (79, 8.0)])
+def test_most_of_a_limit_is_used(daemons: int, limit: float) -> None:
+    plays = [
+        play("turns", seed, daemons, limit, 4 * limit, even=True) for seed in range(4)
+    ]
+    assert sum(each.used for each in plays) / len(plays) >= 0.8
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,6 +5,11 @@
 
 The order of events: an engine answers (200), and its answer's head names the limit.
 Daemons hand the answer on, choose endpoints as before, and the leader orders as before.
+
+The cause: nobody read the header; and nothing in the program kept a sum of a few calls
+over all daemons, so that reading it would not have been enough. The evidence: before
+anything was changed, each of six daemons counted it as a word that nobody reads (4 to 30
+times in 3 s), while 101 requests reached the endpoint, as before its word.
 """
 
 import asyncio
@@ -113,3 +118,55 @@
         most = count_most(engine.calls, named_at + HEARD_WITHIN)
         assert most <= count_allowed(engine.limit)
         assert asking.count_refused() <= 0.02 * len(asking.statuses)
+
+
+async def test_an_endpoint_whose_limit_is_over_is_used_again() -> None:
+    async with run_six() as rig:
+        engine = find_plain(rig)
+        engine.limit = 2.9
+        asking = Asking(rig, "/a/x", "", 0.1)
+        await asking.run(3.0)
+        engine.limit = None
+        over_at = asyncio.get_running_loop().time()
+        await asking.run(4.0)
+        assert asking.count_refused() == 0
+        # Half of what is asked for, of which the limit was a tenth.
+        late = [at for at in engine.arrivals if at > over_at + 2.0]
+        assert len(late) > 2.0 * 6 / 0.1 / 2 / 2
+
+
+async def test_a_limit_holds_though_its_lender_is_lost() -> None:
+    async with run_six() as rig:
+        engine = find_plain(rig)
+        engine.limit = 2.9
+        named_at = asyncio.get_running_loop().time()
+        asking = Asking(rig, "/a/x", "", 0.1)
+        running = asyncio.create_task(asking.run(9.0))
+        await asyncio.sleep(2.5)
+        (lender,) = [
+            vm
+            for vm, daemon in rig.daemons.items()
+            if daemon._leases[engine.zone].leads
+        ]
+        # Its clients go on asking it, in vain.
+        await rig.daemons[lender].close()
+        await asyncio.gather(running, return_exceptions=True)
+        most = count_most(engine.calls, named_at + HEARD_WITHIN)
+        assert most <= count_allowed(engine.limit)
+
+
+async def test_all_endpoints_limited_callers_are_told_when_to_come_back() -> None:
+    async with run_six() as rig:
+        engines = [each for each in rig.engines if not each.model]
+        for engine in engines:
+            engine.limit = 2.9
+        named_at = asyncio.get_running_loop().time()
+        asking = Asking(rig, "/a/x", "", 0.2)
+        await asking.run(6.0)
+        for engine in engines:
+            most = count_most(engine.calls, named_at + HEARD_WITHIN)
+            assert most <= count_allowed(engine.limit)
+        assert set(asking.statuses) == {200, 503}
+        assert all(wait >= 0.3 for wait in asking.waits)
+        served = asking.statuses.count(200)
+        assert served > 0.8 * 2 * 2.9 * 6.0
