--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,8 +8,8 @@
 
 The cause: nobody read the header; and nothing in the program kept a sum of a few calls
 over all daemons, so that reading it would not have been enough. The evidence: before
-anything was changed, each of six daemons counted it as a word that nobody reads (4 to 30
-times in 3 s), while 101 requests reached the endpoint, as before its word.
+anything was changed, each of six daemons counted it as a word that nobody reads (4 to
+30 times in 3 s), while 101 requests reached the endpoint, as before its word.
 """
 
 import asyncio
