Look for who is next at a limited endpoint only where a turn is there

What nobody waits for is lent in the leader's rounds. The test of the told wait moves its clock between two looks, for waits are told every 0.05 s.

--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -186,13 +186,16 @@
             name = EndpointId(row.endpoint)
             borrower.wanted[name] = dict(row.counts or {})
             borrower.received[name] = row.received
-        if not self._leaders.leads or not borrower.wanted:
+        if not self._leaders.leads:
             return
-        self.lend()
         for name, wanted in borrower.wanted.items():
             known = self._fleet.endpoints.get(name)
-            urgent = any(urgency < AHEAD for urgency in wanted)
-            if urgent and known is not None and not self._find_lease(known).leads:
+            # What nobody waits for is lent with the leader's next rounds.
+            if known is None or all(urgency >= AHEAD for urgency in wanted):
+                continue
+            if self._find_lease(known).leads:
+                self.lend()
+            else:
                 self._hurry(known)
 
     # Telling.
--- a/src/kestreltally/placing/turns.py
+++ b/src/kestreltally/placing/turns.py
@@ -23,6 +23,8 @@
 DEPTH_LEAST: Final = 2.0
 DEPTH_TIME: Final[Seconds] = 0.05
 
+# How long calls wait is worked out so often: all borrowers are asked for it.
+ESTIMATE_EVERY: Final[Seconds] = 0.05
 # A moment later a turn is surely there.
 LOOK_LEAST: Final[Seconds] = 0.001
 
@@ -47,9 +49,12 @@
 
     def list_open(self, endpoint: EndpointId) -> Wanted:
         """Return what is still wanted at an endpoint, beside what is on its way."""
+        wanted = self.wanted.get(endpoint)
+        if not wanted:
+            return {}
         coming = self.lent[endpoint] - self.received.get(endpoint, 0)
         still = {}
-        for urgency, count in sorted(self.wanted.get(endpoint, {}).items()):
+        for urgency, count in sorted(wanted.items()):
             met = min(count, max(0, coming))
             coming -= met
             if count > met:
@@ -74,6 +79,7 @@
 
     born: int
     bucket: Bucket
+    estimated_at: Seconds = float("-inf")
 
 
 def find_depth(rate: float) -> float:
@@ -126,6 +132,13 @@
             # Begins empty: another leader may just have lent what there was.
             pool = self._pools[endpoint] = _Pool(born, Bucket(now, 0.0))
         bucket = pool.bucket
+        level = bucket.fill(rate, find_depth(limit.rate), now)
+        if level <= 0:
+            # Who is next is looked for once there is something to lend.
+            if now - pool.estimated_at >= ESTIMATE_EVERY:
+                pool.estimated_at = now
+                limit.wait = self._estimate_wait(endpoint, rate)
+            return LOOK_LEAST - level / rate
         depth = find_depth(limit.rate)
         wait = None
         while (found := self._find_next(endpoint)) is not None:
@@ -138,6 +151,7 @@
                 break
             bucket.level -= 1
             self._hand(endpoint, borrower, now + TURN_LIFE)
+        pool.estimated_at = now
         limit.wait = self._estimate_wait(endpoint, rate)
         return wait
 
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -38,6 +38,7 @@
 _LIMIT: Final = "Server-Limit"
 # Headers of answers in which endpoints speak of themselves, and those read here.
 _SPEAKING: Final = "server-"
+_SPEAKING_FIRST: Final = "sS"
 _READ: Final = frozenset({_LEAVING.lower(), _LIMIT.lower()})
 # A time in seconds or a number a second, fractions included. Nothing else is one:
 # neither a date, which the platform does not use and clocks that jump would spoil, nor
@@ -192,9 +193,10 @@
     That is a header in which endpoints speak of themselves, or a status without a
     meaning.
     """
-    names = [name.lower() for name in headers]
-    unread = [each for each in names if each.startswith(_SPEAKING)]
-    unread = [each for each in unread if each not in _READ]
+    speaking = [name.lower() for name in headers if name[:1] in _SPEAKING_FIRST]
+    unread = [
+        each for each in speaking if each.startswith(_SPEAKING) and each not in _READ
+    ]
     if not (200 <= status < 300 or 400 <= status < 600):
         unread.append(f"status {status}")
     return unread
--- a/tests/test_limit_table.py
+++ b/tests/test_limit_table.py
@@ -285,6 +285,7 @@
     assert 5.0 < rig.limit.wait < 12.0
     assert rig.limit.is_short()
     rig.borrowers[0].wanted = {E: {AHEAD: 3}}
+    rig.now += 0.1
     rig.lend()
     assert not rig.limit.is_short()
 
