Keep figures of comparisons in the page of measurements, not in comments

Comments tell the reason where a reader would wonder; the figures, and how they were got, stand in docs/MEASUREMENTS.md. No code is changed.

--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -158,8 +158,8 @@
 class WeightsKey(NamedTuple):
     """A base model, or an adapter of one; ``adapter`` is empty for the model itself.
 
-    A tuple, for nearly all tables are kept by it: one is found in 0.09 µs, by a data
-    class in 0.75 µs, and a leader looks 14,000 up a second on a calm day.
+    A tuple, for nearly all tables are kept by it: one is found eight times as fast as
+    by a data class.
     """
 
     model: str
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -44,9 +44,7 @@
 # long after the last word on it, for its entry may lapse and come back.
 KEPT_FOR: Final[Seconds] = 60.0
 # After a rest one request goes alone, and with each answer one more may be under way
-# at once, until RISEN are. Of 30 requests a second that wait for an engine that can run
-# 53, 6 daemons had 87 turned away in 12 s after a rest, instead of 246 as all went at
-# once, or all after the first one; as many were served (virtual time, 200 seeds).
+# at once, until RISEN are: all at once would be turned away again.
 RISE_FIRST: Final = 1
 RISE_STEP: Final = 1
 RISEN: Final = 16
--- a/src/kestreltally/knowledge/idl.py
+++ b/src/kestreltally/knowledge/idl.py
@@ -1,7 +1,7 @@
 """Writes ``structs.py`` from ``feed.thrift``: ``python -m kestreltally.knowledge.idl``.
 
-A daemon that reads the IDL itself builds a parser for it first, which took 52 ms of the
-0.4 s of processor time that its start takes.
+A daemon that reads the IDL itself builds a parser for it first, an eighth of what its
+start takes.
 """
 
 from pathlib import Path
--- a/src/kestreltally/placing/demand.py
+++ b/src/kestreltally/placing/demand.py
@@ -15,8 +15,7 @@
 # A daemon's count of waiting requests is believed this long.
 WAITING_LIFE: Final[Seconds] = 0.8
 FORGET_BELOW: Final = 0.01
-# Rates fade this often: within it they lose 2 in 100. A leader of 24 daemons plans 45
-# times a second over 340 adapters asked for lately, and spent half of its time on them.
+# Rates fade this often: within it they lose 2 in 100, and a leader plans several times.
 DECAY_EVERY: Final[Seconds] = 0.1
 
 Asked = tuple[ServiceName, WeightsKey]
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -34,8 +34,8 @@
 QUICK_PART: Final = 0.5
 FAULTY_PART: Final = 2.0
 # A load is asked after at this part of the quickest of the last few, then this often,
-# and more seldom the longer it lasts. By their mean, loads that were quick again after
-# slow ones were seen to end as late as the slow ones for a hundred loads.
+# and more seldom the longer it lasts. By their mean, loads that are quick again after
+# slow ones would be seen to end as late as those for many loads.
 ASK_PART: Final = 0.85
 ASK_EVERY: Final[Seconds] = 0.025
 ASK_LATER_PART: Final = 0.1
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -20,9 +20,8 @@
 # A newcomer must be worth this much more than what makes way for it, or two adapters
 # would take turns.
 VICTIM_FACTOR: Final = 1.5
-# An adapter stays this long at least. That those who waited for it use it is heard
-# within some 0.1 s, but at 0.4 s 23 in 100 more adapters were brought, counted on days
-# of load before nine engines of 16 places.
+# An adapter stays this long at least, also once those who waited for it have used it:
+# what leaves sooner is asked for again.
 STAY_LEAST: Final[Seconds] = 1.0
 # What one request costs less when it is served in its own data centre, in parts of a
 # request: the price of its bytes between data centres.
@@ -42,9 +41,7 @@
 WARM_GAIN: Final[Seconds] = 0.5
 # An engine with a copy that is just given another order is free for the next after some
 # 10 to 100 ms; a load from the store takes longer. Until then the adapter is held back,
-# as long as such a load takes: of 349 adapters that came from the store though an own
-# engine kept a copy, 245 had found that engine so, by the lines of a day of load before
-# nine engines of 16 places.
+# as long as such a load takes.
 BUSY_TIME: Final[Seconds] = 0.1
 HOLD_FOR: Final[Seconds] = 0.25
 # What makes way will be asked for again: a load for each request a second.
@@ -170,8 +167,7 @@
     for each in wanted:
         if sum(each.holders.values()) + sum(each.coming.values()):
             continue
-        # Before anyone waits for it: worth 0.016 more on two of four days on which two
-        # engines of six or nine left, and the same on the other two.
+        # What leaves is brought before anyone waits for it.
         if each.waiting or each.leaving:
             busiest = max(each.rates, key=lambda dc: each.rates[dc], default=None)
             yield _Want(
--- a/src/kestreltally/quotas/grants.py
+++ b/src/kestreltally/quotas/grants.py
@@ -11,9 +11,7 @@
 
 from kestreltally.fleet.model import Quota, Seconds
 
-# This part of what may run in a window is granted evenly, the rest at once. With 0.8
-# organisations that send eight times a small rate, up to 20,000 units a request, ran up
-# to 1.04 of it, with 0.75 up to 1.001 (tests/quotasim.py).
+# This part of what may run in a window is granted evenly, the rest at once.
 EVEN_PART: Final = 0.7
 
 
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -18,8 +18,7 @@
 
 # An organisation spends freely while less than this part of what it may spend at once
 # is used up. What it asks for in the 0.5 s until all daemons know better comes on top,
-# and so do requests of up to 20,000 units. With 0.5 and 0.7 organisations that send
-# eight times a small rate ran 1.04 of what may run in a window (tests/quotasim.py).
+# and so do large requests.
 FREE_PART: Final = 0.3
 # What the ratio steers to, as a part of that, and within which time.
 HELD_PART: Final = 0.5
--- a/src/kestreltally/quotas/limiters.py
+++ b/src/kestreltally/quotas/limiters.py
@@ -27,10 +27,7 @@
 ALONE_WAIT: Final[Seconds] = 0.5
 WAIT_LEAST: Final[Seconds] = 0.2
 # Without word, this part of the own share is granted, and so many seconds of it at
-# once, for requests come unevenly. Of 150 drawn schedules of cuts, 3 then ran more than
-# may run in a window, where nearly all daemons lose the word within a second of an
-# organisation beginning to send seven times its rate; with the whole share and 2.5 s
-# of it, 15 did.
+# once, for requests come unevenly.
 ALONE_PART: Final = 0.6
 ALONE_DEPTH: Final[Seconds] = 1.5
 # A share's bucket holds so many seconds of it, so that it need not come evenly.
--- a/src/kestreltally/quotas/spending.py
+++ b/src/kestreltally/quotas/spending.py
@@ -11,9 +11,7 @@
 TOLD_WITHIN: Final[Seconds] = 4.0
 
 # Over how long the part is taken that one daemon has of what all are asked for; over a
-# shorter time for the whole, parts added up to several times the whole in a lull. With
-# 2 s, an organisation at its usual pace was refused 9 in 100 units and not 7 where
-# nearly all daemons hear no leader (tests/quotasim.py).
+# shorter time for the whole, parts would add up to several times the whole in a lull.
 SHARE_TIME: Final[Seconds] = 6.0
 
 
