--- a/tests/limitsim.py
+++ b/tests/limitsim.py
@@ -136,7 +136,8 @@
         """The part of the limit, or of what was asked, that was used."""
         late = sum(1 for at in self.arrivals if at >= SETTLED)
         lasts = ENDS_AT - SETTLED
-        return late / min(self.limit * lasts, self.asked * lasts / ENDS_AT)
+        usable = min(self.limit * lasts, self.asked * lasts / ENDS_AT)
+        return late / usable if usable else 1.0
 
 
 class Equal(Play):
