--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -105,14 +105,15 @@
         """Return the daemon that a step is about."""
         return self.system.daemons[step.target % len(self.system.daemons)]
 
-    def pick_endpoint(self, step: Step, service: str = "") -> SoakEndpoint:
-        """Return the endpoint that a step is about."""
-        fitting = [
-            each
-            for each in self.system.endpoints
-            if service in ("", each.engine.service)
-        ]
-        return fitting[step.target % len(fitting)]
+    def pick_endpoint(self, step: Step) -> SoakEndpoint:
+        """Return the endpoint that a step is about; some plain ones are always there."""
+        endpoints = self.system.endpoints
+        return endpoints[step.target % len(endpoints)]
+
+    def pick_engine(self, step: Step) -> SoakEndpoint | None:
+        """Return the engine that a step is about, none while all are down."""
+        engines = [e for e in self.system.endpoints if e.engine.service == "models"]
+        return engines[step.target % len(engines)] if engines else None
 
     async def perform(self, step: Step) -> None:
         """Carry a step out, and note how long it disturbed the system."""
@@ -309,7 +310,9 @@
 @performs(Action.ENGINE_CRASH)
 async def crash_engine(soak: Soak, step: Step) -> None:
     """End an engine at once; a new start of it comes after a while."""
-    endpoint = soak.pick_endpoint(step, "models")
+    endpoint = soak.pick_engine(step)
+    if endpoint is None:
+        return
     await soak.system.end_endpoint(endpoint)
     await asyncio.sleep(step.lasts)
     await soak.system.add_endpoint(endpoint.engine.service, endpoint.engine.zone)
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -7,8 +7,9 @@
 from bench.faultsoak.mutations import MUTATIONS, Mutation
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import ProxyMode
-from bench.faultsoak.run import PERFORMERS, run_plan
+from bench.faultsoak.run import PERFORMERS, Soak, run_plan
 from bench.faultsoak.system import SoakSystem
+from bench.faultsoak.witness import Witness
 from tests.ports import claim_ports
 
 DAEMONS = 3
@@ -53,6 +54,16 @@
     assert witness.problems == []
 
 
+async def test_no_engine_is_crashed_while_all_are_down(tmp_path: Path) -> None:
+    # Seed 309 of 15 s: its two engines were down when a third crash was due.
+    system = SoakSystem(tmp_path, claim_ports())
+    soak = Soak(system, Witness(system))
+    await PERFORMERS[Action.ENGINE_CRASH](
+        soak, make_step(0.0, 0.0, Action.ENGINE_CRASH)
+    )
+    assert system.endpoints == []
+
+
 async def test_a_short_soak_breaks_no_promise(tmp_path: Path) -> None:
     witness = await run_plan(
         SoakSystem(tmp_path, claim_ports()), make_plan(1, 6.0), DAEMONS
