--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -106,7 +106,7 @@
         return self.system.daemons[step.target % len(self.system.daemons)]
 
     def pick_endpoint(self, step: Step) -> SoakEndpoint:
-        """Return the endpoint that a step is about; some plain ones are always there."""
+        """Return the endpoint that a step is about; there always is a plain one."""
         endpoints = self.system.endpoints
         return endpoints[step.target % len(endpoints)]
 
