One virtual time for two simulations; turns that come late lend nothing

Tests show, at the exchange, that a turn told to a daemon that stood still for 5 s is not used, that what is on its way is lent once, and that counting begins anew with a connection.

--- a/tests/limitsim.py
+++ b/tests/limitsim.py
@@ -11,8 +11,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
-from itertools import count
 from typing import Final
 
 import click
@@ -21,6 +19,7 @@
 from kestreltally.fleet.model import EndpointId
 from kestreltally.placing.turns import Borrower, TurnLender
 from kestreltally.rates import Bucket, Pace
+from tests.virtualtime import VirtualTime
 
 ENDS_AT: Final = 14.0
 # All have heard of the limit by then.
@@ -61,9 +60,8 @@
     ) -> None:
         self.draw = random.Random(seed)
         self.limit = limit
-        self.now = 0.0
-        self.numbers = count()
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.time = VirtualTime()
+        self.after = self.time.after
         self.arrivals: list[float] = []
         self.asked = self.lost = 0
         self.words = 0
@@ -84,14 +82,13 @@
         standing.take_told(self.limit, 1, 0.0)
         return standing
 
-    def after(self, wait: float, what: Callable[[], None]) -> None:
-        heappush(self.events, (self.now + wait, next(self.numbers), what))
+    @property
+    def now(self) -> float:
+        return self.time.now
 
     def run(self) -> "Play":
         self.begin()
-        while self.events and self.events[0][0] < ENDS_AT:
-            self.now, _, what = heappop(self.events)
-            what()
+        self.time.run_until(ENDS_AT)
         return self
 
     def begin(self) -> None:
--- a/tests/restsim.py
+++ b/tests/restsim.py
@@ -8,8 +8,6 @@
 import statistics
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
-from itertools import count
 from typing import Final
 
 import click
@@ -17,6 +15,7 @@
 from kestreltally.fleet import notices
 from kestreltally.fleet.model import SILENT, Endpoint, EndpointId, Notice, ServiceName
 from kestreltally.fleet.notices import NoticeTable, NotWanted
+from tests.virtualtime import VirtualTime
 
 BATCH: Final = 32
 REST: Final = 3.0
@@ -61,12 +60,11 @@
 
     def __post_init__(self) -> None:
         self.draw = random.Random(self.seed)
-        self.numbers = count()
-        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.time = VirtualTime()
         self.tables = [NoticeTable() for _ in range(self.daemons)]
 
     def at(self, when: float, what: Callable[[float], None]) -> None:
-        heappush(self.events, (when, next(self.numbers), what))
+        self.time.at(when, lambda: what(when))
 
     def run(self) -> "Play":
         for table in self.tables:
@@ -74,9 +72,7 @@
             told_at = self.draw.uniform(0.0, 0.2)
             table.note(ENDPOINT, Notice(False, REST - told_at), told_at)
             self.at(self.draw.expovariate(self.rate), self._make_arrival(table))
-        while self.events and self.events[0][0] < ENDS_AT:
-            when, _, what = heappop(self.events)
-            what(when)
+        self.time.run_until(ENDS_AT)
         return self
 
     def _make_arrival(self, table: NoticeTable) -> Callable[[float], None]:
--- /dev/null
+++ b/tests/test_turn_exchange.py
@@ -0,0 +1,123 @@
+"""Turns as daemons tell each other of them: what comes late lends nothing."""
+
+from types import SimpleNamespace
+from typing import Any, cast
+
+from kestreltally.fleet.limits import LimitStanding
+from kestreltally.fleet.model import Endpoint
+from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.feed import Peer
+from kestreltally.knowledge.rows import encode_notice, encode_turns, encode_wanted
+from kestreltally.knowledge.structs import Report, Update
+from kestreltally.knowledge.turns import TurnExchange
+from tests.test_limit_table import LIMITED
+from tests.test_notice_table import ENDPOINT, NOW
+
+LEADER = "north"
+
+
+class Rig:
+    """A daemon that follows a leader, which lends turns at one endpoint."""
+
+    def __init__(self, *, leads: bool = False) -> None:
+        self.now = NOW
+        self.come: list[Endpoint] = []
+        self.peers: list[Peer] = []
+        self.hurried = 0
+        self.fleet = Fleet()
+        self.fleet.put_endpoint(ENDPOINT)
+        self.fleet.notices.note(ENDPOINT, LIMITED, NOW)
+        lease = SimpleNamespace(data_centre=LEADER, leads=leads, is_valid=lambda: leads)
+        leaders = SimpleNamespace(
+            leads=leads,
+            find_primary=lambda: LEADER,
+            is_heard=lambda _: True,
+            clients={LEADER: SimpleNamespace(hurry=self._note_hurry)},
+        )
+        feed = SimpleNamespace(
+            list_followers=lambda: self.peers,
+            list_leaders=list,
+            hurry=self._note_hurry,
+        )
+        self.exchange = TurnExchange(
+            self.fleet,
+            cast(Any, {LEADER: lease}),
+            cast(Any, leaders),
+            lambda _: cast(Any, lease),
+            cast(Any, feed),
+            lambda: self.now,
+        )
+        self.exchange.note_turn = self.come.append
+
+    def _note_hurry(self) -> None:
+        self.hurried += 1
+
+    @property
+    def limit(self) -> LimitStanding:
+        limit = self.fleet.notices.find_limit(ENDPOINT.id, ENDPOINT.born)
+        assert limit is not None
+        return limit
+
+    def take_turn(self, reported_at: float, echo_age: float) -> None:
+        update = Update(
+            leads=[],
+            turns=[encode_turns(ENDPOINT.id, [0.4])],
+            echo=reported_at,
+            echo_age=echo_age,
+        )
+        self.exchange.take_update(LEADER, update, followed=True)
+
+    def read_received(self) -> int:
+        report = Report()
+        self.exchange.fill_report(report, LEADER)
+        received: int = report.wanted[0].received
+        return received
+
+
+async def test_a_turn_that_comes_late_lends_nothing_and_counts_as_received() -> None:
+    rig = Rig()
+    # Reported 0.2 s ago and answered 0.1 s later: 0.3 s are left of the turn.
+    rig.take_turn(NOW - 0.2, 0.1)
+    assert [round(ends - NOW, 6) for ends in rig.limit.turns] == [0.3]
+    # The daemon stood still, or the link did, for five seconds.
+    rig.now += 5.0
+    rig.take_turn(NOW - 0.2, 0.1)
+    assert rig.fleet.notices.find_rest(ENDPOINT, rig.now) > 0
+    assert len(rig.come) == 1
+    assert rig.read_received() == 2
+    # Over another connection counting begins anew.
+    rig.exchange.note_connected(LEADER)
+    assert rig.read_received() == 0
+
+
+async def test_a_request_that_waits_has_its_turn_asked_for_at_once() -> None:
+    rig = Rig()
+    with rig.fleet.notices.wait_for_turns([ENDPOINT], 1):
+        assert rig.hurried == 1
+        report = Report()
+        rig.exchange.fill_report(report, LEADER)
+        (row,) = report.wanted
+        assert row.counts == {1: 1}
+    rig.exchange.fill_report(report, LEADER)
+    assert report.wanted[0].counts == {}
+
+
+async def test_a_leader_lends_once_what_its_follower_wants() -> None:
+    rig = Rig(leads=True)
+    peer = Peer(cast(Any, None), vm="south-1", stamp=3.0, stamped_at=NOW - 0.1)
+    rig.peers.append(peer)
+    rig.exchange.lend()
+    rig.now += 5.0
+    wanted = encode_wanted(ENDPOINT.id, ENDPOINT.born, {2: 1}, 0)
+    rig.exchange.take_report(peer, Report(wanted=[wanted]))
+    assert rig.hurried == 1
+    update = Update()
+    rig.exchange.fill_update(update, peer)
+    assert [round(each, 6) for each in update.turns[0].lasts] == [0.4]
+    assert (update.echo, round(update.echo_age, 6)) == (3.0, 5.1)
+    (notice,) = rig.fleet.notices.list_known(rig.now)
+    assert update.notices == [encode_notice(notice)]
+    # Nor is what is on its way lent, or told, again.
+    rig.exchange.take_report(peer, Report(wanted=[wanted]))
+    rig.exchange.fill_update(update, peer)
+    assert update.turns == []
