--- a/tests/test_turn_exchange.py
+++ b/tests/test_turn_exchange.py
@@ -121,3 +121,13 @@
     rig.exchange.take_report(peer, Report(wanted=[wanted]))
     rig.exchange.fill_update(update, peer)
     assert update.turns == []
+
+
+async def test_a_leader_lends_itself_one_turn_for_each_request_that_waits() -> None:
+    rig = Rig(leads=True)
+    rig.exchange.lend()
+    rig.now += 5.0
+    with rig.fleet.notices.wait_for_turns([ENDPOINT], 1):
+        assert len(rig.limit.turns) == 1
+        with rig.fleet.notices.wait_for_turns([ENDPOINT], 2):
+            assert len(rig.limit.turns) == 2
