Take turns at hand off what waits, not only off what is wanted ahead

What callers saw: nothing beyond the limit, but daemons that wait for a turn waited longer, for the lender's own request had taken four turns, three of which ended unused. Cause: a request that waits is counted until it has used its turn, which it does a moment after it was woken. Why this holds: each turn at hand now meets the most urgent that waits, at the lender and at those who ask it alike.

--- a/src/kestreltally/fleet/limits.py
+++ b/src/kestreltally/fleet/limits.py
@@ -173,12 +173,16 @@
         """Return how many more turns are wanted, by urgency."""
         if self.limit is None:
             return {}
-        wanted = {urgency: n for urgency, n in self.waiting.items() if n > 0}
         pace = min(self.rate, self.wants.read(now))
         ahead = math.ceil(pace * AHEAD_TIME) if pace >= RATE_LEAST else 0
-        ahead -= self._count_turns(now)
-        if ahead > 0:
-            wanted[AHEAD] = ahead
+        # Who waits may have been woken, and not have used its turn yet.
+        at_hand = self._count_turns(now)
+        wanted = {}
+        for urgency, count in sorted({**self.waiting, AHEAD: ahead}.items()):
+            met = min(count, at_hand)
+            at_hand -= met
+            if count > met:
+                wanted[urgency] = count - met
         return wanted
 
     def is_short(self) -> bool:
