--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from kestreltally.fleet.limits import AHEAD, Lending
-from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
+from kestreltally.fleet.model import Endpoint, EndpointId, KnownNotice, Seconds
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.feed import FeedServer, Peer
 from kestreltally.knowledge.leaders import Leaders
@@ -216,26 +216,28 @@
 
     def take_update(self, data_centre: str, update: Any, *, followed: bool) -> None:
         """Take in limits and turns that a leader tells."""
-        now = self._clock()
-        told = [decode_notice(each) for each in update.notices or ()]
-        for each in told:
-            self._notices.take_limit_told(each, now)
         if update.leaders is not None and followed:
             self._heard_there = frozenset(each.data_centre for each in update.leaders)
         led = {each.data_centre for each in update.leads}
-        for each in told:
-            known = self._fleet.endpoints.get(each.endpoint)
-            limit = self._notices.find_limit(each.endpoint, each.born)
-            if known is None or limit is None:
-                continue
-            owned = self._find_lease(known).data_centre in led
-            if owned or (followed and not self._leaders.leads):
-                limit.wait = each.turn_wait
+        relies = followed and not self._leaders.leads
+        for row in update.notices or ():
+            told = decode_notice(row)
+            self._notices.take_limit_told(told, self._clock())
+            self._take_wait(told, led, relies=relies)
         if update.turns and update.echo is not None:
             # Counted from when this daemon reported: no word that comes late, for what
             # reason ever, lends more time than its sender gave.
             self._take_turns(data_centre, update, update.echo + update.echo_age)
 
+    def _take_wait(self, told: KnownNotice, led: set[str], *, relies: bool) -> None:
+        """Take in how long calls wait for turns, from who lends them or tells on."""
+        known = self._fleet.endpoints.get(told.endpoint)
+        limit = self._notices.find_limit(told.endpoint, told.born)
+        if known is None or limit is None:
+            return
+        if relies or self._find_lease(known).data_centre in led:
+            limit.wait = told.turn_wait
+
     def _take_turns(self, data_centre: str, update: Any, sent_at: Seconds) -> None:
         for row in update.turns:
             name = EndpointId(row.endpoint)
--- a/src/kestreltally/placing/turns.py
+++ b/src/kestreltally/placing/turns.py
@@ -126,34 +126,48 @@
     ) -> Seconds | None:
         """Lend what may be lent now; return when to look again, none if not."""
         now = self._clock()
-        rate = find_lent_rate(limit.rate)
-        pool = self._pools.get(endpoint)
-        if pool is None or pool.born != born:
-            # Begins empty: another leader may just have lent what there was.
-            pool = self._pools[endpoint] = _Pool(born, Bucket(now, 0.0))
-        bucket = pool.bucket
-        level = bucket.fill(rate, find_depth(limit.rate), now)
+        rate, depth = find_lent_rate(limit.rate), find_depth(limit.rate)
+        pool = self._find_pool(endpoint, born, now)
+        level = pool.bucket.fill(rate, depth, now)
         if level <= 0:
             # Who is next is looked for once there is something to lend.
             if now - pool.estimated_at >= ESTIMATE_EVERY:
-                pool.estimated_at = now
-                limit.wait = self._estimate_wait(endpoint, rate)
+                self._tell_wait(endpoint, pool, limit, now)
             return LOOK_LEAST - level / rate
-        depth = find_depth(limit.rate)
-        wait = None
+        lacking = self._lend_from(endpoint, pool.bucket, depth, now)
+        self._tell_wait(endpoint, pool, limit, now)
+        return None if lacking is None else LOOK_LEAST + lacking / rate
+
+    def _find_pool(self, endpoint: EndpointId, born: int, now: Seconds) -> _Pool:
+        pool = self._pools.get(endpoint)
+        if pool is None or pool.born != born:
+            # Begins empty: another leader may just have lent what there was.
+            pool = self._pools[endpoint] = _Pool(born, Bucket(now, 0.0))
+        return pool
+
+    def _lend_from(
+        self, endpoint: EndpointId, bucket: Bucket, depth: float, now: Seconds
+    ) -> float | None:
+        """Lend what a bucket holds; return what it lacks for the next turn, if any."""
         while (found := self._find_next(endpoint)) is not None:
             urgency, borrower = found
             # Who does not wait for a turn leaves the others for who will.
             kept = depth - 1 if urgency >= AHEAD else 0.0
-            level = bucket.fill(rate, depth, now)
-            if level <= kept:
-                wait = LOOK_LEAST + (kept - level) / rate
-                break
+            if bucket.level <= kept:
+                return kept - bucket.level
             bucket.level -= 1
             self._hand(endpoint, borrower, now + TURN_LIFE)
+        return None
+
+    def _tell_wait(
+        self, endpoint: EndpointId, pool: _Pool, limit: LimitStanding, now: Seconds
+    ) -> None:
+        """Work out how long one more call waits for its turn, behind those that do."""
         pool.estimated_at = now
-        limit.wait = self._estimate_wait(endpoint, rate)
-        return wait
+        still = self.sum_open(endpoint)
+        waiting = sum(n for urgency, n in still.items() if urgency < AHEAD)
+        rate = find_lent_rate(limit.rate)
+        limit.wait = (1 + waiting) / rate if waiting else 0.0
 
     def hand_on(self, endpoint: EndpointId, ends: list[Seconds]) -> None:
         """Hand on turns that another leader has lent; what nobody wants stays here."""
@@ -190,9 +204,3 @@
         for borrower in self._list_borrowers(endpoint):
             total.update(borrower.list_open(endpoint))
         return dict(total)
-
-    def _estimate_wait(self, endpoint: EndpointId, rate: float) -> Seconds:
-        """Return how long one more call waits for its turn behind those that do."""
-        still = self.sum_open(endpoint)
-        waiting = sum(n for urgency, n in still.items() if urgency < AHEAD)
-        return (1 + waiting) / rate if waiting else 0.0
