Say once what stood twice: the least urgent priority, never; drop what nobody reads

The feed told with turns wanted which start of the endpoint they are for, which no leader read; an exchange kept the leases it did not use.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -49,6 +49,7 @@
     NotConnected,
     encode_head,
 )
+from kestreltally.entry.waiting import LEAST_URGENT
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -70,8 +71,7 @@
 
 GATEWAY_TIMEOUT: Final = 504
 ERRORS_FROM: Final = 400
-# Priorities of engines end here; those of late requests begin in their middle.
-LEAST_URGENT: Final = 9
+# Priorities of late requests begin in the middle.
 LATE_FROM: Final = 5
 # What is left of a request's time when it is given up, so that the refusal gets out.
 LAST_MARGIN: Final[Seconds] = 0.03
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -19,8 +19,9 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import MultiMapping
 
+from kestreltally.fleet.limits import NEVER
 from kestreltally.fleet.model import Endpoint, Seconds
-from kestreltally.fleet.notices import NEVER, NoticeTable
+from kestreltally.fleet.notices import NoticeTable
 from kestreltally.platform.headers import (
     is_genuine,
     list_unread,
--- a/src/kestreltally/entry/waiting.py
+++ b/src/kestreltally/entry/waiting.py
@@ -10,6 +10,7 @@
 # What a request waits for: weights on an engine, or an endpoint of a plain service.
 Awaited = WeightsKey | ServiceName
 
+# The priorities of engines end here.
 LEAST_URGENT: Final = 9
 
 
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -26,7 +26,7 @@
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.fleet.limits import Lending, LimitStanding
+from kestreltally.fleet.limits import NEVER, Lending, LimitStanding
 from kestreltally.fleet.model import (
     SILENT,
     Endpoint,
@@ -53,7 +53,6 @@
 TRIAL_MOST: Final[Seconds] = 1.0
 # What is told of an endpoint that is being tried: when to look again.
 TRIAL_LOOK: Final[Seconds] = 0.05
-NEVER: Final[Seconds] = float("-inf")
 FOR_EVER: Final[Seconds] = float("inf")
 NOBODY_LENDS: Final = Lending(heard=False, daemons=None)
 
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -126,9 +126,8 @@
 // turns there had come over this connection.
 struct WantedRow {
   1: string endpoint,
-  2: i64 born,
-  3: map<i32, i32> counts,
-  4: i32 received,
+  2: map<i32, i32> counts,
+  3: i32 received,
 }
 
 // Turns that are lent at an endpoint: for how many seconds from the sending each lasts.
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -233,11 +233,9 @@
     return Word(OrganisationName(row.organisation), row.ratio, row.asked, row.wait)
 
 
-def encode_wanted(
-    endpoint: EndpointId, born: int, wanted: dict[int, int], received: int
-) -> Any:
+def encode_wanted(endpoint: EndpointId, wanted: dict[int, int], received: int) -> Any:
     """Return the struct of turns wanted at an endpoint, by urgency."""
-    return WantedRow(endpoint=endpoint, born=born, counts=wanted, received=received)
+    return WantedRow(endpoint=endpoint, counts=wanted, received=received)
 
 
 def encode_turns(endpoint: EndpointId, lasts: list[Seconds]) -> Any:
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -303,13 +303,11 @@
 
 WantedRow.thrift_spec = {
     1: (TType.STRING, "endpoint", False),
-    2: (TType.I64, "born", False),
-    3: (TType.MAP, "counts", (TType.I32, TType.I32), False),
-    4: (TType.I32, "received", False),
+    2: (TType.MAP, "counts", (TType.I32, TType.I32), False),
+    3: (TType.I32, "received", False),
 }
 WantedRow.default_spec = [
     ("endpoint", None),
-    ("born", None),
     ("counts", None),
     ("received", None),
 ]
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -43,7 +43,6 @@
     ) -> None:
         self._fleet = fleet
         self._notices = fleet.notices
-        self._leases = leases
         self._leaders = leaders
         self._find_lease = find_lease
         self._feed = feed
@@ -155,18 +154,16 @@
     def fill_report(self, report: Any, data_centre: str) -> None:
         """Put into a report which turns are wanted of a leader."""
         rows = []
-        for name, born, wanted in self._list_wanted(data_centre):
+        for name, wanted in self._list_wanted(data_centre):
             got = self._received[data_centre][name]
-            rows.append(encode_wanted(name, born, wanted, got))
+            rows.append(encode_wanted(name, wanted, got))
         report.wanted = rows
 
-    def _list_wanted(
-        self, data_centre: str
-    ) -> Iterable[tuple[EndpointId, int, Wanted]]:
+    def _list_wanted(self, data_centre: str) -> Iterable[tuple[EndpointId, Wanted]]:
         leads = self._leaders.leads
         if not leads and self._leaders.find_primary() not in (data_centre, None):
             return
-        for name, born, limit in self._notices.list_limits():
+        for name, _, limit in self._notices.list_limits():
             known = self._fleet.endpoints.get(name)
             if known is None:
                 continue
@@ -176,7 +173,7 @@
                     continue
                 self._own.wanted[name] = wanted
                 wanted = self._lender.sum_open(name)
-            yield name, born, wanted
+            yield name, wanted
 
     def take_report(self, peer: Peer, report: Any) -> None:
         """Take in which turns a daemon wants, and lend them or ask for them."""
--- a/tests/test_turn_exchange.py
+++ b/tests/test_turn_exchange.py
@@ -108,7 +108,7 @@
     rig.peers.append(peer)
     rig.exchange.lend()
     rig.now += 5.0
-    wanted = encode_wanted(ENDPOINT.id, ENDPOINT.born, {2: 1}, 0)
+    wanted = encode_wanted(ENDPOINT.id, {2: 1}, 0)
     rig.exchange.take_report(peer, Report(wanted=[wanted]))
     assert rig.hurried == 1
     update = Update()
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kestreltally.entry.relay import LEAST_URGENT, find_urgency
+from kestreltally.entry.relay import find_urgency
+from kestreltally.entry.waiting import LEAST_URGENT
 from kestreltally.entry.request import ClientRequest
 from kestreltally.fleet.model import RequestKind
 from tests.entryrig import MODELS, make_request, make_route
