--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from kestreltally.entry.relay import find_urgency
-from kestreltally.entry.waiting import LEAST_URGENT
 from kestreltally.entry.request import ClientRequest
+from kestreltally.entry.waiting import LEAST_URGENT
 from kestreltally.fleet.model import RequestKind
 from tests.entryrig import MODELS, make_request, make_route
 
