Failing test: limited endpoints get nothing while the store is away for long

Six daemons, two endpoints with a limit of 8 a second, the store away for longer than a lease: 6 of 120 requests served, though 16 a second might be. A leader whose lease is over is still heard, so no daemon takes it that no lender is there. Nothing is sent beyond a limit.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -170,3 +170,16 @@
         assert all(wait >= 0.3 for wait in asking.waits)
         served = asking.statuses.count(200)
         assert served > 0.8 * 2 * 2.9 * 6.0
+
+
+async def test_limited_endpoints_are_used_while_the_store_is_away_for_long() -> None:
+    async with run_six() as rig:
+        engines = [each for each in rig.engines if not each.model]
+        for engine in engines:
+            engine.limit = 8.0
+        rig.store.faults.set(down=True)
+        # Every lease is over by then.
+        await asyncio.sleep(8.0)
+        asking = Asking(rig, "/a/x", "", 0.2)
+        await asking.run(4.0)
+        assert asking.statuses.count(200) >= 0.25 * 2 * 8.0 * 4.0
