Count each daemon once while several leaders hear it

What callers saw: with the store away for a few seconds, six daemons took each other for ten, so each one's part of the retry budget, of an organisation's quota and of a limit without a lender shrank to six tenths, just as trouble began.

Cause: a daemon connects to the leaders of all data centres where none of them knows what the store holds. It reports what is its own to one of them, but each of them counted it as its follower, and leaders add their counts up.

Evidence: a trial with six true daemons in two data centres, store away for 3 s: all read daemons_known 10 (6 before, and 6 from then on after this change). The new test fails on the code before with 10 instead of 6.

Change: a report says whether its sender follows the leader it goes to; only those are counted. What a peer uses, wants and was told is kept for all as before: it is empty where the sender follows another leader.

Ruled out: to count by the names of VMs over all leaders: each leader would have to hear all names, a cost that grows with the fleet.

--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -262,6 +262,7 @@
         if self.leaders.leads:
             self._add_group(report, data_centre)
         elif self.leaders.find_primary() in (data_centre, None):
+            report.follows = True
             self._add_own(report)
         return report
 
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -62,11 +62,16 @@
 
 @dataclass(slots=True, eq=False)
 class Peer:
-    """A daemon that is connected; ``leads`` is not empty for another leader."""
+    """A daemon that is connected; ``leads`` is not empty for another leader.
+
+    ``follows`` tells that it follows this leader: where no leader knows what the store
+    holds, a daemon is connected to all of them, and follows one.
+    """
 
     stream: FrameStream
     vm: str = ""
     leads: frozenset[str] = frozenset()
+    follows: bool = False
     told: Snapshot = NOTHING_TOLD
     whole: bool = True
     unsent_since: Seconds | None = None
@@ -146,7 +151,7 @@
         self._wake.set()
 
     def list_followers(self) -> list[Peer]:
-        """Return the daemons that follow this one."""
+        """Return the daemons that are connected, but for other leaders."""
         return [peer for peer in self._peers if peer.vm and not peer.leads]
 
     def list_leaders(self) -> list[Peer]:
@@ -195,6 +200,7 @@
         peer.vm = report.vm
         peer.stamp, peer.stamped_at = report.stamp, self._clock()
         peer.leads = frozenset(report.leads or ())
+        peer.follows = bool(report.follows)
         peer.configuration = report.configuration
         peer.daemons = report.daemons or 1
         before, peer.fullness = peer.fullness, decode_fullness(report)
@@ -321,7 +327,7 @@
 
     def count_group(self) -> int:
         """Return how many daemons this one and its followers are."""
-        return 1 + len(self.list_followers())
+        return 1 + sum(peer.follows for peer in self.list_followers())
 
     def count_daemons(self) -> int:
         """Return how many daemons there are over all leaders heard."""
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -139,7 +139,8 @@
 // From a daemon to a leader; from a leader to another one it sums up its daemons.
 // store_age tells how long ago the store answered a renewal, read_age how long ago it
 // told this daemon itself of endpoints, seconds. stamp is the sender's own time, secret
-// what the digests of requests are taken under.
+// what the digests of requests are taken under. follows tells that the sender reports
+// what is its own to this leader, and to no other.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -161,6 +162,7 @@
   18: binary secret,
   19: list<NoticeRow> notices,
   20: list<WantedRow> wanted,
+  21: bool follows,
 }
 
 // From a leader to a daemon. Seconds count back from the sending. in_flight, unread,
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -354,6 +354,7 @@
     18: (TType.BINARY, "secret", False),
     19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
+    21: (TType.BOOL, "follows", False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -376,6 +377,7 @@
     ("secret", None),
     ("notices", None),
     ("wanted", None),
+    ("follows", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -328,6 +328,19 @@
         assert await rig.ask_until("south-1", "/c/x", 200, 4.0) < 3.0
 
 
+async def test_daemons_are_counted_once_while_the_store_is_away() -> None:
+    # Guards against parts of a bound that shrink, for several leaders count a daemon.
+    async with run_fleet() as rig:
+        for zone in DATA_CENTRES:
+            await rig.add_daemon(f"{zone}-2", zone)
+            await rig.add_daemon(f"{zone}-3", zone)
+        await asyncio.sleep(1.0)
+        rig.store.faults.set(down=True)
+        await asyncio.sleep(3.0)
+        for daemon in rig.daemons.values():
+            assert daemon._read_gauges()["daemons_known"] == {"feed": 6}
+
+
 async def test_a_planned_stop_answers_what_it_took() -> None:
     async with run_fleet() as rig:
         asking = asyncio.create_task(rig.ask("north-1", "/m/x", "a1"))
