Lend turns without a lease, less of them: who is heard need not hold one

What callers saw: with the store away for longer than a lease, nothing was sent to endpoints that name a limit; where all are limited, callers were refused (6 of 120 served), and that a limit was over was never noticed, for nothing was sent that could tell it. After the loss of a leader the same for some four seconds, where daemons are many (14, limit 8: 0 calls from 0.8 to 3 s after it).

Cause: daemons asked for turns of whoever they heard, and a leader lent only while its lease held. One whose lease is over is heard as before, so nobody took it that there is no lender; one that hears no holder of the endpoint's lease had nobody to ask.

Evidence: with the store away for 8 s, each of six daemons hears both leaders, and both leases are over; turns are lent by none.

Change: a leader that does not hold the endpoint's lease, and hears nobody who leads under it, or leads under it itself though it is over, lends to those it hears: 0.4 of the limit, by their share of all daemons, as the most that were heard in the last minutes. A daemon follows one lender, so all such shares are 0.4 of the limit at the most, and a holder that only others hear lends all of it beside them. A new holder lends all of it once the former one's lease is surely over: before, both did, for up to 0.9 s.

Weighed: equal parts of daemons that know that no lease is valid give nothing where daemons are more than the limit and four, and starve who asks alone; to refuse at once with a true time leaves the end of a limit unheard; a lapsed lender at a fixed part adds up over lenders in several parts of a fleet that is cut. Shares of who is heard do not.

--- a/src/kestreltally/fleet/limits.py
+++ b/src/kestreltally/fleet/limits.py
@@ -35,9 +35,9 @@
 # Even an endpoint that takes nothing is called this often a second where it is wanted:
 # only an answer tells that its limit is over.
 RATE_LEAST: Final = 0.25
-# Where no lender is heard, each daemon calls at this part of an equal share, for a
-# lender may be there that the others hear.
-ALONE_PART: Final = 0.5
+# Who hears nobody that holds the lease keeps to this part of an equal share, for the
+# others may hear one.
+ALONE_PART: Final = 0.4
 # All daemons may use a first turn in one moment then: above so many, and the limit's
 # number, none uses any.
 ALONE_MOST: Final = 4
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -365,7 +365,7 @@
         if update.in_flight is not None:
             self._relay.finder.others = decode_fullness(update).minus(self._reported)
             self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
-            self.turns.daemons = update.daemons
+            self.turns.note_daemons(update.daemons)
             self._limiter.daemons = self._relay.budget.daemons
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
@@ -486,7 +486,7 @@
         self._sum_counts()
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
         self._relay.budget.daemons = self.feed.count_daemons()
-        self.turns.daemons = self._relay.budget.daemons
+        self.turns.note_daemons(self._relay.budget.daemons)
         self.turns.lend()
         self._limiter.daemons = self._relay.budget.daemons
 
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -2,8 +2,10 @@
 
 A daemon asks the leader it follows, a leader asks the one that leads the endpoint, each
 in its reports, which go out at once where a request waits. Turns come back with updates
-and are handed on the same way. A daemon's cost is by the endpoints that name a limit,
-not by the size of the fleet.
+and are handed on the same way. That a leader is heard does not tell that its lease
+holds: one that does not hold the endpoint's lease, and hears nobody who leads under it,
+lends by itself to those that it hears, less (``placing/turns.py``). A daemon's cost is
+by the endpoints that name a limit, not by the size of the fleet.
 """
 
 import asyncio
@@ -11,10 +13,11 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
-from kestreltally.fleet.limits import AHEAD, Lending
+from kestreltally.fleet.limits import AHEAD, Lending, LimitStanding
 from kestreltally.fleet.model import Endpoint, EndpointId, KnownNotice, Seconds
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.feed import FeedServer, Peer
+from kestreltally.knowledge.headcount import Headcount
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.rows import (
     decode_notice,
@@ -23,7 +26,14 @@
     encode_wanted,
 )
 from kestreltally.placing.lease import Lease
-from kestreltally.placing.turns import Borrower, TurnLender, Wanted
+from kestreltally.placing.turns import (
+    Borrower,
+    Terms,
+    TurnLender,
+    Wanted,
+    find_leased_terms,
+    find_unleased_terms,
+)
 
 
 class TurnExchange:
@@ -55,10 +65,8 @@
         self._received: dict[str, Counter[EndpointId]] = {
             name: Counter() for name in leases
         }
-        # Whose leaders the leader that is followed hears.
-        self._heard_there: frozenset[str] = frozenset()
         self._look: asyncio.TimerHandle | None = None
-        self.daemons: int | None = None
+        self._headcount = Headcount()
         self.note_turn: Callable[[Endpoint], None] = lambda _: None
         self._notices.find_lending = self.find_lending
         self._notices.note_wanted = self._note_wanted
@@ -66,17 +74,37 @@
     # Who lends.
 
     def find_lending(self, endpoint: Endpoint) -> Lending:
-        """Return who lends turns at an endpoint, as far as is known here."""
-        heard = self._is_heard(self._find_lease(endpoint))
-        return Lending(heard=heard, daemons=self.daemons)
+        """Return who lends turns at an endpoint, as far as is known here.
 
-    def _is_heard(self, lease: Lease) -> bool:
-        if self._leaders.leads:
-            return self._leaders.is_heard(lease.data_centre)
-        primary = self._leaders.find_primary()
-        if primary is None:
-            return False
-        return primary == lease.data_centre or lease.data_centre in self._heard_there
+        Any leader does, in its own right or another's.
+        """
+        heard = self._leaders.leads or self._leaders.find_primary() is not None
+        return Lending(heard=heard, daemons=self._headcount.most)
+
+    def note_daemons(self, count: int | None) -> None:
+        """Take in how many daemons are heard by all leaders that are heard."""
+        if count is not None:
+            self._headcount.note(count, self._clock())
+
+    def _find_terms(self, endpoint: Endpoint, limit: LimitStanding) -> Terms | None:
+        """Return how turns are lent here, none where another daemon lends them."""
+        if not self._leaders.leads:
+            return None
+        lease = self._find_lease(endpoint)
+        if lease.holds_alone():
+            return find_leased_terms(limit.rate)
+        if lease.leads:
+            heard = self._feed.count_daemons()
+        elif self._leaders.is_heard(lease.data_centre):
+            return None
+        else:
+            heard = self._feed.count_group()
+        return find_unleased_terms(limit.rate, heard, self._headcount.most or 0)
+
+    def _lends(self, endpoint: Endpoint) -> bool:
+        """Tell whether turns at an endpoint are lent here."""
+        limit = self._notices.find_limit(endpoint.id, endpoint.born)
+        return limit is not None and self._find_terms(endpoint, limit) is not None
 
     def _list_borrowers(self, endpoint: EndpointId) -> Iterator[Borrower]:
         yield self._own
@@ -100,10 +128,11 @@
         waits = []
         for name, born, limit in limits:
             known = self._fleet.endpoints.get(name)
-            if known is None or not self._find_lease(known).is_valid():
+            terms = self._find_terms(known, limit) if known is not None else None
+            if terms is None:
                 continue
             self._own.wanted[name] = limit.list_wanted(self._clock())
-            wait = self._lender.lend(name, born, limit)
+            wait = self._lender.lend(name, born, limit, terms)
             if wait is not None:
                 waits.append(wait)
         if waits:
@@ -134,7 +163,7 @@
         known = self._fleet.endpoints.get(endpoint)
         if known is None:
             return
-        if self._find_lease(known).leads:
+        if self._lends(known):
             self.lend()
             return
         self._hurry(known)
@@ -190,7 +219,7 @@
             # What nobody waits for is lent with the leader's next rounds.
             if known is None or all(urgency >= AHEAD for urgency in wanted):
                 continue
-            if self._find_lease(known).leads:
+            if self._lends(known):
                 self.lend()
             else:
                 self._hurry(known)
@@ -213,8 +242,6 @@
 
     def take_update(self, data_centre: str, update: Any, *, followed: bool) -> None:
         """Take in limits and turns that a leader tells."""
-        if update.leaders is not None and followed:
-            self._heard_there = frozenset(each.data_centre for each in update.leaders)
         led = {each.data_centre for each in update.leads}
         relies = followed and not self._leaders.leads
         for row in update.notices or ():
--- a/src/kestreltally/placing/turns.py
+++ b/src/kestreltally/placing/turns.py
@@ -3,6 +3,11 @@
 Equal parts starve who asks alone, and everybody in a large fleet. One ratio for all, as
 quotas have it, keeps a mean over many requests, and no window of a few. So a turn is
 lent for each call, to who waits for it, the more urgent first.
+
+Who holds the endpoint's lease lends all of a limit. Nobody may hold it for long, as the
+store is away or the holder is lost: then each leader lends to those that it hears their
+share of a part of the limit. A daemon follows one lender, so these shares are that part
+at the most over all, and a holder that only others hear may lend beside them.
 """
 
 from collections import Counter
@@ -10,7 +15,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from kestreltally.fleet.limits import AHEAD, LimitStanding
+from kestreltally.fleet.limits import AHEAD, ALONE_PART, LimitStanding
 from kestreltally.fleet.model import EndpointId, Seconds
 from kestreltally.rates import Bucket
 
@@ -23,6 +28,11 @@
 DEPTH_LEAST: Final = 2.0
 DEPTH_TIME: Final[Seconds] = 0.05
 
+# Who lends without a lease lends a turn once it is there, nearly whole, and keeps one
+# at the most: a few who lend in one moment must not add up.
+UNLEASED_DEPTH: Final = 1.0
+UNLEASED_LEAST: Final = 0.99
+
 # How long calls wait is worked out so often: all borrowers are asked for it.
 ESTIMATE_EVERY: Final[Seconds] = 0.05
 # A moment later a turn is surely there.
@@ -82,6 +92,32 @@
     estimated_at: Seconds = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """How turns are lent at a limit.
+
+    ``rate`` is turns a second, ``depth`` how many may be lent at once, and ``least``
+    what must be there before one is lent.
+    """
+
+    rate: float
+    depth: float
+    least: float
+
+
+def find_leased_terms(rate: float) -> Terms:
+    """Return the terms of who holds the lease, at a limit."""
+    return Terms(rate=find_lent_rate(rate), depth=find_depth(rate), least=0.0)
+
+
+def find_unleased_terms(rate: float, heard: int, daemons: int) -> Terms:
+    """Return the terms of who hears some of all daemons, and holds no lease."""
+    share = heard / max(1, heard, daemons)
+    return Terms(
+        rate=ALONE_PART * rate * share, depth=UNLEASED_DEPTH, least=UNLEASED_LEAST
+    )
+
+
 def find_depth(rate: float) -> float:
     """Return how many turns at a limit may be lent at once.
 
@@ -101,7 +137,7 @@
 
 
 class TurnLender:
-    """Lends turns at the endpoints led here, and hands on those lent by other leaders.
+    """Lends turns at some endpoints, and hands on those lent by other leaders.
 
     ``list_borrowers`` returns the daemons to lend to at an endpoint; ``own`` is this
     one, whose turns are given to ``take_own``.
@@ -122,21 +158,20 @@
         self._number = 0
 
     def lend(
-        self, endpoint: EndpointId, born: int, limit: LimitStanding
+        self, endpoint: EndpointId, born: int, limit: LimitStanding, terms: Terms
     ) -> Seconds | None:
         """Lend what may be lent now; return when to look again, none if not."""
         now = self._clock()
-        rate, depth = find_lent_rate(limit.rate), find_depth(limit.rate)
         pool = self._find_pool(endpoint, born, now)
-        level = pool.bucket.fill(rate, depth, now)
-        if level <= 0:
+        level = pool.bucket.fill(terms.rate, terms.depth, now)
+        if level <= terms.least:
             # Who is next is looked for once there is something to lend.
             if now - pool.estimated_at >= ESTIMATE_EVERY:
-                self._tell_wait(endpoint, pool, limit, now)
-            return LOOK_LEAST - level / rate
-        lacking = self._lend_from(endpoint, pool.bucket, depth, now)
-        self._tell_wait(endpoint, pool, limit, now)
-        return None if lacking is None else LOOK_LEAST + lacking / rate
+                self._tell_wait(endpoint, pool, limit, terms)
+            return LOOK_LEAST + (terms.least - level) / terms.rate
+        lacking = self._lend_from(endpoint, pool.bucket, terms, now)
+        self._tell_wait(endpoint, pool, limit, terms)
+        return None if lacking is None else LOOK_LEAST + lacking / terms.rate
 
     def _find_pool(self, endpoint: EndpointId, born: int, now: Seconds) -> _Pool:
         pool = self._pools.get(endpoint)
@@ -146,13 +181,14 @@
         return pool
 
     def _lend_from(
-        self, endpoint: EndpointId, bucket: Bucket, depth: float, now: Seconds
+        self, endpoint: EndpointId, bucket: Bucket, terms: Terms, now: Seconds
     ) -> float | None:
         """Lend what a bucket holds; return what it lacks for the next turn, if any."""
         while (found := self._find_next(endpoint)) is not None:
             urgency, borrower = found
             # Who does not wait for a turn leaves the others for who will.
-            kept = depth - 1 if urgency >= AHEAD else 0.0
+            ahead = urgency >= AHEAD
+            kept = max(terms.least, terms.depth - 1) if ahead else terms.least
             if bucket.level <= kept:
                 return kept - bucket.level
             bucket.level -= 1
@@ -160,14 +196,13 @@
         return None
 
     def _tell_wait(
-        self, endpoint: EndpointId, pool: _Pool, limit: LimitStanding, now: Seconds
+        self, endpoint: EndpointId, pool: _Pool, limit: LimitStanding, terms: Terms
     ) -> None:
         """Work out how long one more call waits for its turn, behind those that do."""
-        pool.estimated_at = now
+        pool.estimated_at = self._clock()
         still = self.sum_open(endpoint)
         waiting = sum(n for urgency, n in still.items() if urgency < AHEAD)
-        rate = find_lent_rate(limit.rate)
-        limit.wait = (1 + waiting) / rate if waiting else 0.0
+        limit.wait = (1 + waiting) / terms.rate if waiting else 0.0
 
     def hand_on(self, endpoint: EndpointId, ends: list[Seconds]) -> None:
         """Hand on turns that another leader has lent; what nobody wants stays here."""
--- a/tests/limitsim.py
+++ b/tests/limitsim.py
@@ -17,7 +17,7 @@
 
 from kestreltally.fleet.limits import Lending, LimitStanding
 from kestreltally.fleet.model import EndpointId
-from kestreltally.placing.turns import Borrower, TurnLender
+from kestreltally.placing.turns import Borrower, TurnLender, find_leased_terms
 from kestreltally.rates import Bucket, Pace
 from tests.virtualtime import VirtualTime
 
@@ -185,6 +185,7 @@
         self.leaders = [self._make_lender(number) for number in range(GROUPS)]
         self.owner = LimitStanding()
         self.owner.take_told(self.limit, 1, 0.0)
+        self.terms = find_leased_terms(self.owner.rate)
         self.look_at = float("inf")
 
     def _make_lender(self, number: int) -> TurnLender:
@@ -262,7 +263,7 @@
         self.after(self.draw.uniform(*TRIP) + REPORT_GAP, arrive)
 
     def _lend(self) -> None:
-        wait = self.leaders[0].lend(E, 1, self.owner)
+        wait = self.leaders[0].lend(E, 1, self.owner, self.terms)
         if wait is not None and not self.now < self.look_at <= self.now + wait:
             self.look_at = self.now + wait
             self.after(wait, self._lend)
--- /dev/null
+++ b/tests/test_lenders.py
@@ -0,0 +1,136 @@
+"""Endpoints that name a limit are used while no lease holds, and never beyond it.
+
+What callers saw: with the store away for longer than a lease, nothing was sent to
+endpoints that named a limit, nor was it ever noticed that a limit was over; after the
+loss of a leader the same, for some seconds, where daemons were many.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from standins.platform_engine import PlatformEngine
+from tests.test_fleet_daemon import DATA_CENTRES, FleetRig, run_fleet
+from tests.test_limits import Asking, count_allowed, count_most, find_holder
+
+# Every lease is over so long after the store has gone away.
+LEASES_OVER = 8.0
+# Requests a second of all daemons together.
+ASKED = 50.0
+
+
+@asynccontextmanager
+async def run_daemons(count: int) -> AsyncIterator[FleetRig]:
+    async with run_fleet() as rig:
+        for number in range(count - len(DATA_CENTRES)):
+            zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+            await rig.add_daemon(f"{zone}-{number + 2}", zone)
+        await asyncio.sleep(1.0)
+        yield rig
+
+
+def list_plain(rig: FleetRig) -> list[PlatformEngine]:
+    return [each for each in rig.engines if not each.model]
+
+
+def ask_all(rig: FleetRig) -> Asking:
+    return Asking(rig, "/a/x", "", len(rig.daemons) / ASKED)
+
+
+def check_limit(engine: PlatformEngine, limit: float, since: float) -> None:
+    assert count_most(engine.calls, since) <= count_allowed(limit)
+
+
+def count_used(engines: list[PlatformEngine], since: float, until: float) -> int:
+    return sum(since <= at < until for each in engines for at in each.arrivals)
+
+
+@pytest.mark.parametrize(("daemons", "limit"), [(4, 2.9), (12, 8.0)])
+async def test_limits_named_while_no_lease_holds_are_used_and_their_ends_heard(
+    daemons: int, limit: float
+) -> None:
+    # Guards against leaders that are heard, hold no lease, and so lend nothing.
+    async with run_daemons(daemons) as rig:
+        loop = asyncio.get_running_loop()
+        rig.store.faults.set(down=True)
+        await asyncio.sleep(LEASES_OVER)
+        engines = list_plain(rig)
+        for engine in engines:
+            engine.limit = limit
+        named_at = loop.time()
+        await ask_all(rig).run(5.0)
+        for engine in engines:
+            check_limit(engine, limit, named_at + 0.5)
+        used = count_used(engines, named_at + 1.0, named_at + 5.0)
+        assert used >= 0.25 * 2 * limit * 4.0
+        for engine in engines:
+            engine.limit = None
+        await ask_all(rig).run(3.0)
+        asking = ask_all(rig)
+        await asking.run(2.0)
+        assert asking.count_refused() <= 0.02 * len(asking.statuses)
+
+
+async def test_a_limit_is_fully_used_soon_after_the_store_is_back() -> None:
+    # Guards against bursts as leases hold again, and against lending on by the part.
+    async with run_daemons(6) as rig:
+        loop = asyncio.get_running_loop()
+        engines = list_plain(rig)
+        for engine in engines:
+            engine.limit = 8.0
+        began = loop.time()
+        asking = asyncio.create_task(ask_all(rig).run(26.0))
+        for _ in range(2):
+            rig.store.faults.set(down=True)
+            await asyncio.sleep(LEASES_OVER)
+            rig.store.faults.set(down=False)
+            back_at = loop.time()
+            await asyncio.sleep(4.5)
+            used = count_used(engines, back_at + 0.5, back_at + 4.5)
+            assert used >= 0.6 * 2 * 8.0 * 4.0
+        await asking
+        for engine in engines:
+            check_limit(engine, 8.0, began + 0.5)
+
+
+async def test_who_alone_holds_an_adapter_is_used_within_its_limit() -> None:
+    # Guards against callers who get nothing where nothing can be loaded elsewhere.
+    async with run_daemons(6) as rig:
+        engine = await find_holder(rig, "a1")
+        engine.limit = 4.0
+        loop = asyncio.get_running_loop()
+        rig.store.faults.set(down=True)
+        await asyncio.sleep(LEASES_OVER)
+        began = loop.time()
+        await Asking(rig, "/m/x", "a1", 0.2).run(5.0)
+        check_limit(engine, 4.0, began)
+        assert count_used([engine], began + 1.0, began + 5.0) >= 0.25 * 4.0 * 4.0
+
+
+@pytest.mark.parametrize("stop", [False, True])
+async def test_a_limit_is_used_while_a_lost_leader_has_no_successor(stop: bool) -> None:
+    # Guards against many daemons that wait for the lease before anybody lends.
+    async with run_daemons(14) as rig:
+        loop = asyncio.get_running_loop()
+        engines = list_plain(rig)
+        for engine in engines:
+            engine.limit = 8.0
+        named_at = loop.time()
+        (north,) = [each for each in engines if each.zone == "north"]
+        leader = rig.daemons.pop("north-1")
+        asking = asyncio.create_task(ask_all(rig).run(10.0))
+        await asyncio.sleep(2.0)
+        if stop:
+            await leader.stop()
+            lost_at = loop.time()
+            await leader.close()
+        else:
+            await leader.close()
+            lost_at = loop.time()
+        await asking
+        used = count_used([north], lost_at + 1.0, lost_at + 4.0)
+        assert used >= 0.25 * 8.0 * 3.0
+        for engine in engines:
+            check_limit(engine, 8.0, named_at + 1.5)
--- a/tests/test_limit_table.py
+++ b/tests/test_limit_table.py
@@ -15,7 +15,7 @@
 )
 from kestreltally.fleet.model import SILENT, EndpointId, KnownNotice, Notice
 from kestreltally.fleet.notices import FOR_EVER, KEPT_FOR, NoticeTable, NotWanted
-from kestreltally.placing.turns import Borrower, TurnLender
+from kestreltally.placing.turns import Borrower, TurnLender, find_leased_terms
 from kestreltally.platform.headers import list_unread, read_notice
 from tests.limitsim import WINDOW, play
 from tests.test_notice_table import ENDPOINT, LEAVING, NOW, REBORN, RESTING
@@ -237,7 +237,8 @@
         self.lend()
 
     def lend(self) -> float | None:
-        return self.lender.lend(E, 1, self.limit)
+        terms = find_leased_terms(self.limit.rate)
+        return self.lender.lend(E, 1, self.limit, terms)
 
     def list_lent(self) -> list[int]:
         return [each.lent[E] for each in self.borrowers]
--- a/tests/test_turn_exchange.py
+++ b/tests/test_turn_exchange.py
@@ -27,7 +27,9 @@
         self.fleet = Fleet()
         self.fleet.put_endpoint(ENDPOINT)
         self.fleet.notices.note(ENDPOINT, LIMITED, NOW)
-        lease = SimpleNamespace(data_centre=LEADER, leads=leads, is_valid=lambda: leads)
+        lease = SimpleNamespace(
+            data_centre=LEADER, leads=leads, holds_alone=lambda: leads
+        )
         leaders = SimpleNamespace(
             leads=leads,
             find_primary=lambda: LEADER,
