Let no older word bring an endpoint back that is gone

What callers saw: with one leader cut off from the store, an endpoint of its data centre whose entry had gone got requests again at daemons in touch, up to 3.8 s after the store had taken that (the operators' bound is 2 s, and 3 s where an engine says that it leaves).

Cause: a leader that has lost the store still lists what has gone since, until it resigns (4.5 s). Whoever connects to it anew, as a follower or as another leader, is told all of its rows, and took them in, though it had heard from the store, or from a leader that reads it, that the endpoint is gone. A leader then tells all its followers.

Change: what is told is as old as its teller's last answer of the store, which updates tell already. A daemon remembers for a minute which starts of endpoints are gone and as of when; rows of that start count only if they are newer. An entry that the store lists itself, and another start, count always.

Ruled out: to take rows of the leader that is followed only: leaders hear each data centre's rows from its leader alone, and would have to do without all of them while it is cut off.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -164,7 +164,7 @@
         self._relay.finder.hurry = self._hurry
         self._endpoints = EndpointsFollower(
             self._exchange.put_entry,
-            self._exchange.drop_row,
+            self._exchange.drop_entry,
             self._clock,
             lambda: self._endpoints_watch.returned_at,
         )
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -28,6 +28,7 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
+from kestreltally.knowledge.departures import Departures
 from kestreltally.knowledge.ends import EndsExchange
 from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer, Peer
 from kestreltally.knowledge.followers import ConfigurationFollower
@@ -149,6 +150,7 @@
             client.note_connected = self.turns.note_connected
             client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
+        self._departures = Departures()
         self._reported = EMPTY
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
@@ -369,20 +371,26 @@
             self._limiter.daemons = self._relay.budget.daemons
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
+        """Take in what a leader tells, as the store was when it last answered it."""
+        age = AGE_UNKNOWN if update.store_age is None else update.store_age
+        as_of = self._clock() - age
         if update.whole:
-            self._drop_missing({each.id for each in update.rows or ()}, led)
+            present = {each.id for each in update.rows or ()}
+            self._drop_missing(present, led, as_of)
         for row in update.rows or ():
-            self.put_row(decode_endpoint(row))
+            endpoint = decode_endpoint(row)
+            if not self._departures.is_gone(endpoint, as_of):
+                self.put_row(endpoint)
         for change in update.changes or ():
             known = self._fleet.endpoints.get(EndpointId(change.id))
             if known is not None:
                 self.put_row(apply_change(known, change))
         for name in update.gone or ():
-            self.drop_row(EndpointId(name))
+            self.drop_row(EndpointId(name), as_of)
         for each in update.versions or ():
             self.take_version(*decode_weights(each))
 
-    def _drop_missing(self, present: set[str], led: set[str]) -> None:
+    def _drop_missing(self, present: set[str], led: set[str], as_of: Seconds) -> None:
         """Forget what a whole update does not name, as far as its sender leads it.
 
         One that names nothing comes from a leader that has just started, maybe while
@@ -393,7 +401,7 @@
         for endpoint in list(self._fleet.endpoints.values()):
             mine = not self.leaders.leads or endpoint.data_centre in led
             if mine and endpoint.id not in present:
-                self.drop_row(endpoint.id)
+                self.drop_row(endpoint.id, as_of)
 
     # The tables.
 
@@ -423,10 +431,15 @@
         self._relay.finder.paces.forget(known.id)
         return True
 
-    def drop_row(self, endpoint: EndpointId) -> None:
-        """Forget an endpoint that is gone."""
+    def drop_entry(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint that the store no longer lists."""
+        self.drop_row(endpoint, self._clock())
+
+    def drop_row(self, endpoint: EndpointId, as_of: Seconds) -> None:
+        """Forget an endpoint that is gone, by what the store held at a moment."""
         known = self._fleet.endpoints.get(endpoint)
         if known is not None:
+            self._departures.note(known, as_of)
             self._relay.poison.ends.note_gone(known)
         if self.leader is not None:
             self.leader.drop_endpoint(endpoint)
@@ -452,6 +465,7 @@
 
     def put_entry(self, endpoint: Endpoint) -> None:
         """Take an endpoint's entry of the store in, where no leader knows better."""
+        self._departures.forget(endpoint.id)
         lease = self.find_lease(endpoint)
         if lease.leads and self.leader is not None:
             self.leader.put_endpoint(endpoint)
@@ -576,6 +590,7 @@
 
         Its loads may be brought by another one, and what it spared may be used.
         """
+        self._departures.forget_old(self._clock())
         if not self.leaders.leads and self.leaders.find_primary() is not None:
             return
         for endpoint in list(self._fleet.endpoints.values()):
