Tell no time for loads that nobody may order

What callers saw: with the store away for longer than a lease, a request for an adapter that no engine holds was told that it comes in 1.25 s (0.25 s and the turnover of places, by a book that sees no place), or held for that, where its route allows the wait; none could come before the store was back.

Followers believe who they hear.

Evidence: six true daemons, store away for 8 s: all read a wait of 1.25 s, and callers got 503 with 1.25 s. The new test of the lease failed before (0.0 in place of none); that of the leader guards what follows from it, and passed before.

Change: while the lease does not hold, how long until orders is not known; the leader then tells what it tells without any lease, 2 s, or the wait of another leader that may order.

Ruled out: to count down to the store's return: nobody knows it.

--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -53,7 +53,7 @@
 # A listing of an engine's weights that differs from its book is checked when the last
 # order is older than this: two heartbeats.
 LISTING_AGE: Final[Seconds] = 3.0
-# The wait that is told while this daemon does not lead.
+# The wait that is told while no lease that is held here allows orders.
 WAIT_UNKNOWN: Final[Seconds] = 2.0
 # What it takes to have a leader of another data centre load an adapter instead.
 FORWARD_TIME: Final[Seconds] = 0.1
@@ -180,8 +180,8 @@
 
     def find_order_wait(self) -> Seconds | None:
         """Return how long until some engine may be given an order; none: unknown."""
-        held = [lease for lease in self._leases.values() if lease.leads]
-        return min((lease.find_order_wait() for lease in held), default=None)
+        waits = (lease.find_order_wait() for lease in self._leases.values())
+        return min((wait for wait in waits if wait is not None), default=None)
 
     def estimate_load_wait(self) -> Seconds:
         """Return how long it takes from now until an adapter asked for now is there."""
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -142,9 +142,17 @@
         """Tell whether an order may leave at this very moment."""
         return self.is_valid() and self._orders_from <= self._clock()
 
-    def find_order_wait(self) -> Seconds:
-        """Return how long until orders may be given; 0 when they may be now."""
-        return max(0.0, self._orders_from - self._clock()) if self.leads else 0.0
+    def find_order_wait(self) -> Seconds | None:
+        """Return how long until orders may be given, none where that is not known.
+
+        A holder whose lease is over may give none until the store answers it, however
+        long that takes.
+        """
+        return self._find_quiet() if self.is_valid() else None
+
+    def _find_quiet(self) -> Seconds:
+        """Return how long a holder still has to keep apart from a former one."""
+        return max(0.0, self._orders_from - self._clock())
 
     def note_revision(self, revision: Revision) -> None:
         """Note that the leader's feed names a revision of the lease."""
@@ -188,9 +196,7 @@
             self._lose("nothing held")
             return
         began = self._clock()
-        wanted = replace(
-            record, renewals=record.renewals + 1, quiet=self.find_order_wait()
-        )
+        wanted = replace(record, renewals=record.renewals + 1, quiet=self._find_quiet())
         try:
             stored = await self._write(sighting.revision, wanted)
         except EraPassed:
@@ -215,7 +221,7 @@
         if record is None or not self._may_go_on(record, found, began):
             self._lose("the store came back from a copy")
             return
-        wanted = replace(record, quiet=self.find_order_wait(), era=self._store.era)
+        wanted = replace(record, quiet=self._find_quiet(), era=self._store.era)
         try:
             if stored is None:
                 content = asdict(wanted)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -7,6 +7,7 @@
 
 from kestreltally.entry.outcomes import Outcome
 from kestreltally.fleet.model import EndpointId, Notice, WeightsKey
+from kestreltally.placing.leader import WAIT_UNKNOWN
 from kestreltally.placing.orders import CALL_TIMEOUT
 from kestreltally.placing.planner import plan_most_missed_first
 from tests.entryrig import MODELS
@@ -37,6 +38,21 @@
     rig.close()
 
 
+async def test_callers_are_not_held_for_loads_that_nobody_may_order() -> None:
+    # Guards against requests held by the word of a leader whose lease is over.
+    rig = LeaderRig()
+    await asyncio.sleep(1.0)
+    assert rig.leader.estimate_load_wait() < 0.5
+    rig.lease.may_order = lambda: False
+    rig.lease.find_order_wait = lambda: None
+    await asyncio.sleep(0.2)
+    assert rig.leader.estimate_load_wait() == WAIT_UNKNOWN
+    # Another leader that may order is waited for.
+    rig.leader.other_wait = lambda: 0.25
+    assert rig.leader.estimate_load_wait() < 0.5
+    rig.close()
+
+
 async def test_loads_that_are_quick_again_are_soon_seen_to_be() -> None:
     """Play slow loads, then quick ones, and time when these are known to have come.
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -339,6 +339,22 @@
     assert again.lease.fence == 2
 
 
+async def test_a_holder_whose_lease_is_over_knows_not_when_it_may_order() -> None:
+    # Guards against loads that are promised soon while none can be ordered.
+    holder = make_contender(FakeStore(), "a")
+    holder.start()
+    await wait_until_ordering(holder, 1.0)
+    assert holder.lease.find_order_wait() == 0.0
+    holder.view.down = True
+    await asyncio.sleep(VALIDITY + 0.1)
+    assert holder.lease.leads
+    assert holder.lease.find_order_wait() is None
+    holder.view.down = False
+    await asyncio.sleep(1.5)
+    assert holder.lease.find_order_wait() == 0.0
+    holder.kill()
+
+
 async def test_a_restart_while_still_waiting_waits_on() -> None:
     store = FakeStore()
     former = make_contender(store, "a")
@@ -350,6 +366,7 @@
     while not second.lease.leads:
         await asyncio.sleep(0.01)
     waits = second.lease.find_order_wait()
+    assert waits is not None
     second.kill()
     again = make_contender(store, "b", "boot-2")
     again.start()
