Take no part of the retry slack while the number of daemons is not known

Cause: the number of daemons began as 8 and was never unknown.

Change: until a daemon is told the number, it repeats only what its own requests allow. How often it asks a silent store keeps its own first guess, for there only calls are at stake. The rig of the entry's tests tells its daemon the number that it took before; their checks are as they were.

Ruled out: a guess above all deployments: the size to come is no bound.

--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -9,17 +9,20 @@
 # The bound holds over all daemons, and requests are not spread evenly over them.
 RATIO_PART: Final = 0.75
 SLACK_PART: Final = 0.7
-DAEMONS_AT_FIRST: Final = 8
 
 
 class RetryBudget:
-    """Grants sends past the first of a request, by service, in a sliding window."""
+    """Grants sends past the first of a request, by service, in a sliding window.
+
+    ``daemons`` is how many there are, none where this one was never told: any part of
+    the slack may be too much for all together then, and it takes none.
+    """
 
     def __init__(self, bounds: Bounds) -> None:
         self._bounds = bounds
         self._first: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
         self._repeats: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
-        self.daemons = DAEMONS_AT_FIRST
+        self.daemons: int | None = None
 
     def note_request(self, service: ServiceName, now: Seconds) -> None:
         """Count a request of a client."""
@@ -44,8 +47,10 @@
     def _allowance(self, service: ServiceName, now: Seconds) -> float:
         requests = self._first[service]
         self._forget(requests, now)
-        slack = SLACK_PART * self._bounds.retry_slack / max(1, self.daemons)
-        return RATIO_PART * self._bounds.retry_ratio * len(requests) + slack
+        own = RATIO_PART * self._bounds.retry_ratio * len(requests)
+        if self.daemons is None:
+            return own
+        return own + SLACK_PART * self._bounds.retry_slack / max(1, self.daemons)
 
     def _forget(self, times: deque[Seconds], now: Seconds) -> None:
         while times and now - times[0] > self._bounds.retry_window:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -71,6 +71,8 @@
 HOUSEKEEPING_EVERY: Final[Seconds] = 0.1
 # Kept channels are not used past their time; they are closed this often.
 TIDY_EVERY: Final[Seconds] = 1.0
+# Until a daemon is told how many there are, it asks the store as one of so many.
+DAEMONS_AT_FIRST: Final = 8
 RESTART_PAUSE: Final[Seconds] = 0.2
 # Changes of endpoints within this time come in one answer of the store.
 ENDPOINTS_GAP: Final[Seconds] = 0.4
@@ -157,7 +159,7 @@
             self._store,
             self._leases,
             self._exchange.leaders.wants_look,
-            lambda: self._relay.budget.daemons,
+            self._count_daemons,
         )
         self._leader = self._make_leader()
         self._exchange.leader = self._leader
@@ -278,7 +280,7 @@
             "unread_words": self._fleet.notices.unread.count(),
             "poison_requests": self._relay.poison.register.count(),
             "endpoints_by_word": self._fleet.notices.count(now),
-            "daemons_known": {"feed": self._relay.budget.daemons},
+            "daemons_known": {"feed": self._exchange.daemons or 0},
         }
 
     def _begin_leading(self) -> None:
@@ -359,7 +361,11 @@
 
     def _count_watchers(self) -> int:
         """Return how many daemons ask the store again when it does not answer."""
-        return 1 if self._exchange.leaders.leads else self._relay.budget.daemons
+        return 1 if self._exchange.leaders.leads else self._count_daemons()
+
+    def _count_daemons(self) -> int:
+        """Return how many daemons are taken to ask the store as this one does."""
+        return self._exchange.daemons or DAEMONS_AT_FIRST
 
     # Start and stop.
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -16,7 +16,6 @@
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.fullness import EMPTY
 from kestreltally.entry.relay import Relay
-from kestreltally.entry.retries import DAEMONS_AT_FIRST
 from kestreltally.entry.waiting import Awaited
 from kestreltally.fleet.model import (
     Configuration,
@@ -150,6 +149,8 @@
             client.note_connected = self.turns.note_connected
             client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
+        # How many there are, none where this one was never told.
+        self.daemons: int | None = None
         self._departures = Departures()
         self._reported = EMPTY
         self._heard_at = clock()
@@ -366,9 +367,7 @@
         self._relay.finder.load_wait = update.load_wait
         if update.in_flight is not None:
             self._relay.finder.others = decode_fullness(update).minus(self._reported)
-            self._relay.budget.daemons = update.daemons or DAEMONS_AT_FIRST
-            self.turns.note_daemons(update.daemons)
-            self._limiter.daemons = self._relay.budget.daemons
+            self._note_daemons(update.daemons)
 
     def _take_rows(self, update: Any, led: set[str]) -> None:
         """Take in what a leader tells, as the store was when it last answered it."""
@@ -499,10 +498,15 @@
             self._limiter.note_words(words)
         self._sum_counts()
         self._relay.finder.load_wait = self.leader.estimate_load_wait()
-        self._relay.budget.daemons = self.feed.count_daemons()
-        self.turns.note_daemons(self._relay.budget.daemons)
+        self._note_daemons(self.feed.count_daemons())
         self.turns.lend()
-        self._limiter.daemons = self._relay.budget.daemons
+
+    def _note_daemons(self, count: int) -> None:
+        """Take in how many daemons there are, for this one's part of what all share."""
+        self.daemons = count
+        self._relay.budget.daemons = count
+        self._limiter.daemons = count
+        self.turns.note_daemons(count)
 
     def list_uses(self) -> set[Use]:
         """Return which adapters on which engines are in use, as all daemons told."""
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -81,10 +81,9 @@
         heard = self._leaders.leads or self._leaders.find_primary() is not None
         return Lending(heard=heard, daemons=self._headcount.most)
 
-    def note_daemons(self, count: int | None) -> None:
+    def note_daemons(self, count: int) -> None:
         """Take in how many daemons are heard by all leaders that are heard."""
-        if count is not None:
-            self._headcount.note(count, self._clock())
+        self._headcount.note(count, self._clock())
 
     def _find_terms(self, endpoint: Endpoint, limit: LimitStanding) -> Terms | None:
         """Return how turns are lent here, none where another daemon lends them."""
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -33,6 +33,8 @@
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS, Limiter
 from tests.ports import reserve_port
 
+# How many daemons there are, as this one was told.
+DAEMONS = 8
 BOUNDS = Bounds(
     drain=2.0,
     grace=8.0,
@@ -275,7 +277,9 @@
         servers.append(server)
         fleet.put_endpoint(endpoint.make_row())
     pool = ChannelPool(fleet.notices)
-    relay = Relay("north", fleet, pool, HealthTable(), RetryBudget(BOUNDS))
+    budget = RetryBudget(BOUNDS)
+    budget.daemons = DAEMONS
+    relay = Relay("north", fleet, pool, HealthTable(), budget)
     clock = asyncio.get_running_loop().time
     authority = Authority(bound=5.0, clock=clock)
     authority.note(clock())
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -28,3 +28,20 @@
             while budget.take(SERVICE, now):
                 taken += 1
     assert taken <= BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
+
+
+@pytest.mark.parametrize("daemons", [1, 6, 79, 1_100])
+def test_daemons_never_told_their_number_keep_the_bound(daemons: int) -> None:
+    # Guards against each of many taking the part of one of a few.
+    requests = taken = 0
+    for _ in range(daemons):
+        budget = RetryBudget(BOUNDS)
+        for at in range(40):
+            now = at * LASTS / 40
+            budget.note_request(SERVICE, now)
+            requests += 1
+            while budget.take(SERVICE, now):
+                taken += 1
+    assert taken <= BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
+    # What its own requests allow it may use.
+    assert taken >= 0.5 * BOUNDS.retry_ratio * requests
