Leave an endpoint alone that turns requests away one after another without a time

What callers saw: engines that shed turn all away with 503, "not run", and no time to come back. Who alone held an adapter was asked again at once and each 0.1 s, up to seven times a request, until the budget of repeated sends was used up; then all were refused.

Cause: a 503 without a time says nothing that any daemon keeps: no time to rest, no failure (it did not run), nothing that its leader hears. So what such an engine holds was brought nowhere else.

Change: an endpoint that has turned away three requests in a row, each sent after the one before was turned away, is left alone as one that asks for rest: 0.3 s at first, twice as long each time again up to 2.4 s; what follows is as there (it is told, what it holds is brought elsewhere, requests return by steps). One that answers in between is used on: it was full for a moment.

Ruled out: to count such refusals as failures: a full engine would be left out, and its leader spares what most requests failed at.

--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -198,13 +198,15 @@
 
     ``limit`` is how many requests a second the endpoint takes from all daemons
     together, none where it names none; ``unclear`` tells that it names one that cannot
-    be read.
+    be read. ``turns_away`` tells that it did not run a request, with no word on when it
+    will.
     """
 
     leaves: bool
     rest: Seconds
     limit: float | None = None
     unclear: bool = False
+    turns_away: bool = False
 
 
 SILENT: Final = Notice(leaves=False, rest=0.0)
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -9,6 +9,8 @@
   from a copy. Another start of it ends that.
 - It wants rest of this daemon, by its 503 here: overrules all else. Its time ends that,
   or another start of it.
+- It turns requests away and names no time, several in a row: the same, for a time that
+  grows. One alone may be full for a moment, or lack what the request needs.
 - It wants rest of another daemon, by that daemon's word: overrules nothing here; a
   leader has what it holds brought elsewhere for those who may not ask it.
 - It names a limit, by its answers here or at any daemon: the newest word holds at all
@@ -53,6 +55,11 @@
 TRIAL_MOST: Final[Seconds] = 1.0
 # What is told of an endpoint that is being tried: when to look again.
 TRIAL_LOOK: Final[Seconds] = 0.05
+# An endpoint that turns so many requests in a row away, and names no time, is left
+# alone as if it had asked for rest: at first so long, twice as long each time again.
+TURNED_AWAY_MOST: Final = 3
+UNTOLD_REST: Final[Seconds] = 0.3
+UNTOLD_REST_MOST: Final[Seconds] = 2.4
 FOR_EVER: Final[Seconds] = float("inf")
 NOBODY_LENDS: Final = Lending(heard=False, daemons=None)
 
@@ -68,7 +75,8 @@
     ``resting`` holds on past the rest until answers have shown that it is over; until
     then ``allowed`` requests may be under way, and ``trials`` tells when each of them
     went. ``rests_elsewhere_until`` is the longest rest that another daemon was asked
-    for.
+    for. ``turned_away`` counts the requests in a row that were turned away with no time
+    named, and ``untold_rest`` is how long it was last left alone for them.
     """
 
     born: int
@@ -79,6 +87,9 @@
     allowed: int = RISE_FIRST
     trials: deque[Seconds] = field(default_factory=deque)
     rests_elsewhere_until: Seconds = NEVER
+    turned_away: int = 0
+    turned_away_at: Seconds = NEVER
+    untold_rest: Seconds = 0.0
     limit: LimitStanding = field(default_factory=LimitStanding)
 
     def begin_rise(self, now: Seconds) -> None:
@@ -87,6 +98,21 @@
         self.allowed = RISE_FIRST
         self.rests_until = max(self.rests_until, now)
 
+    def count_turned_away(self, sent_at: Seconds, now: Seconds) -> Seconds:
+        """Count a request turned away with no time named; return the rest it needs.
+
+        Those that were on their way together are turned away for one reason, once.
+        """
+        if sent_at < self.turned_away_at:
+            return 0.0
+        self.turned_away_at = now
+        self.turned_away += 1
+        if self.turned_away < TURNED_AWAY_MOST or now < self.rests_until:
+            return 0.0
+        longer = max(UNTOLD_REST, 2 * self.untold_rest)
+        self.untold_rest = min(UNTOLD_REST_MOST, longer)
+        return self.untold_rest
+
     def find_rest(self, now: Seconds) -> Seconds:
         """Return how long it is to be left alone, 0 where it may be asked."""
         if self.leaves:
@@ -139,9 +165,14 @@
             self._note_limit(endpoint.id, row, before, now)
         if notice.leaves:
             self._note_leaving(endpoint.id, row)
-        if notice.rest > 0:
-            self._begin_rest(endpoint.id, row, notice.rest, now)
-        else:
+        rest = notice.rest
+        if signed and notice.turns_away:
+            rest = row.count_turned_away(sent_at, now)
+        elif signed:
+            row.turned_away, row.untold_rest = 0, 0.0
+        if rest > 0:
+            self._begin_rest(endpoint.id, row, rest, now)
+        elif not notice.turns_away:
             self._end_rest(endpoint, now)
 
     def _note_leaving(self, endpoint: EndpointId, row: _Standing) -> None:
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -184,7 +184,13 @@
         times = _read_decimals(headers.getall(RETRY_AFTER, []))
         rest = min(REST_MOST, max(times, default=0.0))
     limit = min(_read_decimals(named), default=None)
-    return Notice(leaves, rest, limit, unclear=bool(named) and limit is None)
+    return Notice(
+        leaves,
+        rest,
+        limit,
+        unclear=bool(named) and limit is None,
+        turns_away=status == UNAVAILABLE and _NOT_RUN in headers and not rest,
+    )
 
 
 def list_unread(status: int, headers: Mapping[str, str]) -> list[str]:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -62,6 +62,8 @@
     # What its answers say of it, and until when it wants rest, by the loop's clock.
     says_leaving: bool = False
     rests_until: float = 0.0
+    # It turns all requests away, and says neither why nor for how long.
+    sheds: bool = False
     # How many requests a second it takes from all daemons, as its answers say.
     limit: float | None = None
     # Until when it writes no entry, by the loop's clock.
@@ -197,12 +199,13 @@
         if self.limit is not None:
             answer.headers["Server-Limit"] = f"{self.limit:g}"
 
-    def _turn_away(self, http: web.Request, rest: float) -> web.Response:
+    def _turn_away(self, http: web.Request, rest: float | None) -> web.Response:
         headers = {
             "X-Not-Run": "1",
             "X-Request-Id": http.headers.get("X-Request-Id", ""),
-            "Retry-After": f"{rest:.2f}",
         }
+        if rest is not None:
+            headers["Retry-After"] = f"{rest:.2f}"
         return web.Response(status=503, headers=headers)
 
     def _misdirect(self, http: web.Request) -> web.Response:
@@ -219,6 +222,8 @@
         self.calls.append(now)
         if now < self.rests_until:
             return self._turn_away(http, self.rests_until - now)
+        if self.sheds:
+            return self._turn_away(http, None)
         request_id = http.headers.get("X-Request-Id", "")
         adapter = http.headers.get("X-Model-Name", "").partition("/")[2]
         wrong = http.headers.get("X-Expect-Instance", self.id) != self.id
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -172,6 +172,43 @@
         assert sum(missed) <= 2
 
 
+async def test_what_an_engine_holds_that_turns_all_away_is_brought_elsewhere() -> None:
+    # Guards against a 503 without a time that nobody keeps: its holder alone was asked
+    # again until the budget of repeated sends was used up.
+    async with run_fleet() as rig:
+        assert (await rig.ask("north-1", "/m/x", "a1", "begin")).whole
+        (engine,) = [each for each in rig.engines if "a1" in each.held]
+        engine.sheds = True
+        began = asyncio.get_running_loop().time()
+        asked = (ask_for_a_while(rig, vm, "a1", vm) for vm in rig.daemons)
+        missed = await asyncio.gather(*asked)
+        arrived = [at for at in engine.arrivals if at > began]
+        # Three requests of each daemon learn of it, and some more each try it later.
+        assert len(arrived) <= 6 * len(rig.daemons)
+        assert sum(missed) <= 4
+
+
+async def test_an_endpoint_that_turns_a_part_away_is_used_on() -> None:
+    # Guards against an engine left alone because it was full for a moment.
+    refusing = 0
+
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        nonlocal refusing
+        refusing += 1
+        if refusing % 2:
+            heads = b"X-Not-Run: 1\r\n"
+            writer.write(make_answer(seen, b"", b"503 Service Unavailable", heads))
+        else:
+            writer.write(make_answer(seen))
+
+    async with run_entry([ScriptedEndpoint("e1", answer)], make_route(UNSAFE)) as rig:
+        replies = [
+            await rig.ask("POST", body=b"x", request_id=f"q{number}")
+            for number in range(4)
+        ]
+    assert [each.status for each in replies] == [200] * 4
+
+
 async def test_all_daemons_heed_an_endpoints_word_soon() -> None:
     async with run_fleet() as rig:
         for number in range(2, 5):
