Let go of the feed as a daemon closes

A daemon that was closed went on telling followers that it leads, as long as its process lived: its other parts were let go of, its feed was not. On the platform the process ends at once, so no caller saw it; tests with several daemons in one process did: one that had been closed told a configuration of before. Now it listens no more, and who is connected sees the end at once.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -415,6 +415,7 @@
     async def close(self) -> None:
         """Let go of everything."""
         await self._surface.close()
+        self._exchange.feed.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -141,6 +141,13 @@
         """Listen; raises ``OSError``."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
+    def close(self) -> None:
+        """Listen no more, and let go of all daemons that are connected."""
+        if self._server is not None:
+            self._server.close()
+        for peer in list(self._peers):
+            peer.stream.abort()
+
     def hurry(self) -> None:
         """Send what has changed soon."""
         self._wake.set()
