Put no configuration in force from what may be a copy, where a newer one may be known

What callers saw: a daemon that started just as the store had come back from a copy put the copy's configuration in force: routes that had been added were denied with 404 (ten of ten requests in the second until the operators had written again), keys that had been taken away in the lost seconds were believed.

Cause: a return from a copy was noticed by a change of the era only; who sees its first era took what it read for what is in force.

Evidence: the new test, a daemon started in that gap with no leader to hear: 404 before, 503 now until the operators write, then 200. With a leader it takes that one's word at once, as before (the second test, which passed before too).

Change: an era above the first one counts as a return of just now, for nobody can tell when it was. For 2.2 s, in which others write again what was lost, a daemon that knows no configuration waits for a leader's word or a change in the store; a read of the store proves nothing of the age of keys meanwhile, as it does for who saw the return. A daemon that hears a leader loses nothing; one of a fleet that starts anew with none, 2.2 s, and only where the store has ever come back from a copy.

Ruled out: to serve by the copy and mend it later: what is denied or run by then is done.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -130,7 +130,8 @@
         )
         self._leases = self._make_leases()
         self._configuration = ConfigurationFollower(
-            lambda configuration: self._exchange.take_configuration(configuration)
+            lambda configuration: self._exchange.take_configuration(configuration),
+            self._store.lacks_writes,
         )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP, OTHERS_WAIT
@@ -310,6 +311,7 @@
                 self._exchange.leaders.find_primary() is not None
             )
             self._endpoints.drop_lapsed()
+            self._configuration.take_held()
             self._fleet.forget_absences(now)
             if now >= tidied_at + TIDY_EVERY:
                 tidied_at = now
--- a/src/kestreltally/knowledge/followers.py
+++ b/src/kestreltally/knowledge/followers.py
@@ -36,10 +36,21 @@
 
 
 class ConfigurationFollower:
-    """Puts each newer configuration in force, and keeps it for peers."""
+    """Puts each newer configuration in force, and keeps it for peers.
 
-    def __init__(self, take: Callable[[Configuration], bool]) -> None:
+    ``lacks_writes`` tells that the store may show a copy. A daemon that knows nothing
+    yet waits then for a leader's word, for the operators to write again, or for the
+    time in which they would have.
+    """
+
+    def __init__(
+        self,
+        take: Callable[[Configuration], bool],
+        lacks_writes: Callable[[], bool],
+    ) -> None:
         self._take = take
+        self._lacks_writes = lacks_writes
+        self._held: Any = None
         self._read_revision: Revision | None = None
         self._version = 0
         self.encoded = b""
@@ -47,8 +58,21 @@
     def take_listing(self, listing: Listing) -> None:
         """Take the configuration of a listing in."""
         for stored in listing.objects:
+            if self._is_doubtful() and stored.name == CONFIGURATION_NAME:
+                self._held = stored.content
+                continue
             self._take_object(stored)
 
+    def _is_doubtful(self) -> bool:
+        """Tell whether what the store shows may be older than what others know."""
+        return not self._version and self._lacks_writes()
+
+    def take_held(self) -> None:
+        """Put in force what was held back, once nothing newer is to be expected."""
+        if self._held is not None and not self._is_doubtful():
+            held, self._held = self._held, None
+            self.take_document(held)
+
     def take_changes(self, changes: Changes) -> None:
         """Take a changed configuration in; a deletion changes nothing."""
         for change in changes.changes:
@@ -61,6 +85,8 @@
 
     def take_read(self, stored: StoredObject) -> bool:
         """Take a configuration in that was read; tell as ``take_document`` does."""
+        if self._is_doubtful():
+            return False
         if stored.revision != self._read_revision:
             if not self.take_document(stored.content):
                 return False
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -178,7 +178,8 @@
         self._base = f"http://{address.host}:{address.port}/objects"
         self.calls = 0
         # The latest era that was told, and when it was first known that the store had
-        # come back from a copy, by the loop's clock.
+        # come back from a copy, by the loop's clock. Who has just started cannot tell
+        # how long ago that was.
         self.era = NO_ERA
         self.copied_at: Seconds = float("-inf")
 
@@ -190,12 +191,17 @@
         if era < self.era:
             raise StoreError(f"{call}: an answer of era {era}, {self.era} is known")
         if era > self.era:
-            if self.era != NO_ERA:
+            if era > FIRST_ERA:
                 self.copied_at = asyncio.get_running_loop().time()
                 log_decision(LOG, Decision.STORE_COPIED, era=era)
             self.era = era
         return era
 
+    def lacks_writes(self) -> bool:
+        """Tell whether others' writes may be lost that are still to be done again."""
+        passed = asyncio.get_running_loop().time() - self.copied_at
+        return passed < REWRITTEN_WITHIN
+
     async def list_objects(self, kind: str) -> Listing:
         """Return all objects of a kind; raises ``StoreError``."""
         objects: list[StoredObject] = []
--- a/tests/test_eras.py
+++ b/tests/test_eras.py
@@ -117,3 +117,45 @@
                 assert reply.status == 200
         assert sum(first.runs.values()) == before
         assert sum(second.runs.values()) >= 24
+
+
+async def serve_from_a_copy(rig: FleetRig, vm: str) -> list[int]:
+    """Restart the store from a copy, and a daemon then; return what it answers.
+
+    The operators write again what the copy lacks after a second.
+    """
+    kept = rig.store.copy()
+    newer = make_configuration(4, "/b/")
+    await rig.store.put("config", "main", newer)
+    for each in rig.daemons:
+        await rig.ask_until(each, "/b/x", 200, 2.0)
+    await rig.daemons.pop(vm).close()
+    await rig.store.restore(kept)
+    await rig.add_daemon(vm, vm.partition("-")[0])
+    asyncio.get_running_loop().call_later(
+        1.0, lambda: asyncio.ensure_future(rig.store.put("config", "main", newer))
+    )
+    statuses = []
+    for _ in range(30):
+        statuses.append((await rig.ask(vm, "/b/x")).status)
+        await asyncio.sleep(0.1)
+    return statuses
+
+
+async def test_a_daemon_that_starts_with_a_copy_acts_on_no_old_configuration() -> None:
+    # Guards against routes that a restarted daemon denies, or serves as they were.
+    async with run_fleet() as rig:
+        await rig.daemons.pop("south-1").close()
+        statuses = await serve_from_a_copy(rig, "north-1")
+        assert set(statuses) <= {200, 503}
+        assert statuses[-10:] == [200] * 10
+
+
+async def test_a_daemon_that_starts_with_a_copy_takes_a_leaders_word() -> None:
+    async with run_fleet() as rig:
+        await rig.add_daemon("north-2", "north")
+        await asyncio.sleep(0.5)
+        statuses = await serve_from_a_copy(rig, "north-2")
+        assert set(statuses) <= {200, 503}
+        # Before the operators have written again.
+        assert statuses[7:] == [200] * 23
