One interface for the parts of the feed; rows and notices in modules of their own

The exchange wired turns, ends, notices and rows by assigned functions, each in its own way (take_wanted, fill_turns, ends, note_counts), and held the fleet's rows itself. Now a part puts its own into reports and updates and takes it from them (parts.py: FeedPart), a list in the exchange names them, and the feed server walks it; an update comes with how it is to be taken (Heard). Behaviour is as before, but that the parts of a report are taken in the order of the list. The test of turns makes its update as Heard; its checks are as they were.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -166,8 +166,8 @@
         self._exchange.leader = self._leader
         self._relay.finder.hurry = self._hurry
         self._endpoints = EndpointsFollower(
-            self._exchange.put_entry,
-            self._exchange.drop_entry,
+            self._exchange.rows.put_entry,
+            self._exchange.rows.drop_entry,
             self._clock,
             lambda: self._endpoints_watch.returned_at,
         )
@@ -176,7 +176,7 @@
         )
         self._versions_watch = self._make_watch(
             VERSIONS_KIND,
-            VersionsFollower(self._exchange.take_version),
+            VersionsFollower(self._exchange.rows.take_version),
             VERSIONS_GAP,
             OTHERS_WAIT,
         )
@@ -224,7 +224,7 @@
             caller,
             self._deployment.bounds,
             self._clock,
-            self._exchange.put_row,
+            self._exchange.rows.put_row,
         )
         for lease in self._leases.values():
             lease.note_begin = self._begin_leading
@@ -306,7 +306,7 @@
             self._reader.look()
             self._exchange.lead_own()
             self._exchange.forget_leader()
-            self._exchange.forget_word()
+            self._exchange.rows.forget_word()
             self._identity.hears_leader = (
                 self._exchange.leaders.find_primary() is not None
             )
--- a/src/kestreltally/knowledge/ends.py
+++ b/src/kestreltally/knowledge/ends.py
@@ -11,6 +11,8 @@
 from typing import Any, Final
 
 from kestreltally.fleet.model import Seconds
+from kestreltally.knowledge.parts import FeedPart, Heard
+from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import decode_facts, encode_facts
 from kestreltally.poison.guard import PoisonGuard
 
@@ -18,66 +20,62 @@
 TELL_REST_AFTER: Final[tuple[Seconds, Seconds]] = (0.2, 1.0)
 
 
-class EndsExchange:
+class EndsExchange(FeedPart):
     """Puts facts and the digests' secret into reports and updates, and takes them in.
 
-    ``hurry`` has this daemon's news told at once, to followers or to the leader.
+    ``leads`` tells whether this daemon leads; ``hurry`` has its news told at once, to
+    followers or to the leader.
     """
 
     def __init__(
         self,
         poison: PoisonGuard,
+        leads: Callable[[], bool],
         hurry: Callable[[], None],
         clock: Callable[[], Seconds],
     ) -> None:
         self._poison = poison
+        self._leads = leads
         self._hurry = hurry
         self._clock = clock
         poison.register.note_news = hurry
 
-    @property
-    def position(self) -> int:
-        """Return up to where there is something to tell."""
-        return self._poison.register.news.position
-
     def lead(self) -> bytes:
         """Return the secret that a leader tells, empty where there is none yet."""
         return self._poison.secret.lead()
 
-    def fill_report(self, report: Any) -> None:
-        """Put into a report what the leader has yet to be told."""
-        facts = self._poison.register.news.list_unheard()
-        encode_facts(report, facts, self._clock())
-
-    def fill_update(self, update: Any, told: int) -> int:
-        """Put into an update what came after a position; return the new position."""
-        if told != self.position:
-            facts = self._poison.register.news.list_since(told)
-            encode_facts(update, facts, self._clock())
-        return self.position
-
-    def name_secret(self, report: Any) -> None:
-        """Put the secret that is known here into a report."""
+    def fill_report(self, report: Any, data_centre: str) -> None:
+        """Put in the secret, and what the leader that is followed still lacks."""
         report.secret = self._poison.secret.value
-
-    def take_report(self, report: Any) -> None:
-        """Take in, as a leader, what a daemon tells."""
+        if report.follows:
+            facts = self._poison.register.news.list_unheard()
+            encode_facts(report, facts, self._clock())
+
+    def take_report(self, peer: Peer, report: Any) -> None:
+        """Take in the secret, and, as a leader, what a daemon has seen."""
+        self._poison.secret.take(report.secret)
+        if not self._leads():
+            return
         if self._poison.register.note_told(decode_facts(report, self._clock())):
             self._hurry()
 
-    def take_secret(self, message: Any) -> None:
-        """Take in the secret that another daemon knows."""
-        self._poison.secret.take(message.secret)
+    def fill_update(self, update: Any, peer: Peer) -> None:
+        """Put in what the daemon has not been told yet."""
+        news = self._poison.register.news
+        if peer.told_facts != news.position:
+            facts = news.list_since(peer.told_facts)
+            encode_facts(update, facts, self._clock())
+        peer.told_facts = news.position
 
-    def take_update(self, update: Any, *, followed: bool, leads: bool) -> None:
-        """Take in what a leader tells; ``followed`` tells that reports go to it."""
-        self.take_secret(update)
-        facts = decode_facts(update, self._clock())
+    def take_update(self, heard: Heard) -> None:
+        """Take in the secret, and what a leader was told."""
+        self._poison.secret.take(heard.update.secret)
+        facts = decode_facts(heard.update, self._clock())
         if not facts:
             return
-        if followed:
+        if heard.followed:
             self._poison.register.news.note_echo(facts)
-        if self._poison.register.note_told(facts) and leads:
+        if self._poison.register.note_told(facts) and heard.leads:
             self._hurry()
 
     def note_leader_heard(self, _: str) -> None:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -9,7 +9,6 @@
 import json
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import replace
 from typing import Any, Final
 
 from kestreltally.deployment import Deployment
@@ -22,32 +21,28 @@
     Endpoint,
     EndpointId,
     Seconds,
-    WeightsKey,
-    is_other_life,
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
-from kestreltally.knowledge.departures import Departures
 from kestreltally.knowledge.ends import EndsExchange
-from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer, Peer
+from kestreltally.knowledge.feed import COUNTS_GAP, NOTABLE_TOKENS, FeedServer
+from kestreltally.knowledge.fleetrows import FleetRows
 from kestreltally.knowledge.followers import ConfigurationFollower
 from kestreltally.knowledge.following import FeedClient
 from kestreltally.knowledge.group import GroupBook, Use
 from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.notices import NoticeExchange
+from kestreltally.knowledge.parts import FeedPart, Heard
+from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import (
-    apply_change,
     decode_demand,
-    decode_endpoint,
     decode_fullness,
-    decode_notice,
     decode_outcome,
     decode_spending,
     decode_use,
-    decode_weights,
     decode_word,
     encode_demand,
     encode_fullness,
-    encode_notice,
     encode_outcomes,
     encode_spending,
     encode_use,
@@ -125,8 +120,9 @@
         self.feed.is_leading = lambda: self.leaders.leads and self._has_listed()
         relay.note_reading = self._note_own_reading
         relay.note_turn = self._note_turn
-        self._ends = EndsExchange(relay.poison, self._hurry_ends, clock)
-        self.feed.ends = self._ends
+        self._ends = EndsExchange(
+            relay.poison, lambda: self.leaders.leads, self._hurry_ends, clock
+        )
         fleet.notices.note_news = self._note_notice
         self.leaders = Leaders(deployment, leases)
         self.leaders.clients = {
@@ -143,15 +139,29 @@
             fleet, leases, self.leaders, self.find_lease, self.feed, clock
         )
         self.turns.note_turn = self._note_turn_come
-        self.feed.take_wanted = self.turns.take_report
-        self.feed.fill_turns = self.turns.fill_update
+        self.rows = FleetRows(
+            fleet,
+            relay,
+            self.leaders,
+            lambda: self.leader,
+            self.find_lease,
+            self.feed.hurry,
+            clock,
+        )
+        notices = NoticeExchange(fleet.notices, lambda: self.leaders.leads, clock)
+        self._parts: tuple[FeedPart, ...] = (
+            self._ends,
+            notices,
+            self.rows,
+            self.turns,
+        )
+        self.feed.parts = self._parts
         for client in self.leaders.clients.values():
             client.note_connected = self.turns.note_connected
             client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
         # How many there are, none where this one was never told.
         self.daemons: int | None = None
-        self._departures = Departures()
         self._reported = EMPTY
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
@@ -221,7 +231,6 @@
         return self.ledger.make_words(now)
 
     def _take_report(self, report: Any) -> None:
-        self._ends.take_secret(report)
         if self.leader is None or not self.leaders.leads:
             return
         if self.leader.is_short:
@@ -232,10 +241,6 @@
             endpoint, key, _ = decode_use(row)
             self._group.note_refused(endpoint, key)
         self._group.take_outcomes(decode_outcome(row) for row in report.outcomes or ())
-        self._ends.take_report(report)
-        self._fleet.notices.take_told(
-            [decode_notice(each) for each in report.notices or ()], self._clock()
-        )
         spendings = [decode_spending(row) for row in report.spendings or ()]
         self._group.take_spendings(spendings, of_group=not report.leads)
 
@@ -258,15 +263,13 @@
             daemons=1,
             stamp=self._clock(),
         )
-        known = self._fleet.notices.list_known(self._clock())
-        report.notices = [encode_notice(each) for each in known]
-        self.turns.fill_report(report, data_centre)
-        self._ends.name_secret(report)
         if self.leaders.leads:
             self._add_group(report, data_centre)
         elif self.leaders.find_primary() in (data_centre, None):
             report.follows = True
             self._add_own(report)
+        for part in self._parts:
+            part.fill_report(report, data_centre)
         return report
 
     def _find_store_age(self) -> Seconds:
@@ -284,7 +287,6 @@
         report.outcomes = encode_outcomes(self._relay.health.outcomes.take())
         spendings = self._limiter.take_spendings()
         report.spendings = [encode_spending(each) for each in spendings]
-        self._ends.fill_report(report)
 
     def _add_group(self, report: Any, data_centre: str) -> None:
         """Sum up this leader's daemons for another leader."""
@@ -344,14 +346,25 @@
             self._configuration.take_document(json.loads(update.configuration))
         if not update.leads:
             return
-        followed = self.leaders.find_primary() == data_centre
-        self._ends.take_update(update, followed=followed, leads=self.leaders.leads)
         self._take_authority(update)
-        self._take_rows(update, {each.data_centre for each in update.leads})
-        self.turns.take_update(data_centre, update, followed=followed)
-        if not self.leaders.leads and followed:
+        heard = self._make_heard(data_centre, update)
+        for part in self._parts:
+            part.take_update(heard)
+        if not heard.leads and heard.followed:
             self._take_counts(update)
 
+    def _make_heard(self, data_centre: str, update: Any) -> Heard:
+        """Return an update with how it is to be taken."""
+        age = AGE_UNKNOWN if update.store_age is None else update.store_age
+        return Heard(
+            update=update,
+            data_centre=data_centre,
+            led=frozenset(each.data_centre for each in update.leads),
+            as_of=self._clock() - age,
+            followed=self.leaders.find_primary() == data_centre,
+            leads=self.leaders.leads,
+        )
+
     def _take_authority(self, update: Any) -> None:
         """Take in up to when the leader knows all, once all that is known here too."""
         configuration = self._fleet.configuration
@@ -369,90 +382,6 @@
             self._relay.finder.others = decode_fullness(update).minus(self._reported)
             self._note_daemons(update.daemons)
 
-    def _take_rows(self, update: Any, led: set[str]) -> None:
-        """Take in what a leader tells, as the store was when it last answered it."""
-        age = AGE_UNKNOWN if update.store_age is None else update.store_age
-        as_of = self._clock() - age
-        if update.whole:
-            present = {each.id for each in update.rows or ()}
-            self._drop_missing(present, led, as_of)
-        for row in update.rows or ():
-            endpoint = decode_endpoint(row)
-            if not self._departures.is_gone(endpoint, as_of):
-                self.put_row(endpoint)
-        for change in update.changes or ():
-            known = self._fleet.endpoints.get(EndpointId(change.id))
-            if known is not None:
-                self.put_row(apply_change(known, change))
-        for name in update.gone or ():
-            self.drop_row(EndpointId(name), as_of)
-        for each in update.versions or ():
-            self.take_version(*decode_weights(each))
-
-    def _drop_missing(self, present: set[str], led: set[str], as_of: Seconds) -> None:
-        """Forget what a whole update does not name, as far as its sender leads it.
-
-        One that names nothing comes from a leader that has just started, maybe while
-        entries had lapsed: what is known here is better.
-        """
-        if not present:
-            return
-        for endpoint in list(self._fleet.endpoints.values()):
-            mine = not self.leaders.leads or endpoint.data_centre in led
-            if mine and endpoint.id not in present:
-                self.drop_row(endpoint.id, as_of)
-
-    # The tables.
-
-    def put_row(self, endpoint: Endpoint) -> None:
-        """Take a row in, wake who waits for its weights, and feed it to followers."""
-        known = self._fleet.endpoints.get(endpoint.id)
-        if known is not None and not self._take_life(known, endpoint):
-            return
-        self._fleet.put_endpoint(endpoint)
-        self._relay.finder.waiters.wake(endpoint.weights)
-        if self.leaders.leads:
-            self.feed.hurry()
-
-    def _take_life(self, known: Endpoint, endpoint: Endpoint) -> bool:
-        """Let go of an engine's earlier life; tell whether a row is not of one.
-
-        An engine that starts again under its id holds nothing of before, and a word on
-        its earlier life may come late.
-        """
-        if not is_other_life(known.born, endpoint.born):
-            return True
-        if endpoint.born < known.born:
-            return False
-        self._relay.poison.ends.note_replaced(known)
-        self._fleet.drop_endpoint(known.id)
-        self._relay.health.renew(known.id)
-        self._relay.finder.paces.forget(known.id)
-        return True
-
-    def drop_entry(self, endpoint: EndpointId) -> None:
-        """Forget an endpoint that the store no longer lists."""
-        self.drop_row(endpoint, self._clock())
-
-    def drop_row(self, endpoint: EndpointId, as_of: Seconds) -> None:
-        """Forget an endpoint that is gone, by what the store held at a moment."""
-        known = self._fleet.endpoints.get(endpoint)
-        if known is not None:
-            self._departures.note(known, as_of)
-            self._relay.poison.ends.note_gone(known)
-        if self.leader is not None:
-            self.leader.drop_endpoint(endpoint)
-        self._fleet.drop_endpoint(endpoint)
-        self._relay.health.forget(endpoint)
-        self._relay.finder.paces.forget(endpoint)
-        if self.leaders.leads:
-            self.feed.hurry()
-
-    def take_version(self, key: WeightsKey, number: int) -> None:
-        """Take the newest version of some weights in."""
-        if self._fleet.take_version(key, number, self._clock()) and self.leaders.leads:
-            self.feed.hurry()
-
     def take_configuration(self, configuration: Configuration) -> bool:
         """Put a configuration in force unless it is older, and feed it to followers."""
         taken = self._fleet.take_configuration(configuration)
@@ -462,21 +391,6 @@
             self.feed.hurry()
         return taken
 
-    def put_entry(self, endpoint: Endpoint) -> None:
-        """Take an endpoint's entry of the store in, where no leader knows better."""
-        self._departures.forget(endpoint.id)
-        lease = self.find_lease(endpoint)
-        if lease.leads and self.leader is not None:
-            self.leader.put_endpoint(endpoint)
-        elif (
-            self.leaders.clients[lease.data_centre].is_alive() and not endpoint.leaving
-        ):
-            known = self._fleet.endpoints.get(endpoint.id)
-            if known is None or is_other_life(known.born, endpoint.born):
-                self.put_row(endpoint)
-        else:
-            self.put_row(endpoint)
-
     def find_lease(self, endpoint: Endpoint) -> Lease:
         """Return the lease under which an endpoint gets its orders."""
         lease = self._leases.get(endpoint.data_centre)
@@ -589,20 +503,6 @@
             if client.is_alive():
                 client.hurry()
 
-    def forget_word(self) -> None:
-        """Drop what only a leader could tell that is no longer heard.
-
-        Its loads may be brought by another one, and what it spared may be used.
-        """
-        self._departures.forget_old(self._clock())
-        if not self.leaders.leads and self.leaders.find_primary() is not None:
-            return
-        for endpoint in list(self._fleet.endpoints.values()):
-            leader = self.find_lease(endpoint).data_centre
-            told = endpoint.loading or endpoint.spared
-            if told and not self.leaders.is_heard(leader):
-                self.put_row(replace(endpoint, loading=frozenset(), spared=False))
-
     def forget_leader(self) -> None:
         """Plan with nobody's word while no leader is heard."""
         now = self._clock()
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any, Final
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.fullness import EMPTY, Fullness
+from kestreltally.entry.fullness import Fullness
 from kestreltally.events import wait_at_most
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
-from kestreltally.knowledge.ends import EndsExchange
 from kestreltally.knowledge.frames import FrameStream, MalformedFrame
+from kestreltally.knowledge.parts import FeedPart
+from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import (
     decode_fullness,
     decode_use,
@@ -20,16 +21,13 @@
 )
 from kestreltally.knowledge.structs import Report, Update
 from kestreltally.knowledge.updates import (
-    NOTHING_TOLD,
     LeaderState,
     Rows,
-    Snapshot,
     UpdateMaker,
     UpdateRound,
     Versions,
     encode_leaders,
 )
-from kestreltally.placing.turns import Borrower
 from kestreltally.quotas.spending import Word
 from kestreltally.sockets import harden_socket
 
@@ -60,38 +58,6 @@
 CONFIGURATION_AGAIN: Final[Seconds] = 1.0
 
 
-@dataclass(slots=True, eq=False)
-class Peer:
-    """A daemon that is connected; ``leads`` is not empty for another leader.
-
-    ``follows`` tells that it follows this leader: where no leader knows what the store
-    holds, a daemon is connected to all of them, and follows one.
-    """
-
-    stream: FrameStream
-    vm: str = ""
-    leads: frozenset[str] = frozenset()
-    follows: bool = False
-    told: Snapshot = NOTHING_TOLD
-    whole: bool = True
-    unsent_since: Seconds | None = None
-    configuration: int = 0
-    daemons: int = 1
-    fullness: Fullness = EMPTY
-    uses: dict[tuple[EndpointId, WeightsKey], int] = field(default_factory=dict)
-    store_answered_at: Seconds = float("-inf")
-    store_read_at: Seconds = float("-inf")
-    # The last report's own time, and when it arrived here.
-    stamp: Seconds | None = None
-    stamped_at: Seconds = 0.0
-    told_configuration: int = 0
-    told_configuration_at: Seconds = float("-inf")
-    # Up to where it was told what is known of requests at ends.
-    told_facts: int = 0
-    # The turns that it wants, and those lent to it.
-    borrower: Borrower = field(default_factory=Borrower)
-
-
 @dataclass(frozen=True, slots=True)
 class Counts:
     """How full endpoints are over all daemons, and how many daemons there are.
@@ -129,13 +95,9 @@
         self.is_leading: Callable[[], bool] = lambda: bool(state().leads)
         # Returns the words on organisations at their limit, none without quotas.
         self.make_words: Callable[[], Iterable[Word] | None] = lambda: None
-        # Take the turns that a daemon wants from a report, and put those lent to it,
-        # and all limits that endpoints name, into an update.
-        self.take_wanted: Callable[[Peer, Any], None] = lambda *_: None
-        self.fill_turns: Callable[[Any, Peer], None] = lambda *_: None
+        # What take their own from reports, and put it into updates.
+        self.parts: Sequence[FeedPart] = ()
         self._server: asyncio.Server | None = None
-        # What is known of requests at ends of endpoints.
-        self.ends: EndsExchange | None = None
 
     async def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError``."""
@@ -217,7 +179,8 @@
         if report.read_age is not None:
             peer.store_read_at = self._clock() - report.read_age
         self._take_report(report)
-        self.take_wanted(peer, report)
+        for part in self.parts:
+            part.take_report(peer, report)
         if differs_notably(before, peer.fullness):
             self.note_counts(peer)
 
@@ -292,9 +255,8 @@
                 update.daemons = counts.daemons
                 update.words = counts.words
             _tell_authority(update, peer, current.state)
-            self.fill_turns(update, peer)
-            if self.ends is not None:
-                peer.told_facts = self.ends.fill_update(update, peer.told_facts)
+            for part in self.parts:
+                part.fill_update(update, peer)
         if self._lacks_configuration(peer, current.state.configuration_version):
             update.configuration = current.state.configuration
         peer.stream.send(update)
--- /dev/null
+++ b/src/kestreltally/knowledge/fleetrows.py
@@ -0,0 +1,165 @@
+"""The rows of endpoints and versions: taken from leaders and from the store."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from kestreltally.entry.relay import Relay
+from kestreltally.fleet.model import (
+    Endpoint,
+    EndpointId,
+    Seconds,
+    WeightsKey,
+    is_other_life,
+)
+from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.departures import Departures
+from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.parts import FeedPart, Heard
+from kestreltally.knowledge.rows import apply_change, decode_endpoint, decode_weights
+from kestreltally.placing.leader import Leader
+from kestreltally.placing.lease import Lease
+
+
+class FleetRows(FeedPart):
+    """Keeps the fleet's tables as leaders and the store tell them.
+
+    ``find_leader`` returns this daemon's own leader, none while the daemon is being put
+    together; ``hurry`` has what changed told to followers.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        relay: Relay,
+        leaders: Leaders,
+        find_leader: Callable[[], Leader | None],
+        find_lease: Callable[[Endpoint], Lease],
+        hurry: Callable[[], None],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._fleet = fleet
+        self._relay = relay
+        self._leaders = leaders
+        self._find_leader = find_leader
+        self._find_lease = find_lease
+        self._hurry = hurry
+        self._clock = clock
+        self._departures = Departures()
+
+    # What leaders tell.
+
+    def take_update(self, heard: Heard) -> None:
+        """Take in rows, changes of what is held, what is gone, and versions."""
+        update = heard.update
+        if update.whole:
+            present = {each.id for each in update.rows or ()}
+            self._drop_missing(present, heard.led, heard.as_of)
+        for row in update.rows or ():
+            endpoint = decode_endpoint(row)
+            if not self._departures.is_gone(endpoint, heard.as_of):
+                self.put_row(endpoint)
+        for change in update.changes or ():
+            known = self._fleet.endpoints.get(EndpointId(change.id))
+            if known is not None:
+                self.put_row(apply_change(known, change))
+        for name in update.gone or ():
+            self.drop_row(EndpointId(name), heard.as_of)
+        for each in update.versions or ():
+            self.take_version(*decode_weights(each))
+
+    def _drop_missing(
+        self, present: set[str], led: frozenset[str], as_of: Seconds
+    ) -> None:
+        """Forget what a whole update does not name, as far as its sender leads it.
+
+        One that names nothing comes from a leader that has just started, maybe while
+        entries had lapsed: what is known here is better.
+        """
+        if not present:
+            return
+        for endpoint in list(self._fleet.endpoints.values()):
+            mine = not self._leaders.leads or endpoint.data_centre in led
+            if mine and endpoint.id not in present:
+                self.drop_row(endpoint.id, as_of)
+
+    def put_row(self, endpoint: Endpoint) -> None:
+        """Take a row in, wake who waits for its weights, and feed it to followers."""
+        known = self._fleet.endpoints.get(endpoint.id)
+        if known is not None and not self._take_life(known, endpoint):
+            return
+        self._fleet.put_endpoint(endpoint)
+        self._relay.finder.waiters.wake(endpoint.weights)
+        if self._leaders.leads:
+            self._hurry()
+
+    def _take_life(self, known: Endpoint, endpoint: Endpoint) -> bool:
+        """Let go of an engine's earlier life; tell whether a row is not of one.
+
+        An engine that starts again under its id holds nothing of before, and a word on
+        its earlier life may come late.
+        """
+        if not is_other_life(known.born, endpoint.born):
+            return True
+        if endpoint.born < known.born:
+            return False
+        self._relay.poison.ends.note_replaced(known)
+        self._fleet.drop_endpoint(known.id)
+        self._relay.health.renew(known.id)
+        self._relay.finder.paces.forget(known.id)
+        return True
+
+    def drop_row(self, endpoint: EndpointId, as_of: Seconds) -> None:
+        """Forget an endpoint that is gone, by what the store held at a moment."""
+        known = self._fleet.endpoints.get(endpoint)
+        if known is not None:
+            self._departures.note(known, as_of)
+            self._relay.poison.ends.note_gone(known)
+        leader = self._find_leader()
+        if leader is not None:
+            leader.drop_endpoint(endpoint)
+        self._fleet.drop_endpoint(endpoint)
+        self._relay.health.forget(endpoint)
+        self._relay.finder.paces.forget(endpoint)
+        if self._leaders.leads:
+            self._hurry()
+
+    def take_version(self, key: WeightsKey, number: int) -> None:
+        """Take the newest version of some weights in."""
+        if self._fleet.take_version(key, number, self._clock()) and self._leaders.leads:
+            self._hurry()
+
+    # What the store tells.
+
+    def put_entry(self, endpoint: Endpoint) -> None:
+        """Take an endpoint's entry of the store in, where no leader knows better."""
+        self._departures.forget(endpoint.id)
+        lease = self._find_lease(endpoint)
+        leader = self._find_leader()
+        if lease.leads and leader is not None:
+            leader.put_endpoint(endpoint)
+        elif (
+            self._leaders.clients[lease.data_centre].is_alive() and not endpoint.leaving
+        ):
+            known = self._fleet.endpoints.get(endpoint.id)
+            if known is None or is_other_life(known.born, endpoint.born):
+                self.put_row(endpoint)
+        else:
+            self.put_row(endpoint)
+
+    def drop_entry(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint that the store no longer lists."""
+        self.drop_row(endpoint, self._clock())
+
+    def forget_word(self) -> None:
+        """Drop what only a leader could tell that is no longer heard.
+
+        Its loads may be brought by another one, and what it spared may be used.
+        """
+        self._departures.forget_old(self._clock())
+        if not self._leaders.leads and self._leaders.find_primary() is not None:
+            return
+        for endpoint in list(self._fleet.endpoints.values()):
+            leader = self._find_lease(endpoint).data_centre
+            told = endpoint.loading or endpoint.spared
+            if told and not self._leaders.is_heard(leader):
+                self.put_row(replace(endpoint, loading=frozenset(), spared=False))
--- /dev/null
+++ b/src/kestreltally/knowledge/notices.py
@@ -0,0 +1,35 @@
+"""What endpoints say of themselves, as daemons report it to leaders."""
+
+from collections.abc import Callable
+from typing import Any
+
+from kestreltally.fleet.model import Seconds
+from kestreltally.fleet.notices import NoticeTable
+from kestreltally.knowledge.parts import FeedPart
+from kestreltally.knowledge.peer import Peer
+from kestreltally.knowledge.rows import decode_notice, encode_notice
+
+
+class NoticeExchange(FeedPart):
+    """Reports what was heard here, and takes in, as a leader, what others heard."""
+
+    def __init__(
+        self,
+        notices: NoticeTable,
+        leads: Callable[[], bool],
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._notices = notices
+        self._leads = leads
+        self._clock = clock
+
+    def fill_report(self, report: Any, data_centre: str) -> None:
+        """Put in all that is in force."""
+        known = self._notices.list_known(self._clock())
+        report.notices = [encode_notice(each) for each in known]
+
+    def take_report(self, peer: Peer, report: Any) -> None:
+        """Take in, as a leader, what a daemon heard."""
+        if self._leads():
+            told = [decode_notice(each) for each in report.notices or ()]
+            self._notices.take_told(told, self._clock())
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -16,9 +16,11 @@
 from kestreltally.fleet.limits import AHEAD, Lending, LimitStanding
 from kestreltally.fleet.model import Endpoint, EndpointId, KnownNotice, Seconds
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import FeedServer, Peer
+from kestreltally.knowledge.feed import FeedServer
 from kestreltally.knowledge.headcount import Headcount
 from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.parts import FeedPart, Heard
+from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import (
     decode_notice,
     encode_notice,
@@ -36,7 +38,7 @@
 )
 
 
-class TurnExchange:
+class TurnExchange(FeedPart):
     """Puts wants and turns into reports and updates, and takes them in.
 
     ``note_turn`` is called with an endpoint at which a turn of this daemon's has come.
@@ -239,20 +241,23 @@
             for name, ends in peer.borrower.take_untold().items()
         ]
 
-    def take_update(self, data_centre: str, update: Any, *, followed: bool) -> None:
+    def take_update(self, heard: Heard) -> None:
         """Take in limits and turns that a leader tells."""
-        led = {each.data_centre for each in update.leads}
-        relies = followed and not self._leaders.leads
+        update = heard.update
+        relies = heard.followed and not heard.leads
         for row in update.notices or ():
             told = decode_notice(row)
             self._notices.take_limit_told(told, self._clock())
-            self._take_wait(told, led, relies=relies)
+            self._take_wait(told, heard.led, relies=relies)
         if update.turns and update.echo is not None:
             # Counted from when this daemon reported: no word that comes late, for what
             # reason ever, lends more time than its sender gave.
-            self._take_turns(data_centre, update, update.echo + update.echo_age)
+            sent_at = update.echo + update.echo_age
+            self._take_turns(heard.data_centre, update, sent_at)
 
-    def _take_wait(self, told: KnownNotice, led: set[str], *, relies: bool) -> None:
+    def _take_wait(
+        self, told: KnownNotice, led: frozenset[str], *, relies: bool
+    ) -> None:
         """Take in how long calls wait for turns, from who lends them or tells on."""
         known = self._fleet.endpoints.get(told.endpoint)
         limit = self._notices.find_limit(told.endpoint, told.born)
--- a/tests/test_turn_exchange.py
+++ b/tests/test_turn_exchange.py
@@ -6,7 +6,8 @@
 from kestreltally.fleet.limits import LimitStanding
 from kestreltally.fleet.model import Endpoint
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.feed import Peer
+from kestreltally.knowledge.parts import Heard
+from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import encode_notice, encode_turns, encode_wanted
 from kestreltally.knowledge.structs import Report, Update
 from kestreltally.knowledge.turns import TurnExchange
@@ -67,7 +68,8 @@
             echo=reported_at,
             echo_age=echo_age,
         )
-        self.exchange.take_update(LEADER, update, followed=True)
+        heard = Heard(update, LEADER, frozenset(), NOW, followed=True, leads=False)
+        self.exchange.take_update(heard)
 
     def read_received(self) -> int:
         report = Report()
