Count a lease for the models' ceiling once its holder may order

It was never seen.

Cause: a new holder's part of the rate began as it took the lease, while the former one may still order for up to a second, and it used that part on the engines that it led already. A leader that had led before began with a load at hand, where a new one begins with none.

Change: the part counts leases under which orders may be given now; who leads none forgets its ceilings.

--- a/src/kestreltally/placing/ceiling.py
+++ b/src/kestreltally/placing/ceiling.py
@@ -4,6 +4,7 @@
 them (docs/QUESTIONS.md, 1).
 """
 
+from collections.abc import Sequence
 from typing import Final
 
 from kestreltally.deployment import Bounds
@@ -14,6 +15,15 @@
 BURST: Final = 1.0
 
 
+def find_part(may_order: Sequence[bool]) -> float:
+    """Return a daemon's part of the rate, by whether it may order under each lease.
+
+    A lease that is held, but waits until the former holder's last order is past, gives
+    no part yet: that one may use it still.
+    """
+    return sum(may_order) / len(may_order)
+
+
 class LoadCeiling:
     """A token bucket that starts empty, as if a former leader had used it up."""
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -22,7 +22,7 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.books import EngineBook
-from kestreltally.placing.ceiling import LoadCeiling
+from kestreltally.placing.ceiling import LoadCeiling, find_part
 from kestreltally.placing.demand import DemandTable
 from kestreltally.placing.handover import Handover
 from kestreltally.placing.lease import Lease
@@ -233,6 +233,7 @@
             if not any(lease.leads for lease in self._leases.values()):
                 self._led = set()
                 self.books.clear()
+                self._ceilings.clear()
                 await wait_at_most(self._wake, IDLE_TICK)
                 self._wake.clear()
                 continue
@@ -293,7 +294,7 @@
         books = [b for b in books if self._find_lease(b.endpoint).may_order()]
         open_books = [b for b in books if self._is_open(b, now) and b.has_any_model]
         ceiling = self._ceilings.setdefault(service, LoadCeiling(self._bounds, now))
-        part = len(self._led) / len(self._leases)
+        part = find_part([lease.may_order() for lease in self._leases.values()])
         ceiling.refill(part * spec.loads_per_second, now)
         able = [b for b in books if self._is_able(b, now)]
         able = self._order_models(able, spec, ceiling)
