--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -81,6 +81,37 @@
     assert Simulation(load, DEFAULT, seed).run().over <= 1.0
 
 
+@pytest.mark.parametrize(
+    ("cut_off", "cut_at", "healed_at", "skew", "daemons", "seed"),
+    [
+        (0.9, 4.390283856818615, 13.339444169998686, 1.8210118514595248, 53, 531),
+        (0.3, 4.3321198276482775, 12.69682366148551, 1.2408479225387086, 38, 685),
+    ],
+)
+def test_a_surge_as_daemons_lose_the_leaders_word_stays_within_the_bound(
+    cut_off: float,
+    cut_at: float,
+    healed_at: float,
+    skew: float,
+    daemons: int,
+    seed: int,
+) -> None:
+    # Guards against shares worked out from a surge that leaders have not yet heard of.
+    load = Load(
+        "surge",
+        rate=20_000.0,
+        burst=20_000.0,
+        hot=7.0,
+        skew=skew,
+        daemons=daemons,
+        cut_off=cut_off,
+        cut_at=cut_at,
+        healed_at=healed_at,
+        length=14.0,
+    )
+    assert Simulation(load, DEFAULT, seed).run().over <= 1.0
+
+
 def test_words_name_only_who_is_near_the_limit() -> None:
     ledger = make_ledger()
     ledger.make_words(100.0)
