Derive when a lease is held alone from when orders may be given

Both were set from one moment, a fixed time apart, and cleared together. Behaviour is as before; the tests of leases and of turns pass unchanged.

--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -111,7 +111,6 @@
         self.sighting: Sighting | None = None
         self._absence: Absence | None = None
         self._valid_until: Seconds = float("-inf")
-        self._alone_from: Seconds = float("inf")
         self._orders_from: Seconds = float("inf")
         self._renewed_at: Seconds = float("-inf")
         # When the last renewal that failed was sent, and since when others have had
@@ -136,7 +135,8 @@
 
     def holds_alone(self) -> bool:
         """Tell whether the lease is held, and no former holder's can hold any more."""
-        return self.is_valid() and self._alone_from <= self._clock()
+        last = self._orders_from - self._apart - ORDER_TRANSIT
+        return self.is_valid() and last <= self._clock()
 
     def may_order(self) -> bool:
         """Tell whether an order may leave at this very moment."""
@@ -284,7 +284,6 @@
     def _stop_leading(self) -> None:
         self.leads = False
         self._valid_until = float("-inf")
-        self._alone_from = float("inf")
         self._orders_from = float("inf")
 
     @property
@@ -420,7 +419,6 @@
 
     def _begin(self, start: Seconds) -> None:
         self.leads = True
-        self._alone_from = start - self._apart - ORDER_TRANSIT
         self._orders_from = start
         self._resigned.clear()
         self._began.set()
