Ask who lends apart from how much

Terms that were none where another daemon lends stood for two answers, and were worked out with a look at the limit only to tell whether turns are lent here.

--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -87,33 +87,29 @@
         """Take in how many daemons are heard by all leaders that are heard."""
         self._headcount.note(count, self._clock())
 
-    def _find_terms(self, endpoint: Endpoint, limit: LimitStanding) -> Terms | None:
-        """Return how turns are lent here, none where another daemon lends them."""
-        if not self._leaders.leads:
-            return None
-        lease = self._find_lease(endpoint)
-        if lease.holds_alone():
+    def _lends(self, endpoint: Endpoint) -> bool:
+        """Tell whether turns at an endpoint are lent here, not by another leader."""
+        heard = self._leaders.is_heard(self._find_lease(endpoint).data_centre)
+        return self._leads(endpoint) or (self._leaders.leads and not heard)
+
+    def _leads(self, endpoint: Endpoint) -> bool:
+        """Tell whether this daemon leads an endpoint, though its lease may be over."""
+        return self._find_lease(endpoint).leads
+
+    def _find_terms(self, endpoint: Endpoint, limit: LimitStanding) -> Terms:
+        """Return how turns are lent here."""
+        if self._find_lease(endpoint).holds_alone():
             return find_leased_terms(limit.rate)
-        if lease.leads:
-            heard = self._feed.count_daemons()
-        elif self._leaders.is_heard(lease.data_centre):
-            return None
-        else:
-            heard = self._feed.count_group()
+        leads = self._leads(endpoint)
+        heard = self._feed.count_daemons() if leads else self._feed.count_group()
         return find_unleased_terms(limit.rate, heard, self._headcount.most or 0)
 
-    def _lends(self, endpoint: Endpoint) -> bool:
-        """Tell whether turns at an endpoint are lent here."""
-        limit = self._notices.find_limit(endpoint.id, endpoint.born)
-        return limit is not None and self._find_terms(endpoint, limit) is not None
-
     def _list_borrowers(self, endpoint: EndpointId) -> Iterator[Borrower]:
         yield self._own
         known = self._fleet.endpoints.get(endpoint)
-        owns = known is not None and self._find_lease(known).leads
         for peer in self._feed.list_followers():
             yield peer.borrower
-        if owns:
+        if known is not None and self._leads(known):
             for peer in self._feed.list_leaders():
                 yield peer.borrower
 
@@ -129,10 +125,10 @@
         waits = []
         for name, born, limit in limits:
             known = self._fleet.endpoints.get(name)
-            terms = self._find_terms(known, limit) if known is not None else None
-            if terms is None:
+            if known is None or not self._lends(known):
                 continue
             self._own.wanted[name] = limit.list_wanted(self._clock())
+            terms = self._find_terms(known, limit)
             wait = self._lender.lend(name, born, limit, terms)
             if wait is not None:
                 waits.append(wait)
