Parts of the feed ask the leaders whether this daemon leads

Each was given its own way to ask, and updates carried it once more. Behaviour is as before; the mutation of ends not told names its line as it reads now, and does the same.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -187,7 +187,8 @@
     Mutation(
         name="ends of endpoints that daemons do not tell each other",
         module="knowledge/ends.py",
-        before="        if self._poison.register.note_told(facts) and heard.leads:\n",
+        before="        if self._poison.register.note_told(facts) "
+        "and self._leaders.leads:\n",
         after="        if False:\n",
         action=Action.POISON,
         every=16.0,
--- a/src/kestreltally/knowledge/ends.py
+++ b/src/kestreltally/knowledge/ends.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from kestreltally.fleet.model import Seconds
+from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.parts import FeedPart, Heard
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import decode_facts, encode_facts
@@ -23,19 +24,18 @@
 class EndsExchange(FeedPart):
     """Puts facts and the digests' secret into reports and updates, and takes them in.
 
-    ``leads`` tells whether this daemon leads; ``hurry`` has its news told at once, to
-    followers or to the leader.
+    ``hurry`` has this daemon's news told at once, to followers or to the leader.
     """
 
     def __init__(
         self,
         poison: PoisonGuard,
-        leads: Callable[[], bool],
+        leaders: Leaders,
         hurry: Callable[[], None],
         clock: Callable[[], Seconds],
     ) -> None:
         self._poison = poison
-        self._leads = leads
+        self._leaders = leaders
         self._hurry = hurry
         self._clock = clock
         poison.register.note_news = hurry
@@ -54,7 +54,7 @@
     def take_report(self, peer: Peer, report: Any) -> None:
         """Take in the secret, and, as a leader, what a daemon has seen."""
         self._poison.secret.take(report.secret)
-        if not self._leads():
+        if not self._leaders.leads:
             return
         if self._poison.register.note_told(decode_facts(report, self._clock())):
             self._hurry()
@@ -75,7 +75,7 @@
             return
         if heard.followed:
             self._poison.register.news.note_echo(facts)
-        if self._poison.register.note_told(facts) and heard.leads:
+        if self._poison.register.note_told(facts) and self._leaders.leads:
             self._hurry()
 
     def note_leader_heard(self, _: str) -> None:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -120,11 +120,9 @@
         self.feed.is_leading = lambda: self.leaders.leads and self._has_listed()
         relay.note_reading = self._note_own_reading
         relay.note_turn = self._note_turn
-        self._ends = EndsExchange(
-            relay.poison, lambda: self.leaders.leads, self._hurry_ends, clock
-        )
-        fleet.notices.note_news = self._note_notice
         self.leaders = Leaders(deployment, leases)
+        self._ends = EndsExchange(relay.poison, self.leaders, self._hurry_ends, clock)
+        fleet.notices.note_news = self._note_notice
         self.leaders.clients = {
             name: FeedClient(
                 name,
@@ -148,10 +146,9 @@
             self.feed.hurry,
             clock,
         )
-        notices = NoticeExchange(fleet.notices, lambda: self.leaders.leads, clock)
         self._parts: tuple[FeedPart, ...] = (
             self._ends,
-            notices,
+            NoticeExchange(fleet.notices, self.leaders, clock),
             self.rows,
             self.turns,
         )
@@ -350,7 +347,7 @@
         heard = self._make_heard(data_centre, update)
         for part in self._parts:
             part.take_update(heard)
-        if not heard.leads and heard.followed:
+        if not self.leaders.leads and heard.followed:
             self._take_counts(update)
 
     def _make_heard(self, data_centre: str, update: Any) -> Heard:
@@ -362,7 +359,6 @@
             led=frozenset(each.data_centre for each in update.leads),
             as_of=self._clock() - age,
             followed=self.leaders.find_primary() == data_centre,
-            leads=self.leaders.leads,
         )
 
     def _take_authority(self, update: Any) -> None:
--- a/src/kestreltally/knowledge/notices.py
+++ b/src/kestreltally/knowledge/notices.py
@@ -5,6 +5,7 @@
 
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet.notices import NoticeTable
+from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.parts import FeedPart
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import decode_notice, encode_notice
@@ -16,11 +17,11 @@
     def __init__(
         self,
         notices: NoticeTable,
-        leads: Callable[[], bool],
+        leaders: Leaders,
         clock: Callable[[], Seconds],
     ) -> None:
         self._notices = notices
-        self._leads = leads
+        self._leaders = leaders
         self._clock = clock
 
     def fill_report(self, report: Any, data_centre: str) -> None:
@@ -30,6 +31,6 @@
 
     def take_report(self, peer: Peer, report: Any) -> None:
         """Take in, as a leader, what a daemon heard."""
-        if self._leads():
+        if self._leaders.leads:
             told = [decode_notice(each) for each in report.notices or ()]
             self._notices.take_told(told, self._clock())
--- a/src/kestreltally/knowledge/parts.py
+++ b/src/kestreltally/knowledge/parts.py
@@ -16,7 +16,7 @@
 
     ``data_centre`` is the one whose leader was asked for it, ``led`` are those that it
     leads, and it tells what the store held at ``as_of``, by this daemon's clock.
-    ``followed`` tells that this daemon follows it, ``leads`` that it leads itself.
+    ``followed`` tells that this daemon follows it.
     """
 
     update: Any
@@ -24,7 +24,6 @@
     led: frozenset[str]
     as_of: Seconds
     followed: bool
-    leads: bool
 
 
 class FeedPart:
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -240,7 +240,7 @@
     def take_update(self, heard: Heard) -> None:
         """Take in limits and turns that a leader tells."""
         update = heard.update
-        relies = heard.followed and not heard.leads
+        relies = heard.followed and not self._leaders.leads
         for row in update.notices or ():
             told = decode_notice(row)
             self._notices.take_limit_told(told, self._clock())
--- a/tests/test_turn_exchange.py
+++ b/tests/test_turn_exchange.py
@@ -68,7 +68,7 @@
             echo=reported_at,
             echo_age=echo_age,
         )
-        heard = Heard(update, LEADER, frozenset(), NOW, followed=True, leads=False)
+        heard = Heard(update, LEADER, frozenset(), NOW, followed=True)
         self.exchange.take_update(heard)
 
     def read_received(self) -> int:
