Forget old departures where other tables are tidied, once a second

Ten times a second the whole table was written anew, by a method for another purpose. A departure is kept up to a second longer. The comment on how long said that nobody leads without the store for so long, which is not so while it is away for all.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -317,6 +317,7 @@
                 tidied_at = now
                 self._relay.poison.keep_house()
                 self._fleet.notices.forget_old(self._fleet.endpoints, now)
+                self._exchange.rows.departures.forget_old(now)
                 self._pool.close_expired(now)
                 self._control_pool.close_expired(now)
                 log_left_out(LOG, self._lines.take_dropped())
--- a/src/kestreltally/knowledge/departures.py
+++ b/src/kestreltally/knowledge/departures.py
@@ -9,7 +9,7 @@
 
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, is_other_life
 
-# Nobody leads without the store for longer than this.
+# A leader that alone has lost the store resigns long before.
 KEPT_FOR: Final[Seconds] = 60.0
 
 
@@ -44,7 +44,6 @@
 
     def forget_old(self, now: Seconds) -> None:
         """Drop what was noted long ago."""
-        kept = {
-            k: each for k, each in self._rows.items() if now - each.as_of < KEPT_FOR
-        }
-        self._rows = kept
+        for name, row in list(self._rows.items()):
+            if now - row.as_of >= KEPT_FOR:
+                del self._rows[name]
--- a/src/kestreltally/knowledge/fleetrows.py
+++ b/src/kestreltally/knowledge/fleetrows.py
@@ -44,7 +44,7 @@
         self._find_lease = find_lease
         self._hurry = hurry
         self._clock = clock
-        self._departures = Departures()
+        self.departures = Departures()
 
     # What leaders tell.
 
@@ -56,7 +56,7 @@
             self._drop_missing(present, heard.led, heard.as_of)
         for row in update.rows or ():
             endpoint = decode_endpoint(row)
-            if not self._departures.is_gone(endpoint, heard.as_of):
+            if not self.departures.is_gone(endpoint, heard.as_of):
                 self.put_row(endpoint)
         for change in update.changes or ():
             known = self._fleet.endpoints.get(EndpointId(change.id))
@@ -112,7 +112,7 @@
         """Forget an endpoint that is gone, by what the store held at a moment."""
         known = self._fleet.endpoints.get(endpoint)
         if known is not None:
-            self._departures.note(known, as_of)
+            self.departures.note(known, as_of)
             self._relay.poison.ends.note_gone(known)
         leader = self._find_leader()
         if leader is not None:
@@ -132,7 +132,7 @@
 
     def put_entry(self, endpoint: Endpoint) -> None:
         """Take an endpoint's entry of the store in, where no leader knows better."""
-        self._departures.forget(endpoint.id)
+        self.departures.forget(endpoint.id)
         lease = self._find_lease(endpoint)
         leader = self._find_leader()
         if lease.leads and leader is not None:
@@ -155,7 +155,6 @@
 
         Its loads may be brought by another one, and what it spared may be used.
         """
-        self._departures.forget_old(self._clock())
         if not self._leaders.leads and self._leaders.find_primary() is not None:
             return
         for endpoint in list(self._fleet.endpoints.values()):
