--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -281,7 +281,7 @@
             "unread_words": self._fleet.notices.unread.count(),
             "poison_requests": self._relay.poison.register.count(),
             "endpoints_by_word": self._fleet.notices.count(now),
-            "daemons_known": {"feed": self._exchange.daemons or 0},
+            "daemons_known": {"feed": budget.daemons or 0},
         }
 
     def _begin_leading(self) -> None:
@@ -368,7 +368,7 @@
 
     def _count_daemons(self) -> int:
         """Return how many daemons are taken to ask the store as this one does."""
-        return self._exchange.daemons or DAEMONS_AT_FIRST
+        return self._relay.budget.daemons or DAEMONS_AT_FIRST
 
     # Start and stop.
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -157,8 +157,6 @@
             client.note_connected = self.turns.note_connected
             client.note_heard = self._ends.note_leader_heard
         self.leader: Leader | None = None
-        # How many there are, none where this one was never told.
-        self.daemons: int | None = None
         self._reported = EMPTY
         self._heard_at = clock()
         self._summed_at: Seconds = float("-inf")
@@ -413,7 +411,6 @@
 
     def _note_daemons(self, count: int) -> None:
         """Take in how many daemons there are, for this one's part of what all share."""
-        self.daemons = count
         self._relay.budget.daemons = count
         self._limiter.daemons = count
         self.turns.note_daemons(count)
