Say in one place until when a store that came back lacks writes

Two places compared the same times. A configuration that is listed is held, and taken at once unless it is doubtful, in place of a check of its name beside the one that follows. Behaviour is as before.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -59,7 +59,7 @@
     find_settings_path,
     load_deployment,
 )
-from kestreltally.platform.store import Store, open_store_session
+from kestreltally.platform.store import Store, lacks_writes, open_store_session
 from kestreltally.poison.keeping import PoisonKeeper
 from kestreltally.poison.surface import PoisonSurface
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS
@@ -131,7 +131,7 @@
         self._leases = self._make_leases()
         self._configuration = ConfigurationFollower(
             lambda configuration: self._exchange.take_configuration(configuration),
-            self._store.lacks_writes,
+            lambda: lacks_writes(self._store.copied_at, self._clock()),
         )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND, self._configuration, CONFIGURATION_GAP, OTHERS_WAIT
--- a/src/kestreltally/knowledge/authority.py
+++ b/src/kestreltally/knowledge/authority.py
@@ -22,10 +22,10 @@
 from kestreltally.knowledge.pauses import draw_pause
 from kestreltally.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from kestreltally.platform.store import (
-    REWRITTEN_WITHIN,
     Store,
     StoredObject,
     StoreError,
+    lacks_writes,
 )
 
 LOG = logging.getLogger("kestreltally.authority")
@@ -146,7 +146,7 @@
         stored = await self._store.read(CONFIGURATION_KIND, CONFIGURATION_NAME)
         if stored is None or not self._take(stored):
             return
-        if asked_at - self._store.copied_at < REWRITTEN_WITHIN:
+        if lacks_writes(self._store.copied_at, asked_at):
             # A copy lacks what took a key away in the seconds that the store has lost.
             return
         self._authority.note(asked_at)
--- a/src/kestreltally/knowledge/followers.py
+++ b/src/kestreltally/knowledge/followers.py
@@ -50,7 +50,7 @@
     ) -> None:
         self._take = take
         self._lacks_writes = lacks_writes
-        self._held: Any = None
+        self._held: StoredObject | None = None
         self._read_revision: Revision | None = None
         self._version = 0
         self.encoded = b""
@@ -58,30 +58,25 @@
     def take_listing(self, listing: Listing) -> None:
         """Take the configuration of a listing in."""
         for stored in listing.objects:
-            if self._is_doubtful() and stored.name == CONFIGURATION_NAME:
-                self._held = stored.content
-                continue
-            self._take_object(stored)
+            if stored.name == CONFIGURATION_NAME:
+                self._held = stored
+        self.take_held()
 
     def _is_doubtful(self) -> bool:
         """Tell whether what the store shows may be older than what others know."""
         return not self._version and self._lacks_writes()
 
     def take_held(self) -> None:
-        """Put in force what was held back, once nothing newer is to be expected."""
+        """Put in force what was listed, once nothing newer is to be expected."""
         if self._held is not None and not self._is_doubtful():
             held, self._held = self._held, None
-            self.take_document(held)
+            self.take_document(held.content)
 
     def take_changes(self, changes: Changes) -> None:
         """Take a changed configuration in; a deletion changes nothing."""
         for change in changes.changes:
-            if not change.gone:
-                self._take_object(change.object)
-
-    def _take_object(self, stored: StoredObject) -> None:
-        if stored.name == CONFIGURATION_NAME:
-            self.take_document(stored.content)
+            if not change.gone and change.object.name == CONFIGURATION_NAME:
+                self.take_document(change.object.content)
 
     def take_read(self, stored: StoredObject) -> bool:
         """Take a configuration in that was read; tell as ``take_document`` does."""
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -125,6 +125,11 @@
         return Revision(self.era, int(self.body["CurrentRev"]))
 
 
+def lacks_writes(copied_at: Seconds, at: Seconds) -> bool:
+    """Tell whether a store that came back lacked others' writes still at a moment."""
+    return at - copied_at < REWRITTEN_WITHIN
+
+
 def _check_era(revision: Revision, era: int) -> None:
     """Raise ``EraPassed`` where a revision is of an older era than is known."""
     if revision.era != era:
@@ -197,11 +202,6 @@
             self.era = era
         return era
 
-    def lacks_writes(self) -> bool:
-        """Tell whether others' writes may be lost that are still to be done again."""
-        passed = asyncio.get_running_loop().time() - self.copied_at
-        return passed < REWRITTEN_WITHIN
-
     async def list_objects(self, kind: str) -> Listing:
         """Return all objects of a kind; raises ``StoreError``."""
         objects: list[StoredObject] = []
