Tests: count calls in windows, and fill a rig with daemons, in one place each

The most calls in a window stood four times, what the rule allows three times, and daemons were added in turn by four loops. What nobody read is gone (the longest pause, since when a lease is held), the simulation of lenders counts by daemon, not by the id of its object.

--- a/tests/lendersim.py
+++ b/tests/lendersim.py
@@ -9,7 +9,7 @@
 
 import random
 import statistics
-from bisect import bisect_left
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -19,7 +19,12 @@
 from kestreltally.fleet.model import EndpointId
 from kestreltally.knowledge.following import FEED_SILENT
 from kestreltally.knowledge.headcount import Headcount
-from kestreltally.placing.lease import TAKE_AFTER, VALIDITY, VALIDITY_MARGIN
+from kestreltally.placing.lease import (
+    RENEW_EVERY,
+    TAKE_AFTER,
+    VALIDITY,
+    VALIDITY_MARGIN,
+)
 from kestreltally.placing.turns import (
     TURN_LIFE,
     Borrower,
@@ -28,12 +33,11 @@
     find_leased_terms,
     find_unleased_terms,
 )
+from tests.windows import count_allowed, count_most
 
 ENDS_AT: Final = 40.0
 SETTLED: Final = 1.5
-WINDOW: Final = 4.0
 STEP: Final = 0.02
-RENEW_EVERY: Final = 1.0
 CONNECT: Final = 0.2
 CENTRES: Final = 3
 # The data centre of the endpoint.
@@ -92,6 +96,9 @@
         for centre in range(CENTRES):
             self._hold(self.daemons[centre], centre, 0.0)
         self.answers = {0: True}
+        # How many daemons each leader hears, and whom it takes for the endpoint's.
+        self.groups: Counter[Daemon] = Counter()
+        self.owners: dict[Daemon, Daemon | None] = {}
         self.next_event = self.draw.expovariate(0.3) if trouble else ENDS_AT
 
     def _make_daemon(self, centre: int) -> Daemon:
@@ -231,35 +238,35 @@
 
     def _count(self) -> None:
         """Work out whom each leader hears."""
-        self.groups: dict[int, int] = {}
-        self.owners: dict[int, Daemon | None] = {}
+        self.groups.clear()
+        self.owners.clear()
         for daemon in self.daemons:
             primary = self._find_primary(daemon) if self._runs(daemon) else None
             if primary is not None:
-                self.groups[id(primary)] = self.groups.get(id(primary), 0) + 1
+                self.groups[primary] += 1
                 if primary is not daemon:
                     daemon.headcount.note(primary.headcount.most or 1, self.now)
         for daemon in self.list_holders():
             if self._runs(daemon):
                 owner = self._find_holder(daemon, OWN)
-                self.owners[id(daemon)] = owner
+                self.owners[daemon] = owner
                 if owner is not None:
                     daemon.heard_owner_at = self.now
                 others = (d for d in self.list_holders() if d is not daemon)
                 heard = [each for each in others if self._hears(daemon, each)]
-                all_heard = sum(self.groups.get(id(d), 0) for d in (daemon, *heard))
+                all_heard = sum(self.groups[d] for d in (daemon, *heard))
                 daemon.headcount.note(all_heard, self.now)
 
     def _find_terms(self, daemon: Daemon) -> Terms | None:
         held = daemon.holdings.get(OWN)
         if held is not None and held.alone_from <= self.now < held.valid_until:
             return find_leased_terms(self.limit)
-        group = self.groups.get(id(daemon), 1)
+        group = self.groups[daemon] or 1
         if held is not None:
             asking = (
-                self.groups.get(name, 0)
-                for name, owner in self.owners.items()
-                if owner is daemon and name != id(daemon)
+                self.groups[other]
+                for other, owner in self.owners.items()
+                if owner is daemon and other is not daemon
             )
             group += sum(asking)
         elif self.now - daemon.heard_owner_at < FEED_SILENT:
@@ -270,23 +277,12 @@
 
     @property
     def most(self) -> int:
-        late = sorted(at for at in self.arrivals if at >= SETTLED)
-        return max(
-            (n + 1 - bisect_left(late, at - WINDOW) for n, at in enumerate(late)),
-            default=0,
-        )
+        return count_most(self.arrivals, SETTLED)
 
     @property
     def used(self) -> float:
         return len(self.arrivals) / (self.limit * ENDS_AT)
 
-    @property
-    def longest_pause(self) -> float:
-        """The longest time without any call, in turns of the limit."""
-        times = [0.0, *sorted(self.arrivals), ENDS_AT]
-        gaps = (b - a for a, b in zip(times, times[1:], strict=False))
-        return max(gaps) * self.limit
-
 
 @click.command()
 @click.option("--seeds", default=200)
@@ -297,7 +293,7 @@
     for size in daemons:
         for limit in (0.5, 2.9, 8.0, 40.0):
             plays = [Play(seed, size, limit).run() for seed in range(seeds)]
-            allowed = 1.5 * limit * WINDOW + 5
+            allowed = count_allowed(limit)
             most = max(each.most for each in plays)
             over = sum(each.most > allowed for each in plays)
             used = [each.used for each in plays]
--- a/tests/limitsim.py
+++ b/tests/limitsim.py
@@ -7,7 +7,6 @@
 
 import random
 import statistics
-from bisect import bisect_left
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -20,11 +19,11 @@
 from kestreltally.placing.turns import Borrower, TurnLender, find_leased_terms
 from kestreltally.rates import Bucket, Pace
 from tests.virtualtime import VirtualTime
+from tests.windows import WINDOW, count_most
 
 ENDS_AT: Final = 14.0
 # All have heard of the limit by then.
 SETTLED: Final = 1.5
-WINDOW: Final = 4.0
 WAIT_MOST: Final = 0.5
 GROUPS: Final = 3
 TRIP: Final = (0.001, 0.004)
@@ -122,11 +121,7 @@
     @property
     def most(self) -> int:
         """The most requests in a window, once all have heard."""
-        late = [at for at in self.arrivals if at >= SETTLED]
-        return max(
-            (n + 1 - bisect_left(late, at - WINDOW) for n, at in enumerate(late)),
-            default=0,
-        )
+        return count_most(self.arrivals, SETTLED)
 
     @property
     def used(self) -> float:
--- a/tests/test_ceiling.py
+++ b/tests/test_ceiling.py
@@ -1,6 +1,5 @@
 """Loads of models keep the ceiling over all leaders, as leases change hands."""
 
-from bisect import bisect_left
 from dataclasses import dataclass, field
 from random import Random
 
@@ -9,6 +8,7 @@
 from kestreltally.placing.ceiling import LoadCeiling, find_part
 from kestreltally.placing.lease import ORDER_TRANSIT, TAKE_AFTER, VALIDITY
 from tests.entryrig import BOUNDS
+from tests.windows import count_most
 
 DAEMONS = 5
 LEASES = 3
@@ -18,9 +18,8 @@
 
 @dataclass
 class Held:
-    """One daemon's time with a lease: it counts as held from ``since`` on."""
+    """One daemon's time with a lease."""
 
-    since: float
     orders_from: float
     until: float
 
@@ -38,7 +37,7 @@
             former.held[lease].until = now + VALIDITY - TAKE_AFTER
     start = now + VALIDITY - TAKE_AFTER + ORDER_TRANSIT + BOUNDS.lease
     new = draw.choice([each for each in daemons if lease not in each.held])
-    new.held[lease] = Held(now, start, float("inf"))
+    new.held[lease] = Held(start, float("inf"))
 
 
 def play(seed: int, rate: float) -> list[float]:
@@ -46,7 +45,7 @@
     draw = Random(seed)
     daemons = [Daemon(LoadCeiling(BOUNDS, 0.0)) for _ in range(DAEMONS)]
     for lease in range(LEASES):
-        daemons[lease].held[lease] = Held(0.0, 0.0, float("inf"))
+        daemons[lease].held[lease] = Held(0.0, float("inf"))
     loads: list[float] = []
     now, next_change = 0.0, draw.expovariate(0.3)
     while now < LASTS:
@@ -72,8 +71,5 @@
     # Guards against leaders whose parts add up beyond the rate as leases change hands.
     window = BOUNDS.load_window
     for seed in range(40):
-        loads = play(seed, rate)
-        most = max(
-            n + 1 - bisect_left(loads, at - window) for n, at in enumerate(loads)
-        )
+        most = count_most(play(seed, rate), 0.0, window)
         assert most <= rate * window * BOUNDS.load_overage + 3
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -134,6 +134,12 @@
         self.fronts[vm] = front
         return daemon
 
+    async def fill(self, count: int) -> None:
+        """Add daemons, by data centres in turn, until there are so many."""
+        while (number := len(self.daemons)) < count:
+            zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+            await self.add_daemon(f"{zone}-{number // len(DATA_CENTRES) + 1}", zone)
+
     async def ask(
         self, vm: str, path: str, adapter: str = "", request_id: str = "q"
     ) -> Reply:
@@ -331,9 +337,7 @@
 async def test_daemons_are_counted_once_while_the_store_is_away() -> None:
     # Guards against parts of a bound that shrink, for several leaders count a daemon.
     async with run_fleet() as rig:
-        for zone in DATA_CENTRES:
-            await rig.add_daemon(f"{zone}-2", zone)
-            await rig.add_daemon(f"{zone}-3", zone)
+        await rig.fill(6)
         await asyncio.sleep(1.0)
         rig.store.faults.set(down=True)
         await asyncio.sleep(3.0)
--- a/tests/test_lenders.py
+++ b/tests/test_lenders.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import pytest
 
 from standins.platform_engine import PlatformEngine
-from tests.test_fleet_daemon import DATA_CENTRES, FleetRig, run_fleet
-from tests.test_limits import Asking, count_allowed, count_most, find_holder
+from tests.test_fleet_daemon import FleetRig
+from tests.test_limits import Asking, find_holder, list_plain, run_daemons
+from tests.windows import count_allowed, count_most
 
 # Every lease is over so long after the store has gone away.
 LEASES_OVER = 8.0
@@ -21,18 +20,12 @@
 ASKED = 50.0
 
 
-@asynccontextmanager
-async def run_daemons(count: int) -> AsyncIterator[FleetRig]:
-    async with run_fleet() as rig:
-        for number in range(count - len(DATA_CENTRES)):
-            zone = DATA_CENTRES[number % len(DATA_CENTRES)]
-            await rig.add_daemon(f"{zone}-{number + 2}", zone)
-        await asyncio.sleep(1.0)
-        yield rig
-
-
-def list_plain(rig: FleetRig) -> list[PlatformEngine]:
-    return [each for each in rig.engines if not each.model]
+def limit_plain(rig: FleetRig, limit: float) -> list[PlatformEngine]:
+    """Have the endpoints of the plain service name a limit; return them."""
+    engines = list_plain(rig)
+    for engine in engines:
+        engine.limit = limit
+    return engines
 
 
 def ask_all(rig: FleetRig) -> Asking:
@@ -56,9 +49,7 @@
         loop = asyncio.get_running_loop()
         rig.store.faults.set(down=True)
         await asyncio.sleep(LEASES_OVER)
-        engines = list_plain(rig)
-        for engine in engines:
-            engine.limit = limit
+        engines = limit_plain(rig, limit)
         named_at = loop.time()
         await ask_all(rig).run(5.0)
         for engine in engines:
@@ -77,9 +68,7 @@
     # Guards against bursts as leases hold again, and against lending on by the part.
     async with run_daemons(6) as rig:
         loop = asyncio.get_running_loop()
-        engines = list_plain(rig)
-        for engine in engines:
-            engine.limit = 8.0
+        engines = limit_plain(rig, 8.0)
         began = loop.time()
         asking = asyncio.create_task(ask_all(rig).run(26.0))
         for _ in range(2):
@@ -114,9 +103,7 @@
     # Guards against many daemons that wait for the lease before anybody lends.
     async with run_daemons(14) as rig:
         loop = asyncio.get_running_loop()
-        engines = list_plain(rig)
-        for engine in engines:
-            engine.limit = 8.0
+        engines = limit_plain(rig, 8.0)
         named_at = loop.time()
         (north,) = [each for each in engines if each.zone == "north"]
         leader = rig.daemons.pop("north-1")
--- a/tests/test_lendersim.py
+++ b/tests/test_lendersim.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.lendersim import WINDOW, Play
+from tests.lendersim import Play
+from tests.windows import count_allowed
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -13,7 +14,7 @@
 ) -> None:
     # Guards against two who lend all of a limit, and parts that add up beyond it.
     played = Play(seed, daemons, limit).run()
-    assert played.most <= 1.5 * limit * WINDOW + 5
+    assert played.most <= count_allowed(limit)
 
 
 def test_all_of_a_limit_is_lent_where_nothing_is_amiss() -> None:
--- a/tests/test_limit_table.py
+++ b/tests/test_limit_table.py
@@ -17,8 +17,9 @@
 from kestreltally.fleet.notices import FOR_EVER, KEPT_FOR, NoticeTable, NotWanted
 from kestreltally.placing.turns import Borrower, TurnLender, find_leased_terms
 from kestreltally.platform.headers import list_unread, read_notice
-from tests.limitsim import WINDOW, play
+from tests.limitsim import play
 from tests.test_notice_table import ENDPOINT, LEAVING, NOW, REBORN, RESTING
+from tests.windows import WINDOW
 
 LIMITED = Notice(leaves=False, rest=0.0, limit=2.0)
 HEARD = Lending(heard=True, daemons=6)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,44 +13,31 @@
 """
 
 import asyncio
-from bisect import bisect_left
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 import pytest
 
 from standins.platform_engine import PlatformEngine
 from tests.test_fleet_daemon import FleetRig, run_fleet
+from tests.windows import count_allowed, count_most
 
-# What the operators' rule allows in any 4 s, from so long after the word on.
-WINDOW = 4.0
+# The rule holds from so long after the word on.
 HEARD_WITHIN = 1.5
 
 
-def count_allowed(limit: float) -> float:
-    """Return how many requests the rule allows in a window."""
-    return 1.5 * limit * WINDOW + 5
-
-
-def count_most(times: list[float], since: float) -> int:
-    """Return the most calls in any window that begins after a moment."""
-    late = sorted(at for at in times if at >= since)
-    ends = range(1, len(late) + 1)
-    return max(
-        (end - bisect_left(late, late[end - 1] - WINDOW) for end in ends), default=0
-    )
-
-
 @asynccontextmanager
-async def run_six() -> AsyncIterator[FleetRig]:
+async def run_daemons(count: int) -> AsyncIterator[FleetRig]:
     async with run_fleet() as rig:
-        for number in (2, 3):
-            for zone in ("north", "south"):
-                await rig.add_daemon(f"{zone}-{number}", zone)
+        await rig.fill(count)
         await asyncio.sleep(1.0)
         yield rig
 
 
+def run_six() -> AbstractAsyncContextManager[FleetRig]:
+    return run_daemons(6)
+
+
 class Asking:
     """Asks each daemon some times a second, and keeps what came of it."""
 
@@ -81,8 +68,12 @@
         return sum(status != 200 for status in self.statuses)
 
 
+def list_plain(rig: FleetRig) -> list[PlatformEngine]:
+    return [each for each in rig.engines if not each.model]
+
+
 def find_plain(rig: FleetRig) -> PlatformEngine:
-    return next(each for each in rig.engines if not each.model)
+    return list_plain(rig)[0]
 
 
 async def find_holder(rig: FleetRig, adapter: str) -> PlatformEngine:
@@ -157,7 +148,7 @@
 
 async def test_all_endpoints_limited_callers_are_told_when_to_come_back() -> None:
     async with run_six() as rig:
-        engines = [each for each in rig.engines if not each.model]
+        engines = list_plain(rig)
         for engine in engines:
             engine.limit = 2.9
         named_at = asyncio.get_running_loop().time()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -96,7 +96,7 @@
     daemons: int,
     seed: int,
 ) -> None:
-    # Guards against shares worked out from a surge that leaders have not yet heard of.
+    # Guards against daemons that together run too much, as a surge meets a cut.
     load = Load(
         "surge",
         rate=20_000.0,
