Datagrams between daemons, and features that operators can switch off

Cause: a turn at an engine or units of a quota are asked for and granted per request; reports and updates of the feed gather changes for 20 to 50 ms and carry whole state. Change: one datagram port a daemon beside its feed, with structs in the feed's IDL; KESTRELTALLY_DISABLED names features to switch off, checked at start. Nothing uses either yet.

--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from kestreltally.features import Features
 from kestreltally.fleet.model import Seconds
 from kestreltally.quotas.grants import QuotaBounds
 
@@ -67,3 +68,4 @@
     machine_capacity: MachineCapacity
     bounds: Bounds
     first_start: bool = False
+    features: Features = Features()
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -32,6 +32,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
+from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
@@ -121,6 +122,7 @@
             RetryBudget(deployment.bounds),
         )
         self._metrics = FleetMetrics(self._read_gauges)
+        self._datagrams = DatagramPort(deployment.vm)
         self._authority = Authority(deployment.bounds.revocation, self._clock)
         self._identity = IdentityCheck(self._fleet, self._authority)
         self._relay.check_caller = self._identity.recheck
@@ -392,6 +394,7 @@
         deployment = self._deployment
         self._switch_watches()
         await self._exchange.feed.start(deployment.peers.host, deployment.peers.port)
+        await self._datagrams.start(deployment.peers.host, deployment.peers.port)
         await self._entry_api.start(deployment.clients, deployment.readiness)
         operators = PoisonApi(self._relay.poison.register, self._metrics.serve)
         await self._entry_api.listen(
@@ -443,6 +446,7 @@
         """Close all connections and cancel all tasks."""
         await self._entry_api.close()
         self._exchange.feed.close()
+        self._datagrams.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -203,3 +203,40 @@
   25: list<NoticeRow> notices,
   26: list<TurnsRow> turns,
 }
+
+// A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
+// to read, its urgency, 0 the most urgent, how long it has waited, and the seconds in
+// which reading has to begin for its objective and before its client leaves.
+struct PromptRow {
+  1: i64 number,
+  2: i32 tokens,
+  3: i32 urgency,
+  4: string organisation,
+  5: double waited,
+  6: double begin_in,
+  7: double give_up_in,
+  8: bool reading,
+}
+
+// All prompts that a daemon has waiting or reading at an engine.
+struct TurnsAsked {
+  1: string endpoint,
+  2: list<PromptRow> prompts,
+}
+
+// The prompts whose turn has come, and the seconds that others are expected to wait.
+struct TurnsGranted {
+  1: string endpoint,
+  2: list<i64> numbers,
+  3: map<i64, double> waits,
+}
+
+// A message of one datagram between two daemons. It may be lost, repeated or late; serial
+// increases with each datagram of one start of a daemon, which boot names.
+struct Datagram {
+  1: string vm,
+  2: i64 boot,
+  3: i64 serial,
+  4: TurnsAsked turns_asked,
+  5: TurnsGranted turns_granted,
+}
--- a/src/kestreltally/knowledge/frames.py
+++ b/src/kestreltally/knowledge/frames.py
@@ -20,7 +20,7 @@
 # which is acceptable for a leader of several hundred daemons.
 WINDOW_BITS: Final = -12
 MEMORY_LEVEL: Final = 5
-_PROTOCOL: Final = TCyBinaryProtocolFactory()
+PROTOCOL: Final = TCyBinaryProtocolFactory()
 
 
 class MalformedFrame(ValueError):
@@ -45,7 +45,7 @@
 
     def send(self, message: Any) -> None:
         """Write a struct."""
-        payload = self._deflater.compress(serialize(message, _PROTOCOL))
+        payload = self._deflater.compress(serialize(message, PROTOCOL))
         payload += self._deflater.flush(zlib.Z_SYNC_FLUSH)
         self._writer.write(len(payload).to_bytes(LENGTH_BYTES, "big") + payload)
 
@@ -62,7 +62,7 @@
             if not payload:
                 # Even a struct without fields has a stop byte.
                 raise MalformedFrame("frame has no content")
-            return deserialize(expected(), payload, _PROTOCOL)
+            return deserialize(expected(), payload, PROTOCOL)
         except (TException, EOFError, ValueError, TypeError, zlib.error) as error:
             raise MalformedFrame(repr(error)) from error
 
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -443,3 +443,83 @@
     ("turns", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
+
+
+class PromptRow(Struct):
+    """``PromptRow`` of the IDL."""
+
+
+PromptRow.thrift_spec = {
+    1: (TType.I64, "number", False),
+    2: (TType.I32, "tokens", False),
+    3: (TType.I32, "urgency", False),
+    4: (TType.STRING, "organisation", False),
+    5: (TType.DOUBLE, "waited", False),
+    6: (TType.DOUBLE, "begin_in", False),
+    7: (TType.DOUBLE, "give_up_in", False),
+    8: (TType.BOOL, "reading", False),
+}
+PromptRow.default_spec = [
+    ("number", None),
+    ("tokens", None),
+    ("urgency", None),
+    ("organisation", None),
+    ("waited", None),
+    ("begin_in", None),
+    ("give_up_in", None),
+    ("reading", None),
+]
+gen_init(PromptRow, PromptRow.thrift_spec, PromptRow.default_spec)
+
+
+class TurnsAsked(Struct):
+    """``TurnsAsked`` of the IDL."""
+
+
+TurnsAsked.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.LIST, "prompts", (TType.STRUCT, PromptRow), False),
+}
+TurnsAsked.default_spec = [
+    ("endpoint", None),
+    ("prompts", None),
+]
+gen_init(TurnsAsked, TurnsAsked.thrift_spec, TurnsAsked.default_spec)
+
+
+class TurnsGranted(Struct):
+    """``TurnsGranted`` of the IDL."""
+
+
+TurnsGranted.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.LIST, "numbers", TType.I64, False),
+    3: (TType.MAP, "waits", (TType.I64, TType.DOUBLE), False),
+}
+TurnsGranted.default_spec = [
+    ("endpoint", None),
+    ("numbers", None),
+    ("waits", None),
+]
+gen_init(TurnsGranted, TurnsGranted.thrift_spec, TurnsGranted.default_spec)
+
+
+class Datagram(Struct):
+    """``Datagram`` of the IDL."""
+
+
+Datagram.thrift_spec = {
+    1: (TType.STRING, "vm", False),
+    2: (TType.I64, "boot", False),
+    3: (TType.I64, "serial", False),
+    4: (TType.STRUCT, "turns_asked", TurnsAsked, False),
+    5: (TType.STRUCT, "turns_granted", TurnsGranted, False),
+}
+Datagram.default_spec = [
+    ("vm", None),
+    ("boot", None),
+    ("serial", None),
+    ("turns_asked", None),
+    ("turns_granted", None),
+]
+gen_init(Datagram, Datagram.thrift_spec, Datagram.default_spec)
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -11,12 +11,15 @@
     MachineCapacity,
     SocketAddress,
 )
+from kestreltally.features import read_features
 from kestreltally.quotas.grants import QuotaBounds
 
 PATH_VARIABLE: Final = "KESTRELTALLY_CONFIG"
 DEFAULT_PATH: Final = "/etc/kestreltally/local.json"
 # The metrics port is configured in deploy/system.toml, which also sets this variable.
 METRICS_VARIABLE: Final = "KESTRELTALLY_METRICS_PORT"
+# Names the features that are switched off, separated by commas.
+DISABLED_VARIABLE: Final = "KESTRELTALLY_DISABLED"
 MILLISECONDS: Final = 1000.0
 
 
@@ -59,6 +62,7 @@
         machine_capacity=_decode_machine_capacity(content["Limits"]),
         bounds=_decode_bounds(content["Bounds"]),
         first_start=bool(content.get("FirstStart")),
+        features=read_features(os.environ.get(DISABLED_VARIABLE, "")),
     )
 
 
