Decide when prompts begin at an engine, and whether that is called for

Cause: prompts that are read back to back make every stream on their engine pause for longer than its route allows. Pure decisions; nothing uses them yet.

--- /dev/null
+++ b/src/kestreltally/pacing/line.py
@@ -0,0 +1,262 @@
+"""The line of prompts that wait for one engine, over all daemons.
+
+The issuer keeps one line per engine. Daemons replace their part of it with each
+message, so that a new issuer knows the whole line once it has heard each daemon. A turn
+is a hint: a daemon without an answer sends its prompts unasked, and the line counts
+them as being read.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from kestreltally.fleet.model import Seconds
+from kestreltally.pacing.group import MIN_STREAM_TIME, PromptKey, ReadingGroup
+from kestreltally.pacing.order import GRANT_DELAY, Order, Rotation
+from kestreltally.pacing.prompts import EnginePace, Prompt
+from kestreltally.pacing.shares import FairShares
+
+__all__ = ["EnginePace", "Prompt", "TurnLine"]
+
+# Daemons repeat their prompts every 0.2 s; one that missed several repetitions is gone.
+DAEMON_TTL: Final[Seconds] = 1.0
+# A granted prompt that is not reported as being read for this long has lost its turn.
+GRANT_TTL: Final[Seconds] = 0.3
+# A daemon that asks again so long after a grant has not received it.
+GRANT_REPEAT_DELAY: Final[Seconds] = 0.05
+# A prompt too long for any pause is passed over for this long while many streams run.
+MAX_PASSED_OVER: Final[Seconds] = 0.5
+# Few streams are at most this fraction of the usual number. Each call moves the usual
+# number by this fraction of the difference.
+FEW_STREAMS: Final = 0.5
+STREAMS_WEIGHT: Final = 0.05
+# So many waits are predicted one by one; those behind get that of the last.
+MAX_PREDICTIONS: Final = 200
+MIN_RECHECK_DELAY: Final[Seconds] = 0.001
+LATE: Final[Seconds] = float("-inf")
+
+
+@dataclass(slots=True)
+class _Entry:
+    """A prompt in the line.
+
+    ``granted_at`` is when its turn began. ``repeat`` says that the grant was lost, and
+    ``lapsed`` that its daemon let a turn pass, after which it comes behind the others.
+    """
+
+    prompt: Prompt
+    granted_at: Seconds | None = None
+    repeat: bool = False
+    lapsed: bool = False
+
+    @property
+    def waits(self) -> bool:
+        """Return whether the prompt's turn is still to come."""
+        return self.granted_at is None and not self.prompt.reading
+
+
+@dataclass(slots=True)
+class _Member:
+    """A daemon's part of the line."""
+
+    heard_at: Seconds
+    entries: dict[int, _Entry] = field(default_factory=dict)
+
+
+class TurnLine:
+    """Decides whose prompts an engine reads next. Times are the issuer's clock.
+
+    ``shares`` may be common to the lines of several engines.
+    """
+
+    def __init__(self, shares: FairShares | None = None) -> None:
+        self._shares = FairShares() if shares is None else shares
+        self._members: dict[str, _Member] = {}
+        self._group = ReadingGroup()
+        self._rotation = Rotation()
+        self._pace: EnginePace | None = None
+        self._usual_streams: float | None = None
+
+    def is_idle(self, now: Seconds) -> bool:
+        """Return whether nothing waits or is read, nor was read of late.
+
+        The line can be dropped then. Before, its break would be lost.
+        """
+        return not self._members and now >= self._group.read_at + MIN_STREAM_TIME
+
+    def apply(self, daemon: str, prompts: Sequence[Prompt], now: Seconds) -> None:
+        """Replace a daemon's prompts; those that vanished were read or withdrawn."""
+        member = self._members.setdefault(daemon, _Member(now))
+        member.heard_at = now
+        previous, member.entries = member.entries, {}
+        for prompt in prompts:
+            entry = previous.pop(prompt.number, None) or _Entry(prompt)
+            entry.prompt = prompt
+            member.entries[prompt.number] = entry
+            self._update(entry, now)
+        for number in previous:
+            self._group.end((daemon, number), now)
+        if not member.entries:
+            del self._members[daemon]
+
+    def _update(self, entry: _Entry, now: Seconds) -> None:
+        """Bring an entry up to date with its daemon's report."""
+        if entry.prompt.reading:
+            if entry.granted_at is None:
+                # It was sent without a turn.
+                self._begin(entry, now)
+        elif (
+            entry.granted_at is not None
+            and now >= entry.granted_at + GRANT_REPEAT_DELAY
+        ):
+            entry.repeat = True
+
+    def _begin(self, entry: _Entry, now: Seconds) -> None:
+        """Count a prompt as being read from now on."""
+        entry.granted_at = now
+        self._group.begin(_make_key(entry), entry.prompt.tokens, now)
+        self._shares.record(entry.prompt.organisation, entry.prompt.tokens, now)
+
+    def expire(self, now: Seconds) -> None:
+        """Remove silent daemons, and turns that were not used or take far too long."""
+        for daemon, member in list(self._members.items()):
+            if now >= member.heard_at + DAEMON_TTL:
+                del self._members[daemon]
+                for number in member.entries:
+                    self._group.end((daemon, number), now)
+        for entry in self._list_entries():
+            granted_at = entry.granted_at
+            if granted_at is None or entry.prompt.reading:
+                continue
+            if now >= granted_at + GRANT_TTL:
+                entry.granted_at, entry.repeat, entry.lapsed = None, False, True
+                self._group.end(_make_key(entry), now)
+        if self._pace and now >= self._group.compute_overdue_at(self._pace):
+            for key in list(self._group.in_flight):
+                self._group.end(key, now)
+
+    def issue(self, pace: EnginePace, now: Seconds) -> list[Prompt]:
+        """Return the prompts whose turn begins now, or whose grant was lost."""
+        self._pace = pace
+        self.expire(now)
+        self._learn_streams(pace)
+        repeated = self._pop_repeated(now)
+        self._group.reset_after_break(pace, now)
+        return repeated + self._grant(pace, now)
+
+    def _grant(self, pace: EnginePace, now: Seconds) -> list[Prompt]:
+        """Grant turns in order until the group is full."""
+        waiting = [each for each in self._list_waiting() if self._may_begin(each, now)]
+        if not waiting:
+            return []
+        order = self._make_order(waiting, pace, self._rotation, now)
+        granted: list[Prompt] = []
+        while True:
+            begin_at = now + self._group.compute_remaining(pace, now)
+            prompt = order.choose(begin_at)
+            if prompt is None or not self._group.admits(prompt, pace):
+                return granted
+            order.take(begin_at)
+            self._begin(self._members[prompt.daemon].entries[prompt.number], now)
+            granted.append(prompt)
+
+    def _make_order(
+        self,
+        entries: Iterable[_Entry],
+        pace: EnginePace,
+        rotation: Rotation,
+        now: Seconds,
+    ) -> Order:
+        prompts = (
+            replace(each.prompt, begin_by=LATE) if each.lapsed else each.prompt
+            for each in entries
+        )
+        return Order(prompts, pace, self._shares, rotation, now)
+
+    def _may_begin(self, entry: _Entry, now: Seconds) -> bool:
+        """Return whether a prompt need not wait until fewer streams run."""
+        return now >= self._compute_passed_over_until(entry, now)
+
+    def _compute_passed_over_until(self, entry: _Entry, now: Seconds) -> Seconds:
+        """Return until when a prompt is passed over for the sake of streams."""
+        pace, prompt = self._pace, entry.prompt
+        if pace is None or not pace.exceeds_pause(prompt.tokens):
+            return now
+        if not self._group.has_streams(pace, now) or self._has_few_streams(pace):
+            return now
+        # It must not be late only because it was passed over.
+        timely = prompt.begin_by - pace.max_pause
+        return min(prompt.asked_at + MAX_PASSED_OVER, timely)
+
+    def _has_few_streams(self, pace: EnginePace) -> bool:
+        usual = self._usual_streams
+        return usual is not None and pace.streams <= FEW_STREAMS * usual
+
+    def _learn_streams(self, pace: EnginePace) -> None:
+        if self._usual_streams is None:
+            self._usual_streams = pace.streams
+        self._usual_streams += STREAMS_WEIGHT * (pace.streams - self._usual_streams)
+
+    def _pop_repeated(self, now: Seconds) -> list[Prompt]:
+        """Return the prompts to be granted again because the grant was lost."""
+        repeated = []
+        for entry in self._list_entries():
+            if entry.repeat and entry.prompt.give_up_at > now + GRANT_DELAY:
+                repeated.append(entry.prompt)
+            entry.repeat = False
+        return repeated
+
+    def compute_next_issue(self, pace: EnginePace, now: Seconds) -> Seconds | None:
+        """Return the delay after which to call ``issue`` again without a message.
+
+        It is None if nothing waits. To be called after ``issue``.
+        """
+        waiting = list(self._list_waiting())
+        if not waiting:
+            return None
+        times = [member.heard_at + DAEMON_TTL for member in self._members.values()]
+        times += [
+            entry.granted_at + GRANT_TTL
+            for entry in self._list_entries()
+            if entry.granted_at is not None and not entry.prompt.reading
+        ]
+        times += [self._compute_passed_over_until(entry, now) for entry in waiting]
+        if self._group.in_flight:
+            times.append(self._group.compute_overdue_at(pace))
+        if not self._group.in_flight or not self._group.has_streams(pace, now):
+            times.append(self._group.compute_break_end(pace, now))
+        later = [each - now for each in times if each > now]
+        return max(MIN_RECHECK_DELAY, min(later, default=DAEMON_TTL))
+
+    def predict_waits(
+        self, pace: EnginePace, now: Seconds
+    ) -> dict[tuple[str, int], Seconds]:
+        """Return how long each waiting prompt is expected to wait until it begins.
+
+        A prompt that can't begin before its client leaves gets a wait beyond that.
+        """
+        waiting = list(self._list_waiting())
+        order = self._make_order(waiting, pace, self._rotation.copy(), now)
+        forecast = self._group.forecast(pace, now)
+        waits: dict[PromptKey, Seconds] = {}
+        while len(waits) < MAX_PREDICTIONS:
+            prompt = order.take(forecast.free_at)
+            if prompt is None:
+                break
+            begin_at = forecast.add(prompt.tokens)
+            waits[prompt.daemon, prompt.number] = begin_at - now
+        for entry in waiting:
+            beyond = max(forecast.free_at, entry.prompt.give_up_at) - now
+            waits.setdefault(_make_key(entry), beyond)
+        return waits
+
+    def _list_entries(self) -> Iterator[_Entry]:
+        for member in self._members.values():
+            yield from member.entries.values()
+
+    def _list_waiting(self) -> Iterator[_Entry]:
+        return (entry for entry in self._list_entries() if entry.waits)
+
+
+def _make_key(entry: _Entry) -> PromptKey:
+    return (entry.prompt.daemon, entry.prompt.number)
