Pacing: prompts wait for their turn at an engine, over all daemons

Change: where streams of a service pause nearly as long as their routes bear, a prompt that takes longer to read than an event asks the leader of its engine for a turn by a datagram, and waits at its daemon. Without an answer it goes at once, as before. The sending of a request moved out of relay.py.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -230,6 +230,8 @@
             reason=str(end) if isinstance(end, Exception) else None,
             retry_after=getattr(end, "retry_after", None),
             waited=round(call.progress.waited, 3),
+            turn=round(call.progress.turn_wait, 3),
+            pause=round(call.progress.longest_pause, 3),
             first=round(first - call.started_at, 3) if first is not None else None,
             took=round(now - call.started_at, 3),
             trail=call.progress.trail,
@@ -247,6 +249,8 @@
                 status=str(getattr(end, "status", "")),
                 took=now - call.started_at,
                 waited=call.progress.waited,
+                turn_wait=call.progress.turn_wait,
+                longest_pause=call.progress.longest_pause,
                 first=first - call.started_at if first is not None else None,
                 prediction_errors=tuple(
                     each.predicted - each.actual for each in call.progress.predictions
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -16,6 +16,7 @@
 from kestreltally.entry.silence import compute_first_check_delay
 from kestreltally.entry.upstream import Answer, AnswerTruncated
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
+from kestreltally.pacing.pauses import EventTimes, PauseCounter
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -36,11 +37,16 @@
 
 
 class Delivery:
-    """Forwards answers, and records the outcome for the endpoint's health."""
+    """Forwards answers, and records the outcome for the endpoint's health.
+
+    ``event_times`` and ``pauses`` are learned from the events of streams of engines.
+    """
 
     def __init__(self, health: HealthTable, budget: RetryBudget) -> None:
         self._health = health
         self._budget = budget
+        self.event_times = EventTimes()
+        self.pauses = PauseCounter()
 
     def record_failure(self, endpoint: Endpoint, fault: str) -> None:
         """Count a failure of an endpoint; log if the endpoint is ejected."""
@@ -138,7 +144,8 @@
                 self._health.record_received(
                     endpoint.id, asyncio.get_running_loop().time()
                 )
-                await self._write_events(client, progress, answer, content)
+                if await self._write_events(client, progress, answer, content):
+                    self._record_event(progress, endpoint)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
@@ -148,6 +155,10 @@
             raise AttemptFailed("stream broken off", may_have_run=True) from error
         progress.record_ended()
         self._health.record_success(endpoint.id)
+        if request.service.engine is not None and request.route.max_pause:
+            self.pauses.record(
+                request.service_name, progress.longest_pause, request.route.max_pause
+            )
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
             await progress.response.prepare(client)
@@ -159,15 +170,23 @@
         progress: Progress,
         answer: Answer,
         content: bytes,
-    ) -> None:
+    ) -> bool:
+        """Write the complete events of some content; return whether there are any."""
         complete_events = progress.events.feed(content)
         if not complete_events:
-            return
+            return False
         progress.record_answered(complete=False)
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
             await progress.response.prepare(client)
         await progress.response.write(complete_events)
+        return True
+
+    def _record_event(self, progress: Progress, endpoint: Endpoint) -> None:
+        """Learn from the time between two events of a stream."""
+        gap = progress.record_event(asyncio.get_running_loop().time())
+        if gap is not None:
+            self.event_times.learn(endpoint.id, gap)
 
 
 def _record_complete(progress: Progress, answer: Answer) -> None:
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -26,6 +26,7 @@
 FAILURE_RATE_WEIGHT: Final = 0.12
 # Until an answer starts, at most this fraction of its prompt counts as processed.
 MAX_READ_FRACTION: Final = 0.9
+NOT_SENT: Final[Seconds] = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +35,7 @@
 
     ``unread`` counts its prompt tokens to process; ``priority`` 0 is the most urgent.
     Prefill is expected to start at ``prefill_starts_at`` and to last
-    ``prefill_duration``.
+    ``prefill_duration``. ``sent_at`` is infinite for a request that is not sent yet.
     """
 
     sent_at: Seconds
@@ -113,6 +114,13 @@
         )
         return self._next_token
 
+    def reserve(self, endpoint: EndpointId, unread: int, priority: int) -> int:
+        """Count a request that will be sent to an endpoint later; return a token.
+
+        Call ``end`` with it before the request is sent, or if it is not.
+        """
+        return self.start(endpoint, NOT_SENT, unread, priority, prefill_delay=0.0)
+
     def record_answer_start(
         self, endpoint: EndpointId, token: int, now: Seconds
     ) -> None:
@@ -177,8 +185,8 @@
             return True
         if now < health.ejected_until:
             return False
-        first = next(iter(health.pending.values()), None)
-        oldest = first.sent_at if first is not None else now
+        sent = (p.sent_at for p in health.pending.values() if p.sent_at != NOT_SENT)
+        oldest = next(sent, now)
         silent = now - oldest > SILENCE_TIMEOUT and health.answered_at < oldest
         return not silent
 
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -31,6 +31,9 @@
     ``runs`` counts the sends that may have run, because the endpoint did not state that
     they had not. ``attempt`` is the record of the current send for poison detection.
     ``content`` identifies the content of a stopped request in log lines.
+    ``turn_wait`` is the time spent waiting for turns at engines, and
+    ``longest_pause`` is the longest time between two events, the last of which came at
+    ``event_at``.
     """
 
     sends: int = 0
@@ -45,6 +48,17 @@
     response: web.StreamResponse | None = None
     attempt: Attempt | None = None
     content: str | None = None
+    turn_wait: Seconds = 0.0
+    event_at: Seconds | None = None
+    longest_pause: Seconds = 0.0
+
+    def record_event(self, now: Seconds) -> Seconds | None:
+        """Record an event; return the time since the previous one, None if first."""
+        before, self.event_at = self.event_at, now
+        if before is None:
+            return None
+        self.longest_pause = max(self.longest_pause, now - before)
+        return now - before
 
     def record_answered(self, *, complete: bool) -> None:
         """Record that a valid part of an answer, or all of it, has arrived."""
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -7,17 +7,18 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import replace
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.choice import Option
-from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery, compute_wait_limit
+from kestreltally.entry.delivery import Delivery
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.pacer import PromptPacer
 from kestreltally.entry.progress import (
     DEFAULT_RETRY_DELAY,
     UNAVAILABLE,
@@ -28,51 +29,32 @@
     make_final_error,
 )
 from kestreltally.entry.request import (
-    BODY_METHODS,
     Caller,
     ClientRequest,
     Refused,
 )
 from kestreltally.entry.retries import RetryBudget
-from kestreltally.entry.silence import (
-    POLL_INTERVAL,
-    UnansweredRequest,
-    Verdict,
-    evaluate_silence,
-)
+from kestreltally.entry.sending import Sender
 from kestreltally.entry.upstream import (
     Answer,
-    AnswerLost,
-    AnswerTruncated,
     Channel,
     ChannelPool,
-    NotConnected,
-    encode_head,
 )
-from kestreltally.entry.waiting import LOWEST_URGENCY
+from kestreltally.entry.urgency import compute_urgency
+from kestreltally.estimates.prefill import PrefillWork
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
     Seconds,
 )
-from kestreltally.fleet.notices import Unavailable
 from kestreltally.fleet.tables import Fleet
-from kestreltally.platform.headers import (
-    LAST_EVENT_ID,
-    MISDIRECTED,
-    encode_request,
-    is_genuine,
-    read_instance,
-    was_not_run,
-)
+from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
 
 LOG = logging.getLogger("kestreltally.relay")
 
 GATEWAY_TIMEOUT: Final = 504
 MIN_ERROR_STATUS: Final = 400
-# Added to the priority of late requests, which places them in the less urgent half.
-LATE_PRIORITY_OFFSET: Final = 5
 # A request is given up this long before its deadline, so that the refusal still
 # arrives.
 REFUSAL_MARGIN: Final[Seconds] = 0.03
@@ -80,20 +62,6 @@
 RETRY_PAUSE: Final[Seconds] = 0.1
 
 
-def compute_urgency(
-    request: ClientRequest, first_event_at: Seconds, *, resumes: bool
-) -> int:
-    """Return the priority to send to an engine, 0 the most urgent.
-
-    A request that misses its objective yields to those that can still meet theirs;
-    such late requests keep their order. A stream that has started is not late.
-    """
-    priority = request.priority
-    if resumes or first_event_at <= request.arrived_at + request.route.objective:
-        return priority
-    return min(LOWEST_URGENCY, LATE_PRIORITY_OFFSET + priority)
-
-
 class Relay:
     """Relays requests to endpoints."""
 
@@ -110,14 +78,19 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
-        self._delivery = Delivery(health, budget)
+        self.delivery = Delivery(health, budget)
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
+        self._sender = Sender(
+            fleet, pool, health, self.finder, self.delivery, self.poison
+        )
         # Called with a prompt's token count when an endpoint starts or ends its
         # prefill.
         self.record_reading: Callable[[int], None] = lambda _: None
         # Called when this daemon's use of an adapter on an engine starts or ends.
         self.notify_use_change: Callable[[], None] = lambda: None
+        # Makes long prompts wait for their turn at an engine, None if switched off.
+        self.pacer: PromptPacer | None = None
         # Raises ``Refused`` if a key was revoked after its request was read.
         self.check_caller: Callable[[Caller], None] = lambda _: None
 
@@ -253,20 +226,45 @@
         self.record_reading(work.uncached_tokens)
         keep = False
         channel: Channel | None = None
+        turn: Turn | None = None
+        sent_at = started_at
         try:
-            channel = await self._connect(request, endpoint)
+            if self._needs_turn(request, progress, endpoint, work):
+                self.health.end(endpoint.id, token)
+                token = self.health.reserve(endpoint.id, work.uncached_tokens, urgency)
+                turn = await self._obtain_turn(request, progress, endpoint, work)
+                sent_at = loop.time()
+                urgency = compute_urgency(
+                    request, sent_at + prefill_duration, resumes=False
+                )
+                work = replace(
+                    work,
+                    priority=urgency,
+                    queued_tokens=0.0 if turn.granted else work.queued_tokens,
+                )
+                self.health.end(endpoint.id, token)
+                token = self.health.start(
+                    endpoint.id,
+                    sent_at,
+                    work.uncached_tokens,
+                    urgency,
+                    prefill_duration=prefill_duration,
+                )
+            channel = await self._sender.connect(request, endpoint)
             progress.sends += 1
             progress.attempt = self.poison.crash_detector.start(request, endpoint)
-            answer = await self._send_request(
+            answer = await self._sender.send(
                 request, progress, endpoint, channel, token, urgency
             )
             self.health.record_answer_start(endpoint.id, token, loop.time())
+            if turn is not None:
+                turn.end()
             self.record_reading(work.uncached_tokens)
             progress.first_byte_at = progress.first_byte_at or loop.time()
             if request.service.engine is not None and answer.status < MIN_ERROR_STATUS:
-                took = loop.time() - started_at
-                prefill_times.learn(endpoint.id, work, took)
-                progress.predictions.append(Prediction(predicted, took))
+                now = loop.time()
+                prefill_times.learn(endpoint.id, work, now - sent_at)
+                progress.predictions.append(Prediction(predicted, now - started_at))
             channel.apply_keep_alive(answer, loop.time())
             response = await self._forward(request, client, progress, endpoint, answer)
             keep = True
@@ -277,193 +275,64 @@
                 progress.record_ended()
             raise
         finally:
+            if turn is not None:
+                turn.end()
             self._end_attempt(progress)
             self.health.end(endpoint.id, token)
             self._record_use(request, endpoint, -1)
             if channel is not None:
                 self._pool.release(channel, keep=keep)
 
-    def _end_attempt(self, progress: Progress) -> None:
-        if progress.attempt is not None:
-            self.poison.crash_detector.end(progress.attempt)
-            progress.attempt = None
-
-    def _record_use(
-        self, request: ClientRequest, endpoint: Endpoint, step: int
-    ) -> None:
-        key = request.head.weights
-        if key is None or not key.adapter:
-            return
-        if self.finder.demand.record_use(endpoint.id, key, step):
-            self.notify_use_change()
-
-    async def _connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
-        try:
-            return await self._pool.acquire(endpoint)
-        except NotConnected as error:
-            if error.refused:
-                self.poison.crash_detector.record_refused(endpoint)
-            self._delivery.record_failure(endpoint, str(error))
-            self._record_unreachable(request, endpoint)
-            raise AttemptFailed(
-                "no connection to the endpoint", may_have_run=False
-            ) from error
-
-    def _record_unreachable(self, request: ClientRequest, endpoint: Endpoint) -> None:
-        """Exclude the engine for these weights, and report it to the leader."""
-        key = request.head.weights
-        if key is None or request.service.engine is None:
-            return
-        now = asyncio.get_running_loop().time()
-        self._fleet.record_missing_weights(endpoint.id, key, now)
-        self.finder.demand.record_refused(endpoint.id, key)
-        self.finder.expedite()
-
-    async def _send_request(
+    def _needs_turn(
         self,
         request: ClientRequest,
         progress: Progress,
         endpoint: Endpoint,
-        channel: Channel,
-        token: int,
-        urgency: int,
-    ) -> Answer:
-        head = self._encode(request, progress, endpoint, urgency)
-        # From this point the request may run, whatever interrupts the wait for its
-        # answer.
-        progress.runs += 1
-        sending = channel.send(head, request.body, request.head.id)
-        wait_limit = compute_wait_limit(request, progress)
-        try:
-            if wait_limit is None:
-                answer = await sending
-            else:
-                answer = await self._wait_for_answer(
-                    request, progress, endpoint, token, sending, wait_limit
-                )
-        except Unavailable as error:
-            progress.runs -= 1
-            progress.sends -= 1
-            raise AttemptFailed(
-                "endpoint accepts no requests at present", may_have_run=False
-            ) from error
-        except AnswerLost as error:
-            progress.record_broken()
-            self._delivery.record_failure(endpoint, str(error))
-            raise AttemptFailed(
-                "connection lost before the answer", may_have_run=True
-            ) from error
-        if was_not_run(answer.status, answer.headers):
-            progress.runs -= 1
-            await self._handle_not_run(request, endpoint, answer)
-        if not is_genuine(answer.status, answer.headers):
-            self._delivery.record_failure(endpoint, "answer encoded or without stamp")
-            raise AttemptFailed("answer not genuine", may_have_run=True)
-        return answer
+        work: PrefillWork,
+    ) -> bool:
+        """Return whether a prompt waits for its turn.
 
-    async def _wait_for_answer(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        token: int,
-        sending: Coroutine[Any, Any, Answer],
-        wait_limit: Seconds,
-    ) -> Answer:
-        """Return an answer; raises ``AttemptFailed`` to try another endpoint."""
-        answering = asyncio.create_task(sending)
-        try:
-            while not (await asyncio.wait({answering}, timeout=wait_limit))[0]:
-                verdict = self._evaluate_silence(request, progress, endpoint, token)
-                if verdict is not Verdict.WAIT:
-                    self._delivery.record_failure(endpoint, "silent")
-                    raise AttemptFailed(verdict.value, may_have_run=True)
-                wait_limit = POLL_INTERVAL
-            return await answering
-        finally:
-            answering.cancel()
+        A request that was sent before never does: its client has waited already.
+        """
+        if self.pacer is None or progress.runs:
+            return False
+        return self.pacer.needs_turn(request, endpoint, work)
 
-    def _evaluate_silence(
+    async def _obtain_turn(
         self,
         request: ClientRequest,
         progress: Progress,
         endpoint: Endpoint,
-        token: int,
-    ) -> Verdict:
-        now = asyncio.get_running_loop().time()
-        key = request.head.weights
-        if request.service.engine is None or key is None:
-            return Verdict.SILENT
-        holders = self._fleet.list_holders(request.service_name, key, now)
-        return evaluate_silence(
-            UnansweredRequest(
-                serves=any(each.id == endpoint.id for each in holders)
-                or self._fleet.is_backing_off(endpoint, now),
-                has_alternative=any(each.id not in progress.tried for each in holders),
-                silent_for=now - self.health.get_row(endpoint.id).received_at,
-                overtaken=self.health.is_overtaken(endpoint.id, token),
-            )
-        )
+        work: PrefillWork,
+    ) -> Turn:
+        """Wait for a prompt's turn, and check again what may have changed meanwhile.
 
-    async def _handle_not_run(
-        self, request: ClientRequest, endpoint: Endpoint, answer: Answer
-    ) -> None:
-        """Record why an endpoint did not run a request; raises ``AttemptFailed``."""
-        now = asyncio.get_running_loop().time()
-        key = request.head.weights
-        if answer.status == MISDIRECTED:
-            instance = read_instance(answer.headers)
-            if instance and instance != endpoint.id:
-                self.poison.crash_detector.record_replaced(endpoint)
-                self._fleet.drop_endpoint(endpoint.id)
-            elif key is not None:
-                self._fleet.record_missing_weights(endpoint.id, key, now)
-                self.finder.demand.record_refused(endpoint.id, key)
-                self.finder.expedite()
+        Raises ``Refused`` or ``AttemptFailed``.
+        """
+        assert self.pacer is not None
+        turn = await self.pacer.obtain(request, progress, endpoint, work)
         try:
-            await answer.read_all(MAX_BUFFERED_BYTES)
-        except AnswerTruncated as error:
-            LOG.debug(
-                "relay: refusal from endpoint %s truncated: %s", endpoint.id, error
-            )
-        raise AttemptFailed(
-            f"request not run (status {answer.status})", may_have_run=False
-        )
+            if request.caller is not None:
+                self.check_caller(request.caller)
+            self._check_poison(request, progress)
+        except BaseException:
+            turn.end()
+            raise
+        return turn
 
-    def _encode(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        urgency: int,
-    ) -> bytes:
-        now = asyncio.get_running_loop().time()
-        headers = list(request.headers)
-        last = progress.events.last_id
-        if last is not None:
-            headers = [h for h in headers if h[0].lower() != LAST_EVENT_ID.lower()]
-            headers.append((LAST_EVENT_ID, last))
-        is_engine = request.service.engine is not None
-        headers.extend(
-            encode_request(
-                remaining=request.deadline - now,
-                instance=endpoint.id,
-                priority=urgency if is_engine else None,
-                version=self._choose_version(request, endpoint),
-                organisation=request.organisation_name,
-            )
-        )
-        if request.body or request.method in BODY_METHODS:
-            headers.append(("Content-Length", str(len(request.body))))
-        return encode_head(request.method, request.path, headers)
+    def _end_attempt(self, progress: Progress) -> None:
+        if progress.attempt is not None:
+            self.poison.crash_detector.end(progress.attempt)
+            progress.attempt = None
 
-    def _choose_version(self, request: ClientRequest, endpoint: Endpoint) -> int | None:
-        """Return the newest version if the endpoint has it, to require it there."""
+    def _record_use(
+        self, request: ClientRequest, endpoint: Endpoint, step: int
+    ) -> None:
         key = request.head.weights
         if key is None or not key.adapter:
-            return None
-        newest = self._fleet.get_newest_version(key)
-        return newest if endpoint.weights.get(key) == newest else None
+            return
+        if self.finder.demand.record_use(endpoint.id, key, step):
+            self.notify_use_change()
 
     async def _forward(
         self,
@@ -475,4 +344,4 @@
     ) -> web.StreamResponse:
         if request.head.weights is not None:
             self.finder.affinity.record(request, request.head.weights, endpoint.id)
-        return await self._delivery.forward(request, client, progress, endpoint, answer)
+        return await self.delivery.forward(request, client, progress, endpoint, answer)
--- /dev/null
+++ b/src/kestreltally/entry/sending.py
@@ -0,0 +1,234 @@
+"""Sends a request to an endpoint and waits for the head of its answer."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from typing import Any
+
+from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery, compute_wait_limit
+from kestreltally.entry.finder import EndpointFinder
+from kestreltally.entry.health import HealthTable
+from kestreltally.entry.progress import AttemptFailed, Progress
+from kestreltally.entry.request import BODY_METHODS, ClientRequest
+from kestreltally.entry.silence import (
+    POLL_INTERVAL,
+    UnansweredRequest,
+    Verdict,
+    evaluate_silence,
+)
+from kestreltally.entry.upstream import (
+    Answer,
+    AnswerLost,
+    AnswerTruncated,
+    Channel,
+    ChannelPool,
+    NotConnected,
+    encode_head,
+)
+from kestreltally.fleet.model import Endpoint, Seconds
+from kestreltally.fleet.notices import Unavailable
+from kestreltally.fleet.tables import Fleet
+from kestreltally.platform.headers import (
+    LAST_EVENT_ID,
+    MISDIRECTED,
+    encode_request,
+    is_genuine,
+    read_instance,
+    was_not_run,
+)
+from kestreltally.poison.guard import PoisonGuard
+
+LOG = logging.getLogger("kestreltally.relay")
+
+
+class Sender:
+    """Sends requests, and records what endpoints that do not serve them say."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        pool: ChannelPool,
+        health: HealthTable,
+        finder: EndpointFinder,
+        delivery: Delivery,
+        poison: PoisonGuard,
+    ) -> None:
+        self._fleet = fleet
+        self._pool = pool
+        self._health = health
+        self._finder = finder
+        self._delivery = delivery
+        self._poison = poison
+
+    async def connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
+        """Return a channel to an endpoint; raises ``AttemptFailed``."""
+        try:
+            return await self._pool.acquire(endpoint)
+        except NotConnected as error:
+            if error.refused:
+                self._poison.crash_detector.record_refused(endpoint)
+            self._delivery.record_failure(endpoint, str(error))
+            self._record_unreachable(request, endpoint)
+            raise AttemptFailed(
+                "no connection to the endpoint", may_have_run=False
+            ) from error
+
+    def _record_unreachable(self, request: ClientRequest, endpoint: Endpoint) -> None:
+        """Exclude the engine for these weights, and report it to the leader."""
+        key = request.head.weights
+        if key is None or request.service.engine is None:
+            return
+        now = asyncio.get_running_loop().time()
+        self._fleet.record_missing_weights(endpoint.id, key, now)
+        self._finder.demand.record_refused(endpoint.id, key)
+        self._finder.expedite()
+
+    async def send(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        channel: Channel,
+        token: int,
+        urgency: int,
+    ) -> Answer:
+        """Send a request and return its answer; raises ``AttemptFailed``.
+
+        ``token`` is the request's token in the health table.
+        """
+        head = self._encode(request, progress, endpoint, urgency)
+        # From this point the request may run, whatever interrupts the wait for its
+        # answer.
+        progress.runs += 1
+        sending = channel.send(head, request.body, request.head.id)
+        wait_limit = compute_wait_limit(request, progress)
+        try:
+            if wait_limit is None:
+                answer = await sending
+            else:
+                answer = await self._wait_for_answer(
+                    request, progress, endpoint, token, sending, wait_limit
+                )
+        except Unavailable as error:
+            progress.runs -= 1
+            progress.sends -= 1
+            raise AttemptFailed(
+                "endpoint accepts no requests at present", may_have_run=False
+            ) from error
+        except AnswerLost as error:
+            progress.record_broken()
+            self._delivery.record_failure(endpoint, str(error))
+            raise AttemptFailed(
+                "connection lost before the answer", may_have_run=True
+            ) from error
+        if was_not_run(answer.status, answer.headers):
+            progress.runs -= 1
+            await self._handle_not_run(request, endpoint, answer)
+        if not is_genuine(answer.status, answer.headers):
+            self._delivery.record_failure(endpoint, "answer encoded or without stamp")
+            raise AttemptFailed("answer not genuine", may_have_run=True)
+        return answer
+
+    async def _wait_for_answer(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        token: int,
+        sending: Coroutine[Any, Any, Answer],
+        wait_limit: Seconds,
+    ) -> Answer:
+        """Return an answer; raises ``AttemptFailed`` to try another endpoint."""
+        answering = asyncio.create_task(sending)
+        try:
+            while not (await asyncio.wait({answering}, timeout=wait_limit))[0]:
+                verdict = self._evaluate_silence(request, progress, endpoint, token)
+                if verdict is not Verdict.WAIT:
+                    self._delivery.record_failure(endpoint, "silent")
+                    raise AttemptFailed(verdict.value, may_have_run=True)
+                wait_limit = POLL_INTERVAL
+            return await answering
+        finally:
+            answering.cancel()
+
+    def _evaluate_silence(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        token: int,
+    ) -> Verdict:
+        now = asyncio.get_running_loop().time()
+        key = request.head.weights
+        if request.service.engine is None or key is None:
+            return Verdict.SILENT
+        holders = self._fleet.list_holders(request.service_name, key, now)
+        return evaluate_silence(
+            UnansweredRequest(
+                serves=any(each.id == endpoint.id for each in holders)
+                or self._fleet.is_backing_off(endpoint, now),
+                has_alternative=any(each.id not in progress.tried for each in holders),
+                silent_for=now - self._health.get_row(endpoint.id).received_at,
+                overtaken=self._health.is_overtaken(endpoint.id, token),
+            )
+        )
+
+    async def _handle_not_run(
+        self, request: ClientRequest, endpoint: Endpoint, answer: Answer
+    ) -> None:
+        """Record why an endpoint did not run a request; raises ``AttemptFailed``."""
+        now = asyncio.get_running_loop().time()
+        key = request.head.weights
+        if answer.status == MISDIRECTED:
+            instance = read_instance(answer.headers)
+            if instance and instance != endpoint.id:
+                self._poison.crash_detector.record_replaced(endpoint)
+                self._fleet.drop_endpoint(endpoint.id)
+            elif key is not None:
+                self._fleet.record_missing_weights(endpoint.id, key, now)
+                self._finder.demand.record_refused(endpoint.id, key)
+                self._finder.expedite()
+        try:
+            await answer.read_all(MAX_BUFFERED_BYTES)
+        except AnswerTruncated as error:
+            LOG.debug(
+                "relay: refusal from endpoint %s truncated: %s", endpoint.id, error
+            )
+        raise AttemptFailed(
+            f"request not run (status {answer.status})", may_have_run=False
+        )
+
+    def _encode(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        urgency: int,
+    ) -> bytes:
+        now = asyncio.get_running_loop().time()
+        headers = list(request.headers)
+        last = progress.events.last_id
+        if last is not None:
+            headers = [h for h in headers if h[0].lower() != LAST_EVENT_ID.lower()]
+            headers.append((LAST_EVENT_ID, last))
+        is_engine = request.service.engine is not None
+        headers.extend(
+            encode_request(
+                remaining=request.deadline - now,
+                instance=endpoint.id,
+                priority=urgency if is_engine else None,
+                version=self._choose_version(request, endpoint),
+                organisation=request.organisation_name,
+            )
+        )
+        if request.body or request.method in BODY_METHODS:
+            headers.append(("Content-Length", str(len(request.body))))
+        return encode_head(request.method, request.path, headers)
+
+    def _choose_version(self, request: ClientRequest, endpoint: Endpoint) -> int | None:
+        """Return the newest version if the endpoint has it, to require it there."""
+        key = request.head.weights
+        if key is None or not key.adapter:
+            return None
+        newest = self._fleet.get_newest_version(key)
+        return newest if endpoint.weights.get(key) == newest else None
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -37,7 +37,8 @@
     event of a stream, or to the complete answer. ``attempts`` limits how many endpoints
     may run one request. Clients abandon a stream that sends nothing for
     ``silence_limit``, also before its first event; 0 means that no such limit is
-    known. Requests of a ``public`` route need no key.
+    known. Requests of a ``public`` route need no key. A stream is late if two of its
+    events are more than ``max_pause`` apart; 0 means that no such limit is known.
     """
 
     name: str
@@ -52,6 +53,7 @@
     resumable: bool
     silence_limit: Seconds = 0.0
     public: bool = False
+    max_pause: Seconds = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -34,6 +34,7 @@
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
+from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
@@ -164,6 +165,14 @@
             self._count_watchers,
             self._clock,
         )
+        self._pacing = Pacing(
+            deployment,
+            self._fleet,
+            self._relay,
+            self._exchange,
+            self._datagrams,
+            self._clock,
+        )
         self._lease_monitor = LeaseMonitor(
             self._store,
             self._leases,
@@ -292,6 +301,7 @@
             "poison_requests": self._relay.poison.register.count(),
             "endpoints_by_word": self._fleet.notices.count(now),
             "daemons_known": {"feed": budget.daemon_count or 0},
+            "turns": self._pacing.measure(),
         }
 
     def _start_leading(self) -> None:
@@ -317,6 +327,7 @@
             self._exchange.apply_local_report()
             self._exchange.expire_leader_state()
             self._exchange.rows.expire_leader_state()
+            self._pacing.run_maintenance()
             self._identity.has_leader_contact = (
                 self._exchange.leaders.find_primary() is not None
             )
--- a/src/kestreltally/fleet_metrics.py
+++ b/src/kestreltally/fleet_metrics.py
@@ -49,6 +49,8 @@
     first: Seconds | None
     prediction_errors: tuple[Seconds, ...] = ()
     organisation: str = ""
+    turn_wait: Seconds = 0.0
+    longest_pause: Seconds = 0.0
 
 
 class FleetMetrics:
@@ -83,6 +85,12 @@
         self._weights_wait_seconds = self._make_histogram(
             "weights_wait", "waiting for weights"
         )
+        self._turn_wait_seconds = self._make_histogram(
+            "turn_wait", "waiting for its turn at an engine"
+        )
+        self._pause_seconds = self._make_histogram(
+            "longest_pause", "one event of its stream to the next"
+        )
         self._prediction_errors = Histogram(
             "kestreltally_first_event_error_seconds",
             "Seconds by which the time to the first event was predicted amiss, by kind "
@@ -124,6 +132,10 @@
         for error in end.prediction_errors:
             direction = "too_long" if error > 0 else "too_short"
             self._prediction_errors.observe({**labels, "amiss": direction}, abs(error))
+        if end.turn_wait:
+            self._turn_wait_seconds.observe(labels, end.turn_wait)
+        if end.longest_pause:
+            self._pause_seconds.observe(labels, end.longest_pause)
         if end.waited:
             self._weights_wait_seconds.observe(labels, end.waited)
 
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -171,6 +171,11 @@
         self._totals_summed_at: Seconds = float("-inf")
         self._resigned: tuple[LeaseInfo, ...] = ()
 
+    def add_part(self, part: FeedPart) -> None:
+        """Let one more part take part in reports and updates."""
+        self._parts = (*self._parts, part)
+        self.feed.parts = self._parts
+
     def resign_if_cut_off(self) -> None:
         """Resign the leases if only this daemon has lost the store."""
         renewed_at = self.feed.get_store_answered_at()
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -139,6 +139,14 @@
   2: list<double> lasts,
 }
 
+// Streams of a service that ended since the previous report, and those of them that paused
+// for nearly as long as their route bears, or longer.
+struct PauseRow {
+  1: string service_name,
+  2: i32 streams,
+  3: i32 stretched,
+}
+
 // From a daemon to a leader; a leader's report to another leader sums up its daemons.
 // store_age is the time since the store answered a lease renewal, read_age the time since
 // it answered a read of the endpoints to this daemon itself, in seconds. stamp is the
@@ -166,6 +174,7 @@
   19: list<NoticeRow> notices,
   20: list<WantedRow> wanted,
   21: bool follows,
+  22: list<PauseRow> pauses,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -202,6 +211,7 @@
   24: double echo_age,
   25: list<NoticeRow> notices,
   26: list<TurnsRow> turns,
+  27: list<string> paced,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -329,6 +329,23 @@
 gen_init(TurnsRow, TurnsRow.thrift_spec, TurnsRow.default_spec)
 
 
+class PauseRow(Struct):
+    """``PauseRow`` of the IDL."""
+
+
+PauseRow.thrift_spec = {
+    1: (TType.STRING, "service_name", False),
+    2: (TType.I32, "streams", False),
+    3: (TType.I32, "stretched", False),
+}
+PauseRow.default_spec = [
+    ("service_name", None),
+    ("streams", None),
+    ("stretched", None),
+]
+gen_init(PauseRow, PauseRow.thrift_spec, PauseRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -355,6 +372,7 @@
     19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
     21: (TType.BOOL, "follows", False),
+    22: (TType.LIST, "pauses", (TType.STRUCT, PauseRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -378,6 +396,7 @@
     ("notices", None),
     ("wanted", None),
     ("follows", None),
+    ("pauses", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -413,6 +432,7 @@
     24: (TType.DOUBLE, "echo_age", False),
     25: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
+    27: (TType.LIST, "paced", TType.STRING, False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -441,6 +461,7 @@
     ("echo_age", None),
     ("notices", None),
     ("turns", None),
+    ("paced", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
--- a/src/kestreltally/pacing/line.py
+++ b/src/kestreltally/pacing/line.py
@@ -84,6 +84,10 @@
         """
         return not self._members and now >= self._group.read_at + MIN_STREAM_TIME
 
+    def count_prompts(self) -> int:
+        """Return how many prompts wait or are read."""
+        return sum(len(member.entries) for member in self._members.values())
+
     def apply(self, daemon: str, prompts: Sequence[Prompt], now: Seconds) -> None:
         """Replace a daemon's prompts; those that vanished were read or withdrawn."""
         member = self._members.setdefault(daemon, _Member(now))
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -116,6 +116,7 @@
             else 0.0
         ),
         public=bool(route.get("Public", False)),
+        max_pause=pause if kind is RequestKind.STREAM else 0.0,
     )
 
 
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kestreltally.entry.relay import compute_urgency
 from kestreltally.entry.request import ClientRequest
+from kestreltally.entry.urgency import compute_urgency
 from kestreltally.entry.waiting import LOWEST_URGENCY
 from kestreltally.fleet.model import RequestKind
 from tests.entryrig import MODELS, make_request, make_route
