--- a/src/kestreltally/entry/pacer.py
+++ b/src/kestreltally/entry/pacer.py
@@ -73,6 +73,7 @@
             organisation=request.organisation_name or "",
             begin_by=request.arrived_at + request.route.objective - reading_time,
             give_up_at=request.first_event_deadline - reading_time,
+            request=request.head.id,
         )
         try:
             turn = await self._turns.obtain(endpoint.id, need)
--- a/src/kestreltally/pacing/turns.py
+++ b/src/kestreltally/pacing/turns.py
@@ -34,7 +34,8 @@
 
     ``tokens`` are its uncached prompt tokens and ``urgency`` 0 is the most urgent.
     Reading has to begin by ``begin_by`` for its objective, and by ``give_up_at`` before
-    its client leaves. ``organisation`` is empty if it belongs to none.
+    its client leaves. ``organisation`` is empty if it belongs to none. ``request`` is
+    the id of its request, for log lines.
     """
 
     tokens: int
@@ -42,13 +43,15 @@
     organisation: str
     begin_by: Seconds
     give_up_at: Seconds
+    request: str = ""
 
 
 @dataclass(slots=True, eq=False)
 class Ask:
     """A prompt that waits for its turn, or that is being read (``reading``).
 
-    ``wait`` is the issuer's latest estimate, None before its first answer.
+    ``wait`` is the issuer's latest estimate, None before its first answer, and
+    ``logged`` says that the wait has been logged.
     """
 
     number: int
@@ -56,6 +59,7 @@
     asked_at: Seconds
     reading: bool = False
     wait: Seconds | None = None
+    logged: bool = False
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -138,7 +142,12 @@
                 self._check_wait(endpoint, ask)
             elif is_repeated or ask.wait is not None:
                 self.unanswered += 1
-                log_decision(LOG, Decision.TURN_UNANSWERED, endpoint=endpoint)
+                log_decision(
+                    LOG,
+                    Decision.TURN_UNANSWERED,
+                    request=ask.need.request,
+                    endpoint=endpoint,
+                )
                 return False
             else:
                 is_repeated = True
@@ -151,12 +160,25 @@
         """Raise ``TurnTooLate`` if a prompt's client will have left before its turn."""
         if ask.reading or ask.wait is None:
             return
+        if not ask.logged:
+            ask.logged = True
+            log_decision(
+                LOG,
+                Decision.TURN_WAITS,
+                request=ask.need.request,
+                organisation=ask.need.organisation or None,
+                endpoint=endpoint,
+                tokens=ask.need.tokens,
+                wait=round(ask.wait, 3),
+                left=round(ask.need.give_up_at - self._clock(), 3),
+            )
         if self._clock() + REFUSAL_FRACTION * ask.wait <= ask.need.give_up_at:
             return
         self.too_late += 1
         log_decision(
             LOG,
             Decision.TURN_TOO_LATE,
+            request=ask.need.request,
             endpoint=endpoint,
             wait=round(ask.wait, 3),
             left=round(ask.need.give_up_at - self._clock(), 3),
--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -165,9 +165,17 @@
         f"it is answered with {fields.get('status')} after {fields.get('took')} s, "
         f"the first byte after {_format_seconds(fields.get('first'))}, of which it "
         f"waited {_format_seconds(fields.get('waited'))} for weights"
+        + _describe_turn(fields)
     )
 
 
+def _describe_turn(fields: dict[str, Any]) -> str:
+    """Describe the wait for a turn at an engine, if there was one."""
+    if not fields.get("turn"):
+        return ""
+    return f" and {_format_seconds(fields['turn'])} for its turn"
+
+
 def _format_seconds(value: Any) -> str:
     return f"{round(value, 3)} s" if value is not None else "an unknown time"
 
