--- a/src/kestreltally/pacing/group.py
+++ b/src/kestreltally/pacing/group.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from kestreltally.fleet.model import Seconds
-from kestreltally.pacing.prompts import EnginePace, Prompt
+from kestreltally.pacing.prompts import MESSAGE_DELAY, EnginePace, Prompt
 
 # A prompt that has been read is a stream for at least this long, which occupancy
 # reports show with a delay.
@@ -21,6 +21,10 @@
 # waited for: its report was lost, or the engine hangs. A slow engine takes 2.5 times.
 OVERDUE_FACTOR: Final = 3.0
 OVERDUE_SLACK: Final[Seconds] = 0.3
+MIN_PROMPT_TOKENS: Final = 1
+# A break is prolonged by the factor by which reading took longer than predicted, up to
+# this: a slow engine needs longer for an event as well.
+MAX_SLOWDOWN: Final = 3.0
 
 # A prompt's daemon and its number there.
 PromptKey = tuple[str, int]
@@ -47,7 +51,7 @@
             self.tokens = 0
         self.tokens += tokens
         self.free_at = begin_at + self.pace.compute_reading_time(tokens)
-        self.break_end = self.free_at + self.pace.compute_break()
+        self.break_end = self.free_at + self.pace.compute_break() + MESSAGE_DELAY
         return begin_at
 
 
@@ -57,12 +61,15 @@
 
     ``tokens`` counts all since the break, ``in_flight`` those of prompts whose first
     event is not reported yet. ``progressed_at`` is when reading last began or ended.
+    ``read_tokens`` were read since the break, in ``read_time``.
     """
 
     tokens: int = 0
     in_flight: dict[PromptKey, int] = field(default_factory=dict)
     progressed_at: Seconds = float("-inf")
     read_at: Seconds = float("-inf")
+    read_tokens: int = 0
+    read_time: Seconds = 0.0
 
     def begin(self, key: PromptKey, tokens: int, now: Seconds) -> None:
         """Record that a prompt goes to the engine."""
@@ -75,7 +82,10 @@
 
     def end(self, key: PromptKey, now: Seconds) -> None:
         """Record that a prompt's first event was seen, or that it was withdrawn."""
-        if self.in_flight.pop(key, None) is not None:
+        tokens = self.in_flight.pop(key, None)
+        if tokens is not None:
+            self.read_tokens += tokens
+            self.read_time += max(0.0, now - self.progressed_at)
             self.progressed_at = max(now, self.progressed_at)
             self.read_at = self.progressed_at
 
@@ -95,25 +105,39 @@
         reading_time = pace.compute_reading_time(sum(self.in_flight.values()))
         return self.progressed_at + OVERDUE_FACTOR * reading_time + OVERDUE_SLACK
 
+    def compute_break(self, pace: EnginePace) -> Seconds:
+        """Return the break after what was read, during which streams get an event."""
+        predicted = pace.compute_reading_time(self.read_tokens)
+        took = self.read_time - pace.event_time - 2 * MESSAGE_DELAY
+        if took <= predicted:
+            return pace.compute_break()
+        slowdown = min(MAX_SLOWDOWN, took / predicted) if predicted else MAX_SLOWDOWN
+        return slowdown * pace.compute_break()
+
     def compute_break_end(self, pace: EnginePace, now: Seconds) -> Seconds:
         """Return when the next group may begin, as predicted."""
         if not self.has_streams(pace, now):
             return now + max(0.0, self.compute_remaining(pace, now) - SEND_AHEAD)
         if self.in_flight:
-            return now + self.compute_remaining(pace, now) + pace.compute_break()
-        return max(now, self.progressed_at + pace.compute_break())
+            return now + self.compute_remaining(pace, now) + self.compute_break(pace)
+        return max(now, self.progressed_at + self.compute_break(pace))
 
     def reset_after_break(self, pace: EnginePace, now: Seconds) -> None:
         """Begin a new group if every stream got an event since the last."""
         if self.has_streams(pace, now) and self.in_flight:
             return
         if self.compute_break_end(pace, now) <= now:
-            self.tokens = 0
+            self.tokens = self.read_tokens = 0
+            self.read_time = 0.0
 
     def admits(self, prompt: Prompt, pace: EnginePace) -> bool:
         """Return whether a prompt may be read before the next break."""
         return _fits(self.tokens, prompt.tokens, pace)
 
+    def is_full(self, pace: EnginePace) -> bool:
+        """Return whether no prompt may be read before the next break."""
+        return not _fits(self.tokens, MIN_PROMPT_TOKENS, pace)
+
     def forecast(self, pace: EnginePace, now: Seconds) -> Forecast:
         """Return a forecast for the prompts that wait."""
         return Forecast(
--- a/src/kestreltally/pacing/line.py
+++ b/src/kestreltally/pacing/line.py
@@ -6,20 +6,21 @@
 them as being read.
 """
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Final
 
 from kestreltally.fleet.model import Seconds
 from kestreltally.pacing.group import MIN_STREAM_TIME, PromptKey, ReadingGroup
-from kestreltally.pacing.order import GRANT_DELAY, Order, Rotation
-from kestreltally.pacing.prompts import EnginePace, Prompt
+from kestreltally.pacing.order import Order, Rotation
+from kestreltally.pacing.prompts import MESSAGE_DELAY, EnginePace, Prompt
 from kestreltally.pacing.shares import FairShares
 
 __all__ = ["EnginePace", "Prompt", "TurnLine"]
 
-# Daemons repeat their prompts every 0.2 s; one that missed several repetitions is gone.
-DAEMON_TTL: Final[Seconds] = 1.0
+# Daemons repeat their prompts every 0.2 s. One that missed two repetitions is gone, or
+# has no prompts any more and its last message was lost.
+DAEMON_TTL: Final[Seconds] = 0.5
 # A granted prompt that is not reported as being read for this long has lost its turn.
 GRANT_TTL: Final[Seconds] = 0.3
 # A daemon that asks again so long after a grant has not received it.
@@ -32,28 +33,25 @@
 STREAMS_WEIGHT: Final = 0.05
 # So many waits are predicted one by one; those behind get that of the last.
 MAX_PREDICTIONS: Final = 200
+# Waits are predicted anew after this time for each prompt that waits, so that a long
+# line costs its issuer no more than a short one.
+PREDICTION_TIME: Final[Seconds] = 0.001
 MIN_RECHECK_DELAY: Final[Seconds] = 0.001
-LATE: Final[Seconds] = float("-inf")
+LONG_AGO: Final[Seconds] = float("-inf")
 
 
 @dataclass(slots=True)
 class _Entry:
     """A prompt in the line.
 
-    ``granted_at`` is when its turn began. ``repeat`` says that the grant was lost, and
-    ``lapsed`` that its daemon let a turn pass, after which it comes behind the others.
+    ``granted_at`` is when its turn began. ``lapsed`` says that its daemon let a turn
+    pass; it comes behind the others then.
     """
 
     prompt: Prompt
     granted_at: Seconds | None = None
-    repeat: bool = False
     lapsed: bool = False
 
-    @property
-    def waits(self) -> bool:
-        """Return whether the prompt's turn is still to come."""
-        return self.granted_at is None and not self.prompt.reading
-
 
 @dataclass(slots=True)
 class _Member:
@@ -73,9 +71,15 @@
         self._shares = FairShares() if shares is None else shares
         self._members: dict[str, _Member] = {}
         self._group = ReadingGroup()
+        # Granted prompts that are not reported as being read yet, and those of them
+        # whose grant was lost.
+        self._granted: dict[PromptKey, _Entry] = {}
+        self._lost: dict[PromptKey, _Entry] = {}
         self._rotation = Rotation()
         self._pace: EnginePace | None = None
         self._usual_streams: float | None = None
+        self._waits: dict[PromptKey, Seconds] = {}
+        self._predicted_at = LONG_AGO
 
     def is_idle(self, now: Seconds) -> bool:
         """Return whether nothing waits or is read, nor was read of late.
@@ -95,7 +99,7 @@
             member.entries[prompt.number] = entry
             self._update(entry, now)
         for number in previous:
-            self._group.end((daemon, number), now)
+            self._end((daemon, number), now)
         if not member.entries:
             del self._members[daemon]
 
@@ -105,48 +109,55 @@
             if entry.granted_at is None:
                 # It was sent without a turn.
                 self._begin(entry, now)
+            self._granted.pop(_make_key(entry), None)
         elif (
             entry.granted_at is not None
             and now >= entry.granted_at + GRANT_REPEAT_DELAY
         ):
-            entry.repeat = True
+            self._lost[_make_key(entry)] = entry
 
     def _begin(self, entry: _Entry, now: Seconds) -> None:
         """Count a prompt as being read from now on."""
         entry.granted_at = now
+        self._granted[_make_key(entry)] = entry
         self._group.begin(_make_key(entry), entry.prompt.tokens, now)
         self._shares.record(entry.prompt.organisation, entry.prompt.tokens, now)
 
+    def _end(self, key: PromptKey, now: Seconds) -> None:
+        """Count a prompt as read."""
+        self._granted.pop(key, None)
+        self._group.end(key, now)
+
     def expire(self, now: Seconds) -> None:
         """Remove silent daemons, and turns that were not used or take far too long."""
         for daemon, member in list(self._members.items()):
             if now >= member.heard_at + DAEMON_TTL:
                 del self._members[daemon]
                 for number in member.entries:
-                    self._group.end((daemon, number), now)
-        for entry in self._list_entries():
-            granted_at = entry.granted_at
-            if granted_at is None or entry.prompt.reading:
-                continue
-            if now >= granted_at + GRANT_TTL:
-                entry.granted_at, entry.repeat, entry.lapsed = None, False, True
-                self._group.end(_make_key(entry), now)
+                    self._end((daemon, number), now)
+        for key, entry in list(self._granted.items()):
+            if entry.granted_at is not None and now >= entry.granted_at + GRANT_TTL:
+                entry.granted_at, entry.lapsed = None, True
+                self._end(key, now)
         if self._pace and now >= self._group.compute_overdue_at(self._pace):
             for key in list(self._group.in_flight):
-                self._group.end(key, now)
+                self._end(key, now)
 
     def issue(self, pace: EnginePace, now: Seconds) -> list[Prompt]:
         """Return the prompts whose turn begins now, or whose grant was lost."""
         self._pace = pace
         self.expire(now)
         self._learn_streams(pace)
-        repeated = self._pop_repeated(now)
+        lost = self._pop_lost(now)
         self._group.reset_after_break(pace, now)
-        return repeated + self._grant(pace, now)
+        return lost + self._grant(pace, now)
 
     def _grant(self, pace: EnginePace, now: Seconds) -> list[Prompt]:
         """Grant turns in order until the group is full."""
-        waiting = [each for each in self._list_waiting() if self._may_begin(each, now)]
+        if self._group.is_full(pace):
+            return []
+        held_back = self._find_held_back(pace, now)
+        waiting = [each for each in self._list_waiting() if id(each) not in held_back]
         if not waiting:
             return []
         order = self._make_order(waiting, pace, self._rotation, now)
@@ -168,25 +179,29 @@
         now: Seconds,
     ) -> Order:
         prompts = (
-            replace(each.prompt, begin_by=LATE) if each.lapsed else each.prompt
+            replace(each.prompt, begin_by=LONG_AGO) if each.lapsed else each.prompt
             for each in entries
         )
         return Order(prompts, pace, self._shares, rotation, now)
 
-    def _may_begin(self, entry: _Entry, now: Seconds) -> bool:
-        """Return whether a prompt need not wait until fewer streams run."""
-        return now >= self._compute_passed_over_until(entry, now)
+    def _find_held_back(self, pace: EnginePace, now: Seconds) -> dict[int, Seconds]:
+        """Return until when prompts wait for fewer streams, by the ``id`` of the entry.
 
-    def _compute_passed_over_until(self, entry: _Entry, now: Seconds) -> Seconds:
-        """Return until when a prompt is passed over for the sake of streams."""
-        pace, prompt = self._pace, entry.prompt
-        if pace is None or not pace.exceeds_pause(prompt.tokens):
-            return now
+        These are prompts that make every stream pause too long on their own.
+        """
         if not self._group.has_streams(pace, now) or self._has_few_streams(pace):
-            return now
-        # It must not be late only because it was passed over.
-        timely = prompt.begin_by - pace.max_pause
-        return min(prompt.asked_at + MAX_PASSED_OVER, timely)
+            return {}
+        limit = pace.compute_pause_tokens()
+        held_back = {}
+        for entry in self._list_waiting():
+            prompt = entry.prompt
+            if prompt.tokens > limit:
+                # It must not be late only because it was passed over.
+                timely_until = prompt.begin_by - pace.max_pause
+                until = min(prompt.asked_at + MAX_PASSED_OVER, timely_until)
+                if until > now:
+                    held_back[id(entry)] = until
+        return held_back
 
     def _has_few_streams(self, pace: EnginePace) -> bool:
         usual = self._usual_streams
@@ -197,30 +212,29 @@
             self._usual_streams = pace.streams
         self._usual_streams += STREAMS_WEIGHT * (pace.streams - self._usual_streams)
 
-    def _pop_repeated(self, now: Seconds) -> list[Prompt]:
+    def _pop_lost(self, now: Seconds) -> list[Prompt]:
         """Return the prompts to be granted again because the grant was lost."""
-        repeated = []
-        for entry in self._list_entries():
-            if entry.repeat and entry.prompt.give_up_at > now + GRANT_DELAY:
-                repeated.append(entry.prompt)
-            entry.repeat = False
-        return repeated
+        lost, self._lost = self._lost, {}
+        return [
+            entry.prompt
+            for key, entry in lost.items()
+            if key in self._granted and entry.prompt.give_up_at > now + MESSAGE_DELAY
+        ]
 
     def compute_next_issue(self, pace: EnginePace, now: Seconds) -> Seconds | None:
         """Return the delay after which to call ``issue`` again without a message.
 
         It is None if nothing waits. To be called after ``issue``.
         """
-        waiting = list(self._list_waiting())
-        if not waiting:
+        if next(self._list_waiting(), None) is None:
             return None
         times = [member.heard_at + DAEMON_TTL for member in self._members.values()]
         times += [
             entry.granted_at + GRANT_TTL
-            for entry in self._list_entries()
-            if entry.granted_at is not None and not entry.prompt.reading
+            for entry in self._granted.values()
+            if entry.granted_at is not None
         ]
-        times += [self._compute_passed_over_until(entry, now) for entry in waiting]
+        times += self._find_held_back(pace, now).values()
         if self._group.in_flight:
             times.append(self._group.compute_overdue_at(pace))
         if not self._group.in_flight or not self._group.has_streams(pace, now):
@@ -233,29 +247,41 @@
     ) -> dict[tuple[str, int], Seconds]:
         """Return how long each waiting prompt is expected to wait until it begins.
 
-        A prompt that can't begin before its client leaves gets a wait beyond that.
+        A prompt that can't begin before its client leaves gets a wait beyond that. One
+        that came just now is missing while many wait.
         """
-        waiting = list(self._list_waiting())
-        order = self._make_order(waiting, pace, self._rotation.copy(), now)
+        waiting = {_make_key(entry): entry for entry in self._list_waiting()}
+        age = now - self._predicted_at
+        if age >= PREDICTION_TIME * len(waiting):
+            self._waits = self._predict(waiting, pace, now)
+            self._predicted_at, age = now, 0.0
+        return {
+            key: max(0.0, wait - age)
+            for key, wait in self._waits.items()
+            if key in waiting
+        }
+
+    def _predict(
+        self, waiting: Mapping[PromptKey, _Entry], pace: EnginePace, now: Seconds
+    ) -> dict[PromptKey, Seconds]:
+        order = self._make_order(waiting.values(), pace, self._rotation.copy(), now)
         forecast = self._group.forecast(pace, now)
         waits: dict[PromptKey, Seconds] = {}
         while len(waits) < MAX_PREDICTIONS:
             prompt = order.take(forecast.free_at)
             if prompt is None:
                 break
-            begin_at = forecast.add(prompt.tokens)
-            waits[prompt.daemon, prompt.number] = begin_at - now
-        for entry in waiting:
+            waits[prompt.daemon, prompt.number] = forecast.add(prompt.tokens) - now
+        for key, entry in waiting.items():
             beyond = max(forecast.free_at, entry.prompt.give_up_at) - now
-            waits.setdefault(_make_key(entry), beyond)
+            waits.setdefault(key, beyond)
         return waits
 
-    def _list_entries(self) -> Iterator[_Entry]:
-        for member in self._members.values():
-            yield from member.entries.values()
-
     def _list_waiting(self) -> Iterator[_Entry]:
-        return (entry for entry in self._list_entries() if entry.waits)
+        for member in self._members.values():
+            for entry in member.entries.values():
+                if entry.granted_at is None and not entry.prompt.reading:
+                    yield entry
 
 
 def _make_key(entry: _Entry) -> PromptKey:
--- a/src/kestreltally/pacing/order.py
+++ b/src/kestreltally/pacing/order.py
@@ -15,7 +15,7 @@
 from typing import Final, NamedTuple
 
 from kestreltally.fleet.model import Seconds
-from kestreltally.pacing.prompts import EnginePace, Prompt
+from kestreltally.pacing.prompts import MESSAGE_DELAY, EnginePace, Prompt
 from kestreltally.pacing.shares import FairShares
 
 # For each token granted in order, this many are granted to the least recently served
@@ -25,8 +25,6 @@
 LATE_ROTATION: Final = 4
 # Kinds remembered as served; the least recent are forgotten.
 MAX_KINDS: Final = 256
-# A grant takes some ms to reach the engine.
-GRANT_DELAY: Final[Seconds] = 0.005
 
 
 class Kind(NamedTuple):
@@ -71,11 +69,11 @@
 
     def advance(self, now: Seconds) -> None:
         """Move prompts at the head that became late, and remove hopeless ones."""
-        while self.timely and self.timely[0].begin_by < now + GRANT_DELAY:
+        while self.timely and self.timely[0].begin_by < now + MESSAGE_DELAY:
             self.late.append(self.timely.popleft())
-        while self.late and self.late[0].give_up_at <= now + GRANT_DELAY:
+        while self.late and self.late[0].give_up_at <= now + MESSAGE_DELAY:
             self.late.popleft()
-        while self.timely and self.timely[0].give_up_at <= now + GRANT_DELAY:
+        while self.timely and self.timely[0].give_up_at <= now + MESSAGE_DELAY:
             self.timely.popleft()
 
     def get_head(self) -> Prompt | None:
@@ -99,12 +97,12 @@
         self._rotation = rotation
         self._usage: dict[str, float] = {}
         self._queues: dict[Kind, _Queue] = {}
-        long_time = pace.compute_group_time() / 2
+        long_tokens = pace.compute_group_time() / 2 / pace.token_time
         for prompt in sorted(prompts, key=lambda each: each.asked_at):
-            long = pace.compute_reading_time(prompt.tokens) > long_time
+            long = prompt.tokens > long_tokens
             kind = Kind(prompt.organisation, prompt.urgency, long)
             queue = self._queues.setdefault(kind, _Queue(deque()))
-            timely = prompt.begin_by >= now + GRANT_DELAY
+            timely = prompt.begin_by >= now + MESSAGE_DELAY
             (queue.timely if timely else queue.late).append(prompt)
             if prompt.organisation not in self._usage:
                 self._usage[prompt.organisation] = shares.compute_usage(
--- a/src/kestreltally/pacing/prompts.py
+++ b/src/kestreltally/pacing/prompts.py
@@ -9,6 +9,8 @@
 # may take at the engine's usual speed. An engine that runs 2.5 times slower for a
 # moment still keeps the pause, which is all that callers notice.
 PAUSE_FRACTION: Final = 0.4
+# A grant takes some ms to reach the engine, and the report of a first event the issuer.
+MESSAGE_DELAY: Final[Seconds] = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +70,6 @@
         """
         return max(0.0, self.event_time - self.first_event_delay)
 
-    def exceeds_pause(self, tokens: int) -> bool:
-        """Return whether reading some tokens alone makes streams pause too long."""
-        return self.compute_reading_time(tokens) + self.event_time > self.max_pause
+    def compute_pause_tokens(self) -> float:
+        """Return how many tokens can be read without making a stream pause too long."""
+        return max(0.0, self.max_pause - self.event_time) / self.token_time
--- a/src/kestreltally/pacing/shares.py
+++ b/src/kestreltally/pacing/shares.py
@@ -11,9 +11,9 @@
 
 from kestreltally.fleet.model import Seconds
 
-# Grants are forgotten with this time constant: longer than a wave of requests, and
-# shorter than clients remember one.
-USAGE_TIME: Final[Seconds] = 2.0
+# Grants are forgotten with this time constant: an organisation gets a long prompt every
+# few seconds at a full engine, and several have to be remembered to be even.
+USAGE_TIME: Final[Seconds] = 5.0
 DEFAULT_WEIGHT: Final = 1.0
 # Organisations with less usage than this are removed from the table.
 MIN_USAGE: Final = 1.0
