--- a/src/kestreltally/pacing/prompts.py
+++ b/src/kestreltally/pacing/prompts.py
@@ -1,5 +1,6 @@
 """Prompts that wait for an engine, and what reading costs there."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -41,9 +42,9 @@
 
     ``token_time`` is prefill seconds per prompt token, ``event_time`` the seconds
     between two events of a stream while nothing is read, ``max_pause`` the shortest of
-    the longest pauses that routes allow, and ``streams`` the other requests in flight
-    that neither wait nor are read. ``first_event_delay`` is the seconds from the end of
-    a prompt's reading to its first event, as far as they are known.
+    the longest pauses that routes allow, 0 for no limit, and ``streams`` the other
+    requests in flight that neither wait nor are read. ``first_event_delay`` is the
+    seconds from the end of a prompt's reading to its first event, as far as known.
     """
 
     token_time: Seconds
@@ -61,6 +62,8 @@
 
         The event itself takes its own time besides.
         """
+        if self.max_pause <= 0:
+            return math.inf
         return max(0.0, PAUSE_FRACTION * self.max_pause - self.event_time)
 
     def compute_break(self) -> Seconds:
@@ -71,5 +74,10 @@
         return max(0.0, self.event_time - self.first_event_delay)
 
     def compute_pause_tokens(self) -> float:
-        """Return how many tokens can be read without making a stream pause too long."""
-        return max(0.0, self.max_pause - self.event_time) / self.token_time
+        """Return how many tokens can be read without making streams pause too long.
+
+        There is no limit where streams pause too long though nothing is read.
+        """
+        if self.event_time >= self.max_pause:
+            return math.inf
+        return (self.max_pause - self.event_time) / self.token_time
