Share out the starving quarter in tokens, evenly among kinds

Cause: turns by the least recently served kind gave the long prompts nearly all of the quarter; patient short kinds got 7 of 3,832 turns (a test that failed). Change: start-time fair queueing over kinds within the quarter.

--- a/src/kestreltally/pacing/order.py
+++ b/src/kestreltally/pacing/order.py
@@ -3,28 +3,28 @@
 Prompts still in time come before late ones, then the more urgent, then those of the
 organisation with the least tokens of late, by weight, and then the first to arrive.
 
-A quarter of the tokens goes to the least recently served kind instead, so that no
-organisation, urgency or size starves while a more urgent kind could fill the engine.
+A quarter of the tokens goes to the kind that was served least of late instead, so that
+no organisation, urgency or size starves while others could fill the engine.
 Prompts that are late take part only every fourth time: otherwise late work would make
 timely work late.
 """
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, NamedTuple
 
 from kestreltally.fleet.model import Seconds
 from kestreltally.pacing.prompts import MESSAGE_DELAY, EnginePace, Prompt
 from kestreltally.pacing.shares import FairShares
 
-# For each token granted in order, this many are granted to the least recently served
+# For each token granted in order, this many are granted to the least served
 # kind: a quarter of all.
 ROTATION_RATIO: Final = 1 / 3
+# With more kinds than this, those that have no grant ahead are forgotten.
+MAX_KINDS: Final = 256
 # Each time of so many, the rotation includes late prompts.
 LATE_ROTATION: Final = 4
-# Kinds remembered as served; the least recent are forgotten.
-MAX_KINDS: Final = 256
 
 
 class Kind(NamedTuple):
@@ -37,27 +37,38 @@
 
 @dataclass(slots=True)
 class Rotation:
-    """Which kinds were served last, and the tokens that are due to others.
+    """Shares out a quarter of the tokens among kinds by start-time fair queueing.
 
-    ``due`` is positive once the least recently served kind is to be served.
+    ``due`` is positive once the kind with the least start comes next. A kind's start is
+    the end of its last grant on a scale of tokens, or ``level``, the last start served.
     """
 
     due: float = 0.0
-    turns: int = 0
     rounds: int = 0
-    served: dict[Kind, int] = field(default_factory=dict)
+    level: float = 0.0
+    ends: dict[Kind, float] = field(default_factory=dict)
 
     def copy(self) -> "Rotation":
         """Return a copy that changes on its own."""
-        return Rotation(self.due, self.turns, self.rounds, dict(self.served))
-
-    def record(self, kind: Kind) -> None:
-        """Record that a prompt of a kind was granted."""
-        self.turns += 1
-        self.served.pop(kind, None)
-        self.served[kind] = self.turns
-        if len(self.served) > MAX_KINDS:
-            del self.served[next(iter(self.served))]
+        return replace(self, ends=dict(self.ends))
+
+    def compute_start(self, kind: Kind) -> float:
+        """Return the place of a kind; the least comes next."""
+        return max(self.level, self.ends.get(kind, 0.0))
+
+    def record(self, kind: Kind, tokens: int, *, others: bool) -> None:
+        """Record a grant; ``others`` says whether more than one kind waited."""
+        if self.due > 0:
+            self.level = self.compute_start(kind)
+            self.due -= tokens
+            self.rounds += 1
+        elif others:
+            self.due += ROTATION_RATIO * tokens
+        # Grants in order do not add up: the kind may need the rotation later.
+        self.ends[kind] = self.level + tokens
+        if len(self.ends) > MAX_KINDS:
+            ahead = ((each, end) for each, end in self.ends.items() if end > self.level)
+            self.ends = dict(ahead)
 
 
 @dataclass(slots=True)
@@ -136,16 +147,16 @@
         if not self._queues:
             return None
         if self._rotation.due > 0:
-            return self._choose_least_recent()
+            return self._choose_least_served()
         return min(self._queues, key=self._rank)
 
-    def _choose_least_recent(self) -> Kind:
+    def _choose_least_served(self) -> Kind:
         timely = [kind for kind, queue in self._queues.items() if queue.timely]
         include_late = self._rotation.rounds % LATE_ROTATION == LATE_ROTATION - 1
-        eligible = timely if timely and not include_late else list(self._queues)
+        eligible = timely if timely and not include_late else self._queues
+        rotation = self._rotation
         return min(
-            eligible,
-            key=lambda kind: (self._rotation.served.get(kind, -1), self._rank(kind)),
+            eligible, key=lambda kind: (rotation.compute_start(kind), self._rank(kind))
         )
 
     def _rank(self, kind: Kind) -> tuple[bool, int, float, Seconds]:
@@ -155,12 +166,6 @@
         return (not queue.timely, kind.urgency, usage, head.asked_at)
 
     def _count(self, kind: Kind, prompt: Prompt, others: bool) -> None:
-        rotation = self._rotation
-        if rotation.due > 0:
-            rotation.due -= prompt.tokens
-            rotation.rounds += 1
-        elif others:
-            rotation.due += ROTATION_RATIO * prompt.tokens
-        rotation.record(kind)
+        self._rotation.record(kind, prompt.tokens, others=others)
         weight = self._shares.get_weight(prompt.organisation)
         self._usage[prompt.organisation] += prompt.tokens / weight
