--- a/src/kestreltally/pacing/prompts.py
+++ b/src/kestreltally/pacing/prompts.py
@@ -1,5 +1,6 @@
 """Prompts that wait for an engine, and what reading costs there."""
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -9,6 +10,8 @@
 # may take at the engine's usual speed. An engine that runs 2.5 times slower for a
 # moment still keeps the pause, which is all that callers notice.
 PAUSE_FRACTION: Final = 0.4
+# A grant takes some ms to reach the engine, and the report of a first event the issuer.
+MESSAGE_DELAY: Final[Seconds] = 0.005
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,9 +42,9 @@
 
     ``token_time`` is prefill seconds per prompt token, ``event_time`` the seconds
     between two events of a stream while nothing is read, ``max_pause`` the shortest of
-    the longest pauses that routes allow, and ``streams`` the other requests in flight
-    that neither wait nor are read. ``first_event_delay`` is the seconds from the end of
-    a prompt's reading to its first event, as far as they are known.
+    the longest pauses that routes allow, 0 for no limit, and ``streams`` the other
+    requests in flight that neither wait nor are read. ``first_event_delay`` is the
+    seconds from the end of a prompt's reading to its first event, as far as known.
     """
 
     token_time: Seconds
@@ -59,6 +62,8 @@
 
         The event itself takes its own time besides.
         """
+        if self.max_pause <= 0:
+            return math.inf
         return max(0.0, PAUSE_FRACTION * self.max_pause - self.event_time)
 
     def compute_break(self) -> Seconds:
@@ -68,6 +73,11 @@
         """
         return max(0.0, self.event_time - self.first_event_delay)
 
-    def exceeds_pause(self, tokens: int) -> bool:
-        """Return whether reading some tokens alone makes streams pause too long."""
-        return self.compute_reading_time(tokens) + self.event_time > self.max_pause
+    def compute_pause_tokens(self) -> float:
+        """Return how many tokens can be read without making streams pause too long.
+
+        There is no limit where streams pause too long though nothing is read.
+        """
+        if self.event_time >= self.max_pause:
+            return math.inf
+        return (self.max_pause - self.event_time) / self.token_time
