Pacing: lists of prompts fit a datagram, and an empty list is sent twice

A lost last list would leave others waiting until its daemon counts as silent. Prompts beyond a list wait with the last listed one. The break after a group counts the time that the first event itself took.

--- a/src/kestreltally/knowledge/pacing.py
+++ b/src/kestreltally/knowledge/pacing.py
@@ -95,6 +95,7 @@
             event_time=self._relay.delivery.event_times.get(endpoint),
             max_pause=self._get_max_pause(known.service) if known is not None else 0.0,
             streams=max(0, in_flight - in_line),
+            first_event_delay=self._relay.finder.prefill_times.base_latency,
         )
 
     def _get_max_pause(self, service: ServiceName) -> Seconds:
--- a/src/kestreltally/pacing/turns.py
+++ b/src/kestreltally/pacing/turns.py
@@ -23,6 +23,8 @@
 # Lists are sent again at this interval, and each is answered.
 RESEND_INTERVAL: Final[Seconds] = 0.2
 ANSWER_TIMEOUT: Final[Seconds] = 0.3
+# Prompts in a list: as many as a datagram holds.
+MAX_LISTED: Final = 12
 # An expected wait is an estimate: a prompt is only refused if this fraction of it would
 # already be too long.
 REFUSAL_FRACTION: Final = 0.8
@@ -101,6 +103,7 @@
         self._clock = clock
         self._asks: dict[EndpointId, dict[int, Ask]] = {}
         self._numbers = count(1)
+        self._emptied: set[EndpointId] = set()
         self._resend_timer: asyncio.TimerHandle | None = None
         self.send_list: Callable[[EndpointId, Sequence[Ask]], bool]
         self.granted = 0
@@ -194,27 +197,35 @@
             if number in asks and not asks[number].reading:
                 asks[number].reading = True
                 asks[number].changed.set()
-        for number, wait in waits.items():
-            ask = asks.get(number)
-            if ask is not None:
-                ask.wait = wait
+        # Asks beyond the length of a list are not answered one by one.
+        last_wait = max(waits.values(), default=0.0)
+        for ask in asks.values():
+            if not ask.reading:
+                ask.wait = waits.get(ask.number, max(last_wait, ask.wait or 0.0))
                 ask.changed.set()
 
     def _remove(self, endpoint: EndpointId, ask: Ask) -> None:
         asks = self._asks.get(endpoint, {})
         asks.pop(ask.number, None)
-        self._send(endpoint)
         if not asks:
             self._asks.pop(endpoint, None)
+            self._emptied.add(endpoint)
+        self._send(endpoint)
 
     def _send(self, endpoint: EndpointId) -> bool:
         """Send an engine's prompts to the issuer of its turns, now and regularly."""
         if self._resend_timer is None:
             loop = asyncio.get_running_loop()
             self._resend_timer = loop.call_later(RESEND_INTERVAL, self._resend)
-        return self.send_list(endpoint, list(self._asks.get(endpoint, {}).values()))
+        asks = self._asks.get(endpoint, {}).values()
+        # Prompts that are being read come first: an issuer takes one that is not listed
+        # for read.
+        listed = sorted(asks, key=lambda each: not each.reading)[:MAX_LISTED]
+        return self.send_list(endpoint, listed)
 
     def _resend(self) -> None:
         self._resend_timer = None
-        for endpoint in list(self._asks):
+        # An empty list is sent twice, as a lost one would leave others waiting.
+        emptied, self._emptied = self._emptied, set()
+        for endpoint in {**self._asks, **dict.fromkeys(emptied)}:
             self._send(endpoint)
