--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -16,7 +16,7 @@
 from kestreltally.entry.silence import compute_first_check_delay
 from kestreltally.entry.upstream import Answer, AnswerTruncated
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
-from kestreltally.pacing.pauses import EventTimes, PauseCounter
+from kestreltally.pacing.pauses import EventTimes, PauseCounter, is_stretched
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -145,7 +145,7 @@
                     endpoint.id, asyncio.get_running_loop().time()
                 )
                 if await self._write_events(client, progress, answer, content):
-                    self._record_event(progress, endpoint)
+                    self._record_event(request, progress, endpoint)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
@@ -155,10 +155,6 @@
             raise AttemptFailed("stream broken off", may_have_run=True) from error
         progress.record_ended()
         self._health.record_success(endpoint.id)
-        if request.service.engine is not None and request.route.max_pause:
-            self.pauses.record(
-                request.service_name, progress.longest_pause, request.route.max_pause
-            )
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
             await progress.response.prepare(client)
@@ -182,11 +178,21 @@
         await progress.response.write(complete_events)
         return True
 
-    def _record_event(self, progress: Progress, endpoint: Endpoint) -> None:
-        """Learn from the time between two events of a stream."""
-        gap = progress.record_event(asyncio.get_running_loop().time())
-        if gap is not None:
-            self.event_times.learn(endpoint.id, gap)
+    def _record_event(
+        self, request: ClientRequest, progress: Progress, endpoint: Endpoint
+    ) -> None:
+        """Learn from the time between two events of an engine's stream."""
+        if request.service.engine is None:
+            return
+        longest = progress.longest_pause
+        pause = progress.record_event(asyncio.get_running_loop().time())
+        if pause is None:
+            self.pauses.record_stream(request.service_name)
+            return
+        self.event_times.learn(endpoint.id, pause)
+        limit = request.route.max_pause
+        if is_stretched(pause, limit) and not is_stretched(longest, limit):
+            self.pauses.record_stretched(request.service_name)
 
 
 def _record_complete(progress: Progress, answer: Answer) -> None:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -139,8 +139,8 @@
   2: list<double> lasts,
 }
 
-// Streams of a service that ended since the previous report, and those of them that paused
-// for nearly as long as their route bears, or longer.
+// Streams of a service that began since the previous report, and those that paused for the
+// first time for nearly as long as their route bears, or longer.
 struct PauseRow {
   1: string service_name,
   2: i32 streams,
--- a/src/kestreltally/pacing/pauses.py
+++ b/src/kestreltally/pacing/pauses.py
@@ -40,9 +40,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamPauses:
-    """The streams of a service that ended since the last report.
+    """The streams of a service that began or were stretched since the last report.
 
-    ``stretched`` are those with a pause near or beyond what their route allows.
+    ``stretched`` are those with a first pause near or beyond what their route allows.
     """
 
     service: ServiceName
@@ -50,19 +50,27 @@
     stretched: int
 
 
+def is_stretched(pause: Seconds, limit: Seconds) -> bool:
+    """Return whether a pause is near or beyond what a route allows; 0 is no limit."""
+    return 0 < STRETCHED_FRACTION * limit <= pause
+
+
 class PauseCounter:
-    """Counts a daemon's ended streams by their longest pause."""
+    """Counts a daemon's streams, and those that are stretched.
+
+    A stream counts as soon as it is stretched, not at its end: streams last seconds.
+    """
 
     def __init__(self) -> None:
         self._counts: dict[ServiceName, list[int]] = {}
 
-    def record(self, service: ServiceName, longest: Seconds, limit: Seconds) -> None:
-        """Record a stream's longest pause and what its route allows."""
-        if limit <= 0:
-            return
-        counts = self._counts.setdefault(service, [0, 0])
-        counts[0] += 1
-        counts[1] += longest >= STRETCHED_FRACTION * limit
+    def record_stream(self, service: ServiceName) -> None:
+        """Count a stream, at its first event."""
+        self._counts.setdefault(service, [0, 0])[0] += 1
+
+    def record_stretched(self, service: ServiceName) -> None:
+        """Count a stream as stretched, at its first such pause."""
+        self._counts.setdefault(service, [0, 0])[1] += 1
 
     def pop(self) -> list[StreamPauses]:
         """Return and reset the counts."""
