--- a/src/kestreltally/pacing/pauses.py
+++ b/src/kestreltally/pacing/pauses.py
@@ -10,9 +10,9 @@
 
 from kestreltally.fleet.model import EndpointId, Seconds, ServiceName
 
-# A stream is stretched if its longest pause exceeded this fraction of what its route
-# allows: prompts that came a little closer together would have made it late.
-STRETCHED_FRACTION: Final = 0.8
+# A stream is stretched if its longest pause reached this fraction of what its route
+# allows: an engine that runs a little slower for a moment would have made it late.
+STRETCHED_FRACTION: Final = 0.9
 # Pacing begins where this fraction of the streams is stretched, and more than a few: a
 # single slow engine, link or client stretches some at any time.
 ON_FRACTION: Final = 0.05
