--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -42,6 +42,7 @@
 )
 from kestreltally.knowledge.watching import KindWatch, WatchHandler
 from kestreltally.logs import LineWriter, set_up_structured_logs
+from kestreltally.pacing.api import TurnsApi
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import (
     REMOTE_WAIT,
@@ -407,7 +408,8 @@
         await self._exchange.feed.start(deployment.peers.host, deployment.peers.port)
         await self._datagrams.start(deployment.peers.host, deployment.peers.port)
         await self._entry_api.start(deployment.clients, deployment.readiness)
-        operators = PoisonApi(self._relay.poison.register, self._metrics.serve)
+        turns = TurnsApi(self._pacing.issuer, self._metrics.serve)
+        operators = PoisonApi(self._relay.poison.register, turns.serve)
         await self._entry_api.listen(
             web.Server(operators.serve, access_log=None),
             SocketAddress(deployment.peers.host, deployment.metrics_port),
--- a/src/kestreltally/knowledge/pacing.py
+++ b/src/kestreltally/knowledge/pacing.py
@@ -45,7 +45,7 @@
         self._configuration: Configuration | None = None
         self._max_pauses: dict[ServiceName, Seconds] = {}
         self._turns = TurnTable(clock)
-        self._issuer = TurnIssuer(
+        self.issuer = TurnIssuer(
             self._get_pace, lambda *answer: self._exchange.send_answer(*answer), clock
         )
         self._exchange = TurnExchange(
@@ -55,7 +55,7 @@
             exchange.get_lease,
             port,
             self._turns,
-            self._issuer,
+            self.issuer,
             clock,
         )
         self._pauses = PauseExchange(relay.delivery.pauses, exchange.leaders, clock)
@@ -81,8 +81,8 @@
             "unanswered": self._turns.unanswered,
             "too_late": self._turns.too_late,
             "waiting": self._turns.count_waiting(),
-            "issued": self._issuer.issued,
-            "in_lines": self._issuer.count_prompts(),
+            "issued": self.issuer.issued,
+            "in_lines": self.issuer.count_prompts(),
         }
 
     def _get_pace(self, endpoint: EndpointId, in_line: int) -> EnginePace:
--- a/src/kestreltally/pacing/issuer.py
+++ b/src/kestreltally/pacing/issuer.py
@@ -2,12 +2,27 @@
 
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 
 from kestreltally.fleet.model import EndpointId, Seconds
 from kestreltally.pacing.line import EnginePace, Prompt, TurnLine
 from kestreltally.pacing.shares import FairShares
 
 
+@dataclass(frozen=True, slots=True)
+class LineSummary:
+    """The line of one engine: prompts that wait and that are read, and their tokens.
+
+    ``longest_wait`` is the seconds since the first of those that wait has asked.
+    """
+
+    endpoint: EndpointId
+    waiting: int
+    reading: int
+    tokens: int
+    longest_wait: Seconds
+
+
 class TurnIssuer:
     """The lines of prompts at the engines of this leader.
 
@@ -36,6 +51,14 @@
         """Return how many prompts wait or are read at all engines."""
         return sum(line.count_prompts() for line in self._lines.values())
 
+    def list_lines(self) -> list[LineSummary]:
+        """Return a summary of each engine's line."""
+        now = self._clock()
+        return [
+            _summarise(endpoint, line.list_prompts(), now)
+            for endpoint, line in self._lines.items()
+        ]
+
     def apply(
         self, daemon: str, endpoint: EndpointId, prompts: Sequence[Prompt]
     ) -> None:
@@ -124,3 +147,16 @@
             timer.cancel()
         self._timers.clear()
         self._lines.clear()
+
+
+def _summarise(
+    endpoint: EndpointId, prompts: Sequence[Prompt], now: Seconds
+) -> LineSummary:
+    waiting = [each for each in prompts if not each.reading]
+    return LineSummary(
+        endpoint=endpoint,
+        waiting=len(waiting),
+        reading=len(prompts) - len(waiting),
+        tokens=sum(each.tokens for each in prompts),
+        longest_wait=max((now - each.asked_at for each in waiting), default=0.0),
+    )
--- a/src/kestreltally/pacing/line.py
+++ b/src/kestreltally/pacing/line.py
@@ -92,6 +92,14 @@
         """Return how many prompts wait or are read."""
         return sum(len(member.entries) for member in self._members.values())
 
+    def list_prompts(self) -> list[Prompt]:
+        """Return the prompts that wait or are read; granted ones count as read."""
+        return [
+            replace(each.prompt, reading=not each.waits)
+            for member in self._members.values()
+            for each in member.entries.values()
+        ]
+
     def apply(self, daemon: str, prompts: Sequence[Prompt], now: Seconds) -> None:
         """Replace a daemon's prompts; those that vanished were read or withdrawn."""
         member = self._members.setdefault(daemon, _Member(now))
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -218,3 +218,16 @@
         statuses = sorted([(await served).status, (await stopped).status])
         assert statuses[0] == 200
         assert len(engine.seen) == statuses.count(200)
+
+
+@pytest.mark.looptime
+async def test_operators_see_the_lines_of_a_leader() -> None:
+    network = Network()
+    first = await network.add("vm-1").obtain(ENGINE, network.need())
+    waiting = asyncio.create_task(network.add("vm-2").obtain(ENGINE, network.need()))
+    await asyncio.sleep(4 * HOP)
+    (line,) = network.issuer.list_lines()
+    assert (line.waiting, line.reading, line.tokens) == (1, 1, 2 * LONG)
+    assert 0 < line.longest_wait < 5 * HOP
+    waiting.cancel()
+    first.end()
