--- a/src/kestreltally/pacing/line.py
+++ b/src/kestreltally/pacing/line.py
@@ -95,7 +95,7 @@
     def list_prompts(self) -> list[Prompt]:
         """Return the prompts that wait or are read; granted ones count as read."""
         return [
-            replace(each.prompt, reading=not each.waits)
+            replace(each.prompt, reading=each.granted_at is not None)
             for member in self._members.values()
             for each in member.entries.values()
         ]
