Speeds of engines from the observations of all daemons; spread choice (draft)

Cause: a daemon sees each engine once in seconds, so it knows no speeds, and all daemons take the endpoint of least cost by totals that are 0.2 s old. Change: observations in reports, verdicts of the engine's leader in updates, and a chooser that is random among options about as good as the best, all behind engine_speeds.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -53,6 +53,9 @@
     ENDPOINT_WANTS_REST = ("notices: endpoint wants rest", Level.INFO, 50)
     ENDPOINT_NAMES_LIMIT = ("notices: endpoint names a limit", Level.INFO, 50)
     ENDPOINT_WORD_UNREAD = ("notices: a word nobody reads", Level.WARNING, 50)
+    ENGINE_PASSED_OVER = ("finder: failing engine passed over", Level.INFO, 50)
+    ENGINE_DIFFERS = ("speeds: engine differs", Level.WARNING, 20)
+    ENGINE_TYPICAL = ("speeds: engine typical again", Level.INFO, 20)
     ENDPOINT_LEFT_OUT = ("relay: endpoint left out", Level.WARNING, 50)
 
     CONFIGURATION_IN_FORCE = (
--- a/src/kestreltally/entry/choice.py
+++ b/src/kestreltally/entry/choice.py
@@ -23,7 +23,8 @@
 
     ``in_flight`` counts the requests of all daemons at the endpoint, ``remote`` is true
     in another data centre, ``work`` is the prefill before the first event, and
-    ``first_event_delay`` the predicted time to that event.
+    ``first_event_delay`` the predicted time to that event. ``stream_factor`` is the
+    time per token of a stream relative to a typical endpoint.
     """
 
     endpoint: Endpoint
@@ -31,6 +32,7 @@
     remote: bool
     work: PrefillWork
     first_event_delay: Seconds
+    stream_factor: float = 1.0
 
 
 Chooser = Callable[[Sequence[Option]], Option]
@@ -51,7 +53,8 @@
 def compute_cost(option: Option) -> Seconds:
     """Return the cost of an option, as an equivalent time to the first event."""
     slots = max(1, option.endpoint.slots)
-    cost = option.first_event_delay + BATCH_PENALTY * option.in_flight / slots
+    cost = option.first_event_delay
+    cost += option.stream_factor * BATCH_PENALTY * option.in_flight / slots
     if option.in_flight >= slots:
         cost += QUEUE_PENALTY
     if option.remote:
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from typing import Final
 
 from aiohttp import web
@@ -25,6 +26,8 @@
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 # Bodies up to this size are buffered, so that a truncated one can be retried.
 MAX_BUFFERED_BYTES: Final = 2**18
+# The time between events is measured over the last ones, this many at most.
+MAX_TIMED_EVENTS: Final = 64
 
 
 def compute_wait_limit(request: ClientRequest, progress: Progress) -> Seconds | None:
@@ -91,7 +94,7 @@
             self._health.record_success(endpoint.id)
             return
         now = asyncio.get_running_loop().time()
-        self._health.get_row(endpoint.id).answered_at = now
+        self._health.record_error_status(endpoint.id, now)
         retryable = request.route.repeatable and progress.runs < request.route.attempts
         if progress.response is not None:
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
@@ -131,14 +134,15 @@
     ) -> web.StreamResponse:
         events = progress.events
         events.restart()
+        arrived_at: deque[Seconds] = deque(maxlen=MAX_TIMED_EVENTS)
         try:
             while not answer.body.at_eof():
                 async with asyncio.timeout(compute_wait_limit(request, progress)):
                     content = await answer.read_some()
-                self._health.record_received(
-                    endpoint.id, asyncio.get_running_loop().time()
-                )
-                await self._write_events(client, progress, answer, content)
+                now = asyncio.get_running_loop().time()
+                self._health.record_received(endpoint.id, now)
+                if await self._write_events(client, progress, answer, content):
+                    arrived_at.append(now)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
@@ -146,6 +150,7 @@
                 progress.record_broken()
             self.record_failure(endpoint, repr(error))
             raise AttemptFailed("stream broken off", may_have_run=True) from error
+        self._health.record_stream(endpoint.id, arrived_at)
         progress.record_ended()
         self._health.record_success(endpoint.id)
         if progress.response is None:
@@ -159,15 +164,17 @@
         progress: Progress,
         answer: Answer,
         content: bytes,
-    ) -> None:
+    ) -> bool:
+        """Write the events that are complete; return whether there are any."""
         complete_events = progress.events.feed(content)
         if not complete_events:
-            return
+            return False
         progress.record_answered(complete=False)
         if progress.response is None:
             progress.response = make_streamed_answer(answer)
             await progress.response.prepare(client)
         await progress.response.write(complete_events)
+        return True
 
 
 def _record_complete(progress: Progress, answer: Answer) -> None:
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
@@ -19,6 +19,7 @@
     make_final_error,
 )
 from kestreltally.entry.request import ClientRequest, Refused
+from kestreltally.entry.spread_choice import SPREAD
 from kestreltally.entry.waiting import LOWEST_URGENCY, Waiters, WaitTarget
 from kestreltally.estimates.prefill import PrefillTimeTable, PrefillWork
 from kestreltally.fleet.model import (
@@ -28,6 +29,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.speeds.known import KnownSpeeds
 
 LOG = logging.getLogger("kestreltally.finder")
 
@@ -72,6 +74,7 @@
         self.waiters = Waiters()
         self.affinity = Affinity()
         self.prefill_times = PrefillTimeTable()
+        self.speeds: KnownSpeeds | None = None
         self.remote_occupancy = EMPTY
         self.load_wait: Seconds | None = None
         self.expedite: Callable[[], None] = lambda: None
@@ -231,7 +234,8 @@
             each for each in candidates if each.id not in progress.tried
         ] or candidates
         healthy = self._health.filter_healthy(untried, now)
-        options = [self._make_option(request, each, now) for each in healthy]
+        admitted = self._filter_admitted(request, healthy)
+        options = [self._make_option(request, each, now) for each in admitted]
         chosen = self._choose(options)
         progress.trail.append(
             f"{chosen.endpoint.id} of {len(candidates)}, {chosen.in_flight} in flight"
@@ -240,6 +244,30 @@
         )
         return chosen
 
+    def switch_on_speeds(
+        self, speeds: KnownSpeeds, prefill_times: PrefillTimeTable
+    ) -> None:
+        """Choose endpoints by their observed speeds from now on."""
+        self.speeds = speeds
+        self.prefill_times = prefill_times
+        self._choose = ENDPOINT_CHOOSERS[SPREAD]
+
+    def _filter_admitted(
+        self, request: ClientRequest, endpoints: list[Endpoint]
+    ) -> Sequence[Endpoint]:
+        """Return the endpoints without those that get fewer requests for a while."""
+        if self.speeds is None or request.service.engine is None:
+            return endpoints
+        admitted = self.speeds.filter_admitted(endpoints)
+        if len(admitted) < len(endpoints):
+            log_decision(
+                LOG,
+                Decision.ENGINE_PASSED_OVER,
+                request=request.head.id,
+                endpoints=[each.id for each in endpoints if each not in admitted],
+            )
+        return admitted
+
     def _make_option(
         self, request: ClientRequest, endpoint: Endpoint, now: Seconds
     ) -> Option:
@@ -261,4 +289,7 @@
             remote=endpoint.data_centre != self._data_centre,
             work=work,
             first_event_delay=self.prefill_times.predict(endpoint.id, work),
+            stream_factor=(
+                self.speeds.get_stream_factor(endpoint) if self.speeds else 1.0
+            ),
         )
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -1,8 +1,9 @@
 """Endpoint health as seen by this daemon: ejection, silence and outlier detection."""
 
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, Protocol
 
 from kestreltally.entry.occupancy import Occupancy
 from kestreltally.entry.outcomes import OutcomeCounter
@@ -72,12 +73,28 @@
     ejections: int = 0
 
 
+class Observer(Protocol):
+    """Observes outcomes of requests and times of events."""
+
+    def record_outcome(self, endpoint: EndpointId, *, whole: bool) -> None:
+        """Count a whole answer or a failure."""
+
+    def record_stream(
+        self, endpoint: EndpointId, arrived_at: Sequence[Seconds]
+    ) -> None:
+        """Record when the events of a stream arrived."""
+
+
 class HealthTable:
-    """The health of all endpoints, observed from this daemon's requests."""
+    """The health of all endpoints, observed from this daemon's requests.
+
+    ``observer`` is told of outcomes too, None if nothing else observes them.
+    """
 
     def __init__(self) -> None:
         self._rows: dict[EndpointId, Health] = {}
         self._next_token = 0
+        self.observer: Observer | None = None
         # Reported to the leaders, which evaluate endpoints by the outcomes at all
         # daemons.
         self.outcomes = OutcomeCounter()
@@ -148,6 +165,8 @@
     def record_success(self, endpoint: EndpointId) -> None:
         """Count a complete answer."""
         self.outcomes.record_completed(endpoint)
+        if self.observer is not None:
+            self.observer.record_outcome(endpoint, whole=True)
         health = self.get_row(endpoint)
         health.failure_rate *= 1 - FAILURE_RATE_WEIGHT
         health.failed_at.clear()
@@ -156,6 +175,8 @@
     def record_failure(self, endpoint: EndpointId, now: Seconds) -> bool:
         """Count a failure; return whether it ejects the endpoint."""
         self.outcomes.record_failed(endpoint)
+        if self.observer is not None:
+            self.observer.record_outcome(endpoint, whole=False)
         health = self.get_row(endpoint)
         health.failure_rate += FAILURE_RATE_WEIGHT * (1 - health.failure_rate)
         health.failed_at.append(now)
@@ -165,6 +186,19 @@
         self._eject(health, now)
         return True
 
+    def record_error_status(self, endpoint: EndpointId, now: Seconds) -> None:
+        """Record an answer with an error status, which does not eject the endpoint."""
+        self.get_row(endpoint).answered_at = now
+        if self.observer is not None:
+            self.observer.record_outcome(endpoint, whole=False)
+
+    def record_stream(
+        self, endpoint: EndpointId, arrived_at: Sequence[Seconds]
+    ) -> None:
+        """Record when the events of a stream arrived."""
+        if self.observer is not None:
+            self.observer.record_stream(endpoint, arrived_at)
+
     def _eject(self, health: Health, now: Seconds) -> None:
         duration = min(MAX_EJECTION_TIME, INITIAL_EJECTION_TIME * 2**health.ejections)
         health.ejected_until = now + duration
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -292,6 +292,7 @@
             "poison_requests": self._relay.poison.register.count(),
             "endpoints_by_word": self._fleet.notices.count(now),
             "daemons_known": {"feed": budget.daemon_count or 0},
+            **(self._exchange.speeds.measure() if self._exchange.speeds else {}),
         }
 
     def _start_leading(self) -> None:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -52,6 +52,7 @@
     encode_spending,
     encode_use,
 )
+from kestreltally.knowledge.speeds import SpeedExchange
 from kestreltally.knowledge.structs import Report
 from kestreltally.knowledge.updates import (
     AGE_UNKNOWN,
@@ -155,11 +156,17 @@
             self.feed.expedite,
             clock,
         )
+        self.speeds: SpeedExchange | None = None
+        if deployment.features.engine_speeds:
+            self.speeds = SpeedExchange(
+                deployment.vm, fleet, relay, self.leaders, self.get_lease, clock
+            )
         self._parts: tuple[FeedPart, ...] = (
             self._poison,
             NoticeExchange(fleet.notices, self.leaders, clock),
             self.rows,
             self.credits,
+            *([self.speeds] if self.speeds is not None else ()),
         )
         self.feed.parts = self._parts
         for client in self.leaders.clients.values():
@@ -425,6 +432,8 @@
 
     def apply_local_report(self) -> None:
         """Process this daemon's requests like the reports of its followers."""
+        if self.speeds is not None:
+            self.speeds.run_maintenance()
         if self.leader is None or not self.leaders.leads:
             return
         local = self._deployment
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -139,6 +139,34 @@
   2: list<double> lasts,
 }
 
+// What one daemon, the witness, observed of an incarnation of an engine since the previous
+// report. reads and gaps are the numbers of prompts and streams measured, read_sum and
+// gap_sum the sums of the logarithms of their times per token or event, relative to those
+// that the daemon usually sees.
+struct SpeedRow {
+  1: string endpoint,
+  2: i64 born,
+  3: i32 witness,
+  4: i32 reads,
+  5: double read_sum,
+  6: i32 gaps,
+  7: double gap_sum,
+  8: i32 whole,
+  9: i32 failed,
+}
+
+// How an incarnation of an engine differs from the typical one: factors on its time per
+// prompt token and per event, the fraction of its usual requests that it should get, and
+// the seconds for which its speed has differed.
+struct FactorRow {
+  1: string endpoint,
+  2: i64 born,
+  3: double reading,
+  4: double streaming,
+  5: double share,
+  6: double slow_for,
+}
+
 // From a daemon to a leader; a leader's report to another leader sums up its daemons.
 // store_age is the time since the store answered a lease renewal, read_age the time since
 // it answered a read of the endpoints to this daemon itself, in seconds. stamp is the
@@ -166,6 +194,7 @@
   19: list<NoticeRow> notices,
   20: list<WantedRow> wanted,
   21: bool follows,
+  30: list<SpeedRow> speeds,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -202,6 +231,7 @@
   24: double echo_age,
   25: list<NoticeRow> notices,
   26: list<TurnsRow> turns,
+  35: list<FactorRow> factors,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -329,6 +329,58 @@
 gen_init(TurnsRow, TurnsRow.thrift_spec, TurnsRow.default_spec)
 
 
+class SpeedRow(Struct):
+    """``SpeedRow`` of the IDL."""
+
+
+SpeedRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.I32, "witness", False),
+    4: (TType.I32, "reads", False),
+    5: (TType.DOUBLE, "read_sum", False),
+    6: (TType.I32, "gaps", False),
+    7: (TType.DOUBLE, "gap_sum", False),
+    8: (TType.I32, "whole", False),
+    9: (TType.I32, "failed", False),
+}
+SpeedRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("witness", None),
+    ("reads", None),
+    ("read_sum", None),
+    ("gaps", None),
+    ("gap_sum", None),
+    ("whole", None),
+    ("failed", None),
+]
+gen_init(SpeedRow, SpeedRow.thrift_spec, SpeedRow.default_spec)
+
+
+class FactorRow(Struct):
+    """``FactorRow`` of the IDL."""
+
+
+FactorRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.DOUBLE, "reading", False),
+    4: (TType.DOUBLE, "streaming", False),
+    5: (TType.DOUBLE, "share", False),
+    6: (TType.DOUBLE, "slow_for", False),
+}
+FactorRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("reading", None),
+    ("streaming", None),
+    ("share", None),
+    ("slow_for", None),
+]
+gen_init(FactorRow, FactorRow.thrift_spec, FactorRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -355,6 +407,7 @@
     19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
     21: (TType.BOOL, "follows", False),
+    30: (TType.LIST, "speeds", (TType.STRUCT, SpeedRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -378,6 +431,7 @@
     ("notices", None),
     ("wanted", None),
     ("follows", None),
+    ("speeds", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -413,6 +467,7 @@
     24: (TType.DOUBLE, "echo_age", False),
     25: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
+    35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -441,6 +496,7 @@
     ("echo_age", None),
     ("notices", None),
     ("turns", None),
+    ("factors", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
--- /dev/null
+++ b/src/kestreltally/speeds/verdicts.py
@@ -0,0 +1,271 @@
+"""Decides which engines differ from the typical one, from what all daemons observed.
+
+Time is divided into slices. In each slice the median over daemons counts, so that a
+single daemon blames nobody, and over the recent slices the median again, so that an
+engine that is slow for less than half of them is waited out. An engine that fails part
+of its requests gets a small share of them, which doubles for as long as nothing fails.
+"""
+
+import math
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from statistics import median, median_high, median_low
+from typing import Final
+
+from kestreltally.fleet.model import (
+    EndpointId,
+    Seconds,
+    ServiceName,
+    is_other_incarnation,
+)
+from kestreltally.speeds.observations import Observed, Sums
+
+# An engine is slow for long if it was so in most slices of the window: for 2 s or more.
+SLICE: Final[Seconds] = 0.5
+WINDOW_SLICES: Final = 8
+# Fewer slices with observations, or fewer daemons, do not suffice.
+MIN_SLICES: Final = 4
+MIN_WITNESSES: Final = 3
+# Differences below the first factor are noise; a difference once found is kept until it
+# is below the second one.
+MIN_FACTOR: Final = 1.4
+KEPT_FACTOR: Final = 1.2
+# Limits of a factor: further away, an engine is as good as lost, or mismeasured.
+MAX_FACTOR: Final = 6.0
+# An engine fails if this many answers failed, and this much more of all its answers
+# than is usual in its service.
+MIN_FAILURES: Final = 4
+MIN_FAILURES_ON_TRIAL: Final = 2
+FAILED_MARGIN: Final = 0.2
+# The share of its usual requests that a failing engine still gets: enough for its
+# recovery to be seen, and few callers suffer if it has not recovered.
+FAILING_SHARE: Final = 0.1
+SHARE_STEP: Final[Seconds] = 1.0
+# If more than this fraction of a service's engines fail, the cause is elsewhere.
+MAX_FAILING_FRACTION: Final = 0.3
+
+Witness = int
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """How an engine differs from the typical one.
+
+    ``reading`` and ``streaming`` are factors on the time per prompt token and per event
+    of a stream, ``share`` is the fraction of its usual requests that it should get, and
+    ``slow_for`` how long the engine has differed in speed.
+    """
+
+    start_time_ms: int
+    reading: float = 1.0
+    streaming: float = 1.0
+    share: float = 1.0
+    slow_for: Seconds = 0.0
+
+    @property
+    def is_typical(self) -> bool:
+        """Return whether the engine does not differ."""
+        return self.reading == self.streaming == self.share == 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Measured:
+    """The median and the spread of an engine's slices, as logarithms of ratios."""
+
+    centre: float
+    spread: float
+
+
+@dataclass(slots=True)
+class Slice:
+    """What was observed in one slice, by daemon."""
+
+    number: int
+    observed: dict[Witness, Observed] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class EngineRecord:
+    """The recent slices of an engine, and what was decided last.
+
+    ``slices`` serves the speed; ``outcomes`` are those since the last failing verdict.
+    """
+
+    start_time_ms: int
+    service: ServiceName
+    slices: deque[Slice] = field(default_factory=lambda: deque(maxlen=WINDOW_SLICES))
+    outcomes: deque[Slice] = field(default_factory=lambda: deque(maxlen=WINDOW_SLICES))
+    reading: float = 1.0
+    streaming: float = 1.0
+    share: float = 1.0
+    share_changed_at: Seconds = 0.0
+    slow_since: Seconds | None = None
+
+    def drop_old(self, number: int) -> None:
+        """Drop the slices that have left the window."""
+        for each in (self.slices, self.outcomes):
+            while each and each[0].number <= number - WINDOW_SLICES:
+                each.popleft()
+
+
+def measure(
+    slices: Iterable[Slice], get_sums: Callable[[Observed], Sums]
+) -> Measured | None:
+    """Return what most slices agree on, None if too little was observed.
+
+    The centre is the one of the two middle slices that is closer to typical.
+    """
+    by_slice = []
+    witnesses: set[Witness] = set()
+    for each in slices:
+        means = {
+            witness: get_sums(observed).mean
+            for witness, observed in each.observed.items()
+            if get_sums(observed).count
+        }
+        if means:
+            by_slice.append(median(means.values()))
+            witnesses.update(means)
+    if len(by_slice) < MIN_SLICES or len(witnesses) < MIN_WITNESSES:
+        return None
+    centre = min(median_low(by_slice), median_high(by_slice), key=abs)
+    return Measured(centre, median(abs(each - centre) for each in by_slice))
+
+
+def decide_factor(measured: Measured | None, before: float) -> float:
+    """Return the factor of an engine, 1 if it does not differ.
+
+    A difference must also exceed the spread.
+    """
+    if measured is None:
+        return 1.0
+    needed = math.log(MIN_FACTOR if before == 1.0 else KEPT_FACTOR)
+    if abs(measured.centre) < max(needed, measured.spread):
+        return 1.0
+    return min(MAX_FACTOR, max(1 / MAX_FACTOR, math.exp(measured.centre)))
+
+
+def count_outcomes(slices: Iterable[Slice]) -> tuple[int, int, int]:
+    """Return the whole answers, the failed ones, and the daemons that saw these."""
+    whole = failed = 0
+    witnesses = set()
+    for each in slices:
+        for witness, observed in each.observed.items():
+            whole += observed.whole
+            failed += observed.failed
+            if observed.failed:
+                witnesses.add(witness)
+    return whole, failed, len(witnesses)
+
+
+class VerdictTable:
+    """The engines that a leader evaluates."""
+
+    def __init__(self) -> None:
+        self._records: dict[EndpointId, EngineRecord] = {}
+
+    def record(
+        self,
+        endpoint: EndpointId,
+        start_time_ms: int,
+        service: ServiceName,
+        witness: Witness,
+        observed: Observed,
+        now: Seconds,
+    ) -> None:
+        """Record what a daemon observed of one incarnation of an engine."""
+        known = self._records.get(endpoint)
+        if known is not None and is_other_incarnation(
+            known.start_time_ms, start_time_ms
+        ):
+            if start_time_ms < known.start_time_ms:
+                return
+            known = None
+        if known is None:
+            known = self._records[endpoint] = EngineRecord(start_time_ms, service)
+        number = int(now / SLICE)
+        for slices in (known.slices, known.outcomes):
+            if not slices or slices[-1].number != number:
+                slices.append(Slice(number))
+            by_witness = slices[-1].observed
+            before = by_witness.get(witness)
+            by_witness[witness] = observed if before is None else before.add(observed)
+
+    def evaluate(self, now: Seconds) -> dict[EndpointId, Verdict]:
+        """Return the engines that differ from the typical one."""
+        for record in self._records.values():
+            record.drop_old(int(now / SLICE))
+            _decide_speed(record, now)
+        self._decide_shares(now)
+        verdicts = (
+            (name, _make_verdict(record, now)) for name, record in self._records.items()
+        )
+        return {name: each for name, each in verdicts if not each.is_typical}
+
+    def retain(self, endpoints: Callable[[EndpointId], bool]) -> None:
+        """Drop the engines that this daemon does not lead any more."""
+        self._records = {k: v for k, v in self._records.items() if endpoints(k)}
+
+    def _decide_shares(self, now: Seconds) -> None:
+        for records in self._list_by_service():
+            fractions = [_compute_failed_fraction(each) for each in records]
+            usual = median(fractions)
+            limit = MAX_FAILING_FRACTION * len(records)
+            failing = sum(each.share < 1.0 for each in records)
+            for record, fraction in zip(records, fractions, strict=True):
+                if _is_failing(record, fraction - usual):
+                    if record.share < 1.0 or failing + 1 <= limit:
+                        failing += record.share == 1.0
+                        _set_share(record, FAILING_SHARE, now)
+                        record.outcomes.clear()
+                elif record.share < 1.0 and now - record.share_changed_at >= SHARE_STEP:
+                    _set_share(record, min(1.0, 2 * record.share), now)
+
+    def _list_by_service(self) -> Iterator[list[EngineRecord]]:
+        grouped = defaultdict(list)
+        for record in self._records.values():
+            grouped[record.service].append(record)
+        yield from grouped.values()
+
+
+def _decide_speed(record: EngineRecord, now: Seconds) -> None:
+    reading = measure(record.slices, lambda each: each.reading)
+    streaming = measure(record.slices, lambda each: each.streaming)
+    record.reading = decide_factor(reading, record.reading)
+    record.streaming = decide_factor(streaming, record.streaming)
+    if record.reading == record.streaming == 1.0:
+        record.slow_since = None
+    elif record.slow_since is None:
+        record.slow_since = now
+
+
+def _compute_failed_fraction(record: EngineRecord) -> float:
+    whole, failed, _ = count_outcomes(record.outcomes)
+    return failed / max(1, whole + failed)
+
+
+def _is_failing(record: EngineRecord, excess: float) -> bool:
+    """Return whether an engine fails; one on trial needs fewer failures."""
+    _, failed, witnesses = count_outcomes(record.outcomes)
+    if excess < FAILED_MARGIN:
+        return False
+    if record.share < 1.0:
+        return failed >= MIN_FAILURES_ON_TRIAL
+    return failed >= MIN_FAILURES and witnesses >= MIN_WITNESSES
+
+
+def _set_share(record: EngineRecord, share: float, now: Seconds) -> None:
+    record.share = share
+    record.share_changed_at = now
+
+
+def _make_verdict(record: EngineRecord, now: Seconds) -> Verdict:
+    since = record.slow_since
+    return Verdict(
+        start_time_ms=record.start_time_ms,
+        reading=record.reading,
+        streaming=record.streaming,
+        share=record.share,
+        slow_for=0.0 if since is None else now - since,
+    )
