--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -1,7 +1,7 @@
 """Endpoint health as seen by this daemon: ejection, silence and outlier detection."""
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final, Protocol
 
@@ -80,7 +80,7 @@
         """Count a whole answer or a failure."""
 
     def record_stream(
-        self, endpoint: EndpointId, arrived_at: Sequence[Seconds]
+        self, endpoint: EndpointId, arrived_at: Iterable[Seconds]
     ) -> None:
         """Record when the events of a stream arrived."""
 
@@ -193,7 +193,7 @@
             self.observer.record_outcome(endpoint, whole=False)
 
     def record_stream(
-        self, endpoint: EndpointId, arrived_at: Sequence[Seconds]
+        self, endpoint: EndpointId, arrived_at: Iterable[Seconds]
     ) -> None:
         """Record when the events of a stream arrived."""
         if self.observer is not None:
--- a/src/kestreltally/speeds/observations.py
+++ b/src/kestreltally/speeds/observations.py
@@ -6,8 +6,9 @@
 """
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import Final
 
 from kestreltally.fleet.model import EndpointId, Seconds, ServiceName
@@ -89,9 +90,9 @@
         return max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, difference))
 
 
-def compute_gap(arrived_at: Sequence[Seconds]) -> Seconds | None:
+def compute_gap(arrived_at: Iterable[Seconds]) -> Seconds | None:
     """Return the time between events without pauses, None if too few have arrived."""
-    gaps = sorted(b - a for a, b in zip(arrived_at, arrived_at[1:], strict=False))
+    gaps = sorted(later - earlier for earlier, later in pairwise(arrived_at))
     if len(gaps) < MIN_GAPS:
         return None
     return gaps[int(GAP_QUANTILE * len(gaps))]
@@ -117,7 +118,7 @@
             self._add(endpoint, Observed(reading=Sums(1, ratio)))
 
     def record_stream(
-        self, endpoint: EndpointId, arrived_at: Sequence[Seconds]
+        self, endpoint: EndpointId, arrived_at: Iterable[Seconds]
     ) -> None:
         """Record when the events of a stream arrived."""
         gap = compute_gap(arrived_at)
--- a/src/kestreltally/speeds/verdicts.py
+++ b/src/kestreltally/speeds/verdicts.py
@@ -38,6 +38,10 @@
 MIN_FAILURES: Final = 4
 MIN_FAILURES_ON_TRIAL: Final = 2
 FAILED_MARGIN: Final = 0.2
+# So many standard deviations more than usual are not chance.
+SIGNIFICANT_DEVIATIONS: Final = 2.5
+# The usual fraction of failures is not assumed to be lower than this.
+MIN_USUAL_FRACTION: Final = 0.02
 # The share of its usual requests that a failing engine still gets: enough for its
 # recovery to be seen, and few callers suffer if it has not recovered.
 FAILING_SHARE: Final = 0.1
@@ -209,12 +213,11 @@
 
     def _decide_shares(self, now: Seconds) -> None:
         for records in self._list_by_service():
-            fractions = [_compute_failed_fraction(each) for each in records]
-            usual = median(fractions)
+            usual = median(_compute_failed_fraction(each) for each in records)
             limit = MAX_FAILING_FRACTION * len(records)
             failing = sum(each.share < 1.0 for each in records)
-            for record, fraction in zip(records, fractions, strict=True):
-                if _is_failing(record, fraction - usual):
+            for record in records:
+                if _is_failing(record, usual):
                     if record.share < 1.0 or failing + 1 <= limit:
                         failing += record.share == 1.0
                         _set_share(record, FAILING_SHARE, now)
@@ -245,10 +248,16 @@
     return failed / max(1, whole + failed)
 
 
-def _is_failing(record: EngineRecord, excess: float) -> bool:
-    """Return whether an engine fails; one on trial needs fewer failures."""
-    _, failed, witnesses = count_outcomes(record.outcomes)
-    if excess < FAILED_MARGIN:
+def _is_failing(record: EngineRecord, usual: float) -> bool:
+    """Return whether an engine fails more than the usual fraction of its requests.
+
+    One on trial needs fewer failures.
+    """
+    whole, failed, witnesses = count_outcomes(record.outcomes)
+    usual = max(usual, MIN_USUAL_FRACTION)
+    deviation = math.sqrt(usual * (1 - usual) / max(1, whole + failed))
+    margin = max(FAILED_MARGIN, SIGNIFICANT_DEVIATIONS * deviation)
+    if failed < (usual + margin) * (whole + failed):
         return False
     if record.share < 1.0:
         return failed >= MIN_FAILURES_ON_TRIAL
