--- a/src/kestreltally/knowledge/speeds.py
+++ b/src/kestreltally/knowledge/speeds.py
@@ -39,6 +39,7 @@
 MAX_PENDING_ROWS: Final = 1_000
 # The name under which a leader keeps its own verdicts.
 OWN: Final = ""
+TYPICAL: Final = Verdict(start_time_ms=0)
 
 
 class SpeedExchange(FeedPart):
@@ -64,6 +65,8 @@
         self._evaluated_at: Seconds = float("-inf")
         # Observations for other leaders, by their data centres.
         self._pending: dict[str, dict[tuple[EndpointId, Witness], Observed]] = {}
+        # Engines of which gauges were shown; a gauge keeps its value until it is set.
+        self._shown: set[EndpointId] = set()
         self.known = KnownSpeeds(clock)
         relay.health.observer = self._observer
         relay.finder.switch_on_speeds(
@@ -205,14 +208,17 @@
         self.known.apply(received.data_centre, verdicts)
 
     def measure(self) -> dict[str, dict[str, float]]:
-        """Return the gauges of the engines that differ."""
-        current = self.known.list_current()
+        """Return the gauges of the engines that differ, or have differed before."""
+        differing = self.known.list_current()
+        self._shown.update(differing)
+        current = {k: differing.get(k, TYPICAL) for k in self._shown}
+        self._shown.intersection_update(self._fleet.endpoints)
         return {
             "engine_reading_factor": {k: v.reading for k, v in current.items()},
             "engine_streaming_factor": {k: v.streaming for k, v in current.items()},
             "engine_share": {k: v.share for k, v in current.items()},
             "engine_slow_seconds": {k: v.slow_for for k, v in current.items()},
-            "engines_differing": {"known": float(len(current))},
+            "engines_differing": {"known": float(len(differing))},
         }
 
 
