--- a/tests/spreadsim.py
+++ b/tests/spreadsim.py
@@ -69,6 +69,8 @@
 ) -> Result:
     """Return how the requests were spread and how long their first events took."""
     rng = random.Random(seed)
+    # Choosers draw from the common generator.
+    random.seed(seed)
     engines = [Engine(load.slowness.get(i, 1.0)) for i in range(load.engines)]
     rows = [
         Endpoint(EndpointId(f"e{i}"), MODELS, "h", 1, "n", SLOTS, False, {})
