Let only streams tell whether an engine differs in speed

Cause: the time per prompt token also differs by what an engine has cached for other daemons. Change: reading counts only for the size of a factor, on the side that the streams tell. Measured: a new test fails before and passes after; 27 tests of speeds and choice pass.

--- a/src/kestreltally/speeds/verdicts.py
+++ b/src/kestreltally/speeds/verdicts.py
@@ -233,11 +233,18 @@
 
 
 def _decide_speed(record: EngineRecord, now: Seconds) -> None:
+    """Decide the factors of an engine.
+
+    The time per prompt token also differs by the parts that an engine has cached for
+    other daemons, so it counts only where the streams are slow or fast too.
+    """
     reading = measure(record.slices, lambda each: each.reading)
     streaming = measure(record.slices, lambda each: each.streaming)
-    record.reading = decide_factor(reading, record.reading)
     record.streaming = decide_factor(streaming, record.streaming)
-    if record.reading == record.streaming == 1.0:
+    record.reading = decide_factor(reading, record.streaming)
+    if (record.reading - 1.0) * (record.streaming - 1.0) <= 0.0:
+        record.reading = record.streaming
+    if record.streaming == 1.0:
         record.slow_since = None
     elif record.slow_since is None:
         record.slow_since = now
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -117,6 +117,15 @@
     assert not any(rig.run(3.0))
 
 
+def test_prompts_that_other_daemons_have_cached_blame_nobody() -> None:
+    rig = Rig(lambda _e, _t, _d: 1.0)
+    rig.run(4.0)
+    for _ in range(40):
+        for observer in rig.random.sample(rig.observers, 5):
+            observer.record_reading(SLOW, 8e-6)
+        assert not any(rig.run(0.2))
+
+
 def test_slow_daemon_blames_nobody() -> None:
     rig = Rig(
         lambda _e, now, daemon: 4.0 if daemon < 2 and now > 106 else 1.0, daemons=10
