--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from typing import Final
 
 from aiohttp import web
@@ -26,6 +27,8 @@
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 # Bodies up to this size are buffered, so that a truncated one can be retried.
 MAX_BUFFERED_BYTES: Final = 2**18
+# The time between events is measured over the last ones, this many at most.
+MAX_TIMED_EVENTS: Final = 64
 
 
 def compute_wait_limit(request: ClientRequest, progress: Progress) -> Seconds | None:
@@ -97,7 +100,7 @@
             self._health.record_success(endpoint.id)
             return
         now = asyncio.get_running_loop().time()
-        self._health.get_row(endpoint.id).answered_at = now
+        self._health.record_error_status(endpoint.id, now)
         retryable = request.route.repeatable and progress.runs < request.route.attempts
         if progress.response is not None:
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
@@ -137,14 +140,15 @@
     ) -> web.StreamResponse:
         events = progress.events
         events.restart()
+        arrived_at: deque[Seconds] = deque(maxlen=MAX_TIMED_EVENTS)
         try:
             while not answer.body.at_eof():
                 async with asyncio.timeout(compute_wait_limit(request, progress)):
                     content = await answer.read_some()
-                self._health.record_received(
-                    endpoint.id, asyncio.get_running_loop().time()
-                )
+                now = asyncio.get_running_loop().time()
+                self._health.record_received(endpoint.id, now)
                 if await self._write_events(client, progress, answer, content):
+                    arrived_at.append(now)
                     self._record_event(request, progress, endpoint)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
@@ -153,6 +157,7 @@
                 progress.record_broken()
             self.record_failure(endpoint, repr(error))
             raise AttemptFailed("stream broken off", may_have_run=True) from error
+        self._health.record_stream(endpoint.id, arrived_at)
         progress.record_ended()
         self._health.record_success(endpoint.id)
         if progress.response is None:
@@ -167,7 +172,7 @@
         answer: Answer,
         content: bytes,
     ) -> bool:
-        """Write the complete events of some content; return whether there are any."""
+        """Write the events that are complete; return whether there are any."""
         complete_events = progress.events.feed(content)
         if not complete_events:
             return False
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -303,6 +303,7 @@
             "endpoints_by_word": self._fleet.notices.count(now),
             "daemons_known": {"feed": budget.daemon_count or 0},
             "turns": self._pacing.measure(),
+            **(self._exchange.speeds.measure() if self._exchange.speeds else {}),
         }
 
     def _start_leading(self) -> None:
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -346,6 +346,58 @@
 gen_init(PauseRow, PauseRow.thrift_spec, PauseRow.default_spec)
 
 
+class SpeedRow(Struct):
+    """``SpeedRow`` of the IDL."""
+
+
+SpeedRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.I32, "witness", False),
+    4: (TType.I32, "reads", False),
+    5: (TType.DOUBLE, "read_sum", False),
+    6: (TType.I32, "gaps", False),
+    7: (TType.DOUBLE, "gap_sum", False),
+    8: (TType.I32, "whole", False),
+    9: (TType.I32, "failed", False),
+}
+SpeedRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("witness", None),
+    ("reads", None),
+    ("read_sum", None),
+    ("gaps", None),
+    ("gap_sum", None),
+    ("whole", None),
+    ("failed", None),
+]
+gen_init(SpeedRow, SpeedRow.thrift_spec, SpeedRow.default_spec)
+
+
+class FactorRow(Struct):
+    """``FactorRow`` of the IDL."""
+
+
+FactorRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.DOUBLE, "reading", False),
+    4: (TType.DOUBLE, "streaming", False),
+    5: (TType.DOUBLE, "share", False),
+    6: (TType.DOUBLE, "slow_for", False),
+}
+FactorRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("reading", None),
+    ("streaming", None),
+    ("share", None),
+    ("slow_for", None),
+]
+gen_init(FactorRow, FactorRow.thrift_spec, FactorRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -373,6 +425,7 @@
     20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
     21: (TType.BOOL, "follows", False),
     22: (TType.LIST, "pauses", (TType.STRUCT, PauseRow), False),
+    30: (TType.LIST, "speeds", (TType.STRUCT, SpeedRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -397,6 +450,7 @@
     ("wanted", None),
     ("follows", None),
     ("pauses", None),
+    ("speeds", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -433,6 +487,7 @@
     25: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
     27: (TType.LIST, "paced", TType.STRING, False),
+    35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -462,6 +517,7 @@
     ("notices", None),
     ("turns", None),
     ("paced", None),
+    ("factors", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
