Bound what a daemon holds for slow readers

Cause: request bodies, answers that clients read slowly, and requests that endpoints don't read were held without a count. Sending waited for the client after 64 KiB, so an endpoint cut off what a slow client had yet to read, and hundreds of unread answers could exceed a small machine's memory.

The kernel keeps at most 64 KiB unsent a connection, so that the rest is counted. A planned stop waits for answers that are still being sent.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -41,6 +41,7 @@
     REQUEST_REFUSED = ("entry: request refused", Level.INFO, 400)
     REQUEST_BROKEN_OFF = ("entry: answer broken off", Level.WARNING, 400)
     REQUEST_ABANDONED = ("entry: client left", Level.INFO, 100)
+    UNREAD_ENDED = ("holdings: unread bytes dropped", Level.WARNING, 50)
     REQUEST_WAITS = ("relay: request waits for weights", Level.INFO, 100)
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
     QUOTA_USED_UP = ("gate: quota used up", Level.INFO, 50)
--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -43,10 +43,14 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineCapacity:
-    """The machine's resources for this daemon: processor cores and network link."""
+    """The machine's resources for this daemon: processor cores, network link, memory.
+
+    ``memory`` is in bytes, 0 if it is unknown.
+    """
 
     cores: float
     link_mbps: float
+    memory: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -12,7 +12,9 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import SocketAddress
 from kestreltally.entry.answers import make_refusal
+from kestreltally.entry.exchanges import Holding
 from kestreltally.entry.gate import Gate
+from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.progress import (
     BAD_GATEWAY,
     UNAVAILABLE,
@@ -83,6 +85,7 @@
 
     client: web.BaseRequest
     started_at: Seconds
+    holding: Holding
     progress: Progress = field(default_factory=Progress)
     request: ClientRequest | None = None
 
@@ -96,12 +99,14 @@
         relay: Relay,
         gate: Gate,
         record_end: Callable[[RequestEnd], None] = lambda _: None,
+        holdings: Holdings | None = None,
     ) -> None:
         self._fleet = fleet
         self._relay = relay
         self._gate = gate
         self._runners: list[web.ServerRunner] = []
         self._record_end = record_end
+        self.holdings = holdings or Holdings(0, lambda: 0.0)
         self._stops_at: Seconds | None = None
         self._stop_started_at: Seconds = 0.0
         self.active_requests = 0
@@ -157,6 +162,11 @@
         if now > latest_arrival:
             raise Refused(UNAVAILABLE, "daemon is stopping", RETRY_ELSEWHERE_DELAY)
 
+    @property
+    def has_work(self) -> bool:
+        """Return whether requests are served or answers not yet sent."""
+        return self.active_requests > 0 or self.holdings.has_unsent
+
     @property
     def ready(self) -> bool:
         """Return whether this daemon accepts new clients."""
@@ -174,9 +184,17 @@
             self.active_requests -= 1
 
     async def _serve_and_log(self, client: web.BaseRequest) -> web.StreamResponse:
-        call = ClientCall(client, asyncio.get_running_loop().time())
+        holding = self.holdings.open(client, read_request_id(client.headers))
+        call = ClientCall(client, asyncio.get_running_loop().time(), holding)
+        try:
+            return await self._serve_call(call)
+        finally:
+            self.holdings.close(holding)
+
+    async def _serve_call(self, call: ClientCall) -> web.StreamResponse:
+        client = call.client
         try:
-            call.request = await self._read(client)
+            call.request = await self._read(call)
             response = await self._serve_within_quota(call, call.request)
         except Refused as refused:
             self._log_end(Decision.REQUEST_REFUSED, call, refused)
@@ -277,13 +295,14 @@
             client.transport.close()
         return web.Response(status=BAD_GATEWAY)
 
-    async def _read(self, client: web.BaseRequest) -> ClientRequest:
+    async def _read(self, call: ClientCall) -> ClientRequest:
         """Read a client's request; raises ``Refused`` or ``ClientDisconnected``."""
+        client = call.client
         arrived_at = asyncio.get_running_loop().time()
         configuration = self._fleet.configuration
         if configuration is None:
             raise Refused(UNAVAILABLE, "no configuration received yet", 0.5)
-        body = await self._read_body(client, configuration)
+        body = await self._read_body(call, configuration)
         # The configuration may have changed while the body was read.
         configuration = self._fleet.configuration or configuration
         path = client.raw_path
@@ -314,10 +333,13 @@
             caller=caller,
         )
 
-    async def _read_body(
-        self, client: web.BaseRequest, configuration: Configuration
-    ) -> bytes:
+    async def _read_body(self, call: ClientCall, configuration: Configuration) -> bytes:
         limits = configuration.limits
         # The body may take a multiple of the header timeout.
         timeout = 4 * limits.header_timeout
-        return await read_body(client, limits.body_bytes, timeout)
+        return await read_body(
+            call.client,
+            limits.body_bytes,
+            timeout,
+            lambda size: self.holdings.reserve(call.holding, size),
+        )
--- /dev/null
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -0,0 +1,75 @@
+"""aiohttp's client protocol, with holds on reading and a report of received bytes."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from aiohttp import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+
+from kestreltally.sockets import bound_kernel_unsent
+
+# The maximum number of bytes that are received at once, so that an answer whose source
+# is paused in time never holds much more.
+RECEIVE_BYTES: Final = 2**14
+
+
+def ignore_received(_: "ChannelProtocol", __: int) -> None:
+    """Ignore received bytes: nothing bounds what is held."""
+
+
+class ChannelProtocol(ResponseHandler):
+    """aiohttp's protocol, but a reset does not complete a body without length.
+
+    ``held`` is true while no more may be received, ``was_held`` until the reader resets
+    it.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        record_received: Callable[["ChannelProtocol", int], None] = ignore_received,
+    ) -> None:
+        super().__init__(loop)
+        self._record_received = record_received
+        self.held = False
+        self.was_held = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what is received at once if received bytes are counted."""
+        super().connection_made(transport)
+        if self._record_received is not ignore_received:
+            # An attribute of asyncio's socket transports, 256 KiB by default.
+            transport.max_size = RECEIVE_BYTES  # type: ignore[attr-defined]
+            if isinstance(transport, asyncio.WriteTransport):
+                bound_kernel_unsent(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Report a reset as the failure of a body that was not complete."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                ClientPayloadError("connection reset before the end of the body")
+            )
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes after reporting their number."""
+        if data:
+            self._record_received(self, len(data))
+        super().data_received(data)
+
+    def set_held(self, held: bool) -> None:
+        """Stop receiving, or resume unless aiohttp itself has stopped it."""
+        if held == self.held:
+            return
+        self.held = held
+        if held:
+            self.was_held = True
+            self._pause_transport_reading()
+        elif not (self._reading_paused or self._buffer_paused):
+            self._resume_transport_reading()
+
+    def _resume_transport_reading(self) -> None:
+        if not self.held:
+            super()._resume_transport_reading()
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -9,6 +9,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answers import make_buffered_answer, make_streamed_answer
 from kestreltally.entry.events import EventTooLong
+from kestreltally.entry.exchanges import count_answer
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.progress import AttemptFailed, Progress, StreamBroken
 from kestreltally.entry.request import ClientRequest
@@ -63,6 +64,7 @@
         Raises ``AttemptFailed`` if another endpoint may still be tried, and
         ``StreamBroken`` if the client has already received part of the answer.
         """
+        count_answer(client, answer)
         if request.route.kind is RequestKind.STREAM and answer.status < 300:
             return await self._forward_events(
                 request, client, progress, endpoint, answer
@@ -133,8 +135,7 @@
         events.restart()
         try:
             while not answer.body.at_eof():
-                async with asyncio.timeout(compute_wait_limit(request, progress)):
-                    content = await answer.read_some()
+                content = await _read_events(request, progress, answer)
                 self._health.record_received(
                     endpoint.id, asyncio.get_running_loop().time()
                 )
@@ -170,6 +171,23 @@
         await progress.response.write(complete_events)
 
 
+async def _read_events(
+    request: ClientRequest, progress: Progress, answer: Answer
+) -> bytes:
+    """Return the next bytes of a stream; raises ``TimeoutError`` if it is silent.
+
+    An endpoint is not silent while this daemon doesn't read what it sends.
+    """
+    while True:
+        answer.protocol.was_held = answer.protocol.held
+        try:
+            async with asyncio.timeout(compute_wait_limit(request, progress)):
+                return await answer.read_some()
+        except TimeoutError:
+            if not answer.protocol.was_held:
+                raise
+
+
 def _record_complete(progress: Progress, answer: Answer) -> None:
     """Record that an answer is complete.
 
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -1,6 +1,7 @@
 """Client requests: the parsed representation, and reading headers and body."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -126,13 +127,24 @@
     )
 
 
-async def read_body(request: web.BaseRequest, limit: int, timeout: Seconds) -> bytes:
-    """Return a request's body; raises ``Refused`` or ``ClientDisconnected``."""
+async def read_body(
+    request: web.BaseRequest,
+    limit: int,
+    timeout: Seconds,
+    reserve: Callable[[int], None] = lambda _: None,
+) -> bytes:
+    """Return a request's body; raises ``Refused`` or ``ClientDisconnected``.
+
+    ``reserve`` is called with the number of bytes before they are held: that of the
+    whole body where it is known.
+    """
     if not request.body_exists:
+        reserve(0)
         return b""
     length = request.content_length
     if length is not None and length > limit:
         raise Refused(413, f"request body longer than {limit} bytes")
+    reserve(length or 0)
     expects = request.headers.get("Expect", "").lower() == "100-continue"
     if expects and request.transport is not None:
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -140,6 +152,8 @@
     try:
         async with asyncio.timeout(timeout):
             async for piece in request.content.iter_any():
+                if length is None:
+                    reserve(len(piece))
                 content += piece
                 if len(content) > limit:
                     raise Refused(413, f"request body longer than {limit} bytes")
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import re
 import socket
 from collections import defaultdict, deque
@@ -13,12 +14,13 @@
 from dataclasses import dataclass
 from typing import Final
 
-from aiohttp import ClientPayloadError, StreamReader
+from aiohttp import StreamReader
 from aiohttp.client_exceptions import ClientError
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import MultiMapping
 
+from kestreltally.entry.channel_protocol import ChannelProtocol
+from kestreltally.entry.holdings import Holdings
 from kestreltally.fleet.model import Endpoint, Seconds
 from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.rate_limits import NEVER
@@ -64,27 +66,39 @@
     """The body of an answer was truncated."""
 
 
-class _Protocol(ResponseHandler):
-    """aiohttp's protocol, but a reset does not complete a body without length."""
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(
-                ClientPayloadError("connection reset before the end of the body")
-            )
-        super().connection_lost(exc)
-
-
 @dataclass(slots=True)
 class Answer:
-    """An endpoint's answer: status and headers, and the body still to be read."""
+    """An endpoint's answer: status and headers, and the body still to be read.
+
+    ``taken`` counts the bytes of the body that were read, ``buffered`` those of them
+    that are kept until the whole body has arrived. ``share`` is the number of bytes
+    that may be held of the answer.
+    """
 
     status: int
     reason: str
     headers: MultiMapping[str]
     raw_headers: tuple[tuple[bytes, bytes], ...]
     body: StreamReader
+    protocol: ChannelProtocol
+    taken: int = 0
+    buffered: int = 0
+    share: float = math.inf
+    _buffering: bool = False
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes received and not yet written to the client."""
+        return self.body.total_bytes - self.taken + self.buffered
+
+    def apply_share(self, share: int, *, paused: bool) -> None:
+        """Set how many bytes may be held, and whether to stop receiving more.
+
+        A body that is being buffered is not paused, because its client could not take
+        any of it; buffering ends instead.
+        """
+        self.share = share
+        self.protocol.set_held(paused and not self._buffering)
 
     async def read_all(self, limit: int) -> bytes | None:
         """Return the body, None if it exceeds a limit; raises ``AnswerTruncated``.
@@ -92,19 +106,28 @@
         The bytes read of a body over the limit are put back for ``read_some``.
         """
         content = bytearray()
-        while not self.body.at_eof():
-            content += await self.read_some()
-            if len(content) > limit:
-                self.body.unread_data(bytes(content))
-                return None
+        self._buffering = True
+        try:
+            while not self.body.at_eof():
+                content += await self.read_some()
+                self.buffered = len(content)
+                if len(content) > min(limit, self.share):
+                    self.body.unread_data(bytes(content))
+                    self.taken -= len(content)
+                    self.buffered = 0
+                    return None
+        finally:
+            self._buffering = False
         return bytes(content)
 
     async def read_some(self) -> bytes:
         """Return the next bytes of the body, empty at its end."""
         try:
-            return await self.body.readany()
+            content = await self.body.readany()
         except (ClientError, OSError, HttpProcessingError) as error:
             raise AnswerTruncated(str(error)) from error
+        self.taken += len(content)
+        return content
 
 
 class Channel:
@@ -115,7 +138,7 @@
     """
 
     def __init__(
-        self, protocol: _Protocol, endpoint: Endpoint, notices: NoticeTable
+        self, protocol: ChannelProtocol, endpoint: Endpoint, notices: NoticeTable
     ) -> None:
         self._protocol = protocol
         self._endpoint = endpoint
@@ -193,6 +216,7 @@
             headers=message.headers,
             raw_headers=message.raw_headers,
             body=payload,
+            protocol=self._protocol,
         )
 
     def _apply_notice(
@@ -231,6 +255,16 @@
         """Close at once, dropping unsent bytes."""
         self._protocol.abort()
 
+    @property
+    def unsent(self) -> int:
+        """Return the number of bytes of the request that the endpoint has not taken."""
+        transport = self._protocol.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    def resume(self) -> None:
+        """Receive again, whether or not the last answer was paused."""
+        self._protocol.set_held(False)
+
     def close(self) -> None:
         """Close after the written bytes have been sent."""
         self._protocol.close()
@@ -239,8 +273,9 @@
 class ChannelPool:
     """Pooled channels by address; the most recently used is reused first."""
 
-    def __init__(self, notices: NoticeTable) -> None:
+    def __init__(self, notices: NoticeTable, holdings: Holdings | None = None) -> None:
         self._notices = notices
+        self._holdings = holdings
         self._idle: dict[tuple[str, int], deque[Channel]] = defaultdict(deque)
         self.opened = 0
         self.used = 0
@@ -253,8 +288,11 @@
         channel = self._pop_idle(address, loop.time())
         if channel is not None:
             channel.set_endpoint(endpoint)
-            return channel
-        return await self._connect(endpoint)
+        else:
+            channel = await self._connect(endpoint)
+        if self._holdings is not None:
+            self._holdings.start_sending(channel)
+        return channel
 
     def _pop_idle(self, address: tuple[str, int], now: Seconds) -> Channel | None:
         idle = self._idle[address]
@@ -275,7 +313,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 await loop.sock_connect(connection, (host, port))
             _, protocol = await loop.create_connection(
-                lambda: _Protocol(loop), sock=connection
+                lambda: self._make_protocol(loop), sock=connection
             )
         except (OSError, TimeoutError) as error:
             connection.close()
@@ -287,8 +325,16 @@
         self.opened += 1
         return Channel(protocol, endpoint, self._notices)
 
+    def _make_protocol(self, loop: asyncio.AbstractEventLoop) -> ChannelProtocol:
+        if self._holdings is None:
+            return ChannelProtocol(loop)
+        return ChannelProtocol(loop, self._holdings.record_received)
+
     def release(self, channel: Channel, *, keep: bool) -> None:
         """Return a channel to the pool; one that is not kept is closed at once."""
+        channel.resume()
+        if self._holdings is not None:
+            self._holdings.end_sending(channel)
         if keep and channel.reusable:
             self._idle[channel.address].append(channel)
         else:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -21,8 +21,10 @@
 from kestreltally.decisions import Decision, log_decision, log_suppressed
 from kestreltally.deployment import Deployment, SocketAddress
 from kestreltally.entry.api import EntryApi
+from kestreltally.entry.buffers import compute_limit
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.identity import IdentityCheck
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import RetryBudget
@@ -112,7 +114,10 @@
         self._session: ClientSession = open_store_session()
         self._store = Store(self._session, deployment.store)
         self._fleet = Fleet()
-        self._pool = ChannelPool(self._fleet.notices)
+        self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
+        self._pool = ChannelPool(
+            self._fleet.notices, self._holdings if self._holdings.limit else None
+        )
         self._control_pool = ChannelPool(self._fleet.notices)
         self._relay = Relay(
             deployment.data_centre,
@@ -132,6 +137,7 @@
             self._relay,
             Gate(self._identity, self._limiter),
             self._metrics.record_end,
+            self._holdings,
         )
         self._leases = self._make_leases()
         self._configuration = ConfigurationHandler(
@@ -284,6 +290,8 @@
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
+            "held_bytes": self._holdings.describe(),
+            "held_ended": self._holdings.counts.describe(),
             "endpoint_sends": {
                 "requests": self._pool.used,
                 "orders_and_reports": self._control_pool.used,
@@ -323,6 +331,7 @@
             self._endpoints.drop_expired()
             self._configuration.apply_pending()
             self._fleet.prune_missing_weights(now)
+            self._holdings.review()
             if now >= cleaned_up_at + CLEANUP_INTERVAL:
                 cleaned_up_at = now
                 self._relay.poison.run_maintenance()
@@ -430,7 +439,7 @@
         while self._clock() < last:
             if (
                 self._clock() - started_at >= MIN_STOP_DURATION
-                and not self._entry_api.active_requests
+                and not self._entry_api.has_work
             ):
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
@@ -465,6 +474,13 @@
             await asyncio.sleep(RESTART_DELAY)
 
 
+def _compute_buffer_limit(deployment: Deployment) -> int:
+    """Return how many bytes may be held for slow readers, 0 without a limit."""
+    if not deployment.features.buffer_limit:
+        return 0
+    return compute_limit(deployment.machine_capacity.memory)
+
+
 async def run_daemon(deployment: Deployment, lines: LineWriter) -> int:
     """Run until SIGTERM; return the exit status."""
     stop = asyncio.Event()
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -21,6 +21,7 @@
 # Names the features that are switched off, separated by commas.
 DISABLED_VARIABLE: Final = "KESTRELTALLY_DISABLED"
 MILLISECONDS: Final = 1000.0
+MEGABYTE: Final = 10**6
 
 
 class InvalidDeployment(ValueError):
@@ -69,7 +70,11 @@
 def _decode_machine_capacity(limits: dict[str, Any]) -> MachineCapacity:
     # "Cores" is not a number of cores, but the speed of the single core as a multiple.
     cores = float(limits["CpuShare"]) * float(limits["Cores"])
-    return MachineCapacity(cores=cores, link_mbps=float(limits["LinkMbps"]))
+    return MachineCapacity(
+        cores=cores,
+        link_mbps=float(limits["LinkMbps"]),
+        memory=int(float(limits.get("MemoryMb", 0)) * MEGABYTE),
+    )
 
 
 def _decode_bounds(bounds: dict[str, Any]) -> Bounds:
--- a/src/kestreltally/sockets.py
+++ b/src/kestreltally/sockets.py
@@ -1,5 +1,6 @@
-"""Options of the sockets between daemons, endpoints and the store."""
+"""Options of the sockets between clients, daemons, endpoints and the store."""
 
+import asyncio
 import socket
 from typing import Final
 
@@ -11,6 +12,9 @@
 KEEPALIVE_IDLE_SECONDS: Final = 1
 KEEPALIVE_INTERVAL_SECONDS: Final = 1
 KEEPALIVE_PROBES: Final = 2
+# How many unsent bytes the kernel takes for a receiver that reads slowly. Without a
+# bound it takes megabytes, which the process can neither count nor end.
+MAX_KERNEL_UNSENT: Final = 2**16
 
 
 def harden_socket(connection: socket.socket) -> None:
@@ -25,3 +29,12 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
     )
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def bound_kernel_unsent(transport: asyncio.WriteTransport) -> None:
+    """Leave unsent bytes in the transport's buffer, where they are counted."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None:
+        connection.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_KERNEL_UNSENT
+        )
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -9,6 +9,7 @@
 from kestreltally.entry.api import EntryApi
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.identity import IdentityCheck
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.request import ClientRequest
@@ -266,7 +267,9 @@
 
 @asynccontextmanager
 async def run_entry(
-    endpoints: list[ScriptedEndpoint], *routes: Route
+    endpoints: list[ScriptedEndpoint],
+    *routes: Route,
+    holdings: Holdings | None = None,
 ) -> AsyncIterator[EntryRig]:
     fleet = Fleet()
     fleet.apply_configuration(make_configuration(1, *routes))
@@ -276,7 +279,7 @@
         endpoint.port = server.sockets[0].getsockname()[1]
         servers.append(server)
         fleet.put_endpoint(endpoint.make_endpoint())
-    pool = ChannelPool(fleet.notices)
+    pool = ChannelPool(fleet.notices, holdings)
     budget = RetryBudget(BOUNDS)
     budget.daemon_count = DAEMONS
     relay = Relay("north", fleet, pool, HealthTable(), budget)
@@ -287,7 +290,7 @@
     relay.check_caller = identity.recheck
     limiter = LIMITERS[DEFAULT](clock, BOUNDS.quota)
     limiter.apply_throttles([])
-    api = EntryApi(fleet, relay, Gate(identity, limiter))
+    api = EntryApi(fleet, relay, Gate(identity, limiter), holdings=holdings)
     front, ready = reserve_port(), reserve_port()
     await api.start(
         SocketAddress("127.0.0.1", front), SocketAddress("127.0.0.1", ready)
