Share the channels to an endpoint, and keep them for as long as it does

Cause: on a fleet of 109 daemons each pair of a daemon and an endpoint is used rarely, so most requests opened a channel. A channel's idle time was counted from the head of its answer, never exceeded 10 s, and was 4 s where the endpoint states none; a channel whose endpoint gave a whole error answer was dropped. Nobody kept an endpoint's limit of channels over all daemons.

Change (feature shared_channels): idle time runs from the end of an answer, as stated, or as learned from channels left open for trial; whole error answers keep their channel. A daemon keeps its share of the endpoint's channels by the number of daemons, and beyond it waits 50 ms for one in use.

--- /dev/null
+++ b/src/kestreltally/entry/channel.py
@@ -0,0 +1,301 @@
+"""An HTTP connection to an endpoint (channel), used for one request at a time.
+
+The parser and the protocol are aiohttp's. Its client session is not used, because this
+module has to decide itself what may be sent again, which pooled connection may carry a
+request that must not run twice, and when a connection with surplus bytes is dropped.
+"""
+
+import asyncio
+import math
+import re
+from dataclasses import dataclass
+from typing import Final
+
+from aiohttp import StreamReader
+from aiohttp.client_exceptions import ClientError
+from aiohttp.http_exceptions import HttpProcessingError
+from multidict import MultiMapping
+
+from kestreltally.entry.channel_protocol import ChannelProtocol
+from kestreltally.entry.channel_rules import ChannelRules
+from kestreltally.entry.channels import DEFAULT_IDLE_TIME, KEEP_ALIVE_MARGIN
+from kestreltally.fleet.model import Endpoint, Seconds
+from kestreltally.fleet.notices import NoticeTable
+from kestreltally.fleet.rate_limits import NEVER
+from kestreltally.platform.headers import (
+    is_genuine,
+    list_unrecognised,
+    read_answer_id,
+    read_instance,
+    read_notice,
+)
+
+MAX_IDLE_TIMEOUT: Final[Seconds] = 10.0
+READ_BUFFER_BYTES: Final = 2**16
+MAX_HEAD_BYTES: Final = 32_768
+# Number of answers to other requests that are skipped before a channel is given up.
+MAX_SURPLUS_ANSWERS: Final = 3
+MIN_FAILURE_STATUS: Final = 500
+_KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
+
+
+class AnswerLost(Exception):
+    """The channel failed after the request was sent; the request may have run."""
+
+
+class AnswerTruncated(Exception):
+    """The body of an answer was truncated."""
+
+
+@dataclass(slots=True)
+class Answer:
+    """An endpoint's answer: status and headers, and the body still to be read.
+
+    ``taken`` counts the bytes of the body that were read, ``buffered`` those of them
+    that are kept until the whole body has arrived. ``share`` is the number of bytes
+    that may be held of the answer.
+    """
+
+    status: int
+    reason: str
+    headers: MultiMapping[str]
+    raw_headers: tuple[tuple[bytes, bytes], ...]
+    body: StreamReader
+    protocol: ChannelProtocol
+    taken: int = 0
+    buffered: int = 0
+    share: float = math.inf
+    _buffering: bool = False
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the number of bytes received and not yet written to the client."""
+        return self.body.total_bytes - self.taken + self.buffered
+
+    def apply_share(self, share: int, *, paused: bool) -> None:
+        """Set how many bytes may be held, and whether to stop receiving more.
+
+        A body that is being buffered is not paused, because its client could not take
+        any of it; buffering ends instead.
+        """
+        self.share = share
+        self.protocol.set_held(paused and not self._buffering)
+
+    async def read_all(self, limit: int) -> bytes | None:
+        """Return the body, None if it exceeds a limit; raises ``AnswerTruncated``.
+
+        The bytes read of a body over the limit are put back for ``read_some``.
+        """
+        content = bytearray()
+        self._buffering = True
+        try:
+            while not self.body.at_eof():
+                content += await self.read_some()
+                self.buffered = len(content)
+                if len(content) > min(limit, self.share):
+                    self.body.unread_data(bytes(content))
+                    self.taken -= len(content)
+                    self.buffered = 0
+                    return None
+        finally:
+            self._buffering = False
+        return bytes(content)
+
+    async def read_some(self) -> bytes:
+        """Return the next bytes of the body, empty at its end."""
+        try:
+            content = await self.body.readany()
+        except (ClientError, OSError, HttpProcessingError) as error:
+            raise AnswerTruncated(str(error)) from error
+        self.taken += len(content)
+        return content
+
+
+def read_idle_time(answer: Answer) -> Seconds | None:
+    """Return after which idle time an endpoint says that it closes the channel."""
+    match = _KEEP_ALIVE.search(answer.headers.get("Keep-Alive", ""))
+    return float(match[1]) if match else None
+
+
+class Channel:
+    """One connection to one incarnation of an endpoint.
+
+    All messages of an endpoint pass through it: answers to forward, refusals, reports,
+    answers to orders, and late answers that no request waits for any more.
+    """
+
+    def __init__(
+        self, protocol: ChannelProtocol, endpoint: Endpoint, notices: NoticeTable
+    ) -> None:
+        self._protocol = protocol
+        self._endpoint = endpoint
+        self._notices = notices
+        self._loop = asyncio.get_running_loop()
+        self.usable_until = self._loop.time() + DEFAULT_IDLE_TIME
+        self.open_until = self.usable_until
+        self.idle_since = self._loop.time()
+        self.learns = False
+        self._stated_idle_time: Seconds | None = None
+        self._answer: Answer | None = None
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the endpoint's record at the last use."""
+        return self._endpoint
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the host and port of the endpoint."""
+        return self._endpoint.host, self._endpoint.port
+
+    def set_endpoint(self, endpoint: Endpoint) -> None:
+        """Set the endpoint's current record, to which notices are applied."""
+        self._endpoint = endpoint
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the channel is open and no surplus bytes have arrived."""
+        return self._protocol.is_connected() and not self._protocol.should_close
+
+    async def send(self, head: bytes, body: bytes, request_id: str | None) -> Answer:
+        """Send a request and return the head of its answer.
+
+        A faulty endpoint may send a second answer to an earlier request. Such answers
+        are skipped, and the channel is not kept. Without a ``request_id`` any answer is
+        accepted. Raises ``Unavailable`` if nothing was sent, and ``AnswerLost`` once
+        any byte may have been sent.
+        """
+        self._answer = None
+        protocol = self._protocol
+        transport = protocol.transport
+        if transport is None:
+            raise AnswerLost("channel closed before the request was sent")
+        protocol.set_response_params(
+            skip_payload=head.startswith(b"HEAD "),
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+        )
+        sent_at = self._loop.time()
+        trial = self._notices.start_send(self._endpoint, sent_at)
+        transport.write(head + body if body else head)
+        try:
+            answer = await self._read_head()
+            for _ in range(MAX_SURPLUS_ANSWERS):
+                matches = request_id in (None, read_answer_id(answer.headers))
+                # An answer to an earlier request may be of any age.
+                asked_at = sent_at if matches else NEVER
+                self._apply_notice(
+                    answer, asked_at, from_request=request_id is not None
+                )
+                if matches:
+                    self._answer = answer
+                    self._stated_idle_time = read_idle_time(answer)
+                    return answer
+                protocol.force_close()
+                await answer.body.read()
+                answer = await self._read_head()
+        except (ClientError, OSError, HttpProcessingError) as error:
+            raise AnswerLost(repr(error)) from error
+        finally:
+            if trial:
+                self._notices.end_trial(self._endpoint)
+        raise AnswerLost(
+            f"the first {MAX_SURPLUS_ANSWERS} answers were to other requests"
+        )
+
+    async def _read_head(self) -> Answer:
+        message, payload = await self._protocol.read()
+        while 100 <= message.code < 200:
+            message, payload = await self._protocol.read()
+        return Answer(
+            status=message.code,
+            reason=message.reason or "",
+            headers=message.headers,
+            raw_headers=message.raw_headers,
+            body=payload,
+            protocol=self._protocol,
+        )
+
+    def _apply_notice(
+        self, answer: Answer, sent_at: Seconds, *, from_request: bool
+    ) -> None:
+        """Apply the notice that an answer contains about its endpoint.
+
+        Answers of another endpoint at the same address, and those that are not genuine,
+        are ignored. Only answers to ``from_request`` requests can be checked for being
+        genuine.
+        """
+        instance = read_instance(answer.headers)
+        if instance and instance != self._endpoint.id:
+            return
+        if from_request and not is_genuine(answer.status, answer.headers):
+            return
+        self._notices.unknown_signals.record(
+            list_unrecognised(answer.status, answer.headers)
+        )
+        notice = read_notice(answer.status, answer.headers)
+        self._notices.record(
+            self._endpoint,
+            notice,
+            self._loop.time(),
+            sent_at,
+            from_request=from_request,
+        )
+
+    def apply_keep_alive(self, answer: Answer, now: Seconds) -> None:
+        """Apply the idle time after which the endpoint closes the channel."""
+        stated = read_idle_time(answer)
+        timeout = stated - KEEP_ALIVE_MARGIN if stated else DEFAULT_IDLE_TIME
+        self.usable_until = now + min(timeout, MAX_IDLE_TIMEOUT)
+        self.open_until = self.usable_until
+
+    def start_idle(self, rules: ChannelRules, now: Seconds) -> None:
+        """Set until when the channel is kept: it is idle from the end of its answer."""
+        period = rules.compute_idle_period(self._endpoint, self._stated_idle_time)
+        self.idle_since = now
+        self.usable_until = now + period.usable
+        self.open_until = now + period.open
+        self.learns = period.learns
+
+    def record_end(self, rules: ChannelRules, now: Seconds) -> None:
+        """Learn from an idle channel how long its endpoint leaves channels open."""
+        if not self.learns:
+            return
+        idle_time = rules.idle_times[self._endpoint.service]
+        lost_at = self._protocol.lost_at
+        if lost_at is not None:
+            idle_time.record_closed(lost_at - self.idle_since)
+        elif self.reusable:
+            idle_time.record_open(now - self.idle_since)
+
+    @property
+    def has_whole_failure(self) -> bool:
+        """Return whether the last answer is an endpoint's complete error answer."""
+        answer = self._answer
+        return (
+            answer is not None
+            and answer.status >= MIN_FAILURE_STATUS
+            and is_genuine(answer.status, answer.headers)
+            and answer.body.at_eof()
+        )
+
+    def abort(self) -> None:
+        """Close at once, dropping unsent bytes."""
+        self._protocol.abort()
+
+    @property
+    def unsent(self) -> int:
+        """Return the number of bytes of the request that the endpoint has not taken."""
+        transport = self._protocol.transport
+        return transport.get_write_buffer_size() if transport is not None else 0
+
+    def resume(self) -> None:
+        """Receive again, whether or not the last answer was paused."""
+        self._protocol.set_held(False)
+
+    def close(self) -> None:
+        """Close after the written bytes have been sent."""
+        self._protocol.close()
--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -22,7 +22,7 @@
     """aiohttp's protocol, but a reset does not complete a body without length.
 
     ``held`` is true while no more may be received, ``was_held`` until the reader resets
-    it.
+    it. ``lost_at`` is the time at which the connection was closed.
     """
 
     def __init__(
@@ -34,6 +34,7 @@
         self._record_received = record_received
         self.held = False
         self.was_held = False
+        self.lost_at: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what is received at once if received bytes are counted."""
@@ -46,6 +47,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Report a reset as the failure of a body that was not complete."""
+        self.lost_at = self._loop.time()
         payload = self._payload
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -1,50 +1,27 @@
-"""HTTP connections to endpoints (channels), pooled and used for one request at a time.
-
-The parser and the protocol are aiohttp's. Its client session is not used, because this
-module has to decide itself what may be sent again, which pooled connection may carry a
-request that must not run twice, and when a connection with surplus bytes is dropped.
-"""
+"""Opens channels to endpoints, and keeps idle ones for the next request."""
 
 import asyncio
-import math
-import re
 import socket
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 from typing import Final
 
-from aiohttp import StreamReader
-from aiohttp.client_exceptions import ClientError
-from aiohttp.http_exceptions import HttpProcessingError
-from multidict import MultiMapping
-
+from kestreltally.entry.channel import Answer as Answer
+from kestreltally.entry.channel import AnswerLost as AnswerLost
+from kestreltally.entry.channel import AnswerTruncated as AnswerTruncated
+from kestreltally.entry.channel import Channel as Channel
 from kestreltally.entry.channel_protocol import ChannelProtocol
+from kestreltally.entry.channel_rules import ChannelRules
+from kestreltally.entry.channels import WAIT_FOR_CHANNEL
 from kestreltally.entry.holdings import Holdings
 from kestreltally.fleet.model import Endpoint, Seconds
 from kestreltally.fleet.notices import NoticeTable
-from kestreltally.fleet.rate_limits import NEVER
-from kestreltally.platform.headers import (
-    is_genuine,
-    list_unrecognised,
-    read_answer_id,
-    read_instance,
-    read_notice,
-)
 from kestreltally.sockets import harden_socket
 
 # Round trips take 0.5 ms to a few ms; a lost SYN packet is sent again only after 1 s.
 CONNECT_TIMEOUT: Final[Seconds] = 0.7
-# An idle channel is no longer used this long before its endpoint would close it.
-KEEP_ALIVE_MARGIN: Final[Seconds] = 0.8
-# How long an idle channel is kept if the endpoint names no keep-alive time.
-DEFAULT_IDLE_TIMEOUT: Final[Seconds] = 4.0
-MAX_IDLE_TIMEOUT: Final[Seconds] = 10.0
-READ_BUFFER_BYTES: Final = 2**16
-MAX_HEAD_BYTES: Final = 32_768
-# Number of answers to other requests that are skipped before a channel is given up.
-MAX_SURPLUS_ANSWERS: Final = 3
-_KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
+
+Address = tuple[str, int]
 
 
 class NotConnected(Exception):
@@ -58,250 +35,114 @@
         self.refused = refused
 
 
-class AnswerLost(Exception):
-    """The channel failed after the request was sent; the request may have run."""
-
-
-class AnswerTruncated(Exception):
-    """The body of an answer was truncated."""
-
-
-@dataclass(slots=True)
-class Answer:
-    """An endpoint's answer: status and headers, and the body still to be read.
-
-    ``taken`` counts the bytes of the body that were read, ``buffered`` those of them
-    that are kept until the whole body has arrived. ``share`` is the number of bytes
-    that may be held of the answer.
-    """
-
-    status: int
-    reason: str
-    headers: MultiMapping[str]
-    raw_headers: tuple[tuple[bytes, bytes], ...]
-    body: StreamReader
-    protocol: ChannelProtocol
-    taken: int = 0
-    buffered: int = 0
-    share: float = math.inf
-    _buffering: bool = False
-
-    @property
-    def held_bytes(self) -> int:
-        """Return the number of bytes received and not yet written to the client."""
-        return self.body.total_bytes - self.taken + self.buffered
-
-    def apply_share(self, share: int, *, paused: bool) -> None:
-        """Set how many bytes may be held, and whether to stop receiving more.
-
-        A body that is being buffered is not paused, because its client could not take
-        any of it; buffering ends instead.
-        """
-        self.share = share
-        self.protocol.set_held(paused and not self._buffering)
-
-    async def read_all(self, limit: int) -> bytes | None:
-        """Return the body, None if it exceeds a limit; raises ``AnswerTruncated``.
-
-        The bytes read of a body over the limit are put back for ``read_some``.
-        """
-        content = bytearray()
-        self._buffering = True
-        try:
-            while not self.body.at_eof():
-                content += await self.read_some()
-                self.buffered = len(content)
-                if len(content) > min(limit, self.share):
-                    self.body.unread_data(bytes(content))
-                    self.taken -= len(content)
-                    self.buffered = 0
-                    return None
-        finally:
-            self._buffering = False
-        return bytes(content)
-
-    async def read_some(self) -> bytes:
-        """Return the next bytes of the body, empty at its end."""
-        try:
-            content = await self.body.readany()
-        except (ClientError, OSError, HttpProcessingError) as error:
-            raise AnswerTruncated(str(error)) from error
-        self.taken += len(content)
-        return content
-
-
-class Channel:
-    """One connection to one incarnation of an endpoint.
+class ChannelPool:
+    """Pooled channels by address; the most recently used is reused first.
 
-    All messages of an endpoint pass through it: answers to forward, refusals, reports,
-    answers to orders, and late answers that no request waits for any more.
+    Without ``rules`` any number is opened, and idle ones are kept for a fixed time.
     """
 
     def __init__(
-        self, protocol: ChannelProtocol, endpoint: Endpoint, notices: NoticeTable
+        self,
+        notices: NoticeTable,
+        holdings: Holdings | None = None,
+        rules: ChannelRules | None = None,
     ) -> None:
-        self._protocol = protocol
-        self._endpoint = endpoint
         self._notices = notices
-        self._loop = asyncio.get_running_loop()
-        self.usable_until = self._loop.time() + DEFAULT_IDLE_TIMEOUT
+        self._holdings = holdings
+        self._rules = rules
+        self._idle: dict[Address, deque[Channel]] = defaultdict(deque)
+        self._open: Counter[Address] = Counter()
+        self._waiters: dict[Address, deque[asyncio.Future[None]]] = defaultdict(deque)
+        self.opened = 0
+        self.used = 0
+        self.waits = 0
 
     @property
-    def address(self) -> tuple[str, int]:
-        """Return the host and port of the endpoint."""
-        return self._endpoint.host, self._endpoint.port
-
-    def set_endpoint(self, endpoint: Endpoint) -> None:
-        """Set the endpoint's current record, to which notices are applied."""
-        self._endpoint = endpoint
+    def open_count(self) -> int:
+        """Return the number of open channels, idle or in use."""
+        return self._open.total()
 
     @property
-    def reusable(self) -> bool:
-        """Return whether the channel is open and no surplus bytes have arrived."""
-        return self._protocol.is_connected() and not self._protocol.should_close
-
-    async def send(self, head: bytes, body: bytes, request_id: str | None) -> Answer:
-        """Send a request and return the head of its answer.
-
-        A faulty endpoint may send a second answer to an earlier request. Such answers
-        are skipped, and the channel is not kept. Without a ``request_id`` any answer is
-        accepted. Raises ``Unavailable`` if nothing was sent, and ``AnswerLost`` once
-        any byte may have been sent.
-        """
-        protocol = self._protocol
-        transport = protocol.transport
-        if transport is None:
-            raise AnswerLost("channel closed before the request was sent")
-        protocol.set_response_params(
-            skip_payload=head.startswith(b"HEAD "),
-            read_until_eof=True,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=MAX_HEAD_BYTES,
-            max_field_size=MAX_HEAD_BYTES,
-        )
-        sent_at = self._loop.time()
-        trial = self._notices.start_send(self._endpoint, sent_at)
-        transport.write(head + body if body else head)
-        try:
-            answer = await self._read_head()
-            for _ in range(MAX_SURPLUS_ANSWERS):
-                matches = request_id in (None, read_answer_id(answer.headers))
-                # An answer to an earlier request may be of any age.
-                asked_at = sent_at if matches else NEVER
-                self._apply_notice(
-                    answer, asked_at, from_request=request_id is not None
-                )
-                if matches:
-                    return answer
-                protocol.force_close()
-                await answer.body.read()
-                answer = await self._read_head()
-        except (ClientError, OSError, HttpProcessingError) as error:
-            raise AnswerLost(repr(error)) from error
-        finally:
-            if trial:
-                self._notices.end_trial(self._endpoint)
-        raise AnswerLost(
-            f"the first {MAX_SURPLUS_ANSWERS} answers were to other requests"
-        )
-
-    async def _read_head(self) -> Answer:
-        message, payload = await self._protocol.read()
-        while 100 <= message.code < 200:
-            message, payload = await self._protocol.read()
-        return Answer(
-            status=message.code,
-            reason=message.reason or "",
-            headers=message.headers,
-            raw_headers=message.raw_headers,
-            body=payload,
-            protocol=self._protocol,
-        )
-
-    def _apply_notice(
-        self, answer: Answer, sent_at: Seconds, *, from_request: bool
-    ) -> None:
-        """Apply the notice that an answer contains about its endpoint.
-
-        Answers of another endpoint at the same address, and those that are not genuine,
-        are ignored. Only answers to ``from_request`` requests can be checked for being
-        genuine.
-        """
-        instance = read_instance(answer.headers)
-        if instance and instance != self._endpoint.id:
-            return
-        if from_request and not is_genuine(answer.status, answer.headers):
-            return
-        self._notices.unknown_signals.record(
-            list_unrecognised(answer.status, answer.headers)
-        )
-        notice = read_notice(answer.status, answer.headers)
-        self._notices.record(
-            self._endpoint,
-            notice,
-            self._loop.time(),
-            sent_at,
-            from_request=from_request,
-        )
-
-    def apply_keep_alive(self, answer: Answer, now: Seconds) -> None:
-        """Apply the idle time after which the endpoint closes the channel."""
-        match = _KEEP_ALIVE.search(answer.headers.get("Keep-Alive", ""))
-        timeout = float(match[1]) - KEEP_ALIVE_MARGIN if match else DEFAULT_IDLE_TIMEOUT
-        self.usable_until = now + min(timeout, MAX_IDLE_TIMEOUT)
-
-    def abort(self) -> None:
-        """Close at once, dropping unsent bytes."""
-        self._protocol.abort()
-
-    @property
-    def unsent(self) -> int:
-        """Return the number of bytes of the request that the endpoint has not taken."""
-        transport = self._protocol.transport
-        return transport.get_write_buffer_size() if transport is not None else 0
-
-    def resume(self) -> None:
-        """Receive again, whether or not the last answer was paused."""
-        self._protocol.set_held(False)
-
-    def close(self) -> None:
-        """Close after the written bytes have been sent."""
-        self._protocol.close()
-
-
-class ChannelPool:
-    """Pooled channels by address; the most recently used is reused first."""
-
-    def __init__(self, notices: NoticeTable, holdings: Holdings | None = None) -> None:
-        self._notices = notices
-        self._holdings = holdings
-        self._idle: dict[tuple[str, int], deque[Channel]] = defaultdict(deque)
-        self.opened = 0
-        self.used = 0
+    def idle_count(self) -> int:
+        """Return the number of idle channels."""
+        return sum(len(each) for each in self._idle.values())
 
     async def acquire(self, endpoint: Endpoint) -> Channel:
         """Return a pooled channel or a new one; raises ``NotConnected``."""
         self.used += 1
         address = (endpoint.host, endpoint.port)
-        loop = asyncio.get_running_loop()
-        channel = self._pop_idle(address, loop.time())
+        channel = self._pop_idle(address) or await self._wait_for_idle(endpoint)
         if channel is not None:
             channel.set_endpoint(endpoint)
         else:
-            channel = await self._connect(endpoint)
+            channel = await self._open_channel(endpoint)
         if self._holdings is not None:
             self._holdings.start_sending(channel)
         return channel
 
-    def _pop_idle(self, address: tuple[str, int], now: Seconds) -> Channel | None:
+    def has_idle(self, endpoint: Endpoint) -> bool:
+        """Return whether an idle channel to an endpoint may be used now."""
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get((endpoint.host, endpoint.port), ())
+        return any(each.reusable and now < each.usable_until for each in idle)
+
+    def _pop_idle(self, address: Address) -> Channel | None:
+        now = asyncio.get_running_loop().time()
         idle = self._idle[address]
-        while idle:
+        resting = []
+        found = None
+        while idle and found is None:
             channel = idle.pop()
             if channel.reusable and now < channel.usable_until:
-                return channel
-            channel.close()
-        return None
+                found = channel
+            elif channel.reusable and now < channel.open_until:
+                resting.append(channel)
+            else:
+                self._close(channel, now)
+        idle.extend(reversed(resting))
+        return found
+
+    async def _wait_for_idle(self, endpoint: Endpoint) -> Channel | None:
+        """Wait briefly for a channel in use if this daemon's share is open."""
+        address = (endpoint.host, endpoint.port)
+        share = self._rules.get_share(endpoint) if self._rules is not None else None
+        if share is None or self._open[address] < share.open:
+            return None
+        self.waits += 1
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters[address].append(waiter)
+        try:
+            async with asyncio.timeout(WAIT_FOR_CHANNEL):
+                await waiter
+        except TimeoutError:
+            pass
+        finally:
+            self._remove_waiter(address, waiter)
+        return self._pop_idle(address)
+
+    def _remove_waiter(self, address: Address, waiter: asyncio.Future[None]) -> None:
+        waiters = self._waiters[address]
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            del self._waiters[address]
+
+    def _wake_waiter(self, address: Address) -> None:
+        waiters = self._waiters.get(address)
+        while waiters:
+            waiter = waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
+    async def _open_channel(self, endpoint: Endpoint) -> Channel:
+        address = (endpoint.host, endpoint.port)
+        self._open[address] += 1
+        try:
+            return await self._connect(endpoint)
+        except BaseException:
+            self._count_closed(address)
+            raise
 
     async def _connect(self, endpoint: Endpoint) -> Channel:
         host, port = endpoint.host, endpoint.port
@@ -331,22 +172,52 @@
         return ChannelProtocol(loop, self._holdings.record_received)
 
     def release(self, channel: Channel, *, keep: bool) -> None:
-        """Return a channel to the pool; one that is not kept is closed at once."""
+        """Return a channel to the pool; one that is not kept is closed at once.
+
+        With rules, a channel is kept too if its endpoint gave a complete error answer.
+        """
         channel.resume()
         if self._holdings is not None:
             self._holdings.end_sending(channel)
+        if self._rules is not None:
+            keep = keep or channel.has_whole_failure
+        address = channel.address
         if keep and channel.reusable:
-            self._idle[channel.address].append(channel)
+            self._keep(channel)
         else:
             channel.abort()
+            self._count_closed(address)
+        self._wake_waiter(address)
+
+    def _keep(self, channel: Channel) -> None:
+        idle = self._idle[channel.address]
+        idle.append(channel)
+        if self._rules is None:
+            return
+        now = asyncio.get_running_loop().time()
+        channel.start_idle(self._rules, now)
+        share = self._rules.get_share(channel.endpoint)
+        while share is not None and len(idle) > share.idle:
+            self._close(idle.popleft(), now)
+
+    def _close(self, channel: Channel, now: Seconds) -> None:
+        if self._rules is not None:
+            channel.record_end(self._rules, now)
+        channel.close()
+        self._count_closed(channel.address)
+
+    def _count_closed(self, address: Address) -> None:
+        self._open[address] -= 1
+        if self._open[address] <= 0:
+            del self._open[address]
 
     def close_expired(self, now: Seconds) -> None:
         """Close pooled channels whose idle time is over."""
         for address, idle in list(self._idle.items()):
-            kept = deque(c for c in idle if c.reusable and now < c.usable_until)
+            kept = deque(c for c in idle if c.reusable and now < c.open_until)
             for channel in idle:
                 if channel not in kept:
-                    channel.close()
+                    self._close(channel, now)
             if kept:
                 self._idle[address] = kept
             else:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -22,6 +22,7 @@
 from kestreltally.deployment import Deployment, SocketAddress
 from kestreltally.entry.api import EntryApi
 from kestreltally.entry.buffers import compute_limit
+from kestreltally.entry.channel_rules import ChannelRules
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.holdings import Holdings
@@ -30,7 +31,7 @@
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.upstream import ChannelPool
 from kestreltally.eventloop import run_with_suspensions
-from kestreltally.fleet.model import Seconds
+from kestreltally.fleet.model import Seconds, ServiceName, ServiceSpec
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
@@ -116,7 +117,9 @@
         self._fleet = Fleet()
         self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
         self._pool = ChannelPool(
-            self._fleet.notices, self._holdings if self._holdings.limit else None
+            self._fleet.notices,
+            self._holdings if self._holdings.limit else None,
+            self._make_channel_rules(),
         )
         self._control_pool = ChannelPool(self._fleet.notices)
         self._relay = Relay(
@@ -205,6 +208,15 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = self._clock()
 
+    def _make_channel_rules(self) -> ChannelRules | None:
+        if not self._deployment.features.shared_channels:
+            return None
+        return ChannelRules(self._get_service, self._count_daemons)
+
+    def _get_service(self, name: ServiceName) -> ServiceSpec | None:
+        configuration = self._fleet.configuration
+        return configuration.services.get(name) if configuration is not None else None
+
     def _make_leases(self) -> dict[str, Lease]:
         deployment = self._deployment
         boot = uuid4().hex
@@ -290,6 +302,14 @@
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
+            "channels_open": {
+                "all": self._pool.open_count,
+                "idle": self._pool.idle_count,
+            },
+            "channels_reused": {
+                "endpoints": max(0, self._pool.used - self._pool.opened)
+            },
+            "channel_waits": {"endpoints": self._pool.waits},
             "held_bytes": self._holdings.describe(),
             "held_ended": self._holdings.counts.describe(),
             "endpoint_sends": {
