--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -21,14 +21,17 @@
 from kestreltally.decisions import Decision, log_decision, log_suppressed
 from kestreltally.deployment import Deployment, SocketAddress
 from kestreltally.entry.api import EntryApi
+from kestreltally.entry.buffers import compute_limit
+from kestreltally.entry.channel_rules import ChannelRules
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.identity import IdentityCheck
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.upstream import ChannelPool
 from kestreltally.eventloop import run_with_suspensions
-from kestreltally.fleet.model import Seconds
+from kestreltally.fleet.model import Seconds, ServiceName, ServiceSpec
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
@@ -114,7 +117,12 @@
         self._session: ClientSession = open_store_session()
         self._store = Store(self._session, deployment.store)
         self._fleet = Fleet()
-        self._pool = ChannelPool(self._fleet.notices)
+        self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
+        self._pool = ChannelPool(
+            self._fleet.notices,
+            self._holdings if self._holdings.limit else None,
+            self._make_channel_rules(),
+        )
         self._control_pool = ChannelPool(self._fleet.notices)
         self._relay = Relay(
             deployment.data_centre,
@@ -134,6 +142,7 @@
             self._relay,
             Gate(self._identity, self._limiter),
             self._metrics.record_end,
+            self._holdings,
         )
         self._leases = self._make_leases()
         self._configuration = ConfigurationHandler(
@@ -209,6 +218,15 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = self._clock()
 
+    def _make_channel_rules(self) -> ChannelRules | None:
+        if not self._deployment.features.shared_channels:
+            return None
+        return ChannelRules(self._get_service, self._count_daemons)
+
+    def _get_service(self, name: ServiceName) -> ServiceSpec | None:
+        configuration = self._fleet.configuration
+        return configuration.services.get(name) if configuration is not None else None
+
     def _make_leases(self) -> dict[str, Lease]:
         deployment = self._deployment
         boot = uuid4().hex
@@ -294,6 +312,16 @@
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
+            "channels_open": {
+                "all": self._pool.open_count,
+                "idle": self._pool.idle_count,
+            },
+            "channels_reused": {
+                "endpoints": max(0, self._pool.used - self._pool.opened)
+            },
+            "channel_waits": {"endpoints": self._pool.waits},
+            "held_bytes": self._holdings.describe(),
+            "held_ended": self._holdings.counts.describe(),
             "endpoint_sends": {
                 "requests": self._pool.used,
                 "orders_and_reports": self._control_pool.used,
@@ -336,6 +364,7 @@
             self._endpoints.drop_expired()
             self._configuration.apply_pending()
             self._fleet.prune_missing_weights(now)
+            self._holdings.review()
             if now >= cleaned_up_at + CLEANUP_INTERVAL:
                 cleaned_up_at = now
                 self._relay.poison.run_maintenance()
@@ -444,7 +473,7 @@
         while self._clock() < last:
             if (
                 self._clock() - started_at >= MIN_STOP_DURATION
-                and not self._entry_api.active_requests
+                and not self._entry_api.has_work
             ):
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
@@ -479,6 +508,13 @@
             await asyncio.sleep(RESTART_DELAY)
 
 
+def _compute_buffer_limit(deployment: Deployment) -> int:
+    """Return how many bytes may be held for slow readers, 0 without a limit."""
+    if not deployment.features.buffer_limit:
+        return 0
+    return compute_limit(deployment.machine_capacity.memory)
+
+
 async def run_daemon(deployment: Deployment, lines: LineWriter) -> int:
     """Run until SIGTERM; return the exit status."""
     stop = asyncio.Event()
