Quotas are granted in the order of arrival, near the limit

Cause: daemons took a random share of an organisation's requests once 0.3 of its burst was used, and told all that were refused the same time. Change: near its limit, daemons ask the keeper of its account (a leader by its name's hash) by a datagram for each request; what a window allows may be used at once, and a refused request gets room reserved for its return. Without an answer, or without complete accounts, the ratio decides as before.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -44,6 +44,7 @@
     REQUEST_WAITS = ("relay: request waits for weights", Level.INFO, 100)
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
     QUOTA_USED_UP = ("gate: quota used up", Level.INFO, 50)
+    QUOTA_KEEPER_SILENT = ("gate: quota keeper silent", Level.INFO, 20)
     ENDPOINT_ENDED = ("poison: endpoint ended under requests", Level.WARNING, 50)
     POISON_SUSPECTED = ("poison: request suspected", Level.WARNING, 50)
     POISON_STOPPED = ("poison: request stopped", Level.ERROR, 50)
--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -197,7 +197,7 @@
         self, call: ClientCall, request: ClientRequest
     ) -> web.StreamResponse:
         """Serve a request within its organisation's quota; raises ``Refused``."""
-        self._gate.grant(request)
+        await self._gate.admit(request)
         try:
             return await self._relay.serve(request, call.client, call.progress)
         finally:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -34,6 +34,7 @@
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
+from kestreltally.knowledge.quota_asking import QuotaAsking
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
@@ -63,7 +64,7 @@
 from kestreltally.platform.store import Store, lacks_writes, open_store_session
 from kestreltally.poison.api import PoisonApi
 from kestreltally.poison.persistence import PoisonPersistence
-from kestreltally.quotas.limiters import DEFAULT, LIMITERS
+from kestreltally.quotas.limiters import DEFAULT, LIMITERS, UNORDERED
 
 LOG = logging.getLogger("kestreltally.daemon")
 
@@ -126,11 +127,13 @@
         self._authority = Authority(deployment.bounds.revocation, self._clock)
         self._identity = IdentityCheck(self._fleet, self._authority)
         self._relay.check_caller = self._identity.recheck
-        self._limiter = LIMITERS[DEFAULT](self._clock, deployment.bounds.quota)
+        limiter = DEFAULT if deployment.features.quota_order else UNORDERED
+        self._limiter = LIMITERS[limiter](self._clock, deployment.bounds.quota)
+        gate = Gate(self._identity, self._limiter)
         self._entry_api = EntryApi(
             self._fleet,
             self._relay,
-            Gate(self._identity, self._limiter),
+            gate,
             self._metrics.record_end,
         )
         self._leases = self._make_leases()
@@ -154,8 +157,18 @@
             lambda: self._endpoints_watch.answered_at,
             self._authority,
             self._limiter,
+            self._datagrams,
             self._clock,
         )
+        self._quota_asking: QuotaAsking | None = None
+        if self._exchange.quota_keeping is not None:
+            self._quota_asking = QuotaAsking(
+                self._exchange.quota_keeping,
+                self._datagrams,
+                self._limiter.refund,
+                self._clock,
+            )
+            gate.ask_keeper = self._quota_asking.ask
         self._reader = ConfigurationReader(
             self._store,
             self._authority,
@@ -257,6 +270,7 @@
         configuration = self._fleet.configuration
         services = configuration.services if configuration else {}
         budget = self._relay.budget
+        keeping, asking = self._exchange.quota_keeping, self._quota_asking
         return {
             "configuration_version": {
                 "store": configuration.version if configuration else 0
@@ -279,6 +293,8 @@
             },
             "configuration_age_seconds": {"authority": self._authority.compute_age()},
             "quota_used": self._exchange.ledger.measure(now),
+            "quota_reserved": keeping.orders.measure() if keeping is not None else {},
+            "quota_questions": dict(asking.counts) if asking is not None else {},
             "adapters_missing": {"leader": self._leader.missing},
             "loads_ended": self._leader.count_loads(),
             "load_seconds": {"leader": self._leader.load_time},
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -26,6 +26,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
 from kestreltally.knowledge.credits import CreditExchange
+from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
     SIGNIFICANT_TOKENS,
@@ -39,6 +40,7 @@
 from kestreltally.knowledge.notices import NoticeExchange
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.poison_exchange import PoisonExchange
+from kestreltally.knowledge.quota_keeping import QuotaKeeping
 from kestreltally.knowledge.rows import (
     decode_demand,
     decode_occupancy,
@@ -98,6 +100,7 @@
         store_read_at: Callable[[], Seconds],
         authority: Authority,
         limiter: Limiter,
+        datagrams: DatagramPort,
         clock: Callable[[], Seconds],
     ) -> None:
         self._deployment = deployment
@@ -161,6 +164,10 @@
             self.rows,
             self.credits,
         )
+        self.quota_keeping: QuotaKeeping | None = None
+        if deployment.features.quota_order:
+            self.quota_keeping = self._keep_quotas(datagrams)
+            self._parts = (*self._parts, self.quota_keeping)
         self.feed.parts = self._parts
         for client in self.leaders.clients.values():
             client.record_connected = self.credits.record_connected
@@ -171,6 +178,20 @@
         self._totals_summed_at: Seconds = float("-inf")
         self._resigned: tuple[LeaseInfo, ...] = ()
 
+    def _keep_quotas(self, datagrams: DatagramPort) -> QuotaKeeping:
+        """Keep accounts of quotas in the order of arrival, while this daemon leads."""
+        keeping = QuotaKeeping(
+            self._deployment,
+            self.leaders,
+            datagrams,
+            lambda spendings: self._group.apply_spendings(spendings, of_group=True),
+            self._expedite_leader_reports,
+            self._clock,
+        )
+        self.ledger.orders = keeping.orders
+        self.ledger.find_keeper = keeping.find_keeper
+        return keeping
+
     def resign_if_cut_off(self) -> None:
         """Resign the leases if only this daemon has lost the store."""
         renewed_at = self.feed.get_store_answered_at()
@@ -414,6 +435,10 @@
         applied = self._fleet.apply_configuration(configuration)
         if applied:
             self.ledger.apply_organisations(configuration.organisations)
+            if self.ledger.orders is not None:
+                self.ledger.orders.apply_organisations(
+                    configuration.organisations, self._clock()
+                )
         if applied and self.leaders.leads:
             self.feed.expedite()
         return applied
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -83,12 +83,15 @@
 
 // The throttle of an organisation at its limit: ratio is the fraction of its requests
 // that can run, asked the units per second that it asks for, and wait the seconds until
-// it is below its limit.
+// it is below its limit. The leader at keeper_host and keeper_port decides on each
+// request instead, if they are set.
 struct WordRow {
   1: string organisation,
   2: double ratio,
   3: double asked,
   4: double wait,
+  5: string keeper_host,
+  6: i32 keeper_port,
 }
 
 // A request was at an endpoint when the endpoint ended. life is the incarnation of the
@@ -166,6 +169,7 @@
   19: list<NoticeRow> notices,
   20: list<WantedRow> wanted,
   21: bool follows,
+  30: bool keeps_accounts,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -231,6 +235,25 @@
   3: map<i64, double> waits,
 }
 
+// A request that its daemon asks the keeper of an organisation's account about. Its
+// client returns within patience seconds at the latest; content is the same then.
+struct QuotaAsked {
+  1: i64 number,
+  2: string organisation,
+  3: i64 content,
+  4: i64 units,
+  5: double patience,
+}
+
+// The keeper's answer: whether the request may run, else the seconds until there is room
+// for it, and whether that room is reserved.
+struct QuotaAnswered {
+  1: i64 number,
+  2: bool granted,
+  3: double wait,
+  4: bool reserved,
+}
+
 // A message of one datagram between two daemons. It may be lost, repeated or late; serial
 // increases with each datagram of one start of a daemon, which boot names.
 struct Datagram {
@@ -239,4 +262,6 @@
   3: i64 serial,
   4: TurnsAsked turns_asked,
   5: TurnsGranted turns_granted,
+  6: list<QuotaAsked> quota_asked,
+  7: list<QuotaAnswered> quota_answered,
 }
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -33,7 +33,7 @@
 )
 from kestreltally.poison.facts import Clearing, Fact, IncarnationName, Sighting
 from kestreltally.poison.fingerprints import Digest, Fingerprint
-from kestreltally.quotas.spending import Spending, Throttle
+from kestreltally.quotas.spending import Keeper, Spending, Throttle
 
 
 def encode_weights(key: WeightsKey, version: int) -> Any:
@@ -220,17 +220,23 @@
 
 def encode_throttle(throttle: Throttle) -> Any:
     """Return the struct of the throttle of an organisation at its limit."""
+    keeper = throttle.keeper
     return WordRow(
         organisation=throttle.organisation,
         ratio=throttle.ratio,
         asked=throttle.asked,
         wait=throttle.wait,
+        keeper_host=keeper.host if keeper is not None else None,
+        keeper_port=keeper.port if keeper is not None else None,
     )
 
 
 def decode_throttle(row: Any) -> Throttle:
     """Return the throttle of a struct."""
-    return Throttle(OrganisationName(row.organisation), row.ratio, row.asked, row.wait)
+    keeper = Keeper(row.keeper_host, row.keeper_port) if row.keeper_host else None
+    return Throttle(
+        OrganisationName(row.organisation), row.ratio, row.asked, row.wait, keeper
+    )
 
 
 def encode_requested(
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -218,12 +218,16 @@
     2: (TType.DOUBLE, "ratio", False),
     3: (TType.DOUBLE, "asked", False),
     4: (TType.DOUBLE, "wait", False),
+    5: (TType.STRING, "keeper_host", False),
+    6: (TType.I32, "keeper_port", False),
 }
 WordRow.default_spec = [
     ("organisation", None),
     ("ratio", None),
     ("asked", None),
     ("wait", None),
+    ("keeper_host", None),
+    ("keeper_port", None),
 ]
 gen_init(WordRow, WordRow.thrift_spec, WordRow.default_spec)
 
@@ -355,6 +359,7 @@
     19: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     20: (TType.LIST, "wanted", (TType.STRUCT, WantedRow), False),
     21: (TType.BOOL, "follows", False),
+    30: (TType.BOOL, "keeps_accounts", False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -378,6 +383,7 @@
     ("notices", None),
     ("wanted", None),
     ("follows", None),
+    ("keeps_accounts", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -504,6 +510,46 @@
 gen_init(TurnsGranted, TurnsGranted.thrift_spec, TurnsGranted.default_spec)
 
 
+class QuotaAsked(Struct):
+    """``QuotaAsked`` of the IDL."""
+
+
+QuotaAsked.thrift_spec = {
+    1: (TType.I64, "number", False),
+    2: (TType.STRING, "organisation", False),
+    3: (TType.I64, "content", False),
+    4: (TType.I64, "units", False),
+    5: (TType.DOUBLE, "patience", False),
+}
+QuotaAsked.default_spec = [
+    ("number", None),
+    ("organisation", None),
+    ("content", None),
+    ("units", None),
+    ("patience", None),
+]
+gen_init(QuotaAsked, QuotaAsked.thrift_spec, QuotaAsked.default_spec)
+
+
+class QuotaAnswered(Struct):
+    """``QuotaAnswered`` of the IDL."""
+
+
+QuotaAnswered.thrift_spec = {
+    1: (TType.I64, "number", False),
+    2: (TType.BOOL, "granted", False),
+    3: (TType.DOUBLE, "wait", False),
+    4: (TType.BOOL, "reserved", False),
+}
+QuotaAnswered.default_spec = [
+    ("number", None),
+    ("granted", None),
+    ("wait", None),
+    ("reserved", None),
+]
+gen_init(QuotaAnswered, QuotaAnswered.thrift_spec, QuotaAnswered.default_spec)
+
+
 class Datagram(Struct):
     """``Datagram`` of the IDL."""
 
@@ -514,6 +560,8 @@
     3: (TType.I64, "serial", False),
     4: (TType.STRUCT, "turns_asked", TurnsAsked, False),
     5: (TType.STRUCT, "turns_granted", TurnsGranted, False),
+    6: (TType.LIST, "quota_asked", (TType.STRUCT, QuotaAsked), False),
+    7: (TType.LIST, "quota_answered", (TType.STRUCT, QuotaAnswered), False),
 }
 Datagram.default_spec = [
     ("vm", None),
@@ -521,5 +569,7 @@
     ("serial", None),
     ("turns_asked", None),
     ("turns_granted", None),
+    ("quota_asked", None),
+    ("quota_answered", None),
 ]
 gen_init(Datagram, Datagram.thrift_spec, Datagram.default_spec)
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -7,13 +7,20 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from kestreltally.fleet.model import Organisation, OrganisationName, Seconds
 from kestreltally.quotas.grants import Grant, QuotaBounds
-from kestreltally.quotas.spending import SHARE_AVERAGE_TIME, Spending, Throttle
+from kestreltally.quotas.order import OrderBook
+from kestreltally.quotas.spending import (
+    SHARE_AVERAGE_TIME,
+    THROTTLE_DELAY,
+    Keeper,
+    Spending,
+    Throttle,
+)
 from kestreltally.rates import RateMeter
 
 # An organisation is not throttled while it has used less than this fraction of its
@@ -23,9 +30,6 @@
 # Target for the used fraction of the burst, and the time in which it is approached.
 TARGET_FRACTION: Final = 0.5
 CORRECTION_TIME: Final[Seconds] = 1.0
-# Delay until all daemons act on a spending: a report, another leader's report and an
-# update, each up to 0.2 s.
-THROTTLE_DELAY: Final[Seconds] = 0.4
 # All active organisations are reported at this interval, so that daemons know their
 # share of each if they lose contact to the leaders.
 FULL_REPORT_INTERVAL: Final[Seconds] = 1.0
@@ -75,6 +79,10 @@
         self._counted_at: Seconds = 0.0
         self._missing = 0.0
         self._all_reported_at: Seconds = float("-inf")
+        # Where requests are granted in order: the accounts, and the address of the
+        # keeper of each, None while none is known.
+        self.orders: OrderBook | None = None
+        self.find_keeper: Callable[[OrganisationName], Keeper | None] = lambda _: None
 
     def apply_organisations(self, organisations: Iterable[Organisation]) -> None:
         """Apply quotas; accounts are kept, so that a new limit holds at once."""
@@ -88,6 +96,9 @@
 
     def record(self, spendings: Iterable[Spending], now: Seconds) -> None:
         """Record what some daemons granted."""
+        spendings = list(spendings)
+        if self.orders is not None:
+            self.orders.record(spendings, now)
         for each in spendings:
             grant = self._grants.get(each.organisation)
             if grant is None:
@@ -117,6 +128,8 @@
         weight = 1.0 - math.exp(-passed / DAEMON_COUNT_TIME)
         self._average_daemons += weight * (connected - self._average_daemons)
         self._missing = max(0.0, 1.0 - max(1, connected) / self._average_daemons)
+        if self.orders is not None:
+            self.orders.touch(self._missing, now)
 
     def _compute_rate(self, grant: Grant) -> float:
         """Return the units per second that connected daemons may spend."""
@@ -136,7 +149,8 @@
             rate = self._compute_rate(grant)
             account.settle(rate, now)
             used = account.predict(rate, now)
-            if report_all or used > FREE_FRACTION * grant.burst:
+            ordered = self._needs_order(name, account, now)
+            if report_all or ordered or used > FREE_FRACTION * grant.burst:
                 throttles.append(self._make_throttle(name, grant, account, now))
         return throttles
 
@@ -149,12 +163,26 @@
         margin = TARGET_FRACTION * grant.burst - predicted
         allowed = max(0.0, rate + margin / CORRECTION_TIME)
         free = predicted <= FREE_FRACTION * grant.burst
+        if self.orders is not None and not self.orders.is_complete(now):
+            # What ran before this leader's first report is not known.
+            allowed = min(allowed, self.orders.compute_incomplete_rate(name))
+            free = False
         ratio = 1.0 if free or asked <= allowed else allowed / asked
         wait = (account.used - FREE_FRACTION * grant.burst) / rate
+        keeper = (
+            self.find_keeper(name) if self._needs_order(name, account, now) else None
+        )
         return Throttle(
-            name, ratio, account.long_term_asked.read(now), max(MIN_WAIT, wait)
+            name, ratio, account.long_term_asked.read(now), max(MIN_WAIT, wait), keeper
         )
 
+    def _needs_order(
+        self, name: OrganisationName, account: Account, now: Seconds
+    ) -> bool:
+        """Return whether daemons should ask the keeper for each request."""
+        rate = account.granted.read(now)
+        return self.orders is not None and self.orders.needs_order(name, rate, now)
+
     def measure(self, now: Seconds) -> dict[str, float]:
         """Return the used fraction of the burst by organisation."""
         used = {}
