Keepers decide wherever the ratio would; tests of quotas in order

Cause: the ratio went on to refuse at random between three tenths of the burst and the keeper's threshold; leaders without complete accounts let a whole window run again after all daemons were restarted. Change: a throttle below 1 names the keeper; incomplete accounts grant little beyond the mean rate. Tests: order, schedule of returns, lowered quotas, questions over datagrams, complete daemons.

--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -181,7 +181,9 @@
     def _keep_quotas(self, datagrams: DatagramPort) -> QuotaKeeping:
         """Keep accounts of quotas in the order of arrival, while this daemon leads."""
         keeping = QuotaKeeping(
-            self._deployment,
+            self._deployment.vm,
+            self._deployment.peers,
+            self._deployment.bounds.quota,
             self.leaders,
             datagrams,
             lambda spendings: self._group.apply_spendings(spendings, of_group=True),
--- a/src/kestreltally/knowledge/quota_keeping.py
+++ b/src/kestreltally/knowledge/quota_keeping.py
@@ -10,13 +10,14 @@
 from hashlib import blake2b
 from typing import Any, Final
 
-from kestreltally.deployment import Deployment, SocketAddress
+from kestreltally.deployment import SocketAddress
 from kestreltally.fleet.model import OrganisationName, Seconds
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.feed_parts import FeedPart
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.structs import QuotaAnswered
+from kestreltally.quotas.grants import QuotaBounds
 from kestreltally.quotas.order import Ask, OrderBook, Verdict
 from kestreltally.quotas.spending import Keeper, Spending
 
@@ -39,16 +40,18 @@
 
     def __init__(
         self,
-        deployment: Deployment,
+        vm: str,
+        address: SocketAddress,
+        bounds: QuotaBounds,
         leaders: Leaders,
         datagrams: DatagramPort,
         record_granted: Callable[[list[Spending]], None],
         relay_grants: Callable[[], None],
         clock: Callable[[], Seconds],
     ) -> None:
-        self.orders = OrderBook(deployment.bounds.quota)
-        self.address = deployment.peers
-        self._vm = deployment.vm
+        self.orders = OrderBook(bounds)
+        self.address = address
+        self._vm = vm
         self._leaders = leaders
         self._datagrams = datagrams
         self._record_granted = record_granted
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -39,6 +39,9 @@
 # are briefly counted twice. With the maximum of the last 8 s instead of a mean, an
 # organisation at its limit got half of it for 8 s afterwards.
 DAEMON_COUNT_TIME: Final[Seconds] = 20.0
+# The fraction of requests that may run until the first reports reach a new leader, if
+# no leader's accounts are complete.
+UNKNOWN_RATIO: Final = 0.05
 # Minimum reported time until an organisation is below its limit.
 MIN_WAIT: Final[Seconds] = 0.2
 
@@ -152,8 +155,18 @@
             ordered = self._needs_order(name, account, now)
             if report_all or ordered or used > FREE_FRACTION * grant.burst:
                 throttles.append(self._make_throttle(name, grant, account, now))
+        if self.orders is not None and not self.orders.is_complete(now):
+            throttles += self._throttle_unknown()
         return throttles
 
+    def _throttle_unknown(self) -> list[Throttle]:
+        """Return throttles of organisations of which nothing was reported yet."""
+        names = self._grants.keys() - self._accounts.keys()
+        return [
+            Throttle(name, UNKNOWN_RATIO, 0.0, MIN_WAIT, self.find_keeper(name))
+            for name in names
+        ]
+
     def _make_throttle(
         self, name: OrganisationName, grant: Grant, account: Account, now: Seconds
     ) -> Throttle:
@@ -165,13 +178,12 @@
         free = predicted <= FREE_FRACTION * grant.burst
         if self.orders is not None and not self.orders.is_complete(now):
             # What ran before this leader's first report is not known.
-            allowed = min(allowed, self.orders.compute_incomplete_rate(name))
+            allowed = min(allowed, self.orders.compute_incomplete_rate(name, asked))
             free = False
         ratio = 1.0 if free or asked <= allowed else allowed / asked
         wait = (account.used - FREE_FRACTION * grant.burst) / rate
-        keeper = (
-            self.find_keeper(name) if self._needs_order(name, account, now) else None
-        )
+        ordered = ratio < 1.0 or self._needs_order(name, account, now)
+        keeper = self.find_keeper(name) if ordered else None
         return Throttle(
             name, ratio, account.long_term_asked.read(now), max(MIN_WAIT, wait), keeper
         )
--- a/src/kestreltally/quotas/order.py
+++ b/src/kestreltally/quotas/order.py
@@ -32,8 +32,10 @@
 # A keeper tells the other leaders at once when it has granted this fraction of a limit
 # since it told them, so that no more is lost with it.
 RELAY_FRACTION: Final = 0.01
-# Fraction of the mean rate that organisations get while no account is complete.
+# Fraction of a window's mean rate that organisations get while no account is complete:
+# those that keep to their rate, and others, whose window may have been full before.
 INCOMPLETE_FRACTION: Final = 0.5
+INCOMPLETE_EXCESS_FRACTION: Final = 0.05
 # Daemons that are missing may get more than their share by number.
 MISSING_WEIGHT: Final = 1.3
 # Daemons that are back count as missing for this long.
@@ -199,11 +201,12 @@
             account.unrelayed = 0
         return is_due
 
-    def compute_incomplete_rate(self, name: OrganisationName) -> float:
+    def compute_incomplete_rate(self, name: OrganisationName, asked: float) -> float:
         """Return the units per second to grant while no account is complete."""
         account = self._accounts.get(name)
-        limit = account.limit if account is not None else 0.0
-        return INCOMPLETE_FRACTION * limit / self._bounds.window
+        mean = account.limit / self._bounds.window if account is not None else 0.0
+        allowed = INCOMPLETE_FRACTION * mean
+        return allowed if asked <= allowed else INCOMPLETE_EXCESS_FRACTION * mean
 
     def needs_order(self, name: OrganisationName, rate: float, now: Seconds) -> bool:
         """Return whether daemons should be told of an organisation's keeper.
--- a/src/kestreltally/quotas/ordered.py
+++ b/src/kestreltally/quotas/ordered.py
@@ -17,12 +17,12 @@
 from kestreltally.quotas.ratio import RatioLimiter
 from kestreltally.quotas.spending import Keeper, SpendingCounter, Throttle
 
-# Without contact to a leader, a daemon grants in any window at most this fraction of its
-# share of the window, with what it ran before. Shares are estimates, and their sum may
-# exceed the whole.
+# Without contact to a leader, a daemon grants in any window at most this fraction of
+# its share of the window, with what it ran before. Shares are estimates, and their sum
+# may exceed the whole.
 ISOLATED_WINDOW_FRACTION: Final = 0.45
 # The same before it hears a leader for the first time.
-STARTED_FRACTION: Final = 0.1
+STARTED_FRACTION: Final = 0.02
 # After contact was lost, leaders know what was granted meanwhile after this time.
 REPORT_TIME: Final[Seconds] = 0.6
 # Part of the way by which a known share moves to its newest value.
--- a/tests/quotasim.py
+++ b/tests/quotasim.py
@@ -113,9 +113,9 @@
     ``over`` is the maximum that ran in a window as a fraction of the allowed
     maximum. ``wrongly_refused`` is the fraction of the units within the limit that was
     refused. ``owed_lost`` and ``bucket_lost`` are the fractions lost of the units of
-    requests that would run, in the order of arrival, within the window's maximum, and
-    by a bucket of the quota's rate and burst. ``told`` clients were told a time for
-    which room was reserved; ``told_served`` of them were served when they returned.
+    requests that would run, in the order of arrival, within what the quota allows in a
+    window, and by a bucket of the quota's rate and burst. ``told`` clients were told a
+    time for which room was reserved; ``told_served`` of them were served then.
     """
 
     over: float
@@ -182,6 +182,30 @@
         return verdict
 
 
+class IdealLimiter:
+    """Knows all requests at once, and lets them run in order within any window."""
+
+    def __init__(self, bounds: QuotaBounds) -> None:
+        self._bounds = bounds
+        self._limit = 0.0
+        self._ran: deque[tuple[float, int]] = deque()
+        self._in_window = 0
+
+    def set_quota(self, quota: Quota) -> None:
+        """Apply a quota from now on."""
+        self._limit = self._bounds.compute_max_units(quota)
+
+    def allows(self, size: int, now: float) -> bool:
+        """Return whether a request runs."""
+        while self._ran and self._ran[0][0] < now - WINDOW:
+            self._in_window -= self._ran.popleft()[1]
+        if self._in_window + size > self._limit:
+            return False
+        self._ran.append((now, size))
+        self._in_window += size
+        return True
+
+
 class Simulation:
     """Simulates one load with one limiter and one seed."""
 
@@ -207,8 +231,9 @@
         self._sent = 0
         self.granted: list[tuple[float, int]] = []
         self.allowed_units = 0.0
-        self._in_window = 0
-        self._allowed: deque[tuple[float, int]] = deque()
+        # What runs in order within the bound, and within the quota itself.
+        self._allowed = IdealLimiter(BOUNDS)
+        self._owed = IdealLimiter(QuotaBounds(WINDOW))
         self._set_quota()
 
     def _make_daemon(self, number: int) -> SimDaemon:
@@ -236,6 +261,8 @@
         return None
 
     def _set_quota(self) -> None:
+        self._allowed.set_quota(self.quota)
+        self._owed.set_quota(self.quota)
         organisation = Organisation(NAME, ("k",), None, self.quota)
         for leader in self.leaders:
             if leader is not None:
@@ -347,14 +374,9 @@
     def _ask(self, daemon: SimDaemon, size: int) -> None:
         request = SimRequest(size, len(self.requests))
         self.requests.append(request)
-        # What an ideal limiter with complete knowledge lets run in each window.
-        while self._allowed and self._allowed[0][0] < self.now - WINDOW:
-            self._in_window -= self._allowed.popleft()[1]
-        if self._in_window + size <= BOUNDS.compute_max_units(self.quota):
-            self._allowed.append((self.now, size))
-            self._in_window += size
+        if self._allowed.allows(size, self.now):
             self.allowed_units += size
-            request.owed = True
+        request.owed = self._owed.allows(size, self.now)
         bucket = self._owed_bucket
         if bucket.refill(self.quota.rate, self.quota.burst, self.now) >= size:
             bucket.level -= size
@@ -511,7 +533,7 @@
     count = int(sys.argv[1]) if len(sys.argv) > 1 else 20
     print(
         "load | limiter | overrun, 99th percentile | maximum | broken | "
-        "wrongly refused | owed by the window, lost | owed by the bucket, lost | "
+        "wrongly refused | owed in a window, lost | owed by the bucket, lost | "
         "served at the told time | questions a run"
     )
     for line in compare(list(LIMITERS), LOADS, count):
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -141,17 +141,29 @@
             await self.add_daemon(f"{zone}-{number // len(DATA_CENTRES) + 1}", zone)
 
     async def ask(
-        self, vm: str, path: str, adapter: str = "", request_id: str = "q"
+        self,
+        vm: str,
+        path: str,
+        adapter: str = "",
+        request_id: str = "q",
+        key: str = "",
     ) -> Reply:
-        return await self.post(vm, path, b"x", adapter, request_id)
+        return await self.post(vm, path, b"x", adapter, request_id, key)
 
     async def post(
-        self, vm: str, path: str, body: bytes, adapter: str, request_id: str
+        self,
+        vm: str,
+        path: str,
+        body: bytes,
+        adapter: str,
+        request_id: str,
+        key: str = "",
     ) -> Reply:
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", self.client_ports[vm]
         )
         model = f"X-Model-Name: {MODEL}/{adapter}\r\n" if adapter else ""
+        model += f"X-Credential: {key}\r\n" if key else ""
         head = (
             f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n{model}"
             f"X-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -29,7 +29,8 @@
 )
 from kestreltally.platform.documents import MalformedDocument, decode_configuration
 from kestreltally.platform.store import REWRITE_WINDOW, StoredObject, StoreError
-from kestreltally.quotas.spending import Throttle
+from kestreltally.quotas.order import Ask, Verdict
+from kestreltally.quotas.spending import Keeper, Throttle
 from tests.clocks import ManualClock
 from tests.entryrig import (
     EntryRig,
@@ -150,6 +151,41 @@
     assert [(each.asked, each.granted) for each in spent] == [(200, 0)]
 
 
+@pytest.mark.parametrize(
+    ("verdict", "status", "retry_after"),
+    [
+        (Verdict(granted=True), 200, None),
+        (Verdict(granted=False, wait=0.4, reserved=True), 429, "0.40"),
+        # A silent keeper: the ratio decides.
+        (None, 429, "1.50"),
+    ],
+)
+async def test_the_keepers_verdict_goes_before_the_ratio(
+    verdict: Verdict | None, status: int, retry_after: str | None
+) -> None:
+    asked: list[Ask] = []
+
+    async def ask_keeper(_: Keeper, ask: Ask) -> Verdict | None:
+        asked.append(ask)
+        return verdict
+
+    endpoint = ScriptedEndpoint("e", answer)
+    async with run_entry([endpoint], make_route()) as rig:
+        put_organisations(rig, ALPHA)
+        rig.api._gate.ask_keeper = ask_keeper
+        throttle = Throttle(ALPHA.name, 0.0, 5_000.0, 1.5, Keeper("127.0.0.1", 1))
+        rig.limiter.apply_throttles([throttle])
+        first = await rig.ask(headers=make_key_headers("key-a"))
+        again = await rig.ask(headers=make_key_headers("key-a"), request_id="other")
+        spent = rig.limiter.pop_spendings()
+    assert (first.status, first.headers.get("retry-after")) == (status, retry_after)
+    assert again.status == status
+    # A client that returns is known by its request, and the keeper counts what it
+    # granted.
+    assert asked[0] == asked[1]
+    assert [(each.asked, each.granted) for each in spent] == [(400, 0)]
+
+
 async def test_request_that_did_not_run_returns_its_quota_units() -> None:
     async with run_entry([], make_route()) as rig:
         put_organisations(rig, ALPHA)
