--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -49,6 +49,7 @@
     TURN_UNANSWERED = ("pacing: no answer, sent without a turn", Level.INFO, 20)
     PACING_CHANGED = ("pacing: services whose prompts wait", Level.INFO, 20)
     QUOTA_USED_UP = ("gate: quota used up", Level.INFO, 50)
+    QUOTA_KEEPER_SILENT = ("gate: quota keeper silent", Level.INFO, 20)
     ENDPOINT_ENDED = ("poison: endpoint ended under requests", Level.WARNING, 50)
     POISON_SUSPECTED = ("poison: request suspected", Level.WARNING, 50)
     POISON_STOPPED = ("poison: request stopped", Level.ERROR, 50)
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -7,13 +7,20 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from kestreltally.fleet.model import Organisation, OrganisationName, Seconds
 from kestreltally.quotas.grants import Grant, QuotaBounds
-from kestreltally.quotas.spending import SHARE_AVERAGE_TIME, Spending, Throttle
+from kestreltally.quotas.order import OrderBook
+from kestreltally.quotas.spending import (
+    SHARE_AVERAGE_TIME,
+    THROTTLE_DELAY,
+    Keeper,
+    Spending,
+    Throttle,
+)
 from kestreltally.rates import RateMeter
 
 # An organisation is not throttled while it has used less than this fraction of its
@@ -23,9 +30,6 @@
 # Target for the used fraction of the burst, and the time in which it is approached.
 TARGET_FRACTION: Final = 0.5
 CORRECTION_TIME: Final[Seconds] = 1.0
-# Delay until all daemons act on a spending: a report, another leader's report and an
-# update, each up to 0.2 s.
-THROTTLE_DELAY: Final[Seconds] = 0.4
 # All active organisations are reported at this interval, so that daemons know their
 # share of each if they lose contact to the leaders.
 FULL_REPORT_INTERVAL: Final[Seconds] = 1.0
@@ -35,6 +39,9 @@
 # are briefly counted twice. With the maximum of the last 8 s instead of a mean, an
 # organisation at its limit got half of it for 8 s afterwards.
 DAEMON_COUNT_TIME: Final[Seconds] = 20.0
+# The fraction of requests that may run until the first reports reach a new leader, if
+# no leader's accounts are complete.
+UNKNOWN_RATIO: Final = 0.05
 # Minimum reported time until an organisation is below its limit.
 MIN_WAIT: Final[Seconds] = 0.2
 
@@ -75,6 +82,10 @@
         self._counted_at: Seconds = 0.0
         self._missing = 0.0
         self._all_reported_at: Seconds = float("-inf")
+        # Where requests are granted in order: the accounts, and the address of the
+        # keeper of each, None while none is known.
+        self.orders: OrderBook | None = None
+        self.find_keeper: Callable[[OrganisationName], Keeper | None] = lambda _: None
 
     def apply_organisations(self, organisations: Iterable[Organisation]) -> None:
         """Apply quotas; accounts are kept, so that a new limit holds at once."""
@@ -88,6 +99,9 @@
 
     def record(self, spendings: Iterable[Spending], now: Seconds) -> None:
         """Record what some daemons granted."""
+        spendings = list(spendings)
+        if self.orders is not None:
+            self.orders.record(spendings, now)
         for each in spendings:
             grant = self._grants.get(each.organisation)
             if grant is None:
@@ -117,6 +131,8 @@
         weight = 1.0 - math.exp(-passed / DAEMON_COUNT_TIME)
         self._average_daemons += weight * (connected - self._average_daemons)
         self._missing = max(0.0, 1.0 - max(1, connected) / self._average_daemons)
+        if self.orders is not None:
+            self.orders.touch(self._missing, now)
 
     def _compute_rate(self, grant: Grant) -> float:
         """Return the units per second that connected daemons may spend."""
@@ -136,10 +152,21 @@
             rate = self._compute_rate(grant)
             account.settle(rate, now)
             used = account.predict(rate, now)
-            if report_all or used > FREE_FRACTION * grant.burst:
+            ordered = self._needs_order(name, account, now)
+            if report_all or ordered or used > FREE_FRACTION * grant.burst:
                 throttles.append(self._make_throttle(name, grant, account, now))
+        if self.orders is not None and not self.orders.is_complete(now):
+            throttles += self._throttle_unknown()
         return throttles
 
+    def _throttle_unknown(self) -> list[Throttle]:
+        """Return throttles of organisations of which nothing was reported yet."""
+        names = self._grants.keys() - self._accounts.keys()
+        return [
+            Throttle(name, UNKNOWN_RATIO, 0.0, MIN_WAIT, self.find_keeper(name))
+            for name in names
+        ]
+
     def _make_throttle(
         self, name: OrganisationName, grant: Grant, account: Account, now: Seconds
     ) -> Throttle:
@@ -149,12 +176,25 @@
         margin = TARGET_FRACTION * grant.burst - predicted
         allowed = max(0.0, rate + margin / CORRECTION_TIME)
         free = predicted <= FREE_FRACTION * grant.burst
+        if self.orders is not None and not self.orders.is_complete(now):
+            # What ran before this leader's first report is not known.
+            allowed = min(allowed, self.orders.compute_incomplete_rate(name, asked))
+            free = False
         ratio = 1.0 if free or asked <= allowed else allowed / asked
         wait = (account.used - FREE_FRACTION * grant.burst) / rate
+        ordered = ratio < 1.0 or self._needs_order(name, account, now)
+        keeper = self.find_keeper(name) if ordered else None
         return Throttle(
-            name, ratio, account.long_term_asked.read(now), max(MIN_WAIT, wait)
+            name, ratio, account.long_term_asked.read(now), max(MIN_WAIT, wait), keeper
         )
 
+    def _needs_order(
+        self, name: OrganisationName, account: Account, now: Seconds
+    ) -> bool:
+        """Return whether daemons should ask the keeper for each request."""
+        rate = account.granted.read(now)
+        return self.orders is not None and self.orders.needs_order(name, rate, now)
+
     def measure(self, now: Seconds) -> dict[str, float]:
         """Return the used fraction of the burst by organisation."""
         used = {}
