--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -3,22 +3,20 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Final
 
 from aiohttp import web
 
-from kestreltally.decisions import Decision, log_decision
+from kestreltally.decisions import Decision
 from kestreltally.deployment import SocketAddress
 from kestreltally.entry.answers import make_refusal
-from kestreltally.entry.exchanges import Holding
+from kestreltally.entry.ends import ClientCall, EndLog
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.progress import (
     BAD_GATEWAY,
     UNAVAILABLE,
-    Progress,
     StreamBroken,
 )
 from kestreltally.entry.relay import Relay
@@ -39,7 +37,6 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import RequestEnd
 from kestreltally.platform.headers import decode_request, read_keys, read_request_id
-from kestreltally.poison.fingerprints import make_fingerprint
 
 LOG = logging.getLogger("kestreltally.entry")
 
@@ -79,17 +76,6 @@
     return route.shares[-1].service
 
 
-@dataclass(slots=True)
-class ClientCall:
-    """A client request from its first byte to the end of its answer."""
-
-    client: web.BaseRequest
-    started_at: Seconds
-    holding: Holding
-    progress: Progress = field(default_factory=Progress)
-    request: ClientRequest | None = None
-
-
 class EntryApi:
     """Serves clients, and answers the load balancer's readiness checks."""
 
@@ -105,7 +91,7 @@
         self._relay = relay
         self._gate = gate
         self._runners: list[web.ServerRunner] = []
-        self._record_end = record_end
+        self._end_log = EndLog(fleet, relay.poison, record_end)
         self.holdings = holdings or Holdings(0, lambda: 0.0)
         self._stops_at: Seconds | None = None
         self._stop_started_at: Seconds = 0.0
@@ -197,16 +183,16 @@
             call.request = await self._read(call)
             response = await self._serve_within_quota(call, call.request)
         except Refused as refused:
-            self._log_end(Decision.REQUEST_REFUSED, call, refused)
+            self._end_log.record(Decision.REQUEST_REFUSED, call, refused)
             response = make_refusal(refused, read_request_id(client.headers))
         except (StreamBroken, ClientDisconnected) as broken:
-            self._log_end(Decision.REQUEST_BROKEN_OFF, call, broken)
+            self._end_log.record(Decision.REQUEST_BROKEN_OFF, call, broken)
             return self._abort(client)
         except (asyncio.CancelledError, ConnectionError) as disconnect:
-            self._log_end(Decision.REQUEST_ABANDONED, call, disconnect)
+            self._end_log.record(Decision.REQUEST_ABANDONED, call, disconnect)
             raise
         else:
-            self._log_end(Decision.REQUEST_DONE, call, response)
+            self._end_log.record(Decision.REQUEST_DONE, call, response)
         if self.stopping:
             response.force_close()
         return response
@@ -222,73 +208,6 @@
             if not call.progress.runs:
                 self._gate.refund(request)
 
-    def _log_end(
-        self,
-        decision: Decision,
-        call: ClientCall,
-        end: BaseException | web.StreamResponse,
-    ) -> None:
-        """Log the end of a request, and report its metrics."""
-        now = asyncio.get_running_loop().time()
-        configuration = self._fleet.configuration
-        request = call.request
-        weights = request.head.weights if request is not None else None
-        organisation = request.organisation_name if request is not None else None
-        first = call.progress.first_byte_at
-        log_decision(
-            LOG,
-            decision,
-            request=read_request_id(call.client.headers),
-            route=request.route.name if request is not None else None,
-            organisation=organisation,
-            weights=str(weights) if weights is not None else None,
-            configuration=configuration.version if configuration else None,
-            content=self._describe_content(decision, call),
-            status=getattr(end, "status", None),
-            reason=str(end) if isinstance(end, Exception) else None,
-            retry_after=getattr(end, "retry_after", None),
-            waited=round(call.progress.waited, 3),
-            turn=round(call.progress.turn_wait, 3),
-            pause=round(call.progress.longest_pause, 3),
-            first=round(first - call.started_at, 3) if first is not None else None,
-            took=round(now - call.started_at, 3),
-            trail=call.progress.trail,
-            predicted=[
-                (round(each.predicted, 3), round(each.actual, 3))
-                for each in call.progress.predictions
-            ],
-        )
-        self._record_end(
-            RequestEnd(
-                service=request.service_name if request is not None else "",
-                organisation=organisation or "",
-                kind=request.route.kind.value if request is not None else "",
-                outcome=decision.name.lower().removeprefix("request_"),
-                status=str(getattr(end, "status", "")),
-                took=now - call.started_at,
-                waited=call.progress.waited,
-                turn_wait=call.progress.turn_wait,
-                longest_pause=call.progress.longest_pause,
-                first=first - call.started_at if first is not None else None,
-                prediction_errors=tuple(
-                    each.predicted - each.actual for each in call.progress.predictions
-                ),
-            )
-        )
-
-    def _describe_content(self, decision: Decision, call: ClientCall) -> str | None:
-        """Return the fingerprint of a stopped request, or of one that failed once sent.
-
-        Other requests are not hashed, because bodies may be long.
-        """
-        if call.progress.content is not None:
-            return call.progress.content
-        secret = self._relay.poison.secret.value
-        failed = decision is not Decision.REQUEST_DONE and call.progress.runs > 0
-        if call.request is None or not secret or not failed:
-            return None
-        return str(make_fingerprint(call.request, secret))
-
     def _abort(self, client: web.BaseRequest) -> web.StreamResponse:
         """Close a client's connection so that its answer does not look complete.
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -33,6 +33,13 @@
 from kestreltally.eventloop import run_with_suspensions
 from kestreltally.fleet.model import Seconds, ServiceName, ServiceSpec
 from kestreltally.fleet.tables import Fleet
+from kestreltally.fleet_gauges import (
+    measure_channels,
+    measure_exchange,
+    measure_knowledge,
+    measure_leading,
+    measure_requests,
+)
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
 from kestreltally.knowledge.datagrams import DatagramPort
@@ -295,59 +302,20 @@
     def _read_gauges(self) -> GaugeValues:
         """Return the current values of all gauges."""
         now = self._clock()
-        configuration = self._fleet.configuration
-        services = configuration.services if configuration else {}
-        budget = self._relay.budget
-        keeping, asking = self._exchange.quota_keeping, self._quota_asking
+        watches = {
+            "configuration": self._configuration_watch,
+            "endpoints": self._endpoints_watch,
+            "versions": self._versions_watch,
+        }
+        daemons = self._relay.budget.daemon_count or 0
         return {
-            "configuration_version": {
-                "store": configuration.version if configuration else 0
-            },
-            "requests_live": {"entry": self._entry_api.active_requests},
-            "requests_in_flight": {
-                str(name): float(count)
-                for name, count in self._relay.health.measure(now).in_flight.items()
-            },
-            "retries_left": {
-                name: budget.compute_remaining(name, now) for name in services
-            },
-            "leases_held": {
-                name: float(lease.leads) for name, lease in self._leases.items()
-            },
-            "watch_age_seconds": {
-                "configuration": self._configuration_watch.compute_age(),
-                "endpoints": self._endpoints_watch.compute_age(),
-                "versions": self._versions_watch.compute_age(),
-            },
-            "configuration_age_seconds": {"authority": self._authority.compute_age()},
-            "quota_used": self._exchange.ledger.measure(now),
-            "quota_reserved": keeping.orders.measure() if keeping is not None else {},
-            "quota_questions": dict(asking.counts) if asking is not None else {},
-            "adapters_missing": {"leader": self._leader.missing},
-            "loads_ended": self._leader.count_loads(),
-            "load_seconds": {"leader": self._leader.load_time},
+            **measure_requests(self._entry_api, self._relay, self._fleet, now),
+            **measure_channels(self._pool, self._control_pool),
+            **measure_leading(self._leader, self._leases),
+            **measure_knowledge(self._fleet, watches, self._authority, daemons, now),
+            **measure_exchange(self._exchange, self._quota_asking, now),
             "store_calls": {"all": self._store.calls},
-            "channels_opened": {"endpoints": self._pool.opened},
-            "channels_open": {
-                "all": self._pool.open_count,
-                "idle": self._pool.idle_count,
-            },
-            "channels_reused": {
-                "endpoints": max(0, self._pool.used - self._pool.opened)
-            },
-            "channel_waits": {"endpoints": self._pool.waits},
-            "held_bytes": self._holdings.describe(),
-            "held_ended": self._holdings.counts.describe(),
-            "endpoint_sends": {
-                "requests": self._pool.used,
-                "orders_and_reports": self._control_pool.used,
-            },
-            "unread_words": self._fleet.notices.unknown_signals.count(),
-            "poison_requests": self._relay.poison.register.count(),
-            "endpoints_by_word": self._fleet.notices.count(now),
-            "daemons_known": {"feed": budget.daemon_count or 0},
             "turns": self._pacing.measure(),
-            **(self._exchange.speeds.measure() if self._exchange.speeds else {}),
         }
 
     def _start_leading(self) -> None:
