--- a/tests/test_spread_choice.py
+++ b/tests/test_spread_choice.py
@@ -9,8 +9,11 @@
 import pytest
 
 from kestreltally.entry.choice import Option, choose_least_cost
+from kestreltally.entry.finder import EndpointFinder
+from kestreltally.entry.health import HealthTable
 from kestreltally.entry.spread_choice import choose_spread, list_comparable
 from kestreltally.estimates.prefill import PrefillWork
+from kestreltally.fleet.tables import Fleet
 from tests.spreadsim import TOKEN_TIME, Load, play
 from tests.test_choice import make_option
 
@@ -73,6 +76,12 @@
     assert list_comparable([cached, full]) == [cached]
 
 
+def test_without_speeds_the_least_cost_is_chosen() -> None:
+    finder = EndpointFinder("north", Fleet(), HealthTable())
+    assert finder.speeds is None
+    assert finder._choose is choose_least_cost
+
+
 def test_least_loaded_plain_endpoint_is_chosen_and_ties_are_random() -> None:
     options = [make_option(name, in_flight=1) for name in "abcd"]
     options.append(make_option("e", in_flight=2))
