--- a/src/kestreltally/entry/channels.py
+++ b/src/kestreltally/entry/channels.py
@@ -20,7 +20,7 @@
 WAIT_FOR_CHANNEL: Final[Seconds] = 0.05
 # What a new channel costs, as an equivalent time to the first event: some hundredths of
 # a request's value, because endpoints spend time on accepting it.
-NEW_CHANNEL_COST: Final[Seconds] = 0.05
+NEW_CHANNEL_COST: Final[Seconds] = 0.02
 # An idle channel is no longer used this long before its endpoint would close it.
 KEEP_ALIVE_MARGIN: Final[Seconds] = 0.8
 # How long an idle channel is kept if nothing is known of its endpoint.
--- a/src/kestreltally/entry/holdings.py
+++ b/src/kestreltally/entry/holdings.py
@@ -12,7 +12,13 @@
 from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.buffers import Held, Relief, compute_share, decide_relief
+from kestreltally.entry.buffers import (
+    UNREAD_TIMEOUT,
+    Held,
+    Relief,
+    compute_share,
+    decide_relief,
+)
 from kestreltally.entry.channel_protocol import RECEIVE_BYTES, ChannelProtocol
 from kestreltally.entry.exchanges import (
     HOLDING,
@@ -157,8 +163,11 @@
 
     @property
     def has_unsent(self) -> bool:
-        """Return whether some client has not yet taken the whole of its answer."""
-        return any(each.unsent for each in self._holdings)
+        """Return whether some client that reads has yet to take all of its answer."""
+        stalled_before = self.clock() - UNREAD_TIMEOUT
+        return any(
+            each.unsent and each.stall.since > stalled_before for each in self._holdings
+        )
 
     def review(self) -> None:
         """Measure all that is held, pause sources, and end what nobody reads."""
