Load adapters ahead of demand, by what a place is worth

Cause: an adapter got a further engine only when batches were full, while engines of some services are limited by reading prompts; one rate could not tell a single request from regular ones. Change: a fast and a slow mean per adapter, prompt tokens sent per adapter in daemons' reports, one measure for the value of a place, the planner early-loads behind Features.early_loads; the planners' data classes in placing/plans.py.

--- a/src/kestreltally/entry/demand.py
+++ b/src/kestreltally/entry/demand.py
@@ -13,7 +13,8 @@
     ``waiting`` counts those that wait for the weights now, ``within_objective`` those
     of them that can still be answered within their objective. ``prompt_tokens`` is the
     total of the waiting requests. ``missed`` counts requests that were refused because
-    the weights were not loaded.
+    the weights were not loaded. ``sent`` counts those sent to an engine, and
+    ``sent_tokens`` their prompt tokens that the engine is not known to have cached.
     """
 
     service: ServiceName
@@ -23,6 +24,8 @@
     missed: int
     within_objective: int = 0
     prompt_tokens: int = 0
+    sent: int = 0
+    sent_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +40,19 @@
 
 
 class DemandCounter:
-    """Counts requests by the weights that they need."""
+    """Counts requests by the weights that they need.
+
+    ``counts_prompts`` is true if the prompt tokens sent to engines are counted as well.
+    """
 
     def __init__(self) -> None:
         self._arrivals: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
         self._missed: dict[tuple[ServiceName, WeightsKey], int] = defaultdict(int)
         self._waiting: dict[tuple[ServiceName, WeightsKey], list[Waiter]] = {}
+        self._sent: dict[tuple[ServiceName, WeightsKey], list[int]] = defaultdict(list)
         self.uses: dict[tuple[EndpointId, WeightsKey], int] = defaultdict(int)
         self._refused: set[tuple[EndpointId, WeightsKey]] = set()
+        self.counts_prompts = False
 
     def record_arrival(self, service: ServiceName, key: WeightsKey) -> None:
         """Count a request."""
@@ -65,6 +73,11 @@
         """Count a request that was refused because its weights were not loaded."""
         self._missed[(service, key)] += 1
 
+    def record_sent(self, service: ServiceName, key: WeightsKey, tokens: int) -> None:
+        """Count a request sent to an engine that has to process prompt tokens."""
+        if self.counts_prompts:
+            self._sent[(service, key)].append(tokens)
+
     def record_use(self, endpoint: EndpointId, key: WeightsKey, step: int) -> bool:
         """Count a request that starts (1) or stops (-1) using weights on an engine.
 
@@ -88,16 +101,23 @@
 
     def pop_demand(self, now: Seconds) -> list[WeightsDemand]:
         """Return and clear the counts since the last call."""
-        names = self._arrivals.keys() | self._waiting.keys() | self._missed.keys()
+        names = (
+            self._arrivals.keys()
+            | self._waiting.keys()
+            | self._missed.keys()
+            | self._sent.keys()
+        )
         popped = [self._summarise(service, key, now) for service, key in names]
         self._arrivals.clear()
         self._missed.clear()
+        self._sent.clear()
         return popped
 
     def _summarise(
         self, service: ServiceName, key: WeightsKey, now: Seconds
     ) -> WeightsDemand:
         waiters = self._waiting.get((service, key), ())
+        sent = self._sent.get((service, key), ())
         return WeightsDemand(
             service=service,
             key=key,
@@ -106,4 +126,6 @@
             missed=self._missed.get((service, key), 0),
             within_objective=sum(1 for each in waiters if now <= each.ready_deadline),
             prompt_tokens=sum(each.prompt_tokens for each in waiters),
+            sent=len(sent),
+            sent_tokens=sum(sent),
         )
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -233,6 +233,10 @@
         healthy = self._health.filter_healthy(untried, now)
         options = [self._make_option(request, each, now) for each in healthy]
         chosen = self._choose(options)
+        if request.head.weights is not None:
+            self.demand.record_sent(
+                request.service_name, request.head.weights, chosen.work.uncached_tokens
+            )
         progress.trail.append(
             f"{chosen.endpoint.id} of {len(candidates)}, {chosen.in_flight} in flight"
             + (", remote" if chosen.remote else "")
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -233,7 +233,9 @@
             self._deployment.bounds,
             self._clock,
             self._exchange.rows.put_row,
+            early_loads=self._deployment.features.early_loads,
         )
+        self._relay.finder.demand.counts_prompts = self._deployment.features.early_loads
         for lease in self._leases.values():
             lease.record_start = self._start_leading
         leader.prefill_times = self._relay.finder.prefill_times
@@ -281,6 +283,7 @@
             "quota_used": self._exchange.ledger.measure(now),
             "adapters_missing": {"leader": self._leader.missing},
             "loads_ended": self._leader.count_loads(),
+            "loads_ahead": {"leader": self._leader.loads_ahead},
             "load_seconds": {"leader": self._leader.load_time},
             "store_calls": {"all": self._store.calls},
             "channels_opened": {"endpoints": self._pool.opened},
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -30,6 +30,8 @@
   6: i32 missed,
   7: i32 timely,
   8: i32 prompt_tokens,
+  9: i32 sent,
+  10: i32 sent_tokens,
 }
 
 // Weights on an engine: the number of requests that use them, or that it refused one.
--- a/src/kestreltally/knowledge/group.py
+++ b/src/kestreltally/knowledge/group.py
@@ -20,6 +20,7 @@
     encode_spending,
     encode_use,
 )
+from kestreltally.placing.demand import DemandKey
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
 from kestreltally.quotas.ledger import Ledger
@@ -58,8 +59,8 @@
         self._outcomes = {name: OutcomeCounter() for name in leases}
         # Requests of this group for weights that only engines of other data centres
         # hold, by those data centres: their leaders need to know the demand.
-        self._served_remotely: dict[str, dict[tuple[ServiceName, WeightsKey], int]] = {
-            name: defaultdict(int) for name in leases
+        self._served_remotely: dict[str, dict[DemandKey, WeightsDemand]] = {
+            name: {} for name in leases
         }
 
     # Received reports.
@@ -98,7 +99,7 @@
         if data_centre not in self._leases or not self._leases[data_centre].leads:
             return
         for each in reported:
-            if each.arrivals:
+            if each.arrivals or each.sent:
                 self._record_served_remotely(data_centre, each)
 
     def _record_served_remotely(self, data_centre: str, demand: WeightsDemand) -> None:
@@ -108,7 +109,17 @@
         if data_centre in data_centres:
             return
         for name in data_centres & self._served_remotely.keys():
-            self._served_remotely[name][(demand.service, demand.key)] += demand.arrivals
+            served = self._served_remotely[name]
+            before = served.get((demand.service, demand.key))
+            served[(demand.service, demand.key)] = WeightsDemand(
+                demand.service,
+                demand.key,
+                arrivals=demand.arrivals + (before.arrivals if before else 0),
+                waiting=0,
+                missed=0,
+                sent=demand.sent + (before.sent if before else 0),
+                sent_tokens=demand.sent_tokens + (before.sent_tokens if before else 0),
+            )
 
     def record_refused(self, endpoint: EndpointId, key: WeightsKey) -> None:
         """Record a refusal, or keep it for the leader of the engine."""
@@ -141,8 +152,5 @@
     def _pop_served_remotely(self, data_centre: str) -> list[WeightsDemand]:
         """Return the requests that a data centre's engines served for this group."""
         served = self._served_remotely[data_centre]
-        self._served_remotely[data_centre] = defaultdict(int)
-        return [
-            WeightsDemand(service, key, arrivals=count, waiting=0, missed=0)
-            for (service, key), count in served.items()
-        ]
+        self._served_remotely[data_centre] = {}
+        return list(served.values())
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -91,6 +91,8 @@
         missed=demand.missed,
         timely=demand.within_objective,
         prompt_tokens=demand.prompt_tokens,
+        sent=demand.sent,
+        sent_tokens=demand.sent_tokens,
     )
 
 
@@ -104,6 +106,8 @@
         missed=row.missed,
         within_objective=row.timely or 0,
         prompt_tokens=row.prompt_tokens or 0,
+        sent=row.sent or 0,
+        sent_tokens=row.sent_tokens or 0,
     )
 
 
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -83,6 +83,8 @@
     6: (TType.I32, "missed", False),
     7: (TType.I32, "timely", False),
     8: (TType.I32, "prompt_tokens", False),
+    9: (TType.I32, "sent", False),
+    10: (TType.I32, "sent_tokens", False),
 }
 DemandRow.default_spec = [
     ("service_name", None),
@@ -93,6 +95,8 @@
     ("missed", None),
     ("timely", None),
     ("prompt_tokens", None),
+    ("sent", None),
+    ("sent_tokens", None),
 ]
 gen_init(DemandRow, DemandRow.thrift_spec, DemandRow.default_spec)
 
--- a/src/kestreltally/placing/leader.py
+++ b/src/kestreltally/placing/leader.py
@@ -34,11 +34,11 @@
 from kestreltally.placing.orders import REPORT_LAG, EngineClient
 from kestreltally.placing.planner import (
     PLANNERS,
-    EngineView,
-    RequestedAdapter,
     count_free_capacity,
     score_missing,
 )
+from kestreltally.placing.plans import EngineView, RequestedAdapter
+from kestreltally.placing.trends import TrendTable
 from kestreltally.placing.views import PlanningRound
 
 LOG = logging.getLogger("kestreltally.leader")
@@ -74,6 +74,8 @@
         bounds: Bounds,
         clock: Callable[[], Seconds],
         publish: Callable[[Endpoint], None],
+        *,
+        early_loads: bool = False,
     ) -> None:
         self._fleet = fleet
         self._leases = leases
@@ -88,7 +90,8 @@
         self._bounds = bounds
         self._clock = clock
         self._publish = publish
-        self._plan = PLANNERS["most-missed-first"]
+        self._trends = TrendTable() if early_loads else None
+        self._plan = PLANNERS["early-loads" if early_loads else "most-missed-first"]
         self.engines: dict[EndpointId, EngineState] = {}
         self.demand = DemandTable()
         self.occupancy = EMPTY
@@ -99,6 +102,8 @@
         self._led_data_centres: set[str] = set()
         self._wake = asyncio.Event()
         self.missing = 0
+        # Loads ordered although no request waited.
+        self.loads_ahead = 0
         # How many adapters the led engines could take: after the missing ones, and in
         # total.
         self.free_capacity = 0
@@ -178,6 +183,8 @@
         now = self._clock()
         for each in reported:
             self.demand.apply(vm, data_centre, each, now)
+            if self._trends is not None:
+                self._trends.apply(each, now)
             if each.waiting:
                 self.wake()
 
@@ -242,6 +249,8 @@
     def _sync_leases(self) -> None:
         """Add the engines of newly held leases and remove those of lost ones."""
         led_data_centres = {name for name, lease in self._leases.items() if lease.leads}
+        if self._trends is not None and led_data_centres - self._led_data_centres:
+            self._trends.extend(self._clock())
         for endpoint in self._fleet.endpoints.values():
             lease = self._get_lease(endpoint)
             if lease.data_centre in led_data_centres - self._led_data_centres:
@@ -259,6 +268,8 @@
                 self._led_data_centres = set()
                 self.engines.clear()
                 self._load_limiters.clear()
+                if self._trends is not None:
+                    self._trends.start(self._clock())
                 await wait_at_most(self._wake, IDLE_TICK)
                 self._wake.clear()
                 continue
@@ -276,6 +287,8 @@
     def _step(self) -> None:
         now = self._clock()
         self.demand.decay(now)
+        if self._trends is not None:
+            self._trends.prune(now)
         configuration = self._fleet.configuration
         if configuration is None:
             return
@@ -447,6 +460,7 @@
             prefill_times=self.prefill_times,
             uses=self.list_uses(),
             load_time=self._loader.load_time,
+            trends=self._trends,
         )
         requested = planning_round.list_requested(
             lambda key: key in self._loader.placing
@@ -465,6 +479,15 @@
         ]
         for placement in self._plan(views, requested, now):
             state = self.engines[placement.engine]
+            if placement.ahead:
+                self.loads_ahead += 1
+                log_decision(
+                    LOG,
+                    Decision.LOADED_AHEAD,
+                    endpoint=placement.engine,
+                    weights=str(placement.key),
+                    evicted=str(placement.victim) if placement.victim else None,
+                )
             self._loader.start(state, self._loader.place(state, placement))
         self._forward_missing(service, views, requested, now)
 
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -18,7 +18,7 @@
     EngineUnresponsive,
     OrderNotAllowed,
 )
-from kestreltally.placing.planner import Placement
+from kestreltally.placing.plans import Placement
 from kestreltally.platform.engines import OrderKind, OrderOutcome
 
 LOG = logging.getLogger("kestreltally.loads")
--- a/src/kestreltally/placing/planner.py
+++ b/src/kestreltally/placing/planner.py
@@ -10,6 +10,13 @@
 
 from kestreltally.entry.choice import BATCH_PENALTY, REMOTE_PENALTY
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
+from kestreltally.placing.plans import (
+    Candidate,
+    EngineView,
+    HeldAdapter,
+    Placement,
+    RequestedAdapter,
+)
 
 # The score of a waiting request, relative to a rate of one request per second.
 WAITING_SCORE: Final = 1.0
@@ -44,6 +51,10 @@
 # but no longer than a load from the weight store takes.
 BUSY_DELAY: Final[Seconds] = 0.1
 MAX_COPY_WAIT: Final[Seconds] = 0.25
+# The cost of placing adapters with short prompts on an engine that always processes
+# prompts, and those with long prompts on an engine with a full batch.
+READING_PENALTY: Final[Seconds] = 0.2
+LONG_PROMPT_PENALTY: Final[Seconds] = 0.1
 # The cost of an eviction per unit of the victim's score: the victim will be requested
 # again, with a load for each request per second.
 VICTIM_COST_TIME: Final[Seconds] = 0.5
@@ -53,79 +64,6 @@
 MAX_REPLICAS_PER_ROUND: Final = 2
 
 
-@dataclass(frozen=True, slots=True)
-class HeldAdapter:
-    """An adapter on an engine.
-
-    ``rate`` is its total demand, ``local_rate`` the demand from the engine's data
-    centre, ``holders`` the number of engines that hold it.
-    """
-
-    key: WeightsKey
-    since: Seconds
-    rate: float
-    local_rate: float
-    holders: int
-    in_use: bool
-
-
-@dataclass(frozen=True, slots=True)
-class EngineView:
-    """An engine that can take a load, immediately if ``ready``.
-
-    ``ready_for_cold`` is the same for a load from the weight store. ``unread`` is the
-    number of prompt tokens still to be processed, including those for loading adapters,
-    and ``prefill_time`` the time per token. ``load_time`` is the time of a load.
-    """
-
-    id: EndpointId
-    data_centre: str
-    free_places: int
-    held: tuple[HeldAdapter, ...]
-    warm: frozenset[WeightsKey]
-    running: int
-    batch: int
-    unread: int = 0
-    prefill_time: Seconds = 0.0
-    load_time: Seconds = 0.25
-    ready: bool = True
-    ready_for_cold: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class RequestedAdapter:
-    """A requested adapter.
-
-    Of the requests ``waiting``, ``within_objective`` can still meet their objective.
-    ``holders`` and ``loading`` count engines by data centre; ``saturated`` means that
-    the batches of all holders are full. ``batch`` is the batch size of one engine;
-    ``waited`` is how long the first request has waited. ``leaving`` means that a
-    leaving engine holds the adapter: at a high rate, it is loaded elsewhere before any
-    request waits for it.
-    """
-
-    key: WeightsKey
-    rates: dict[str, float]
-    waiting: int
-    missed: float
-    holders: dict[str, int]
-    loading: dict[str, int]
-    batch: int = 32
-    saturated: bool = False
-    within_objective: int = 0
-    waited: Seconds = 0.0
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """A load to be ordered, and the adapter to be evicted for it."""
-
-    engine: EndpointId
-    key: WeightsKey
-    victim: WeightsKey | None
-
-
 Planner = Callable[
     [Sequence[EngineView], Sequence[RequestedAdapter], Seconds], list[Placement]
 ]
@@ -156,30 +94,21 @@
 
 def score_held(held: HeldAdapter) -> float:
     """Return the score of keeping an adapter on an engine."""
+    if held.value is not None:
+        return held.value
     if held.holders > 1:
         return LOCAL_GAIN * held.local_rate * 10
     return RATE_SCORE * held.rate
 
 
-@dataclass(frozen=True, slots=True)
-class _Candidate:
-    """A load worth ordering, the data centre that needs it, and its score."""
-
-    key: WeightsKey
-    data_centre: str | None
-    score: float
-    is_replica: bool
-    can_wait: bool = False
-
-
-def _list_missing(requested: Sequence[RequestedAdapter]) -> Iterator[_Candidate]:
+def _list_missing(requested: Sequence[RequestedAdapter]) -> Iterator[Candidate]:
     for each in requested:
         if sum(each.holders.values()) + sum(each.loading.values()):
             continue
         # Adapters on a leaving engine are loaded before any request waits for them.
         if each.waiting or each.leaving:
             busiest = max(each.rates, key=lambda dc: each.rates[dc], default=None)
-            yield _Candidate(
+            yield Candidate(
                 each.key,
                 busiest,
                 score_missing(each),
@@ -188,7 +117,7 @@
             )
 
 
-def _list_replicas(requested: Sequence[RequestedAdapter]) -> Iterator[_Candidate]:
+def _list_replicas(requested: Sequence[RequestedAdapter]) -> Iterator[Candidate]:
     for each in requested:
         holders = sum(each.holders.values()) + sum(each.loading.values())
         if not holders:
@@ -200,18 +129,16 @@
         ):
             busiest = max(each.rates, key=lambda dc: each.rates[dc])
             score = SATURATED_SCORE * each.rates[busiest]
-            yield _Candidate(each.key, busiest, score, is_replica=True)
+            yield Candidate(each.key, busiest, score, is_replica=True)
             continue
         for data_centre, rate in each.rates.items():
             local_holders = each.holders.get(data_centre, 0) + each.loading.get(
                 data_centre, 0
             )
             if not local_holders and rate > MIN_REPLICA_RATE:
-                yield _Candidate(each.key, data_centre, LOCAL_GAIN * rate * 10, True)
+                yield Candidate(each.key, data_centre, LOCAL_GAIN * rate * 10, True)
             elif local_holders and rate > BATCH_SLOT_RATE * each.batch * local_holders:
-                yield _Candidate(
-                    each.key, data_centre, rate / (local_holders + 1), True
-                )
+                yield Candidate(each.key, data_centre, rate / (local_holders + 1), True)
 
 
 def _list_evictable(engine: EngineView, now: Seconds) -> list[HeldAdapter]:
@@ -253,7 +180,7 @@
     victim: WeightsKey | None
 
 
-def predict_delay(engine: EngineView, candidate: _Candidate) -> Seconds:
+def predict_delay(engine: EngineView, candidate: Candidate) -> Seconds:
     """Return the delay of requests on an engine after the adapter's load."""
     delay = max(0.0, engine.prefill_time * engine.unread - engine.load_time)
     delay += BATCH_PENALTY * engine.running / max(1, engine.batch)
@@ -261,10 +188,23 @@
         delay += REMOTE_PENALTY
     if candidate.key in engine.warm:
         delay -= WARM_GAIN
-    return delay
+    return delay + _predict_disturbance(engine, candidate)
+
+
+def _predict_disturbance(engine: EngineView, candidate: Candidate) -> Seconds:
+    """Return the cost of keeping long prompts and long streams on one engine.
+
+    It is zero if the kind of requests is unknown, and less than the cost of another
+    data centre or of a load from the weight store.
+    """
+    if candidate.long_prompts is None:
+        return 0.0
+    if candidate.long_prompts:
+        return LONG_PROMPT_PENALTY * min(1.0, engine.running / max(1, engine.batch))
+    return READING_PENALTY * min(1.0, engine.reading)
 
 
-def _can_load(candidate: _Candidate, engine: EngineView, *, busy: bool) -> bool:
+def _can_load(candidate: Candidate, engine: EngineView, *, busy: bool) -> bool:
     """Return whether an engine can load an adapter, now or after a short wait."""
     warm = candidate.key in engine.warm
     if not warm and (busy or not engine.ready_for_cold):
@@ -277,7 +217,7 @@
 
 
 def _choose_engine(
-    candidate: _Candidate,
+    candidate: Candidate,
     load_targets: Sequence[_LoadTarget],
     assigned: Container[EndpointId],
 ) -> Placement | None:
@@ -304,27 +244,33 @@
     return (
         None
         if busy
-        else Placement(load_target.engine.id, candidate.key, load_target.victim)
+        else Placement(
+            load_target.engine.id, candidate.key, load_target.victim, candidate.ahead
+        )
     )
 
 
+def place(
+    candidates: Sequence[Candidate], engines: Sequence[EngineView], now: Seconds
+) -> list[Placement]:
+    """Return loads of candidates, the first ones first; at most one for an engine."""
+    load_targets = [_LoadTarget(each, *_choose_victim(each, now)) for each in engines]
+    planned: dict[EndpointId, Placement] = {}
+    for candidate in candidates:
+        placement = _choose_engine(candidate, load_targets, planned)
+        if placement is not None:
+            planned[placement.engine] = placement
+    return list(planned.values())
+
+
 @register_planner("most-missed-first")
 def plan_most_missed_first(
     engines: Sequence[EngineView],
     requested: Sequence[RequestedAdapter],
     now: Seconds,
 ) -> list[Placement]:
-    """Return the next loads: missing adapters first, then replicas.
-
-    Each engine gets at most one load.
-    """
+    """Return the next loads: missing adapters first, then replicas."""
     candidates = sorted(_list_missing(requested), key=lambda each: -each.score)
     replicas = sorted(_list_replicas(requested), key=lambda each: -each.score)
     candidates.extend(replicas[:MAX_REPLICAS_PER_ROUND])
-    load_targets = [_LoadTarget(each, *_choose_victim(each, now)) for each in engines]
-    planned: dict[EndpointId, Placement] = {}
-    for candidate in candidates:
-        placement = _choose_engine(candidate, load_targets, planned)
-        if placement is not None:
-            planned[placement.engine] = placement
-    return list(planned.values())
+    return place(candidates, engines, now)
--- a/src/kestreltally/placing/views.py
+++ b/src/kestreltally/placing/views.py
@@ -19,13 +19,12 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.placing.demand import DemandTable, WeightsRow
+from kestreltally.placing.early import MIN_PLANNED_RATE
 from kestreltally.placing.enginestate import EngineState
-from kestreltally.placing.planner import (
-    MIN_RATE,
-    EngineView,
-    HeldAdapter,
-    RequestedAdapter,
-)
+from kestreltally.placing.planner import MIN_RATE
+from kestreltally.placing.plans import EngineView, HeldAdapter, RequestedAdapter
+from kestreltally.placing.trends import TrendTable
+from kestreltally.placing.usages import UsageTable
 
 
 @dataclass(slots=True)
@@ -52,7 +51,8 @@
     """The state from which loads for one service are planned.
 
     ``uses`` are the adapters in use by any daemon, with their engines; ``load_time`` is
-    the time of a load from the weight store.
+    the time of a load from the weight store. ``trends`` are used to load adapters ahead
+    of demand; None if that is switched off.
     """
 
     service: ServiceName
@@ -64,6 +64,16 @@
     prefill_times: PrefillTimeTable
     uses: set[tuple[EndpointId, WeightsKey]]
     load_time: Seconds
+    trends: TrendTable | None = None
+
+    @property
+    def _usages(self) -> UsageTable | None:
+        """Return the expected uses of adapters, None without trends."""
+        if self.trends is None:
+            return None
+        return UsageTable(
+            self.service, self.demand, self.trends, self.prefill_times, self.now
+        )
 
     def list_requested(
         self, is_handled: Callable[[WeightsKey], bool]
@@ -74,12 +84,14 @@
         recently requested adapters, which are most of them, do not affect the plan.
         """
         distribution = self._compute_distribution()
+        usages = self._usages
+        min_rate = MIN_RATE if usages is None else MIN_PLANNED_RATE
         requested = []
-        for (service, key), row in self.demand.list_significant(MIN_RATE):
+        for (service, key), row in self.demand.list_significant(min_rate):
             if service != self.service or not key.adapter:
                 continue
             waiting = row.sum_waiting(self.now)
-            if not waiting.count and row.rate <= MIN_RATE:
+            if not waiting.count and row.rate <= min_rate:
                 continue
             if is_handled(key):
                 continue
@@ -99,7 +111,7 @@
                     leaving=key in distribution.leaving,
                 )
             )
-        return requested
+        return [usages.expect(each) for each in requested] if usages else requested
 
     def _compute_distribution(self) -> AdapterDistribution:
         distribution = AdapterDistribution()
@@ -141,11 +153,12 @@
         """Return the planner's view of an engine."""
         name = state.endpoint.id
         unread = self.occupancy.unread.get(name, 0)
+        held = tuple(self._list_held(state))
         return EngineView(
             id=name,
             data_centre=state.endpoint.data_centre,
             free_places=state.count_free(self.spec),
-            held=tuple(self._list_held(state)),
+            held=held,
             warm=copies,
             running=self.occupancy.in_flight.get(name, 0),
             unread=unread + self._count_loading_tokens(state),
@@ -154,11 +167,14 @@
             load_time=self.load_time,
             ready=ready,
             ready_for_cold=ready_for_cold,
+            reading=sum(each.reading for each in held),
+            pending=len(state.pending_loads),
         )
 
     def _list_held(self, state: EngineState) -> list[HeldAdapter]:
         """Return the adapters on an engine that are neither loading nor unloading."""
         no_demand = WeightsRow(at=self.now)
+        usages = self._usages
         data_centre = state.endpoint.data_centre
         held = []
         for key in state.weights:
@@ -170,16 +186,18 @@
                 continue
             row = self.demand.rows.get((self.service, key), no_demand)
             holders = self.fleet.list_holders(self.service, key, self.now)
-            held.append(
-                HeldAdapter(
-                    key=key,
-                    since=state.held_since.get(key, 0.0),
-                    rate=row.rate,
-                    local_rate=row.rates.get(data_centre, 0.0),
-                    holders=len(holders),
-                    in_use=(state.endpoint.id, key) in self.uses,
-                )
+            each = HeldAdapter(
+                key=key,
+                since=state.held_since.get(key, 0.0),
+                rate=row.rate,
+                local_rate=row.rates.get(data_centre, 0.0),
+                holders=len(holders),
+                in_use=(state.endpoint.id, key) in self.uses,
             )
+            if usages is not None:
+                local = sum(1 for e in holders if e.data_centre == data_centre)
+                each = usages.appraise(each, data_centre, local)
+            held.append(each)
         return held
 
     def _count_loading_tokens(self, state: EngineState) -> int:
--- a/tests/leaderrig.py
+++ b/tests/leaderrig.py
@@ -29,7 +29,7 @@
     Grant,
     OrderNotAllowed,
 )
-from kestreltally.placing.planner import EngineView, HeldAdapter, RequestedAdapter
+from kestreltally.placing.plans import EngineView, HeldAdapter, RequestedAdapter
 from tests.entryrig import BOUNDS, MODELS, make_configuration
 
 MODEL = "base"
@@ -181,7 +181,9 @@
 class LeaderRig:
     """A leader of two fake engines, with the demand reported to it."""
 
-    def __init__(self, seed: int = 1, engines: int = 2) -> None:
+    def __init__(
+        self, seed: int = 1, engines: int = 2, *, early_loads: bool = False
+    ) -> None:
         self.lease: Any = SimpleNamespace(
             data_centre="north",
             leads=True,
@@ -202,6 +204,7 @@
             BOUNDS,
             asyncio.get_running_loop().time,
             self.fleet.put_endpoint,
+            early_loads=early_loads,
         )
         for engine in self.engines.values():
             self.fleet.put_endpoint(make_engine_row(engine))
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -10,10 +10,9 @@
 from kestreltally.fleet.model import EndpointId, WeightsKey
 from kestreltally.placing.planner import (
     MAX_COPY_WAIT,
-    EngineView,
-    RequestedAdapter,
     plan_most_missed_first,
 )
+from kestreltally.placing.plans import EngineView, RequestedAdapter
 from tests.leaderrig import LOAD_TIME, MODEL, LeaderRig, make_requested, make_view
 
 FIRST, SECOND = EndpointId("e1"), EndpointId("e2")
