--- a/src/kestreltally/knowledge/group.py
+++ b/src/kestreltally/knowledge/group.py
@@ -1,6 +1,5 @@
 """Aggregates the reports of a leader's group, for itself and for other leaders."""
 
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -10,7 +9,6 @@
     Endpoint,
     EndpointId,
     Seconds,
-    ServiceName,
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
--- a/src/kestreltally/placing/early.py
+++ b/src/kestreltally/placing/early.py
@@ -36,7 +36,7 @@
 RELIEF_VALUE: Final = 1.5
 # Prompts that keep each holder busy for less than this fraction of its time queue
 # there for other reasons.
-MIN_READING: Final = 0.5
+MIN_READING: Final = 0.8
 # A further holder must be worth its load and the eviction that it may cause, of an
 # adapter that will then be loaded again: 0.8 of a request, earned within a second, as
 # demand may move on soon.
@@ -46,10 +46,12 @@
 MIN_EARLY_RATE: Final = 1.0
 # Adapters without waiting requests and at most this rate are not planned for.
 MIN_PLANNED_RATE: Final = 0.25
-# The score of a waiting request doubles in this time, so that a rare adapter is passed
-# over for a short time only: after twice this time it displaces one that is requested
-# twice a second. Shorter times serve fewer requests, as many may wait for one adapter.
-WAIT_TIME: Final[Seconds] = 1.5
+# After a short wait, the score of a waiting request grows by itself in each wait time,
+# so that a rare adapter is passed over for a bounded time: after three seconds it
+# displaces one requested three times a second. Before, adapters for which most requests
+# wait come first: that serves more requests.
+SHORT_WAIT: Final[Seconds] = 1.0
+WAIT_TIME: Final[Seconds] = 0.5
 # Prompts that take longer than this interrupt streams noticeably: a caller sees a pause
 # of several tokens.
 LONG_PREFILL_TIME: Final[Seconds] = 0.05
@@ -113,7 +115,7 @@
             continue
         score = score_missing(each)
         if each.waiting:
-            score *= 1.0 + each.waited / WAIT_TIME
+            score *= 1.0 + max(0.0, each.waited - SHORT_WAIT) / WAIT_TIME
         rates = each.forecasts or each.rates
         yield Candidate(
             each.key,
