Read each adapter's expected rate once per plan; a new leader's rates count from its start

Cause: appraising a held adapter computed its expected rate twice; a leader that had a lease at once counted rates from no moment. Change: both mended; a test that daemons with the part off report as before.

--- a/src/kestreltally/placing/trends.py
+++ b/src/kestreltally/placing/trends.py
@@ -111,6 +111,8 @@
     def extend(self, now: Seconds) -> None:
         """Start to watch more engines, of whose adapters nothing is known."""
         self.complete_at = now
+        if not self.rows:
+            self.started_at = now
 
     def apply(self, reported: WeightsDemand, now: Seconds) -> None:
         """Apply a daemon's report."""
--- a/src/kestreltally/placing/usages.py
+++ b/src/kestreltally/placing/usages.py
@@ -59,10 +59,9 @@
         ``local_holders`` are the holders in the engine's data centre, itself included
         unless it is not usable at present.
         """
-        key = held.key
-        total = self.trends.forecast((self.service, key), self.now)
-        local_rate = self.forecast_rates(key).get(data_centre, 0.0)
-        prefill_time = self.predict_prefill(key)
+        total = self.trends.forecast((self.service, held.key), self.now)
+        local_rate = total * held.local_rate / held.rate if held.rate > 0 else 0.0
+        prefill_time = self.predict_prefill(held.key)
         usage = Usage(total, local_rate, KEPT_FACTOR * local_rate * prefill_time)
         value = measure_holder(
             usage, max(0, held.holders - 1), max(0, local_holders - 1)
--- a/tests/test_early_loads.py
+++ b/tests/test_early_loads.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from kestreltally.entry.demand import WeightsDemand
+from kestreltally.entry.demand import DemandCounter, WeightsDemand
 from kestreltally.fleet.model import EndpointId, WeightsKey
 from kestreltally.placing.early import plan_early_loads
 from kestreltally.placing.plans import RequestedAdapter
@@ -124,6 +124,16 @@
     assert bool(plan_early_loads([engine], [rare], 10.0)) is loaded
 
 
+def test_switched_off_daemons_report_what_they_did_before() -> None:
+    counter = DemandCounter()
+    counter.record_sent(MODELS, WeightsKey(MODEL, "a1"), 900)
+    assert counter.pop_demand(0.0) == []
+    counter.counts_prompts = True
+    counter.record_sent(MODELS, WeightsKey(MODEL, "a1"), 900)
+    (reported,) = counter.pop_demand(0.0)
+    assert (reported.sent, reported.sent_tokens, reported.arrivals) == (1, 900, 0)
+
+
 def make_read(rate: float, prefill_time: float) -> RequestedAdapter:
     requested = make_requested("read", 0, rate)
     return replace(
