--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -237,6 +237,10 @@
         admitted = self._filter_admitted(request, healthy)
         options = [self._make_option(request, each, now) for each in admitted]
         chosen = self._choose(options)
+        if request.head.weights is not None:
+            self.demand.record_sent(
+                request.service_name, request.head.weights, chosen.work.uncached_tokens
+            )
         progress.trail.append(
             f"{chosen.endpoint.id} of {len(candidates)}, {chosen.in_flight} in flight"
             + (", remote" if chosen.remote else "")
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -281,7 +281,9 @@
             self._deployment.bounds,
             self._clock,
             self._exchange.rows.put_row,
+            early_loads=self._deployment.features.early_loads,
         )
+        self._relay.finder.demand.counts_prompts = self._deployment.features.early_loads
         for lease in self._leases.values():
             lease.record_start = self._start_leading
         leader.prefill_times = self._relay.finder.prefill_times
--- a/src/kestreltally/fleet_gauges.py
+++ b/src/kestreltally/fleet_gauges.py
@@ -54,6 +54,7 @@
     return {
         "leases_held": {name: float(lease.leads) for name, lease in leases.items()},
         "adapters_missing": {"leader": leader.missing},
+        "loads_ahead": {"leader": leader.loads_ahead},
         "loads_ended": leader.count_loads(),
         "load_seconds": {"leader": leader.load_time},
     }
