--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -268,7 +268,7 @@
                 LOG,
                 Decision.ENGINE_PASSED_OVER,
                 request=request.head.id,
-                endpoints=[each.id for each in endpoints if each not in admitted],
+                endpoints=len(endpoints) - len(admitted),
             )
         return admitted
 
--- a/src/kestreltally/entry/gate.py
+++ b/src/kestreltally/entry/gate.py
@@ -79,7 +79,8 @@
         """Return the units that were counted for a request that has not run."""
         name, quota = request.organisation_name, _get_quota(request)
         if name is not None and quota is not None:
-            self._limiter.refund(name, quota.measure(request.head.tokens))
+            units = quota.measure(request.head.tokens)
+            self._limiter.refund(name, units, request.arrived_at)
 
 
 def _get_quota(request: ClientRequest) -> Quota | None:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -183,7 +183,7 @@
             self._quota_asking = QuotaAsking(
                 self._exchange.quota_keeping,
                 self._datagrams,
-                self._limiter.refund,
+                self._limiter.refund_unused,
                 self._clock,
             )
             gate.ask_keeper = self._quota_asking.ask
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -86,6 +86,10 @@
 MAX_CAPACITY_LOAD_WAIT: Final[Seconds] = 0.5
 MAX_HANDOVER_LOAD_WAIT: Final[Seconds] = 2.0
 
+# Daemons report every 0.2 s. One that missed two reports counts as missing for quotas
+# before others would take over accounts that it keeps.
+MAX_REPORT_AGE: Final[Seconds] = 0.6
+
 
 class Exchange:
     """Builds reports and updates, and applies those of other daemons."""
@@ -274,7 +278,8 @@
         if self._fleet.keys is None:
             return None
         now = self._clock()
-        self.ledger.record_daemon_count(self.feed.count_daemons(), now)
+        reporting = self.feed.count_reporting(MAX_REPORT_AGE)
+        self.ledger.record_daemon_count(reporting, now)
         return self.ledger.make_throttles(now)
 
     def _apply_report(self, report: Any) -> None:
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -317,6 +317,15 @@
         """Return the number of daemons in the groups of all connected leaders."""
         return self.count_group() + sum(peer.daemons for peer in self.list_leaders())
 
+    def count_reporting(self, max_age: Seconds) -> int:
+        """Return the number of daemons in all groups whose reports arrive now.
+
+        A connection that was cut counts for longer, until it fails.
+        """
+        oldest = self._clock() - max_age
+        heard = [p for p in self._peers if p.vm and p.stamp_received_at >= oldest]
+        return 1 + sum(p.daemons if p.leads else int(p.follows) for p in heard)
+
     def sum_group_occupancy(self) -> Occupancy:
         """Return the occupancy caused by this daemon and its followers."""
         followers = (peer.occupancy for peer in self.list_followers())
--- a/src/kestreltally/knowledge/group.py
+++ b/src/kestreltally/knowledge/group.py
@@ -51,7 +51,7 @@
         self._get_lease = get_lease
         self._clock = clock
         # Units spent through this group by organisation, for the other leaders.
-        self._spendings = {name: SpendingCounter() for name in leases}
+        self._spendings = {name: SpendingCounter(ledger.window) for name in leases}
         self._refused: dict[str, set[Use]] = {name: set() for name in leases}
         # Outcomes of this group's requests, for the leaders of the endpoints.
         self._outcomes = {name: OutcomeCounter() for name in leases}
--- a/src/kestreltally/knowledge/quota_asking.py
+++ b/src/kestreltally/knowledge/quota_asking.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections import Counter
 from collections.abc import Callable
 from itertools import count
@@ -45,7 +46,8 @@
         self._datagrams = datagrams
         self._refund = refund
         self._clock = clock
-        self._numbers = count(1)
+        # Answers to an earlier start of this daemon must not match.
+        self._numbers = count(time.time_ns())
         self._waiting: dict[int, asyncio.Future[Verdict]] = {}
         self._given_up: dict[int, Ask] = {}
         self._silent_until: dict[Keeper, Seconds] = {}
@@ -66,6 +68,10 @@
         self._waiting[number] = future
         try:
             verdict = await self._send(address, number, ask, future)
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled() and future.result().granted:
+                self._refund(ask.organisation, ask.units)
+            raise
         finally:
             del self._waiting[number]
             if not future.done() or future.cancelled():
--- a/src/kestreltally/knowledge/quota_keeping.py
+++ b/src/kestreltally/knowledge/quota_keeping.py
@@ -26,7 +26,7 @@
 # Verdicts that are remembered for questions that are sent again.
 MAX_REMEMBERED: Final = 4_096
 # Questions answered a second; daemons decide the others themselves, as without an
-# answer. This takes about a fifth of a core.
+# answer. It bounds the processor time that a keeper spends on them.
 MAX_ANSWERS_PER_SECOND: Final = 2_000
 
 Question = tuple[str, int, int]
--- a/src/kestreltally/placing/early.py
+++ b/src/kestreltally/placing/early.py
@@ -169,8 +169,13 @@
     candidates = sorted(list_missing(requested), key=lambda each: -each.score)
     if sum(each.pending for each in engines) < len(engines):
         min_score = MIN_FURTHER_SCORE * max(1.0, AMPLE_SPARE / measure_spare(engines))
+        reached = {each.data_centre for each in engines}
         further = sorted(
-            (each for each in list_further(requested) if each.score > min_score),
+            (
+                each
+                for each in list_further(requested)
+                if each.score > min_score and each.data_centre in reached
+            ),
             key=lambda each: -each.score,
         )
         candidates.extend(further[:MAX_EARLY_LOADS])
--- a/src/kestreltally/placing/trends.py
+++ b/src/kestreltally/placing/trends.py
@@ -18,7 +18,7 @@
 # one remembers adapters that are requested every few seconds.
 FAST_DECAY_TIME: Final[Seconds] = 1.5
 SLOW_DECAY_TIME: Final[Seconds] = 25.0
-# The time constant of the reading time per request.
+# The weight of a new sample in the mean number of prompt tokens.
 PROMPT_WEIGHT: Final = 0.2
 # A rise counts once this many requests support it: one or two are chance.
 MIN_RISEN_REQUESTS: Final = 2.5
--- a/src/kestreltally/quotas/base.py
+++ b/src/kestreltally/quotas/base.py
@@ -81,9 +81,12 @@
     ) -> None:
         """Record a request on which the keeper decided, who counts what it granted."""
 
-    def refund(self, name: OrganisationName, units: int) -> None:
+    def refund(self, name: OrganisationName, units: int, asked_at: Seconds) -> None:
         """Refund units granted to a request that did not run."""
 
+    def refund_unused(self, name: OrganisationName, units: int) -> None:
+        """Refund units that a keeper granted and this daemon never counted."""
+
     def pop_spendings(self) -> list[Spending]:
         """Return what was requested and granted since the last call."""
 
@@ -130,8 +133,17 @@
         """Return what was requested and granted since the last call."""
         return self._counter.pop(self._clock())
 
-    def refund(self, name: OrganisationName, units: int) -> None:
-        """Refund units granted to a request that did not run."""
+    def refund(self, name: OrganisationName, units: int, asked_at: Seconds) -> None:
+        """Refund units granted to a request that did not run.
+
+        Units that have left the window by themselves are not refunded: those that count
+        now belong to other requests.
+        """
+        if self._clock() - asked_at < self._bounds.window:
+            self.refund_unused(name, units)
+
+    def refund_unused(self, name: OrganisationName, units: int) -> None:
+        """Refund units that a keeper granted and this daemon never counted."""
         self._counter.add([Spending(name, 0, -units)])
 
     def find_keeper(self, name: OrganisationName) -> Keeper | None:
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -87,6 +87,11 @@
         self.orders: OrderBook | None = None
         self.find_keeper: Callable[[OrganisationName], Keeper | None] = lambda _: None
 
+    @property
+    def window(self) -> Seconds:
+        """Return the window in which quotas are counted."""
+        return self._bounds.window
+
     def apply_organisations(self, organisations: Iterable[Organisation]) -> None:
         """Apply quotas; accounts are kept, so that a new limit holds at once."""
         self._grants = {
@@ -126,6 +131,7 @@
         """
         if self._average_daemons is None:
             self._average_daemons = float(max(1, connected))
+            self._counted_at = now
         passed = max(0.0, now - self._counted_at)
         self._counted_at = now
         weight = 1.0 - math.exp(-passed / DAEMON_COUNT_TIME)
--- a/src/kestreltally/quotas/ordered.py
+++ b/src/kestreltally/quotas/ordered.py
@@ -103,10 +103,11 @@
             self._shares[name].ran.add(units, self._clock())
         return wait
 
-    def refund(self, name: OrganisationName, units: int) -> None:
+    def refund(self, name: OrganisationName, units: int, asked_at: Seconds) -> None:
         """Refund units granted to a request that did not run."""
-        super().refund(name, units)
-        if name in self._shares:
+        super().refund(name, units, asked_at)
+        is_counted = self._clock() - asked_at < self._bounds.window
+        if name in self._shares and is_counted:
             self._shares[name].ran.add(-units, self._clock())
 
     def _grant_isolated(
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -268,11 +268,25 @@
     limiter = LIMITERS[DEFAULT](clock, BOUNDS)
     limiter.apply_throttles([])
     limiter.grant(NAME, QUOTA, 700)
-    limiter.refund(NAME, 700)
+    limiter.refund(NAME, 700, clock())
     assert limiter.pop_spendings() == [Spending(NAME, asked=700, granted=0)]
     assert limiter.pop_spendings() == []
 
 
+def test_units_that_have_left_the_window_are_not_refunded() -> None:
+    clock = ManualClock()
+    limiter = LIMITERS[DEFAULT](clock, BOUNDS)
+    limiter.apply_throttles([])
+    limiter.grant(NAME, QUOTA, 700)
+    asked_at = clock.now
+    clock.now += BOUNDS.window
+    limiter.apply_throttles([])
+    limiter.grant(NAME, QUOTA, 300)
+    limiter.refund(NAME, 700, asked_at)
+    (spending,) = limiter.pop_spendings()
+    assert spending.granted == 1_000
+
+
 def test_old_spendings_count_for_less() -> None:
     counter = SpendingCounter()
     counter.pop(100.0)
