--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -94,6 +94,9 @@
         self._end_log = EndLog(fleet, relay.poison, record_end)
         self.holdings = holdings or Holdings(0, lambda: 0.0)
         self._stops_at: Seconds | None = None
+        relay.check_stop = lambda route: self._check_stop(
+            route, asyncio.get_running_loop().time()
+        )
         self._stop_started_at: Seconds = 0.0
         self.active_requests = 0
 
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -150,7 +150,7 @@
                 self._health.record_received(endpoint.id, now)
                 if await self._write_events(client, progress, answer, content):
                     arrived_at.append(now)
-                    self._record_event(request, progress, endpoint)
+                    self._record_event(request, progress, endpoint, now)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
@@ -185,16 +185,28 @@
         return True
 
     def _record_event(
-        self, request: ClientRequest, progress: Progress, endpoint: Endpoint
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        now: Seconds,
     ) -> None:
-        """Learn from the time between two events of an engine's stream."""
+        """Learn from the time between two events of an engine's stream.
+
+        Only a pause after a client has taken the last event is the engine's.
+        """
         if request.service.engine is None:
             return
         longest = progress.longest_pause
-        pause = progress.record_event(asyncio.get_running_loop().time())
+        was_written_at, progress.written_at = (
+            progress.written_at,
+            asyncio.get_running_loop().time(),
+        )
+        pause = progress.record_event(now)
         if pause is None:
             self.pauses.record_stream(request.service_name)
             return
+        pause = min(pause, now - was_written_at)
         self.event_times.learn(endpoint.id, pause)
         limit = request.route.max_pause
         if is_stretched(pause, limit) and not is_stretched(longest, limit):
--- a/src/kestreltally/entry/pacer.py
+++ b/src/kestreltally/entry/pacer.py
@@ -90,9 +90,11 @@
 
     def _still_serves(self, request: ClientRequest, endpoint: Endpoint) -> bool:
         """Return whether an endpoint can still run a request that has waited."""
-        key = request.head.weights
-        if key is None:
-            return False
+        key, service = request.head.weights, request.service_name
         now = asyncio.get_running_loop().time()
-        holders = self._fleet.list_holders(request.service_name, key, now)
+        holders = (
+            self._fleet.list_callable(service, now)
+            if key is None
+            else self._fleet.list_holders(service, key, now)
+        )
         return any(each.id == endpoint.id for each in holders)
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -33,7 +33,7 @@
     ``content`` identifies the content of a stopped request in log lines.
     ``turn_wait`` is the time spent waiting for turns at engines, and
     ``longest_pause`` is the longest time between two events, the last of which came at
-    ``event_at``.
+    ``event_at`` and was written at ``written_at``.
     """
 
     sends: int = 0
@@ -50,6 +50,7 @@
     content: str | None = None
     turn_wait: Seconds = 0.0
     event_at: Seconds | None = None
+    written_at: Seconds = 0.0
     longest_pause: Seconds = 0.0
 
     def record_event(self, now: Seconds) -> Seconds | None:
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -45,6 +45,7 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
+    Route,
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
@@ -89,6 +90,8 @@
         self.record_reading: Callable[[int], None] = lambda _: None
         # Called when this daemon's use of an adapter on an engine starts or ends.
         self.notify_use_change: Callable[[], None] = lambda: None
+        # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
+        self.check_stop: Callable[[Route], None] = lambda _: None
         # Makes long prompts wait for their turn at an engine, None if switched off.
         self.pacer: PromptPacer | None = None
         # Raises ``Refused`` if a key was revoked after its request was read.
@@ -275,13 +278,13 @@
                 progress.record_ended()
             raise
         finally:
-            if turn is not None:
-                turn.end()
             self._end_attempt(progress)
             self.health.end(endpoint.id, token)
             self._record_use(request, endpoint, -1)
             if channel is not None:
                 self._pool.release(channel, keep=keep)
+            if turn is not None:
+                turn.end()
 
     def _needs_turn(
         self,
@@ -312,6 +315,7 @@
         assert self.pacer is not None
         turn = await self.pacer.obtain(request, progress, endpoint, work)
         try:
+            self.check_stop(request.route)
             if request.caller is not None:
                 self.check_caller(request.caller)
             self._check_poison(request, progress)
--- a/src/kestreltally/knowledge/pacing.py
+++ b/src/kestreltally/knowledge/pacing.py
@@ -59,7 +59,8 @@
             clock,
         )
         self._pauses = PauseExchange(relay.delivery.pauses, exchange.leaders, clock)
-        if deployment.features.pacing:
+        self._is_enabled = deployment.features.pacing
+        if self._is_enabled:
             exchange.add_part(self._pauses)
             relay.pacer = PromptPacer(
                 fleet,
@@ -71,8 +72,9 @@
 
     def run_maintenance(self) -> None:
         """Decide where prompts are paced, and forget what is no longer needed."""
-        self._pauses.run_maintenance()
-        self._exchange.run_maintenance()
+        if self._is_enabled:
+            self._pauses.run_maintenance()
+            self._exchange.run_maintenance()
 
     def measure(self) -> dict[str, float]:
         """Return what operators see of turns."""
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -2,10 +2,12 @@
 
 The leader of an engine's data centre issues its turns. It keeps no state that outlasts
 it: each daemon sends its whole list of prompts at an engine again and again, from which
-the next leader goes on. The cost for a daemon grows with its own prompts.
+the next leader goes on. The cost for a daemon grows with its own prompts, that for a
+leader with the prompts at the engines of its data centre.
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any, Final
 
 from kestreltally.deployment import SocketAddress
@@ -21,6 +23,19 @@
 
 # A client does not wait longer for its first event.
 MAX_REMAINING_TIME: Final[Seconds] = 60.0
+# No engine has room for more tokens.
+MAX_TOKENS: Final = 2**31 - 1
+# Lists do not overtake one another by more than this.
+ORDER_TTL: Final[Seconds] = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class _ListOrder:
+    """The start of a daemon that sent a list, its number, and when it arrived."""
+
+    boot: int
+    serial: int
+    at: Seconds
 
 
 class TurnExchange:
@@ -45,8 +60,9 @@
         self._table = table
         self._issuer = issuer
         self._clock = clock
-        # The latest datagram of each daemon for each engine: its boot and serial.
-        self._latest: dict[tuple[str, EndpointId], tuple[int, int]] = {}
+        # The latest list of each daemon for each engine.
+        self._latest: dict[tuple[str, EndpointId], _ListOrder] = {}
+        self._pruned_at = clock()
         self._addresses: dict[str, SocketAddress] = {}
         port.handlers["turns_asked"] = self._apply_asked
         port.handlers["turns_granted"] = self._apply_granted
@@ -67,8 +83,14 @@
         if leader is None or leader.vm == self._vm:
             return False
         rows = [_encode_ask(each, now) for each in asks]
-        asked = TurnsAsked(endpoint=endpoint, prompts=rows)
-        return self._port.send(leader.address, turns_asked=asked)
+        while True:
+            asked = TurnsAsked(endpoint=endpoint, prompts=rows)
+            if self._port.send(leader.address, turns_asked=asked):
+                return True
+            if len(rows) < 2:
+                return False
+            # Names of organisations may be long: the first prompts go.
+            rows = rows[: len(rows) // 2]
 
     def _apply_asked(self, message: Any, sender: SocketAddress) -> None:
         """Apply a daemon's list, as the leader of the engine's data centre."""
@@ -86,9 +108,10 @@
 
     def _is_latest(self, message: Any, endpoint: EndpointId) -> bool:
         """Return whether a list is newer than the last one; lists may overtake."""
-        order = (message.boot, message.serial)
+        order = _ListOrder(message.boot, message.serial, self._clock())
         latest = self._latest.get((message.vm, endpoint))
-        if latest is not None and latest[0] == order[0] and latest[1] >= order[1]:
+        is_same_start = latest is not None and latest.boot == order.boot
+        if latest is not None and is_same_start and latest.serial >= order.serial:
             return False
         self._latest[message.vm, endpoint] = order
         return True
@@ -126,9 +149,13 @@
             self._addresses.clear()
             return
         self._issuer.prune()
-        for name, endpoint in list(self._latest):
-            if endpoint not in self._fleet.endpoints:
-                del self._latest[name, endpoint]
+        oldest = self._clock() - ORDER_TTL
+        if self._pruned_at > oldest:
+            return
+        self._pruned_at = self._clock()
+        self._latest = {k: v for k, v in self._latest.items() if v.at > oldest}
+        daemons = {name for name, _ in self._latest}
+        self._addresses = {k: v for k, v in self._addresses.items() if k in daemons}
 
 
 def _make_prompt(daemon: str, ask: Ask) -> Prompt:
@@ -150,7 +177,7 @@
     need = ask.need
     return PromptRow(
         number=ask.number,
-        tokens=need.tokens,
+        tokens=min(MAX_TOKENS, need.tokens),
         urgency=need.urgency,
         organisation=need.organisation,
         waited=now - ask.asked_at,
