--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -30,6 +30,7 @@
     read_notice,
 )
 
+# The longest time for which a pool without channel rules uses an idle channel.
 MAX_IDLE_TIMEOUT: Final[Seconds] = 10.0
 READ_BUFFER_BYTES: Final = 2**16
 MAX_HEAD_BYTES: Final = 32_768
--- a/src/kestreltally/entry/holdings.py
+++ b/src/kestreltally/entry/holdings.py
@@ -85,7 +85,7 @@
 
 @dataclass(slots=True)
 class Holdings:
-    """All that is held; ``limit`` is in bytes, and 0 bounds and counts nothing."""
+    """The bytes held for all exchanges; a ``limit`` of 0 bytes switches this off."""
 
     limit: int
     clock: Callable[[], Seconds]
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -89,17 +89,17 @@
     def _pop_idle(self, address: Address) -> Channel | None:
         now = asyncio.get_running_loop().time()
         idle = self._idle[address]
-        resting = []
+        kept_open = []
         found = None
         while idle and found is None:
             channel = idle.pop()
             if channel.reusable and now < channel.usable_until:
                 found = channel
             elif channel.reusable and now < channel.open_until:
-                resting.append(channel)
+                kept_open.append(channel)
             else:
                 self._close(channel, now)
-        idle.extend(reversed(resting))
+        idle.extend(reversed(kept_open))
         return found
 
     async def _wait_for_idle(self, endpoint: Endpoint) -> Channel | None:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -318,6 +318,10 @@
             **measure_exchange(self._exchange, self._quota_asking, now),
             "store_calls": {"all": self._store.calls},
             "turns": self._pacing.measure(),
+            "datagrams": {
+                "sent": self._datagrams.sent,
+                "malformed": self._datagrams.malformed,
+            },
         }
 
     def _start_leading(self) -> None:
--- a/src/kestreltally/knowledge/turns.py
+++ b/src/kestreltally/knowledge/turns.py
@@ -89,7 +89,7 @@
                 return True
             if len(rows) < 2:
                 return False
-            # Names of organisations may be long: the first prompts go.
+            # Long names of organisations may exceed a datagram: the first half is sent.
             rows = rows[: len(rows) // 2]
 
     def _apply_asked(self, message: Any, sender: SocketAddress) -> None:
--- a/src/kestreltally/pacing/group.py
+++ b/src/kestreltally/pacing/group.py
@@ -11,11 +11,11 @@
 from kestreltally.fleet.model import Seconds
 from kestreltally.pacing.prompts import MESSAGE_DELAY, EnginePace, Prompt
 
-# A prompt that has been read is a stream for at least this long, which occupancy
-# reports show with a delay.
+# After its prompt has been read, a request counts as a stream for at least this long,
+# because occupancy reports show it only after a delay.
 MIN_STREAM_TIME: Final[Seconds] = 0.5
 # Without streams the next prompt is sent this long before the previous one has been
-# read: the way of a grant and of a request.
+# read: the time in transit of a grant and of a request.
 SEND_AHEAD: Final[Seconds] = 0.01
 # Reading that takes this many times as long as predicted, and this much longer, is not
 # waited for: its report was lost, or the engine hangs. A slow engine takes 2.5 times.
@@ -60,8 +60,9 @@
     """What an engine reads, has to read, and has read since the last break.
 
     ``tokens`` counts all since the break, ``in_flight`` those of prompts whose first
-    event is not reported yet. ``progressed_at`` is when reading last began or ended.
-    ``read_tokens`` were read since the break, in ``read_time``.
+    event is not reported yet. ``progressed_at`` is when reading last began or ended,
+    ``read_at`` when it last ended. ``read_tokens`` were read since the break, in
+    ``read_time``.
     """
 
     tokens: int = 0
--- a/src/kestreltally/pacing/line.py
+++ b/src/kestreltally/pacing/line.py
@@ -27,11 +27,12 @@
 GRANT_REPEAT_DELAY: Final[Seconds] = 0.05
 # A prompt too long for any pause is passed over for this long while many streams run.
 MAX_PASSED_OVER: Final[Seconds] = 0.5
-# Few streams are at most this fraction of the usual number. Each call moves the usual
-# number by this fraction of the difference.
+# Streams are few at up to FEW_STREAMS of their usual number, which is a moving average
+# with STREAMS_WEIGHT for each new value.
 FEW_STREAMS: Final = 0.5
 STREAMS_WEIGHT: Final = 0.05
-# So many waits are predicted one by one; those behind get that of the last.
+# At most this many waits are predicted one by one. Prompts behind these wait for the
+# last of them, and at least until their clients leave.
 MAX_PREDICTIONS: Final = 200
 # Waits are predicted anew after this time for each prompt that waits, so that a long
 # line costs its issuer no more than a short one.
@@ -82,9 +83,9 @@
         self._predicted_at = LONG_AGO
 
     def is_idle(self, now: Seconds) -> bool:
-        """Return whether nothing waits or is read, nor was read of late.
+        """Return whether nothing waits or is read, or was read recently.
 
-        The line can be dropped then. Before, its break would be lost.
+        An idle line can be dropped; dropping it earlier would lose its break.
         """
         return not self._members and now >= self._group.read_at + MIN_STREAM_TIME
 
@@ -259,8 +260,8 @@
     ) -> dict[tuple[str, int], Seconds]:
         """Return how long each waiting prompt is expected to wait until it begins.
 
-        A prompt that can't begin before its client leaves gets a wait beyond that. One
-        that came just now is missing while many wait.
+        A prompt that can't begin before its client leaves gets a longer wait than the
+        client's. A new prompt may be missing until the next prediction.
         """
         waiting = {_make_key(entry): entry for entry in self._list_waiting()}
         age = now - self._predicted_at
--- a/src/kestreltally/pacing/order.py
+++ b/src/kestreltally/pacing/order.py
@@ -1,12 +1,12 @@
 """The order in which waiting prompts begin.
 
-Prompts still in time come before late ones, then the more urgent, then those of the
-organisation with the least tokens of late, by weight, and then the first to arrive.
+Prompts that can meet their objective come before late ones. Among them the more urgent
+come first, then those of the organisation that recently got the fewest tokens by its
+weight, and then the first to arrive.
 
-A quarter of the tokens goes to the kind that was served least of late instead, so that
-no organisation, urgency or size starves while others could fill the engine.
-Prompts that are late take part only every fourth time: otherwise late work would make
-timely work late.
+A quarter of the tokens goes to the kind that recently got the fewest instead, so that
+no organisation, urgency or size starves while others could fill the engine. Late
+prompts take part only every fourth time: otherwise they would make others late.
 """
 
 from collections import deque
@@ -23,12 +23,12 @@
 ROTATION_RATIO: Final = 1 / 3
 # With more kinds than this, those that have no grant ahead are forgotten.
 MAX_KINDS: Final = 256
-# Each time of so many, the rotation includes late prompts.
+# One in this many grants of the rotation may go to a late prompt.
 LATE_ROTATION: Final = 4
 
 
 class Kind(NamedTuple):
-    """What is served at least a quarter as often as all."""
+    """Prompts that the rotation treats alike; waiting kinds share its tokens."""
 
     organisation: str
     urgency: int
@@ -79,7 +79,7 @@
     late: deque[Prompt] = field(default_factory=deque)
 
     def advance(self, now: Seconds) -> None:
-        """Move prompts at the head that became late, and remove hopeless ones."""
+        """Move prompts that became late; remove those whose client will have left."""
         while self.timely and self.timely[0].begin_by < now + MESSAGE_DELAY:
             self.late.append(self.timely.popleft())
         while self.late and self.late[0].give_up_at <= now + MESSAGE_DELAY:
--- a/src/kestreltally/pacing/pauses.py
+++ b/src/kestreltally/pacing/pauses.py
@@ -26,9 +26,9 @@
 
 # A typical time between events: five tokens of 5 ms.
 INITIAL_EVENT_TIME: Final[Seconds] = 0.025
-# The estimate moves by these fractions of itself for each gap: as one gap in five is
-# shorter than it in equilibrium, it is the 20th percentile. Where prompts are read
-# nearly all the time, only the shortest gaps are undisturbed.
+# The estimate is a running quantile of the gaps. Each gap moves it by up to STEP of
+# itself. The quantile is low because only the shortest gaps are undisturbed where
+# prompts are read nearly all the time.
 QUANTILE: Final = 0.2
 STEP: Final = 0.02
 # Shorter gaps are between events that arrived together.
--- a/src/kestreltally/pacing/prompts.py
+++ b/src/kestreltally/pacing/prompts.py
@@ -41,10 +41,10 @@
     """What reading costs at one engine.
 
     ``token_time`` is prefill seconds per prompt token, ``event_time`` the seconds
-    between two events of a stream while nothing is read, ``max_pause`` the shortest of
-    the longest pauses that routes allow, 0 for no limit, and ``streams`` the other
-    requests in flight that neither wait nor are read. ``first_event_delay`` is the
-    seconds from the end of a prompt's reading to its first event, as far as known.
+    between two events of a stream while nothing is read, ``max_pause`` the pause that
+    the strictest route allows, 0 for no limit, and ``streams`` the requests in flight
+    whose prompts have been read. ``first_event_delay`` is the estimated seconds from
+    the end of a prompt's reading to its first event.
     """
 
     token_time: Seconds
@@ -60,7 +60,7 @@
     def compute_group_time(self) -> Seconds:
         """Return the reading time that fits between two events of a stream.
 
-        The event itself takes its own time besides.
+        The time of the event itself is subtracted.
         """
         if self.max_pause <= 0:
             return math.inf
@@ -69,7 +69,7 @@
     def compute_break(self) -> Seconds:
         """Return the break after a group, counted from the report of its last event.
 
-        The way of that report and of the next grant prolong the break.
+        The times in transit of that report and of the next grant prolong the break.
         """
         return max(0.0, self.event_time - self.first_event_delay)
 
--- a/src/kestreltally/pacing/shares.py
+++ b/src/kestreltally/pacing/shares.py
@@ -11,13 +11,13 @@
 
 from kestreltally.fleet.model import Seconds
 
-# Grants are forgotten with this time constant: an organisation gets a long prompt every
-# few seconds at a full engine, and several have to be remembered to be even.
+# Time constant of the decay. At a full engine an organisation begins a long prompt
+# every few seconds, and a fair comparison needs several of them.
 USAGE_TIME: Final[Seconds] = 5.0
 DEFAULT_WEIGHT: Final = 1.0
 # Organisations with less usage than this are removed from the table.
 MIN_USAGE: Final = 1.0
-# The table is searched for such organisations at this size, and twice the rest.
+# The table is pruned at this size, and again at twice the size that is left.
 MIN_PRUNE_SIZE: Final = 64
 
 
--- a/src/kestreltally/pacing/turns.py
+++ b/src/kestreltally/pacing/turns.py
@@ -218,8 +218,8 @@
             loop = asyncio.get_running_loop()
             self._resend_timer = loop.call_later(RESEND_INTERVAL, self._resend)
         asks = self._asks.get(endpoint, {}).values()
-        # Prompts that are being read come first: an issuer takes one that is not listed
-        # for read.
+        # Prompts that are being read come first: an issuer assumes that a prompt that
+        # is missing from the list has been read.
         listed = sorted(asks, key=lambda each: not each.reading)[:MAX_LISTED]
         return self.send_list(endpoint, listed)
 
--- a/src/kestreltally/placing/early.py
+++ b/src/kestreltally/placing/early.py
@@ -37,9 +37,9 @@
 # Prompts that keep each holder busy for less than this fraction of its time queue
 # there for other reasons.
 MIN_READING: Final = 0.8
-# A further holder must be worth its load and the eviction that it may cause, of an
-# adapter that will then be loaded again: 0.8 of a request, earned within a second, as
-# demand may move on soon.
+# A further holder must be worth its own load and that of an adapter which it evicts,
+# together 0.8 of a request. It has to earn that within a second, because demand may
+# shift soon.
 MIN_FURTHER_SCORE: Final = 0.8
 # An adapter without a holder that is expected this often is loaded before it is
 # requested: the next request would probably wait for the whole load.
--- a/src/kestreltally/placing/trends.py
+++ b/src/kestreltally/placing/trends.py
@@ -36,7 +36,7 @@
 # request is remembered for about two slow time constants.
 PRUNE_RATE: Final = 0.005
 PRUNE_INTERVAL: Final[Seconds] = 1.0
-# Maximum number of rows; the oldest are removed first.
+# Maximum number of rows; those with the lowest slow mean are removed first.
 MAX_ROWS: Final = 8_192
 
 
@@ -153,12 +153,12 @@
         if now - self._pruned_at < PRUNE_INTERVAL:
             return
         self._pruned_at = now
-        ages = {
+        rates = {
             name: row.slow * math.exp(-(now - row.at) / SLOW_DECAY_TIME)
             for name, row in self.rows.items()
         }
-        excess = len(ages) - MAX_ROWS
-        limit = sorted(ages.values())[excess] if excess > 0 else PRUNE_RATE
-        for name, rate in ages.items():
+        excess = len(rates) - MAX_ROWS
+        limit = sorted(rates.values())[excess] if excess > 0 else PRUNE_RATE
+        for name, rate in rates.items():
             if rate < max(limit, PRUNE_RATE):
                 del self.rows[name]
--- a/src/kestreltally/quotas/base.py
+++ b/src/kestreltally/quotas/base.py
@@ -48,8 +48,8 @@
     credits: dict[int, float] = field(default_factory=dict)
     # The last known fraction of all daemons' requests that arrives at this daemon.
     fraction: float | None = None
-    # Receipt time of the throttles after whose expiry this daemon last granted without
-    # valid ones, None if it never did.
+    # When the throttles were received that had expired before this daemon last granted
+    # in isolation; None if it never did.
     isolated_since: Seconds | None = None
     # Recent values of ``asked``, and when it had them.
     readings: deque[tuple[Seconds, float]] = field(default_factory=deque)
@@ -210,7 +210,7 @@
         share: LocalShare,
         now: Seconds,
     ) -> Seconds | None:
-        """Grant from this daemon's share, which leaders without contact reserve."""
+        """Grant from this daemon's share, which leaders count as spent meanwhile."""
         rate = ISOLATED_FRACTION * self._compute_fraction(share) * grant.rate
         if share.isolated_since != self._received_at:
             share.isolated_since = self._received_at
--- a/src/kestreltally/quotas/ledger.py
+++ b/src/kestreltally/quotas/ledger.py
@@ -36,8 +36,7 @@
 # Averaging time of the requested rate: two to three reports.
 RATE_DECAY_TIME: Final[Seconds] = 0.5
 # Averaging time of the usual number of daemons. Daemons that switch to another leader
-# are briefly counted twice. With the maximum of the last 8 s instead of a mean, an
-# organisation at its limit got half of it for 8 s afterwards.
+# are briefly counted twice, which hardly moves a mean over this time.
 DAEMON_COUNT_TIME: Final[Seconds] = 20.0
 # The fraction of requests that may run until the first reports reach a new leader, if
 # no leader's accounts are complete.
@@ -82,8 +81,8 @@
         self._counted_at: Seconds = 0.0
         self._missing = 0.0
         self._all_reported_at: Seconds = float("-inf")
-        # Where requests are granted in order: the accounts, and the address of the
-        # keeper of each, None while none is known.
+        # Used only if quotas are granted in the order of arrival: the accounts, and a
+        # function that returns the keeper of an account, None if there is none.
         self.orders: OrderBook | None = None
         self.find_keeper: Callable[[OrganisationName], Keeper | None] = lambda _: None
 
--- a/src/kestreltally/quotas/order.py
+++ b/src/kestreltally/quotas/order.py
@@ -18,8 +18,9 @@
 # Fraction of the units of a window that keepers grant: about the quota without what is
 # tolerated. The rest is for what daemons grant themselves and have not reported yet.
 KEPT_FRACTION: Final = 0.9
-# Daemons ask the keeper once this fraction is used, at the current rate within the
-# given time: a sudden rise runs unasked for up to 0.5 s.
+# Daemons ask the keeper once the units that it may still grant, less those used at the
+# current rate within the lookahead, are under 1 - ASK_FRACTION of the limit. A sudden
+# rise runs unasked for up to 0.5 s.
 ASK_FRACTION: Final = 0.6
 ASK_LOOKAHEAD: Final[Seconds] = 0.5
 # Room is reserved at most this far ahead. A request that returns later is late anyway,
@@ -95,9 +96,9 @@
     def list_bounds(
         self, fraction: float, window: Seconds, now: Seconds
     ) -> list[tuple[float, Seconds]]:
-        """Return the units left of each limit that holds now, and since when it counts.
+        """Return, for each limit that holds now, the units left and its start time.
 
-        Keepers use the given fraction of a limit.
+        Only the given fraction of a limit is used.
         """
         self.spent.settle(now)
         if now - self.lowered_at >= window:
@@ -123,9 +124,10 @@
             self.release(content)
 
     def find_room(self, units: int, room: float, since: Seconds) -> Seconds | None:
-        """Return when there is room for units of what was spent since a time.
+        """Return when there is room for ``units``; ``room`` is what there is now.
 
-        None if the window never has it.
+        Room appears as units spent after ``since`` leave the window; None if they do
+        not suffice.
         """
         found_at: Seconds = float("-inf")
         for leaves_at, freed in self.spent.list_leaving(since):
@@ -177,10 +179,9 @@
                 account.spent.add(each.granted, now)
 
     def touch(self, missing: float, now: Seconds) -> None:
-        """Note that this leader receives reports now, except of some daemons.
+        """Record that reports arrive now, from all but the ``missing`` fraction.
 
-        What the ``missing`` fraction of daemons runs is known a little after they are
-        back.
+        What missing daemons run is known a little after they are back.
         """
         if missing >= self._missing or now - self._missed_at > MISSING_HOLD:
             self._missing, self._missed_at = missing, now
--- a/src/kestreltally/quotas/ordered.py
+++ b/src/kestreltally/quotas/ordered.py
@@ -23,7 +23,7 @@
 ISOLATED_WINDOW_FRACTION: Final = 0.45
 # The same before it hears a leader for the first time.
 STARTED_FRACTION: Final = 0.02
-# After contact was lost, leaders know what was granted meanwhile after this time.
+# Leaders know what a daemon granted in isolation this long after it regained contact.
 REPORT_TIME: Final[Seconds] = 0.6
 # Part of the way by which a known share moves to its newest value.
 FRACTION_STEP: Final = 0.2
@@ -124,11 +124,12 @@
         )
         if self._received_at == NEVER:
             fraction = STARTED_FRACTION
-            granted = units if share.ran.total else 0.0
+            needed = units if share.ran.total else 0.0
         else:
-            # On average, the last request exceeds the share by as much as it lacks.
+            # A request that fits only in part is granted with the probability of that
+            # part, so that overshoot and shortfall are equal on average.
             fraction = ISOLATED_WINDOW_FRACTION
-            granted = units * random.random() if share.ran.total else 0.0
-        if share.ran.total + granted > max(1.0, fraction * share_of_window):
+            needed = units * random.random() if share.ran.total else 0.0
+        if share.ran.total + needed > max(1.0, fraction * share_of_window):
             return ISOLATED_WAIT
         return super()._grant_isolated(name, grant, units, share, now)
--- a/src/kestreltally/speeds/known.py
+++ b/src/kestreltally/speeds/known.py
@@ -85,9 +85,10 @@
         return 1.0 if verdict is None else verdict.streaming
 
     def filter_admitted(self, endpoints: Sequence[Endpoint]) -> Sequence[Endpoint]:
-        """Return the endpoints without failing ones, which get their share at random.
+        """Return the endpoints that may get a request now.
 
-        All are returned if none would be left.
+        A failing one is included with the probability of its share. All are returned
+        if none would be left.
         """
         admitted = [each for each in endpoints if self._admits(each)]
         return admitted or endpoints
--- a/src/kestreltally/speeds/observations.py
+++ b/src/kestreltally/speeds/observations.py
@@ -13,12 +13,13 @@
 
 from kestreltally.fleet.model import EndpointId, Seconds, ServiceName
 
-# The typical value is not compared with before this many observations.
+# Observations are not compared with the median until it rests on this many.
 MIN_TYPICAL_SAMPLES: Final = 8
-# A step of the median, as a logarithm: large at first, then 5 %.
+# The largest step of the running median, as a logarithm: INITIAL_STEP divided by the
+# number of samples, but at least MIN_STEP, about 5 %.
 INITIAL_STEP: Final = 1.0
 MIN_STEP: Final = 0.05
-# A hung request does not mean that the engine is slow by this factor or more.
+# Ratios beyond this are cut to it: a hung request says little of an engine's speed.
 MAX_LOG_RATIO: Final = math.log(8.0)
 # The time between events of a stream is measured with at least this many.
 MIN_GAPS: Final = 4
--- a/src/kestreltally/speeds/verdicts.py
+++ b/src/kestreltally/speeds/verdicts.py
@@ -30,17 +30,19 @@
     measure,
 )
 
-# An engine is slow for long if it was so in most slices of the window: for 2 s or more.
+# Length of a slice, and slices in the window. An engine counts as slow if it was slow
+# in most of them, that is for 2 s or more.
 SLICE: Final[Seconds] = 0.5
 WINDOW_SLICES: Final = 8
-# Engines that read more prompts than others send their streams slower, by less than the
-# first factor; one that was found slow counts as such until it is below the second.
+# An engine counts as slow from MIN_FACTOR on, until it is below KEPT_FACTOR. Engines
+# that read more prompts than others send their streams slower by less than MIN_FACTOR.
 MIN_FACTOR: Final = 1.6
 KEPT_FACTOR: Final = 1.3
 # An engine slower than this is as good as lost, or mismeasured.
 MAX_FACTOR: Final = 6.0
-# An engine fails if this many answers failed, and this much more of all its answers
-# than is usual in its service.
+# An engine is failing if at least MIN_FAILURES of its answers failed, or
+# MIN_FAILURES_ON_TRIAL while its share is reduced, and if the fraction that failed
+# exceeds the usual one of its service by FAILED_MARGIN.
 MIN_FAILURES: Final = 4
 MIN_FAILURES_ON_TRIAL: Final = 2
 FAILED_MARGIN: Final = 0.2
@@ -193,8 +195,9 @@
 def _decide_speed(record: EngineRecord, now: Seconds) -> None:
     """Decide the factors of an engine.
 
-    The time per prompt token also differs by the parts that an engine has cached for
-    other daemons, so it counts only where the streams are slow too.
+    The reading factor counts only where streams are slow too, because the time per
+    prompt token also varies with what an engine has cached for other daemons. Where
+    only streams are slow, their factor is used for reading as well.
     """
     reading = measure(each.summarise()[0] for each in record.slices)
     streaming = measure(each.summarise()[1] for each in record.slices)
--- a/tests/test_quota_fleet.py
+++ b/tests/test_quota_fleet.py
@@ -1,7 +1,7 @@
 """The keeper of a quota among complete daemons, and its loss.
 
 Guards against daemons that do not find the keeper over the feed and datagrams, and
-against requests beyond the quota as it is lost.
+against requests granted beyond the quota while the keeper is lost.
 """
 
 import asyncio
