Log what tells the hypotheses of the incident apart

Each retry that is granted or not says by which number of daemons and how long its process has run; a changed number of daemons is a line; a configuration that comes into force says through what it came, how old the last answered call of its watch was, and the store's era.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -74,6 +74,7 @@
         health: HealthTable,
         budget: RetryBudget,
     ) -> None:
+        self._started_at = asyncio.get_running_loop().time()
         self._fleet = fleet
         self._pool = pool
         self.health = health
@@ -189,7 +190,19 @@
 
     def _acquire_retry(self, request: ClientRequest) -> bool:
         now = asyncio.get_running_loop().time()
-        return self.budget.acquire(request.service_name, now)
+        granted = self.budget.acquire(request.service_name, now)
+        log_decision(
+            LOG,
+            Decision.REQUEST_REPEATED if granted else Decision.RETRY_REFUSED,
+            request=request.head.id,
+            service=request.service_name,
+            retries_left=round(
+                self.budget.compute_remaining(request.service_name, now), 1
+            ),
+            daemons=self.budget.daemon_count,
+            uptime=round(now - self._started_at, 1),
+        )
+        return granted
 
     def _can_try_another(
         self, request: ClientRequest, progress: Progress, failure: AttemptFailed
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -158,6 +158,7 @@
         self._configuration = ConfigurationHandler(
             lambda configuration: self._exchange.apply_configuration(configuration),
             lambda: lacks_writes(self._store.restored_at, self._clock()),
+            self._describe_knowledge,
         )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND,
@@ -301,6 +302,11 @@
             self._store, kind, handler, gap, wait, self._count_watchers, self._clock
         )
 
+    def _describe_knowledge(self) -> dict[str, Any]:
+        """Return the age of the configuration's last answer, and the store's era."""
+        age = self._clock() - self._configuration_watch.as_of
+        return {"watch_age": round(age, 3), "era": self._store.era}
+
     def _read_gauges(self) -> GaugeValues:
         """Return the current values of all gauges."""
         now = self._clock()
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import Deployment
 from kestreltally.entry.demand import WeightsDemand
 from kestreltally.entry.occupancy import EMPTY
@@ -63,7 +64,11 @@
     decode_leader,
     decode_revision,
 )
-from kestreltally.knowledge.watch_handlers import ConfigurationHandler
+from kestreltally.knowledge.watch_handlers import (
+    ConfigurationHandler,
+    ConfigurationOrigin,
+    ConfigurationSource,
+)
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
 from kestreltally.platform.store import NO_REVISION
@@ -404,7 +409,10 @@
         for resigned in update.resigned or ():
             self._leases[resigned.data_centre].record_resigned(resigned.fence)
         if update.configuration:
-            self._configuration.apply_document(json.loads(update.configuration))
+            self._configuration.apply_document(
+                json.loads(update.configuration),
+                ConfigurationOrigin(ConfigurationSource.LEADER, update.leader),
+            )
         if not update.leads:
             return
         self._apply_authority(update)
@@ -492,6 +500,14 @@
 
     def _record_daemon_count(self, count: int) -> None:
         """Record the number of daemons, which determines shares of common limits."""
+        if count != self._relay.budget.daemon_count:
+            log_decision(
+                LOG,
+                Decision.DAEMONS_COUNTED,
+                daemons=count,
+                before=self._relay.budget.daemon_count,
+                leads=self.leaders.leads,
+            )
         self._relay.budget.daemon_count = count
         self._limiter.daemons = count
         self.credits.record_daemon_count(count)
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -2,7 +2,9 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Final
 
 from kestreltally.decisions import Decision, log_decision
@@ -36,20 +38,41 @@
 EXPIRY_GRACE_PERIOD: Final[Seconds] = REWRITE_WINDOW
 
 
+class ConfigurationSource(Enum):
+    """Through what a configuration reached this daemon."""
+
+    LIST = "list"
+    WATCH = "watch"
+    READ = "read"
+    LEADER = "leader"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOrigin:
+    """Where a configuration came from; ``leader`` is the daemon that sent it."""
+
+    source: ConfigurationSource
+    leader: str | None = None
+
+
 class ConfigurationHandler:
     """Puts each newer configuration in force, and keeps it for peers.
 
     ``lacks_writes`` returns whether the store may have been restored from a backup
     without later writes. A daemon without a configuration then waits for one from a
     leader, or until the operators have written it again or had the time to do so.
+    ``describe_knowledge`` returns fields for the log line of a new configuration: how
+    old this daemon's knowledge of the store was.
     """
 
     def __init__(
         self,
         apply: Callable[[Configuration], bool],
         lacks_writes: Callable[[], bool],
+        describe_knowledge: Callable[[], Mapping[str, Any]] = dict,
     ) -> None:
         self._apply = apply
+        self._describe_knowledge = describe_knowledge
         self._lacks_writes = lacks_writes
         self._pending: StoredObject | None = None
         self._read_revision: Revision | None = None
@@ -71,26 +94,32 @@
         """Apply the listed configuration once no newer one is expected."""
         if self._pending is not None and not self._may_be_outdated():
             pending, self._pending = self._pending, None
-            self.apply_document(pending.content)
+            self.apply_document(
+                pending.content, ConfigurationOrigin(ConfigurationSource.LIST)
+            )
 
     def apply_changes(self, changes: Changes) -> None:
         """Apply a changed configuration; a deletion is ignored."""
         for change in changes.changes:
             if not change.deleted and change.object.name == CONFIGURATION_NAME:
-                self.apply_document(change.object.content)
+                self.apply_document(
+                    change.object.content,
+                    ConfigurationOrigin(ConfigurationSource.WATCH),
+                )
 
     def apply_read(self, stored: StoredObject) -> bool:
         """Apply a configuration that was read; return whether it is in force."""
         if self._may_be_outdated():
             return False
         if stored.revision != self._read_revision:
-            if not self.apply_document(stored.content):
+            origin = ConfigurationOrigin(ConfigurationSource.READ)
+            if not self.apply_document(stored.content, origin):
                 return False
             self._read_revision = stored.revision
         return True
 
-    def apply_document(self, document: Any) -> bool:
-        """Apply a configuration from any source, and return whether it is in force.
+    def apply_document(self, document: Any, origin: ConfigurationOrigin) -> bool:
+        """Apply a configuration, and return whether it is in force.
 
         An older configuration is not put in force. It shows that the store was restored
         from a backup, and that newer ones have not been written again yet.
@@ -104,7 +133,12 @@
             self._version = configuration.version
             self.encoded = json.dumps(document).encode()
             log_decision(
-                LOG, Decision.CONFIGURATION_IN_FORCE, version=configuration.version
+                LOG,
+                Decision.CONFIGURATION_IN_FORCE,
+                version=configuration.version,
+                source=origin.source.value,
+                leader=origin.leader,
+                **self._describe_knowledge(),
             )
         return configuration.version >= self._version
 
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -62,6 +62,8 @@
         self._clock = clock
         self._enabled = asyncio.Event()
         self.answered_at: Seconds = float("-inf")
+        # When the last call that was answered was sent: its answer is at least as new.
+        self.as_of: Seconds = float("-inf")
         self.failed_at: Seconds = float("-inf")
         self._regained_at: Seconds = float("-inf")
         self._revision: Revision | None = None
@@ -119,21 +121,23 @@
                 )
 
     async def _step(self) -> None:
+        started_at = self._clock()
         if self._revision is None:
             listing = await self._store.list_objects(self._kind)
-            self._record_answer()
+            self._record_answer(started_at)
             self._handler.apply_listing(listing)
             self._revision = listing.revision
             return
         changes = await self._store.watch(self._kind, self._revision, self._wait)
-        self._record_answer()
+        self._record_answer(started_at)
         if not self._enabled.is_set():
             return
         self._revision = changes.revision
         self._handler.apply_changes(changes)
         await asyncio.sleep(self._gap)
 
-    def _record_answer(self) -> None:
+    def _record_answer(self, started_at: Seconds) -> None:
+        self.as_of = started_at
         self.answered_at = self._clock()
         if not self._connected:
             self._connected = True
