--- a/bench/faultsoak/proxy.py
+++ b/bench/faultsoak/proxy.py
@@ -33,6 +33,9 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Connections are numbered as they open; those up to a number may be silent.
+        self._opened = 0
+        self._silenced_up_to = 0
 
     async def start(self) -> int:
         """Listen; return the port."""
@@ -49,6 +52,10 @@
             for writer in self._writers:
                 writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Drop all bytes of the connections that are open now, but not of new ones."""
+        self._silenced_up_to = self._opened
+
     def close(self) -> None:
         """Stop listening and reset open connections."""
         if self._server is not None:
@@ -73,10 +80,14 @@
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._opened += 1
+        number = self._opened
         target_reader, target_writer = await asyncio.open_connection(HOST, self.target)
         self._writers.add(target_writer)
-        to_target = self._pump(reader, target_writer, ProxyMode.CUT_TO_TARGET)
-        from_target = self._pump(target_reader, writer, ProxyMode.CUT_FROM_TARGET)
+        to_target = self._pump(reader, target_writer, ProxyMode.CUT_TO_TARGET, number)
+        from_target = self._pump(
+            target_reader, writer, ProxyMode.CUT_FROM_TARGET, number
+        )
         tasks = [asyncio.create_task(each) for each in (to_target, from_target)]
         try:
             # After the client has closed its side, the answer is still forwarded.
@@ -92,12 +103,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         cut: ProxyMode,
+        number: int,
     ) -> None:
         with contextlib.suppress(OSError):
             while content := await reader.read(CHUNK):
                 if self.mode is ProxyMode.DELAY:
                     await asyncio.sleep(DELAY)
-                if self.mode in (ProxyMode.SILENT, cut):
+                is_silenced = number <= self._silenced_up_to
+                if is_silenced or self.mode in (ProxyMode.SILENT, cut):
                     continue
                 writer.write(content)
                 await writer.drain()
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -74,7 +74,6 @@
         health: HealthTable,
         budget: RetryBudget,
     ) -> None:
-        self._started_at = asyncio.get_running_loop().time()
         self._fleet = fleet
         self._pool = pool
         self.health = health
@@ -200,7 +199,7 @@
                 self.budget.compute_remaining(request.service_name, now), 1
             ),
             daemons=self.budget.daemon_count,
-            uptime=round(now - self._started_at, 1),
+            uptime=round(now - self.budget.started_at, 1),
         )
         return granted
 
--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -8,6 +8,7 @@
 
 # The fractions of its share that a daemon uses: the bound holds for all daemons
 # together, and requests are not spread evenly over them.
+NEVER: Final[Seconds] = float("-inf")
 RATIO_FRACTION: Final = 0.75
 SLACK_FRACTION: Final = 0.7
 
@@ -17,11 +18,12 @@
 
     ``daemon_count`` is the number of daemons, None until it is known. Without it no
     slack is used, because any share of it may exceed the bound for all daemons
-    together.
+    together. ``started_at`` is the time at which this process began to serve requests.
     """
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, started_at: Seconds = NEVER) -> None:
         self._bounds = bounds
+        self.started_at = started_at
         self._request_times: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
         self._retry_times: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
         self.daemon_count: int | None = None
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -137,7 +137,7 @@
             self._fleet,
             self._pool,
             HealthTable(),
-            RetryBudget(deployment.bounds),
+            RetryBudget(deployment.bounds, self._clock()),
         )
         self._metrics = FleetMetrics(self._read_gauges)
         self._datagrams = DatagramPort(deployment.vm)
--- a/tests/poisonrig.py
+++ b/tests/poisonrig.py
@@ -9,7 +9,6 @@
 from kestreltally.fleet_daemon import FleetDaemon
 from kestreltally.poison.register import SETTLE_TIME
 from standins.platform_engine import POISON_PREFIX, PlatformEngine, make_engine_app
-from standins.platform_store import make_store_app
 from tests.entryrig import Reply
 from tests.ports import reserve_port
 from tests.test_fleet_daemon import (
@@ -156,7 +155,7 @@
 @asynccontextmanager
 async def run_poison_fleet() -> AsyncIterator[PoisonRig]:
     rig = PoisonRig()
-    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.serve_store()
     await rig.store.put("config", "main", make_configuration(1, "/a/"))
     for zone in DATA_CENTRES:
         for _ in range(ENGINES):
--- /dev/null
+++ b/tests/test_configuration_age.py
@@ -0,0 +1,53 @@
+"""A confirmed configuration is in force within its bound, whatever call is pending.
+
+A call that waits for a change proves nothing about the time since it was sent: its
+channel may have fallen silent, or the store may have been restored meanwhile. Guards
+against daemons that took such a call for "no change" for up to 3.8 s.
+"""
+
+import asyncio
+
+from tests.entryrig import BOUNDS
+from tests.test_fleet_daemon import FleetRig, make_configuration, run_fleet
+
+# Machines are in touch again this long after their channels fell silent.
+CONTACT_TIME = 3.0
+PHASE_INTERVAL = 0.01
+
+
+async def wait_until_watch_begins(rig: FleetRig) -> None:
+    """Return right after a leader's watch of the configuration was sent."""
+    watch = rig.daemons["north-1"]._configuration_watch
+    loop = asyncio.get_running_loop()
+    while not 0.12 < loop.time() - watch.answered_at < 0.2:
+        await asyncio.sleep(PHASE_INTERVAL)
+
+
+async def check_in_force(rig: FleetRig, path: str, until: float) -> None:
+    left = until - asyncio.get_running_loop().time()
+    await asyncio.gather(*(rig.ask_until(vm, path, 200, left) for vm in rig.daemons))
+
+
+async def test_change_is_in_force_while_open_store_channels_are_silent() -> None:
+    async with run_fleet() as rig:
+        await rig.add_daemons_up_to(4)
+        await asyncio.sleep(0.5)
+        await wait_until_watch_begins(rig)
+        silent_at = asyncio.get_running_loop().time()
+        rig.store_proxy.silence_open()
+        await asyncio.sleep(CONTACT_TIME - BOUNDS.configuration)
+        await rig.store.put("config", "main", make_configuration(7, "/b/"))
+        await check_in_force(rig, "/b/x", silent_at + CONTACT_TIME)
+
+
+async def test_restored_configuration_is_in_force_though_a_watch_has_just_begun() -> (
+    None
+):
+    async with run_fleet() as rig:
+        backup = rig.store.make_snapshot()
+        backup.objects["config"]["main"]["Specification"] = make_configuration(7, "/b/")
+        await asyncio.sleep(0.5)
+        await wait_until_watch_begins(rig)
+        restored_at = asyncio.get_running_loop().time()
+        await rig.store.restore(backup, later_changes=200)
+        await check_in_force(rig, "/b/x", restored_at + BOUNDS.configuration)
--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from bench.faultsoak.proxy import Proxy
 from kestreltally.deployment import Deployment, MachineCapacity, SocketAddress
 from kestreltally.fleet_daemon import FleetDaemon
 from kestreltally.knowledge.structs import LeaseRow, Update
@@ -86,6 +87,8 @@
     def __init__(self) -> None:
         self.store = PlatformStore({})
         self.store_port = reserve_port()
+        # Between the daemons and the store; endpoints reach the store directly.
+        self.store_proxy = Proxy(self.store_port)
         self.engines: list[PlatformEngine] = []
         self.daemons: dict[str, FleetDaemon] = {}
         self.client_ports: dict[str, int] = {}
@@ -98,6 +101,10 @@
         self._runners.append(runner)
         return runner
 
+    async def serve_store(self) -> None:
+        await self.serve(make_store_app(self.store), self.store_port)
+        await self.store_proxy.start()
+
     async def add_endpoint(self, zone: str, model: str = "") -> PlatformEngine:
         port = reserve_port()
         engine = PlatformEngine(
@@ -123,7 +130,7 @@
             readiness=SocketAddress("127.0.0.1", reserve_port()),
             peers=SocketAddress("127.0.0.1", reserve_port()),
             metrics_port=reserve_port(),
-            store=SocketAddress("127.0.0.1", self.store_port),
+            store=SocketAddress("127.0.0.1", self.store_proxy.port),
             machine_capacity=MachineCapacity(cores=1.0, link_mbps=1000.0),
             bounds=BOUNDS,
             first_start=first_start,
@@ -185,6 +192,7 @@
     async def close(self) -> None:
         for daemon in self.daemons.values():
             await daemon.close()
+        self.store_proxy.close()
         for runner in self._runners:
             await runner.cleanup()
 
@@ -192,7 +200,7 @@
 @asynccontextmanager
 async def run_fleet() -> AsyncIterator[FleetRig]:
     rig = FleetRig()
-    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.serve_store()
     await rig.store.put("config", "main", make_configuration(1, "/a/"))
     for zone in DATA_CENTRES:
         await rig.add_endpoint(zone)
@@ -236,7 +244,7 @@
     # Guards against every daemon of a new deployment reading the store: 195 daemons
     # made about 2,000 calls to it before the first client connected.
     rig = FleetRig()
-    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.serve_store()
     await rig.store.put("config", "main", make_configuration(1, "/a/"))
     try:
         for zone in DATA_CENTRES:
@@ -374,7 +382,7 @@
 
 async def test_engines_in_a_data_centre_without_daemons_are_led_from_another() -> None:
     rig = FleetRig()
-    await rig.serve(make_store_app(rig.store), rig.store_port)
+    await rig.serve_store()
     await rig.store.put("config", "main", make_configuration(1, "/a/"))
     await rig.add_endpoint("south", MODEL)
     await rig.add_daemon("north-1", "north")
