Retries: a new process uses only what no earlier one can have used

Cause: each process began with a whole part of the slack and knew nothing of the retries of the process before it. Now a request pays for 0.7 of the ratio for 3 s, so however processes start and clients move it pays once, and a process uses none of the slack for a window and a second after its start.

--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -1,16 +1,64 @@
-"""Retry budget: this daemon's share of the bound for all daemons together."""
+"""Retry budget: this daemon's share of the bound for all daemons together.
+
+The bound is a ratio of the requests and a fixed slack, in any window of time. Processes
+are started again at any moment and remember nothing of the one before them. So a daemon
+uses only what no other process can have used as well:
+
+- The ratio is earned: each request pays for a fraction of a retry for a short time.
+  However processes start and clients move, a request pays only once.
+- The slack is divided by the number of daemons. A process uses none of its part while
+  the window may still contain retries of an earlier process on its VM.
+"""
 
 from collections import defaultdict, deque
+from dataclasses import dataclass, field
 from typing import Final
 
 from kestreltally.deployment import Bounds
 from kestreltally.fleet.model import Seconds, ServiceName
 
-# The fractions of its share that a daemon uses: the bound holds for all daemons
-# together, and requests are not spread evenly over them.
 NEVER: Final[Seconds] = float("-inf")
-RATIO_FRACTION: Final = 0.75
+# A request pays for this fraction of the ratio. The retries of one window are paid for
+# by the requests of that window, EARNED_TTL and ARRIVAL_MARGIN: of 1.4 windows of 10 s.
+RATIO_FRACTION: Final = 0.7
+EARNED_TTL: Final[Seconds] = 3.0
+# The rest of the slack is for daemons that are not counted, and for changes of load
+# within a window.
 SLACK_FRACTION: Final = 0.7
+# A retry arrives at its endpoint at most about this long after it was granted.
+ARRIVAL_MARGIN: Final[Seconds] = 1.0
+
+
+@dataclass(slots=True)
+class Amounts:
+    """Numbers of retries, each of which is forgotten after some time."""
+
+    ttl: Seconds
+    total: float = 0.0
+    _entries: deque[tuple[Seconds, float]] = field(default_factory=deque)
+
+    def add(self, amount: float, now: Seconds) -> None:
+        """Add an amount that is forgotten after ``ttl``."""
+        self._entries.append((now, amount))
+        self.total += amount
+
+    def prune(self, now: Seconds) -> None:
+        """Forget what is older than ``ttl``."""
+        while self._entries and now - self._entries[0][0] > self.ttl:
+            self.total -= self._entries.popleft()[1]
+        if not self._entries:
+            self.total = 0.0
+
+    def take(self, amount: float) -> float:
+        """Remove up to an amount, the oldest first; return how much was removed."""
+        missing = amount
+        while self._entries and missing > 0.0:
+            added_at, available = self._entries.popleft()
+            if available > missing:
+                self._entries.appendleft((added_at, available - missing))
+            missing -= min(available, missing)
+        self.total = max(0.0, self.total - (amount - missing))
+        return amount - missing
 
 
 class RetryBudget:
@@ -24,40 +72,42 @@
     def __init__(self, bounds: Bounds, started_at: Seconds = NEVER) -> None:
         self._bounds = bounds
         self.started_at = started_at
-        self._request_times: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
-        self._retry_times: dict[ServiceName, deque[Seconds]] = defaultdict(deque)
+        window = bounds.retry_window + ARRIVAL_MARGIN
+        self._slack_from = started_at + window
+        self._earned: dict[ServiceName, Amounts] = defaultdict(
+            lambda: Amounts(EARNED_TTL)
+        )
+        self._used_slack: dict[ServiceName, Amounts] = defaultdict(
+            lambda: Amounts(window)
+        )
         self.daemon_count: int | None = None
 
     def record_request(self, service: ServiceName, now: Seconds) -> None:
         """Count a client request."""
-        request_times = self._request_times[service]
-        request_times.append(now)
-        self._prune(request_times, now)
+        earned = self._earned[service]
+        earned.prune(now)
+        earned.add(RATIO_FRACTION * self._bounds.retry_ratio, now)
 
     def acquire(self, service: ServiceName, now: Seconds) -> bool:
         """Use one retry of the budget; return whether it had one."""
-        retry_times = self._retry_times[service]
-        self._prune(retry_times, now)
-        if len(retry_times) + 1 > self._compute_allowance(service, now):
+        if self.compute_remaining(service, now) < 1.0:
             return False
-        retry_times.append(now)
+        paid = self._earned[service].take(1.0)
+        if paid < 1.0:
+            self._used_slack[service].add(1.0 - paid, now)
         return True
 
     def compute_remaining(self, service: ServiceName, now: Seconds) -> float:
         """Return the number of retries left in the budget."""
-        self._prune(self._retry_times[service], now)
-        return self._compute_allowance(service, now) - len(self._retry_times[service])
-
-    def _compute_allowance(self, service: ServiceName, now: Seconds) -> float:
-        request_times = self._request_times[service]
-        self._prune(request_times, now)
-        from_ratio = RATIO_FRACTION * self._bounds.retry_ratio * len(request_times)
-        if self.daemon_count is None:
-            return from_ratio
-        return from_ratio + SLACK_FRACTION * self._bounds.retry_slack / max(
-            1, self.daemon_count
-        )
+        earned = self._earned[service]
+        earned.prune(now)
+        return earned.total + self._compute_slack(service, now)
 
-    def _prune(self, times: deque[Seconds], now: Seconds) -> None:
-        while times and now - times[0] > self._bounds.retry_window:
-            times.popleft()
+    def _compute_slack(self, service: ServiceName, now: Seconds) -> float:
+        """Return what is left of this process's part of the slack."""
+        if self.daemon_count is None or now < self._slack_from:
+            return 0.0
+        used = self._used_slack[service]
+        used.prune(now)
+        part = SLACK_FRACTION * self._bounds.retry_slack / max(1, self.daemon_count)
+        return max(0.0, part - used.total)
