Retries: parts by the largest number of daemons heard lately, not by who is left

Callers saw more retries than allowed at failing endpoints while daemons were killed. Cause: each daemon's part of the slack was divided by the daemons that are connected now, so the parts of the others grew as some were lost or cut off, and a leader that had just started told a small number. Retries, quotas without a leader and limits now take the same number, the maximum of one to two minutes, and leaders tell theirs; the limits' issuer had done so alone.

--- a/src/kestreltally/knowledge/credits.py
+++ b/src/kestreltally/knowledge/credits.py
@@ -52,6 +52,7 @@
         leaders: Leaders,
         get_lease: Callable[[Endpoint], Lease],
         feed: FeedServer,
+        daemon_count: DaemonCount,
         clock: Callable[[], Seconds],
     ) -> None:
         self._fleet = fleet
@@ -69,7 +70,7 @@
             name: Counter() for name in leases
         }
         self._issue_timer: asyncio.TimerHandle | None = None
-        self._daemon_count = DaemonCount()
+        self._daemon_count = daemon_count
         self.record_credit: Callable[[Endpoint], None] = lambda _: None
         self._notices.get_issuer_state = self.get_issuer_state
         self._notices.record_requested = self._record_requested
@@ -85,10 +86,6 @@
         known = self._leaders.leads or self._leaders.find_primary() is not None
         return IssuerState(known=known, daemons=self._daemon_count.maximum)
 
-    def record_daemon_count(self, count: int) -> None:
-        """Record the number of daemons in the groups of all reachable leaders."""
-        self._daemon_count.record(count, self._clock())
-
     def _is_issuer(self, endpoint: Endpoint) -> bool:
         """Return whether this daemon issues the credits of an endpoint."""
         is_reachable = self._leaders.is_reachable(self._get_lease(endpoint).data_centre)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -27,6 +27,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.authority import Authority
 from kestreltally.knowledge.credits import CreditExchange
+from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
@@ -155,8 +156,16 @@
             )
             for name in leases
         }
+        self.daemon_count = DaemonCount()
+        self.feed.count_all = self._count_daemons
         self.credits = CreditExchange(
-            fleet, leases, self.leaders, self.get_lease, self.feed, clock
+            fleet,
+            leases,
+            self.leaders,
+            self.get_lease,
+            self.feed,
+            self.daemon_count,
+            clock,
         )
         self.credits.record_credit = self._wake_credit_waiter
         self.rows = FleetRows(
@@ -498,19 +507,30 @@
         self._record_daemon_count(self.feed.count_daemons())
         self.credits.issue()
 
+    def _count_daemons(self) -> int:
+        """Return the number of daemons that this leader tells its followers."""
+        self._record_daemon_count(self.feed.count_daemons())
+        return self.daemon_count.maximum or 1
+
     def _record_daemon_count(self, count: int) -> None:
-        """Record the number of daemons, which determines shares of common limits."""
-        if count != self._relay.budget.daemon_count:
-            log_decision(
-                LOG,
-                Decision.DAEMONS_COUNTED,
-                daemons=count,
-                before=self._relay.budget.daemon_count,
-                leads=self.leaders.leads,
-            )
-        self._relay.budget.daemon_count = count
-        self._limiter.daemons = count
-        self.credits.record_daemon_count(count)
+        """Record the number of daemons that are heard, here or by the leader.
+
+        Shares of common limits are computed by its maximum: daemons that are not heard
+        may still use theirs.
+        """
+        self.daemon_count.record(count, self._clock())
+        daemons, before = self.daemon_count.maximum, self._relay.budget.daemon_count
+        if daemons is None or daemons == before:
+            return
+        log_decision(
+            LOG,
+            Decision.DAEMONS_COUNTED,
+            daemons=daemons,
+            before=before,
+            leads=self.leaders.leads,
+        )
+        self._relay.budget.daemon_count = daemons
+        self._limiter.daemons = daemons
 
     def list_uses(self) -> set[Use]:
         """Return the adapters in use on each engine, as reported by all daemons."""
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -94,6 +94,8 @@
         self.notify_totals_change: Callable[[Peer], None] = lambda _: None
         # Returns whether this daemon leads and has rows to send.
         self.is_leading: Callable[[], bool] = lambda: bool(state().leads)
+        # Returns the number of daemons that followers are told.
+        self.count_all: Callable[[], int] = self.count_daemons
         # Returns the throttles of organisations at their limit, None without quotas.
         self.make_throttles: Callable[[], Iterable[Throttle] | None] = lambda: None
         # Each part reads its fields from reports, and fills those of updates.
@@ -240,7 +242,7 @@
         throttles = self.make_throttles()
         return Totals(
             occupancy=self.sum_occupancy(),
-            daemons=self.count_daemons(),
+            daemons=self.count_all(),
             throttles=(
                 None
                 if throttles is None
@@ -311,11 +313,16 @@
 
     def count_group(self) -> int:
         """Return the number of daemons in this group: this one and its followers."""
-        return 1 + sum(peer.follows for peer in self.list_followers())
+        return 1 + len({peer.vm for peer in self.list_followers() if peer.follows})
 
     def count_daemons(self) -> int:
-        """Return the number of daemons in the groups of all connected leaders."""
-        return self.count_group() + sum(peer.daemons for peer in self.list_leaders())
+        """Return the number of daemons in the groups of all connected leaders.
+
+        A leader that has connected again is counted once, while its former connection
+        is still open.
+        """
+        groups = {peer.vm: peer.daemons for peer in self.list_leaders()}
+        return self.count_group() + sum(groups.values())
 
     def count_reporting(self, max_age: Seconds) -> int:
         """Return the number of daemons in all groups whose reports arrive now.
--- a/tests/test_credit_exchange.py
+++ b/tests/test_credit_exchange.py
@@ -7,6 +7,7 @@
 from kestreltally.fleet.rate_limits import RateLimitState
 from kestreltally.fleet.tables import Fleet
 from kestreltally.knowledge.credits import CreditExchange
+from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.feed_parts import ReceivedUpdate
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.rows import encode_credits, encode_notice, encode_requested
@@ -48,6 +49,7 @@
             cast(Any, leaders),
             lambda _: cast(Any, lease),
             cast(Any, feed),
+            DaemonCount(),
             lambda: self.now,
         )
         self.exchange.record_credit = self.credited.append
