Store: a new era that one call sees ends the watches that wait

Callers saw routes of a confirmed configuration missing for up to 3.1 s after the store had come back from a copy (2.0 s are allowed). Cause: a watch that began just before waits for changes after a revision of the former era. The revisions are given again, so the store has nothing to tell it until its wait of 3.0 s is over, although the endpoint watch saw the new era within 0.8 s. Every watch now ends as the era changes, also those of endpoints and versions, and begins again from a list.

--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -16,6 +16,7 @@
     StaleEra,
     Store,
     StoreError,
+    WatchInterrupted,
 )
 
 LOG = logging.getLogger("kestreltally.knowledge")
@@ -109,6 +110,8 @@
                 await self._step()
             except StaleEra:
                 self._revision = None
+            except WatchInterrupted as error:
+                LOG.debug("knowledge: watch of %s begins again: %s", self._kind, error)
             except HistoryGone:
                 # The store was available all the time, so no entry has expired because
                 # of an outage.
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -10,7 +10,7 @@
 import json
 import logging
 import socket
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any, Final, NamedTuple
 
@@ -73,6 +73,10 @@
     """
 
 
+class WatchInterrupted(StoreError):
+    """Another call has shown that a pending watch may never be answered: call again."""
+
+
 class Conflict(StoreError):
     """The object has another revision, or already exists."""
 
@@ -189,6 +193,8 @@
         # the restore was.
         self.era = UNKNOWN_ERA
         self.restored_at: Seconds = float("-inf")
+        # Set, and replaced, when pending watches have to end.
+        self._interruption = asyncio.Event()
 
     def _record_era(self, call: str, headers: Mapping[str, str]) -> int:
         """Record the era of an answer; raises ``StoreError`` if it is an older one."""
@@ -202,8 +208,14 @@
                 self.restored_at = asyncio.get_running_loop().time()
                 log_decision(LOG, Decision.STORE_COPIED, era=era)
             self.era = era
+            self._interrupt_watches()
         return era
 
+    def _interrupt_watches(self) -> None:
+        """End the pending watches, so that their callers call again at once."""
+        self._interruption.set()
+        self._interruption = asyncio.Event()
+
     async def list_objects(self, kind: str) -> Listing:
         """Return all objects of a kind; raises ``StoreError``."""
         objects: list[StoredObject] = []
@@ -227,10 +239,16 @@
             after = page.body["items"][-1]["Metadata"]["Name"]
 
     async def watch(self, kind: str, revision: Revision, wait: Seconds) -> Changes:
-        """Wait for changes after a revision; raises ``StoreError``."""
+        """Wait for changes after a revision; raises ``StoreError``.
+
+        Raises ``WatchInterrupted`` as soon as another call shows that the store was
+        restored from a backup: its answer may come only when the wait is over.
+        """
         _check_era(revision, self.era)
         query = {"Watch": str(revision.number), "WaitMs": str(int(wait * 1000))}
-        page = await self._call("GET", kind, query=query, timeout=wait + WATCH_MARGIN)
+        page = await self._call_until_interrupted(
+            self._call("GET", kind, query=query, timeout=wait + WATCH_MARGIN)
+        )
         _check_era(revision, page.era)
         changes = tuple(
             Change(each, bool(event["Tombstone"]))
@@ -239,6 +257,23 @@
         )
         return Changes(changes, page.read_revision())
 
+    async def _call_until_interrupted(
+        self, call: Coroutine[Any, Any, _Answer]
+    ) -> _Answer:
+        """Return a call's answer; raises ``WatchInterrupted`` if watches must end."""
+        calling = asyncio.create_task(call)
+        interrupted = asyncio.create_task(self._interruption.wait())
+        try:
+            await asyncio.wait(
+                {calling, interrupted}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not calling.done():
+                raise WatchInterrupted("a pending watch may never be answered")
+            return await calling
+        finally:
+            calling.cancel()
+            interrupted.cancel()
+
     async def read(self, kind: str, name: str) -> StoredObject | None:
         """Return an object, or None; raises ``StoreError``."""
         answer = await self._call("GET", f"{kind}/{name}")
