Configuration: a pending call proves nothing; its age is proven by answers

Cause: the watch of the configuration waited 3.0 s, and 0.8 s more for its answer, and a watch that waits counted as zero seconds old; where its connection fell silent, nobody noticed for 3.8 s, and the next call could take an idle connection as silent as the first. A daemon is in touch again 3 s after its channels fell silent. Now the watch waits for a quarter of the deployment's own bound; a call without an answer makes all later calls use new connections, ends the watches that wait, and is repeated at once; and each daemon, with keys or without, keeps the time up to which answered calls prove its configuration, told along the feed. One whose proof is older than 0.9 of the bound reads the store itself. Where keys can be revoked only reads prove anything, as before.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -88,6 +88,7 @@
     ENDPOINT_LEAVING = ("knowledge: endpoint leaving", Level.INFO, 50)
     STORE_COPIED = ("store: came back from a copy", Level.WARNING, 20)
     HISTORY_GONE = ("knowledge: history gone", Level.INFO, 20)
+    STORE_SILENT = ("store: no answer", Level.INFO, 20)
     STORE_LOST = ("knowledge: store lost", Level.WARNING, 20)
     STORE_REGAINED = ("knowledge: store regained", Level.INFO, 20)
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -16,7 +16,7 @@
 from typing import Any, Final
 from uuid import uuid4
 
-from aiohttp import ClientSession, web
+from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision, log_suppressed
 from kestreltally.deployment import Deployment, SocketAddress
@@ -41,11 +41,16 @@
     measure_requests,
 )
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
-from kestreltally.knowledge.authority import Authority, ConfigurationReader
+from kestreltally.knowledge.authority import (
+    READ_INTERVAL,
+    Authority,
+    ConfigurationReader,
+)
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
+from kestreltally.knowledge.updates import AGE_UNKNOWN
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
@@ -94,20 +99,26 @@
 # 1.6 s, so its followers watch the store themselves within the 2 s that are allowed for
 # noticing a leaving endpoint.
 ENDPOINTS_WAIT: Final[Seconds] = 0.4
-# Versions and configurations: when the store is silent, no change goes unnoticed for
-# more than four seconds, and less where the endpoint watch has detected the silence.
+# When the store is silent, no version goes unnoticed for more than 2.4 s of the 5 s
+# that are allowed until it is loaded.
 VERSIONS_GAP: Final[Seconds] = 0.1
+VERSIONS_WAIT: Final[Seconds] = 1.5
 CONFIGURATION_GAP: Final[Seconds] = 0.1
-DEFAULT_WATCH_WAIT: Final[Seconds] = 3.0
+# The wait of the configuration's watch, as a fraction of the time in which a
+# configuration has to be in force everywhere. With the gap and the call's margin, a
+# leader detects silent connections within 0.9 s and this fraction: at a bound of 2 s,
+# 0.6 s remain for reading it again and for the feed.
+CONFIGURATION_WAIT_FRACTION: Final = 0.25
 # When all daemons are started for the first time, the first leader is elected within
 # about 1.5 s and sends the complete state. Until then the other daemons do not need to
 # read the store.
 FIRST_LEADER_TIMEOUT: Final[Seconds] = 2.5
-# A daemon reads the configuration itself once the age of its last confirmation reaches
-# these fractions of the time for which keys stay valid without one: without contact to
-# a leader, and with it.
-READ_WITHOUT_LEADER_FRACTION: Final = 0.5
-READ_WITH_LEADER_FRACTION: Final = 0.7
+# A daemon reads the configuration itself once its proof is older than this fraction of
+# the time in which a configuration has to be in force everywhere. Proofs by the watch
+# are at most half of that time and 0.1 s old, and 0.4 s more at followers.
+MAX_PROOF_AGE_FRACTION: Final = 0.9
+# The interval of a leader's reads is at most this fraction of that time.
+READ_INTERVAL_FRACTION: Final = 0.5
 # The load balancer probes every second and removes a daemon after two failed probes.
 MIN_STOP_DURATION: Final[Seconds] = 3.2
 # The part of the grace period that remains when the last requests are aborted.
@@ -122,8 +133,7 @@
         self._deployment = deployment
         self._lines = lines
         self._clock = asyncio.get_running_loop().time
-        self._session: ClientSession = open_store_session()
-        self._store = Store(self._session, deployment.store)
+        self._store = Store(open_store_session(), deployment.store)
         self._fleet = Fleet()
         self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
         self._pool = ChannelPool(
@@ -164,7 +174,8 @@
             CONFIGURATION_KIND,
             self._configuration,
             CONFIGURATION_GAP,
-            DEFAULT_WATCH_WAIT,
+            CONFIGURATION_WAIT_FRACTION * deployment.bounds.configuration,
+            self._record_configuration_current,
         )
         self._exchange = Exchange(
             deployment,
@@ -195,6 +206,9 @@
             self._needs_configuration_read,
             self._count_watchers,
             self._clock,
+            min(
+                READ_INTERVAL, READ_INTERVAL_FRACTION * deployment.bounds.configuration
+            ),
         )
         self._pacing = Pacing(
             deployment,
@@ -226,7 +240,7 @@
             VERSIONS_KIND,
             VersionsHandler(self._exchange.rows.apply_version),
             VERSIONS_GAP,
-            DEFAULT_WATCH_WAIT,
+            VERSIONS_WAIT,
         )
         self._poison_persistence = PoisonPersistence(
             self._store,
@@ -296,16 +310,39 @@
         return leader
 
     def _make_watch(
-        self, kind: str, handler: WatchHandler, gap: Seconds, wait: Seconds
+        self,
+        kind: str,
+        handler: WatchHandler,
+        gap: Seconds,
+        wait: Seconds,
+        record_current: Callable[[Seconds], None] = lambda _: None,
     ) -> KindWatch:
         return KindWatch(
-            self._store, kind, handler, gap, wait, self._count_watchers, self._clock
+            self._store,
+            kind,
+            handler,
+            gap,
+            wait,
+            self._count_watchers,
+            self._clock,
+            record_current,
         )
 
+    def _record_configuration_current(self, as_of: Seconds) -> None:
+        """Record that a call of the watch, sent at ``as_of``, was answered.
+
+        Where keys can be revoked, only reads prove anything: a store that is about to
+        forget its history may answer a watch without the latest changes.
+        """
+        if self._fleet.keys is not None or not self._configuration.is_current:
+            return
+        if not lacks_writes(self._store.restored_at, as_of):
+            self._authority.record(as_of)
+
     def _describe_knowledge(self) -> dict[str, Any]:
-        """Return the age of the configuration's last answer, and the store's era."""
-        age = self._clock() - self._configuration_watch.as_of
-        return {"watch_age": round(age, 3), "era": self._store.era}
+        """Return how old the configuration may have been, and the store's era."""
+        age = min(self._authority.compute_age(), AGE_UNKNOWN)
+        return {"proof_age": round(age, 3), "era": self._store.era}
 
     def _read_gauges(self) -> GaugeValues:
         """Return the current values of all gauges."""
@@ -391,31 +428,26 @@
     def _needs_configuration_read(self) -> bool:
         """Return whether this daemon must read the configuration to confirm its age.
 
-        A leader reads on behalf of its followers. Another daemon reads for itself if it
-        has no contact to a leader, or if its leader has not confirmed the configuration
-        either. While the store is down, only the endpoint watch probes whether it
-        answers again.
+        Leaders read regularly where keys can be revoked. Otherwise this is rare: the
+        watch of this daemon or of its leader confirms it. While the store is down, only
+        the endpoint watch probes whether it answers again.
         """
-        if self._fleet.keys is None:
-            return False
         if self._exchange.leaders.leads:
-            return True
-        if self._endpoints_watch.failing:
+            if self._fleet.keys is not None:
+                return True
+        elif self._endpoints_watch.failing or self._is_first_leader_pending():
             return False
-        bound = self._authority.bound or DEFAULT_WATCH_WAIT
-        age = self._authority.compute_age()
-        if not self._exchange.leaders.has_fresh_feed():
-            return age > READ_WITHOUT_LEADER_FRACTION * bound
-        # A leader's second update is the first that confirms the configuration.
-        return (
-            min(age, self._clock() - self._started_at)
-            > READ_WITH_LEADER_FRACTION * bound
-        )
+        waited = self._clock() - self._started_at - self._get_first_leader_wait()
+        limit = MAX_PROOF_AGE_FRACTION * self._deployment.bounds.configuration
+        return min(self._authority.compute_age(), waited) > limit
+
+    def _get_first_leader_wait(self) -> Seconds:
+        """Return how long after the start only the first leader reads the store."""
+        return FIRST_LEADER_TIMEOUT if self._deployment.first_start else 0.0
 
     def _is_first_leader_pending(self) -> bool:
         """Return whether a new deployment is still waiting for its first leader."""
-        elapsed = self._clock() - self._started_at
-        return self._deployment.first_start and elapsed < FIRST_LEADER_TIMEOUT
+        return self._clock() - self._started_at < self._get_first_leader_wait()
 
     def _count_watchers(self) -> int:
         """Return how many daemons retry calls to the store while it does not answer."""
@@ -491,7 +523,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._pool.close()
         self._control_pool.close()
-        await self._session.close()
+        await self._store.close()
 
 
 async def _run_forever(loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
--- a/src/kestreltally/knowledge/authority.py
+++ b/src/kestreltally/knowledge/authority.py
@@ -1,10 +1,13 @@
-"""Bounds the age of the configuration by which a daemon accepts API keys.
+"""Bounds the age of the configuration that a daemon acts on.
 
-Requests with a revoked key must be refused soon, even by a daemon that reaches neither
+A configuration has to be in force everywhere soon after the store has acknowledged it,
+and requests with a revoked key must be refused even by a daemon that reaches neither
 the store nor a leader. So a daemon keeps the latest time for which it is proven to know
-every configuration that the store had acknowledged by then. There are two proofs:
+every configuration that the store had acknowledged by then. A call that waits proves
+nothing: its connection may be silent. There are two proofs:
 
-- A read of the configuration: the answer is valid as of the time of the call or later.
+- A read of the configuration, or an answered call of its watch: it is valid as of the
+  time of the call or later.
 - An update of a leader: a report carries the daemon's own time, and the leader answers
   with the offset of its own proof from the arrival of that report. No clocks are
   compared, and an update that stays unread for some time does not prove a later time.
@@ -17,7 +20,10 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
-from kestreltally.knowledge.retry_delays import draw_retry_delay
+from kestreltally.knowledge.retry_delays import (
+    UNSCALED_RETRY_DAEMONS,
+    draw_retry_delay,
+)
 from kestreltally.platform.documents import CONFIGURATION_KIND, CONFIGURATION_NAME
 from kestreltally.platform.store import (
     Store,
@@ -36,8 +42,7 @@
 # old: longer than the delay of leaders and feeds, shorter than the time in which
 # configurations come into force on all daemons.
 FRESHNESS_LIMIT: Final[Seconds] = 2.5
-# Interval at which leaders read the configuration. With the feed's 0.4 s, the proof is
-# at most about 2 s old, of the 5 s that are allowed.
+# The longest time between two reads of a daemon that has to read.
 READ_INTERVAL: Final[Seconds] = 1.5
 # Each daemon retries within this time, however many daemons read. Watches retry less
 # often; this read is more urgent, as requests with a key are refused until it succeeds.
@@ -95,7 +100,7 @@
 
 
 class ConfigurationReader:
-    """Reads the configuration repeatedly while no leader proves its age.
+    """Reads the configuration repeatedly while nothing else proves its age.
 
     ``apply_stored`` returns whether the configuration read is in force, ``is_needed``
     whether this daemon has to read, and ``count_readers`` how many daemons read when
@@ -110,7 +115,9 @@
         is_needed: Callable[[], bool],
         count_readers: Callable[[], int],
         clock: Callable[[], Seconds],
+        interval: Seconds = READ_INTERVAL,
     ) -> None:
+        self._interval = interval
         self._store = store
         self._authority = authority
         self._apply_stored = apply_stored
@@ -131,15 +138,27 @@
                 self._required.clear()
                 await self._required.wait()
                 continue
+            if not await self._wait_for_turn():
+                continue
             try:
                 await self.read()
-                await asyncio.sleep(READ_INTERVAL)
+                await asyncio.sleep(self._interval)
             except StoreError as error:
                 log_decision(LOG, Decision.CONFIGURATION_NOT_READ, reason=str(error))
                 await asyncio.sleep(
                     draw_retry_delay(self._count_readers(), MAX_RETRY_INTERVAL)
                 )
 
+    async def _wait_for_turn(self) -> bool:
+        """Wait so that many followers do not read at once; return whether to read.
+
+        What they all lack is often confirmed by their leader meanwhile.
+        """
+        readers = self._count_readers()
+        if readers > UNSCALED_RETRY_DAEMONS:
+            await asyncio.sleep(draw_retry_delay(readers, MAX_RETRY_INTERVAL))
+        return self._is_needed()
+
     async def read(self) -> None:
         """Read once; raises ``StoreError``."""
         started_at = self._clock()
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -25,7 +25,7 @@
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.authority import Authority
+from kestreltally.knowledge.authority import NEVER, Authority
 from kestreltally.knowledge.credits import CreditExchange
 from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
@@ -278,11 +278,8 @@
         return bool(self._fleet.endpoints) or self._endpoints_age() < AGE_UNKNOWN
 
     def _get_known_at(self) -> Seconds | None:
-        """Return the time up to which all configurations are known.
-
-        None if no API keys are checked.
-        """
-        return self._authority.as_of if self._fleet.keys is not None else None
+        """Return the time up to which all configurations are known, if any."""
+        return self._authority.as_of if self._authority.as_of > NEVER else None
 
     def _make_throttles(self) -> list[Throttle] | None:
         """Return the throttles of organisations at their limit.
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -50,8 +50,8 @@
 
     ``load_wait`` is the time until a load that is requested now completes, and
     ``free_capacity`` the number of adapters that the engines led can still take. All
-    writes that the store had acknowledged at ``known_at`` are known to this leader; it
-    is None if keys are not checked.
+    configurations that the store had acknowledged at ``known_at`` are known to this
+    leader; it is None if none is known yet.
     """
 
     leader: str
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -78,9 +78,12 @@
         self._read_revision: Revision | None = None
         self._version = 0
         self.encoded = b""
+        # Whether the newest configuration that the store has told of is in force.
+        self.is_current = False
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply the configuration in a list."""
+        self.is_current = False
         for stored in listing.objects:
             if stored.name == CONFIGURATION_NAME:
                 self._pending = stored
@@ -94,7 +97,7 @@
         """Apply the listed configuration once no newer one is expected."""
         if self._pending is not None and not self._may_be_outdated():
             pending, self._pending = self._pending, None
-            self.apply_document(
+            self.is_current = self.apply_document(
                 pending.content, ConfigurationOrigin(ConfigurationSource.LIST)
             )
 
@@ -102,7 +105,7 @@
         """Apply a changed configuration; a deletion is ignored."""
         for change in changes.changes:
             if not change.deleted and change.object.name == CONFIGURATION_NAME:
-                self.apply_document(
+                self.is_current = self.apply_document(
                     change.object.content,
                     ConfigurationOrigin(ConfigurationSource.WATCH),
                 )
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -16,6 +16,7 @@
     StaleEra,
     Store,
     StoreError,
+    StoreSilent,
     WatchInterrupted,
 )
 
@@ -42,6 +43,11 @@
     together. ``wait`` is how long one call waits for a change. It is short, because a
     store that stops answering may never answer a pending watch, even after it recovers.
     ``count_watchers`` returns how many daemons retry when the store does not answer.
+    ``record_current`` is called with the time at which a call was sent, once its answer
+    is applied: all objects that the store had acknowledged by then are known.
+
+    A call without an answer is repeated at once, over a new connection, if the call
+    before it was answered: then the connection may be at fault, and not the store.
     """
 
     def __init__(
@@ -53,8 +59,10 @@
         wait: Seconds,
         count_watchers: Callable[[], int],
         clock: Callable[[], Seconds],
+        record_current: Callable[[Seconds], None] = lambda _: None,
     ) -> None:
         self._store = store
+        self._record_current = record_current
         self._kind = kind
         self._handler = handler
         self._gap = gap
@@ -63,8 +71,6 @@
         self._clock = clock
         self._enabled = asyncio.Event()
         self.answered_at: Seconds = float("-inf")
-        # When the last call that was answered was sent: its answer is at least as new.
-        self.as_of: Seconds = float("-inf")
         self.failed_at: Seconds = float("-inf")
         self._regained_at: Seconds = float("-inf")
         self._revision: Revision | None = None
@@ -117,30 +123,39 @@
                 # of an outage.
                 log_decision(LOG, Decision.HISTORY_GONE, kind=self._kind)
                 self._revision = None
+            except StoreSilent as error:
+                was_connected = self._connected
+                self._record_failure(error)
+                if not was_connected:
+                    await self._wait_to_retry()
             except StoreError as error:
                 self._record_failure(error)
-                await asyncio.sleep(
-                    draw_retry_delay(self._count_watchers(), MAX_RETRY_INTERVAL)
-                )
+                await self._wait_to_retry()
+
+    async def _wait_to_retry(self) -> None:
+        await asyncio.sleep(
+            draw_retry_delay(self._count_watchers(), MAX_RETRY_INTERVAL)
+        )
 
     async def _step(self) -> None:
         started_at = self._clock()
         if self._revision is None:
             listing = await self._store.list_objects(self._kind)
-            self._record_answer(started_at)
+            self._record_answer()
             self._handler.apply_listing(listing)
             self._revision = listing.revision
+            self._record_current(started_at)
             return
         changes = await self._store.watch(self._kind, self._revision, self._wait)
-        self._record_answer(started_at)
+        self._record_answer()
         if not self._enabled.is_set():
             return
         self._revision = changes.revision
         self._handler.apply_changes(changes)
+        self._record_current(started_at)
         await asyncio.sleep(self._gap)
 
-    def _record_answer(self, started_at: Seconds) -> None:
-        self.as_of = started_at
+    def _record_answer(self) -> None:
         self.answered_at = self._clock()
         if not self._connected:
             self._connected = True
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -12,6 +12,7 @@
 import socket
 from collections.abc import AsyncIterator, Coroutine, Mapping
 from dataclasses import dataclass
+from errno import ETIMEDOUT
 from typing import Any, Final, NamedTuple
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
@@ -28,6 +29,9 @@
 CALL_TIMEOUT: Final[Seconds] = 1.5
 # Writes are short and often urgent.
 WRITE_TIMEOUT: Final[Seconds] = 0.6
+# Connections are given up at most once in this time: a slow store must have the time to
+# answer a watch that was begun again.
+RECONNECT_INTERVAL: Final[Seconds] = 3.0
 # How long a watch may take to answer in addition to its wait.
 WATCH_MARGIN: Final[Seconds] = 0.8
 HISTORY_GONE: Final = 410
@@ -58,6 +62,10 @@
     """A call to the store failed; a write may still have been applied."""
 
 
+class StoreSilent(StoreError):
+    """A call got no answer in time; a write may still have been applied."""
+
+
 class RequestRejected(StoreError):
     """The store rejected the call; nothing was written."""
 
@@ -195,6 +203,8 @@
         self.restored_at: Seconds = float("-inf")
         # Set, and replaced, when pending watches have to end.
         self._interruption = asyncio.Event()
+        self._closing: set[asyncio.Task[None]] = set()
+        self._reconnected_at: Seconds = float("-inf")
 
     def _record_era(self, call: str, headers: Mapping[str, str]) -> int:
         """Record the era of an answer; raises ``StoreError`` if it is an older one."""
@@ -211,6 +221,30 @@
             self._interrupt_watches()
         return era
 
+    def reconnect(self) -> None:
+        """Make all later calls over new connections, and end the watches that wait.
+
+        Idle connections may be as silent as the one that showed it, and each call on
+        one of them would be lost. Calls that are in progress go on. This is skipped
+        within ``RECONNECT_INTERVAL``.
+        """
+        now = asyncio.get_running_loop().time()
+        if now - self._reconnected_at < RECONNECT_INTERVAL:
+            return
+        self._reconnected_at = now
+        former, self._session = self._session, open_store_session()
+        closing = asyncio.create_task(_close_later(former))
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+        self._interrupt_watches()
+
+    async def close(self) -> None:
+        """Close all connections; calls in progress fail."""
+        for closing in self._closing:
+            closing.cancel()
+        await asyncio.gather(*self._closing, return_exceptions=True)
+        await self._session.close()
+
     def _interrupt_watches(self) -> None:
         """End the pending watches, so that their callers call again at once."""
         self._interruption.set()
@@ -242,7 +276,8 @@
         """Wait for changes after a revision; raises ``StoreError``.
 
         Raises ``WatchInterrupted`` as soon as another call shows that the store was
-        restored from a backup: its answer may come only when the wait is over.
+        restored from a backup, or that connections to it are silent: an answer may come
+        only when the wait is over, or never.
         """
         _check_era(revision, self.era)
         query = {"Watch": str(revision.number), "WaitMs": str(int(wait * 1000))}
@@ -315,8 +350,9 @@
         timeout: Seconds = CALL_TIMEOUT,
     ) -> _Answer:
         self.calls += 1
+        session = self._session
         try:
-            async with self._session.request(
+            async with session.request(
                 method,
                 f"{self._base}/{path}",
                 params=query,
@@ -325,12 +361,32 @@
             ) as answer:
                 content = await answer.read()
         except (TimeoutError, ClientError, OSError) as error:
-            raise StoreError(f"{method} {path}: {error!r}") from error
+            if not _is_silence(error):
+                raise StoreError(f"{method} {path}: {error!r}") from error
+            if session is self._session:
+                log_decision(LOG, Decision.STORE_SILENT, call=f"{method} {path}")
+                self.reconnect()
+            raise StoreSilent(f"{method} {path}: {error!r}") from error
         call = f"{method} {path}"
         era = self._record_era(call, answer.headers)
         return _Answer(era, _read_answer(call, answer.status, content, era))
 
 
+def _is_silence(error: Exception) -> bool:
+    """Return whether a call failed because nothing came back."""
+    return isinstance(error, TimeoutError) or (
+        isinstance(error, OSError) and error.errno == ETIMEDOUT
+    )
+
+
+async def _close_later(session: ClientSession) -> None:
+    """Close a session once the calls that use it have ended."""
+    try:
+        await asyncio.sleep(CALL_TIMEOUT)
+    finally:
+        await session.close()
+
+
 def _read_answer(call: str, status: int, content: bytes, era: int) -> Any:
     if status == NOT_FOUND:
         return None
