Configuration: a leader that another overtakes begins its watches again

A leader that heard of a later version from another leader did nothing until its own watch told it, or until the other sent the configuration after 1.0 s. Now it gives up its connections to the store once per version, which ends the watch that waits, and the other sends the configuration after 0.4 s.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -72,6 +72,11 @@
         Level.INFO,
         20,
     )
+    CONFIGURATION_OVERTAKEN = (
+        "knowledge: another daemon knows a later configuration",
+        Level.INFO,
+        20,
+    )
     CONFIGURATION_NOT_READ = ("authority: configuration not read", Level.INFO, 20)
     AUTHORITY_LOST = ("authority: keys no longer believed", Level.WARNING, 20)
     AUTHORITY_REGAINED = ("authority: keys believed again", Level.INFO, 20)
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -190,6 +190,7 @@
             self._datagrams,
             self._clock,
         )
+        self._exchange.notify_overtaken = self._store.reconnect
         self._quota_asking: QuotaAsking | None = None
         if self._exchange.quota_keeping is not None:
             self._quota_asking = QuotaAsking(
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -202,6 +202,10 @@
         self._leader_contact_at = clock()
         self._totals_summed_at: Seconds = float("-inf")
         self._resigned: tuple[LeaseInfo, ...] = ()
+        # The latest configuration that another daemon named before it was known here.
+        self._later_version = 0
+        # Called when another daemon knows a later configuration than this leader.
+        self.notify_overtaken: Callable[[], None] = lambda: None
 
     def add_part(self, part: FeedPart) -> None:
         """Let one more part take part in reports and updates."""
@@ -419,6 +423,7 @@
                 json.loads(update.configuration),
                 ConfigurationOrigin(ConfigurationSource.LEADER, update.leader),
             )
+        self._check_overtaken(update.configuration_version or 0)
         if not update.leads:
             return
         self._apply_authority(update)
@@ -428,6 +433,20 @@
         if not self.leaders.leads and received.followed:
             self._apply_totals(update)
 
+    def _check_overtaken(self, version: int) -> None:
+        """Report, once, that another daemon knows a later configuration than a leader.
+
+        A leader learns of each configuration by its own watch, which may be silent.
+        """
+        configuration = self._fleet.configuration
+        known = configuration.version if configuration else 0
+        if self.leaders.leads and version > max(known, self._later_version):
+            self._later_version = version
+            log_decision(
+                LOG, Decision.CONFIGURATION_OVERTAKEN, version=known, later=version
+            )
+            self.notify_overtaken()
+
     def _make_received_update(self, data_centre: str, update: Any) -> ReceivedUpdate:
         """Return an update with the context in which to apply it."""
         age = AGE_UNKNOWN if update.store_age is None else update.store_age
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -57,6 +57,9 @@
 UNSENT_TIMEOUT: Final[Seconds] = 3.0
 # A configuration is sent again if a daemon still lacks it after this interval.
 CONFIGURATION_RETRY_INTERVAL: Final[Seconds] = 1.0
+# Other leaders watch the store. They are sent a configuration if they still lack it
+# when two of their reports have come since it was known here.
+LEADER_CONFIGURATION_DELAY: Final[Seconds] = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -295,9 +298,10 @@
         if peer.configuration >= version:
             return False
         now = self._clock()
-        recent = now - peer.configuration_sent_at < CONFIGURATION_RETRY_INTERVAL
-        # Other leaders watch the store; they are sent the configuration only if they
-        # still lack it after the retry interval.
+        interval = (
+            LEADER_CONFIGURATION_DELAY if peer.leads else CONFIGURATION_RETRY_INTERVAL
+        )
+        recent = now - peer.configuration_sent_at < interval
         is_sent = peer.sent_configuration == version
         if peer.leads and not is_sent:
             recent = is_sent = True
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -7,8 +7,13 @@
 
 import asyncio
 
+import pytest
+
+from kestreltally.knowledge.structs import Update
+from kestreltally.platform.store import WatchInterrupted
 from tests.entryrig import BOUNDS
 from tests.test_fleet_daemon import FleetRig, make_configuration, run_fleet
+from tests.test_store_eras import StoreRig
 
 # Machines are in touch again this long after their channels fell silent.
 CONTACT_TIME = 3.0
@@ -51,3 +56,27 @@
         restored_at = asyncio.get_running_loop().time()
         await rig.store.restore(backup, later_changes=200)
         await check_in_force(rig, "/b/x", restored_at + BOUNDS.configuration)
+
+
+async def test_a_watch_that_waits_ends_as_connections_are_given_up() -> None:
+    async with StoreRig() as rig:
+        listing = await rig.client.list_objects("k")
+        watching = asyncio.create_task(rig.client.watch("k", listing.revision, 5.0))
+        await asyncio.sleep(0.1)
+        rig.client.reconnect()
+        with pytest.raises(WatchInterrupted):
+            await asyncio.wait_for(watching, 0.5)
+        await rig.client.list_objects("k")
+        await rig.client.close()
+
+
+async def test_a_leader_that_another_overtakes_begins_its_watches_again_once() -> None:
+    async with run_fleet() as rig:
+        leader = rig.daemons["north-1"]
+        begun: list[int] = []
+        leader._exchange.notify_overtaken = lambda: begun.append(1)
+        for version in (1, 2, 2, 3):
+            leader._exchange._apply_update(
+                "south", Update(leads=[], configuration_version=version)
+            )
+        assert len(begun) == 2
