Configuration: a longer wait and a shorter margin of its watch

A wait of 0.4 and a margin of 0.25 of the bound notice a silent connection as soon (1.4 s at 2 s) with fewer calls. An empty answer after the whole wait proves the time at which the wait was over, not only the time at which it began. The versions' watch waits 2.0 s.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -78,7 +78,12 @@
     get_settings_path,
     load_deployment,
 )
-from kestreltally.platform.store import Store, lacks_writes, open_store_session
+from kestreltally.platform.store import (
+    WATCH_MARGIN,
+    Store,
+    lacks_writes,
+    open_store_session,
+)
 from kestreltally.poison.api import PoisonApi
 from kestreltally.poison.persistence import PoisonPersistence
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS, UNORDERED
@@ -99,23 +104,24 @@
 # 1.6 s, so its followers watch the store themselves within the 2 s that are allowed for
 # noticing a leaving endpoint.
 ENDPOINTS_WAIT: Final[Seconds] = 0.4
-# When the store is silent, no version goes unnoticed for more than 2.4 s of the 5 s
+# When the store is silent, no version goes unnoticed for more than 2.9 s of the 5 s
 # that are allowed until it is loaded.
 VERSIONS_GAP: Final[Seconds] = 0.1
-VERSIONS_WAIT: Final[Seconds] = 1.5
+VERSIONS_WAIT: Final[Seconds] = 2.0
 CONFIGURATION_GAP: Final[Seconds] = 0.1
-# The wait of the configuration's watch, as a fraction of the time in which a
-# configuration has to be in force everywhere. With the gap and the call's margin, a
-# leader detects silent connections within 0.9 s and this fraction: at a bound of 2 s,
-# 0.6 s remain for reading it again and for the feed.
-CONFIGURATION_WAIT_FRACTION: Final = 0.25
+# The wait of the configuration's watch and the margin of its answer, as fractions of
+# the time in which a configuration has to be in force everywhere. A leader detects a
+# silent connection after both and the gap: at 2 s, 0.6 s remain for reading the
+# configuration again and for the feed.
+CONFIGURATION_WAIT_FRACTION: Final = 0.4
+CONFIGURATION_MARGIN_FRACTION: Final = 0.25
 # When all daemons are started for the first time, the first leader is elected within
 # about 1.5 s and sends the complete state. Until then the other daemons do not need to
 # read the store.
 FIRST_LEADER_TIMEOUT: Final[Seconds] = 2.5
 # A daemon reads the configuration itself once its proof is older than this fraction of
 # the time in which a configuration has to be in force everywhere. Proofs by the watch
-# are at most half of that time and 0.1 s old, and 0.4 s more at followers.
+# are at most its wait and 0.1 s old, and 0.4 s more at followers.
 MAX_PROOF_AGE_FRACTION: Final = 0.9
 # The interval of a leader's reads is at most this fraction of that time.
 READ_INTERVAL_FRACTION: Final = 0.5
@@ -176,6 +182,7 @@
             CONFIGURATION_GAP,
             CONFIGURATION_WAIT_FRACTION * deployment.bounds.configuration,
             self._record_configuration_current,
+            CONFIGURATION_MARGIN_FRACTION * deployment.bounds.configuration,
         )
         self._exchange = Exchange(
             deployment,
@@ -317,6 +324,7 @@
         gap: Seconds,
         wait: Seconds,
         record_current: Callable[[Seconds], None] = lambda _: None,
+        margin: Seconds = WATCH_MARGIN,
     ) -> KindWatch:
         return KindWatch(
             self._store,
@@ -327,10 +335,11 @@
             self._count_watchers,
             self._clock,
             record_current,
+            margin,
         )
 
     def _record_configuration_current(self, as_of: Seconds) -> None:
-        """Record that a call of the watch, sent at ``as_of``, was answered.
+        """Record that all configurations up to a time are known by the watch.
 
         Where keys can be revoked, only reads prove anything: a store that is about to
         forget its history may answer a watch without the latest changes.
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -9,6 +9,7 @@
 from kestreltally.fleet.model import Seconds
 from kestreltally.knowledge.retry_delays import draw_retry_delay
 from kestreltally.platform.store import (
+    WATCH_MARGIN,
     Changes,
     HistoryGone,
     Listing,
@@ -42,9 +43,10 @@
     ``gap`` is the minimum time between two calls; changes within it are received
     together. ``wait`` is how long one call waits for a change. It is short, because a
     store that stops answering may never answer a pending watch, even after it recovers.
-    ``count_watchers`` returns how many daemons retry when the store does not answer.
-    ``record_current`` is called with the time at which a call was sent, once its answer
-    is applied: all objects that the store had acknowledged by then are known.
+    ``margin`` is how long its answer may take in addition. ``count_watchers`` returns
+    how many daemons retry when the store does not answer. ``record_current`` is called
+    with a time once an answer is applied: all objects that the store had acknowledged
+    by then are known.
 
     A call without an answer is repeated at once, over a new connection, if the call
     before it was answered: then the connection may be at fault, and not the store.
@@ -60,7 +62,9 @@
         count_watchers: Callable[[], int],
         clock: Callable[[], Seconds],
         record_current: Callable[[Seconds], None] = lambda _: None,
+        margin: Seconds = WATCH_MARGIN,
     ) -> None:
+        self._margin = margin
         self._store = store
         self._record_current = record_current
         self._kind = kind
@@ -146,15 +150,26 @@
             self._revision = listing.revision
             self._record_current(started_at)
             return
-        changes = await self._store.watch(self._kind, self._revision, self._wait)
+        changes = await self._store.watch(
+            self._kind, self._revision, self._wait, self._margin
+        )
         self._record_answer()
         if not self._enabled.is_set():
             return
         self._revision = changes.revision
         self._handler.apply_changes(changes)
-        self._record_current(started_at)
+        self._record_current(self._compute_as_of(changes, started_at))
         await asyncio.sleep(self._gap)
 
+    def _compute_as_of(self, changes: Changes, started_at: Seconds) -> Seconds:
+        """Return the time up to which all changes are known by an answer.
+
+        A store that has no changes to report answers when the wait is over.
+        """
+        has_waited = self.answered_at - started_at >= self._wait
+        is_empty = not changes.changes
+        return started_at + (self._wait if is_empty and has_waited else 0.0)
+
     def _record_answer(self) -> None:
         self.answered_at = self._clock()
         if not self._connected:
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -32,7 +32,7 @@
 # Connections are given up at most once in this time: a slow store must have the time to
 # answer a watch that was begun again.
 RECONNECT_INTERVAL: Final[Seconds] = 3.0
-# How long a watch may take to answer in addition to its wait.
+# How long a watch usually may take to answer in addition to its wait.
 WATCH_MARGIN: Final[Seconds] = 0.8
 HISTORY_GONE: Final = 410
 CONFLICT: Final = 409
@@ -272,9 +272,17 @@
                 return
             after = page.body["items"][-1]["Metadata"]["Name"]
 
-    async def watch(self, kind: str, revision: Revision, wait: Seconds) -> Changes:
+    async def watch(
+        self,
+        kind: str,
+        revision: Revision,
+        wait: Seconds,
+        margin: Seconds = WATCH_MARGIN,
+    ) -> Changes:
         """Wait for changes after a revision; raises ``StoreError``.
 
+        ``margin`` is how long the answer may take in addition to the wait.
+
         Raises ``WatchInterrupted`` as soon as another call shows that the store was
         restored from a backup, or that connections to it are silent: an answer may come
         only when the wait is over, or never.
@@ -282,7 +290,7 @@
         _check_era(revision, self.era)
         query = {"Watch": str(revision.number), "WaitMs": str(int(wait * 1000))}
         page = await self._call_until_interrupted(
-            self._call("GET", kind, query=query, timeout=wait + WATCH_MARGIN)
+            self._call("GET", kind, query=query, timeout=wait + margin)
         )
         _check_era(revision, page.era)
         changes = tuple(
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -12,7 +12,6 @@
 from kestreltally.knowledge.leaders import MAX_FEED_AGE
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.platform.store import (
-    WATCH_MARGIN,
     Changes,
     Listing,
     StoreError,
@@ -32,8 +31,10 @@
     async def list_objects(self, kind: str) -> Listing:
         return Listing((), 1)
 
-    async def watch(self, kind: str, revision: int, wait: Seconds) -> Changes:
-        await asyncio.sleep(wait + (WATCH_MARGIN if self.silent else 0.0))
+    async def watch(
+        self, kind: str, revision: int, wait: Seconds, margin: Seconds
+    ) -> Changes:
+        await asyncio.sleep(wait + (margin if self.silent else 0.0))
         if self.silent:
             raise StoreError("no answer")
         return Changes((), revision)
