Retries: one that was never sent is given back

A request that moves on to an endpoint which no channel reaches used up a retry that reached nobody, and another request was answered with its failure for want of it. Test: test_a_retry_that_was_never_sent_is_given_back (the budget had no way to give one back).

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -138,12 +138,15 @@
             if request.caller is not None and not progress.runs:
                 self.check_caller(request.caller)
             self._check_poison(request, progress)
-            if progress.sends and not self._acquire_retry(request):
+            sends = progress.sends
+            if sends and not self._acquire_retry(request):
                 raise make_final_error(progress)
             try:
                 return await self._attempt(request, client, progress, option)
             except AttemptFailed as failure:
                 progress.last_fault = failure.fault
+                if sends and progress.sends == sends:
+                    self._refund_retry(request)
                 self._log_failed_attempt(request, progress, option.endpoint, failure)
                 if not self._can_try_another(request, progress, failure):
                     raise make_final_error(progress) from failure
@@ -203,6 +206,11 @@
         )
         return granted
 
+    def _refund_retry(self, request: ClientRequest) -> None:
+        """Give back the retry of a request that was not sent, as no channel opened."""
+        now = asyncio.get_running_loop().time()
+        self.budget.refund(request.service_name, now)
+
     def _can_try_another(
         self, request: ClientRequest, progress: Progress, failure: AttemptFailed
     ) -> bool:
--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -97,6 +97,10 @@
             self._used_slack[service].add(1.0 - paid, now)
         return True
 
+    def refund(self, service: ServiceName, now: Seconds) -> None:
+        """Give back a retry that was acquired, but never sent."""
+        self._earned[service].add(1.0, now)
+
     def compute_remaining(self, service: ServiceName, now: Seconds) -> float:
         """Return the number of retries left in the budget."""
         earned = self._earned[service]
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -47,3 +47,15 @@
     assert acquired <= BOUNDS.retry_ratio * requests + BOUNDS.retry_slack
     # The share from its own requests is still available.
     assert acquired >= 0.5 * BOUNDS.retry_ratio * requests
+
+
+def test_a_retry_that_was_never_sent_is_given_back() -> None:
+    budget = RetryBudget(BOUNDS)
+    budget.daemon_count = 40
+    assert 0.0 < budget.compute_remaining(SERVICE, 0.0) < 1.0
+    for _ in range(3):
+        budget.record_request(SERVICE, 0.0)
+    assert budget.acquire(SERVICE, 0.0)
+    assert not budget.acquire(SERVICE, 0.1)
+    budget.refund(SERVICE, 0.1)
+    assert budget.acquire(SERVICE, 0.1)
