Retries: the last ones are kept for the most urgent requests

Who failed first took the last retries of a service, whatever its priority. A quarter of the part of the slack is now kept for the most urgent kind of request that the service gets.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -108,7 +108,9 @@
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
         if answer.status in NOT_RUN_STATUSES:
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
-        if retryable and self._budget.compute_remaining(request.service_name, now) >= 1:
+        if retryable and self._budget.can_acquire(
+            request.service_name, now, request.priority
+        ):
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
 
     async def _forward_long_body(
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -107,7 +107,9 @@
     ) -> web.StreamResponse:
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
         self._check_poison(request, progress)
-        self.budget.record_request(request.service_name, request.arrived_at)
+        self.budget.record_request(
+            request.service_name, request.arrived_at, request.priority
+        )
         if request.head.weights is not None and request.service.engine is not None:
             self.finder.demand.record_arrival(
                 request.service_name, request.head.weights
@@ -192,7 +194,7 @@
 
     def _acquire_retry(self, request: ClientRequest) -> bool:
         now = asyncio.get_running_loop().time()
-        granted = self.budget.acquire(request.service_name, now)
+        granted = self.budget.acquire(request.service_name, now, request.priority)
         log_decision(
             LOG,
             Decision.REQUEST_REPEATED if granted else Decision.RETRY_REFUSED,
--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -25,6 +25,8 @@
 # The rest of the slack is for daemons that are not counted, and for changes of load
 # within a window.
 SLACK_FRACTION: Final = 0.7
+# This fraction of the part of the slack is kept for the most urgent kind of request.
+RESERVED_FRACTION: Final = 0.25
 # A retry arrives at its endpoint at most about this long after it was granted.
 ARRIVAL_MARGIN: Final[Seconds] = 1.0
 
@@ -80,17 +82,29 @@
         self._used_slack: dict[ServiceName, Amounts] = defaultdict(
             lambda: Amounts(window)
         )
+        # The most urgent priority of a service's requests so far.
+        self._most_urgent: dict[ServiceName, int] = {}
         self.daemon_count: int | None = None
 
-    def record_request(self, service: ServiceName, now: Seconds) -> None:
-        """Count a client request."""
+    def record_request(
+        self, service: ServiceName, now: Seconds, priority: int = 0
+    ) -> None:
+        """Count a client request; priority 0 is the most urgent."""
+        known = self._most_urgent.get(service, priority)
+        self._most_urgent[service] = min(priority, known)
         earned = self._earned[service]
         earned.prune(now)
         earned.add(RATIO_FRACTION * self._bounds.retry_ratio, now)
 
-    def acquire(self, service: ServiceName, now: Seconds) -> bool:
+    def can_acquire(self, service: ServiceName, now: Seconds, priority: int) -> bool:
+        """Return whether a request of a priority can use a retry now."""
+        is_urgent = priority <= self._most_urgent.get(service, priority)
+        reserved = 0.0 if is_urgent else RESERVED_FRACTION * self._compute_part(now)
+        return self.compute_remaining(service, now) >= 1.0 + reserved
+
+    def acquire(self, service: ServiceName, now: Seconds, priority: int = 0) -> bool:
         """Use one retry of the budget; return whether it had one."""
-        if self.compute_remaining(service, now) < 1.0:
+        if not self.can_acquire(service, now, priority):
             return False
         paid = self._earned[service].take(1.0)
         if paid < 1.0:
@@ -109,9 +123,12 @@
 
     def _compute_slack(self, service: ServiceName, now: Seconds) -> float:
         """Return what is left of this process's part of the slack."""
-        if self.daemon_count is None or now < self._slack_from:
-            return 0.0
         used = self._used_slack[service]
         used.prune(now)
-        part = SLACK_FRACTION * self._bounds.retry_slack / max(1, self.daemon_count)
-        return max(0.0, part - used.total)
+        return max(0.0, self._compute_part(now) - used.total)
+
+    def _compute_part(self, now: Seconds) -> float:
+        """Return this process's part of the slack, used or not."""
+        if self.daemon_count is None or now < self._slack_from:
+            return 0.0
+        return SLACK_FRACTION * self._bounds.retry_slack / max(1, self.daemon_count)
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -59,3 +59,13 @@
     assert not budget.acquire(SERVICE, 0.1)
     budget.refund(SERVICE, 0.1)
     assert budget.acquire(SERVICE, 0.1)
+
+
+def test_the_last_retries_are_kept_for_the_most_urgent_requests() -> None:
+    budget = RetryBudget(BOUNDS)
+    budget.daemon_count = 6
+    budget.record_request(SERVICE, 0.0, priority=0)
+    budget.record_request(SERVICE, 0.0, priority=2)
+    less_urgent = sum(budget.acquire(SERVICE, 0.0, priority=2) for _ in range(20))
+    urgent = sum(budget.acquire(SERVICE, 0.0, priority=0) for _ in range(20))
+    assert (less_urgent, urgent) == (4, 2)
