Retries: the number of daemons is kept in the store

Callers could see more retries than allowed after all daemons had ended at once: those that then heard only some of the others counted themselves only, and each used a part for that many. A leader now reads the number when it begins to lead and writes it when it changes: one call and one to a few more a change, none by others.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -46,6 +46,7 @@
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
     REQUEST_REPEATED = ("relay: request is sent again", Level.INFO, 200)
     RETRY_REFUSED = ("relay: no retry left", Level.INFO, 100)
+    COUNT_NOT_KEPT = ("knowledge: number of daemons not kept", Level.INFO, 20)
     DAEMONS_COUNTED = ("knowledge: number of daemons", Level.INFO, 20)
     TURN_WAITS = ("pacing: prompt waits for its turn", Level.INFO, 50)
     TURN_TOO_LATE = ("pacing: turn would come too late", Level.INFO, 50)
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -46,6 +46,7 @@
     Authority,
     ConfigurationReader,
 )
+from kestreltally.knowledge.count_persistence import CountPersistence
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
@@ -258,6 +259,13 @@
             self._clock,
             time.time,
         )
+        self._count_persistence = CountPersistence(
+            self._store,
+            self._exchange.daemon_count,
+            deployment.data_centre,
+            lambda: self._exchange.leaders.leads,
+            self._clock,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._started_at = self._clock()
 
@@ -491,6 +499,7 @@
             self._exchange.feed.run,
             self._reader.run,
             self._poison_persistence.run,
+            self._count_persistence.run,
             self._run_maintenance,
             *(lease.run for lease in self._leases.values()),
             *(client.run for client in self._exchange.leaders.clients.values()),
--- a/src/kestreltally/knowledge/daemon_count.py
+++ b/src/kestreltally/knowledge/daemon_count.py
@@ -34,6 +34,13 @@
             self._previous_maximum, self._maximum = self._maximum, None
         self._maximum = max(self._settle(count, now), self._maximum or 0)
 
+    def record_former(self, count: int, now: Seconds) -> None:
+        """Record a number that daemons had counted before this process started."""
+        if now - self._window_start >= COUNT_WINDOW:
+            self._window_start = now
+            self._maximum = None
+        self._previous_maximum = max(count, self._previous_maximum or 0)
+
     def _settle(self, count: int, now: Seconds) -> int:
         """Return the number that was reported all the time lately.
 
--- a/tests/test_retry_lives.py
+++ b/tests/test_retry_lives.py
@@ -51,3 +51,16 @@
             await asyncio.sleep(0.1)
             for daemon in rig.daemons.values():
                 assert (daemon._relay.budget.daemon_count or 6) >= 6
+
+
+async def test_daemons_that_start_again_without_the_others_count_all() -> None:
+    async with run_fleet() as rig:
+        await rig.add_daemons_up_to(6)
+        await asyncio.sleep(3.0)
+        for vm in list(rig.daemons):
+            await rig.daemons.pop(vm).close()
+        for vm in ("north-1", "north-2", "north-3"):
+            await rig.add_daemon(vm, "north")
+        await asyncio.sleep(4.0)
+        for daemon in rig.daemons.values():
+            assert (daemon._relay.budget.daemon_count or 6) >= 6
