Soak: channels to the store that fall silent, all daemons killed in series

Two new actions with generators of their own: all open channels to the store fall silent while new ones work, with a change of the configuration a second later; and all daemons are killed three times within a retry window while engines fail. Its witness counts repeats over all daemons in any window, in every run.

--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from bisect import bisect_left
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from dataclasses import dataclass, field
 from itertools import pairwise
@@ -44,6 +44,42 @@
 RESUME_GRACE: Final = 0.6
 
 
+# Services, and the paths that only they serve.
+SERVICE_PREFIXES: Final = {"models": ("/models/",), "plain": ("/plain/", "/v")}
+POISONED_SERVICE: Final = "models"
+RETRY_WINDOW: Final = BOUNDS["BudgetWindowS"]
+
+
+def list_repeats(arrivals: list[tuple[float, str]]) -> list[float]:
+    """Return the times of all arrivals but the first of each request."""
+    seen: set[str] = set()
+    repeats = []
+    for at, name in arrivals:
+        if name in seen:
+            repeats.append(at)
+        seen.add(name)
+    return repeats
+
+
+def find_excess(repeats: list[float], requests: list[float]) -> str | None:
+    """Return a window with more repeats than allowed, None if there is none.
+
+    The requests are those of the window, of the one before, or of the one half a
+    window before, whichever has most.
+    """
+    for number, begin in enumerate(repeats):
+        count = bisect_right(repeats, begin + RETRY_WINDOW) - number
+        most = max(
+            bisect_right(requests, begin + RETRY_WINDOW - shift)
+            - bisect_left(requests, begin - shift)
+            for shift in (0.0, RETRY_WINDOW / 2, RETRY_WINDOW)
+        )
+        allowed = BOUNDS["BudgetRatio"] * most + BOUNDS["BudgetSlack"]
+        if count > allowed:
+            return f"{count} repeats in {RETRY_WINDOW} s, {allowed:.0f} allowed"
+    return None
+
+
 @dataclass
 class RequestRecord:
     """One request and its result; ``status`` 0 means no answer."""
@@ -70,9 +106,11 @@
     problems: list[str] = field(default_factory=list)
     # Start and end of each disturbance of the system.
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    # Times at which open channels to the store fell silent.
+    silences: list[float] = field(default_factory=list)
     stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
     healed: list[float] = field(default_factory=list)
-    poison_count: int = 0
+    poison_times: list[float] = field(default_factory=list)
     # The newest configuration that each process has been seen to apply.
     seen_versions: dict[tuple[str, int], int] = field(default_factory=dict)
 
@@ -148,33 +186,60 @@
                 self.problems.append(
                     f"{daemon.vm} reverted from configuration {version}"
                 )
-            elif late and self.is_undisturbed(since, record.ended):
+            elif (
+                late
+                and self.is_undisturbed(since, record.ended)
+                and not self._is_silenced(record)
+            ):
                 self.problems.append(
                     f"{daemon.vm} has not applied configuration {version}"
                 )
         elif record.status == 200:
             self.seen_versions[boot] = max(version, self.seen_versions.get(boot, 0))
 
+    def _is_silenced(self, record: RequestRecord) -> bool:
+        """Return whether channels had fallen silent shortly before a request."""
+        since = record.began - UNDISTURBED_TIME
+        return any(since < at < record.ended for at in self.silences)
+
     def check_final(self) -> None:
         """Run the checks that need the records of the complete soak."""
         endpoints = self.system.all_endpoints
         self.problems.extend(self.system.unexpected_exits)
         self._check_runs(endpoints)
-        self._check_keys(endpoints)
-        self._check_quota(endpoints)
+        if self.system.checks_keys:
+            self._check_keys(endpoints)
+            self._check_quota(endpoints)
         for endpoint in endpoints:
             self._check_orders(endpoint)
             self._check_leaving(endpoint)
         self._check_stops()
         self._check_poison(endpoints)
+        self._check_retries(endpoints)
+
+    def _check_retries(self, endpoints: list[SoakEndpoint]) -> None:
+        """Check the bound on retries of all daemons, which holds in any window."""
+        for service, prefixes in SERVICE_PREFIXES.items():
+            arrivals = sorted(
+                arrival
+                for endpoint in endpoints
+                if endpoint.engine.service == service
+                for arrival in endpoint.engine.requests
+            )
+            requests = [r.began for r in self.records if r.path.startswith(prefixes)]
+            if service == POISONED_SERVICE:
+                requests.extend(self.poison_times)
+            worst = find_excess(list_repeats(arrivals), sorted(requests))
+            if worst is not None:
+                self.problems.append(f"{service}: {worst}")
 
     async def send_poison(self, http: ClientSession, daemon: Daemon, body: str) -> None:
         """Send a poison request, which crashes the engine that starts to run it."""
         key = self.system.keys.current[STEADY]
-        self.poison_count += 1
+        self.poison_times.append(asyncio.get_running_loop().time())
         headers = {
             "Host": HOST_NAME,
-            "X-Request-Id": f"d{self.poison_count}",
+            "X-Request-Id": f"d{len(self.poison_times)}",
             "X-Credential": key,
             "X-Model-Name": f"{MODEL}/a1",
         }
--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -31,7 +31,8 @@
 
     ``action`` is the fault that must reveal it, injected every ``every`` seconds into
     one target after the other for ``duration`` seconds. If ``revoke_after`` is given, a
-    key is revoked so many seconds after each start of the fault.
+    key is revoked so many seconds after each start of the fault. ``checks_keys`` says
+    whether the deployment has keys.
     """
 
     name: str
@@ -43,6 +44,7 @@
     every: float = 0.7
     duration: float = 0.4
     revoke_after: float | None = None
+    checks_keys: bool = True
 
     def make_plan(self) -> list[Step]:
         """Return the steps that must reveal the mutation."""
@@ -205,6 +207,15 @@
         every=16.0,
         duration=16.0,
     ),
+    Mutation(
+        name="silence of the store never noticed",
+        module="platform/store.py",
+        before="ClientTimeout(total=timeout, sock_connect=CALL_TIMEOUT)",
+        after="ClientTimeout(total=60.0, sock_connect=CALL_TIMEOUT)",
+        action=Action.STORE_CHANNELS_SILENT,
+        every=9.0,
+        checks_keys=False,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
@@ -220,7 +231,9 @@
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
         source = mutation.write_source(directory)
-        system = SoakSystem(directory, base_port, source)
+        system = SoakSystem(
+            directory, base_port, source, checks_keys=mutation.checks_keys
+        )
         checker = await run_plan(system, mutation.make_plan(), DAEMONS)
     return checker.problems[0] if checker.problems else ""
 
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -43,6 +43,8 @@
     LEAVING_NOTICE = "endpoint leaves, announced only in its answers"
     BACKOFF_NOTICE = "endpoint rejects requests and asks for backoff"
     RATE_LIMIT_NOTICE = "endpoint announces a rate limit for all daemons"
+    STORE_CHANNELS_SILENT = "open channels to the store silent, then a configuration"
+    KILL_SERIES = "all daemons killed three times while engines fail"
 
 
 # Relative frequency of each action, highest for what is most frequent in operation.
@@ -79,6 +81,11 @@
 # the window in which calls are counted.
 MEAN_LIMIT_INTERVAL: Final = 8.0
 LIMIT_DURATIONS: Final = (6.0, 9.0)
+# Mean interval between silences of all channels to the store, seconds.
+MEAN_SILENCE_INTERVAL: Final = 12.0
+# Fraction of plans in which all daemons are killed in series, and duration, seconds.
+KILL_SERIES_FRACTION: Final = 0.25
+KILL_SERIES_DURATION: Final = 13.2
 _FAULT_MODES: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -125,6 +132,8 @@
     steps.extend(_draw_notices(random.Random(f"notices {seed}"), seconds))
     steps.extend(_draw_rate_limits(random.Random(f"limits {seed}"), seconds))
     steps.extend(_draw_restores(random.Random(f"eras {seed}"), seconds))
+    steps.extend(_draw_silences(random.Random(f"silences {seed}"), seconds))
+    steps.extend(_draw_kill_series(random.Random(f"series {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -176,6 +185,21 @@
     return steps
 
 
+def _draw_silences(draw: random.Random, seconds: float) -> list[Step]:
+    return [
+        Step(at, 0.0, Action.STORE_CHANNELS_SILENT, 0, ProxyMode.PASS)
+        for at in _draw_times(draw, MEAN_SILENCE_INTERVAL, seconds)
+    ]
+
+
+def _draw_kill_series(draw: random.Random, seconds: float) -> list[Step]:
+    last = seconds - KILL_SERIES_DURATION
+    if draw.random() >= KILL_SERIES_FRACTION or last < FIRST_FAULT_AT:
+        return []
+    at = draw.uniform(FIRST_FAULT_AT, last)
+    return [Step(at, KILL_SERIES_DURATION, Action.KILL_SERIES, 0, ProxyMode.PASS)]
+
+
 def _draw_revocations(draw: random.Random, seconds: float) -> list[Step]:
     return [
         Step(at, 0.0, Action.REVOKE, 0, ProxyMode.PASS)
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -69,8 +69,15 @@
         Action.LEAVING_NOTICE,
         Action.BACKOFF_NOTICE,
         Action.RATE_LIMIT_NOTICE,
+        Action.STORE_CHANNELS_SILENT,
     }
 )
+# Delay of a change of the configuration behind a silence: daemons count as in touch
+# again when the change has to be in force, seconds.
+SILENCE_TO_CHANGE: Final = 1.0
+KILL_SERIES: Final = 3
+# Clients added to each daemon meanwhile.
+EXTRA_CLIENTS: Final = 1
 # Downtime of the store before it is restored from a backup, and delay until operators
 # have rewritten what was lost, seconds.
 RESTORE_DOWNTIME: Final = 0.4
@@ -299,6 +306,42 @@
     await asyncio.gather(*(soak.system.wait_for_restart(each) for each in killed))
 
 
+@performs(Action.KILL_SERIES)
+async def kill_in_series(soak: Soak, step: Step) -> None:
+    """Kill all daemons three times within a retry window while all engines fail.
+
+    More requests than usual are sent meanwhile, so that each process has many failures.
+    """
+    engines = [e for e in soak.system.endpoints if e.engine.service == "models"]
+    for endpoint in engines:
+        endpoint.engine.faults.set(errors=True)
+    clients = [
+        asyncio.create_task(soak.send_requests(daemon, step.target + number))
+        for number, daemon in enumerate(EXTRA_CLIENTS * soak.system.daemons)
+    ]
+    for _ in range(KILL_SERIES):
+        await asyncio.sleep(step.duration / (KILL_SERIES + 1))
+        for daemon in soak.system.daemons:
+            daemon.signal(signal.SIGKILL)
+    await asyncio.sleep(step.duration / (KILL_SERIES + 1))
+    for client in clients:
+        client.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    for endpoint in engines:
+        endpoint.engine.faults.set(errors=False)
+
+
+@performs(Action.STORE_CHANNELS_SILENT)
+async def silence_store_channels(soak: Soak, _: Step) -> None:
+    """Silence all open channels to the store, while new ones work."""
+    for daemon in soak.system.daemons:
+        daemon.store.silence_open()
+    soak.checker.silences.append(asyncio.get_running_loop().time())
+    await asyncio.sleep(SILENCE_TO_CHANGE)
+    soak.system.version += 1
+    await soak.system.configure()
+
+
 @performs(Action.PLANNED_STOP)
 async def stop_as_planned(soak: Soak, step: Step) -> None:
     """Stop a daemon as planned and wait for its restart."""
@@ -495,7 +538,9 @@
                 directory.mkdir(parents=True, exist_ok=True)
             else:
                 directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-            run = _make_runner(directory, base_port, daemons)
+            # Every other seed plays a deployment without keys.
+            has_keys = number % 2 == 1
+            run = _make_runner(directory, base_port, daemons, checks_keys=has_keys)
             checker = asyncio.run(run(plan))
             report(checker, number)
             if checker.problems:
@@ -507,9 +552,12 @@
     sys.exit(1 if failed else 0)
 
 
-def _make_runner(directory: Path, base_port: int, daemons: int) -> RunPlan:
+def _make_runner(
+    directory: Path, base_port: int, daemons: int, *, checks_keys: bool
+) -> RunPlan:
     async def run(plan: list[Step]) -> Checker:
-        return await run_plan(SoakSystem(directory, base_port), plan, daemons)
+        system = SoakSystem(directory, base_port, checks_keys=checks_keys)
+        return await run_plan(system, plan, daemons)
 
     return run
 
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -18,9 +18,14 @@
 from aiohttp import web
 
 from bench.cluster import REPOSITORY
-from bench.faultsoak.organisations import CHANGING, SOAK_BOUNDS, Keys
+from bench.faultsoak.organisations import (
+    CHANGING,
+    SOAK_BOUNDS,
+    Keys,
+)
 from bench.faultsoak.proxy import HOST, Proxy
 from bench.fleet_demo import (
+    BOUNDS,
     CONFIGURATION,
     DATA_CENTRES,
     MODEL,
@@ -87,6 +92,7 @@
     directory: Path
     base_port: int
     source: Path = REPOSITORY / "src"
+    checks_keys: bool = True
     daemons: list[Daemon] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     removed_endpoints: list[SoakEndpoint] = field(default_factory=list)
@@ -132,8 +138,9 @@
 
     def boot(self, daemon: Daemon) -> None:
         """Start a daemon's process."""
+        bounds = SOAK_BOUNDS if self.checks_keys else BOUNDS
         settings = make_settings(
-            daemon.vm, daemon.data_centre, daemon.port, daemon.store.port, SOAK_BOUNDS
+            daemon.vm, daemon.data_centre, daemon.port, daemon.store.port, bounds
         )
         path = self.directory / f"{daemon.vm}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
@@ -234,13 +241,16 @@
             **CONFIGURATION,
             "Version": self.version,
             "Routes": routes,
-            "Tenants": self.keys.encode(),
         }
+        if self.checks_keys:
+            content["Tenants"] = self.keys.encode()
         await self.store.put("config", "main", content)
         self.configured_at = asyncio.get_running_loop().time()
 
     async def revoke(self) -> None:
-        """Revoke a key and issue another to its organisation."""
+        """Revoke a key and issue another to its organisation, if keys are checked."""
+        if not self.checks_keys:
+            return
         before = self.keys.issue(CHANGING)
         self.version += 1
         await self.configure()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -71,6 +71,8 @@
     heartbeats_paused_until: float = 0.0
     # Arrival times of requests, and of calls of any kind, by the loop's clock.
     arrivals: list[float] = field(default_factory=list)
+    # Times and ids of all requests that arrived, whether they ran or not.
+    requests: list[tuple[float, str]] = field(default_factory=list)
     calls: list[float] = field(default_factory=list)
     # Start time of this incarnation, Unix milliseconds; callback that crashes it.
     born: int = 0
@@ -221,11 +223,12 @@
         now = asyncio.get_running_loop().time()
         self.arrivals.append(now)
         self.calls.append(now)
+        request_id = http.headers.get("X-Request-Id", "")
+        self.requests.append((now, request_id))
         if now < self.backoff_until:
             return self._reject(http, self.backoff_until - now)
         if self.sheds_load:
             return self._reject(http, None)
-        request_id = http.headers.get("X-Request-Id", "")
         adapter = http.headers.get("X-Model-Name", "").partition("/")[2]
         wrong = http.headers.get("X-Expect-Instance", self.id) != self.id
         version = http.headers.get("X-Expect-Version")
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.faultsoak.checker import Checker
+from bench.faultsoak.checker import Checker, find_excess, list_repeats
 from bench.faultsoak.mutations import MUTATIONS, Mutation
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import ProxyMode
@@ -30,6 +30,17 @@
 }
 
 
+def test_repeats_beyond_the_bound_of_a_window_are_found() -> None:
+    requests = [number * 0.1 for number in range(300)]
+    arrivals = [(at, str(at)) for at in requests]
+    # 0.2 of 100 requests in 10 s, and 52.
+    again = [(20.0 + number * 0.1, str(number * 0.1)) for number in range(73)]
+    repeats = list_repeats(sorted([*arrivals, *again]))
+    assert len(repeats) == 73
+    assert find_excess(repeats, requests) is not None
+    assert find_excess(repeats[:72], requests) is None
+
+
 def test_a_seed_makes_the_same_plan_each_time() -> None:
     assert make_plan(7, 20.0) == make_plan(7, 20.0)
     assert make_plan(7, 20.0) != make_plan(8, 20.0)
