--- a/src/kestreltally/entry/retries.py
+++ b/src/kestreltally/entry/retries.py
@@ -6,8 +6,9 @@
 
 - The ratio is earned: each request pays for a fraction of a retry for a short time.
   However processes start and clients move, a request pays only once.
-- The slack is divided by the number of daemons. A process uses none of its part while
-  the window may still contain retries of an earlier process on its VM.
+- The slack is divided by the number of daemons. While the window may still contain
+  retries of an earlier process on its VM, a process uses a small part only. The bound
+  holds as long as no VM starts more than three processes within a window.
 """
 
 from collections import defaultdict, deque
@@ -22,9 +23,10 @@
 # by the requests of that window, EARNED_TTL and ARRIVAL_MARGIN: of 1.4 windows of 10 s.
 RATIO_FRACTION: Final = 0.7
 EARNED_TTL: Final[Seconds] = 3.0
-# The rest of the slack is for daemons that are not counted, and for changes of load
-# within a window.
+# The fractions of the slack for a process that has been running for a window, and for a
+# new one: a VM may use the first and three times the second within one window.
 SLACK_FRACTION: Final = 0.7
+STARTING_FRACTION: Final = 0.1
 # This fraction of the part of the slack is kept for the most urgent kind of request.
 RESERVED_FRACTION: Final = 0.25
 # A retry arrives at its endpoint at most about this long after it was granted.
@@ -75,7 +77,7 @@
         self._bounds = bounds
         self.started_at = started_at
         window = bounds.retry_window + ARRIVAL_MARGIN
-        self._slack_from = started_at + window
+        self._new_until = started_at + window
         self._earned: dict[ServiceName, Amounts] = defaultdict(
             lambda: Amounts(EARNED_TTL)
         )
@@ -129,6 +131,8 @@
 
     def _compute_part(self, now: Seconds) -> float:
         """Return this process's part of the slack, used or not."""
-        if self.daemon_count is None or now < self._slack_from:
+        if self.daemon_count is None:
             return 0.0
-        return SLACK_FRACTION * self._bounds.retry_slack / max(1, self.daemon_count)
+        is_new = now < self._new_until
+        fraction = STARTING_FRACTION if is_new else SLACK_FRACTION
+        return fraction * self._bounds.retry_slack / max(1, self.daemon_count)
