--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -6,15 +6,22 @@
 
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet_daemon import (
+    CONFIGURATION_GAP,
+    CONFIGURATION_MARGIN_FRACTION,
+    CONFIGURATION_WAIT_FRACTION,
     ENDPOINTS_GAP,
     ENDPOINTS_WAIT,
+    VERSIONS_GAP,
+    VERSIONS_WAIT,
 )
 from kestreltally.knowledge.leaders import MAX_FEED_AGE
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.platform.store import (
+    WATCH_MARGIN,
     Changes,
     Listing,
     StoreError,
+    StoreSilent,
 )
 
 pytestmark = pytest.mark.looptime
@@ -76,3 +83,66 @@
             await asyncio.sleep(0.01)
         assert clock() - silent_since < DRAIN_BOUND - 0.3
     running.cancel()
+
+
+class SilentConnection(SilentStore):
+    """A store whose pending call is never answered, while new ones are."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answered_at = 0.0
+
+    async def watch(
+        self, kind: str, revision: int, wait: Seconds, margin: Seconds
+    ) -> Changes:
+        began_silent = self.silent
+        await asyncio.sleep(wait)
+        if self.silent and not began_silent:
+            await asyncio.sleep(margin)
+            raise StoreSilent("no answer")
+        self.answered_at = asyncio.get_running_loop().time() - wait
+        return Changes((), revision)
+
+
+@pytest.mark.parametrize(
+    ("bound", "reserve", "gap", "wait", "margin"),
+    [
+        *(
+            (
+                bound,
+                0.25 * bound,
+                CONFIGURATION_GAP,
+                CONFIGURATION_WAIT_FRACTION * bound,
+                CONFIGURATION_MARGIN_FRACTION * bound,
+            )
+            for bound in (2.0, 3.0, 4.0)
+        ),
+        (5.0, 2.0, VERSIONS_GAP, VERSIONS_WAIT, WATCH_MARGIN),
+    ],
+)
+async def test_silence_of_one_watch_alone_is_noticed_within_its_bound(
+    bound: Seconds, reserve: Seconds, gap: Seconds, wait: Seconds, margin: Seconds
+) -> None:
+    store = SilentConnection()
+    clock = asyncio.get_running_loop().time
+    watch = KindWatch(
+        store,  # type: ignore[arg-type]
+        "config",
+        NullHandler(),
+        gap,
+        wait,
+        lambda: 1,
+        clock,
+        margin=margin,
+    )
+    watch.set_enabled(True)
+    running = asyncio.create_task(watch.run())
+    for phase in range(8):
+        store.silent = False
+        await asyncio.sleep(3.0 + phase * 0.13)
+        store.silent = True
+        silent_since = clock()
+        while store.answered_at <= silent_since:
+            await asyncio.sleep(0.01)
+        assert store.answered_at - silent_since < bound - reserve
+    running.cancel()
