Configuration: its age, and when to read, in a module of their own

The daemon's wiring keeps no decision of it; no behaviour is changed. A test without a network for when a daemon reads; a conflict of two leaders' numbers is logged.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -41,17 +41,17 @@
     measure_requests,
 )
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
-from kestreltally.knowledge.authority import (
-    READ_INTERVAL,
-    Authority,
-    ConfigurationReader,
+from kestreltally.knowledge.authority import Authority, ConfigurationReader
+from kestreltally.knowledge.configuration_age import (
+    MARGIN_FRACTION,
+    WAIT_FRACTION,
+    ConfigurationAge,
 )
 from kestreltally.knowledge.count_persistence import CountPersistence
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
-from kestreltally.knowledge.updates import AGE_UNKNOWN
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
@@ -110,22 +110,10 @@
 VERSIONS_GAP: Final[Seconds] = 0.1
 VERSIONS_WAIT: Final[Seconds] = 2.0
 CONFIGURATION_GAP: Final[Seconds] = 0.1
-# The wait of the configuration's watch and the margin of its answer, as fractions of
-# the time in which a configuration has to be in force everywhere. A leader detects a
-# silent connection after both and the gap: at 2 s, 0.6 s remain for reading the
-# configuration again and for the feed.
-CONFIGURATION_WAIT_FRACTION: Final = 0.4
-CONFIGURATION_MARGIN_FRACTION: Final = 0.25
 # When all daemons are started for the first time, the first leader is elected within
 # about 1.5 s and sends the complete state. Until then the other daemons do not need to
 # read the store.
 FIRST_LEADER_TIMEOUT: Final[Seconds] = 2.5
-# A daemon reads the configuration itself once its proof is older than this fraction of
-# the time in which a configuration has to be in force everywhere. Proofs by the watch
-# are at most its wait and 0.1 s old, and 0.4 s more at followers.
-MAX_PROOF_AGE_FRACTION: Final = 0.9
-# The interval of a leader's reads is at most this fraction of that time.
-READ_INTERVAL_FRACTION: Final = 0.5
 # The load balancer probes every second and removes a daemon after two failed probes.
 MIN_STOP_DURATION: Final[Seconds] = 3.2
 # The part of the grace period that remains when the last requests are aborted.
@@ -175,15 +163,28 @@
         self._configuration = ConfigurationHandler(
             lambda configuration: self._exchange.apply_configuration(configuration),
             lambda: lacks_writes(self._store.restored_at, self._clock()),
-            self._describe_knowledge,
+            lambda: self._configuration_age.describe(),
+        )
+        self._first_leader_until = self._clock() + (
+            FIRST_LEADER_TIMEOUT if deployment.first_start else 0.0
+        )
+        bound = deployment.bounds.configuration
+        self._configuration_age = ConfigurationAge(
+            bound,
+            self._authority,
+            self._configuration,
+            self._store,
+            lambda: self._fleet.keys is not None,
+            self._first_leader_until,
+            self._clock,
         )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND,
             self._configuration,
             CONFIGURATION_GAP,
-            CONFIGURATION_WAIT_FRACTION * deployment.bounds.configuration,
-            self._record_configuration_current,
-            CONFIGURATION_MARGIN_FRACTION * deployment.bounds.configuration,
+            WAIT_FRACTION * bound,
+            self._configuration_age.record_watched,
+            MARGIN_FRACTION * bound,
         )
         self._exchange = Exchange(
             deployment,
@@ -215,9 +216,7 @@
             self._needs_configuration_read,
             self._count_watchers,
             self._clock,
-            min(
-                READ_INTERVAL, READ_INTERVAL_FRACTION * deployment.bounds.configuration
-            ),
+            self._configuration_age.read_interval,
         )
         self._pacing = Pacing(
             deployment,
@@ -267,7 +266,6 @@
             self._clock,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._started_at = self._clock()
 
     def _make_channel_rules(self) -> ChannelRules | None:
         if not self._deployment.features.shared_channels:
@@ -346,22 +344,6 @@
             margin,
         )
 
-    def _record_configuration_current(self, as_of: Seconds) -> None:
-        """Record that all configurations up to a time are known by the watch.
-
-        Where keys can be revoked, only reads prove anything: a store that is about to
-        forget its history may answer a watch without the latest changes.
-        """
-        if self._fleet.keys is not None or not self._configuration.is_current:
-            return
-        if not lacks_writes(self._store.restored_at, as_of):
-            self._authority.record(as_of)
-
-    def _describe_knowledge(self) -> dict[str, Any]:
-        """Return how old the configuration may have been, and the store's era."""
-        age = min(self._authority.compute_age(), AGE_UNKNOWN)
-        return {"proof_age": round(age, 3), "era": self._store.era}
-
     def _read_gauges(self) -> GaugeValues:
         """Return the current values of all gauges."""
         now = self._clock()
@@ -446,26 +428,17 @@
     def _needs_configuration_read(self) -> bool:
         """Return whether this daemon must read the configuration to confirm its age.
 
-        Leaders read regularly where keys can be revoked. Otherwise this is rare: the
-        watch of this daemon or of its leader confirms it. While the store is down, only
-        the endpoint watch probes whether it answers again.
+        While the store is down, only the endpoint watch probes whether it answers.
         """
-        if self._exchange.leaders.leads:
-            if self._fleet.keys is not None:
-                return True
-        elif self._endpoints_watch.failing or self._is_first_leader_pending():
-            return False
-        waited = self._clock() - self._started_at - self._get_first_leader_wait()
-        limit = MAX_PROOF_AGE_FRACTION * self._deployment.bounds.configuration
-        return min(self._authority.compute_age(), waited) > limit
-
-    def _get_first_leader_wait(self) -> Seconds:
-        """Return how long after the start only the first leader reads the store."""
-        return FIRST_LEADER_TIMEOUT if self._deployment.first_start else 0.0
+        return self._configuration_age.is_read_needed(
+            leads=self._exchange.leaders.leads,
+            store_is_away=self._endpoints_watch.failing
+            or self._is_first_leader_pending(),
+        )
 
     def _is_first_leader_pending(self) -> bool:
         """Return whether a new deployment is still waiting for its first leader."""
-        return self._clock() - self._started_at < self._get_first_leader_wait()
+        return self._clock() < self._first_leader_until
 
     def _count_watchers(self) -> int:
         """Return how many daemons retry calls to the store while it does not answer."""
--- a/src/kestreltally/knowledge/count_persistence.py
+++ b/src/kestreltally/knowledge/count_persistence.py
@@ -67,8 +67,9 @@
     async def _try_step(self) -> None:
         try:
             await self._step()
-        except Conflict:
+        except Conflict as conflict:
             # Another leader wrote the same object: read it before the next write.
+            LOG.debug("knowledge: number of daemons not written: %s", conflict)
             self._has_read = False
         except StoreError as error:
             log_decision(LOG, Decision.COUNT_NOT_KEPT, reason=str(error))
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -6,11 +6,15 @@
 """
 
 import asyncio
+from typing import Any, cast
 
 import pytest
 
+from kestreltally.knowledge.authority import Authority
+from kestreltally.knowledge.configuration_age import ConfigurationAge
 from kestreltally.knowledge.structs import Update
 from kestreltally.platform.store import WatchInterrupted
+from tests.clocks import ManualClock
 from tests.entryrig import BOUNDS
 from tests.test_fleet_daemon import FleetRig, make_configuration, run_fleet
 from tests.test_store_eras import StoreRig
@@ -80,3 +84,34 @@
                 "south", Update(leads=[], configuration_version=version)
             )
         assert len(begun) == 2
+
+
+@pytest.mark.parametrize(
+    ("leads", "checks_keys", "age", "store_is_away", "expected"),
+    [
+        (False, False, 1.7, False, False),
+        (False, False, 1.9, False, True),
+        (False, False, 1.9, True, False),
+        (True, False, 1.7, False, False),
+        (True, False, 1.9, True, True),
+        (True, True, 0.0, False, True),
+    ],
+)
+def test_a_daemon_reads_once_its_proof_is_too_old(
+    leads: bool, checks_keys: bool, age: float, store_is_away: bool, expected: bool
+) -> None:
+    clock = ManualClock()
+    authority = Authority(None, clock)
+    authority.record(clock.now)
+    configuration_age = ConfigurationAge(
+        BOUNDS.configuration,
+        authority,
+        cast(Any, None),
+        cast(Any, None),
+        lambda: checks_keys,
+        clock.now,
+        clock,
+    )
+    clock.now += age
+    needed = configuration_age.is_read_needed(leads=leads, store_is_away=store_is_away)
+    assert needed is expected
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -7,13 +7,12 @@
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet_daemon import (
     CONFIGURATION_GAP,
-    CONFIGURATION_MARGIN_FRACTION,
-    CONFIGURATION_WAIT_FRACTION,
     ENDPOINTS_GAP,
     ENDPOINTS_WAIT,
     VERSIONS_GAP,
     VERSIONS_WAIT,
 )
+from kestreltally.knowledge.configuration_age import MARGIN_FRACTION, WAIT_FRACTION
 from kestreltally.knowledge.leaders import MAX_FEED_AGE
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.platform.store import (
@@ -112,8 +111,8 @@
                 bound,
                 0.25 * bound,
                 CONFIGURATION_GAP,
-                CONFIGURATION_WAIT_FRACTION * bound,
-                CONFIGURATION_MARGIN_FRACTION * bound,
+                WAIT_FRACTION * bound,
+                MARGIN_FRACTION * bound,
             )
             for bound in (2.0, 3.0, 4.0)
         ),
