--- a/src/kestreltally/knowledge/authority.py
+++ b/src/kestreltally/knowledge/authority.py
@@ -60,7 +60,7 @@
         self.bound = bound
         self._clock = clock
         self.as_of: Seconds = NEVER
-        self._was_valid = False
+        self._was_valid = bound is None
 
     def record(self, as_of: Seconds) -> None:
         """Record that all configurations up to a time of the local clock are known."""
