Log what tells the hypotheses of the incident apart: removals, doubts, proofs

Each daemon keeps the time up to which answered calls prove its list of endpoints, its own or its leader's, and shows it (endpoints_age_seconds). A removal's line names its source, the leader that sent it, how long the entry was doubted, the proof's age and when this daemon last sent a request there; a row that is left out as older than a removal, and an entry that is missing but kept, get a line of their own. No decision uses any of it yet.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -92,6 +92,12 @@
     VERSION_REJECTED = ("knowledge: version left out", Level.WARNING, 20)
     ENDPOINT_GONE = ("knowledge: endpoint gone", Level.INFO, 50)
     ENDPOINT_LEAVING = ("knowledge: endpoint leaving", Level.INFO, 50)
+    ENDPOINT_DOUBTED = (
+        "knowledge: entry missing, kept for a while",
+        Level.INFO,
+        50,
+    )
+    ENDPOINT_ROW_OUTDATED = ("knowledge: row older than a removal", Level.INFO, 50)
     STORE_COPIED = ("store: came back from a copy", Level.WARNING, 20)
     HISTORY_GONE = ("knowledge: history gone", Level.INFO, 20)
     STORE_SILENT = ("store: no answer", Level.INFO, 20)
--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -181,6 +181,8 @@
         )
         sent_at = self._loop.time()
         trial = self._notices.start_send(self._endpoint, sent_at)
+        if request_id is not None:
+            self._notices.sent_at[self._endpoint.id] = sent_at
         transport.write(head + body if body else head)
         try:
             answer = await self._read_head()
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -134,6 +134,8 @@
     def __init__(self) -> None:
         self._rows: dict[EndpointId, _EndpointState] = {}
         self.unknown_signals = UnknownSignals()
+        # When a request was last sent to each endpoint, until the endpoint is removed.
+        self.sent_at: dict[EndpointId, Seconds] = {}
         # Called with an endpoint whose notice has changed.
         self.notify_change: Callable[[EndpointId], None] = lambda _: None
         # Returns the state of the issuer of credits for an endpoint with a rate limit.
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -49,6 +49,7 @@
 )
 from kestreltally.knowledge.count_persistence import CountPersistence
 from kestreltally.knowledge.datagrams import DatagramPort
+from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
@@ -178,6 +179,7 @@
             self._first_leader_until,
             self._clock,
         )
+        self._endpoints_age = EndpointsAge(self._clock)
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND,
             self._configuration,
@@ -193,6 +195,7 @@
             self._leases,
             self._configuration,
             lambda: self._endpoints_watch.compute_age(),
+            self._endpoints_age,
             lambda: self._endpoints_watch.answered_at,
             self._authority,
             self._limiter,
@@ -242,7 +245,11 @@
             lambda: self._endpoints_watch.recovered_at,
         )
         self._endpoints_watch = self._make_watch(
-            ENDPOINTS_KIND, self._endpoints, ENDPOINTS_GAP, ENDPOINTS_WAIT
+            ENDPOINTS_KIND,
+            self._endpoints,
+            ENDPOINTS_GAP,
+            ENDPOINTS_WAIT,
+            self._endpoints_age.record_watched,
         )
         self._versions_watch = self._make_watch(
             VERSIONS_KIND,
@@ -357,7 +364,14 @@
             **measure_requests(self._entry_api, self._relay, self._fleet, now),
             **measure_channels(self._pool, self._control_pool),
             **measure_leading(self._leader, self._leases),
-            **measure_knowledge(self._fleet, watches, self._authority, daemons, now),
+            **measure_knowledge(
+                self._fleet,
+                watches,
+                self._authority,
+                self._endpoints_age,
+                daemons,
+                now,
+            ),
             **measure_exchange(self._exchange, self._quota_asking, now),
             "store_calls": {"all": self._store.calls},
             "turns": self._pacing.measure(),
--- a/src/kestreltally/fleet_gauges.py
+++ b/src/kestreltally/fleet_gauges.py
@@ -9,6 +9,7 @@
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import GaugeValues
 from kestreltally.knowledge.authority import Authority
+from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.quota_asking import QuotaAsking
 from kestreltally.knowledge.watching import KindWatch
@@ -64,6 +65,7 @@
     fleet: Fleet,
     watches: Mapping[str, KindWatch],
     authority: Authority,
+    endpoints_age: EndpointsAge,
     daemon_count: int,
     now: Seconds,
 ) -> GaugeValues:
@@ -77,6 +79,7 @@
             kind: watch.compute_age() for kind, watch in watches.items()
         },
         "configuration_age_seconds": {"authority": authority.compute_age()},
+        "endpoints_age_seconds": {"proof": endpoints_age.compute_age()},
         "unread_words": fleet.notices.unknown_signals.count(),
         "endpoints_by_word": fleet.notices.count(now),
         "daemons_known": {"feed": daemon_count},
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -29,6 +29,7 @@
 from kestreltally.knowledge.credits import CreditExchange
 from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
+from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
     SIGNIFICANT_TOKENS,
@@ -108,6 +109,7 @@
         leases: Mapping[str, Lease],
         configuration: ConfigurationHandler,
         endpoints_age: Callable[[], Seconds],
+        endpoints_proof: EndpointsAge,
         store_read_at: Callable[[], Seconds],
         authority: Authority,
         limiter: Limiter,
@@ -120,6 +122,7 @@
         self._leases = leases
         self._configuration = configuration
         self._endpoints_age = endpoints_age
+        self._endpoints_proof = endpoints_proof
         self._store_read_at = store_read_at
         self._authority = authority
         self._limiter = limiter
@@ -175,6 +178,7 @@
             lambda: self.leader,
             self.get_lease,
             self.feed.expedite,
+            endpoints_proof,
             clock,
         )
         self.speeds: SpeedExchange | None = None
@@ -274,6 +278,7 @@
             configuration=self._configuration.encoded,
             free_capacity=self.leader.free_capacity if self.leader else 0,
             known_at=self._get_known_at(),
+            endpoints_known_at=self._get_endpoints_known_at(),
             secret=self._poison.get_leader_secret() if leads else b"",
         )
 
@@ -285,6 +290,11 @@
         """Return the time up to which all configurations are known, if any."""
         return self._authority.as_of if self._authority.as_of > NEVER else None
 
+    def _get_endpoints_known_at(self) -> Seconds | None:
+        """Return the time up to which all endpoints that left are known, if any."""
+        as_of = self._endpoints_proof.as_of
+        return as_of if as_of > NEVER else None
+
     def _make_throttles(self) -> list[Throttle] | None:
         """Return the throttles of organisations at their limit.
 
@@ -430,6 +440,10 @@
         received = self._make_received_update(data_centre, update)
         for part in self._parts:
             part.apply_update(received)
+        if update.endpoints_known_by is not None:
+            self._endpoints_proof.record_reported(
+                update.echo + update.endpoints_known_by
+            )
         if not self.leaders.leads and received.followed:
             self._apply_totals(update)
 
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -350,9 +350,13 @@
 
 def _fill_authority(update: Update, peer: Peer, state: LeaderState) -> None:
     """Set the time up to which all writes are known, relative to a report's arrival."""
-    if state.known_at is not None and peer.stamp is not None:
-        update.echo = peer.stamp
+    if peer.stamp is None:
+        return
+    update.echo = peer.stamp
+    if state.known_at is not None:
         update.known_by = state.known_at - peer.stamp_received_at
+    if state.endpoints_known_at is not None:
+        update.endpoints_known_by = state.endpoints_known_at - peer.stamp_received_at
 
 
 def differs_significantly(before: Occupancy, after: Occupancy) -> bool:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -217,7 +217,8 @@
 // triggers, and so are words, if organisations have quotas. room is the number of
 // adapters that the engines led can still take. echo is the stamp of a report. The sender
 // knows all that the store had acknowledged known_by seconds after the arrival of that
-// report, and sent this update echo_age seconds after that arrival. secret is the key of
+// report, and sent this update echo_age seconds after that arrival. endpoints_known_by is
+// the same for endpoints that have left. secret is the key of
 // the digests of requests. Sightings and clearings are sent to each daemon once.
 struct Update {
   1: string leader,
@@ -247,6 +248,7 @@
   25: list<NoticeRow> notices,
   26: list<TurnsRow> turns,
   27: list<string> paced,
+  28: double endpoints_known_by,
   35: list<FactorRow> factors,
 }
 
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -497,6 +497,7 @@
     25: (TType.LIST, "notices", (TType.STRUCT, NoticeRow), False),
     26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
     27: (TType.LIST, "paced", TType.STRING, False),
+    28: (TType.DOUBLE, "endpoints_known_by", False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
 }
 Update.default_spec = [
@@ -527,6 +528,7 @@
     ("notices", None),
     ("turns", None),
     ("paced", None),
+    ("endpoints_known_by", None),
     ("factors", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -51,7 +51,8 @@
     ``load_wait`` is the time until a load that is requested now completes, and
     ``free_capacity`` the number of adapters that the engines led can still take. All
     configurations that the store had acknowledged at ``known_at`` are known to this
-    leader; it is None if none is known yet.
+    leader; it is None if none is known yet. ``endpoints_known_at`` is the same for
+    endpoints that have left.
     """
 
     leader: str
@@ -64,6 +65,7 @@
     configuration: bytes
     free_capacity: int = 0
     known_at: Seconds | None = None
+    endpoints_known_at: Seconds | None = None
     secret: bytes = b""
 
 
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -15,6 +15,7 @@
     Seconds,
     WeightsKey,
 )
+from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
 from kestreltally.platform.documents import (
     CONFIGURATION_NAME,
     MalformedDocument,
@@ -146,6 +147,15 @@
         return configuration.version >= self._version
 
 
+@dataclass(frozen=True, slots=True)
+class _ExpiredEntry:
+    """An entry that is missing, and kept from one time until another."""
+
+    source: RemovalSource
+    since: Seconds
+    until: Seconds
+
+
 class EndpointsHandler:
     """Keeps the list of endpoints, with a grace period for expired entries.
 
@@ -155,7 +165,7 @@
     def __init__(
         self,
         put: Callable[[Endpoint], None],
-        drop: Callable[[EndpointId], None],
+        drop: Callable[[EndpointId, RemovalOrigin], None],
         clock: Callable[[], Seconds],
         recovered_at: Callable[[], Seconds],
     ) -> None:
@@ -164,7 +174,7 @@
         self._clock = clock
         self._recovered_at = recovered_at
         self.listed: dict[EndpointId, Endpoint] = {}
-        self._expired: dict[EndpointId, Seconds] = {}
+        self._expired: dict[EndpointId, _ExpiredEntry] = {}
 
     def seed(self, endpoints: Iterable[Endpoint]) -> None:
         """Start from known endpoints, so that those missing in a list are detected."""
@@ -176,13 +186,14 @@
         for stored in listing.objects:
             self._apply_entry(stored)
         for endpoint in [each for each in self.listed if each not in present]:
-            self._record_missing(endpoint)
+            self._record_missing(endpoint, RemovalSource.LIST)
 
     def apply_changes(self, changes: Changes) -> None:
         """Apply changes of some entries."""
         for change in changes.changes:
             if change.deleted:
-                self._record_missing(EndpointId(change.object.name))
+                name = EndpointId(change.object.name)
+                self._record_missing(name, RemovalSource.WATCH)
             else:
                 self._apply_entry(change.object)
 
@@ -193,34 +204,45 @@
             log_decision(LOG, Decision.ENTRY_REJECTED, reason=str(error))
             return
         self._expired.pop(endpoint.id, None)
-        known = self.listed.get(endpoint.id)
-        if endpoint.leaving and not (known is not None and known.leaving):
-            log_decision(LOG, Decision.ENDPOINT_LEAVING, endpoint=endpoint.id)
         self.listed[endpoint.id] = endpoint
         self._put(endpoint)
 
-    def _record_missing(self, endpoint: EndpointId) -> None:
+    def _record_missing(self, endpoint: EndpointId, source: RemovalSource) -> None:
         now = self._clock()
         if endpoint not in self.listed:
             return
         trusted_from = self._recovered_at() + EXPIRY_GRACE_PERIOD
         if not self.listed[endpoint].leaving and now < trusted_from:
-            self._expired.setdefault(endpoint, trusted_from)
+            if endpoint not in self._expired:
+                self._expired[endpoint] = _ExpiredEntry(source, now, trusted_from)
+                self._log_doubted(endpoint, source, now)
             return
-        self._remove(endpoint)
+        self._remove(endpoint, RemovalOrigin(source))
 
-    def _remove(self, endpoint: EndpointId) -> None:
+    def _log_doubted(
+        self, endpoint: EndpointId, source: RemovalSource, now: Seconds
+    ) -> None:
+        log_decision(
+            LOG,
+            Decision.ENDPOINT_DOUBTED,
+            endpoint=endpoint,
+            source=source.value,
+            since_recovery=round(now - self._recovered_at(), 3),
+        )
+
+    def _remove(self, endpoint: EndpointId, origin: RemovalOrigin) -> None:
         self._expired.pop(endpoint, None)
         self.listed.pop(endpoint, None)
-        self._drop(endpoint)
-        log_decision(LOG, Decision.ENDPOINT_GONE, endpoint=endpoint)
+        self._drop(endpoint, origin)
 
     def drop_expired(self) -> None:
         """Remove entries that were not written again within the grace period."""
         now = self._clock()
-        for endpoint, until in list(self._expired.items()):
-            if now >= until:
-                self._remove(endpoint)
+        for endpoint, expired in list(self._expired.items()):
+            if now >= expired.until:
+                doubted_for = round(now - expired.since, 3)
+                origin = RemovalOrigin(expired.source, doubted_for=doubted_for)
+                self._remove(endpoint, origin)
 
 
 class VersionsHandler:
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -57,7 +57,7 @@
     """Return the endpoints that a handler accepts; all of them can be serialised."""
     applied: list[Endpoint] = []
     follower = EndpointsHandler(
-        applied.append, lambda _: None, lambda: 0.0, lambda: float("-inf")
+        applied.append, lambda *_: None, lambda: 0.0, lambda: float("-inf")
     )
     objects = (
         StoredObject(f"i-{number}", number, entry)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -150,7 +150,7 @@
         self.known: dict[EndpointId, Endpoint] = {}
         self.follower = EndpointsHandler(
             lambda endpoint: self.known.__setitem__(endpoint.id, endpoint),
-            lambda endpoint: self.known.__delitem__(endpoint),
+            lambda endpoint, _: self.known.__delitem__(endpoint),
             self.clock,
             lambda: self.recovered_at,
         )
