--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -119,7 +119,12 @@
         return engine
 
     async def add_daemon(
-        self, vm: str, data_centre: str, *, first_start: bool = False
+        self,
+        vm: str,
+        data_centre: str,
+        *,
+        first_start: bool = False,
+        store_port: int | None = None,
     ) -> FleetDaemon:
         client_port = reserve_port()
         deployment = Deployment(
@@ -130,7 +135,7 @@
             readiness=SocketAddress("127.0.0.1", reserve_port()),
             peers=SocketAddress("127.0.0.1", reserve_port()),
             metrics_port=reserve_port(),
-            store=SocketAddress("127.0.0.1", self.store_proxy.port),
+            store=SocketAddress("127.0.0.1", store_port or self.store_proxy.port),
             machine_capacity=MachineCapacity(cores=1.0, link_mbps=1000.0),
             bounds=BOUNDS,
             first_start=first_start,
--- a/tests/test_notice_table.py
+++ b/tests/test_notice_table.py
@@ -213,3 +213,12 @@
         if random.random() < 0.7:
             table.end_trial(ENDPOINT)
     assert sends
+
+
+def test_listed_leaving_is_remembered_after_its_entry_is_gone() -> None:
+    table = NoticeTable()
+    table.apply_to(replace(ENDPOINT, leaving=True))
+    table.prune_old((), NOW)
+    assert table.apply_to(ENDPOINT).leaving
+    table.prune_old((), NOW + RETENTION + 1.0)
+    assert not table.apply_to(ENDPOINT).leaving
