Notices: a leaving read from an entry is kept after the entry is gone

Callers' requests could reach an endpoint that had left: an older row of a leader, or an entry restored from a backup, was used again once the entry had gone. A leaving read from an entry is recorded without a time, and the next clean-up, at most 1 s later, took it for older than the retention of 60 s. It now counts from the first clean-up that finds it.

--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -435,7 +435,10 @@
     def prune_old(self, listed: Container[EndpointId], now: Seconds) -> None:
         """Remove expired notices, and those of endpoints that no longer exist."""
         for name, row in list(self._rows.items()):
-            if name in listed and (row.leaves or row.rate_limit.limit is not None):
+            is_listed = name in listed
+            is_in_force = row.leaves or row.rate_limit.limit is not None
+            # A leaving that was read from an entry has no time of its own.
+            if is_in_force and (is_listed or row.recorded_at == NEVER):
                 row.recorded_at = now
             backoff_until = max(row.backoff_until, row.remote_backoff_until)
             if now > RETENTION + max(row.recorded_at, backoff_until):
