Requests: none is sent to an endpoint that was removed while it waited

A request that waits for a turn, a credit or a channel (up to 0.7 s a try) was sent to the endpoint that had been chosen, though its entry had gone meanwhile: only notices were looked at as the bytes leave, and an endpoint that just goes has none.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -180,9 +180,12 @@
             max_field_size=MAX_HEAD_BYTES,
         )
         sent_at = self._loop.time()
-        trial = self._notices.start_send(self._endpoint, sent_at)
-        if request_id is not None:
-            self._notices.sent_at[self._endpoint.id] = sent_at
+        start = (
+            self._notices.start_send
+            if request_id is None
+            else self._notices.start_request
+        )
+        trial = start(self._endpoint, sent_at)
         transport.write(head + body if body else head)
         try:
             answer = await self._read_head()
--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -66,7 +66,7 @@
 
 
 class Unavailable(Exception):
-    """The endpoint is leaving or limits its load; the request was not sent."""
+    """The endpoint is gone, leaving or limits its load; the request was not sent."""
 
 
 @dataclass(slots=True)
@@ -136,6 +136,8 @@
         self.unknown_signals = UnknownSignals()
         # When a request was last sent to each endpoint, until the endpoint is removed.
         self.sent_at: dict[EndpointId, Seconds] = {}
+        # Returns whether an endpoint is known and not leaving.
+        self.is_serving: Callable[[Endpoint], bool] = lambda _: True
         # Called with an endpoint whose notice has changed.
         self.notify_change: Callable[[EndpointId], None] = lambda _: None
         # Returns the state of the issuer of credits for an endpoint with a rate limit.
@@ -288,11 +290,23 @@
         backing_off = row.compute_backoff(now) > 0 or now < row.remote_backoff_until
         return backing_off or row.rate_limit.is_constrained()
 
+    def start_request(self, endpoint: Endpoint, now: Seconds) -> bool:
+        """Record that a client's request is sent; return whether it is a trial.
+
+        Raises ``Unavailable``. As for ``start_send``, do not await before the bytes are
+        sent: the endpoint may have been removed since it was chosen.
+        """
+        if not self.is_serving(endpoint):
+            raise Unavailable(endpoint.id)
+        trial = self.start_send(endpoint, now)
+        self.sent_at[endpoint.id] = now
+        return trial
+
     def start_send(self, endpoint: Endpoint, now: Seconds) -> bool:
-        """Record that a request is sent to an endpoint; return whether it is a trial.
+        """Record that a call is sent to an endpoint; return whether it is a trial.
 
         Raises ``Unavailable``. Call it directly before the bytes are sent, without
-        awaiting in between: a request for which the endpoint was chosen before its
+        awaiting in between: a call for which the endpoint was chosen before its
         notice arrived must not be sent after it.
         """
         row = self._get_row(endpoint)
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -15,6 +15,7 @@
     ServiceName,
     ServiceSpec,
     WeightsKey,
+    is_other_incarnation,
 )
 from kestreltally.fleet.notices import FOREVER, NoticeTable
 from kestreltally.fleet.organisations import KeyTable
@@ -78,6 +79,7 @@
         self._missing_until: dict[tuple[EndpointId, WeightsKey], Seconds] = {}
         self.copies = CopyTable()
         self.notices = NoticeTable()
+        self.notices.is_serving = self.is_serving
 
     def apply_configuration(self, configuration: Configuration) -> bool:
         """Apply a configuration unless outdated; return whether it was applied."""
@@ -124,6 +126,15 @@
         found = (self.endpoints[each] for each in names if each in self.endpoints)
         return [each for each in found if _accepts_work(each, service)]
 
+    def is_serving(self, endpoint: Endpoint) -> bool:
+        """Return whether this incarnation of an endpoint is known and not leaving."""
+        known = self.endpoints.get(endpoint.id)
+        return (
+            known is not None
+            and not known.leaving
+            and not is_other_incarnation(known.start_time_ms, endpoint.start_time_ms)
+        )
+
     def drop_endpoint(self, endpoint: EndpointId) -> None:
         """Remove an endpoint that no longer exists."""
         known = self.endpoints.pop(endpoint, None)
@@ -132,6 +143,7 @@
             for key in known.weights:
                 self._drop_holder(endpoint, key)
         self.copies.remove_endpoint(endpoint)
+        self.notices.sent_at.pop(endpoint, None)
 
     def _list_known(self, service: ServiceName) -> Iterator[Endpoint]:
         return (self.endpoints[each] for each in self._by_service.get(service, ()))
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -180,7 +180,6 @@
             proof_age=self._age.describe(),
             last_sent=self._describe_last_sent(endpoint),
         )
-        self._fleet.notices.sent_at.pop(endpoint, None)
 
     def apply_version(self, key: WeightsKey, number: int) -> None:
         """Apply the newest version of some weights."""
