Endpoints: an entry is kept while missing only if it may have expired

Callers' requests reached an endpoint up to 2.6 s after its entry had gone, of 2.0 allowed: any failed call of this daemon's own watch, such as a connection that was reset, counted as an outage of the store, and whatever went within the next 2.2 s was kept until then.

An entry expires after three heartbeats of silence at the store. So a doubt now takes an outage in which no daemon that is heard had an answer for two heartbeats or more, by the proofs of the endpoints' age, and it concerns only what is missing in the first answer after it.

--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -1,11 +1,14 @@
 """The settings of a daemon that runs on the users' platform."""
 
 from dataclasses import dataclass
+from typing import Final
 
 from kestreltally.features import Features
 from kestreltally.fleet.model import Seconds
 from kestreltally.quotas.grants import QuotaBounds
 
+DEFAULT_HEARTBEAT: Final[Seconds] = 1.2
+
 
 @dataclass(frozen=True, slots=True)
 class SocketAddress:
@@ -58,7 +61,8 @@
     """The identity of this daemon, its addresses, and the address of the store.
 
     ``first_start`` is set if all daemons of the deployment are started together for the
-    first time, so there are neither leaders nor clients yet.
+    first time, so there are neither leaders nor clients yet. ``heartbeat`` is the
+    interval at which endpoints refresh their entries in the store.
     """
 
     vm: str
@@ -72,4 +76,5 @@
     machine_capacity: MachineCapacity
     bounds: Bounds
     first_start: bool = False
+    heartbeat: Seconds = DEFAULT_HEARTBEAT
     features: Features = Features()
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -179,7 +179,7 @@
             self._first_leader_until,
             self._clock,
         )
-        self._endpoints_age = EndpointsAge(self._clock)
+        self._endpoints_age = EndpointsAge(deployment.heartbeat, self._clock)
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND,
             self._configuration,
@@ -242,7 +242,7 @@
             self._exchange.rows.put_entry,
             self._exchange.rows.drop_entry,
             self._clock,
-            lambda: self._endpoints_watch.recovered_at,
+            self._find_recovery,
         )
         self._endpoints_watch = self._make_watch(
             ENDPOINTS_KIND,
@@ -274,6 +274,18 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _find_recovery(self) -> Seconds:
+        """Return after which recovery of the store entries may be written again.
+
+        This concerns the answer of the endpoint watch that is being applied. An outage
+        that ended before an earlier answer has expired nothing that is missing only
+        now, and one of this daemon's connection alone has expired nothing at all.
+        """
+        restored_at = self._store.restored_at
+        if not self._endpoints_watch.is_first_answer:
+            return restored_at
+        return max(restored_at, self._endpoints_age.find_outage_end())
+
     def _make_channel_rules(self) -> ChannelRules | None:
         if not self._deployment.features.shared_channels:
             return None
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -159,7 +159,8 @@
 class EndpointsHandler:
     """Keeps the list of endpoints, with a grace period for expired entries.
 
-    ``recovered_at`` returns when the store last recovered from a failure.
+    ``recovered_at`` returns when the store last recovered, if entries that are missing
+    in the answer being applied may have expired before that.
     """
 
     def __init__(
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -94,12 +94,9 @@
             self._enabled.clear()
 
     @property
-    def recovered_at(self) -> Seconds:
-        """Return when the store last recovered, or was restored from a backup.
-
-        Objects missing at that time may be written again soon.
-        """
-        return max(self._regained_at, self._store.restored_at)
+    def is_first_answer(self) -> bool:
+        """Return whether the answer to the last call is the first after a failure."""
+        return self._regained_at >= self.answered_at > float("-inf")
 
     @property
     def failing(self) -> bool:
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -1,17 +1,20 @@
 """Reads the settings file that the platform provides for each process."""
 
 import json
+import math
 import os
 from pathlib import Path
 from typing import Any, Final
 
 from kestreltally.deployment import (
+    DEFAULT_HEARTBEAT,
     Bounds,
     Deployment,
     MachineCapacity,
     SocketAddress,
 )
 from kestreltally.features import read_features
+from kestreltally.fleet.model import Seconds
 from kestreltally.quotas.grants import QuotaBounds
 
 PATH_VARIABLE: Final = "KESTRELTALLY_CONFIG"
@@ -63,10 +66,20 @@
         machine_capacity=_decode_machine_capacity(content["Limits"]),
         bounds=_decode_bounds(content["Bounds"]),
         first_start=bool(content.get("FirstStart")),
+        heartbeat=_decode_heartbeat(content),
         features=read_features(os.environ.get(DISABLED_VARIABLE, "")),
     )
 
 
+def _decode_heartbeat(content: dict[str, Any]) -> Seconds:
+    if "HeartbeatMs" not in content:
+        return DEFAULT_HEARTBEAT
+    heartbeat = float(content["HeartbeatMs"]) / MILLISECONDS
+    if not 0.0 < heartbeat < math.inf:
+        raise ValueError(f"HeartbeatMs: {content['HeartbeatMs']!r} is not positive")
+    return heartbeat
+
+
 def _decode_machine_capacity(limits: dict[str, Any]) -> MachineCapacity:
     # "Cores" is not a number of cores, but the speed of the single core as a multiple.
     cores = float(limits["CpuShare"]) * float(limits["Cores"])
--- /dev/null
+++ b/tests/test_endpoints_age.py
@@ -0,0 +1,70 @@
+"""How old the list of endpoints is proven to be, and what counts as an outage."""
+
+import pytest
+
+from kestreltally.knowledge.endpoints_age import NEVER, EndpointsAge
+from tests.clocks import ManualClock
+
+HEARTBEAT = 1.2
+# The shortest outage in which an entry can expire.
+LONG = 2.0 * HEARTBEAT
+SHORT = LONG - 0.1
+
+
+class AgeRig:
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.age = EndpointsAge(HEARTBEAT, self.clock)
+        self.age.record_watched(self.clock.now)
+        self.clock.now += 60.0
+        self.age.record_watched(self.clock.now)
+        self.clock.now += 1.0
+        self.age.record_reported(self.clock.now)
+
+
+def test_age_counts_from_the_latest_proof_of_either_kind() -> None:
+    clock = ManualClock()
+    age = EndpointsAge(HEARTBEAT, clock)
+    assert age.as_of == NEVER
+    age.record_watched(clock.now - 0.5)
+    assert age.compute_age() == pytest.approx(0.5)
+    age.record_reported(clock.now - 0.2)
+    age.record_watched(clock.now - 0.4)
+    assert age.compute_age() == pytest.approx(0.2)
+
+
+@pytest.mark.parametrize(("duration", "counts"), [(SHORT, False), (LONG, True)])
+def test_only_an_outage_longer_than_entries_live_counts(
+    duration: float, counts: bool
+) -> None:
+    rig = AgeRig()
+    before = rig.age.find_outage_end()
+    rig.clock.now += duration
+    found = rig.age.find_outage_end()
+    assert found == (rig.clock.now if counts else before)
+
+
+def test_outage_of_this_daemon_alone_does_not_count() -> None:
+    rig = AgeRig()
+    before = rig.age.find_outage_end()
+    for _ in range(10):
+        rig.clock.now += 0.5
+        rig.age.record_reported(rig.clock.now - 0.3)
+    assert rig.age.find_outage_end() == before
+
+
+def test_outage_ends_with_the_first_proof_of_any_daemon() -> None:
+    rig = AgeRig()
+    rig.clock.now += LONG
+    rig.age.record_reported(rig.clock.now - 0.1)
+    ended_at = rig.clock.now
+    rig.clock.now += 0.4
+    rig.age.record_watched(rig.clock.now)
+    assert rig.age.find_outage_end() == ended_at
+
+
+def test_old_proof_of_a_leader_without_the_store_ends_no_outage() -> None:
+    rig = AgeRig()
+    rig.clock.now += LONG + 1.0
+    rig.age.record_reported(rig.clock.now - LONG)
+    assert rig.age.find_outage_end() == rig.clock.now
