Endpoints: the later revision of the store decides, not the row that comes last

A fresh daemon has no tombstone, and its own list wasn't held against a leader's rows; rows that it had got before that list weren't looked for in it.

Each daemon now keeps the revision of the store as of which its list of endpoints is complete, and leaders state theirs with their rows. A row is left out if its endpoint was removed as of that revision or later, or is unknown to a later complete list; a removal by a leader that knows less removes nothing. A list of the store is compared with all endpoints that are known, whatever their source. What is withheld is used once its leader has caught up and still lists it. A leader that stops leading gets all rows again, for until then it was sent only some.

tests/test_tombstones.py spoke of times, which no longer decide; the tests are as strict in revisions, and look at eras and at senders without a revision too.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -239,8 +239,10 @@
         self._exchange.leader = self._leader
         self._relay.finder.expedite = self._expedite
         self._endpoints = EndpointsHandler(
+            self._fleet.endpoints,
             self._exchange.rows.put_entry,
             self._exchange.rows.drop_entry,
+            self._exchange.rows.record_complete,
             self._clock,
             self._find_recovery,
         )
@@ -444,8 +446,6 @@
             self._exchange.leaders.has_fresh_feed() or self._is_first_leader_pending()
         )
         needed = leads or not has_feed
-        if needed and not self._endpoints_watch.enabled:
-            self._endpoints.seed(self._fleet.endpoints.values())
         self._endpoints_watch.set_enabled(needed)
         others_needed = needed and (leads or not self._endpoints_watch.failing)
         self._configuration_watch.set_enabled(others_needed)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -63,6 +63,7 @@
     AGE_UNKNOWN,
     LeaderState,
     LeaseInfo,
+    decode_endpoints_revision,
     decode_leader,
     decode_revision,
 )
@@ -279,6 +280,7 @@
             free_capacity=self.leader.free_capacity if self.leader else 0,
             known_at=self._get_known_at(),
             endpoints_known_at=self._get_endpoints_known_at(),
+            endpoints_revision=self.rows.revision,
             secret=self._poison.get_leader_secret() if leads else b"",
         )
 
@@ -463,12 +465,11 @@
 
     def _make_received_update(self, data_centre: str, update: Any) -> ReceivedUpdate:
         """Return an update with the context in which to apply it."""
-        age = AGE_UNKNOWN if update.store_age is None else update.store_age
         return ReceivedUpdate(
             update=update,
             data_centre=data_centre,
             led_data_centres=frozenset(each.data_centre for each in update.leads),
-            as_of=self._clock() - age,
+            as_of=decode_endpoints_revision(update),
             followed=self.leaders.find_primary() == data_centre,
         )
 
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -179,7 +179,10 @@
     def _record_report(self, peer: Peer, report: Any) -> None:
         peer.vm = report.vm
         peer.stamp, peer.stamp_received_at = report.stamp, self._clock()
-        peer.leads = frozenset(report.leads or ())
+        led_before, peer.leads = peer.leads, frozenset(report.leads or ())
+        if led_before and not peer.leads:
+            # Until now it was sent only the endpoints that this leader leads.
+            peer.require_full_update()
         peer.follows = bool(report.follows)
         peer.configuration = report.configuration
         peer.daemons = report.daemons or 1
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -218,7 +218,9 @@
 // adapters that the engines led can still take. echo is the stamp of a report. The sender
 // knows all that the store had acknowledged known_by seconds after the arrival of that
 // report, and sent this update echo_age seconds after that arrival. endpoints_known_by is
-// the same for endpoints that have left. secret is the key of
+// the same for endpoints that have left. endpoints_revision and endpoints_era name the
+// revision of the store that the sender's list of endpoints reflects; complete says that
+// the rows are those of all data centres. secret is the key of
 // the digests of requests. Sightings and clearings are sent to each daemon once.
 struct Update {
   1: string leader,
@@ -249,6 +251,9 @@
   26: list<TurnsRow> turns,
   27: list<string> paced,
   28: double endpoints_known_by,
+  29: i64 endpoints_revision,
+  30: i64 endpoints_era,
+  31: bool complete,
   35: list<FactorRow> factors,
 }
 
--- a/src/kestreltally/knowledge/feed_parts.py
+++ b/src/kestreltally/knowledge/feed_parts.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from kestreltally.fleet.model import Seconds
 from kestreltally.knowledge.peer import Peer
+from kestreltally.platform.store import Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,14 +16,14 @@
 
     ``data_centre`` is the one whose leader this daemon is connected to, and
     ``led_data_centres`` are those that the sender leads. The rows reflect the store as
-    of ``as_of``, by this daemon's clock. ``followed`` says that this daemon follows the
-    sender.
+    of the revision ``as_of``; it is None if the sender does not state it. ``followed``
+    says that this daemon follows the sender.
     """
 
     update: Any
     data_centre: str
     led_data_centres: frozenset[str]
-    as_of: Seconds
+    as_of: Revision | None
     followed: bool
 
 
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -1,8 +1,10 @@
 """Maintains the rows of endpoints and versions from leaders and the store."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.relay import Relay
@@ -17,11 +19,13 @@
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed_parts import FeedPart, ReceivedUpdate
 from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.offered_rows import OfferedRows
 from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
 from kestreltally.knowledge.rows import apply_change, decode_endpoint, decode_weights
 from kestreltally.knowledge.tombstones import Tombstones
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
+from kestreltally.platform.store import NO_REVISION, Revision
 
 LOG = logging.getLogger("kestreltally.knowledge")
 
@@ -53,29 +57,88 @@
         self._expedite = expedite
         self._clock = clock
         self.tombstones = Tombstones()
+        self._offered: dict[str, OfferedRows] = defaultdict(OfferedRows)
+        # The latest revision of the store whose complete list of endpoints is known.
+        self.revision = NO_REVISION
+
+    def record_complete(self, revision: Revision) -> None:
+        """Record that the rows reflect all entries as of a revision."""
+        self.revision = max(self.revision, revision)
+
+    def _is_outdated(self, endpoint: Endpoint, as_of: Revision | None) -> bool:
+        """Return whether a row as of a revision is older than its removal.
+
+        An endpoint that is unknown to a later complete list has been removed, even if
+        this daemon has started since.
+        """
+        if self.tombstones.is_removed(endpoint, as_of):
+            return True
+        is_known = endpoint.id in self._fleet.endpoints
+        return not is_known and as_of is not None and as_of < self.revision
+
+    def _is_overridden(self, as_of: Revision | None) -> bool:
+        """Return whether a removal is older than the complete list that is known.
+
+        An endpoint that is in that list was listed again since.
+        """
+        return as_of is not None and as_of < self.revision
 
     # Updates of leaders.
 
     def apply_update(self, received: ReceivedUpdate) -> None:
         """Apply rows, changes of weights, removals and versions of an update."""
         update = received.update
+        offered = self._offered[received.data_centre]
         if update.whole:
+            offered.reset()
             self._drop_missing(received)
         for row in update.rows or ():
-            endpoint = decode_endpoint(row)
-            if self.tombstones.is_removed(endpoint, received.as_of):
-                self._log_outdated(endpoint, received)
-            else:
-                self.put_row(endpoint)
+            self._apply_row(decode_endpoint(row), received, offered)
         for change in update.changes or ():
-            known = self._fleet.endpoints.get(EndpointId(change.id))
-            if known is not None:
-                self.put_row(apply_change(known, change))
+            self._apply_change(change, offered)
         for name in update.gone or ():
-            origin = RemovalOrigin(RemovalSource.LEADER, update.leader)
-            self.drop_row(EndpointId(name), received.as_of, origin)
+            self._apply_gone(EndpointId(name), received, offered)
         for each in update.versions or ():
             self.apply_version(*decode_weights(each))
+        for endpoint in offered.pop_usable(
+            lambda each: not self._is_outdated(each, received.as_of)
+        ):
+            self._use_row(endpoint, offered)
+        if update.complete and received.as_of is not None:
+            self.record_complete(received.as_of)
+
+    def _apply_row(
+        self, endpoint: Endpoint, received: ReceivedUpdate, offered: OfferedRows
+    ) -> None:
+        if self._is_outdated(endpoint, received.as_of):
+            self._log_outdated(endpoint, received)
+            offered.withhold(endpoint)
+            return
+        self._use_row(endpoint, offered)
+
+    def _use_row(self, endpoint: Endpoint, offered: OfferedRows) -> None:
+        offered.record_sent(endpoint.id)
+        self.tombstones.remove(endpoint.id)
+        self.put_row(endpoint)
+
+    def _apply_change(self, change: Any, offered: OfferedRows) -> None:
+        """Apply a change of an engine's weights to its row, or to a withheld one."""
+        name = EndpointId(change.id)
+        withheld = offered.get_withheld(name)
+        if withheld is not None:
+            offered.withhold(apply_change(withheld, change))
+            return
+        known = self._fleet.endpoints.get(name)
+        if known is not None:
+            self.put_row(apply_change(known, change))
+
+    def _apply_gone(
+        self, endpoint: EndpointId, received: ReceivedUpdate, offered: OfferedRows
+    ) -> None:
+        offered.record_gone(endpoint)
+        if not self._is_overridden(received.as_of):
+            origin = RemovalOrigin(RemovalSource.LEADER, received.update.leader)
+            self.drop_row(endpoint, received.as_of, origin)
 
     def _log_outdated(self, endpoint: Endpoint, received: ReceivedUpdate) -> None:
         log_decision(
@@ -83,7 +146,8 @@
             Decision.ENDPOINT_ROW_OUTDATED,
             endpoint=endpoint.id,
             leader=received.update.leader,
-            row_age=round(self._clock() - received.as_of, 3),
+            row_revision=received.as_of,
+            known_revision=self.revision,
         )
 
     def _drop_missing(self, received: ReceivedUpdate) -> None:
@@ -91,10 +155,10 @@
 
         A leader removes only those that the sender leads. An empty update is ignored:
         it comes from a leader that has just started, perhaps while entries of the store
-        had expired, so the rows already known are better.
+        had expired, so the rows already known are better. So are those of a later list.
         """
         present = {each.id for each in received.update.rows or ()}
-        if not present:
+        if not present or self._is_overridden(received.as_of):
             return
         origin = RemovalOrigin(RemovalSource.FULL_UPDATE, received.update.leader)
         for endpoint in list(self._fleet.endpoints.values()):
@@ -149,13 +213,15 @@
         return True
 
     def drop_row(
-        self, endpoint: EndpointId, as_of: Seconds, origin: RemovalOrigin
+        self, endpoint: EndpointId, as_of: Revision | None, origin: RemovalOrigin
     ) -> None:
-        """Remove an endpoint that is missing in the store as of a time."""
+        """Remove an endpoint that is missing in the store as of a revision."""
         known = self._fleet.endpoints.get(endpoint)
         if known is not None:
             self._log_removed(endpoint, as_of, origin)
-            self.tombstones.record(known, as_of)
+            self.tombstones.record(known, as_of or self.revision, self._clock())
+            for offered in self._offered.values():
+                offered.record_dropped(known)
             self._relay.poison.crash_detector.record_removed(known)
         leader = self._get_leader()
         if leader is not None:
@@ -167,7 +233,7 @@
             self._expedite()
 
     def _log_removed(
-        self, endpoint: EndpointId, as_of: Seconds, origin: RemovalOrigin
+        self, endpoint: EndpointId, as_of: Revision | None, origin: RemovalOrigin
     ) -> None:
         log_decision(
             LOG,
@@ -176,7 +242,7 @@
             source=origin.source.value,
             leader=origin.leader,
             doubted_for=origin.doubted_for,
-            age=round(self._clock() - as_of, 3),
+            revision=as_of,
             proof_age=self._age.describe(),
             last_sent=self._describe_last_sent(endpoint),
         )
@@ -191,8 +257,10 @@
 
     # Entries of the store.
 
-    def put_entry(self, endpoint: Endpoint) -> None:
+    def put_entry(self, endpoint: Endpoint, as_of: Revision) -> None:
         """Apply an endpoint's entry of the store unless a leader has newer data."""
+        if self._is_outdated(endpoint, as_of):
+            return
         self.tombstones.remove(endpoint.id)
         lease = self._get_lease(endpoint)
         leader = self._get_leader()
@@ -209,9 +277,12 @@
         else:
             self.put_row(endpoint)
 
-    def drop_entry(self, endpoint: EndpointId, origin: RemovalOrigin) -> None:
+    def drop_entry(
+        self, endpoint: EndpointId, as_of: Revision, origin: RemovalOrigin
+    ) -> None:
         """Remove an endpoint that the store no longer lists."""
-        self.drop_row(endpoint, self._clock(), origin)
+        if not self._is_overridden(as_of):
+            self.drop_row(endpoint, as_of, origin)
 
     def expire_leader_state(self) -> None:
         """Drop state of endpoints that only an unreachable leader could report.
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -39,3 +39,8 @@
     sent_facts_position: int = 0
     # The credits that it requests, and those issued to it.
     credit_holder: CreditHolder = field(default_factory=CreditHolder)
+
+    def require_full_update(self) -> None:
+        """Send all rows with the next update, whatever was sent before."""
+        self.sent_snapshot = EMPTY_SNAPSHOT
+        self.needs_full_update = True
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -498,6 +498,9 @@
     26: (TType.LIST, "turns", (TType.STRUCT, TurnsRow), False),
     27: (TType.LIST, "paced", TType.STRING, False),
     28: (TType.DOUBLE, "endpoints_known_by", False),
+    29: (TType.I64, "endpoints_revision", False),
+    30: (TType.I64, "endpoints_era", False),
+    31: (TType.BOOL, "complete", False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
 }
 Update.default_spec = [
@@ -529,6 +532,9 @@
     ("turns", None),
     ("paced", None),
     ("endpoints_known_by", None),
+    ("endpoints_revision", None),
+    ("endpoints_era", None),
+    ("complete", None),
     ("factors", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- a/src/kestreltally/knowledge/tombstones.py
+++ b/src/kestreltally/knowledge/tombstones.py
@@ -1,51 +1,57 @@
-"""Tombstones of removed endpoints, so that older updates do not restore them.
+"""Tombstones of removed endpoints, so that older rows do not restore them.
 
-A leader that has lost contact with the store still sends endpoints that were removed
-since then. Its rows are as old as the last answer that it got from the store.
+Leaders may know different states of the store: one that has lost contact with it still
+sends endpoints that were removed since then. Which of two statements is newer is
+decided by revisions of the store, which all daemons share, and not by anybody's clock.
 """
 
 from dataclasses import dataclass
 from typing import Final
 
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, is_other_incarnation
+from kestreltally.platform.store import Revision
 
 # A leader that alone has lost contact with the store resigns long before this.
 RETENTION: Final[Seconds] = 60.0
 
 
 @dataclass(frozen=True, slots=True)
-class _Tombstone:
-    """A removed incarnation of an endpoint, as of a state of the store."""
+class Tombstone:
+    """An incarnation of an endpoint that the store lacks as of a revision."""
 
     start_time_ms: int
-    as_of: Seconds
+    revision: Revision
+    recorded_at: Seconds
 
 
 class Tombstones:
     """The endpoints that were removed recently."""
 
     def __init__(self) -> None:
-        self._rows: dict[EndpointId, _Tombstone] = {}
+        self._rows: dict[EndpointId, Tombstone] = {}
 
-    def record(self, endpoint: Endpoint, as_of: Seconds) -> None:
-        """Record that an endpoint is missing in the store as of a time."""
-        self._rows[endpoint.id] = _Tombstone(endpoint.start_time_ms, as_of)
+    def record(self, endpoint: Endpoint, revision: Revision, now: Seconds) -> None:
+        """Record that the store lacks an endpoint as of a revision."""
+        self._rows[endpoint.id] = Tombstone(endpoint.start_time_ms, revision, now)
 
-    def is_removed(self, endpoint: Endpoint, as_of: Seconds) -> bool:
-        """Return whether a row as of a time predates the removal of its endpoint."""
+    def is_removed(self, endpoint: Endpoint, as_of: Revision | None) -> bool:
+        """Return whether a row as of a revision predates the removal of its endpoint.
+
+        None stands for a sender that does not state its revision.
+        """
         row = self._rows.get(endpoint.id)
         if row is None or is_other_incarnation(
             row.start_time_ms, endpoint.start_time_ms
         ):
             return False
-        return as_of <= row.as_of
+        return as_of is None or as_of <= row.revision
 
     def remove(self, endpoint: EndpointId) -> None:
-        """Remove the tombstone of an endpoint that the store lists."""
+        """Remove the tombstone of an endpoint that is listed again."""
         self._rows.pop(endpoint, None)
 
     def prune_old(self, now: Seconds) -> None:
         """Remove tombstones older than the retention period."""
         for name, row in list(self._rows.items()):
-            if now - row.as_of >= RETENTION:
+            if now - row.recorded_at >= RETENTION:
                 del self._rows[name]
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -17,7 +17,7 @@
     encode_weights,
 )
 from kestreltally.knowledge.structs import LeaderRow, LeaseRow, Update
-from kestreltally.platform.store import UNKNOWN_ERA, Revision
+from kestreltally.platform.store import NO_REVISION, UNKNOWN_ERA, Revision
 
 # Age that stands for "never" in messages of the feed, seconds.
 AGE_UNKNOWN: Final[Seconds] = 1e6
@@ -52,7 +52,8 @@
     ``free_capacity`` the number of adapters that the engines led can still take. All
     configurations that the store had acknowledged at ``known_at`` are known to this
     leader; it is None if none is known yet. ``endpoints_known_at`` is the same for
-    endpoints that have left.
+    endpoints that have left, and ``endpoints_revision`` the revision of the store that
+    the rows reflect.
     """
 
     leader: str
@@ -66,6 +67,7 @@
     free_capacity: int = 0
     known_at: Seconds | None = None
     endpoints_known_at: Seconds | None = None
+    endpoints_revision: Revision = NO_REVISION
     secret: bytes = b""
 
 
@@ -152,6 +154,10 @@
         update.changes = difference.changes
         update.gone = difference.removed
         update.versions = difference.versions
+        update.complete = not leads
+        if state.endpoints_revision != NO_REVISION:
+            update.endpoints_revision = state.endpoints_revision.number
+            update.endpoints_era = state.endpoints_revision.era
         return update, current
 
     def _get_difference(
@@ -250,3 +256,10 @@
 def decode_revision(row: Any) -> Revision:
     """Return the revision of a lease's struct."""
     return Revision(UNKNOWN_ERA if row.era is None else row.era, row.revision)
+
+
+def decode_endpoints_revision(update: Any) -> Revision | None:
+    """Return the revision that an update's rows reflect, None if it is not stated."""
+    if update.endpoints_revision is None:
+        return None
+    return Revision(update.endpoints_era, update.endpoints_revision)
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final
@@ -24,6 +24,7 @@
     decode_version,
 )
 from kestreltally.platform.store import (
+    NO_REVISION,
     REWRITE_WINDOW,
     Changes,
     Listing,
@@ -159,44 +160,51 @@
 class EndpointsHandler:
     """Keeps the list of endpoints, with a grace period for expired entries.
 
+    ``known`` are the endpoints known to this daemon, whatever their source. ``put`` and
+    ``drop`` are called with the revision as of which an entry is listed or missing, and
+    ``record_complete`` with the one up to which all changes have been applied.
     ``recovered_at`` returns when the store last recovered, if entries that are missing
     in the answer being applied may have expired before that.
     """
 
     def __init__(
         self,
-        put: Callable[[Endpoint], None],
-        drop: Callable[[EndpointId, RemovalOrigin], None],
+        known: Mapping[EndpointId, Endpoint],
+        put: Callable[[Endpoint, Revision], None],
+        drop: Callable[[EndpointId, Revision, RemovalOrigin], None],
+        record_complete: Callable[[Revision], None],
         clock: Callable[[], Seconds],
         recovered_at: Callable[[], Seconds],
     ) -> None:
+        self._known = known
         self._put = put
         self._drop = drop
+        self._record_complete = record_complete
         self._clock = clock
         self._recovered_at = recovered_at
-        self.listed: dict[EndpointId, Endpoint] = {}
+        self._revision = NO_REVISION
         self._expired: dict[EndpointId, _ExpiredEntry] = {}
 
-    def seed(self, endpoints: Iterable[Endpoint]) -> None:
-        """Start from known endpoints, so that those missing in a list are detected."""
-        self.listed = {each.id: each for each in endpoints}
-
     def apply_listing(self, listing: Listing) -> None:
         """Apply a list of all entries; those missing were removed or have expired."""
+        self._revision = listing.revision
         present = {EndpointId(stored.name) for stored in listing.objects}
         for stored in listing.objects:
             self._apply_entry(stored)
-        for endpoint in [each for each in self.listed if each not in present]:
+        for endpoint in [each for each in self._known if each not in present]:
             self._record_missing(endpoint, RemovalSource.LIST)
+        self._record_complete(listing.revision)
 
     def apply_changes(self, changes: Changes) -> None:
         """Apply changes of some entries."""
+        self._revision = changes.revision
         for change in changes.changes:
             if change.deleted:
                 name = EndpointId(change.object.name)
                 self._record_missing(name, RemovalSource.WATCH)
             else:
                 self._apply_entry(change.object)
+        self._record_complete(changes.revision)
 
     def _apply_entry(self, stored: StoredObject) -> None:
         try:
@@ -205,15 +213,15 @@
             log_decision(LOG, Decision.ENTRY_REJECTED, reason=str(error))
             return
         self._expired.pop(endpoint.id, None)
-        self.listed[endpoint.id] = endpoint
-        self._put(endpoint)
+        self._put(endpoint, self._revision)
 
     def _record_missing(self, endpoint: EndpointId, source: RemovalSource) -> None:
         now = self._clock()
-        if endpoint not in self.listed:
+        known = self._known.get(endpoint)
+        if known is None:
             return
         trusted_from = self._recovered_at() + EXPIRY_GRACE_PERIOD
-        if not self.listed[endpoint].leaving and now < trusted_from:
+        if not known.leaving and now < trusted_from:
             if endpoint not in self._expired:
                 self._expired[endpoint] = _ExpiredEntry(source, now, trusted_from)
                 self._log_doubted(endpoint, source, now)
@@ -233,8 +241,7 @@
 
     def _remove(self, endpoint: EndpointId, origin: RemovalOrigin) -> None:
         self._expired.pop(endpoint, None)
-        self.listed.pop(endpoint, None)
-        self._drop(endpoint, origin)
+        self._drop(endpoint, self._revision, origin)
 
     def drop_expired(self) -> None:
         """Remove entries that were not written again within the grace period."""
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -57,7 +57,12 @@
     """Return the endpoints that a handler accepts; all of them can be serialised."""
     applied: list[Endpoint] = []
     follower = EndpointsHandler(
-        applied.append, lambda *_: None, lambda: 0.0, lambda: float("-inf")
+        {},
+        lambda endpoint, _: applied.append(endpoint),
+        lambda *_: None,
+        lambda _: None,
+        lambda: 0.0,
+        lambda: float("-inf"),
     )
     objects = (
         StoredObject(f"i-{number}", number, entry)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -149,8 +149,10 @@
         self.recovered_at = float("-inf")
         self.known: dict[EndpointId, Endpoint] = {}
         self.follower = EndpointsHandler(
-            lambda endpoint: self.known.__setitem__(endpoint.id, endpoint),
-            lambda endpoint, _: self.known.__delitem__(endpoint),
+            self.known,
+            lambda endpoint, _: self.known.__setitem__(endpoint.id, endpoint),
+            lambda endpoint, *_: self.known.__delitem__(endpoint),
+            lambda _: None,
             self.clock,
             lambda: self.recovered_at,
         )
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -10,6 +10,7 @@
 import pytest
 
 from kestreltally.knowledge.tombstones import RETENTION, Tombstones
+from kestreltally.platform.store import Revision
 from tests.ports import reserve_port
 from tests.test_fleet_daemon import run_fleet
 from tests.test_knowledge import make_endpoint
@@ -17,6 +18,7 @@
 REMOVED = replace(make_endpoint("e1"), start_time_ms=7)
 # The operators' bound, counted from the store's answer.
 DRAIN_BOUND = 2.0
+NOW = 50.0
 
 
 @pytest.mark.parametrize("reconnecting_vm", ["south-1", "north-2"])
@@ -49,21 +51,27 @@
 
 def test_tombstone_covers_older_rows_of_same_incarnation() -> None:
     tombstones = Tombstones()
-    tombstones.record(REMOVED, 100.0)
-    assert tombstones.is_removed(REMOVED, 97.0)
-    assert tombstones.is_removed(REMOVED, 100.0)
-    # A row from a later read of the store is valid.
-    assert not tombstones.is_removed(REMOVED, 100.3)
+    tombstones.record(REMOVED, Revision(0, 100), NOW)
+    assert tombstones.is_removed(REMOVED, Revision(0, 97))
+    assert tombstones.is_removed(REMOVED, Revision(0, 100))
+    assert tombstones.is_removed(REMOVED, None)
+    # A row from a later state of the store is valid, also from that of a later era.
+    assert not tombstones.is_removed(REMOVED, Revision(0, 101))
+    assert not tombstones.is_removed(REMOVED, Revision(1, 60))
     # Another incarnation is another endpoint.
-    assert not tombstones.is_removed(replace(REMOVED, start_time_ms=8), 97.0)
-    assert not tombstones.is_removed(replace(REMOVED, id=make_endpoint("e2").id), 97.0)
+    reborn = replace(REMOVED, start_time_ms=8)
+    assert not tombstones.is_removed(reborn, Revision(0, 97))
+    other = replace(REMOVED, id=make_endpoint("e2").id)
+    assert not tombstones.is_removed(other, Revision(0, 97))
 
 
 def test_tombstone_ends_when_listed_again_or_after_retention() -> None:
     tombstones = Tombstones()
-    tombstones.record(REMOVED, 100.0)
+    tombstones.record(REMOVED, Revision(0, 100), NOW)
     tombstones.remove(REMOVED.id)
-    assert not tombstones.is_removed(REMOVED, 97.0)
-    tombstones.record(REMOVED, 100.0)
-    tombstones.prune_old(100.0 + RETENTION)
-    assert not tombstones.is_removed(REMOVED, 97.0)
+    assert not tombstones.is_removed(REMOVED, Revision(0, 97))
+    tombstones.record(REMOVED, Revision(0, 100), NOW)
+    tombstones.prune_old(NOW + RETENTION - 0.1)
+    assert tombstones.is_removed(REMOVED, Revision(0, 97))
+    tombstones.prune_old(NOW + RETENTION)
+    assert not tombstones.is_removed(REMOVED, Revision(0, 97))
