Endpoints: whoever learns first that one has left tells all daemons

Callers' requests reached an endpoint up to 2.5 s after its entry had gone, of 2.0 allowed, from the followers of a leader for which alone the store was silent: that one is gone was told by the leader of its data centre only, and what the other leaders knew helped nobody who followed it.

A departure is now a fact of its own: an incarnation of an endpoint leaves, or the store lacks its entry as of a revision. Daemons report what they see in the store themselves; leaders send each departure once to every daemon, of any data centre. A leader that connects is sent the names of all endpoints as well, so that it drops what it lists and a later list lacks. What is merely missing in the first list of a daemon that has just started is not told, and an entry that is kept in doubt ends with a departure, not with such an absence.

--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -140,6 +140,8 @@
         self.is_serving: Callable[[Endpoint], bool] = lambda _: True
         # Called with an endpoint whose notice has changed.
         self.notify_change: Callable[[EndpointId], None] = lambda _: None
+        # Called with an endpoint, and its start time, once it is known to be leaving.
+        self.notify_leaving: Callable[[EndpointId, int], None] = lambda *_: None
         # Returns the state of the issuer of credits for an endpoint with a rate limit.
         self.get_issuer_state: Callable[[Endpoint], IssuerState] = lambda _: NO_ISSUER
         # Called with an endpoint when a request starts to wait for a credit for it.
@@ -186,6 +188,7 @@
             return
         row.leaves = True
         log_decision(LOG, Decision.ENDPOINT_SAYS_LEAVING, endpoint=endpoint)
+        self.notify_leaving(endpoint, row.start_time_ms)
         self.notify_change(endpoint)
 
     def _announce_limit(
@@ -266,6 +269,7 @@
             row = self._ensure_row(endpoint.id, endpoint.start_time_ms, NEVER)
             if row is not None:
                 row.leaves = True
+                self.notify_leaving(endpoint.id, row.start_time_ms)
         return endpoint
 
     def compute_backoff(self, endpoint: Endpoint, now: Seconds) -> Seconds:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -246,6 +246,7 @@
             self._clock,
             self._find_recovery,
         )
+        self._exchange.rows.doubts = self._endpoints.doubts
         self._endpoints_watch = self._make_watch(
             ENDPOINTS_KIND,
             self._endpoints,
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -29,6 +29,7 @@
 from kestreltally.knowledge.credits import CreditExchange
 from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
+from kestreltally.knowledge.departures import DepartureExchange
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
@@ -182,6 +183,7 @@
             endpoints_proof,
             clock,
         )
+        self.rows.departures.notify_added = self._expedite_departures
         self.speeds: SpeedExchange | None = None
         if deployment.features.engine_speeds:
             self.speeds = SpeedExchange(
@@ -191,6 +193,9 @@
             self._poison,
             NoticeExchange(fleet.notices, self.leaders, clock),
             self.rows,
+            DepartureExchange(
+                self.rows.departures, self.leaders, self.rows.apply_departure
+            ),
             self.credits,
             *([self.speeds] if self.speeds is not None else ()),
         )
@@ -594,6 +599,11 @@
         if primary is not None:
             self.expedite(primary)
 
+    def _expedite_departures(self, seen_here: bool) -> None:
+        """Send a new departure at once; followers report only their own."""
+        if seen_here or self.leaders.leads:
+            self._expedite_facts()
+
     def _report_use_change(self) -> None:
         """Report an adapter's first or last use at once if no places are free."""
         if self.leaders.leads and self.leader is not None:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -130,6 +130,15 @@
   7: double turn_wait,
 }
 
+// An incarnation of an endpoint that has left: the store lacks its entry as of a revision,
+// or, without one, the endpoint says that it leaves.
+struct DepartureRow {
+  1: string endpoint,
+  2: i64 born,
+  3: i64 revision,
+  4: i64 era,
+}
+
 // The number of credits requested at a rate-limited endpoint, by urgency. received is the
 // number of its credits that had arrived over this connection by then.
 struct WantedRow {
@@ -210,6 +219,7 @@
   22: list<PauseRow> pauses,
   30: list<SpeedRow> speeds,
   23: bool keeps_accounts,
+  24: list<DepartureRow> departures,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -220,7 +230,8 @@
 // report, and sent this update echo_age seconds after that arrival. endpoints_known_by is
 // the same for endpoints that have left. endpoints_revision and endpoints_era name the
 // revision of the store that the sender's list of endpoints reflects; complete says that
-// the rows are those of all data centres. secret is the key of
+// the rows are those of all data centres. A full update to another leader names in
+// present all endpoints that the sender lists. secret is the key of
 // the digests of requests. Sightings and clearings are sent to each daemon once.
 struct Update {
   1: string leader,
@@ -254,6 +265,8 @@
   29: i64 endpoints_revision,
   30: i64 endpoints_era,
   31: bool complete,
+  32: list<DepartureRow> departures,
+  33: list<string> present,
   35: list<FactorRow> factors,
 }
 
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -11,16 +11,23 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
+    KnownNotice,
     Seconds,
     WeightsKey,
     is_other_incarnation,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.departures import Departure, DepartureLog
+from kestreltally.knowledge.doubts import Doubts
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed_parts import FeedPart, ReceivedUpdate
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.offered_rows import OfferedRows
-from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
+from kestreltally.knowledge.removals import (
+    CERTAIN_SOURCES,
+    RemovalOrigin,
+    RemovalSource,
+)
 from kestreltally.knowledge.rows import apply_change, decode_endpoint, decode_weights
 from kestreltally.knowledge.tombstones import Tombstones
 from kestreltally.placing.leader import Leader
@@ -60,6 +67,10 @@
         self._offered: dict[str, OfferedRows] = defaultdict(OfferedRows)
         # The latest revision of the store whose complete list of endpoints is known.
         self.revision = NO_REVISION
+        self.departures = DepartureLog(clock)
+        # Entries that this daemon keeps although they are missing.
+        self.doubts = Doubts()
+        fleet.notices.notify_leaving = self._record_leaving
 
     def record_complete(self, revision: Revision) -> None:
         """Record that the rows reflect all entries as of a revision."""
@@ -92,6 +103,8 @@
         if update.whole:
             offered.reset()
             self._drop_missing(received)
+        if update.present:
+            self._drop_absent(received)
         for row in update.rows or ():
             self._apply_row(decode_endpoint(row), received, offered)
         for change in update.changes or ():
@@ -118,7 +131,7 @@
 
     def _use_row(self, endpoint: Endpoint, offered: OfferedRows) -> None:
         offered.record_sent(endpoint.id)
-        self.tombstones.remove(endpoint.id)
+        self._record_listed(endpoint.id)
         self.put_row(endpoint)
 
     def _apply_change(self, change: Any, offered: OfferedRows) -> None:
@@ -169,6 +182,56 @@
             if is_covered and endpoint.id not in present:
                 self.drop_row(endpoint.id, received.as_of, origin)
 
+    def _drop_absent(self, received: ReceivedUpdate) -> None:
+        """Remove endpoints that another leader lacks in a later list of all.
+
+        Entries that are kept in doubt may have expired before that leader started.
+        """
+        if received.as_of is None or received.as_of <= self.revision:
+            return
+        present = set(received.update.present)
+        origin = RemovalOrigin(RemovalSource.ABSENCE, received.update.leader)
+        for endpoint in list(self._fleet.endpoints):
+            if endpoint not in present and endpoint not in self.doubts:
+                self.drop_row(endpoint, received.as_of, origin)
+
+    # Departures.
+
+    def _record_leaving(self, endpoint: EndpointId, start_time_ms: int) -> None:
+        """Tell other daemons that an endpoint says that it leaves."""
+        departure = Departure(endpoint, start_time_ms, None)
+        self.departures.add(departure, seen_here=False)
+
+    def apply_departure(self, departure: Departure, sender: str) -> None:
+        """Apply what another daemon has learned of an endpoint that left."""
+        if departure.revision is None:
+            notice = KnownNotice(departure.endpoint, departure.start_time_ms, True, 0.0)
+            self._fleet.notices.apply_reported([notice], self._clock())
+            return
+        if self._is_news(departure, departure.revision):
+            origin = RemovalOrigin(RemovalSource.DEPARTURE, sender)
+            if departure.endpoint in self._fleet.endpoints:
+                self.drop_row(departure.endpoint, departure.revision, origin)
+            else:
+                self._record_removal(departure, origin)
+
+    def _is_news(self, departure: Departure, revision: Revision) -> bool:
+        """Return whether a removal is newer than what is known of its endpoint.
+
+        An entry that is kept in doubt is missing in the list that is known.
+        """
+        name, start_time_ms = departure.endpoint, departure.start_time_ms
+        if self.tombstones.covers(name, start_time_ms, revision):
+            return False
+        known = self._fleet.endpoints.get(name)
+        if known is not None and is_other_incarnation(
+            known.start_time_ms, start_time_ms
+        ):
+            return False
+        return name in self.doubts or self.revision < revision
+
+    # Rows.
+
     def put_row(self, endpoint: Endpoint) -> None:
         """Store a row, wake requests for its weights, and send it to followers."""
         known = self._fleet.endpoints.get(endpoint.id)
@@ -219,7 +282,9 @@
         known = self._fleet.endpoints.get(endpoint)
         if known is not None:
             self._log_removed(endpoint, as_of, origin)
-            self.tombstones.record(known, as_of or self.revision, self._clock())
+            revision = as_of or self.revision
+            departure = Departure(known.id, known.start_time_ms, revision)
+            self._record_removal(departure, origin)
             for offered in self._offered.values():
                 offered.record_dropped(known)
             self._relay.poison.crash_detector.record_removed(known)
@@ -232,6 +297,28 @@
         if self._leaders.leads:
             self._expedite()
 
+    def _record_removal(self, departure: Departure, origin: RemovalOrigin) -> None:
+        """Remember a removal, and tell other daemons of it if it is certain.
+
+        What is merely missing in the first list of a daemon that has just started may
+        have expired, and its leader may keep it for that reason.
+        """
+        self.tombstones.record(
+            departure.endpoint,
+            departure.start_time_ms,
+            departure.revision or self.revision,
+            self._clock(),
+        )
+        self.doubts.discard(departure.endpoint)
+        if origin.source in CERTAIN_SOURCES:
+            seen_here = origin.source is not RemovalSource.DEPARTURE
+            self.departures.add(departure, seen_here=seen_here)
+
+    def _record_listed(self, endpoint: EndpointId) -> None:
+        """Forget the removal of an endpoint that is listed again."""
+        if self.tombstones.remove(endpoint):
+            self.departures.discard(endpoint)
+
     def _log_removed(
         self, endpoint: EndpointId, as_of: Revision | None, origin: RemovalOrigin
     ) -> None:
@@ -261,7 +348,7 @@
         """Apply an endpoint's entry of the store unless a leader has newer data."""
         if self._is_outdated(endpoint, as_of):
             return
-        self.tombstones.remove(endpoint.id)
+        self._record_listed(endpoint.id)
         lease = self._get_lease(endpoint)
         leader = self._get_leader()
         if lease.leads and leader is not None:
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -37,6 +37,8 @@
     configuration_sent_at: Seconds = float("-inf")
     # Position in the list of poison facts up to which they were sent to this peer.
     sent_facts_position: int = 0
+    # The same for departures.
+    sent_departures_position: int = 0
     # The credits that it requests, and those issued to it.
     credit_holder: CreditHolder = field(default_factory=CreditHolder)
 
--- a/src/kestreltally/knowledge/removals.py
+++ b/src/kestreltally/knowledge/removals.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Final
 
 from kestreltally.fleet.model import Seconds
 
@@ -13,6 +14,18 @@
     WATCH = "watch"
     LEADER = "leader"
     FULL_UPDATE = "full update"
+    # Missing in the first list that this daemon has read.
+    FIRST_LIST = "first list"
+    # Another daemon has learned of it.
+    DEPARTURE = "departure"
+    # Missing among the endpoints that another leader lists.
+    ABSENCE = "absence"
+
+
+# Through these a daemon sees an entry go that it has known to be listed.
+CERTAIN_SOURCES: Final = frozenset(
+    {RemovalSource.LIST, RemovalSource.WATCH, RemovalSource.DEPARTURE}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -305,6 +305,25 @@
 gen_init(NoticeRow, NoticeRow.thrift_spec, NoticeRow.default_spec)
 
 
+class DepartureRow(Struct):
+    """``DepartureRow`` of the IDL."""
+
+
+DepartureRow.thrift_spec = {
+    1: (TType.STRING, "endpoint", False),
+    2: (TType.I64, "born", False),
+    3: (TType.I64, "revision", False),
+    4: (TType.I64, "era", False),
+}
+DepartureRow.default_spec = [
+    ("endpoint", None),
+    ("born", None),
+    ("revision", None),
+    ("era", None),
+]
+gen_init(DepartureRow, DepartureRow.thrift_spec, DepartureRow.default_spec)
+
+
 class WantedRow(Struct):
     """``WantedRow`` of the IDL."""
 
@@ -435,6 +454,7 @@
     22: (TType.LIST, "pauses", (TType.STRUCT, PauseRow), False),
     30: (TType.LIST, "speeds", (TType.STRUCT, SpeedRow), False),
     23: (TType.BOOL, "keeps_accounts", False),
+    24: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -461,6 +481,7 @@
     ("pauses", None),
     ("speeds", None),
     ("keeps_accounts", None),
+    ("departures", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -501,6 +522,8 @@
     29: (TType.I64, "endpoints_revision", False),
     30: (TType.I64, "endpoints_era", False),
     31: (TType.BOOL, "complete", False),
+    32: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
+    33: (TType.LIST, "present", TType.STRING, False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
 }
 Update.default_spec = [
@@ -535,6 +558,8 @@
     ("endpoints_revision", None),
     ("endpoints_era", None),
     ("complete", None),
+    ("departures", None),
+    ("present", None),
     ("factors", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
--- a/src/kestreltally/knowledge/tombstones.py
+++ b/src/kestreltally/knowledge/tombstones.py
@@ -30,9 +30,26 @@
     def __init__(self) -> None:
         self._rows: dict[EndpointId, Tombstone] = {}
 
-    def record(self, endpoint: Endpoint, revision: Revision, now: Seconds) -> None:
+    def record(
+        self,
+        endpoint: EndpointId,
+        start_time_ms: int,
+        revision: Revision,
+        now: Seconds,
+    ) -> None:
         """Record that the store lacks an endpoint as of a revision."""
-        self._rows[endpoint.id] = Tombstone(endpoint.start_time_ms, revision, now)
+        self._rows[endpoint] = Tombstone(start_time_ms, revision, now)
+
+    def covers(
+        self, endpoint: EndpointId, start_time_ms: int, revision: Revision
+    ) -> bool:
+        """Return whether a removal as of a revision is recorded, or a later one."""
+        row = self._rows.get(endpoint)
+        return (
+            row is not None
+            and not is_other_incarnation(row.start_time_ms, start_time_ms)
+            and revision <= row.revision
+        )
 
     def is_removed(self, endpoint: Endpoint, as_of: Revision | None) -> bool:
         """Return whether a row as of a revision predates the removal of its endpoint.
@@ -46,9 +63,9 @@
             return False
         return as_of is None or as_of <= row.revision
 
-    def remove(self, endpoint: EndpointId) -> None:
-        """Remove the tombstone of an endpoint that is listed again."""
-        self._rows.pop(endpoint, None)
+    def remove(self, endpoint: EndpointId) -> bool:
+        """Remove the tombstone of an endpoint that is listed again, if there is one."""
+        return self._rows.pop(endpoint, None) is not None
 
     def prune_old(self, now: Seconds) -> None:
         """Remove tombstones older than the retention period."""
--- a/src/kestreltally/knowledge/updates.py
+++ b/src/kestreltally/knowledge/updates.py
@@ -155,6 +155,8 @@
         update.gone = difference.removed
         update.versions = difference.versions
         update.complete = not leads
+        if leads and is_full:
+            update.present = list(self._known)
         if state.endpoints_revision != NO_REVISION:
             update.endpoints_revision = state.endpoints_revision.number
             update.endpoints_era = state.endpoints_revision.era
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -15,6 +15,7 @@
     Seconds,
     WeightsKey,
 )
+from kestreltally.knowledge.doubts import Doubt, Doubts
 from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
 from kestreltally.platform.documents import (
     CONFIGURATION_NAME,
@@ -148,15 +149,6 @@
         return configuration.version >= self._version
 
 
-@dataclass(frozen=True, slots=True)
-class _ExpiredEntry:
-    """An entry that is missing, and kept from one time until another."""
-
-    source: RemovalSource
-    since: Seconds
-    until: Seconds
-
-
 class EndpointsHandler:
     """Keeps the list of endpoints, with a grace period for expired entries.
 
@@ -183,16 +175,18 @@
         self._clock = clock
         self._recovered_at = recovered_at
         self._revision = NO_REVISION
-        self._expired: dict[EndpointId, _ExpiredEntry] = {}
+        self.doubts = Doubts()
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a list of all entries; those missing were removed or have expired."""
+        is_first = self._revision == NO_REVISION
+        source = RemovalSource.FIRST_LIST if is_first else RemovalSource.LIST
         self._revision = listing.revision
         present = {EndpointId(stored.name) for stored in listing.objects}
         for stored in listing.objects:
             self._apply_entry(stored)
         for endpoint in [each for each in self._known if each not in present]:
-            self._record_missing(endpoint, RemovalSource.LIST)
+            self._record_missing(endpoint, source)
         self._record_complete(listing.revision)
 
     def apply_changes(self, changes: Changes) -> None:
@@ -212,7 +206,7 @@
         except MalformedDocument as error:
             log_decision(LOG, Decision.ENTRY_REJECTED, reason=str(error))
             return
-        self._expired.pop(endpoint.id, None)
+        self.doubts.discard(endpoint.id)
         self._put(endpoint, self._revision)
 
     def _record_missing(self, endpoint: EndpointId, source: RemovalSource) -> None:
@@ -222,8 +216,7 @@
             return
         trusted_from = self._recovered_at() + EXPIRY_GRACE_PERIOD
         if not known.leaving and now < trusted_from:
-            if endpoint not in self._expired:
-                self._expired[endpoint] = _ExpiredEntry(source, now, trusted_from)
+            if self.doubts.add(endpoint, Doubt(source, now, trusted_from)):
                 self._log_doubted(endpoint, source, now)
             return
         self._remove(endpoint, RemovalOrigin(source))
@@ -240,17 +233,14 @@
         )
 
     def _remove(self, endpoint: EndpointId, origin: RemovalOrigin) -> None:
-        self._expired.pop(endpoint, None)
+        self.doubts.discard(endpoint)
         self._drop(endpoint, self._revision, origin)
 
     def drop_expired(self) -> None:
         """Remove entries that were not written again within the grace period."""
         now = self._clock()
-        for endpoint, expired in list(self._expired.items()):
-            if now >= expired.until:
-                doubted_for = round(now - expired.since, 3)
-                origin = RemovalOrigin(expired.source, doubted_for=doubted_for)
-                self._remove(endpoint, origin)
+        for endpoint, doubt in self.doubts.pop_ended(now):
+            self._remove(endpoint, doubt.describe_end(now))
 
 
 class VersionsHandler:
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -11,6 +11,8 @@
 
 from kestreltally.fleet.model import Endpoint, EndpointId
 from kestreltally.fleet.tables import Fleet
+from kestreltally.knowledge.departures import REPORT_DURATION, Departure
+from kestreltally.knowledge.doubts import Doubt
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed_parts import ReceivedUpdate
 from kestreltally.knowledge.fleet_rows import FleetRows
@@ -198,3 +200,96 @@
     assert rig.names == {"e2"}
     rig.receive(None, gone=[EndpointId("e2")])
     assert rig.names == set()
+
+
+def make_departure(number: int, endpoint: Endpoint = E1) -> Departure:
+    return Departure(endpoint.id, endpoint.start_time_ms, Revision(0, number))
+
+
+def test_departure_told_by_any_daemon_removes_an_endpoint() -> None:
+    rig = RowsRig()
+    rig.receive(15, E1, E2, whole=True)
+    rig.rows.apply_departure(make_departure(20), "south-1")
+    assert rig.names == {"e2"}
+    # It is passed on once, and the leader that has not heard of it changes nothing.
+    assert rig.rows.departures.list_since(0) == [make_departure(20)]
+    rig.rows.apply_departure(make_departure(20), "south-2")
+    assert len(rig.rows.departures.list_since(0)) == 1
+    rig.receive(16, E1, E2, whole=True)
+    assert rig.names == {"e2"}
+
+
+def test_departure_of_an_unknown_endpoint_outdates_older_rows() -> None:
+    rig = RowsRig()
+    rig.rows.apply_departure(make_departure(20), "south-1")
+    rig.receive(16, E1, E2, whole=True)
+    assert rig.names == {"e2"}
+
+
+def test_departure_older_than_a_list_removes_nothing() -> None:
+    rig = RowsRig()
+    rig.list_store(30, E1, E2)
+    rig.rows.apply_departure(make_departure(20), "south-1")
+    assert rig.names == {"e1", "e2"}
+    assert rig.rows.departures.list_since(0) == []
+
+
+def test_departure_ends_a_doubt_whatever_revision_is_known() -> None:
+    rig = RowsRig()
+    rig.list_store(30, E1, E2)
+    rig.rows.doubts.add(E1.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
+    rig.rows.apply_departure(make_departure(20), "south-1")
+    assert rig.names == {"e2"}
+    assert E1.id not in rig.rows.doubts
+
+
+def test_departure_of_an_earlier_incarnation_removes_nothing() -> None:
+    rig = RowsRig()
+    rig.receive(15, replace(E1, start_time_ms=8), whole=True)
+    earlier = Departure(E1.id, 7, Revision(0, 20))
+    rig.rows.apply_departure(earlier, "south-1")
+    assert rig.names == {"e1"}
+
+
+def test_departure_is_forgotten_once_the_endpoint_is_listed_again() -> None:
+    rig = RowsRig()
+    rig.list_store(10, E1, E2)
+    rig.list_store(20, E2)
+    assert rig.rows.departures.list_since(0) == [make_departure(20)]
+    rig.list_store(30, E1, E2)
+    assert rig.rows.departures.list_since(0) == []
+
+
+def test_only_departures_seen_here_are_reported_for_a_while() -> None:
+    rig = RowsRig()
+    rig.list_store(10, E1, E2)
+    rig.rows.apply_departure(make_departure(12, E2), "south-1")
+    rig.list_store(20)
+    assert rig.rows.departures.list_recent() == [make_departure(20)]
+    rig.clock.now += REPORT_DURATION + 0.1
+    assert rig.rows.departures.list_recent() == []
+    assert len(rig.rows.departures.list_since(0)) == 2
+
+
+def test_leaving_is_told_as_a_departure_once() -> None:
+    rig = RowsRig()
+    rig.list_store(10, replace(E1, leaving=True))
+    rig.list_store(11, replace(E1, leaving=True))
+    assert rig.rows.departures.list_since(0) == [Departure(E1.id, 0, None)]
+    other = RowsRig()
+    other.list_store(10, E1)
+    other.rows.apply_departure(Departure(E1.id, 0, None), "south-1")
+    other.rows.put_row(E1)
+    assert other.fleet.endpoints[E1.id].leaving
+
+
+def test_another_leaders_later_list_removes_what_it_lacks() -> None:
+    rig = RowsRig()
+    rig.list_store(10, E1, E2)
+    rig.receive(9, leader="south", present=["e2"])
+    assert rig.names == {"e1", "e2"}
+    rig.rows.doubts.add(E2.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
+    rig.receive(20, leader="south", present=["e3"])
+    # An entry in doubt may have expired; nobody is told of what may be just that.
+    assert rig.names == {"e2"}
+    assert rig.rows.departures.list_since(0) == []
--- a/tests/test_tombstones.py
+++ b/tests/test_tombstones.py
@@ -49,9 +49,13 @@
         assert max(victim.arrivals, default=0.0) < removed_at + DRAIN_BOUND
 
 
+def record_removed(tombstones: Tombstones) -> None:
+    tombstones.record(REMOVED.id, REMOVED.start_time_ms, Revision(0, 100), NOW)
+
+
 def test_tombstone_covers_older_rows_of_same_incarnation() -> None:
     tombstones = Tombstones()
-    tombstones.record(REMOVED, Revision(0, 100), NOW)
+    record_removed(tombstones)
     assert tombstones.is_removed(REMOVED, Revision(0, 97))
     assert tombstones.is_removed(REMOVED, Revision(0, 100))
     assert tombstones.is_removed(REMOVED, None)
@@ -67,10 +71,10 @@
 
 def test_tombstone_ends_when_listed_again_or_after_retention() -> None:
     tombstones = Tombstones()
-    tombstones.record(REMOVED, Revision(0, 100), NOW)
+    record_removed(tombstones)
     tombstones.remove(REMOVED.id)
     assert not tombstones.is_removed(REMOVED, Revision(0, 97))
-    tombstones.record(REMOVED, Revision(0, 100), NOW)
+    record_removed(tombstones)
     tombstones.prune_old(NOW + RETENTION - 0.1)
     assert tombstones.is_removed(REMOVED, Revision(0, 97))
     tombstones.prune_old(NOW + RETENTION)
