Endpoints: the age of the list is proven by answers on every daemon, and bounded

Callers' requests reached an endpoint up to 2.5 s after its entry had gone, of 2.0 allowed: a leader's watch that waits counted as 0 s old, so its followers relied on it for up to 1.6 s of silence, and what came after that (looking round, listing, dropping) was never added up.

Leaders state the time for which their knowledge of departures is proven, by their own answered calls or by another leader's, relative to a report; a follower whose proofs are older than 0.65 of the bound lists the endpoints itself, and only then (before, whenever its leader's feed was silent for 0.7 s). A leader's own proof decides whether it counts as fresh. The pause between two calls of the watch is 0.3 s, from 0.4, and its answer may take a quarter of the bound, 0.5 s at 2 s, from 0.8. All ways add up to three quarters of the bound at most, at 2, 3 and 4 s: test_times_until_a_departure_is_known_leave_a_reserve.

test_silent_store_is_detected_within_drain_bound read the age of a pending watch, 0; it now reads the proven age, and allows 1.5 s in place of 1.7.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -97,6 +97,12 @@
         Level.INFO,
         50,
     )
+    ENDPOINTS_OUTDATED = (
+        "knowledge: endpoints may be outdated",
+        Level.WARNING,
+        20,
+    )
+    ENDPOINTS_CURRENT = ("knowledge: endpoints current", Level.INFO, 20)
     ENDPOINT_ROW_OUTDATED = ("knowledge: row older than a removal", Level.INFO, 50)
     STORE_COPIED = ("store: came back from a copy", Level.WARNING, 20)
     HISTORY_GONE = ("knowledge: history gone", Level.INFO, 20)
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -49,7 +49,14 @@
 )
 from kestreltally.knowledge.count_persistence import CountPersistence
 from kestreltally.knowledge.datagrams import DatagramPort
-from kestreltally.knowledge.endpoints_age import EndpointsAge
+from kestreltally.knowledge.endpoints_age import (
+    ENDPOINTS_GAP,
+    ENDPOINTS_WAIT,
+    EndpointsAge,
+)
+from kestreltally.knowledge.endpoints_age import (
+    MARGIN_FRACTION as ENDPOINTS_MARGIN_FRACTION,
+)
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
@@ -100,12 +107,6 @@
 # The number of daemons assumed, for pacing calls to the store, until it is reported.
 INITIAL_DAEMON_COUNT: Final = 8
 RESTART_DELAY: Final[Seconds] = 0.2
-# The pause between two watch calls; changes within it arrive in one answer.
-ENDPOINTS_GAP: Final[Seconds] = 0.4
-# Together with the gap and the call's margin, a leader detects a lost store within
-# 1.6 s, so its followers watch the store themselves within the 2 s that are allowed for
-# noticing a leaving endpoint.
-ENDPOINTS_WAIT: Final[Seconds] = 0.4
 # When the store is silent, no version goes unnoticed for more than 2.9 s of the 5 s
 # that are allowed until it is loaded.
 VERSIONS_GAP: Final[Seconds] = 0.1
@@ -179,7 +180,9 @@
             self._first_leader_until,
             self._clock,
         )
-        self._endpoints_age = EndpointsAge(deployment.heartbeat, self._clock)
+        self._endpoints_age = EndpointsAge(
+            deployment.bounds.drain, deployment.heartbeat, self._clock
+        )
         self._configuration_watch = self._make_watch(
             CONFIGURATION_KIND,
             self._configuration,
@@ -253,6 +256,7 @@
             ENDPOINTS_GAP,
             ENDPOINTS_WAIT,
             self._endpoints_age.record_watched,
+            min(WATCH_MARGIN, ENDPOINTS_MARGIN_FRACTION * deployment.bounds.drain),
         )
         self._versions_watch = self._make_watch(
             VERSIONS_KIND,
@@ -414,6 +418,7 @@
             now = self._clock()
             self._exchange.resign_if_cut_off()
             self._switch_watches()
+            self._endpoints_age.check()
             self._exchange.leaders.follow()
             self._reader.wake_if_needed()
             self._exchange.apply_local_report()
@@ -439,16 +444,16 @@
     def _switch_watches(self) -> None:
         """Watch the store from this daemon unless a leader's feed provides the data.
 
-        While the store does not answer, a daemon that is not a leader keeps only the
-        endpoint watch running.
+        Endpoints are watched once the leaders' proofs of their list are too old. While
+        the store does not answer, a daemon that is not a leader watches nothing else.
         """
         leads = self._exchange.leaders.leads
-        has_feed = (
-            self._exchange.leaders.has_fresh_feed() or self._is_first_leader_pending()
-        )
-        needed = leads or not has_feed
-        self._endpoints_watch.set_enabled(needed)
-        others_needed = needed and (leads or not self._endpoints_watch.failing)
+        is_waiting = self._is_first_leader_pending()
+        is_reported = self._endpoints_age.is_reported_lately() or is_waiting
+        self._endpoints_watch.set_enabled(leads or not is_reported)
+        has_feed = self._exchange.leaders.has_fresh_feed() or is_waiting
+        store_answers = leads or not self._endpoints_watch.failing
+        others_needed = (leads or not has_feed) and store_answers
         self._configuration_watch.set_enabled(others_needed)
         self._versions_watch.set_enabled(others_needed)
 
--- a/src/kestreltally/knowledge/endpoints_age.py
+++ b/src/kestreltally/knowledge/endpoints_age.py
@@ -10,29 +10,60 @@
 
 A call that waits proves nothing: its connection may be silent.
 
+A daemon whose leaders' proofs are too old asks the store itself. The times add up to
+three quarters of the bound at most, the rest is a reserve for busy machines:
+
+- A leader hears of a departure after the pause between two calls of its watch. If its
+  connection falls silent, the wait of a call and the margin for its answer are added,
+  and the call that is sent at once over a new connection.
+- Any leader that hears of it tells the others, and they tell their followers.
+- A daemon relies on proofs that are up to ``MAX_PROOF_FRACTION`` of the bound old. It
+  looks at their age at each maintenance, and then lists the endpoints.
+
 The proofs also tell whether the store was unavailable to all daemons, or to this one
 alone: in the first case, entries may have expired although their endpoints are alive.
 """
 
+import logging
 from collections.abc import Callable
 from typing import Final
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
 from kestreltally.knowledge.updates import AGE_UNKNOWN
 
+LOG = logging.getLogger("kestreltally.knowledge")
+
 NEVER: Final[Seconds] = float("-inf")
 # An entry expires after three heartbeats of silence. When an outage begins, up to one
 # of them may have passed, so a shorter outage than two heartbeats expires no entry.
 MIN_OUTAGE_HEARTBEATS: Final = 2
+# The pause between two calls of the watch of endpoints, and the wait of a call.
+ENDPOINTS_GAP: Final[Seconds] = 0.3
+ENDPOINTS_WAIT: Final[Seconds] = 0.4
+# How long an answer of the watch may take in addition, as a fraction of the bound.
+MARGIN_FRACTION: Final = 0.25
+# A daemon asks the store itself once its leaders' proofs are older than this fraction
+# of the bound. A leader's own are at most its gap and wait old, and 0.25 s are added
+# from each daemon to the next: 1.2 s where a leader relies on another one.
+MAX_PROOF_FRACTION: Final = 0.65
+# Above this fraction of the bound the list may be outdated, and the daemon says so.
+RELIABLE_FRACTION: Final = 0.75
 
 
 class EndpointsAge:
     """The times up to which this daemon knows of all endpoints that have left.
 
-    ``heartbeat`` is the interval at which endpoints refresh their entries.
+    ``bound`` is the time within which a daemon must know of a departure, ``heartbeat``
+    the interval at which endpoints refresh their entries.
     """
 
-    def __init__(self, heartbeat: Seconds, clock: Callable[[], Seconds]) -> None:
+    def __init__(
+        self, bound: Seconds, heartbeat: Seconds, clock: Callable[[], Seconds]
+    ) -> None:
+        self._max_proof_age = MAX_PROOF_FRACTION * bound
+        self._reliable_age = RELIABLE_FRACTION * bound
+        self._was_reliable = False
         self._min_outage = MIN_OUTAGE_HEARTBEATS * heartbeat
         self._clock = clock
         self._outage_ended_at: Seconds = NEVER
@@ -56,6 +87,22 @@
         self.reported_as_of = max(self.reported_as_of, as_of)
         self._record_outage_end(in_outage=in_outage)
 
+    def is_reported_lately(self) -> bool:
+        """Return whether the leaders' proofs are young enough to rely on them."""
+        return self._clock() - self.reported_as_of < self._max_proof_age
+
+    def check(self) -> None:
+        """Log when the list of endpoints starts or ceases to be reliable."""
+        is_reliable = self.compute_age() < self._reliable_age
+        if is_reliable == self._was_reliable:
+            return
+        self._was_reliable = is_reliable
+        log_decision(
+            LOG,
+            Decision.ENDPOINTS_CURRENT if is_reliable else Decision.ENDPOINTS_OUTDATED,
+            proof_age=self.describe(),
+        )
+
     def _is_in_outage(self) -> bool:
         """Return whether nobody may have had an answer for long enough to expire one.
 
--- a/src/kestreltally/knowledge/leaders.py
+++ b/src/kestreltally/knowledge/leaders.py
@@ -1,17 +1,13 @@
 """Tracks the leader of each data centre, and which leader this daemon follows."""
 
 from collections.abc import Mapping
-from typing import Final
 
 from kestreltally.deployment import Deployment, SocketAddress
-from kestreltally.fleet.model import Seconds
+from kestreltally.knowledge.endpoints_age import MAX_PROOF_FRACTION
 from kestreltally.knowledge.feed_client import FeedClient
 from kestreltally.knowledge.updates import KnownLeader
 from kestreltally.placing.lease import Lease
 
-# A leader whose view of the store is older than this does not count as fresh.
-MAX_FEED_AGE: Final[Seconds] = 1.0
-
 
 class Leaders:
     """The known leaders, by local leases, the store, and the reports of other leaders.
@@ -21,6 +17,8 @@
 
     def __init__(self, deployment: Deployment, leases: Mapping[str, Lease]) -> None:
         self._deployment = deployment
+        # A leader whose own view of the store is older does not count as fresh.
+        self._max_store_age = MAX_PROOF_FRACTION * deployment.bounds.drain
         self._leases = leases
         self.clients: Mapping[str, FeedClient] = {}
         # The leaders that other leaders reported, by data centre.
@@ -63,7 +61,7 @@
     def is_fresh(self, data_centre: str) -> bool:
         """Return whether a leader is reachable whose view of the store is fresh."""
         client = self.clients[data_centre]
-        return client.is_alive() and client.store_age < MAX_FEED_AGE
+        return client.is_alive() and client.store_age < self._max_store_age
 
     def has_fresh_feed(self) -> bool:
         """Return whether the feed of any fresh leader reaches this daemon."""
--- a/src/kestreltally/knowledge/watching.py
+++ b/src/kestreltally/knowledge/watching.py
@@ -25,6 +25,7 @@
 
 # Each daemon retries within this time, however many of them retry.
 MAX_RETRY_INTERVAL: Final[Seconds] = 3.0
+CLOCK_RESOLUTION: Final[Seconds] = 0.001
 
 
 class WatchHandler(Protocol):
@@ -79,6 +80,8 @@
         self._regained_at: Seconds = float("-inf")
         self._revision: Revision | None = None
         self._connected = True
+        # The latest time up to which all objects are proven to be known.
+        self._current_as_of: Seconds = float("-inf")
 
     @property
     def enabled(self) -> bool:
@@ -104,10 +107,8 @@
         return self.failed_at > self.answered_at
 
     def compute_age(self) -> Seconds:
-        """Return the maximum age of the known objects; a pending watch counts as 0."""
-        if self.failing:
-            return self._clock() - self.answered_at
-        return 0.0 if self._revision is not None else float("inf")
+        """Return the maximum age of the known objects, proven by answered calls."""
+        return self._clock() - self._current_as_of
 
     async def run(self) -> None:
         """Watch the objects while enabled; runs forever."""
@@ -145,7 +146,7 @@
             self._record_answer()
             self._handler.apply_listing(listing)
             self._revision = listing.revision
-            self._record_current(started_at)
+            self._record_proof(started_at)
             return
         changes = await self._store.watch(
             self._kind, self._revision, self._wait, self._margin
@@ -155,17 +156,22 @@
             return
         self._revision = changes.revision
         self._handler.apply_changes(changes)
-        self._record_current(self._compute_as_of(changes, started_at))
+        self._record_proof(self._compute_as_of(changes, started_at))
         await asyncio.sleep(self._gap)
 
+    def _record_proof(self, as_of: Seconds) -> None:
+        self._current_as_of = max(self._current_as_of, as_of)
+        self._record_current(as_of)
+
     def _compute_as_of(self, changes: Changes, started_at: Seconds) -> Seconds:
         """Return the time up to which all changes are known by an answer.
 
         A store that has no changes to report answers when the wait is over.
         """
-        has_waited = self.answered_at - started_at >= self._wait
-        is_empty = not changes.changes
-        return started_at + (self._wait if is_empty and has_waited else 0.0)
+        waited = self.answered_at - started_at
+        if changes.changes or waited < self._wait - CLOCK_RESOLUTION:
+            return started_at
+        return started_at + min(waited, self._wait)
 
     def _record_answer(self) -> None:
         self.answered_at = self._clock()
--- a/tests/test_endpoints_age.py
+++ b/tests/test_endpoints_age.py
@@ -5,6 +5,7 @@
 from kestreltally.knowledge.endpoints_age import NEVER, EndpointsAge
 from tests.clocks import ManualClock
 
+BOUND = 2.0
 HEARTBEAT = 1.2
 # The shortest outage in which an entry can expire.
 LONG = 2.0 * HEARTBEAT
@@ -14,7 +15,7 @@
 class AgeRig:
     def __init__(self) -> None:
         self.clock = ManualClock()
-        self.age = EndpointsAge(HEARTBEAT, self.clock)
+        self.age = EndpointsAge(BOUND, HEARTBEAT, self.clock)
         self.age.record_watched(self.clock.now)
         self.clock.now += 60.0
         self.age.record_watched(self.clock.now)
@@ -24,7 +25,7 @@
 
 def test_age_counts_from_the_latest_proof_of_either_kind() -> None:
     clock = ManualClock()
-    age = EndpointsAge(HEARTBEAT, clock)
+    age = EndpointsAge(BOUND, HEARTBEAT, clock)
     assert age.as_of == NEVER
     age.record_watched(clock.now - 0.5)
     assert age.compute_age() == pytest.approx(0.5)
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -67,7 +67,7 @@
             lambda: None,
             lambda _: cast(Any, NorthLease()),
             lambda: None,
-            EndpointsAge(1.2, self.clock),
+            EndpointsAge(2.0, 1.2, self.clock),
             self.clock,
         )
 
--- a/tests/test_watching.py
+++ b/tests/test_watching.py
@@ -7,13 +7,18 @@
 from kestreltally.fleet.model import Seconds
 from kestreltally.fleet_daemon import (
     CONFIGURATION_GAP,
-    ENDPOINTS_GAP,
-    ENDPOINTS_WAIT,
+    MAINTENANCE_INTERVAL,
     VERSIONS_GAP,
     VERSIONS_WAIT,
 )
+from kestreltally.knowledge import endpoints_age
 from kestreltally.knowledge.configuration_age import MARGIN_FRACTION, WAIT_FRACTION
-from kestreltally.knowledge.leaders import MAX_FEED_AGE
+from kestreltally.knowledge.endpoints_age import (
+    ENDPOINTS_GAP,
+    ENDPOINTS_WAIT,
+    MAX_PROOF_FRACTION,
+)
+from kestreltally.knowledge.feed import MAX_BATCH_DELAY, UPDATE_INTERVAL
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.platform.store import (
     WATCH_MARGIN,
@@ -26,6 +31,10 @@
 pytestmark = pytest.mark.looptime
 
 DRAIN_BOUND = 2.0
+# The fraction of a bound that is kept for busy machines.
+RESERVE = 0.25
+# A call to the store, or a frame between two daemons.
+CALL_TIME = 0.05
 
 
 class SilentStore:
@@ -75,15 +84,33 @@
     for phase in range(8):
         store.silent = False
         await asyncio.sleep(3.0 + phase * 0.13)
-        assert watch.compute_age() == 0.0
+        assert watch.compute_age() < ENDPOINTS_GAP + ENDPOINTS_WAIT + 0.05
         store.silent = True
         silent_since = clock()
-        while watch.compute_age() < MAX_FEED_AGE:
+        while watch.compute_age() < MAX_PROOF_FRACTION * DRAIN_BOUND:
             await asyncio.sleep(0.01)
-        assert clock() - silent_since < DRAIN_BOUND - 0.3
+        assert clock() - silent_since < (1.0 - RESERVE) * DRAIN_BOUND
     running.cancel()
 
 
+@pytest.mark.parametrize("bound", [2.0, 3.0, 4.0])
+def test_times_until_a_departure_is_known_leave_a_reserve(bound: Seconds) -> None:
+    allowed = (1.0 - RESERVE) * bound
+    margin = min(WATCH_MARGIN, endpoints_age.MARGIN_FRACTION * bound)
+    told = MAX_BATCH_DELAY + CALL_TIME
+    # By one leader whose connection falls silent in the pause between two calls.
+    silent = ENDPOINTS_GAP + ENDPOINTS_WAIT + margin + CALL_TIME
+    assert silent + told <= allowed
+    # By another leader, which tells this daemon's own.
+    assert ENDPOINTS_GAP + CALL_TIME + 2 * told <= allowed
+    # By this daemon itself, once the proofs are too old.
+    assert MAX_PROOF_FRACTION * bound + MAINTENANCE_INTERVAL + CALL_TIME <= allowed
+    # Proofs that come in time are younger, also where a leader relies on another one.
+    hop = UPDATE_INTERVAL + MAX_BATCH_DELAY
+    usual = ENDPOINTS_GAP + ENDPOINTS_WAIT + CALL_TIME + 2 * hop
+    assert usual <= MAX_PROOF_FRACTION * bound
+
+
 class SilentConnection(SilentStore):
     """A store whose pending call is never answered, while new ones are."""
 
