Feed: closing it waits for the tasks that serve

A process that ended logged 'Exception in callback connection_made': a serving task that is cancelled makes the callback of its stream raise, as in the users' record. Nothing but the end of the event loop cancels one. close() now disconnects all daemons and waits until none is served, and a connection that is accepted meanwhile is dropped.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -540,7 +540,7 @@
     async def close(self) -> None:
         """Close all connections and cancel all tasks."""
         await self._entry_api.close()
-        self._exchange.feed.close()
+        await self._exchange.feed.close()
         self._datagrams.close()
         for task in self._tasks:
             task.cancel()
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -104,17 +104,24 @@
         # Each part reads its fields from reports, and fills those of updates.
         self.parts: Sequence[FeedPart] = ()
         self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[None]] = set()
+        self._is_closed = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen; raises ``OSError``."""
         self._server = await asyncio.start_server(self._serve, host, port)
 
-    def close(self) -> None:
-        """Stop listening, and disconnect all daemons."""
+    async def close(self) -> None:
+        """Stop listening, disconnect all daemons, and wait until none is served.
+
+        A serving task must not be cancelled: the callback of its stream would raise.
+        """
+        self._is_closed = True
         if self._server is not None:
             self._server.close()
         for peer in list(self._peers):
             peer.stream.abort()
+        await asyncio.gather(*self._serving, return_exceptions=True)
 
     def expedite(self) -> None:
         """Send changes after the batch delay, ahead of the next regular update."""
@@ -154,6 +161,10 @@
         if connection is not None:
             harden_socket(connection)
         peer = Peer(FrameStream(reader, writer))
+        if self._is_closed:
+            peer.stream.abort()
+            return
+        self._record_serving()
         self._peers.add(peer)
         try:
             while True:
@@ -176,6 +187,13 @@
             self._peers.discard(peer)
             peer.stream.close()
 
+    def _record_serving(self) -> None:
+        """Keep the current task until it ends, so that ``close`` can wait for it."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._serving.add(task)
+            task.add_done_callback(self._serving.discard)
+
     def _record_report(self, peer: Peer, report: Any) -> None:
         peer.vm = report.vm
         peer.stamp, peer.stamp_received_at = report.stamp, self._clock()
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -42,6 +42,7 @@
 from kestreltally.platform.store import Change, Changes, Listing, Revision, StoredObject
 from tests.clocks import ManualClock
 from tests.entryrig import KEY, MODELS, make_route
+from tests.ports import reserve_port
 
 ENTRY = {
     "Service": "models",
@@ -421,3 +422,18 @@
 def describe_struct(struct: Any) -> tuple[str, str, str]:
     spec = re.sub(r"<class '[\w.]*\.(\w+)'>", r"\1", repr(struct.thrift_spec))
     return struct.__name__, spec, repr(struct.default_spec)
+
+
+async def test_closing_a_feed_waits_for_its_serving_tasks() -> None:
+    rig = FeedRig()
+    rig.feed._peers.clear()
+    port = reserve_port()
+    await rig.feed.start("127.0.0.1", port)
+    before = asyncio.all_tasks()
+    writers = [(await asyncio.open_connection("127.0.0.1", port))[1] for _ in range(3)]
+    await asyncio.sleep(0.05)
+    assert len(asyncio.all_tasks() - before) == 3
+    await rig.feed.close()
+    assert asyncio.all_tasks() == before
+    for writer in writers:
+        writer.close()
