--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -216,6 +216,22 @@
         every=9.0,
         checks_keys=False,
     ),
+    Mutation(
+        name="entries that go without a word ignored",
+        module="knowledge/fleet_rows.py",
+        before="        if not self._is_overridden(as_of):\n",
+        after="        if False:\n",
+        action=Action.ENGINE_GOES,
+        every=2.0,
+    ),
+    Mutation(
+        name="age of the leaders' list of endpoints not checked",
+        module="knowledge/endpoints_age.py",
+        before="self._clock() - self.reported_as_of < self._max_proof_age",
+        after="True",
+        action=Action.LEADER_SILENT,
+        duration=5.0,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
