Endpoints: a restore before a daemon's first answer is of unknown age

Once the store had come back from a copy, each daemon that started later took its first answer for the restore itself, and kept every entry that went within 2.2 s of it: longer than the bound of 2.0 s, at a leader that has just begun, for followers that are in touch. A restore now counts for a doubt only if this daemon has known an earlier era.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -286,12 +286,13 @@
 
         This concerns the answer of the endpoint watch that is being applied. An outage
         that ended before an earlier answer has expired nothing that is missing only
-        now, and one of this daemon's connection alone has expired nothing at all.
+        now, and one of this daemon's connection alone has expired nothing at all. A
+        restore counts only if this daemon has known the store before it.
         """
-        restored_at = self._store.restored_at
+        era_changed_at = self._store.era_changed_at
         if not self._endpoints_watch.is_first_answer:
-            return restored_at
-        return max(restored_at, self._endpoints_age.find_outage_end())
+            return era_changed_at
+        return max(era_changed_at, self._endpoints_age.find_outage_end())
 
     def _make_channel_rules(self) -> ChannelRules | None:
         if not self._deployment.features.shared_channels:
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -201,6 +201,8 @@
         # the restore was.
         self.era = UNKNOWN_ERA
         self.restored_at: Seconds = float("-inf")
+        # When this client saw a known era end: the restore was just before.
+        self.era_changed_at: Seconds = float("-inf")
         # Set, and replaced, when pending watches have to end.
         self._interruption = asyncio.Event()
         self._closing: set[asyncio.Task[None]] = set()
@@ -216,6 +218,8 @@
         if era > self.era:
             if era > FIRST_ERA:
                 self.restored_at = asyncio.get_running_loop().time()
+                if self.era != UNKNOWN_ERA:
+                    self.era_changed_at = self.restored_at
                 log_decision(LOG, Decision.STORE_COPIED, era=era)
             self.era = era
             self._interrupt_watches()
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -125,3 +125,14 @@
         changes = await rig.client.watch("k", Revision(UNKNOWN_ERA, 0), 0.1)
         assert len(changes.changes) == 2
         assert rig.client.restored_at == float("-inf")
+
+
+async def test_restore_before_the_first_answer_is_of_unknown_age() -> None:
+    async with StoreRig() as rig:
+        await rig.server.restore(rig.server.make_snapshot())
+        await rig.client.list_objects("k")
+        assert rig.client.restored_at > 0
+        assert rig.client.era_changed_at == float("-inf")
+        await rig.server.restore(rig.server.make_snapshot())
+        await rig.client.list_objects("k")
+        assert rig.client.era_changed_at == rig.client.restored_at
