Endpoints: all removals are told, those that may be an expiry are marked

A follower that had listed the store itself, later than its leader's last answer, left out the leader's removal of an endpoint that the leader knew from another leader's list of names: it was told as of the leader's own revision, and relied on meanwhile by the leader's fresh proof. Every removal is now a departure with its own revision; one that nobody saw go is marked, and ends no doubt.

The decisions move to a module of their own (knowledge/removals.py), from knowledge/fleet_rows.py, which keeps the tables.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -219,7 +219,7 @@
     Mutation(
         name="entries that go without a word ignored",
         module="knowledge/fleet_rows.py",
-        before="        if not self._is_overridden(as_of):\n",
+        before="        if not self.removals.is_overridden(as_of):\n",
         after="        if False:\n",
         action=Action.ENGINE_GOES,
         every=2.0,
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -245,11 +245,11 @@
             self._fleet.endpoints,
             self._exchange.rows.put_entry,
             self._exchange.rows.drop_entry,
-            self._exchange.rows.record_complete,
+            self._exchange.rows.removals.record_complete,
+            self._exchange.rows.removals.doubts,
             self._clock,
             self._find_recovery,
         )
-        self._exchange.rows.doubts = self._endpoints.doubts
         self._endpoints_watch = self._make_watch(
             ENDPOINTS_KIND,
             self._endpoints,
@@ -437,7 +437,7 @@
                 cleaned_up_at = now
                 self._relay.poison.run_maintenance()
                 self._fleet.notices.prune_old(self._fleet.endpoints, now)
-                self._exchange.rows.tombstones.prune_old(now)
+                self._exchange.rows.removals.prune_old()
                 self._pool.close_expired(now)
                 self._control_pool.close_expired(now)
                 log_suppressed(LOG, self._lines.pop_dropped())
--- a/src/kestreltally/knowledge/departures.py
+++ b/src/kestreltally/knowledge/departures.py
@@ -35,12 +35,13 @@
     """An incarnation of an endpoint that has left.
 
     ``revision`` is that of the store as of which its entry is missing, None if the
-    endpoint says that it leaves.
+    endpoint says that it leaves. One that is not ``certain`` may just have expired.
     """
 
     endpoint: EndpointId
     start_time_ms: int
     revision: Revision | None
+    certain: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +115,8 @@
 
     def fill_report(self, report: Any, data_centre: str) -> None:
         """Add the latest departures to a report."""
-        report.departures = [_encode(each) for each in self._log.list_recent()]
+        recent = self._log.list_recent()
+        report.departures = [_encode(each) for each in recent] or None
 
     def apply_report(self, peer: Peer, report: Any) -> None:
         """Apply the departures of a report, as a leader."""
@@ -125,7 +127,7 @@
     def fill_update(self, update: Any, peer: Peer) -> None:
         """Add the departures that were not sent to the daemon yet."""
         departures = self._log.list_since(peer.sent_departures_position)
-        update.departures = [_encode(each) for each in departures]
+        update.departures = [_encode(each) for each in departures] or None
         peer.sent_departures_position = self._log.position
 
     def apply_update(self, received: ReceivedUpdate) -> None:
@@ -138,6 +140,7 @@
     row = DepartureRow(
         endpoint=departure.endpoint,
         born=departure.start_time_ms,
+        certain=departure.certain,
     )
     if departure.revision is not None:
         row.revision = departure.revision.number
@@ -147,4 +150,6 @@
 
 def _decode(row: Any) -> Departure:
     revision = None if row.revision is None else Revision(row.era, row.revision)
-    return Departure(EndpointId(row.endpoint), row.born or 0, revision)
+    return Departure(
+        EndpointId(row.endpoint), row.born or 0, revision, bool(row.certain)
+    )
--- a/src/kestreltally/knowledge/doubts.py
+++ b/src/kestreltally/knowledge/doubts.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from kestreltally.fleet.model import EndpointId, Seconds
-from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
+from kestreltally.knowledge.removal_origins import RemovalOrigin, RemovalSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +17,9 @@
 
     def describe_end(self, now: Seconds) -> RemovalOrigin:
         """Return the origin of the removal that ends this doubt."""
-        return RemovalOrigin(self.source, doubted_for=round(now - self.since, 3))
+        return RemovalOrigin(
+            self.source, doubted_for=round(now - self.since, 3), certain=True
+        )
 
 
 class Doubts:
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -183,7 +183,7 @@
             endpoints_proof,
             clock,
         )
-        self.rows.departures.notify_added = self._expedite_departures
+        self.rows.removals.departures.notify_added = self._expedite_departures
         self.speeds: SpeedExchange | None = None
         if deployment.features.engine_speeds:
             self.speeds = SpeedExchange(
@@ -194,7 +194,7 @@
             NoticeExchange(fleet.notices, self.leaders, clock),
             self.rows,
             DepartureExchange(
-                self.rows.departures, self.leaders, self.rows.apply_departure
+                self.rows.removals.departures, self.leaders, self.rows.apply_departure
             ),
             self.credits,
             *([self.speeds] if self.speeds is not None else ()),
@@ -285,7 +285,7 @@
             free_capacity=self.leader.free_capacity if self.leader else 0,
             known_at=self._get_known_at(),
             endpoints_known_at=self._get_endpoints_known_at(),
-            endpoints_revision=self.rows.revision,
+            endpoints_revision=self.rows.removals.revision,
             secret=self._poison.get_leader_secret() if leads else b"",
         )
 
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -131,12 +131,14 @@
 }
 
 // An incarnation of an endpoint that has left: the store lacks its entry as of a revision,
-// or, without one, the endpoint says that it leaves.
+// or, without one, the endpoint says that it leaves. One that is not certain may just have
+// expired.
 struct DepartureRow {
   1: string endpoint,
   2: i64 born,
   3: i64 revision,
   4: i64 era,
+  5: bool certain,
 }
 
 // The number of credits requested at a rate-limited endpoint, by urgency. received is the
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -17,22 +17,17 @@
     is_other_incarnation,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.knowledge.departures import Departure, DepartureLog
-from kestreltally.knowledge.doubts import Doubts
+from kestreltally.knowledge.departures import Departure
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed_parts import FeedPart, ReceivedUpdate
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.offered_rows import OfferedRows
-from kestreltally.knowledge.removals import (
-    CERTAIN_SOURCES,
-    RemovalOrigin,
-    RemovalSource,
-)
+from kestreltally.knowledge.removal_origins import RemovalOrigin, RemovalSource
+from kestreltally.knowledge.removals import Removals
 from kestreltally.knowledge.rows import apply_change, decode_endpoint, decode_weights
-from kestreltally.knowledge.tombstones import Tombstones
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
-from kestreltally.platform.store import NO_REVISION, Revision
+from kestreltally.platform.store import Revision
 
 LOG = logging.getLogger("kestreltally.knowledge")
 
@@ -63,36 +58,9 @@
         self._get_lease = get_lease
         self._expedite = expedite
         self._clock = clock
-        self.tombstones = Tombstones()
         self._offered: dict[str, OfferedRows] = defaultdict(OfferedRows)
-        # The latest revision of the store whose complete list of endpoints is known.
-        self.revision = NO_REVISION
-        self.departures = DepartureLog(clock)
-        # Entries that this daemon keeps although they are missing.
-        self.doubts = Doubts()
-        fleet.notices.notify_leaving = self._record_leaving
-
-    def record_complete(self, revision: Revision) -> None:
-        """Record that the rows reflect all entries as of a revision."""
-        self.revision = max(self.revision, revision)
-
-    def _is_outdated(self, endpoint: Endpoint, as_of: Revision | None) -> bool:
-        """Return whether a row as of a revision is older than its removal.
-
-        An endpoint that is unknown to a later complete list has been removed, even if
-        this daemon has started since.
-        """
-        if self.tombstones.is_removed(endpoint, as_of):
-            return True
-        is_known = endpoint.id in self._fleet.endpoints
-        return not is_known and as_of is not None and as_of < self.revision
-
-    def _is_overridden(self, as_of: Revision | None) -> bool:
-        """Return whether a removal is older than the complete list that is known.
-
-        An endpoint that is in that list was listed again since.
-        """
-        return as_of is not None and as_of < self.revision
+        self.removals = Removals(fleet.endpoints, clock)
+        fleet.notices.notify_leaving = self.removals.record_leaving
 
     # Updates of leaders.
 
@@ -114,16 +82,16 @@
         for each in update.versions or ():
             self.apply_version(*decode_weights(each))
         for endpoint in offered.pop_usable(
-            lambda each: not self._is_outdated(each, received.as_of)
+            lambda each: not self.removals.is_outdated(each, received.as_of)
         ):
             self._use_row(endpoint, offered)
         if update.complete and received.as_of is not None:
-            self.record_complete(received.as_of)
+            self.removals.record_complete(received.as_of)
 
     def _apply_row(
         self, endpoint: Endpoint, received: ReceivedUpdate, offered: OfferedRows
     ) -> None:
-        if self._is_outdated(endpoint, received.as_of):
+        if self.removals.is_outdated(endpoint, received.as_of):
             self._log_outdated(endpoint, received)
             offered.withhold(endpoint)
             return
@@ -131,7 +99,7 @@
 
     def _use_row(self, endpoint: Endpoint, offered: OfferedRows) -> None:
         offered.record_sent(endpoint.id)
-        self._record_listed(endpoint.id)
+        self.removals.record_listed(endpoint.id)
         self.put_row(endpoint)
 
     def _apply_change(self, change: Any, offered: OfferedRows) -> None:
@@ -149,7 +117,7 @@
         self, endpoint: EndpointId, received: ReceivedUpdate, offered: OfferedRows
     ) -> None:
         offered.record_gone(endpoint)
-        if not self._is_overridden(received.as_of):
+        if not self.removals.is_overridden(received.as_of):
             origin = RemovalOrigin(RemovalSource.LEADER, received.update.leader)
             self.drop_row(endpoint, received.as_of, origin)
 
@@ -160,7 +128,7 @@
             endpoint=endpoint.id,
             leader=received.update.leader,
             row_revision=received.as_of,
-            known_revision=self.revision,
+            known_revision=self.removals.revision,
         )
 
     def _drop_missing(self, received: ReceivedUpdate) -> None:
@@ -171,7 +139,7 @@
         had expired, so the rows already known are better. So are those of a later list.
         """
         present = {each.id for each in received.update.rows or ()}
-        if not present or self._is_overridden(received.as_of):
+        if not present or self.removals.is_overridden(received.as_of):
             return
         origin = RemovalOrigin(RemovalSource.FULL_UPDATE, received.update.leader)
         for endpoint in list(self._fleet.endpoints.values()):
@@ -187,48 +155,34 @@
 
         Entries that are kept in doubt may have expired before that leader started.
         """
-        if received.as_of is None or received.as_of <= self.revision:
+        if received.as_of is None or received.as_of <= self.removals.revision:
             return
         present = set(received.update.present)
         origin = RemovalOrigin(RemovalSource.ABSENCE, received.update.leader)
         for endpoint in list(self._fleet.endpoints):
-            if endpoint not in present and endpoint not in self.doubts:
+            if endpoint not in present and endpoint not in self.removals.doubts:
                 self.drop_row(endpoint, received.as_of, origin)
 
     # Departures.
 
-    def _record_leaving(self, endpoint: EndpointId, start_time_ms: int) -> None:
-        """Tell other daemons that an endpoint says that it leaves."""
-        departure = Departure(endpoint, start_time_ms, None)
-        self.departures.add(departure, seen_here=False)
-
     def apply_departure(self, departure: Departure, sender: str) -> None:
         """Apply what another daemon has learned of an endpoint that left."""
+        name, start_time_ms = departure.endpoint, departure.start_time_ms
         if departure.revision is None:
-            notice = KnownNotice(departure.endpoint, departure.start_time_ms, True, 0.0)
+            notice = KnownNotice(name, start_time_ms, leaves=True, backoff=0.0)
             self._fleet.notices.apply_reported([notice], self._clock())
             return
-        if self._is_news(departure, departure.revision):
-            origin = RemovalOrigin(RemovalSource.DEPARTURE, sender)
-            if departure.endpoint in self._fleet.endpoints:
-                self.drop_row(departure.endpoint, departure.revision, origin)
-            else:
-                self._record_removal(departure, origin)
-
-    def _is_news(self, departure: Departure, revision: Revision) -> bool:
-        """Return whether a removal is newer than what is known of its endpoint.
-
-        An entry that is kept in doubt is missing in the list that is known.
-        """
-        name, start_time_ms = departure.endpoint, departure.start_time_ms
-        if self.tombstones.covers(name, start_time_ms, revision):
-            return False
-        known = self._fleet.endpoints.get(name)
-        if known is not None and is_other_incarnation(
-            known.start_time_ms, start_time_ms
-        ):
-            return False
-        return name in self.doubts or self.revision < revision
+        if not self.removals.is_news(departure, departure.revision):
+            return
+        origin = RemovalOrigin(
+            RemovalSource.DEPARTURE, sender, certain=departure.certain
+        )
+        if name in self._fleet.endpoints:
+            self.drop_row(name, departure.revision, origin)
+        else:
+            self.removals.record_removed(
+                name, start_time_ms, departure.revision, origin
+            )
 
     # Rows.
 
@@ -282,9 +236,9 @@
         known = self._fleet.endpoints.get(endpoint)
         if known is not None:
             self._log_removed(endpoint, as_of, origin)
-            revision = as_of or self.revision
-            departure = Departure(known.id, known.start_time_ms, revision)
-            self._record_removal(departure, origin)
+            self.removals.record_removed(
+                endpoint, known.start_time_ms, as_of or self.removals.revision, origin
+            )
             for offered in self._offered.values():
                 offered.record_dropped(known)
             self._relay.poison.crash_detector.record_removed(known)
@@ -297,28 +251,6 @@
         if self._leaders.leads:
             self._expedite()
 
-    def _record_removal(self, departure: Departure, origin: RemovalOrigin) -> None:
-        """Remember a removal, and tell other daemons of it if it is certain.
-
-        What is merely missing in the first list of a daemon that has just started may
-        have expired, and its leader may keep it for that reason.
-        """
-        self.tombstones.record(
-            departure.endpoint,
-            departure.start_time_ms,
-            departure.revision or self.revision,
-            self._clock(),
-        )
-        self.doubts.discard(departure.endpoint)
-        if origin.source in CERTAIN_SOURCES:
-            seen_here = origin.source is not RemovalSource.DEPARTURE
-            self.departures.add(departure, seen_here=seen_here)
-
-    def _record_listed(self, endpoint: EndpointId) -> None:
-        """Forget the removal of an endpoint that is listed again."""
-        if self.tombstones.remove(endpoint):
-            self.departures.discard(endpoint)
-
     def _log_removed(
         self, endpoint: EndpointId, as_of: Revision | None, origin: RemovalOrigin
     ) -> None:
@@ -346,9 +278,9 @@
 
     def put_entry(self, endpoint: Endpoint, as_of: Revision) -> None:
         """Apply an endpoint's entry of the store unless a leader has newer data."""
-        if self._is_outdated(endpoint, as_of):
+        if self.removals.is_outdated(endpoint, as_of):
             return
-        self._record_listed(endpoint.id)
+        self.removals.record_listed(endpoint.id)
         lease = self._get_lease(endpoint)
         leader = self._get_leader()
         if lease.leads and leader is not None:
@@ -368,7 +300,7 @@
         self, endpoint: EndpointId, as_of: Revision, origin: RemovalOrigin
     ) -> None:
         """Remove an endpoint that the store no longer lists."""
-        if not self._is_overridden(as_of):
+        if not self.removals.is_overridden(as_of):
             self.drop_row(endpoint, as_of, origin)
 
     def expire_leader_state(self) -> None:
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -314,12 +314,14 @@
     2: (TType.I64, "born", False),
     3: (TType.I64, "revision", False),
     4: (TType.I64, "era", False),
+    5: (TType.BOOL, "certain", False),
 }
 DepartureRow.default_spec = [
     ("endpoint", None),
     ("born", None),
     ("revision", None),
     ("era", None),
+    ("certain", None),
 ]
 gen_init(DepartureRow, DepartureRow.thrift_spec, DepartureRow.default_spec)
 
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -16,7 +16,11 @@
     WeightsKey,
 )
 from kestreltally.knowledge.doubts import Doubt, Doubts
-from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
+from kestreltally.knowledge.removal_origins import (
+    SEEN_SOURCES,
+    RemovalOrigin,
+    RemovalSource,
+)
 from kestreltally.platform.documents import (
     CONFIGURATION_NAME,
     MalformedDocument,
@@ -155,6 +159,7 @@
     ``known`` are the endpoints known to this daemon, whatever their source. ``put`` and
     ``drop`` are called with the revision as of which an entry is listed or missing, and
     ``record_complete`` with the one up to which all changes have been applied.
+    ``doubts`` are the missing entries that are kept.
     ``recovered_at`` returns when the store last recovered, if entries that are missing
     in the answer being applied may have expired before that.
     """
@@ -165,6 +170,7 @@
         put: Callable[[Endpoint, Revision], None],
         drop: Callable[[EndpointId, Revision, RemovalOrigin], None],
         record_complete: Callable[[Revision], None],
+        doubts: Doubts,
         clock: Callable[[], Seconds],
         recovered_at: Callable[[], Seconds],
     ) -> None:
@@ -175,7 +181,7 @@
         self._clock = clock
         self._recovered_at = recovered_at
         self._revision = NO_REVISION
-        self.doubts = Doubts()
+        self.doubts = doubts
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply a list of all entries; those missing were removed or have expired."""
@@ -219,7 +225,8 @@
             if self.doubts.add(endpoint, Doubt(source, now, trusted_from)):
                 self._log_doubted(endpoint, source, now)
             return
-        self._remove(endpoint, RemovalOrigin(source))
+        is_seen = source in SEEN_SOURCES
+        self._remove(endpoint, RemovalOrigin(source, certain=is_seen))
 
     def _log_doubted(
         self, endpoint: EndpointId, source: RemovalSource, now: Seconds
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,6 +14,7 @@
 from thriftpy2.utils import serialize
 
 from kestreltally.fleet.model import Endpoint, EndpointId
+from kestreltally.knowledge.doubts import Doubts
 from kestreltally.knowledge.rows import encode_endpoint
 from kestreltally.knowledge.watch_handlers import EndpointsHandler, VersionsHandler
 from kestreltally.platform.documents import MalformedDocument, decode_endpoint
@@ -61,6 +62,7 @@
         lambda endpoint, _: applied.append(endpoint),
         lambda *_: None,
         lambda _: None,
+        Doubts(),
         lambda: 0.0,
         lambda: float("-inf"),
     )
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -16,7 +16,7 @@
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed_parts import ReceivedUpdate
 from kestreltally.knowledge.fleet_rows import FleetRows
-from kestreltally.knowledge.removals import RemovalOrigin, RemovalSource
+from kestreltally.knowledge.removal_origins import RemovalOrigin, RemovalSource
 from kestreltally.knowledge.rows import encode_change, encode_endpoint
 from kestreltally.knowledge.structs import Update
 from kestreltally.platform.store import Revision
@@ -26,7 +26,7 @@
 
 E1 = make_endpoint("e1")
 E2 = make_endpoint("e2")
-BY_WATCH = RemovalOrigin(RemovalSource.WATCH)
+BY_WATCH = RemovalOrigin(RemovalSource.WATCH, certain=True)
 
 
 class Ignore:
@@ -79,7 +79,7 @@
         present = {each.id for each in endpoints}
         for name in [each for each in self.fleet.endpoints if each not in present]:
             self.rows.drop_entry(name, revision, BY_WATCH)
-        self.rows.record_complete(revision)
+        self.rows.removals.record_complete(revision)
 
     def receive(
         self,
@@ -202,8 +202,11 @@
     assert rig.names == set()
 
 
-def make_departure(number: int, endpoint: Endpoint = E1) -> Departure:
-    return Departure(endpoint.id, endpoint.start_time_ms, Revision(0, number))
+def make_departure(
+    number: int, endpoint: Endpoint = E1, *, certain: bool = True
+) -> Departure:
+    revision = Revision(0, number)
+    return Departure(endpoint.id, endpoint.start_time_ms, revision, certain)
 
 
 def test_departure_told_by_any_daemon_removes_an_endpoint() -> None:
@@ -212,9 +215,9 @@
     rig.rows.apply_departure(make_departure(20), "south-1")
     assert rig.names == {"e2"}
     # It is passed on once, and the leader that has not heard of it changes nothing.
-    assert rig.rows.departures.list_since(0) == [make_departure(20)]
+    assert rig.rows.removals.departures.list_since(0) == [make_departure(20)]
     rig.rows.apply_departure(make_departure(20), "south-2")
-    assert len(rig.rows.departures.list_since(0)) == 1
+    assert len(rig.rows.removals.departures.list_since(0)) == 1
     rig.receive(16, E1, E2, whole=True)
     assert rig.names == {"e2"}
 
@@ -231,22 +234,22 @@
     rig.list_store(30, E1, E2)
     rig.rows.apply_departure(make_departure(20), "south-1")
     assert rig.names == {"e1", "e2"}
-    assert rig.rows.departures.list_since(0) == []
+    assert rig.rows.removals.departures.list_since(0) == []
 
 
 def test_departure_ends_a_doubt_whatever_revision_is_known() -> None:
     rig = RowsRig()
     rig.list_store(30, E1, E2)
-    rig.rows.doubts.add(E1.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
+    rig.rows.removals.doubts.add(E1.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
     rig.rows.apply_departure(make_departure(20), "south-1")
     assert rig.names == {"e2"}
-    assert E1.id not in rig.rows.doubts
+    assert E1.id not in rig.rows.removals.doubts
 
 
 def test_departure_of_an_earlier_incarnation_removes_nothing() -> None:
     rig = RowsRig()
     rig.receive(15, replace(E1, start_time_ms=8), whole=True)
-    earlier = Departure(E1.id, 7, Revision(0, 20))
+    earlier = Departure(E1.id, 7, Revision(0, 20), certain=True)
     rig.rows.apply_departure(earlier, "south-1")
     assert rig.names == {"e1"}
 
@@ -255,9 +258,9 @@
     rig = RowsRig()
     rig.list_store(10, E1, E2)
     rig.list_store(20, E2)
-    assert rig.rows.departures.list_since(0) == [make_departure(20)]
+    assert rig.rows.removals.departures.list_since(0) == [make_departure(20)]
     rig.list_store(30, E1, E2)
-    assert rig.rows.departures.list_since(0) == []
+    assert rig.rows.removals.departures.list_since(0) == []
 
 
 def test_only_departures_seen_here_are_reported_for_a_while() -> None:
@@ -265,20 +268,22 @@
     rig.list_store(10, E1, E2)
     rig.rows.apply_departure(make_departure(12, E2), "south-1")
     rig.list_store(20)
-    assert rig.rows.departures.list_recent() == [make_departure(20)]
+    assert rig.rows.removals.departures.list_recent() == [make_departure(20)]
     rig.clock.now += REPORT_DURATION + 0.1
-    assert rig.rows.departures.list_recent() == []
-    assert len(rig.rows.departures.list_since(0)) == 2
+    assert rig.rows.removals.departures.list_recent() == []
+    assert len(rig.rows.removals.departures.list_since(0)) == 2
 
 
 def test_leaving_is_told_as_a_departure_once() -> None:
     rig = RowsRig()
     rig.list_store(10, replace(E1, leaving=True))
     rig.list_store(11, replace(E1, leaving=True))
-    assert rig.rows.departures.list_since(0) == [Departure(E1.id, 0, None)]
+    assert rig.rows.removals.departures.list_since(0) == [
+        Departure(E1.id, 0, None, certain=True)
+    ]
     other = RowsRig()
     other.list_store(10, E1)
-    other.rows.apply_departure(Departure(E1.id, 0, None), "south-1")
+    other.rows.apply_departure(Departure(E1.id, 0, None, certain=True), "south-1")
     other.rows.put_row(E1)
     assert other.fleet.endpoints[E1.id].leaving
 
@@ -288,8 +293,31 @@
     rig.list_store(10, E1, E2)
     rig.receive(9, leader="south", present=["e2"])
     assert rig.names == {"e1", "e2"}
-    rig.rows.doubts.add(E2.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
+    rig.rows.removals.doubts.add(E2.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
     rig.receive(20, leader="south", present=["e3"])
-    # An entry in doubt may have expired; nobody is told of what may be just that.
+    # An entry in doubt may have expired, and what is missing may have done just that.
     assert rig.names == {"e2"}
-    assert rig.rows.departures.list_since(0) == []
+    told = make_departure(20, certain=False)
+    assert rig.rows.removals.departures.list_since(0) == [told]
+
+
+def test_departure_that_may_be_an_expiry_ends_no_doubt() -> None:
+    rig = RowsRig()
+    rig.list_store(10, E1, E2)
+    rig.rows.removals.doubts.add(E1.id, Doubt(RemovalSource.WATCH, 0.0, 100.0))
+    for name in (E1, E2):
+        departure = make_departure(20, name, certain=False)
+        rig.rows.apply_departure(departure, "south-1")
+    assert rig.names == {"e1"}
+
+
+def test_follower_with_a_later_list_hears_what_its_leader_was_told_missing() -> None:
+    leader, follower = RowsRig(), RowsRig()
+    leader.list_store(10, E1, E2)
+    follower.list_store(15, E1, E2)
+    leader.receive(20, leader="south", present=["e2"])
+    follower.receive(10, gone=["e1"])
+    assert follower.names == {"e1", "e2"}
+    (told,) = leader.rows.removals.departures.list_since(0)
+    follower.rows.apply_departure(told, "north-1")
+    assert follower.names == {"e2"}
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -13,6 +13,7 @@
 from kestreltally.fleet.model import Endpoint, EndpointId, RequestKind, WeightsKey
 from kestreltally.fleet.tables import Fleet, RouteTable
 from kestreltally.knowledge import structs
+from kestreltally.knowledge.doubts import Doubts
 from kestreltally.knowledge.feed import (
     MAX_UNSENT_BYTES,
     MIN_TOTALS_INTERVAL,
@@ -154,6 +155,7 @@
             lambda endpoint, _: self.known.__setitem__(endpoint.id, endpoint),
             lambda endpoint, *_: self.known.__delitem__(endpoint),
             lambda _: None,
+            Doubts(),
             self.clock,
             lambda: self.recovered_at,
         )
