Endpoints: the time in which a daemon stood still is no outage of the store

A leader that is frozen for longer than entries live, and whose pending call fails as it goes on, took its own pause for an outage of the store: it would keep what went meanwhile for 2.2 s, and tell its followers, who are in touch. Only time in which this daemon ran counts: it looks at its proofs each 0.1 s, and a pause of more than 1 s between two looks starts anew.

--- a/src/kestreltally/knowledge/endpoints_age.py
+++ b/src/kestreltally/knowledge/endpoints_age.py
@@ -38,6 +38,9 @@
 # An entry expires after three heartbeats of silence. When an outage begins, up to one
 # of them may have passed, so a shorter outage than two heartbeats expires no entry.
 MIN_OUTAGE_HEARTBEATS: Final = 2
+# A daemon that has not looked at its proofs for this long has stood still, and does not
+# know whether others had answers meanwhile. It looks each 0.1 s.
+MAX_PAUSE: Final[Seconds] = 1.0
 # The pause between two calls of the watch of endpoints, and the wait of a call.
 ENDPOINTS_GAP: Final[Seconds] = 0.3
 ENDPOINTS_WAIT: Final[Seconds] = 0.4
@@ -67,6 +70,8 @@
         self._min_outage = MIN_OUTAGE_HEARTBEATS * heartbeat
         self._clock = clock
         self._outage_ended_at: Seconds = NEVER
+        self._checked_at = clock()
+        self._running_since: Seconds = NEVER
         self.watched_as_of: Seconds = NEVER
         self.reported_as_of: Seconds = NEVER
 
@@ -92,7 +97,13 @@
         return self._clock() - self.reported_as_of < self._max_proof_age
 
     def check(self) -> None:
-        """Log when the list of endpoints starts or ceases to be reliable."""
+        """Log when the list of endpoints starts or ceases to be reliable.
+
+        Call this regularly: it shows that this daemon runs.
+        """
+        if self._has_paused():
+            self._running_since = self._clock()
+        self._checked_at = self._clock()
         is_reliable = self.compute_age() < self._reliable_age
         if is_reliable == self._was_reliable:
             return
@@ -104,11 +115,19 @@
         )
 
     def _is_in_outage(self) -> bool:
-        """Return whether nobody may have had an answer for long enough to expire one.
+        """Return whether nobody has had an answer for long enough to expire an entry.
 
-        A daemon that has just started has no proof, so it assumes the worst.
+        Only the time counts in which this daemon has run. One that has just started has
+        no proof, and assumes the worst.
         """
-        return self.compute_age() >= self._min_outage
+        if self._has_paused():
+            return False
+        since = max(self.as_of, self._running_since)
+        return self._clock() - since >= self._min_outage
+
+    def _has_paused(self) -> bool:
+        """Return whether this daemon has stood still until now."""
+        return self._clock() - self._checked_at > MAX_PAUSE
 
     def _record_outage_end(self, *, in_outage: bool) -> None:
         if in_outage and not self._is_in_outage():
