Endpoints: a leader whose full update was older than the own list sends all again

A follower that had listed the store later than its leader keeps what the leader lacks. If the leader never knew such an endpoint, because it left before the leader caught up by a list of its own, no update ever tells the removal, and the leader's proofs are relied on: the endpoint would be used for good. Such a leader is asked for all rows once it has caught up, and until then neither its revision nor its proofs count here.

--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -447,7 +447,8 @@
         received = self._make_received_update(data_centre, update)
         for part in self._parts:
             part.apply_update(received)
-        if update.endpoints_known_by is not None:
+        is_reconciled = self.leaders.leads or self.rows.is_reconciled(data_centre)
+        if is_reconciled and update.endpoints_known_by is not None:
             self._endpoints_proof.record_reported(
                 update.echo + update.endpoints_known_by
             )
--- a/src/kestreltally/knowledge/feed.py
+++ b/src/kestreltally/knowledge/feed.py
@@ -201,6 +201,8 @@
         if led_before and not peer.leads:
             # Until now it was sent only the endpoints that this leader leads.
             peer.require_full_update()
+        if report.wants_full:
+            peer.require_full_update()
         peer.follows = bool(report.follows)
         peer.configuration = report.configuration
         peer.daemons = report.daemons or 1
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -195,7 +195,8 @@
 // store_age is the time since the store answered a lease renewal, read_age the time since
 // it answered a read of the endpoints to this daemon itself, in seconds. stamp is the
 // sender's time, secret the key of the digests of requests. follows says that the sender
-// reports its own requests to this leader, and to no other.
+// reports its own requests to this leader, and to no other. wants_full asks for all rows:
+// those sent were older than what the sender has listed itself.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -222,6 +223,7 @@
   30: list<SpeedRow> speeds,
   23: bool keeps_accounts,
   24: list<DepartureRow> departures,
+  25: bool wants_full,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -64,13 +64,22 @@
 
     # Updates of leaders.
 
+    def is_reconciled(self, data_centre: str) -> bool:
+        """Return whether the leader's updates cover all that this daemon knows."""
+        return self._offered[data_centre].is_reconciled
+
+    def fill_report(self, report: Any, data_centre: str) -> None:
+        """Ask a leader that has caught up with this daemon's list for all rows."""
+        report.wants_full = self._offered[data_centre].wants_full or None
+
     def apply_update(self, received: ReceivedUpdate) -> None:
         """Apply rows, changes of weights, removals and versions of an update."""
         update = received.update
         offered = self._offered[received.data_centre]
         if update.whole:
-            offered.reset()
-            self._drop_missing(received)
+            self._apply_full(received, offered)
+        elif received.as_of is not None:
+            offered.record_revision(received.as_of)
         if update.present:
             self._drop_absent(received)
         for row in update.rows or ():
@@ -85,7 +94,7 @@
             lambda each: not self.removals.is_outdated(each, received.as_of)
         ):
             self._use_row(endpoint, offered)
-        if update.complete and received.as_of is not None:
+        if update.complete and offered.is_reconciled and received.as_of is not None:
             self.removals.record_complete(received.as_of)
 
     def _apply_row(
@@ -131,24 +140,37 @@
             known_revision=self.removals.revision,
         )
 
-    def _drop_missing(self, received: ReceivedUpdate) -> None:
-        """Remove endpoints that a full update lacks.
+    def _apply_full(self, received: ReceivedUpdate, offered: OfferedRows) -> None:
+        """Remove endpoints that a full update lacks, unless a later list has them."""
+        missing = self._list_missing(received)
+        if not self.removals.is_overridden(received.as_of):
+            offered.reset(None)
+            origin = RemovalOrigin(RemovalSource.FULL_UPDATE, received.update.leader)
+            for endpoint in missing:
+                self.drop_row(endpoint, received.as_of, origin)
+            return
+        # A leader has its own list; it takes the rows of others as they come.
+        must_reconcile = bool(missing) and not self._leaders.leads
+        offered.reset(self.removals.revision if must_reconcile else None)
+
+    def _list_missing(self, received: ReceivedUpdate) -> list[EndpointId]:
+        """Return the known endpoints that a full update lacks.
 
-        A leader removes only those that the sender leads. An empty update is ignored:
-        it comes from a leader that has just started, perhaps while entries of the store
-        had expired, so the rows already known are better. So are those of a later list.
+        For a leader these are only those that the sender leads. An empty update lacks
+        none: it comes from a leader that has just started, perhaps while entries of the
+        store had expired, so the rows already known are better.
         """
         present = {each.id for each in received.update.rows or ()}
-        if not present or self.removals.is_overridden(received.as_of):
-            return
-        origin = RemovalOrigin(RemovalSource.FULL_UPDATE, received.update.leader)
-        for endpoint in list(self._fleet.endpoints.values()):
-            is_covered = (
-                not self._leaders.leads
-                or endpoint.data_centre in received.led_data_centres
+        if not present:
+            return []
+        return [
+            each.id
+            for each in self._fleet.endpoints.values()
+            if each.id not in present
+            and (
+                not self._leaders.leads or each.data_centre in received.led_data_centres
             )
-            if is_covered and endpoint.id not in present:
-                self.drop_row(endpoint.id, received.as_of, origin)
+        ]
 
     def _drop_absent(self, received: ReceivedUpdate) -> None:
         """Remove endpoints that another leader lacks in a later list of all.
--- a/src/kestreltally/knowledge/offered_rows.py
+++ b/src/kestreltally/knowledge/offered_rows.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from kestreltally.fleet.model import Endpoint, EndpointId
+from kestreltally.platform.store import Revision
 
 
 class OfferedRows:
@@ -16,11 +17,31 @@
     def __init__(self) -> None:
         self._offered: set[EndpointId] = set()
         self._withheld: dict[EndpointId, Endpoint] = {}
+        # The revision of this daemon's own list, if the full update was older.
+        self._overridden_by: Revision | None = None
+        self.wants_full = False
 
-    def reset(self) -> None:
-        """Forget everything: the leader sends all its rows again."""
+    def reset(self, overridden_by: Revision | None) -> None:
+        """Forget everything: the leader sends all its rows again.
+
+        ``overridden_by`` is the revision of a later list, None if there is none. Then
+        the leader need not know all endpoints of that list, and never tells the removal
+        of one that it has not known, so all its rows are needed once it has caught up.
+        """
         self._offered.clear()
         self._withheld.clear()
+        self._overridden_by = overridden_by
+        self.wants_full = False
+
+    @property
+    def is_reconciled(self) -> bool:
+        """Return whether what this leader sends covers all that this daemon knows."""
+        return self._overridden_by is None
+
+    def record_revision(self, revision: Revision) -> None:
+        """Record the revision that an update reflects."""
+        if self._overridden_by is not None and revision >= self._overridden_by:
+            self.wants_full = True
 
     def record_sent(self, endpoint: EndpointId) -> None:
         """Record that the leader has sent a row, which is used."""
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -457,6 +457,7 @@
     30: (TType.LIST, "speeds", (TType.STRUCT, SpeedRow), False),
     23: (TType.BOOL, "keeps_accounts", False),
     24: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
+    25: (TType.BOOL, "wants_full", False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -484,6 +485,7 @@
     ("speeds", None),
     ("keeps_accounts", None),
     ("departures", None),
+    ("wants_full", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
--- a/tests/test_fleet_rows.py
+++ b/tests/test_fleet_rows.py
@@ -18,7 +18,7 @@
 from kestreltally.knowledge.fleet_rows import FleetRows
 from kestreltally.knowledge.removal_origins import RemovalOrigin, RemovalSource
 from kestreltally.knowledge.rows import encode_change, encode_endpoint
-from kestreltally.knowledge.structs import Update
+from kestreltally.knowledge.structs import Report, Update
 from kestreltally.platform.store import Revision
 from tests.clocks import ManualClock
 from tests.entryrig import KEY
@@ -100,6 +100,11 @@
             ReceivedUpdate(update, leader, frozenset({leader}), as_of, followed=True)
         )
 
+    def wants_full(self) -> bool:
+        report = Report()
+        self.rows.fill_report(report, "north")
+        return bool(report.wants_full)
+
     @property
     def names(self) -> set[str]:
         return set(self.fleet.endpoints)
@@ -321,3 +326,20 @@
     (told,) = leader.rows.removals.departures.list_since(0)
     follower.rows.apply_departure(told, "north-1")
     assert follower.names == {"e2"}
+
+
+def test_leader_that_has_caught_up_is_asked_for_all_rows() -> None:
+    rig = RowsRig()
+    rig.list_store(20, E1, E2)
+    rig.receive(15, E2, whole=True)
+    assert not rig.rows.is_reconciled("north")
+    assert not rig.wants_full()
+    # It never knew the endpoint, which has left since, so it tells no removal.
+    rig.receive(30)
+    assert rig.names == {"e1", "e2"}
+    assert rig.rows.removals.revision == Revision(0, 20)
+    assert rig.wants_full()
+    rig.receive(31, E2, whole=True)
+    assert rig.names == {"e2"}
+    assert rig.rows.is_reconciled("north")
+    assert not rig.wants_full()
