Endpoints: a leader says nothing of rows that it no longer sends

That leader had been sent all rows by another one before it led itself. When the endpoint went, it withheld its row, as that other leader seemed to offer it still, and used it again with the next update, as of a later revision: but that update only speaks of the rows that its sender leads. Such a row is now used again only if the update covers its data centre. test_row_that_a_leader_no_longer_sends_does_ not_come_back failed before and passes now. A placement that begins after its engine was dropped publishes it no more, by reading.

--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -42,6 +42,9 @@
 REVOKED_KEY_FRACTION: Final = 0.4
 PROBE_INTERVAL: Final = 0.5
 READY_TIMEOUT: Final = 15.0
+# Each start takes half a second of a core; beyond these many they wait for each other.
+UNSCALED_READY_DAEMONS: Final = 16
+READY_TIMEOUT_PER_DAEMON: Final = 1.0
 # Time for the election of leaders and listing of engines, seconds.
 SETTLE_TIME: Final = 1.0
 # Time after the last disturbance, seconds, and fraction of requests that must be
@@ -557,7 +560,9 @@
 
 
 async def _wait_until_ready(system: SoakSystem) -> None:
-    async with asyncio.timeout(READY_TIMEOUT), ClientSession() as http:
+    more = max(0, len(system.daemons) - UNSCALED_READY_DAEMONS)
+    limit = READY_TIMEOUT + READY_TIMEOUT_PER_DAEMON * more
+    async with asyncio.timeout(limit), ClientSession() as http:
         for daemon in system.daemons:
             await wait_for_answer(http, f"http://{HOST}:{daemon.port + 1}/ready")
     await asyncio.sleep(SETTLE_TIME)
--- a/src/kestreltally/knowledge/fleet_rows.py
+++ b/src/kestreltally/knowledge/fleet_rows.py
@@ -90,13 +90,29 @@
             self._apply_gone(EndpointId(name), received, offered)
         for each in update.versions or ():
             self.apply_version(*decode_weights(each))
-        for endpoint in offered.pop_usable(
-            lambda each: not self.removals.is_outdated(each, received.as_of)
-        ):
-            self._use_row(endpoint, offered)
+        self._use_withheld(received, offered)
         if update.complete and offered.is_reconciled and received.as_of is not None:
             self.removals.record_complete(received.as_of)
 
+    def _use_withheld(self, received: ReceivedUpdate, offered: OfferedRows) -> None:
+        """Use withheld rows that the sender lists as of a later revision.
+
+        It says nothing of rows that it does not send any more: a leader is sent only
+        those that the sender leads, even if it was sent all before it led.
+        """
+
+        def is_usable(endpoint: Endpoint) -> bool:
+            is_covered = (
+                received.update.complete
+                or endpoint.data_centre in received.led_data_centres
+            )
+            return is_covered and not self.removals.is_outdated(
+                endpoint, received.as_of
+            )
+
+        for endpoint in offered.pop_usable(is_usable):
+            self._use_row(endpoint, offered)
+
     def _apply_row(
         self, endpoint: Endpoint, received: ReceivedUpdate, offered: OfferedRows
     ) -> None:
--- a/src/kestreltally/placing/loads.py
+++ b/src/kestreltally/placing/loads.py
@@ -233,7 +233,7 @@
         victim = placement.victim
         if victim is not None:
             state.start_unload(victim, self._clock())
-            self._publish(state.make_endpoint())
+            self.publish(state)
             outcome = await self._client.order(state, OrderKind.UNLOAD, victim)
             if outcome is not OrderOutcome.DONE:
                 # The adapter is still in use, or the known state was wrong. The next
