--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -173,11 +173,11 @@
         """Kill daemons at once, and wait until they have been restarted."""
         scope = Scope(vms=frozenset(each.vm for each in daemons))
         with self.checker.contact.record(scope, asyncio.get_running_loop().time):
+            # One that is down already may start again before anybody waits for it.
+            boots = [daemon.boots for daemon in daemons]
             for daemon in daemons:
                 daemon.signal(signal.SIGKILL)
-            await asyncio.gather(
-                *(self.system.wait_for_restart(each) for each in daemons)
-            )
+            await asyncio.gather(*map(self.system.wait_for_restart, daemons, boots))
 
     async def _perform(self, step: Step) -> None:
         if step.action in HARMLESS:
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -174,10 +174,13 @@
             await asyncio.sleep(RESTART_DELAY)
             self.boot(daemon)
 
-    async def wait_for_restart(self, daemon: Daemon) -> None:
-        """Wait until a daemon that is being stopped has been restarted."""
-        boots = daemon.boots
-        while daemon.boots == boots:
+    async def wait_for_restart(self, daemon: Daemon, boots: int | None = None) -> None:
+        """Wait until a daemon that is being stopped has been restarted.
+
+        ``boots`` is the number of its starts before it was stopped, by default now.
+        """
+        before = daemon.boots if boots is None else boots
+        while daemon.boots == before:
             await asyncio.sleep(WATCH_INTERVAL)
 
     async def add_endpoint(self, service: str, zone: str) -> SoakEndpoint:
