--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -44,6 +44,7 @@
     UNREAD_ENDED = ("holdings: unread bytes dropped", Level.WARNING, 50)
     REQUEST_WAITS = ("relay: request waits for weights", Level.INFO, 100)
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
+    ANSWER_UNDELIMITED = ("relay: answer ended with its connection", Level.INFO, 50)
     REQUEST_REPEATED = ("relay: request is sent again", Level.INFO, 200)
     RETRY_REFUSED = ("relay: no retry left", Level.INFO, 100)
     COUNT_NOT_KEPT = ("knowledge: number of daemons not kept", Level.INFO, 20)
--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -14,6 +14,8 @@
 from aiohttp import StreamReader
 from aiohttp.client_exceptions import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import RawResponseMessage
+from aiohttp.streams import EMPTY_PAYLOAD
 from multidict import MultiMapping
 
 from kestreltally.entry.channel_protocol import ChannelProtocol
@@ -37,6 +39,7 @@
 # Number of answers to other requests that are skipped before a channel is given up.
 MAX_SURPLUS_ANSWERS: Final = 3
 MIN_FAILURE_STATUS: Final = 500
+BODILESS_STATUSES: Final = frozenset({204, 304})
 _KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
 
 
@@ -54,7 +57,8 @@
 
     ``taken`` counts the bytes of the body that were read, ``buffered`` those of them
     that are kept until the whole body has arrived. ``share`` is the number of bytes
-    that may be held of the answer.
+    that may be held of the answer. ``delimited`` is false if the answer has neither a
+    length nor chunks, and ends with its connection.
     """
 
     status: int
@@ -63,6 +67,7 @@
     raw_headers: tuple[tuple[bytes, bytes], ...]
     body: StreamReader
     protocol: ChannelProtocol
+    delimited: bool = True
     taken: int = 0
     buffered: int = 0
     share: float = math.inf
@@ -112,6 +117,13 @@
         return content
 
 
+def is_delimited(message: RawResponseMessage, body: StreamReader) -> bool:
+    """Return whether an answer's head tells where its body ends (RFC 9112, 6.3)."""
+    if message.code in BODILESS_STATUSES or body is EMPTY_PAYLOAD:
+        return True
+    return message.chunked or "Content-Length" in message.headers
+
+
 def read_idle_time(answer: Answer) -> Seconds | None:
     """Return after which idle time an endpoint says that it closes the channel."""
     match = _KEEP_ALIVE.search(answer.headers.get("Keep-Alive", ""))
@@ -223,6 +235,7 @@
             raw_headers=message.raw_headers,
             body=payload,
             protocol=self._protocol,
+            delimited=is_delimited(message, payload),
         )
 
     def _apply_notice(
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -85,7 +85,10 @@
             self.record_failure(endpoint, str(error))
             raise AttemptFailed("answer body truncated", may_have_run=True) from error
         if body is None:
-            return await self._forward_long_body(client, progress, endpoint, answer)
+            return await self._forward_long_body(
+                request, client, progress, endpoint, answer
+            )
+        _log_undelimited(request, progress, endpoint, answer)
         _record_complete(progress, answer)
         self._check_status(request, progress, endpoint, answer)
         return make_buffered_answer(answer, body)
@@ -115,6 +118,7 @@
 
     async def _forward_long_body(
         self,
+        request: ClientRequest,
         client: web.BaseRequest,
         progress: Progress,
         endpoint: Endpoint,
@@ -130,6 +134,7 @@
             progress.record_broken()
             self.record_failure(endpoint, str(error))
             raise StreamBroken(str(error)) from error
+        _log_undelimited(request, progress, endpoint, answer)
         _record_complete(progress, answer)
         self._health.record_success(endpoint.id)
         return response
@@ -153,6 +158,7 @@
                 if await self._write_events(client, progress, answer, content):
                     arrived_at.append(now)
                     self._record_event(request, progress, endpoint, now)
+            _log_undelimited(request, progress, endpoint, answer)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
@@ -232,6 +238,24 @@
                 raise
 
 
+def _log_undelimited(
+    request: ClientRequest, progress: Progress, endpoint: Endpoint, answer: Answer
+) -> None:
+    """Log the end of an answer that had neither a length nor chunks."""
+    if answer.delimited:
+        return
+    log_decision(
+        LOG,
+        Decision.ANSWER_UNDELIMITED,
+        request=request.head.id,
+        endpoint=endpoint.id,
+        status=answer.status,
+        size=answer.taken,
+        events=progress.events.count,
+        partial=progress.events.has_partial_event,
+    )
+
+
 def _record_complete(progress: Progress, answer: Answer) -> None:
     """Record that an answer is complete.
 
--- a/src/kestreltally/entry/events.py
+++ b/src/kestreltally/entry/events.py
@@ -17,11 +17,13 @@
     """Splits bytes into events and drops those that were already forwarded.
 
     ``last_id`` is the id of the last forwarded event; ids increase within a stream.
+    ``count`` is the number of events since the last ``restart``, old ones included.
     """
 
     def __init__(self) -> None:
         self._partial = b""
         self.last_id: str | None = None
+        self.count = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -36,6 +38,7 @@
         for end in _END.finditer(data):
             event = data[start : end.end()]
             start = end.end()
+            self.count += 1
             if self._is_new(event):
                 events += event
         self._partial = data[start:]
@@ -49,6 +52,7 @@
     def restart(self) -> None:
         """Drop the incomplete event, because another endpoint continues the stream."""
         self._partial = b""
+        self.count = 0
 
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
