--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -101,6 +101,12 @@
     seen: list[SeenRequest] = field(default_factory=list)
     closed: int = 0
     port: int = 0
+    listener: asyncio.Server | None = None
+
+    def stop_listening(self) -> None:
+        """Refuse new connections, as after a crash."""
+        assert self.listener is not None
+        self.listener.close()
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -189,12 +195,16 @@
 
 @dataclass
 class Reply:
-    """What a client received until the connection closed or the answer was complete."""
+    """What a client received until the connection closed or the answer was complete.
+
+    An answer that is not ``delimited`` is whole if its connection was closed in order.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
     whole: bool
+    delimited: bool = True
 
 
 @dataclass
@@ -240,6 +250,9 @@
         name, _, value = line.partition(":")
         headers[name.lower()] = value.strip()
     status = int(first.split()[1])
+    if not headers.keys() & {"transfer-encoding", "content-length"}:
+        body, whole = await _read_to_end(reader)
+        return Reply(status, headers, body, whole, delimited=False)
     try:
         if headers.get("transfer-encoding") == "chunked":
             body, whole = await _read_chunks(reader)
@@ -252,6 +265,16 @@
     return Reply(status, headers, body, whole)
 
 
+async def _read_to_end(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    body = b""
+    try:
+        while content := await reader.read(2**16):
+            body += content
+    except ConnectionError:
+        return body, False
+    return body, True
+
+
 async def _read_chunks(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
     body = b""
     while True:
@@ -277,6 +300,7 @@
     for endpoint in endpoints:
         server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
         endpoint.port = server.sockets[0].getsockname()[1]
+        endpoint.listener = server
         servers.append(server)
         fleet.put_endpoint(endpoint.make_endpoint())
     pool = ChannelPool(fleet.notices, holdings)
