Relay: a stream without length or chunks that ends before any event is broken off

Callers saw a 200 with an engine's signature, no event, and a last chunk: an answer that looked complete, of an engine that had crashed as its run began. Cause: _forward_events took the end of the connection for the end of the stream unless it fell inside an event; an end before the first event leaves no part. Evidence: the users' record (run and end in one millisecond, body short, complete); test_stream_without_an_event_* failed on, each time, as the log line's events=0 partial=false showed. Why it works: a stream of tokens has at least one event, so such an end is a break whatever caused it: it goes on at another engine where the route may be resumed, else the caller gets a 502. It also counts as a broken connection again, so the crash detector asks the engine's address.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -161,6 +161,10 @@
             _log_undelimited(request, progress, endpoint, answer)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
+            # Without a length or chunks, an engine that ends before its first event
+            # looks the same as one whose stream is empty, and no stream is.
+            if not answer.delimited and not events.count:
+                raise AnswerTruncated("stream ended before its first event")
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
             if isinstance(error, AnswerTruncated):
                 progress.record_broken()
