--- a/src/kestreltally/entry/answers.py
+++ b/src/kestreltally/entry/answers.py
@@ -3,10 +3,11 @@
 import json
 from typing import Final
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from kestreltally.entry.request import HOP_BY_HOP_HEADERS, Refused
+from kestreltally.entry.undelimited import UndelimitedResponse
 from kestreltally.entry.upstream import Answer
 from kestreltally.platform.headers import (
     REQUEST_ID,
@@ -38,14 +39,20 @@
     )
 
 
-def make_streamed_answer(answer: Answer) -> web.StreamResponse:
-    """Return an endpoint's answer with a body that is streamed."""
-    response = web.StreamResponse(
+def make_streamed_answer(answer: Answer, client: web.BaseRequest) -> web.StreamResponse:
+    """Return an endpoint's answer with a body that is streamed.
+
+    It claims a definite end only if the endpoint's answer has one.
+    """
+    chunked = answer.delimited and client.version >= HttpVersion11
+    make = web.StreamResponse if chunked else UndelimitedResponse
+    response = make(
         status=answer.status,
         reason=answer.reason or None,
         headers=copy_headers(answer),
     )
-    response.enable_chunked_encoding()
+    if chunked:
+        response.enable_chunked_encoding()
     return response
 
 
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -91,7 +91,12 @@
         _log_undelimited(request, progress, endpoint, answer)
         _record_complete(progress, answer)
         self._check_status(request, progress, endpoint, answer)
-        return make_buffered_answer(answer, body)
+        if answer.delimited:
+            return make_buffered_answer(answer, body)
+        progress.response = make_streamed_answer(answer, client)
+        await progress.response.prepare(client)
+        await progress.response.write(body)
+        return progress.response
 
     def _check_status(
         self,
@@ -124,7 +129,7 @@
         endpoint: Endpoint,
         answer: Answer,
     ) -> web.StreamResponse:
-        response = make_streamed_answer(answer)
+        response = make_streamed_answer(answer, client)
         progress.response = response
         await response.prepare(client)
         try:
@@ -174,7 +179,7 @@
         progress.record_ended()
         self._health.record_success(endpoint.id)
         if progress.response is None:
-            progress.response = make_streamed_answer(answer)
+            progress.response = make_streamed_answer(answer, client)
             await progress.response.prepare(client)
         return progress.response
 
@@ -191,7 +196,7 @@
             return False
         progress.record_answered(complete=False)
         if progress.response is None:
-            progress.response = make_streamed_answer(answer)
+            progress.response = make_streamed_answer(answer, client)
             await progress.response.prepare(client)
         await progress.response.write(complete_events)
         return True
