Relay: an answer without length or chunks of an endpoint that ended is broken off

Callers saw as complete what an endpoint had sent until it crashed between two events, or within a plain body. Cause: the end of the connection was taken for that of the answer, and the kernel closes the connections of a process that crashes in order too. Why it works: an endpoint that ended refuses a connection at that moment, one that ended its answer alone accepts it. The connection opened takes the place of the one that went with the answer, so none is opened in vain; the answer's end waits for it 0.2 s at most. Where nothing is refused, the answer is passed on as it came. Weighed: asking a second engine to go on after each such stream: costs a run and a retry of the budget for each whole one, and an engine that is asked to go on after the last event answers with a stream without events, which says nothing.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -16,7 +16,7 @@
 from kestreltally.entry.request import ClientRequest
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.silence import compute_first_check_delay
-from kestreltally.entry.upstream import Answer, AnswerTruncated
+from kestreltally.entry.upstream import Answer, AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
 from kestreltally.pacing.pauses import EventTimes, PauseCounter, is_stretched
 
@@ -46,9 +46,12 @@
     ``event_times`` and ``pauses`` are learned from the events of streams of engines.
     """
 
-    def __init__(self, health: HealthTable, budget: RetryBudget) -> None:
+    def __init__(
+        self, health: HealthTable, budget: RetryBudget, pool: ChannelPool
+    ) -> None:
         self._health = health
         self._budget = budget
+        self._pool = pool
         self.event_times = EventTimes()
         self.pauses = PauseCounter()
 
@@ -80,6 +83,8 @@
             )
         try:
             body = await answer.read_all(MAX_BUFFERED_BYTES)
+            if body is not None:
+                await self._check_end(request, progress, endpoint, answer)
         except AnswerTruncated as error:
             progress.record_broken()
             self.record_failure(endpoint, str(error))
@@ -88,7 +93,6 @@
             return await self._forward_long_body(
                 request, client, progress, endpoint, answer
             )
-        _log_undelimited(request, progress, endpoint, answer)
         _record_complete(progress, answer)
         self._check_status(request, progress, endpoint, answer)
         if answer.delimited:
@@ -135,11 +139,11 @@
         try:
             while not answer.body.at_eof():
                 await response.write(await answer.read_some())
+            await self._check_end(request, progress, endpoint, answer)
         except AnswerTruncated as error:
             progress.record_broken()
             self.record_failure(endpoint, str(error))
             raise StreamBroken(str(error)) from error
-        _log_undelimited(request, progress, endpoint, answer)
         _record_complete(progress, answer)
         self._health.record_success(endpoint.id)
         return response
@@ -163,13 +167,13 @@
                 if await self._write_events(client, progress, answer, content):
                     arrived_at.append(now)
                     self._record_event(request, progress, endpoint, now)
-            _log_undelimited(request, progress, endpoint, answer)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
             # Without a length or chunks, an engine that ends before its first event
             # looks the same as one whose stream is empty, and no stream is.
             if not answer.delimited and not events.count:
                 raise AnswerTruncated("stream ended before its first event")
+            await self._check_end(request, progress, endpoint, answer)
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
             if isinstance(error, AnswerTruncated):
                 progress.record_broken()
@@ -183,6 +187,33 @@
             await progress.response.prepare(client)
         return progress.response
 
+    async def _check_end(
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        endpoint: Endpoint,
+        answer: Answer,
+    ) -> None:
+        """Raise ``AnswerTruncated`` if an answer ended because its endpoint did.
+
+        Only an answer without length and chunks can do so unnoticed.
+        """
+        if answer.delimited:
+            return
+        listening = await self._pool.confirm_listening(endpoint)
+        log_decision(
+            LOG,
+            Decision.ANSWER_UNDELIMITED,
+            request=request.head.id,
+            endpoint=endpoint.id,
+            status=answer.status,
+            size=answer.taken,
+            events=progress.events.count,
+            listening=listening,
+        )
+        if not listening:
+            raise AnswerTruncated("endpoint ended with its answer")
+
     async def _write_events(
         self,
         client: web.BaseRequest,
@@ -247,24 +278,6 @@
                 raise
 
 
-def _log_undelimited(
-    request: ClientRequest, progress: Progress, endpoint: Endpoint, answer: Answer
-) -> None:
-    """Log the end of an answer that had neither a length nor chunks."""
-    if answer.delimited:
-        return
-    log_decision(
-        LOG,
-        Decision.ANSWER_UNDELIMITED,
-        request=request.head.id,
-        endpoint=endpoint.id,
-        status=answer.status,
-        size=answer.taken,
-        events=progress.events.count,
-        partial=progress.events.has_partial_event,
-    )
-
-
 def _record_complete(progress: Progress, answer: Answer) -> None:
     """Record that an answer is complete.
 
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -79,7 +79,7 @@
         self.health = health
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health)
-        self.delivery = Delivery(health, budget)
+        self.delivery = Delivery(health, budget, pool)
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
         self._sender = Sender(
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -21,6 +21,10 @@
 # Round trips take 0.5 ms to a few ms; a lost SYN packet is sent again only after 1 s.
 CONNECT_TIMEOUT: Final[Seconds] = 0.7
 
+# Limit of the wait for a connection that only shows whether an endpoint lives on: an
+# answer's end is held back that long at most.
+CONFIRM_TIMEOUT: Final[Seconds] = 0.2
+
 Address = tuple[str, int]
 
 
@@ -80,6 +84,22 @@
             self._holdings.start_sending(channel)
         return channel
 
+    async def confirm_listening(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint still accepts connections.
+
+        False only if it refuses one. The channel opened is kept for a request.
+        """
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT):
+                channel = await self._open_channel(endpoint)
+        except NotConnected as error:
+            return not error.refused
+        except TimeoutError:
+            return True
+        self._keep(channel)
+        self._wake_waiter(channel.address)
+        return True
+
     def has_idle(self, endpoint: Endpoint) -> bool:
         """Return whether an idle channel to an endpoint may be used now."""
         now = asyncio.get_running_loop().time()
