Channels: an abort of our own does not complete an answer without length

Callers could get as complete a short answer whose channel this daemon itself had closed, as it does for bytes that an endpoint or a client leaves unread. Cause: aiohttp forgets the body at an abort, then lets the end of the connection complete it; the check for resets had nothing left to fail. Why it works: the body fails before the connection is given up, whoever waits for it.

--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -19,7 +19,9 @@
 
 
 class ChannelProtocol(ResponseHandler):
-    """aiohttp's protocol, but a reset does not complete a body without length.
+    """aiohttp's protocol, but only the endpoint's close completes an undelimited body.
+
+    A reset does not, nor does a close by this daemon.
 
     ``held`` is true while no more may be received, ``was_held`` until the reader resets
     it. ``lost_at`` is the time at which the connection was closed.
@@ -35,6 +37,7 @@
         self.held = False
         self.was_held = False
         self.lost_at: float | None = None
+        self._closed_by_endpoint = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what is received at once if received bytes are counted."""
@@ -46,14 +49,28 @@
                 bound_kernel_unsent(transport)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Report a reset as the failure of a body that was not complete."""
+        """Report any other end as the failure of a body that was not complete."""
         self.lost_at = self._loop.time()
+        if exc is not None:
+            self._fail_body()
+        super().connection_lost(exc)
+
+    def close(self) -> None:
+        """Close the connection; a body that is not complete stays so."""
+        self._fail_body()
+        super().close()
+
+    def abort(self) -> None:
+        """Close at once, dropping unsent bytes; as ``close``."""
+        self._fail_body()
+        super().abort()
+
+    def _fail_body(self) -> None:
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(
-                ClientPayloadError("connection reset before the end of the body")
+                ClientPayloadError("connection closed before the end of the body")
             )
-        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes after reporting their number."""
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -12,7 +12,9 @@
 import pytest
 
 from kestreltally.entry.delivery import MAX_BUFFERED_BYTES
+from kestreltally.entry.upstream import AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import RequestKind, Route, ServiceName
+from kestreltally.fleet.notices import NoticeTable
 from tests.entryrig import (
     MODELS,
     PLAIN,
@@ -199,3 +201,23 @@
         reply = await rig.send(raw)
     assert (reply.status, reply.body) == (200, make_events(1))
     assert reply.whole
+
+
+async def test_own_abort_does_not_complete_an_answer_without_a_length() -> None:
+    async def stay_open(_: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(60)
+
+    endpoint = make_cut(b"half", stay_open, PLAIN)
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    endpoint.port = server.sockets[0].getsockname()[1]
+    channel = await ChannelPool(NoticeTable()).acquire(endpoint.make_endpoint())
+    answer = await channel.send(b"GET / HTTP/1.1\r\n\r\n", b"", None)
+    assert await answer.read_some() == b"half"
+    reading = asyncio.create_task(answer.read_some())
+    await asyncio.sleep(0.01)
+    channel.abort()
+    with pytest.raises(AnswerTruncated):
+        await reading
+    with pytest.raises(AnswerTruncated):
+        await answer.read_some()
+    server.close()
