Soak: half of the endpoints answer without length and chunks

Its proxies reset where they said so (an abort without a linger time ends in order), never pass on an end in order after bytes that they dropped, and its clients tell a reset from such an end.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -232,6 +232,14 @@
         action=Action.LEADER_SILENT,
         duration=5.0,
     ),
+    Mutation(
+        name="end of an engine taken for the end of its answer",
+        module="entry/delivery.py",
+        before="        if not listening:\n",
+        after="        if False:\n",
+        action=Action.ENGINE_CRASH,
+        every=1.0,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
--- a/bench/faultsoak/proxy.py
+++ b/bench/faultsoak/proxy.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from enum import Enum
 from typing import Final
 
 HOST: Final = "127.0.0.1"
 CHUNK: Final = 2**16
 DELAY: Final = 0.25
+# Value of SO_LINGER: a close resets the connection.
+NO_LINGER: Final = struct.pack("ii", 1, 0)
 
 
 class ProxyMode(Enum):
@@ -24,6 +28,14 @@
     SILENT = "silent"
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that its other end does not see an end in order."""
+    if not writer.transport.is_closing():
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
 class Proxy:
     """Forwards connections to a target; the mode applies to open ones too."""
 
@@ -50,7 +62,7 @@
         if mode is ProxyMode.RESET or dropped_bytes:
             # Dropped bytes cannot be recovered, so the connection is reset.
             for writer in self._writers:
-                writer.transport.abort()
+                reset(writer)
 
     def silence_open(self) -> None:
         """Drop all bytes of the connections that are open now, but not of new ones."""
@@ -68,7 +80,9 @@
     ) -> None:
         self._writers.add(writer)
         try:
-            if self.mode is not ProxyMode.RESET:
+            if self.mode is ProxyMode.RESET:
+                reset(writer)
+            else:
                 await self._forward(reader, writer)
         except OSError:
             # The target does not listen: the client sees a reset, as without a proxy.
@@ -105,14 +119,18 @@
         cut: ProxyMode,
         number: int,
     ) -> None:
+        dropped = False
         with contextlib.suppress(OSError):
             while content := await reader.read(CHUNK):
                 if self.mode is ProxyMode.DELAY:
                     await asyncio.sleep(DELAY)
                 is_silenced = number <= self._silenced_up_to
                 if is_silenced or self.mode in (ProxyMode.SILENT, cut):
+                    dropped = True
                     continue
                 writer.write(content)
                 await writer.drain()
-            if writer.can_write_eof():
+            if dropped:
+                reset(writer)
+            elif writer.can_write_eof():
                 writer.write_eof()
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -22,9 +22,9 @@
 from bench.faultsoak.organisations import CHANGING
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import HOST, Proxy, ProxyMode
+from bench.faultsoak.sessions import open_session
 from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
 from bench.fleet_demo import DATA_CENTRES
-from kestreltally.objectapi.http import open_session
 from standins.platform_engine import HEARTBEAT, POISON_PREFIX
 
 # Requests per second of each daemon's client, and number of adapters that they name.
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -193,6 +193,7 @@
             model=MODEL if service == "models" else "",
             newest_versions=self.newest_versions,
             event_time=EVENT_TIME,
+            undelimited=len(self.all_endpoints) % 2 == 1,
         )
         proxy = Proxy()
         engine.address = f"{HOST}:{await proxy.start()}"
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -18,6 +18,7 @@
 from uuid import uuid4
 
 from aiohttp import ClientError, ClientSession, web
+from aiohttp.abc import AbstractStreamWriter
 
 from standins.common import Faults, make_command
 
@@ -29,6 +30,17 @@
 EVENTS: Final = 5
 
 
+class UndelimitedStream(web.StreamResponse):
+    """An answer without length and chunks, which ends with its connection."""
+
+    _length_check = False
+
+    async def prepare(self, request: web.BaseRequest) -> AbstractStreamWriter | None:
+        """Send the head, and close the connection after the answer."""
+        self.force_close()
+        return await super().prepare(request)
+
+
 @dataclass
 class PlatformEngine:
     """One endpoint; ``model`` is empty for a plain service."""
@@ -63,6 +75,8 @@
     # Notice in its answers that it is leaving; end of its backoff, by the loop's clock.
     reports_leaving: bool = False
     backoff_until: float = 0.0
+    # Its answers have neither a length nor chunks, and end with their connection.
+    undelimited: bool = False
     # Rejects all requests, without a reason or a Retry-After header.
     sheds_load: bool = False
     # Rate limit in its answers: requests per second from all daemons together.
@@ -255,13 +269,24 @@
             return web.Response(status=500, headers=headers, text="error")
         if not adapter:
             text = f"{http.method} {http.path_qs} {len(body)}"
+            if self.undelimited:
+                return await self._answer_undelimited(http, headers, text)
             return web.Response(headers=headers, text=text)
         return await self._stream(http, headers, f"{adapter}@{held}")
 
+    async def _answer_undelimited(
+        self, http: web.Request, headers: dict[str, str], text: str
+    ) -> web.StreamResponse:
+        response = UndelimitedStream(headers=headers)
+        await response.prepare(http)
+        await response.write(text.encode())
+        return response
+
     async def _stream(
         self, http: web.Request, headers: dict[str, str], ran: str
     ) -> web.StreamResponse:
-        response = web.StreamResponse(headers=headers)
+        make = UndelimitedStream if self.undelimited else web.StreamResponse
+        response = make(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(http)
         first = int(http.headers.get("Last-Event-Id", 0)) + 1
