Reach: a daemon finds out whether any endpoint is within its reach

Nothing depends on it yet. A failed connection casts doubt; another that opens, or bytes on an open one, ends it; else three endpoints are asked over new connections.

--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -37,6 +37,8 @@
         self.held = False
         self.was_held = False
         self.lost_at: float | None = None
+        # Called when bytes arrive.
+        self.notify_answered: Callable[[], None] = lambda: None
         self._closed_by_endpoint = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -75,6 +77,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes after reporting their number."""
         if data:
+            self.notify_answered()
             self._record_received(self, len(data))
         super().data_received(data)
 
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -57,6 +57,7 @@
 
     def record_failure(self, endpoint: Endpoint, fault: str) -> None:
         """Count a failure of an endpoint; log if the endpoint is ejected."""
+        self._pool.contact.record_broken()
         now = asyncio.get_running_loop().time()
         if self._health.record_failure(endpoint.id, now):
             log_decision(
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -16,6 +16,7 @@
 from kestreltally.entry.holdings import Holdings
 from kestreltally.fleet.model import Endpoint, Seconds
 from kestreltally.fleet.notices import NoticeTable
+from kestreltally.reach.contact import Contact
 from kestreltally.sockets import harden_socket
 
 # Round trips take 0.5 ms to a few ms; a lost SYN packet is sent again only after 1 s.
@@ -50,7 +51,9 @@
         notices: NoticeTable,
         holdings: Holdings | None = None,
         rules: ChannelRules | None = None,
+        contact: Contact | None = None,
     ) -> None:
+        self.contact = contact or Contact()
         self._notices = notices
         self._holdings = holdings
         self._rules = rules
@@ -100,6 +103,13 @@
         self._wake_waiter(channel.address)
         return True
 
+    async def open(self, endpoint: Endpoint) -> Channel:
+        """Return a new channel, which the caller releases; raises ``NotConnected``."""
+        channel = await self._open_channel(endpoint)
+        if self._holdings is not None:
+            self._holdings.start_sending(channel)
+        return channel
+
     def has_idle(self, endpoint: Endpoint) -> bool:
         """Return whether an idle channel to an endpoint may be used now."""
         now = asyncio.get_running_loop().time()
@@ -178,18 +188,23 @@
             )
         except (OSError, TimeoutError) as error:
             connection.close()
+            self.contact.record_not_opened()
             refused = isinstance(error, ConnectionRefusedError)
             raise NotConnected(f"{host}:{port}: {error!r}", refused=refused) from error
         except BaseException:
             connection.close()
             raise
         self.opened += 1
+        self.contact.record_opened()
         return Channel(protocol, endpoint, self._notices)
 
     def _make_protocol(self, loop: asyncio.AbstractEventLoop) -> ChannelProtocol:
         if self._holdings is None:
-            return ChannelProtocol(loop)
-        return ChannelProtocol(loop, self._holdings.record_received)
+            protocol = ChannelProtocol(loop)
+        else:
+            protocol = ChannelProtocol(loop, self._holdings.record_received)
+        protocol.notify_answered = self.contact.record_answered
+        return protocol
 
     def release(self, channel: Channel, *, keep: bool) -> None:
         """Return a channel to the pool; one that is not kept is closed at once.
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -96,6 +96,8 @@
 from kestreltally.poison.api import PoisonApi
 from kestreltally.poison.persistence import PoisonPersistence
 from kestreltally.quotas.limiters import DEFAULT, LIMITERS, UNORDERED
+from kestreltally.reach.contact import Contact
+from kestreltally.reach.prober import Prober
 
 LOG = logging.getLogger("kestreltally.daemon")
 
@@ -133,12 +135,21 @@
         self._store = Store(open_store_session(), deployment.store)
         self._fleet = Fleet()
         self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
+        self._contact = Contact(self._clock)
         self._pool = ChannelPool(
             self._fleet.notices,
             self._holdings if self._holdings.limit else None,
             self._make_channel_rules(),
+            self._contact,
+        )
+        self._control_pool = ChannelPool(self._fleet.notices, contact=self._contact)
+        self._prober = Prober(
+            self._contact,
+            self._fleet,
+            self._control_pool,
+            deployment.vm,
+            self._clock,
         )
-        self._control_pool = ChannelPool(self._fleet.notices)
         self._relay = Relay(
             deployment.data_centre,
             self._fleet,
@@ -389,6 +400,7 @@
                 watches,
                 self._authority,
                 self._endpoints_age,
+                self._contact,
                 daemons,
                 now,
             ),
@@ -503,6 +515,7 @@
             self._lease_monitor.run,
             self._leader.run,
             self._exchange.feed.run,
+            self._prober.run,
             self._reader.run,
             self._poison_persistence.run,
             self._count_persistence.run,
--- a/src/kestreltally/fleet_gauges.py
+++ b/src/kestreltally/fleet_gauges.py
@@ -15,6 +15,7 @@
 from kestreltally.knowledge.watching import KindWatch
 from kestreltally.placing.leader import Leader
 from kestreltally.placing.lease import Lease
+from kestreltally.reach.contact import Contact, Reach
 
 
 def measure_requests(
@@ -66,6 +67,7 @@
     watches: Mapping[str, KindWatch],
     authority: Authority,
     endpoints_age: EndpointsAge,
+    contact: Contact,
     daemon_count: int,
     now: Seconds,
 ) -> GaugeValues:
@@ -80,6 +82,7 @@
         },
         "configuration_age_seconds": {"authority": authority.compute_age()},
         "endpoints_age_seconds": {"proof": endpoints_age.compute_age()},
+        "reach": {each.value: each is contact.reach for each in Reach},
         "unread_words": fleet.notices.unknown_signals.count(),
         "endpoints_by_word": fleet.notices.count(now),
         "daemons_known": {"feed": daemon_count},
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -218,6 +218,7 @@
             keep = True
             raise
         except (AnswerLost, AnswerTruncated, TimeoutError) as error:
+            self._pool.contact.record_broken()
             raise EngineUnresponsive(repr(error)) from error
         finally:
             self._pool.release(channel, keep=keep)
--- /dev/null
+++ b/src/kestreltally/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Finds out whether this daemon reaches any endpoint."""
