Relay: what a daemon sees fail is believed of an endpoint once another one answers

Cause: a failed connection counted as the endpoint's fault alone. Why it works: a refusal, a silence or a break is held back until another connection opens, or another channel speaks, whichever had failed; a daemon that reaches no endpoint can say none of it. What an engine itself answers is believed as before.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -57,7 +57,9 @@
 
     def record_failure(self, endpoint: Endpoint, fault: str) -> None:
         """Count a failure of an endpoint; log if the endpoint is ejected."""
-        self._pool.contact.record_broken()
+        contact = self._pool.contact
+        contact.record_broken()
+        contact.believe_later(lambda: self._health.report_failure(endpoint.id))
         now = asyncio.get_running_loop().time()
         if self._health.record_failure(endpoint.id, now):
             log_decision(
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -181,10 +181,7 @@
         health.ejections = 0
 
     def record_failure(self, endpoint: EndpointId, now: Seconds) -> bool:
-        """Count a failure; return whether it ejects the endpoint."""
-        self.outcomes.record_failed(endpoint)
-        if self.observer is not None:
-            self.observer.record_outcome(endpoint, whole=False)
+        """Count a failure for this daemon; return whether it ejects the endpoint."""
         health = self.get_row(endpoint)
         health.failure_rate += FAILURE_RATE_WEIGHT * (1 - health.failure_rate)
         health.failed_at.append(now)
@@ -194,6 +191,12 @@
         self._eject(health, now)
         return True
 
+    def report_failure(self, endpoint: EndpointId) -> None:
+        """Count a failure for the leaders and the observer too."""
+        self.outcomes.record_failed(endpoint)
+        if self.observer is not None:
+            self.observer.record_outcome(endpoint, whole=False)
+
     def record_error_status(self, endpoint: EndpointId, now: Seconds) -> None:
         """Record an answer with an error status, which does not eject the endpoint."""
         self.get_row(endpoint).answered_at = now
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -82,6 +82,8 @@
         self.delivery = Delivery(health, budget, pool)
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
+        self.poison.crash_detector.believe_later = pool.contact.believe_later
+        self.poison.crash_detector.record_not_opened = pool.contact.record_not_opened
         self._sender = Sender(
             fleet, pool, health, self.finder, self.delivery, self.poison
         )
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -25,7 +25,7 @@
     NotConnected,
     encode_head,
 )
-from kestreltally.fleet.model import Endpoint, Seconds
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
 from kestreltally.fleet.notices import Unavailable
 from kestreltally.fleet.tables import Fleet
 from kestreltally.platform.headers import (
@@ -80,7 +80,10 @@
             return
         now = asyncio.get_running_loop().time()
         self._fleet.record_missing_weights(endpoint.id, key, now)
-        self._finder.demand.record_refused(endpoint.id, key)
+        self._pool.contact.believe_later(lambda: self._report_missing(endpoint.id, key))
+
+    def _report_missing(self, endpoint: EndpointId, key: WeightsKey) -> None:
+        self._finder.demand.record_refused(endpoint, key)
         self._finder.expedite()
 
     async def send(
@@ -186,8 +189,7 @@
                 self._fleet.drop_endpoint(endpoint.id)
             elif key is not None:
                 self._fleet.record_missing_weights(endpoint.id, key, now)
-                self._finder.demand.record_refused(endpoint.id, key)
-                self._finder.expedite()
+                self._report_missing(endpoint.id, key)
         try:
             await answer.read_all(MAX_BUFFERED_BYTES)
         except AnswerTruncated as error:
--- a/src/kestreltally/poison/crash_detector.py
+++ b/src/kestreltally/poison/crash_detector.py
@@ -87,6 +87,12 @@
         self._probed_at: dict[EndpointId, Seconds] = {}
         self._probes: set[asyncio.Task[None]] = set()
         self._witness = randbits(WITNESS_BITS)
+        # Calls its argument once failures are known to be the endpoints'.
+        self.believe_later: Callable[[Callable[[], None]], None] = lambda believe: (
+            believe()
+        )
+        # Called when a connection to an address could not be opened.
+        self.record_not_opened: Callable[[], None] = lambda: None
         # Returns an endpoint if it is listed and not leaving.
         self.get_serving: Callable[[EndpointId], Endpoint | None] = lambda _: None
 
@@ -171,6 +177,7 @@
             async with asyncio.timeout(PROBE_TIMEOUT):
                 _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
         except ConnectionRefusedError:
+            self.record_not_opened()
             self.record_refused(endpoint)
         except (OSError, TimeoutError) as error:
             LOG.debug("poison: probe of %s was inconclusive: %r", endpoint.id, error)
@@ -179,24 +186,25 @@
 
     def record_refused(self, endpoint: Endpoint) -> None:
         """Record that an endpoint's address refuses connections."""
-        if self._attempts.get(endpoint.id):
-            self._record_crash(endpoint, "refuses connections")
+        self._suspect_crash(endpoint, "refuses connections")
 
     def record_removed(self, endpoint: Endpoint) -> None:
         """Record that an endpoint's entry was removed; it is still in the table."""
-        silent = self._clock() - self._received_at(endpoint.id) > MIN_SILENCE
-        if silent and self._attempts.get(endpoint.id):
-            self._record_crash(endpoint, "silent, and its entry was removed")
+        if self._clock() - self._received_at(endpoint.id) > MIN_SILENCE:
+            self._suspect_crash(endpoint, "silent, and its entry was removed")
 
     def record_replaced(self, endpoint: Endpoint) -> None:
         """Record that another incarnation answers in place of an endpoint."""
-        if self._attempts.get(endpoint.id):
+        if self.get_serving(endpoint.id) is not None:
             self._record_crash(endpoint, "restarted")
 
+    def _suspect_crash(self, endpoint: Endpoint, cause: str) -> None:
+        """Report a crash unless this daemon's own path turns out to be at fault."""
+        if self.get_serving(endpoint.id) is not None:
+            self.believe_later(lambda: self._record_crash(endpoint, cause))
+
     def _record_crash(self, endpoint: Endpoint, cause: str) -> None:
         """Report the requests that were running at an endpoint when it crashed."""
-        if self.get_serving(endpoint.id) is None:
-            return
         life = format_incarnation(endpoint)
         running = [
             attempt
