Forwarding: a daemon that reaches no endpoint has another one serve its requests

Cause: a daemon knew no other way than its own channels, tried each for 0.7 s until the deadline, and noticed nothing. Why it works: once probes show the cut, each request goes over one hop, by HTTP over the channels, sending and delivery of the entry, to a daemon that has lately heard an engine. Leaders name such daemons; load, then the data centre, chooses. The peer never passes it on; it gets the rest of the deadline and of the attempts, the organisation, the age of the sender's keys and configuration, not the key. What it refuses has not run and says so, with its true time; what was handed over and not answered counts as run. Quota is counted at the sender, demand, retries and turns at the peer. Where no peer is known a request is refused at once. Weighed: unreadiness alone leaves open channels, and does nothing where most of a zone is cut; struct frames over the feed would need streams, flow control and resumption made anew.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -67,6 +67,7 @@
     ENGINE_PASSED_OVER = ("finder: failing engine passed over", Level.INFO, 50)
     ENGINE_DIFFERS = ("speeds: engine differs", Level.WARNING, 20)
     ENGINE_TYPICAL = ("speeds: engine typical again", Level.INFO, 20)
+    REQUEST_FORWARDED = ("forwarding: request passed on", Level.INFO, 100)
     REACH_CHANGED = ("reach: path to the endpoints changed", Level.WARNING, 20)
     ENDPOINT_LEFT_OUT = ("relay: endpoint left out", Level.WARNING, 50)
 
--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -62,7 +62,8 @@
 
     ``first_start`` is set if all daemons of the deployment are started together for the
     first time, so there are neither leaders nor clients yet. ``heartbeat`` is the
-    interval at which endpoints refresh their entries in the store.
+    interval at which endpoints refresh their entries in the store. Requests of other
+    daemons are taken at ``forwarding_port`` of the address for peers, 0 for any port.
     """
 
     vm: str
@@ -78,3 +79,4 @@
     first_start: bool = False
     heartbeat: Seconds = DEFAULT_HEARTBEAT
     features: Features = Features()
+    forwarding_port: int = 0
--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -10,10 +10,10 @@
 
 from kestreltally.decisions import Decision
 from kestreltally.deployment import SocketAddress
-from kestreltally.entry.answers import make_refusal
 from kestreltally.entry.ends import ClientCall, EndLog
 from kestreltally.entry.gate import Gate
 from kestreltally.entry.holdings import Holdings
+from kestreltally.entry.intake import ClientIntake, Intake
 from kestreltally.entry.progress import (
     BAD_GATEWAY,
     UNAVAILABLE,
@@ -36,7 +36,7 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import RequestEnd
-from kestreltally.platform.headers import decode_request, read_keys, read_request_id
+from kestreltally.platform.headers import decode_request, read_request_id
 
 LOG = logging.getLogger("kestreltally.entry")
 
@@ -102,8 +102,24 @@
 
     async def start(self, clients: SocketAddress, readiness: SocketAddress) -> None:
         """Listen for clients and readiness checks; raises ``OSError``."""
-        client_server = web.Server(
-            self._serve,
+        client_server = self._make_server(ClientIntake(self._gate))
+        readiness_server = web.Server(self._answer_readiness, access_log=None)
+        await self.listen(readiness_server, readiness)
+        await self.listen(client_server, clients)
+
+    async def start_forwarding(self, intake: Intake, at: SocketAddress) -> int:
+        """Listen for requests of other daemons; return the port.
+
+        Raises ``OSError``.
+        """
+        return await self.listen(self._make_server(intake), at)
+
+    def _make_server(self, intake: Intake) -> web.Server:
+        async def serve(client: web.BaseRequest) -> web.StreamResponse:
+            return await self._serve(client, intake)
+
+        return web.Server(
+            serve,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT,
             max_line_size=MAX_HEADER_BYTES,
@@ -112,17 +128,16 @@
             access_log=None,
             auto_decompress=False,
         )
-        readiness_server = web.Server(self._answer_readiness, access_log=None)
-        await self.listen(readiness_server, readiness)
-        await self.listen(client_server, clients)
 
-    async def listen(self, server: web.Server, at: SocketAddress) -> None:
-        """Serve at an address until ``close``; raises ``OSError``."""
+    async def listen(self, server: web.Server, at: SocketAddress) -> int:
+        """Serve at an address until ``close``; return the port; raises ``OSError``."""
         runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
         await runner.setup()
         site = web.TCPSite(runner, at.host, at.port, backlog=BACKLOG)
         await site.start()
         self._runners.append(runner)
+        port: int = runner.addresses[0][1]
+        return port
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
@@ -149,7 +164,12 @@
                 latest_arrival, self._stop_started_at + STREAM_ACCEPT_DURATION
             )
         if now > latest_arrival:
-            raise Refused(UNAVAILABLE, "daemon is stopping", RETRY_ELSEWHERE_DELAY)
+            raise Refused(
+                UNAVAILABLE,
+                "daemon is stopping",
+                RETRY_ELSEWHERE_DELAY,
+                elsewhere=True,
+            )
 
     @property
     def has_work(self) -> bool:
@@ -165,29 +185,35 @@
     async def _answer_readiness(self, _: web.BaseRequest) -> web.Response:
         return web.Response(status=200 if self.ready else 503)
 
-    async def _serve(self, client: web.BaseRequest) -> web.StreamResponse:
+    async def _serve(
+        self, client: web.BaseRequest, intake: Intake
+    ) -> web.StreamResponse:
         self.active_requests += 1
         try:
-            return await self._serve_and_log(client)
+            return await self._serve_and_log(client, intake)
         finally:
             self.active_requests -= 1
 
-    async def _serve_and_log(self, client: web.BaseRequest) -> web.StreamResponse:
+    async def _serve_and_log(
+        self, client: web.BaseRequest, intake: Intake
+    ) -> web.StreamResponse:
         holding = self.holdings.open(client, read_request_id(client.headers))
         call = ClientCall(client, asyncio.get_running_loop().time(), holding)
         try:
-            return await self._serve_call(call)
+            return await self._serve_call(call, intake)
         finally:
             self.holdings.close(holding)
 
-    async def _serve_call(self, call: ClientCall) -> web.StreamResponse:
+    async def _serve_call(self, call: ClientCall, intake: Intake) -> web.StreamResponse:
         client = call.client
         try:
-            call.request = await self._read(call)
-            response = await self._serve_within_quota(call, call.request)
+            call.request = await self._read(call, intake)
+            response = await self._serve_within_quota(call, call.request, intake)
         except Refused as refused:
             self._end_log.record(Decision.REQUEST_REFUSED, call, refused)
-            response = make_refusal(refused, read_request_id(client.headers))
+            response = intake.make_refusal(
+                client, refused, has_run=call.progress.runs > 0
+            )
         except (StreamBroken, ClientDisconnected) as broken:
             self._end_log.record(Decision.REQUEST_BROKEN_OFF, call, broken)
             return self._abort(client)
@@ -201,15 +227,15 @@
         return response
 
     async def _serve_within_quota(
-        self, call: ClientCall, request: ClientRequest
+        self, call: ClientCall, request: ClientRequest, intake: Intake
     ) -> web.StreamResponse:
         """Serve a request within its organisation's quota; raises ``Refused``."""
-        await self._gate.admit(request)
+        await intake.admit(request)
         try:
             return await self._relay.serve(request, call.client, call.progress)
         finally:
             if not call.progress.runs:
-                self._gate.refund(request)
+                intake.refund(request)
 
     def _abort(self, client: web.BaseRequest) -> web.StreamResponse:
         """Close a client's connection so that its answer does not look complete.
@@ -221,13 +247,15 @@
             client.transport.close()
         return web.Response(status=BAD_GATEWAY)
 
-    async def _read(self, call: ClientCall) -> ClientRequest:
-        """Read a client's request; raises ``Refused`` or ``ClientDisconnected``."""
+    async def _read(self, call: ClientCall, intake: Intake) -> ClientRequest:
+        """Read a request; raises ``Refused`` or ``ClientDisconnected``."""
         client = call.client
         arrived_at = asyncio.get_running_loop().time()
         configuration = self._fleet.configuration
         if configuration is None:
-            raise Refused(UNAVAILABLE, "no configuration received yet", 0.5)
+            raise Refused(
+                UNAVAILABLE, "no configuration received yet", 0.5, elsewhere=True
+            )
         body = await self._read_body(call, configuration)
         # The configuration may have changed while the body was read.
         configuration = self._fleet.configuration or configuration
@@ -235,8 +263,8 @@
         host = client.headers.get("Host", "").partition(":")[0].lower()
         route = self._fleet.routes.find(host, path.partition("?")[0])
         if route is None:
-            raise Refused(404, "no route")
-        caller = self._gate.identity.identify(read_keys(client.headers), route)
+            raise Refused(404, "no route", elsewhere=True)
+        caller = intake.identify(client, route)
         self._check_stop(route, arrived_at)
         try:
             head = decode_request(client.headers)
@@ -246,7 +274,7 @@
         if service is None:
             raise Refused(UNAVAILABLE, "service of the route not configured", 0.5)
         budget = min(route.timeout, head.deadline or route.timeout)
-        return ClientRequest(
+        request = ClientRequest(
             method=client.method,
             path=path,
             headers=list_passed_headers(client),
@@ -258,6 +286,7 @@
             deadline=arrived_at + budget,
             caller=caller,
         )
+        return intake.adapt(client, request)
 
     async def _read_body(self, call: ClientCall, configuration: Configuration) -> bytes:
         limits = configuration.limits
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -29,6 +29,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.reach.contact import Contact
 from kestreltally.speeds.known import KnownSpeeds
 
 LOG = logging.getLogger("kestreltally.finder")
@@ -57,6 +58,10 @@
     )
 
 
+class PathLost(Exception):
+    """No endpoint is within this daemon's reach."""
+
+
 class EndpointFinder:
     """Finds an endpoint by weights, health, affinity and occupancy.
 
@@ -65,7 +70,14 @@
     ``expedite`` reports new demand to the leader at once.
     """
 
-    def __init__(self, data_centre: str, fleet: Fleet, health: HealthTable) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        fleet: Fleet,
+        health: HealthTable,
+        contact: Contact | None = None,
+    ) -> None:
+        self._contact = contact or Contact()
         self._data_centre = data_centre
         self._fleet = fleet
         self._health = health
@@ -82,7 +94,7 @@
     async def find(self, request: ClientRequest, progress: Progress) -> Option:
         """Return the chosen endpoint, waiting until one can serve.
 
-        Raises ``Refused`` when waiting is not worthwhile.
+        Raises ``Refused`` when waiting is not worthwhile, and ``PathLost``.
         """
         loop = asyncio.get_running_loop()
         key = request.head.weights
@@ -94,6 +106,8 @@
             candidates = self._fleet.list_holders(request.service_name, key, now)
             if candidates:
                 return self._choose_endpoint(request, progress, candidates, now)
+            if self._contact.is_cut_off:
+                raise PathLost
             self._check_wait(request, progress, key, now)
             await self._wait_for_weights(request, progress, key)
 
@@ -108,6 +122,8 @@
             candidates = self._fleet.list_callable(request.service_name, now)
             if candidates:
                 return self._choose_endpoint(request, progress, candidates, now)
+            if self._contact.is_cut_off:
+                raise PathLost
             backoff = self._fleet.find_shortest_backoff(request.service_name, None, now)
             if backoff is None or progress.runs:
                 progress.last_fault = progress.last_fault or "no endpoint available"
--- a/src/kestreltally/entry/identity.py
+++ b/src/kestreltally/entry/identity.py
@@ -47,16 +47,30 @@
 
     def recheck(self, caller: Caller) -> None:
         """Raise ``Refused`` if a key has been revoked, or may have been."""
-        if self._fleet.keys is not None:
+        if self._fleet.keys is None:
+            return
+        if caller.digest is not None:
             self._get_organisation(caller.digest)
+            return
+        self._check_authority()
+        if self._authority.is_past(caller.valid_until):
+            raise Refused(
+                UNAVAILABLE,
+                "key not confirmed recently by the daemon that checked it",
+                OTHER_DAEMON_RETRY_DELAY,
+            )
 
-    def _get_organisation(self, digest: KeyDigest) -> Organisation:
+    def _check_authority(self) -> None:
         if not self._authority.check():
             raise Refused(
                 UNAVAILABLE,
                 "keys cannot be checked: configuration not confirmed recently",
                 self.compute_wait(),
+                elsewhere=not self.has_leader_contact,
             )
+
+    def _get_organisation(self, digest: KeyDigest) -> Organisation:
+        self._check_authority()
         keys = self._fleet.keys
         organisation = keys.find(digest) if keys is not None else None
         if organisation is None:
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -31,6 +31,7 @@
     ``runs`` counts the sends that may have run, because the endpoint did not state that
     they had not. ``attempt`` is the record of the current send for poison detection.
     ``content`` identifies the content of a stopped request in log lines.
+    ``unreached`` counts the endpoints to which no connection could be opened.
     ``turn_wait`` is the time spent waiting for turns at engines, and
     ``longest_pause`` is the longest time between two events, the last of which came at
     ``event_at`` and was written at ``written_at``.
@@ -40,6 +41,7 @@
     runs: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     last_fault: str = ""
+    unreached: int = 0
     trail: list[str] = field(default_factory=list)
     waited: Seconds = 0.0
     predictions: list[Prediction] = field(default_factory=list)
@@ -79,12 +81,18 @@
 
 
 class AttemptFailed(Exception):
-    """The endpoint did not serve the request, but another may."""
+    """The endpoint did not serve the request, but another may.
 
-    def __init__(self, fault: str, *, may_have_run: bool) -> None:
+    ``unreached``: no connection to the endpoint could be opened.
+    """
+
+    def __init__(
+        self, fault: str, *, may_have_run: bool, unreached: bool = False
+    ) -> None:
         super().__init__(fault)
         self.fault = fault
         self.may_have_run = may_have_run
+        self.unreached = unreached
 
 
 class StreamBroken(Exception):
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -16,7 +16,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.choice import Option
 from kestreltally.entry.delivery import Delivery
-from kestreltally.entry.finder import EndpointFinder
+from kestreltally.entry.finder import EndpointFinder, PathLost
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.pacer import PromptPacer
 from kestreltally.entry.progress import (
@@ -49,8 +49,10 @@
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.forwarding.forwarder import NO_RELAY_RETRY_DELAY, Forwarder
 from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
+from kestreltally.reach.contact import Contact
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -63,6 +65,11 @@
 RETRY_PAUSE: Final[Seconds] = 0.1
 
 
+# Endpoints to which no connection opens before a request is passed on while it is not
+# known yet whether any is within reach.
+MAX_UNREACHED: Final = 2
+
+
 class Relay:
     """Relays requests to endpoints."""
 
@@ -78,7 +85,7 @@
         self._pool = pool
         self.health = health
         self.budget = budget
-        self.finder = EndpointFinder(data_centre, fleet, health)
+        self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
@@ -94,11 +101,18 @@
         self.notify_use_change: Callable[[], None] = lambda: None
         # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
         self.check_stop: Callable[[Route], None] = lambda _: None
+        # Passes requests on while no endpoint is within reach, None if nothing does.
+        self.forwarder: Forwarder | None = None
         # Makes long prompts wait for their turn at an engine, None if switched off.
         self.pacer: PromptPacer | None = None
         # Raises ``Refused`` if a key was revoked after its request was read.
         self.check_caller: Callable[[Caller], None] = lambda _: None
 
+    @property
+    def contact(self) -> Contact:
+        """Return the state of this daemon's path to the endpoints."""
+        return self._pool.contact
+
     def _get_serving(self, endpoint: EndpointId) -> Endpoint | None:
         """Return an endpoint if it is listed and not leaving."""
         known = self._fleet.endpoints.get(endpoint)
@@ -109,13 +123,8 @@
     ) -> web.StreamResponse:
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
         self._check_poison(request, progress)
-        self.budget.record_request(
-            request.service_name, request.arrived_at, request.priority
-        )
-        if request.head.weights is not None and request.service.engine is not None:
-            self.finder.demand.record_arrival(
-                request.service_name, request.head.weights
-            )
+        if not self._must_forward(progress):
+            self._record_arrival(request)
         try:
             async with asyncio.timeout_at(request.deadline - REFUSAL_MARGIN):
                 return await self._serve_with_retries(request, client, progress)
@@ -134,14 +143,26 @@
                 DEFAULT_RETRY_DELAY,
             ) from error
 
+    def _record_arrival(self, request: ClientRequest) -> None:
+        """Count a request; the daemon that serves one passed on counts it."""
+        self.budget.record_request(
+            request.service_name, request.arrived_at, request.priority
+        )
+        if request.head.weights is not None and request.service.engine is not None:
+            self.finder.demand.record_arrival(
+                request.service_name, request.head.weights
+            )
+
     async def _serve_with_retries(
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
     ) -> web.StreamResponse:
         while True:
-            option = await self.finder.find(request, progress)
+            option = await self._find(request, progress)
             if request.caller is not None and not progress.runs:
                 self.check_caller(request.caller)
             self._check_poison(request, progress)
+            if option is None:
+                return await self._forward_to_peer(request, client, progress)
             sends = progress.sends
             if sends and not self._acquire_retry(request):
                 raise make_final_error(progress)
@@ -149,6 +170,7 @@
                 return await self._attempt(request, client, progress, option)
             except AttemptFailed as failure:
                 progress.last_fault = failure.fault
+                progress.unreached += failure.unreached
                 if sends and progress.sends == sends:
                     self._refund_retry(request)
                 self._log_failed_attempt(request, progress, option.endpoint, failure)
@@ -158,6 +180,44 @@
                     # All endpoints have been tried: pause before the next round.
                     await asyncio.sleep(RETRY_PAUSE)
 
+    async def _find(self, request: ClientRequest, progress: Progress) -> Option | None:
+        """Return the chosen endpoint, None if none is within reach."""
+        if self._must_forward(progress):
+            return None
+        try:
+            return await self.finder.find(request, progress)
+        except PathLost:
+            return None
+
+    def _must_forward(self, progress: Progress) -> bool:
+        """Return whether no endpoint is within reach.
+
+        A daemon whose open channels work passes on only what failed to get one.
+        """
+        if self.contact.is_doubted and progress.unreached >= MAX_UNREACHED:
+            return True
+        return self.contact.is_cut_off or (
+            progress.unreached > 0 and not self.contact.is_open
+        )
+
+    async def _forward_to_peer(
+        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
+    ) -> web.StreamResponse:
+        """Have a daemon that reaches endpoints serve a request."""
+        if request.forwarded or self.forwarder is None:
+            progress.last_fault = "no endpoint within reach"
+            if progress.runs or progress.response is not None:
+                raise make_final_error(progress)
+            raise Refused(
+                UNAVAILABLE,
+                progress.last_fault,
+                NO_RELAY_RETRY_DELAY,
+                elsewhere=True,
+            )
+        if progress.runs and not self._acquire_retry(request):
+            raise make_final_error(progress)
+        return await self.forwarder.forward(request, client, progress)
+
     def _check_poison(self, request: ClientRequest, progress: Progress) -> None:
         """Stop a suspected poison request: endpoints have ended while they ran it.
 
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -1,6 +1,7 @@
 """Client requests: the parsed representation, and reading headers and body."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -39,15 +40,24 @@
 
 
 class Refused(Exception):
-    """A request is refused, with a status, a reason and an optional retry time."""
+    """A request is refused, with a status, a reason and an optional retry time.
+
+    ``elsewhere``: the cause is this daemon's own, and others may serve the request.
+    """
 
     def __init__(
-        self, status: int, reason: str, retry_after: Seconds | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after: Seconds | None = None,
+        *,
+        elsewhere: bool = False,
     ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
         self.retry_after = retry_after
+        self.elsewhere = elsewhere
 
 
 class ClientDisconnected(Exception):
@@ -56,16 +66,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Caller:
-    """An organisation, and the digest of the key by which it authenticated."""
+    """An organisation, and the digest of the key by which it authenticated.
+
+    The digest is None if another daemon checked the key; ``valid_until`` is how long
+    that is believed.
+    """
 
     organisation: Organisation
-    digest: KeyDigest = field(repr=False)
+    digest: KeyDigest | None = field(repr=False)
+    valid_until: Seconds = math.inf
 
 
 @dataclass(frozen=True, slots=True)
 class ClientRequest:
     """A complete request, with its route and the deadline of its answer.
 
+    One that is ``forwarded`` was passed on by another daemon.
+
     The client disconnects unless the first event, or the complete answer, arrives by
     ``first_event_deadline``.
     """
@@ -80,6 +97,7 @@
     arrived_at: Seconds
     deadline: Seconds
     caller: Caller | None = None
+    forwarded: bool = False
 
     @property
     def organisation(self) -> Organisation | None:
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -70,7 +70,9 @@
             self._delivery.record_failure(endpoint, str(error))
             self._record_unreachable(request, endpoint)
             raise AttemptFailed(
-                "no connection to the endpoint", may_have_run=False
+                "no connection to the endpoint",
+                may_have_run=False,
+                unreached=True,
             ) from error
 
     def _record_unreachable(self, request: ClientRequest, endpoint: Endpoint) -> None:
--- a/src/kestreltally/entry/waiting.py
+++ b/src/kestreltally/entry/waiting.py
@@ -48,6 +48,10 @@
                 if not future.done():
                     future.set_result(None)
 
+    def wake_all(self) -> None:
+        """Wake all requests, for all of them to look again."""
+        self.wake(list(self._waiting))
+
     def wake_most_urgent(self, available: Iterable[WaitTarget]) -> None:
         """Wake the most urgent request that waits for any of the targets."""
         waiting = [
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -27,6 +27,7 @@
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.holdings import Holdings
 from kestreltally.entry.identity import IdentityCheck
+from kestreltally.entry.intake import PeerIntake
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.upstream import ChannelPool
@@ -41,6 +42,7 @@
     measure_requests,
 )
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
+from kestreltally.forwarding.forwarder import Forwarder
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
 from kestreltally.knowledge.configuration_age import (
     MARGIN_FRACTION,
@@ -217,6 +219,13 @@
             self._clock,
         )
         self._exchange.notify_overtaken = self._store.reconnect
+        self._relay.forwarder = Forwarder(
+            self._exchange.relay_table,
+            self._fleet,
+            self._relay.budget,
+            self._authority.compute_age,
+        )
+        self._contact.notify_change = self._report_reach
         self._quota_asking: QuotaAsking | None = None
         if self._exchange.quota_keeping is not None:
             self._quota_asking = QuotaAsking(
@@ -424,6 +433,12 @@
         if primary is not None:
             self._exchange.expedite(primary)
 
+    def _report_reach(self) -> None:
+        """Have the leader name daemons that reach endpoints, and wake what waits."""
+        self._expedite()
+        self._exchange.relays.run_maintenance()
+        self._relay.finder.waiters.wake_all()
+
     async def _run_maintenance(self) -> None:
         cleaned_up_at = self._clock()
         while True:
@@ -437,6 +452,7 @@
             self._exchange.apply_local_report()
             self._exchange.expire_leader_state()
             self._exchange.rows.expire_leader_state()
+            self._exchange.relays.run_maintenance()
             self._pacing.run_maintenance()
             self._identity.has_leader_contact = (
                 self._exchange.leaders.find_primary() is not None
@@ -502,6 +518,10 @@
         await self._exchange.feed.start(deployment.peers.host, deployment.peers.port)
         await self._datagrams.start(deployment.peers.host, deployment.peers.port)
         await self._entry_api.start(deployment.clients, deployment.readiness)
+        self._exchange.relays.port = await self._entry_api.start_forwarding(
+            PeerIntake(self._fleet, self._authority),
+            SocketAddress(deployment.peers.host, deployment.forwarding_port),
+        )
         turns = TurnsApi(self._pacing.issuer, self._metrics.serve)
         operators = PoisonApi(self._relay.poison.register, turns.serve)
         await self._entry_api.listen(
@@ -536,6 +556,7 @@
         )
         last = started_at + self._deployment.bounds.grace - STOP_MARGIN
         self._entry_api.stop_by(last)
+        self._exchange.relays.port = 0
         while self._clock() < last:
             if (
                 self._clock() - started_at >= MIN_STOP_DURATION
--- /dev/null
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -0,0 +1,226 @@
+"""Passes a request on to another daemon, and its answer back as it comes."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from aiohttp import web
+
+from kestreltally.decisions import Decision, log_decision
+from kestreltally.deployment import SocketAddress
+from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
+from kestreltally.entry.health import HealthTable
+from kestreltally.entry.progress import (
+    UNAVAILABLE,
+    AttemptFailed,
+    Progress,
+    make_final_error,
+)
+from kestreltally.entry.request import BODY_METHODS, ClientRequest, Refused
+from kestreltally.entry.retries import RetryBudget
+from kestreltally.entry.upstream import (
+    Answer,
+    AnswerLost,
+    AnswerTruncated,
+    Channel,
+    ChannelPool,
+    NotConnected,
+    encode_head,
+)
+from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
+from kestreltally.fleet.notices import NoticeTable, Unavailable
+from kestreltally.fleet.tables import Fleet
+from kestreltally.forwarding.headers import (
+    ForwardedContext,
+    ForwardRefusal,
+    decode_refusal,
+    encode_context,
+    is_internal,
+)
+from kestreltally.forwarding.relays import Relay, RelayTable
+from kestreltally.platform.headers import LAST_EVENT_ID, encode_deadline, is_genuine
+
+LOG = logging.getLogger("kestreltally.forwarding")
+
+# Daemons that are asked for one request.
+MAX_RELAYS: Final = 3
+# No daemon is known to reach an endpoint. One that does is known within this time.
+NO_RELAY_RETRY_DELAY: Final[Seconds] = 0.5
+
+
+class NotServed(Exception):
+    """The daemon cannot serve the request, which has not run; others may."""
+
+
+class Forwarder:
+    """Passes requests on, over channels of its own.
+
+    ``get_key_age`` returns how long ago the known keys were confirmed.
+    """
+
+    def __init__(
+        self,
+        relays: RelayTable,
+        fleet: Fleet,
+        budget: RetryBudget,
+        get_key_age: Callable[[], Seconds],
+    ) -> None:
+        self._relays = relays
+        self._fleet = fleet
+        self._get_key_age = get_key_age
+        self.pool = ChannelPool(NoticeTable())
+        self._delivery = Delivery(HealthTable(), budget, self.pool)
+        self.forwarded = 0
+
+    async def forward(
+        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
+    ) -> web.StreamResponse:
+        """Return the answer; raises ``Refused`` or ``StreamBroken``."""
+        clock = asyncio.get_running_loop().time
+        asked: set[SocketAddress] = set()
+        while len(asked) < MAX_RELAYS:
+            relay = self._relays.choose(asked, clock())
+            if relay is None:
+                break
+            asked.add(relay.address)
+            try:
+                return await self._attempt(request, client, progress, relay)
+            except NotServed as reason:
+                self._relays.record_failed(relay.address, clock())
+                progress.trail.append(f"daemon {relay.address.host}: {reason}")
+        progress.last_fault = "no endpoint within reach of this daemon or its peers"
+        if progress.runs or progress.response is not None:
+            raise make_final_error(progress)
+        raise Refused(UNAVAILABLE, progress.last_fault, NO_RELAY_RETRY_DELAY)
+
+    async def _attempt(
+        self,
+        request: ClientRequest,
+        client: web.BaseRequest,
+        progress: Progress,
+        relay: Relay,
+    ) -> web.StreamResponse:
+        """Pass a request on to one daemon; raises ``NotServed`` too."""
+        target = _make_target(relay, request)
+        try:
+            channel = await self.pool.acquire(target)
+        except NotConnected as error:
+            raise NotServed(str(error)) from error
+        self.forwarded += 1
+        log_decision(
+            LOG,
+            Decision.REQUEST_FORWARDED,
+            request=request.head.id,
+            relay=relay.address.host,
+            in_flight=self._relays.in_flight[relay.address],
+            load=relay.load,
+        )
+        self._relays.in_flight[relay.address] += 1
+        keep = False
+        try:
+            answer = await self._send(request, progress, channel)
+            channel.apply_keep_alive(answer, asyncio.get_running_loop().time())
+            response = await self._delivery.forward(
+                request, client, progress, target, answer
+            )
+            keep = True
+            return response
+        except (AnswerLost, AttemptFailed) as failure:
+            progress.last_fault = f"daemon {relay.address.host}: {failure}"
+            raise make_final_error(progress) from failure
+        except (NotServed, Refused):
+            keep = True
+            raise
+        finally:
+            self._relays.in_flight[relay.address] -= 1
+            self.pool.release(channel, keep=keep)
+
+    async def _send(
+        self, request: ClientRequest, progress: Progress, channel: Channel
+    ) -> Answer:
+        """Return the answer of a daemon; raises ``AnswerLost``, or if it refuses."""
+        runs, attempts = progress.runs, _count_attempts(request, progress)
+        head = self._encode(request, progress, attempts)
+        progress.sends += 1
+        # The daemon may use all attempts, whatever interrupts the wait for its answer.
+        progress.runs += attempts
+        try:
+            answer = await channel.send(head, request.body, request.head.id)
+        except Unavailable as error:
+            progress.runs = runs
+            raise NotServed("channel not available") from error
+        refusal = decode_refusal(answer.headers)
+        if refusal is not None:
+            progress.runs = runs
+            await _skip_body(answer)
+            raise _make_error(refusal, progress)
+        if not is_genuine(answer.status, answer.headers):
+            raise AttemptFailed("answer not genuine", may_have_run=True)
+        return answer
+
+    def _encode(
+        self, request: ClientRequest, progress: Progress, attempts: int
+    ) -> bytes:
+        now = asyncio.get_running_loop().time()
+        configuration = self._fleet.configuration
+        last = progress.events.last_id
+        dropped = {LAST_EVENT_ID.lower()} if last is not None else set()
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in dropped and not is_internal(name)
+        ]
+        if last is not None:
+            headers.append((LAST_EVENT_ID, last))
+        headers.append(encode_deadline(request.deadline - now))
+        context = ForwardedContext(
+            organisation=request.organisation_name,
+            attempts=attempts,
+            version=configuration.version if configuration is not None else 0,
+            age=now - request.arrived_at,
+            key_age=self._get_key_age() if request.caller is not None else 0.0,
+        )
+        headers.append(encode_context(context))
+        if request.body or request.method in BODY_METHODS:
+            headers.append(("Content-Length", str(len(request.body))))
+        return encode_head(request.method, request.path, headers)
+
+
+def _count_attempts(request: ClientRequest, progress: Progress) -> int:
+    """Return on how many endpoints a request may still run."""
+    if not request.route.repeatable:
+        return 1
+    return max(1, request.route.attempts - progress.runs)
+
+
+def _make_error(refusal: ForwardRefusal, progress: Progress) -> Exception:
+    """Return the exception for a daemon's refusal."""
+    if refusal.elsewhere:
+        return NotServed(refusal.reason)
+    if progress.runs or progress.response is not None:
+        progress.last_fault = refusal.reason
+        return make_final_error(progress)
+    return Refused(refusal.status, refusal.reason, refusal.retry_after)
+
+
+def _make_target(relay: Relay, request: ClientRequest) -> Endpoint:
+    """Return a daemon as what channels are opened to."""
+    address = relay.address
+    return Endpoint(
+        id=EndpointId(f"daemon {address.host}:{address.port}"),
+        service=request.service_name,
+        host=address.host,
+        port=address.port,
+        data_centre=relay.data_centre,
+        slots=0,
+        leaving=False,
+        weights={},
+    )
+
+
+async def _skip_body(answer: Answer) -> None:
+    try:
+        await answer.read_all(MAX_BUFFERED_BYTES)
+    except AnswerTruncated as error:
+        LOG.debug("forwarding: refusal truncated: %s", error)
--- /dev/null
+++ b/src/kestreltally/forwarding/headers.py
@@ -0,0 +1,97 @@
+"""The headers that daemons add to a request that one passes on to another."""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+from urllib.parse import quote, unquote
+
+from kestreltally.fleet.model import OrganisationName, Seconds
+
+_PREFIX: Final = "x-kestreltally-"
+_CONTEXT: Final = "X-Kestreltally-Context"
+_REFUSAL: Final = "X-Kestreltally-Refusal"
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedContext:
+    """What a daemon tells another about a request that it passes on.
+
+    The request may run on ``attempts`` endpoints. It came ``age`` ago, and was admitted
+    by a configuration of ``version`` or later, whose keys had been confirmed
+    ``key_age`` ago. ``organisation`` is None where no key is needed.
+    """
+
+    organisation: OrganisationName | None
+    attempts: int
+    version: int
+    age: Seconds
+    key_age: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardRefusal:
+    """A daemon's refusal of a request that was passed on to it and has not run.
+
+    ``elsewhere``: this daemon cannot serve it, but others may.
+    """
+
+    status: int
+    reason: str
+    retry_after: Seconds | None
+    elsewhere: bool
+
+
+def is_internal(name: str) -> bool:
+    """Return whether only daemons may set a header."""
+    return name.lower().startswith(_PREFIX)
+
+
+def encode_context(context: ForwardedContext) -> tuple[str, str]:
+    """Return the header of a request that is passed on."""
+    organisation = context.organisation
+    fields = {
+        "organisation": quote(organisation) if organisation is not None else None,
+        "attempts": context.attempts,
+        "version": context.version,
+        "age": round(context.age, 4),
+        "key_age": round(context.key_age, 4),
+    }
+    return _CONTEXT, json.dumps(fields)
+
+
+def decode_context(headers: Mapping[str, str]) -> ForwardedContext:
+    """Decode the header of a request that was passed on; raises ``ValueError``."""
+    try:
+        fields = json.loads(headers[_CONTEXT])
+        organisation = fields["organisation"]
+        return ForwardedContext(
+            organisation=(
+                OrganisationName(unquote(organisation))
+                if organisation is not None
+                else None
+            ),
+            attempts=int(fields["attempts"]),
+            version=int(fields["version"]),
+            age=float(fields["age"]),
+            key_age=float(fields["key_age"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"{_CONTEXT}: {error!r}") from error
+
+
+def encode_refusal(refusal: ForwardRefusal) -> Iterable[tuple[str, str]]:
+    """Yield the header of a refusal of a request that was passed on."""
+    fields = {
+        "status": refusal.status,
+        "reason": refusal.reason,
+        "retry_after": refusal.retry_after,
+        "elsewhere": refusal.elsewhere,
+    }
+    yield _REFUSAL, json.dumps(fields)
+
+
+def decode_refusal(headers: Mapping[str, str]) -> ForwardRefusal | None:
+    """Return the refusal that an answer is, None if it is none."""
+    text = headers.get(_REFUSAL)
+    return ForwardRefusal(**json.loads(text)) if text is not None else None
--- a/src/kestreltally/knowledge/authority.py
+++ b/src/kestreltally/knowledge/authority.py
@@ -15,6 +15,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -76,6 +77,19 @@
         """Return whether keys can still be accepted."""
         return self.bound is None or self.compute_age() < self.bound - DRIFT_MARGIN
 
+    def compute_key_deadline(self, key_age: Seconds) -> Seconds:
+        """Return until when a key is accepted that another daemon has checked.
+
+        ``key_age`` is how long ago that daemon's configuration was confirmed.
+        """
+        if self.bound is None:
+            return math.inf
+        return self._clock() + self.bound - DRIFT_MARGIN - key_age
+
+    def is_past(self, deadline: Seconds) -> bool:
+        """Return whether a time has come."""
+        return self._clock() >= deadline
+
     @property
     def is_fresh(self) -> bool:
         """Return whether an unknown key is unknown to the operators too."""
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -25,6 +25,7 @@
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
+from kestreltally.forwarding.relays import RelayTable
 from kestreltally.knowledge.authority import NEVER, Authority
 from kestreltally.knowledge.credits import CreditExchange
 from kestreltally.knowledge.daemon_count import DaemonCount
@@ -45,6 +46,7 @@
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.poison_exchange import PoisonExchange
 from kestreltally.knowledge.quota_keeping import QuotaKeeping
+from kestreltally.knowledge.relays import RelayExchange
 from kestreltally.knowledge.rows import (
     decode_demand,
     decode_occupancy,
@@ -161,6 +163,7 @@
             )
             for name in leases
         }
+        self.relay_table = RelayTable(deployment.data_centre)
         self.daemon_count = DaemonCount()
         self.feed.count_all = self._count_daemons
         self.credits = CreditExchange(
@@ -199,6 +202,16 @@
             self.credits,
             *([self.speeds] if self.speeds is not None else ()),
         )
+        self.relays = RelayExchange(
+            deployment,
+            relay.contact,
+            self.relay_table,
+            relay.health,
+            self.leaders,
+            self.feed,
+            clock,
+        )
+        self._parts = (*self._parts, self.relays)
         self.quota_keeping: QuotaKeeping | None = None
         if deployment.features.quota_order:
             self.quota_keeping = self._keep_quotas(datagrams)
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -191,12 +191,23 @@
   6: double slow_for,
 }
 
+// A daemon that reaches endpoints and serves requests that others pass on: its address for
+// these, and the number of its own requests in flight.
+struct RelayRow {
+  1: string host,
+  2: i32 port,
+  3: string data_centre,
+  4: i32 load,
+}
+
 // From a daemon to a leader; a leader's report to another leader sums up its daemons.
 // store_age is the time since the store answered a lease renewal, read_age the time since
 // it answered a read of the endpoints to this daemon itself, in seconds. stamp is the
 // sender's time, secret the key of the digests of requests. follows says that the sender
 // reports its own requests to this leader, and to no other. wants_full asks for all rows:
-// those sent were older than what the sender has listed itself.
+// those sent were older than what the sender has listed itself. cut_off says that no
+// endpoint accepts connections of the sender; relays is itself if it reaches endpoints, of
+// a leader some daemons of its group.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -224,6 +235,8 @@
   23: bool keeps_accounts,
   24: list<DepartureRow> departures,
   25: bool wants_full,
+  26: bool cut_off,
+  27: list<RelayRow> relays,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -272,6 +285,7 @@
   32: list<DepartureRow> departures,
   33: list<string> present,
   35: list<FactorRow> factors,
+  36: list<RelayRow> relays,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
--- /dev/null
+++ b/src/kestreltally/knowledge/relays.py
@@ -0,0 +1,136 @@
+"""Tells daemons that reach no endpoint of others that do."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from kestreltally.deployment import Deployment, SocketAddress
+from kestreltally.entry.health import HealthTable
+from kestreltally.fleet.model import Seconds
+from kestreltally.forwarding.relays import Relay, RelayTable
+from kestreltally.knowledge.feed import FeedServer
+from kestreltally.knowledge.feed_parts import FeedPart, ReceivedUpdate
+from kestreltally.knowledge.leaders import Leaders
+from kestreltally.knowledge.peer import Peer
+from kestreltally.knowledge.structs import RelayRow
+from kestreltally.reach.contact import Contact
+
+# A daemon reaches endpoints if one has answered it in this time. Leaders ask theirs
+# several times a second.
+MAX_ANSWER_AGE: Final[Seconds] = 1.0
+# Relays named to one daemon, and by one leader to another: enough to share the load of
+# many daemons, however many there are.
+MAX_RELAYS: Final = 8
+# Relays of its own data centre that a daemon is named, if there are as many.
+MAX_LOCAL_RELAYS: Final = 6
+# A daemon that reaches endpoints is told of relays this seldom, for a cut that takes
+# its leader too.
+CALM_INTERVAL: Final[Seconds] = 2.0
+
+
+class RelayExchange(FeedPart):
+    """Reports whether this daemon is a relay; as a leader, names relays to others."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        contact: Contact,
+        relays: RelayTable,
+        health: HealthTable,
+        leaders: Leaders,
+        feed: FeedServer,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._deployment = deployment
+        self._contact = contact
+        self._relays = relays
+        self._health = health
+        self._leaders = leaders
+        self._feed = feed
+        self._clock = clock
+        # The port for requests of other daemons, 0 until it is known or while this
+        # daemon takes none.
+        self.port = 0
+
+    def is_relay(self) -> bool:
+        """Return whether this daemon can serve requests that others pass on."""
+        age = self._contact.compute_answer_age()
+        return bool(self.port) and self._contact.is_open and age < MAX_ANSWER_AGE
+
+    def fill_report(self, report: Any, data_centre: str) -> None:
+        """Add this daemon to a report, or a sample of its group as a leader."""
+        report.cut_off = not self._contact.is_open
+        report.relays = []
+        if self._leaders.leads:
+            report.relays = [_encode(each) for each in self._sample_group()]
+        elif self.is_relay():
+            report.relays = [_encode(self._describe())]
+
+    def _describe(self) -> Relay:
+        load = sum(self._health.measure(self._clock()).in_flight.values())
+        address = SocketAddress(self._deployment.peers.host, self.port)
+        return Relay(address, self._deployment.data_centre, load)
+
+    def _sample_group(self) -> list[Relay]:
+        found = [each for peer in self._feed.list_followers() for each in peer.relays]
+        if self.is_relay():
+            found.append(self._describe())
+        return random.sample(found, min(MAX_RELAYS, len(found)))
+
+    def apply_report(self, peer: Peer, report: Any) -> None:
+        """Record the relays that a daemon names, and whether it needs some."""
+        peer.relays = tuple(_decode(row) for row in report.relays or ())
+        was_cut_off, peer.is_cut_off = peer.is_cut_off, bool(report.cut_off)
+        if peer.is_cut_off and not was_cut_off:
+            self._feed.expedite()
+
+    def has_other_relay(self) -> bool:
+        """Return whether any other daemon reaches endpoints, as a leader."""
+        peers = (*self._feed.list_followers(), *self._feed.list_leaders())
+        return any(peer.relays for peer in peers)
+
+    def fill_update(self, update: Any, peer: Peer) -> None:
+        """Name relays to a daemon, often while it needs them."""
+        now = self._clock()
+        if not peer.is_cut_off and now - peer.sent_relays_at < CALM_INTERVAL:
+            return
+        peer.sent_relays_at = now
+        update.relays = [_encode(each) for each in self._choose_relays(peer)]
+
+    def _choose_relays(self, peer: Peer | None) -> list[Relay]:
+        """Return relays for a daemon, first of this leader's data centre."""
+        peers = (*self._feed.list_followers(), *self._feed.list_leaders())
+        others = [each for each in peers if each is not peer]
+        found = {each.address: each for other in others for each in other.relays}
+        if peer is not None and self.is_relay():
+            own = self._describe()
+            found[own.address] = own
+        local = self._deployment.data_centre
+        near = [each for each in found.values() if each.data_centre == local]
+        far = [each for each in found.values() if each.data_centre != local]
+        chosen = random.sample(near, min(MAX_LOCAL_RELAYS, len(near)))
+        return chosen + random.sample(far, min(MAX_RELAYS - len(chosen), len(far)))
+
+    def apply_update(self, received: ReceivedUpdate) -> None:
+        """Add the relays that a leader names."""
+        rows = received.update.relays
+        if rows:
+            self._relays.apply([_decode(row) for row in rows], self._clock())
+
+    def run_maintenance(self) -> None:
+        """Use the relays that this daemon knows as a leader itself."""
+        if self._leaders.leads and not self._contact.is_open:
+            self._relays.apply(self._choose_relays(None), self._clock())
+
+
+def _encode(relay: Relay) -> Any:
+    return RelayRow(
+        host=relay.address.host,
+        port=relay.address.port,
+        data_centre=relay.data_centre,
+        load=relay.load,
+    )
+
+
+def _decode(row: Any) -> Relay:
+    return Relay(SocketAddress(row.host, row.port), row.data_centre, row.load)
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -427,6 +427,25 @@
 gen_init(FactorRow, FactorRow.thrift_spec, FactorRow.default_spec)
 
 
+class RelayRow(Struct):
+    """``RelayRow`` of the IDL."""
+
+
+RelayRow.thrift_spec = {
+    1: (TType.STRING, "host", False),
+    2: (TType.I32, "port", False),
+    3: (TType.STRING, "data_centre", False),
+    4: (TType.I32, "load", False),
+}
+RelayRow.default_spec = [
+    ("host", None),
+    ("port", None),
+    ("data_centre", None),
+    ("load", None),
+]
+gen_init(RelayRow, RelayRow.thrift_spec, RelayRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -458,6 +477,8 @@
     23: (TType.BOOL, "keeps_accounts", False),
     24: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
     25: (TType.BOOL, "wants_full", False),
+    26: (TType.BOOL, "cut_off", False),
+    27: (TType.LIST, "relays", (TType.STRUCT, RelayRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -486,6 +507,8 @@
     ("keeps_accounts", None),
     ("departures", None),
     ("wants_full", None),
+    ("cut_off", None),
+    ("relays", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -529,6 +552,7 @@
     32: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
     33: (TType.LIST, "present", TType.STRING, False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
+    36: (TType.LIST, "relays", (TType.STRUCT, RelayRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -565,6 +589,7 @@
     ("departures", None),
     ("present", None),
     ("factors", None),
+    ("relays", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -155,7 +155,7 @@
     organisation: OrganisationName | None = None,
 ) -> Iterable[tuple[str, str]]:
     """Yield the headers that the system sets on a request to an endpoint."""
-    yield _DEADLINE, str(max(1, int(remaining * MILLISECONDS)))
+    yield encode_deadline(remaining)
     yield _EXPECT_INSTANCE, instance
     if priority is not None:
         yield _PRIORITY, str(min(9, max(0, priority)))
@@ -165,6 +165,11 @@
         yield _ORGANISATION, organisation
 
 
+def encode_deadline(remaining: Seconds) -> tuple[str, str]:
+    """Return the header that tells how long an answer is waited for."""
+    return _DEADLINE, str(max(1, int(remaining * MILLISECONDS)))
+
+
 def was_not_run(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether an endpoint's answer guarantees that the request did not run."""
     return status == MISDIRECTED or _NOT_RUN in headers
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -67,6 +67,7 @@
         bounds=_decode_bounds(content["Bounds"]),
         first_start=bool(content.get("FirstStart")),
         heartbeat=_decode_heartbeat(content),
+        forwarding_port=first_internal + 1,
         features=read_features(os.environ.get(DISABLED_VARIABLE, "")),
     )
 
