Lease: a leader that reaches no endpoint gives its lease to a daemon that does

Cause: a leader resigned for the store alone. Why it works: it resigns once an endpoint has answered another daemon after its own failures began, so nothing changes hands where no daemon reaches any (a test keeps that), and leaves a free lease to all others first while it is cut off. Fences, order and the gap between two holders' orders are as for a lost store. After Omni-Paxos (EuroSys 2023): only a node connected enough may lead.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -362,6 +362,7 @@
         self._relay.finder.demand.counts_prompts = self._deployment.features.early_loads
         for lease in self._leases.values():
             lease.record_start = self._start_leading
+            lease.is_cut_off = lambda: self._contact.is_cut_off
         leader.prefill_times = self._relay.finder.prefill_times
         leader.list_uses = self._exchange.list_uses
         leader.get_remote_wait = self._exchange.get_min_load_wait
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -252,15 +252,8 @@
         return keeping
 
     def resign_if_cut_off(self) -> None:
-        """Resign the leases if only this daemon has lost the store."""
-        renewed_at = self.feed.get_store_answered_at()
-        read_at = self.feed.get_store_read_at()
-        local_read_at = self._store_read_at()
-        held = [
-            lease
-            for lease in self._leases.values()
-            if lease.should_resign(renewed_at, read_at, local_read_at)
-        ]
+        """Resign the leases if only this daemon has lost the store or the endpoints."""
+        held = [lease for lease in self._leases.values() if self._should_resign(lease)]
         if not held:
             return
         self._resigned = tuple(
@@ -268,6 +261,15 @@
         )
         self.feed.send_all()
 
+    def _should_resign(self, lease: Lease) -> bool:
+        if lease.leads and self.relays.do_others_reach():
+            return True
+        return lease.should_resign(
+            self.feed.get_store_answered_at(),
+            self.feed.get_store_read_at(),
+            self._store_read_at(),
+        )
+
     # Fields of a leader's updates.
 
     def _make_state(self) -> LeaderState:
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -207,7 +207,8 @@
 // reports its own requests to this leader, and to no other. wants_full asks for all rows:
 // those sent were older than what the sender has listed itself. cut_off says that no
 // endpoint accepts connections of the sender; relays is itself if it reaches endpoints, of
-// a leader some daemons of its group.
+// a leader some daemons of its group. answer_age is the time since an endpoint answered
+// the sender, of a leader any daemon of its group.
 struct Report {
   1: string vm,
   2: string data_centre,
@@ -237,6 +238,7 @@
   25: bool wants_full,
   26: bool cut_off,
   27: list<RelayRow> relays,
+  28: double answer_age,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -40,6 +40,8 @@
     sent_facts_position: int = 0
     # The same for departures.
     sent_departures_position: int = 0
+    # When an endpoint last answered it, or any daemon of its group.
+    answered_at: Seconds = float("-inf")
     # Daemons that reach endpoints, as it reports, when it was last told of others, and
     # whether it reaches none itself.
     relays: tuple[Relay, ...] = ()
--- a/src/kestreltally/knowledge/relays.py
+++ b/src/kestreltally/knowledge/relays.py
@@ -13,11 +13,14 @@
 from kestreltally.knowledge.leaders import Leaders
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.structs import RelayRow
+from kestreltally.knowledge.updates import AGE_UNKNOWN
 from kestreltally.reach.contact import Contact
 
 # A daemon reaches endpoints if one has answered it in this time. Leaders ask theirs
 # several times a second.
 MAX_ANSWER_AGE: Final[Seconds] = 1.0
+# A report on its way makes an answer seem younger by this at most.
+MAX_REPORT_TRANSIT: Final[Seconds] = 0.3
 # Relays named to one daemon, and by one leader to another: enough to share the load of
 # many daemons, however many there are.
 MAX_RELAYS: Final = 8
@@ -61,11 +64,20 @@
         """Add this daemon to a report, or a sample of its group as a leader."""
         report.cut_off = not self._contact.is_open
         report.relays = []
+        report.answer_age = min(self._compute_answer_age(), AGE_UNKNOWN)
         if self._leaders.leads:
             report.relays = [_encode(each) for each in self._sample_group()]
         elif self.is_relay():
             report.relays = [_encode(self._describe())]
 
+    def _compute_answer_age(self) -> Seconds:
+        """Return how long ago an endpoint answered, as a leader any of its group."""
+        own = self._contact.compute_answer_age()
+        if not self._leaders.leads:
+            return own
+        followers = (each.answered_at for each in self._feed.list_followers())
+        return min(own, self._clock() - max(followers, default=float("-inf")))
+
     def _describe(self) -> Relay:
         load = sum(self._health.measure(self._clock()).in_flight.values())
         address = SocketAddress(self._deployment.peers.host, self.port)
@@ -80,14 +92,19 @@
     def apply_report(self, peer: Peer, report: Any) -> None:
         """Record the relays that a daemon names, and whether it needs some."""
         peer.relays = tuple(_decode(row) for row in report.relays or ())
+        if report.answer_age is not None:
+            peer.answered_at = self._clock() - report.answer_age
         was_cut_off, peer.is_cut_off = peer.is_cut_off, bool(report.cut_off)
         if peer.is_cut_off and not was_cut_off:
             self._feed.expedite()
 
-    def has_other_relay(self) -> bool:
-        """Return whether any other daemon reaches endpoints, as a leader."""
+    def do_others_reach(self) -> bool:
+        """Return whether an endpoint answers others while it does not this leader."""
+        since = self._contact.failing_since
+        if since is None or not self._contact.is_cut_off:
+            return False
         peers = (*self._feed.list_followers(), *self._feed.list_leaders())
-        return any(peer.relays for peer in peers)
+        return any(peer.answered_at > since + MAX_REPORT_TRANSIT for peer in peers)
 
     def fill_update(self, update: Any, peer: Peer) -> None:
         """Name relays to a daemon, often while it needs them."""
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -479,6 +479,7 @@
     25: (TType.BOOL, "wants_full", False),
     26: (TType.BOOL, "cut_off", False),
     27: (TType.LIST, "relays", (TType.STRUCT, RelayRow), False),
+    28: (TType.DOUBLE, "answer_age", False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -509,6 +510,7 @@
     ("wants_full", None),
     ("cut_off", None),
     ("relays", None),
+    ("answer_age", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
--- a/src/kestreltally/placing/lease.py
+++ b/src/kestreltally/placing/lease.py
@@ -63,6 +63,9 @@
 MIN_LEADER_CORES: Final = 0.66
 MIN_LEADER_MBPS: Final = 20.0
 WEAK_WAIT: Final[Seconds] = 0.8
+# A daemon that reaches no endpoint leaves a free lease that long to others, those of
+# other data centres and weak machines included.
+CUT_OFF_WAIT: Final[Seconds] = REMOTE_WAIT + WEAK_WAIT + 2 * TAKEOVER_JITTER
 # A holder resigns if another daemon got an answer from the store this long after the
 # holder's own last one, and a renewal sent since has failed too: then only the holder
 # is cut off. The announcement lets a successor start its wait at once. An unanswered
@@ -123,6 +126,8 @@
         self._resigned_at: dict[int, Seconds] = {}
         self.leads = False
         self._acquired = asyncio.Event()
+        # Returns whether no endpoint is within this daemon's reach.
+        self.is_cut_off: Callable[[], bool] = lambda: False
         # Called when this daemon becomes the holder.
         self.record_start: Callable[[], None] = lambda: None
 
@@ -339,7 +344,7 @@
             absence = self._absence
             if absence is None or absence.era != self._store.era:
                 absence = self._absence = Absence(self._store.era, now)
-            if now - absence.since >= self._takeover_wait - TAKEOVER_DELAY:
+            if now - absence.since >= self._compute_extra_wait():
                 await self._create(absence)
             return
         record = LeaseRecord.decode(stored.content)
@@ -350,19 +355,26 @@
         if now < self._not_before:
             return
         is_local = record.holder == self._vm and not self._is_outdated(record)
-        if is_local or now - observed.since >= self._compute_takeover_wait(record):
+        if (
+            is_local and not self.is_cut_off()
+        ) or now - observed.since >= self._compute_takeover_wait(record):
             await self._take_over(record, observed)
 
     def _compute_takeover_wait(self, record: LeaseRecord) -> Seconds:
         """Return how long a lease must be unchanged before it can be taken."""
-        extra_wait = self._takeover_wait - TAKEOVER_DELAY
+        extra_wait = self._compute_extra_wait()
         if self._is_outdated(record):
-            return self._takeover_wait
+            return extra_wait + TAKEOVER_DELAY
         if record.fence in self._resigned_at:
             return extra_wait
         if record.released:
             return extra_wait + RELEASED_WAIT
-        return self._takeover_wait
+        return extra_wait + TAKEOVER_DELAY
+
+    def _compute_extra_wait(self) -> Seconds:
+        """Return for how long this daemon leaves a free lease to others."""
+        extra_wait = self._takeover_wait - TAKEOVER_DELAY
+        return extra_wait + CUT_OFF_WAIT if self.is_cut_off() else extra_wait
 
     def _is_outdated(self, record: LeaseRecord) -> bool:
         """Return whether a record was written before the store's last restore.
--- a/src/kestreltally/reach/contact.py
+++ b/src/kestreltally/reach/contact.py
@@ -69,6 +69,12 @@
         """Return whether a failure has not been explained yet."""
         return self._not_opened_since is not None or self._silent_since is not None
 
+    @property
+    def failing_since(self) -> Seconds | None:
+        """Return when the failures began that have not been explained, if any."""
+        times = (self._not_opened_since, self._silent_since)
+        return min((each for each in times if each is not None), default=None)
+
     def compute_answer_age(self) -> Seconds:
         """Return how long ago bytes came from any endpoint."""
         return self._clock() - self.answered_at
