Soak: daemons cut off from all endpoints, each with its own proxies before them

In two plans of five some daemons lose all endpoints, one to seven seconds, three ways; what they serve from 3 s on is checked against the others, and no promise is excused.

--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -45,12 +45,22 @@
 RESUME_GRACE: Final = 0.6
 
 
+# Daemons that are cut off serve this part of what others do, unless few requests fail.
+MIN_CUT_SERVED: Final = 2 / 3
+MAX_CUT_FAILURES: Final = 10
+MAX_CUT_FAILED_FRACTION: Final = 1 / 50
+
 # Services, and the paths that only they serve.
 SERVICE_PREFIXES: Final = {"models": ("/models/",), "plain": ("/plain/", "/v")}
 POISONED_SERVICE: Final = "models"
 RETRY_WINDOW: Final = BOUNDS["BudgetWindowS"]
 
 
+def count_served(records: list["RequestRecord"]) -> int:
+    """Return how many requests got a whole answer."""
+    return sum(record.status == OK and record.whole for record in records)
+
+
 def list_repeats(arrivals: list[tuple[float, str]]) -> list[float]:
     """Return the times of all arrivals but the first of each request."""
     seen: set[str] = set()
@@ -81,6 +91,15 @@
     return None
 
 
+@dataclass(frozen=True)
+class Cut:
+    """A span in which some daemons reached no endpoint."""
+
+    vms: frozenset[str]
+    began: float
+    ended: float
+
+
 @dataclass
 class RequestRecord:
     """One request and its result; ``status`` 0 means no answer."""
@@ -110,6 +129,7 @@
     contact: ContactRecord = field(default_factory=ContactRecord)
     # Times at which open channels to the store fell silent.
     silences: list[float] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
     stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
     healed: list[float] = field(default_factory=list)
     poison_times: list[float] = field(default_factory=list)
@@ -217,6 +237,8 @@
             self._check_departure(endpoint)
             self._check_leaving(endpoint)
         self._check_stops()
+        for cut in self.cuts:
+            self._check_cut(cut)
         self._check_poison(endpoints)
         self._check_retries(endpoints)
 
@@ -427,6 +449,28 @@
                 )
                 return
 
+    def _check_cut(self, cut: Cut) -> None:
+        """Check that daemons in touch serve although they reach no endpoint."""
+        since = cut.began + UNDISTURBED_TIME
+        if since >= cut.ended or not self.is_undisturbed(since, cut.ended):
+            return
+        others_cut = [each for each in self.cuts if each is not cut]
+        if any(each.began < cut.ended and each.ended > since for each in others_cut):
+            return
+        tries = [r for r in self.records if since <= r.began and r.ended < cut.ended]
+        tries = [record for record in tries if self.must_be_served(record)]
+        there = [record for record in tries if record.daemon.vm in cut.vms]
+        others = [record for record in tries if record.daemon.vm not in cut.vms]
+        failed = len(there) - count_served(there)
+        allowed = MAX_CUT_FAILURES + MAX_CUT_FAILED_FRACTION * len(tries)
+        if failed > allowed and count_served(there) * len(others) < (
+            MIN_CUT_SERVED * count_served(others) * len(there)
+        ):
+            self.problems.append(
+                f"{sorted(cut.vms)} cut off served {count_served(there)} of "
+                f"{len(there)}, others {count_served(others)} of {len(others)}"
+            )
+
     def _check_stops(self) -> None:
         for daemon, began, ended in self.stops:
             others = [span for span in self.disturbances if span != (began, ended)]
--- a/bench/faultsoak/cuts.py
+++ b/bench/faultsoak/cuts.py
@@ -89,6 +89,12 @@
             proxy = self._proxies[endpoint] = Proxy(endpoint[1])
             await proxy.start()
 
+    def remove(self, endpoint: Address) -> None:
+        """Close the proxy before an endpoint that has ended: nothing listens there."""
+        proxy = self._proxies.get(endpoint)
+        if proxy is not None:
+            proxy.close()
+
     def resolve(self, address: Address) -> Address:
         """Return the address to connect to in place of an endpoint's."""
         proxy = self._proxies.get((address[0], address[1]))
--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -240,6 +240,15 @@
         action=Action.ENGINE_CRASH,
         every=1.0,
     ),
+    Mutation(
+        name="requests not passed on by daemons that are cut off",
+        module="entry/relay.py",
+        before="        if request.forwarded or self.forwarder is None:\n",
+        after="        if True:\n",
+        action=Action.CUT_OFF,
+        every=9.0,
+        duration=7.0,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -48,6 +48,7 @@
     ENGINE_GOES = "endpoint leaves without a word, another replaces it"
     LEADER_SILENT = "store silent for one leader, an endpoint goes"
     LEADER_OUTLIVES = "the same, and all other daemons are killed"
+    CUT_OFF = "daemons cut off from all endpoints"
 
 
 # Relative frequency of each action, highest for what is most frequent in operation.
@@ -94,6 +95,11 @@
 MEAN_GOING_INTERVAL: Final = 3.0
 MEAN_LEADER_INTERVAL: Final = 9.0
 LEADER_SILENCE_DURATIONS: Final = (3.5, 6.0)
+# Fraction of plans in which daemons are cut off from all endpoints, the mean interval
+# between cuts, and their duration, seconds.
+CUT_FRACTION: Final = 0.4
+MEAN_CUT_INTERVAL: Final = 6.0
+CUT_DURATIONS: Final = (1.0, 7.0)
 _FAULT_MODES: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -144,9 +150,21 @@
     steps.extend(_draw_kill_series(random.Random(f"series {seed}"), seconds))
     steps.extend(_draw_goings(random.Random(f"goings {seed}"), seconds))
     steps.extend(_draw_silent_leaders(random.Random(f"leaders {seed}"), seconds))
+    steps.extend(_draw_cuts(random.Random(f"cuts {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
+def _draw_cuts(draw: random.Random, seconds: float) -> list[Step]:
+    if draw.random() >= CUT_FRACTION:
+        return []
+    steps = []
+    for at in _draw_times(draw, MEAN_CUT_INTERVAL, seconds):
+        duration = min(draw.uniform(*CUT_DURATIONS), seconds - at)
+        target = draw.randrange(1000)
+        steps.append(Step(at, duration, Action.CUT_OFF, target, ProxyMode.PASS))
+    return steps
+
+
 def _draw_goings(draw: random.Random, seconds: float) -> list[Step]:
     return [
         Step(at, 0.0, Action.ENGINE_GOES, draw.randrange(1000), ProxyMode.PASS)
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -17,8 +17,9 @@
 from aiohttp import ClientSession
 
 from bench.cluster import wait_for_answer
-from bench.faultsoak.checker import Checker
+from bench.faultsoak.checker import Checker, Cut
 from bench.faultsoak.contact import Scope
+from bench.faultsoak.cuts import CutMode
 from bench.faultsoak.organisations import CHANGING
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import HOST, Proxy, ProxyMode
@@ -79,6 +80,7 @@
         Action.RATE_LIMIT_NOTICE,
         Action.STORE_CHANNELS_SILENT,
         Action.ENGINE_GOES,
+        Action.CUT_OFF,
     }
 )
 STORE_FAULTS: Final = frozenset(
@@ -493,6 +495,28 @@
     await leaving
 
 
+@performs(Action.CUT_OFF)
+async def cut_off(soak: Soak, step: Step) -> None:
+    """Cut some daemons off from all endpoints, and check what they serve."""
+    draw = random.Random(step.target)
+    free = [d for d in soak.system.daemons if d.paths and d.paths.mode is None]
+    count = draw.randint(1, max(1, len(soak.system.daemons) - 1))
+    chosen = draw.sample(free, min(count, max(0, len(free) - 1)))
+    mode = draw.choice(list(CutMode))
+    clock = asyncio.get_running_loop().time
+    began = clock()
+    for daemon in chosen:
+        assert daemon.paths is not None
+        daemon.paths.cut(mode)
+        soak.system.write_paths(daemon)
+    await asyncio.sleep(step.duration)
+    for daemon in chosen:
+        assert daemon.paths is not None
+        daemon.paths.heal()
+        soak.system.write_paths(daemon)
+    soak.checker.cuts.append(Cut(frozenset(d.vm for d in chosen), began, clock()))
+
+
 @performs(Action.ENGINE_ERRORS)
 async def inject_errors(soak: Soak, step: Step) -> None:
     """Make an endpoint answer 500 for a while."""
@@ -538,6 +562,7 @@
     """Start the system and run a plan on it; return the checker with its results."""
     checker = Checker(system)
     soak = Soak(system, checker)
+    system.has_own_paths = any(step.action is Action.CUT_OFF for step in plan)
     tasks: list[asyncio.Task[None]] = []
     try:
         await system.start(daemons)
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -18,6 +18,7 @@
 from aiohttp import web
 
 from bench.cluster import REPOSITORY
+from bench.faultsoak.cuts import DaemonPaths, Hole
 from bench.faultsoak.organisations import (
     CHANGING,
     SOAK_BOUNDS,
@@ -64,6 +65,8 @@
     process: subprocess.Popen[bytes] | None = None
     boots: int = 0
     resumed_at: float = float("-inf")
+    # Its own proxies before the endpoints, None if all daemons share one each.
+    paths: DaemonPaths | None = None
 
     @property
     def url(self) -> str:
@@ -98,6 +101,8 @@
     base_port: int
     source: Path = REPOSITORY / "src"
     checks_keys: bool = True
+    # Whether daemons can be cut off from all endpoints.
+    has_own_paths: bool = False
     daemons: list[Daemon] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     removed_endpoints: list[SoakEndpoint] = field(default_factory=list)
@@ -109,6 +114,7 @@
     keys: Keys = field(default_factory=Keys)
     unexpected_exits: list[str] = field(default_factory=list)
     _runner: web.AppRunner | None = None
+    _hole: Hole | None = None
     _crashes: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
@@ -138,9 +144,33 @@
             store=store,
             log=self.directory / f"{vm}.log",
         )
+        if self.has_own_paths:
+            self._hole = self._hole or Hole()
+            daemon.paths = DaemonPaths(self._hole)
+            for endpoint in self.endpoints:
+                await daemon.paths.add((HOST, endpoint.proxy.port))
+            self.write_paths(daemon)
         self.daemons.append(daemon)
         self.boot(daemon)
 
+    def write_paths(self, daemon: Daemon) -> None:
+        """Write the table by which a daemon's connections are directed."""
+        if daemon.paths is not None:
+            path = self._get_paths_file(daemon)
+            written = path.with_suffix(".new")
+            written.write_text(json.dumps(daemon.paths.make_table()), encoding="utf-8")
+            written.replace(path)
+
+    def _get_paths_file(self, daemon: Daemon) -> Path:
+        return self.directory / f"{daemon.vm}.paths"
+
+    def _make_command(self, daemon: Daemon) -> list[str]:
+        program = str(self.source / "kestreltally_fleet.py")
+        if daemon.paths is None:
+            return [sys.executable, program]
+        paths = str(self._get_paths_file(daemon))
+        return [sys.executable, "-m", "bench.faultsoak.launch", paths, program]
+
     def boot(self, daemon: Daemon) -> None:
         """Start a daemon's process."""
         bounds = SOAK_BOUNDS if self.checks_keys else BOUNDS
@@ -153,7 +183,7 @@
         environment["KESTRELTALLY_CONFIG"] = str(path)
         with daemon.log.open("ab") as log:
             daemon.process = subprocess.Popen(
-                [sys.executable, str(self.source / "kestreltally_fleet.py")],
+                self._make_command(daemon),
                 stdout=log,
                 stderr=log,
                 cwd=REPOSITORY,
@@ -201,6 +231,10 @@
         endpoint = SoakEndpoint(engine, proxy, runner)
         engine.crash = lambda: self._start_crash(endpoint)
         self.endpoints.append(endpoint)
+        for daemon in self.daemons:
+            if daemon.paths is not None:
+                await daemon.paths.add((HOST, proxy.port))
+                self.write_paths(daemon)
         return endpoint
 
     def _start_crash(self, endpoint: SoakEndpoint) -> None:
@@ -217,7 +251,7 @@
             return
         self.endpoints.remove(endpoint)
         self.removed_endpoints.append(endpoint)
-        endpoint.proxy.close()
+        self._close_paths(endpoint)
         await endpoint.runner.cleanup()
         await asyncio.sleep(CRASH_RESTART_DELAY)
         before = endpoint.engine
@@ -229,13 +263,19 @@
             replacement.engine.id = before.id
             replacement.engine.born = max(replacement.engine.born, before.born + 1)
 
+    def _close_paths(self, endpoint: SoakEndpoint) -> None:
+        for daemon in self.daemons:
+            if daemon.paths is not None:
+                daemon.paths.remove((HOST, endpoint.proxy.port))
+        endpoint.proxy.close()
+
     async def remove_endpoint(self, endpoint: SoakEndpoint) -> None:
         """Stop an endpoint at once and remove its entry from the store."""
         if endpoint not in self.endpoints:
             return
         self.endpoints.remove(endpoint)
         self.removed_endpoints.append(endpoint)
-        endpoint.proxy.close()
+        self._close_paths(endpoint)
         await endpoint.runner.cleanup()
         await self.store.drop("servers", endpoint.engine.id)
 
@@ -313,6 +353,10 @@
             if daemon.process is not None:
                 daemon.process.wait()
             daemon.store.close()
+            if daemon.paths is not None:
+                daemon.paths.close()
+        if self._hole is not None:
+            self._hole.close()
         for endpoint in list(self.endpoints):
             await self.remove_endpoint(endpoint)
         if self._runner is not None:
