Entry: a refusal after the first forwarded byte breaks the answer off

No caller is known to have seen it: each raise under Relay.serve was read, and none refuses once an answer has begun. But the entry would have sent a second head within the first answer's body, and ended that in order. Evidence: test_refusal_after_the_first_event_does_not_end_the_answer_in_order, which makes the finder refuse, failed before. Why it works: whoever refuses, an answer that has begun is closed without its end.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -210,6 +210,9 @@
             call.request = await self._read(call, intake)
             response = await self._serve_within_quota(call, call.request, intake)
         except Refused as refused:
+            if call.progress.response is not None:
+                self._end_log.record(Decision.REQUEST_BROKEN_OFF, call, refused)
+                return self._abort(client)
             self._end_log.record(Decision.REQUEST_REFUSED, call, refused)
             response = intake.make_refusal(
                 client, refused, has_run=call.progress.runs > 0
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -11,7 +11,10 @@
 
 import pytest
 
+from kestreltally.entry.choice import Option
 from kestreltally.entry.delivery import MAX_BUFFERED_BYTES
+from kestreltally.entry.progress import Progress
+from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.entry.upstream import AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import RequestKind, Route, ServiceName
 from kestreltally.fleet.notices import NoticeTable
@@ -221,3 +224,29 @@
     with pytest.raises(AnswerTruncated):
         await answer.read_some()
     server.close()
+
+
+async def test_refusal_after_the_first_event_does_not_end_the_answer_in_order() -> None:
+    # No second answer is written into a stream that has begun.
+    broken = ScriptedEndpoint("e1", stream_one_event, MODELS)
+    async with run_entry([broken], make_stream_route(resumable=True)) as rig:
+        find = rig.relay.finder.find
+
+        async def refuse_resumption(
+            request: ClientRequest, progress: Progress
+        ) -> Option:
+            if progress.runs:
+                raise Refused(503, "no endpoint for the rest")
+            return await find(request, progress)
+
+        rig.relay.finder.find = refuse_resumption  # type: ignore[method-assign]
+        reply = await rig.ask("POST", headers=MODEL, body=b"prompt")
+    assert not reply.whole
+    assert reply.body == ONE_EVENT
+
+
+async def stream_one_event(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    whole = make_answer(seen, make_events(1))
+    writer.write(whole[: len(whole) - len(make_events(1)) + len(ONE_EVENT)])
+    await writer.drain()
+    writer.close()
