--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -249,4 +249,5 @@
     whole = make_answer(seen, make_events(1))
     writer.write(whole[: len(whole) - len(make_events(1)) + len(ONE_EVENT)])
     await writer.drain()
+    await asyncio.sleep(0.05)
     writer.close()
