--- a/tests/test_fleet_daemon.py
+++ b/tests/test_fleet_daemon.py
@@ -84,6 +84,8 @@
 class FleetRig:
     """A store, endpoints and daemons in one process."""
 
+    engine_type: type[PlatformEngine] = PlatformEngine
+
     def __init__(self) -> None:
         self.store = PlatformStore({})
         self.store_port = reserve_port()
@@ -107,7 +109,7 @@
 
     async def add_endpoint(self, zone: str, model: str = "") -> PlatformEngine:
         port = reserve_port()
-        engine = PlatformEngine(
+        engine = self.engine_type(
             store=f"http://127.0.0.1:{self.store_port}",
             service="models" if model else "plain",
             address=f"127.0.0.1:{port}",
