Reach, relays: rounds of probes and rows of reports cost less

A round asks its second and third endpoint 0.04 s after the one before, if none has answered, and another begins 0.3 s later at the soonest, whatever it shows: failing endpoints caused up to 60 connections a second. A daemon names itself as a relay once a second and over each new connection, not in each report, since a leader of 300 decodes 1,500 of these a second; whether an endpoint answers it stays in each report.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -557,7 +557,7 @@
         )
         last = started_at + self._deployment.bounds.grace - STOP_MARGIN
         self._entry_api.stop_by(last)
-        self._exchange.relays.port = 0
+        self._exchange.relays.stop()
         while self._clock() < last:
             if (
                 self._clock() - started_at >= MIN_STOP_DURATION
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -218,7 +218,7 @@
             self._parts = (*self._parts, self.quota_keeping)
         self.feed.parts = self._parts
         for client in self.leaders.clients.values():
-            client.record_connected = self.credits.record_connected
+            client.record_connected = self._record_connected
             client.record_received = self._poison.record_leader_contact
         self.leader: Leader | None = None
         self._reported_occupancy = EMPTY
@@ -230,6 +230,10 @@
         # Called when another daemon knows a later configuration than this leader.
         self.notify_overtaken: Callable[[], None] = lambda: None
 
+    def _record_connected(self, data_centre: str) -> None:
+        self.credits.record_connected(data_centre)
+        self.relays.record_connected(data_centre)
+
     def add_part(self, part: FeedPart) -> None:
         """Let one more part take part in reports and updates."""
         self._parts = (*self._parts, part)
--- a/src/kestreltally/knowledge/relays.py
+++ b/src/kestreltally/knowledge/relays.py
@@ -1,7 +1,7 @@
 """Tells daemons that reach no endpoint of others that do."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, Final
 
 from kestreltally.deployment import Deployment, SocketAddress
@@ -26,6 +26,9 @@
 MAX_RELAYS: Final = 8
 # Relays of its own data centre that a daemon is named, if there are as many.
 MAX_LOCAL_RELAYS: Final = 6
+# A daemon says this seldom that it is a relay; each report says whether an endpoint
+# answers it.
+ROWS_INTERVAL: Final[Seconds] = 1.0
 # A daemon that reaches endpoints is told of relays this seldom, for a cut that takes
 # its leader too.
 CALM_INTERVAL: Final[Seconds] = 2.0
@@ -54,6 +57,8 @@
         # The port for requests of other daemons, 0 until it is known or while this
         # daemon takes none.
         self.port = 0
+        # When relays were last reported, by the data centre of the leader.
+        self._reported_at: dict[str, Seconds] = {}
 
     def is_relay(self) -> bool:
         """Return whether this daemon can serve requests that others pass on."""
@@ -63,12 +68,26 @@
     def fill_report(self, report: Any, data_centre: str) -> None:
         """Add this daemon to a report, or a sample of its group as a leader."""
         report.cut_off = not self._contact.is_open
-        report.relays = []
         report.answer_age = min(self._compute_answer_age(), AGE_UNKNOWN)
+        now = self._clock()
+        if now - self._reported_at.get(data_centre, float("-inf")) < ROWS_INTERVAL:
+            return
+        self._reported_at[data_centre] = now
+        report.relays = [_encode(each) for each in self._list_reported()]
+
+    def record_connected(self, data_centre: str) -> None:
+        """Report relays at once over a new connection."""
+        self._reported_at.pop(data_centre, None)
+
+    def stop(self) -> None:
+        """Take no more requests of other daemons, and say so at once."""
+        self.port = 0
+        self._reported_at.clear()
+
+    def _list_reported(self) -> list[Relay]:
         if self._leaders.leads:
-            report.relays = [_encode(each) for each in self._sample_group()]
-        elif self.is_relay():
-            report.relays = [_encode(self._describe())]
+            return self._sample_group()
+        return [self._describe()] if self.is_relay() else []
 
     def _compute_answer_age(self) -> Seconds:
         """Return how long ago an endpoint answered, as a leader any of its group."""
@@ -84,14 +103,22 @@
         return Relay(address, self._deployment.data_centre, load)
 
     def _sample_group(self) -> list[Relay]:
-        found = [each for peer in self._feed.list_followers() for each in peer.relays]
+        found = list(self._list_relays(self._feed.list_followers()))
         if self.is_relay():
             found.append(self._describe())
         return random.sample(found, min(MAX_RELAYS, len(found)))
 
+    def _list_relays(self, peers: Iterable[Peer]) -> Iterator[Relay]:
+        """Yield the relays that daemons name whom endpoints answer now."""
+        oldest = self._clock() - MAX_ANSWER_AGE
+        for peer in peers:
+            if peer.answered_at >= oldest and (peer.leads or not peer.is_cut_off):
+                yield from peer.relays
+
     def apply_report(self, peer: Peer, report: Any) -> None:
         """Record the relays that a daemon names, and whether it needs some."""
-        peer.relays = tuple(_decode(row) for row in report.relays or ())
+        if report.relays is not None:
+            peer.relays = tuple(_decode(row) for row in report.relays)
         if report.answer_age is not None:
             peer.answered_at = self._clock() - report.answer_age
         was_cut_off, peer.is_cut_off = peer.is_cut_off, bool(report.cut_off)
@@ -118,7 +145,7 @@
         """Return relays for a daemon, first of this leader's data centre."""
         peers = (*self._feed.list_followers(), *self._feed.list_leaders())
         others = [each for each in peers if each is not peer]
-        found = {each.address: each for other in others for each in other.relays}
+        found = {each.address: each for each in self._list_relays(others)}
         if peer is not None and self.is_relay():
             own = self._describe()
             found[own.address] = own
--- a/src/kestreltally/reach/prober.py
+++ b/src/kestreltally/reach/prober.py
@@ -26,10 +26,12 @@
 # this many are at once is rare.
 ENDPOINTS_PER_ROUND: Final = 3
 # Endpoints answer within some ms.
-PROBE_TIMEOUT: Final[Seconds] = 0.3
+PROBE_TIMEOUT: Final[Seconds] = 0.25
 # Time for other connections to end a doubt before a round begins.
 PATIENCE: Final[Seconds] = 0.05
 ROUND_INTERVAL: Final[Seconds] = 0.3
+# Each further endpoint of a round is probed this much later, if none has answered.
+STAGGER: Final[Seconds] = 0.04
 
 
 class Prober:
@@ -70,7 +72,10 @@
             self._contact.apply_probes(answered=True, began_at=began_at)
             return
         self.rounds += 1
-        probes = [asyncio.create_task(self._probe(each)) for each in endpoints]
+        probes = [
+            asyncio.create_task(self._probe_after(number * STAGGER, each))
+            for number, each in enumerate(endpoints)
+        ]
         answered = False
         for probe in asyncio.as_completed(probes):
             if await probe:
@@ -80,8 +85,7 @@
             each.cancel()
         await asyncio.gather(*probes, return_exceptions=True)
         self._contact.apply_probes(answered=answered, began_at=began_at)
-        if not answered:
-            await asyncio.sleep(max(0.0, began_at + ROUND_INTERVAL - self._clock()))
+        await asyncio.sleep(max(0.0, began_at + ROUND_INTERVAL - self._clock()))
 
     def _choose_endpoints(self, now: Seconds) -> list[Endpoint]:
         """Return random endpoints that may be asked now."""
@@ -95,6 +99,10 @@
         ]
         return random.sample(allowed, min(ENDPOINTS_PER_ROUND, len(allowed)))
 
+    async def _probe_after(self, delay: Seconds, endpoint: Endpoint) -> bool:
+        await asyncio.sleep(delay)
+        return await self._probe(endpoint)
+
     async def _probe(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint answers, in any way, over a new connection."""
         service = self._fleet.get_service(endpoint.service)
