Forwarding: what an engine has turned away is passed on as a retry

A request that had reached an engine and was not run there went on to another daemon without a retry of the budget: its arrival at the next engine counts as a repeat (rule BUDGET). Found by reading; test_request_that_an_engine_turned_away_is_passed_on_ as_a_retry guards it. The decision moves out of the relay into forwarding/rerouting.py.

--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -242,7 +242,7 @@
     ),
     Mutation(
         name="requests not passed on by daemons that are cut off",
-        module="entry/relay.py",
+        module="forwarding/rerouting.py",
         before="        if request.forwarded or self.forwarder is None:\n",
         after="        if True:\n",
         action=Action.CUT_OFF,
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -49,7 +49,7 @@
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.forwarding.forwarder import NO_RELAY_RETRY_DELAY, Forwarder
+from kestreltally.forwarding.rerouting import Rerouting
 from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
 from kestreltally.reach.contact import Contact
@@ -65,11 +65,6 @@
 RETRY_PAUSE: Final[Seconds] = 0.1
 
 
-# Endpoints to which no connection opens before a request is passed on while it is not
-# known yet whether any is within reach.
-MAX_UNREACHED: Final = 2
-
-
 class Relay:
     """Relays requests to endpoints."""
 
@@ -101,8 +96,7 @@
         self.notify_use_change: Callable[[], None] = lambda: None
         # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
         self.check_stop: Callable[[Route], None] = lambda _: None
-        # Passes requests on while no endpoint is within reach, None if nothing does.
-        self.forwarder: Forwarder | None = None
+        self.rerouting = Rerouting(pool.contact, self._acquire_retry)
         # Makes long prompts wait for their turn at an engine, None if switched off.
         self.pacer: PromptPacer | None = None
         # Raises ``Refused`` if a key was revoked after its request was read.
@@ -123,7 +117,7 @@
     ) -> web.StreamResponse:
         """Return the answer to a request; raises ``Refused`` or ``StreamBroken``."""
         self._check_poison(request, progress)
-        if not self._must_forward(progress):
+        if not self.rerouting.is_needed(progress):
             self._record_arrival(request)
         try:
             async with asyncio.timeout_at(request.deadline - REFUSAL_MARGIN):
@@ -162,7 +156,7 @@
                 self.check_caller(request.caller)
             self._check_poison(request, progress)
             if option is None:
-                return await self._forward_to_peer(request, client, progress)
+                return await self.rerouting.forward(request, client, progress)
             sends = progress.sends
             if sends and not self._acquire_retry(request):
                 raise make_final_error(progress)
@@ -182,42 +176,13 @@
 
     async def _find(self, request: ClientRequest, progress: Progress) -> Option | None:
         """Return the chosen endpoint, None if none is within reach."""
-        if self._must_forward(progress):
+        if self.rerouting.is_needed(progress):
             return None
         try:
             return await self.finder.find(request, progress)
         except PathLost:
             return None
 
-    def _must_forward(self, progress: Progress) -> bool:
-        """Return whether no endpoint is within reach.
-
-        A daemon whose open channels work passes on only what failed to get one.
-        """
-        if self.contact.is_doubted and progress.unreached >= MAX_UNREACHED:
-            return True
-        return self.contact.is_cut_off or (
-            progress.unreached > 0 and not self.contact.is_open
-        )
-
-    async def _forward_to_peer(
-        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
-    ) -> web.StreamResponse:
-        """Have a daemon that reaches endpoints serve a request."""
-        if request.forwarded or self.forwarder is None:
-            progress.last_fault = "no endpoint within reach"
-            if progress.runs or progress.response is not None:
-                raise make_final_error(progress)
-            raise Refused(
-                UNAVAILABLE,
-                progress.last_fault,
-                NO_RELAY_RETRY_DELAY,
-                elsewhere=True,
-            )
-        if progress.runs and not self._acquire_retry(request):
-            raise make_final_error(progress)
-        return await self.forwarder.forward(request, client, progress)
-
     def _check_poison(self, request: ClientRequest, progress: Progress) -> None:
         """Stop a suspected poison request: endpoints have ended while they ran it.
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -219,7 +219,7 @@
             self._clock,
         )
         self._exchange.notify_overtaken = self._store.reconnect
-        self._relay.forwarder = Forwarder(
+        self._relay.rerouting.forwarder = Forwarder(
             self._exchange.relay_table,
             self._fleet,
             self._relay.budget,
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -120,7 +120,9 @@
         keep = False
         try:
             answer = await self._send(request, progress, channel)
-            channel.apply_keep_alive(answer, asyncio.get_running_loop().time())
+            now = asyncio.get_running_loop().time()
+            progress.first_byte_at = progress.first_byte_at or now
+            channel.apply_keep_alive(answer, now)
             response = await self._delivery.forward(
                 request, client, progress, target, answer
             )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -20,6 +20,7 @@
 from kestreltally.reach.contact import Reach
 from tests.entryrig import (
     MODELS,
+    PLAIN,
     EntryRig,
     Reply,
     ScriptedEndpoint,
@@ -62,7 +63,7 @@
     relays = RelayTable("north")
     found = [Relay(SocketAddress("127.0.0.1", each), "north", 0) for each in ports]
     relays.apply(found, asyncio.get_running_loop().time())
-    sender.relay.forwarder = Forwarder(
+    sender.relay.rerouting.forwarder = Forwarder(
         relays, sender.fleet, sender.relay.budget, sender.authority.compute_age
     )
     sender.relay.contact.reach = Reach.CUT_OFF
@@ -241,3 +242,29 @@
             *(sender.ask("POST", body=b"x", request_id=name) for name in names)
         )
     assert [each.body for each in replies] == [f"for {n}".encode() for n in names]
+
+
+async def test_request_that_an_engine_turned_away_is_passed_on_as_a_retry() -> None:
+    full = ScriptedEndpoint("e1", refuse)
+    endpoint = ScriptedEndpoint("e2", answer_whole)
+    async with (
+        run_pair([endpoint], make_route(UNSAFE)) as (sender, _),
+        run_entry([full], make_route(UNSAFE)) as reaching,
+    ):
+        reaching.relay.rerouting.forwarder = sender.relay.rerouting.forwarder
+        contact = reaching.relay.contact
+
+        async def refuse_and_cut(
+            seen: SeenRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            contact.reach = Reach.CUT_OFF
+            await refuse(seen, writer)
+
+        full.script = refuse_and_cut
+        budget = reaching.relay.budget
+        now = asyncio.get_running_loop().time()
+        before = budget.compute_remaining(PLAIN, now)
+        reply = await ask(reaching)
+        after = budget.compute_remaining(PLAIN, asyncio.get_running_loop().time())
+    assert reply.status == 200
+    assert after < before
