--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -220,7 +220,7 @@
         )
         self._exchange.notify_overtaken = self._store.reconnect
         self._relay.rerouting.forwarder = Forwarder(
-            self._exchange.relay_table,
+            self._exchange.forward_targets,
             self._fleet,
             self._relay.budget,
             self._authority.compute_age,
@@ -437,7 +437,7 @@
     def _report_reach(self) -> None:
         """Have the leader name daemons that reach endpoints, and wake what waits."""
         self._expedite()
-        self._exchange.relays.run_maintenance()
+        self._exchange.targets.run_maintenance()
         self._relay.finder.waiters.wake_all()
 
     async def _run_maintenance(self) -> None:
@@ -453,7 +453,7 @@
             self._exchange.apply_local_report()
             self._exchange.expire_leader_state()
             self._exchange.rows.expire_leader_state()
-            self._exchange.relays.run_maintenance()
+            self._exchange.targets.run_maintenance()
             self._pacing.run_maintenance()
             self._identity.has_leader_contact = (
                 self._exchange.leaders.find_primary() is not None
@@ -519,7 +519,7 @@
         await self._exchange.feed.start(deployment.peers.host, deployment.peers.port)
         await self._datagrams.start(deployment.peers.host, deployment.peers.port)
         await self._entry_api.start(deployment.clients, deployment.readiness)
-        self._exchange.relays.port = await self._entry_api.start_forwarding(
+        self._exchange.targets.port = await self._entry_api.start_forwarding(
             PeerIntake(self._fleet, self._authority),
             SocketAddress(deployment.peers.host, deployment.forwarding_port),
         )
@@ -557,7 +557,7 @@
         )
         last = started_at + self._deployment.bounds.grace - STOP_MARGIN
         self._entry_api.stop_by(last)
-        self._exchange.relays.stop()
+        self._exchange.targets.stop()
         while self._clock() < last:
             if (
                 self._clock() - started_at >= MIN_STOP_DURATION
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -38,15 +38,15 @@
     encode_context,
     is_internal,
 )
-from kestreltally.forwarding.relays import Relay, RelayTable
+from kestreltally.forwarding.targets import ForwardTarget, ForwardTargets
 from kestreltally.platform.headers import LAST_EVENT_ID, encode_deadline, is_genuine
 
 LOG = logging.getLogger("kestreltally.forwarding")
 
 # Daemons that are asked for one request.
-MAX_RELAYS: Final = 3
+MAX_TARGETS: Final = 3
 # No daemon is known to reach an endpoint. One that does is known within this time.
-NO_RELAY_RETRY_DELAY: Final[Seconds] = 0.5
+NO_TARGET_RETRY_DELAY: Final[Seconds] = 0.5
 
 
 class NotServed(Exception):
@@ -61,12 +61,12 @@
 
     def __init__(
         self,
-        relays: RelayTable,
+        targets: ForwardTargets,
         fleet: Fleet,
         budget: RetryBudget,
         get_key_age: Callable[[], Seconds],
     ) -> None:
-        self._relays = relays
+        self._targets = targets
         self._fleet = fleet
         self._get_key_age = get_key_age
         self.pool = ChannelPool(NoticeTable())
@@ -79,32 +79,32 @@
         """Return the answer; raises ``Refused`` or ``StreamBroken``."""
         clock = asyncio.get_running_loop().time
         asked: set[SocketAddress] = set()
-        while len(asked) < MAX_RELAYS:
-            relay = self._relays.choose(asked, clock())
-            if relay is None:
+        while len(asked) < MAX_TARGETS:
+            target = self._targets.choose(asked, clock())
+            if target is None:
                 break
-            asked.add(relay.address)
+            asked.add(target.address)
             try:
-                return await self._attempt(request, client, progress, relay)
+                return await self._attempt(request, client, progress, target)
             except NotServed as reason:
-                self._relays.record_failed(relay.address, clock())
-                progress.trail.append(f"daemon {relay.address.host}: {reason}")
+                self._targets.record_failed(target.address, clock())
+                progress.trail.append(f"daemon {target.address.host}: {reason}")
         progress.last_fault = "no endpoint within reach of this daemon or its peers"
         if progress.runs or progress.response is not None:
             raise make_final_error(progress)
-        raise Refused(UNAVAILABLE, progress.last_fault, NO_RELAY_RETRY_DELAY)
+        raise Refused(UNAVAILABLE, progress.last_fault, NO_TARGET_RETRY_DELAY)
 
     async def _attempt(
         self,
         request: ClientRequest,
         client: web.BaseRequest,
         progress: Progress,
-        relay: Relay,
+        target: ForwardTarget,
     ) -> web.StreamResponse:
         """Pass a request on to one daemon; raises ``NotServed`` too."""
-        target = _make_target(relay, request)
+        endpoint = _make_endpoint(target, request)
         try:
-            channel = await self.pool.acquire(target)
+            channel = await self.pool.acquire(endpoint)
         except NotConnected as error:
             raise NotServed(str(error)) from error
         self.forwarded += 1
@@ -112,11 +112,11 @@
             LOG,
             Decision.REQUEST_FORWARDED,
             request=request.head.id,
-            relay=relay.address.host,
-            in_flight=self._relays.in_flight[relay.address],
-            load=relay.load,
+            target=target.address.host,
+            in_flight=self._targets.in_flight[target.address],
+            load=target.load,
         )
-        self._relays.in_flight[relay.address] += 1
+        self._targets.in_flight[target.address] += 1
         keep = False
         try:
             answer = await self._send(request, progress, channel)
@@ -124,18 +124,18 @@
             progress.first_byte_at = progress.first_byte_at or now
             channel.apply_keep_alive(answer, now)
             response = await self._delivery.forward(
-                request, client, progress, target, answer
+                request, client, progress, endpoint, answer
             )
             keep = True
             return response
         except (AnswerLost, AttemptFailed) as failure:
-            progress.last_fault = f"daemon {relay.address.host}: {failure}"
+            progress.last_fault = f"daemon {target.address.host}: {failure}"
             raise make_final_error(progress) from failure
         except (NotServed, Refused):
             keep = True
             raise
         finally:
-            self._relays.in_flight[relay.address] -= 1
+            self._targets.in_flight[target.address] -= 1
             self.pool.release(channel, keep=keep)
 
     async def _send(
@@ -206,15 +206,15 @@
     return Refused(refusal.status, refusal.reason, refusal.retry_after)
 
 
-def _make_target(relay: Relay, request: ClientRequest) -> Endpoint:
+def _make_endpoint(target: ForwardTarget, request: ClientRequest) -> Endpoint:
     """Return a daemon as what channels are opened to."""
-    address = relay.address
+    address = target.address
     return Endpoint(
         id=EndpointId(f"daemon {address.host}:{address.port}"),
         service=request.service_name,
         host=address.host,
         port=address.port,
-        data_centre=relay.data_centre,
+        data_centre=target.data_centre,
         slots=0,
         leaving=False,
         weights={},
--- a/src/kestreltally/forwarding/rerouting.py
+++ b/src/kestreltally/forwarding/rerouting.py
@@ -7,7 +7,7 @@
 
 from kestreltally.entry.progress import UNAVAILABLE, Progress, make_final_error
 from kestreltally.entry.request import ClientRequest, Refused
-from kestreltally.forwarding.forwarder import NO_RELAY_RETRY_DELAY, Forwarder
+from kestreltally.forwarding.forwarder import NO_TARGET_RETRY_DELAY, Forwarder
 from kestreltally.reach.contact import Contact
 
 # Endpoints to which no connection opens before a request is passed on while it is not
@@ -59,5 +59,5 @@
     if progress.runs or progress.response is not None:
         return make_final_error(progress)
     return Refused(
-        UNAVAILABLE, progress.last_fault, NO_RELAY_RETRY_DELAY, elsewhere=True
+        UNAVAILABLE, progress.last_fault, NO_TARGET_RETRY_DELAY, elsewhere=True
     )
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -25,7 +25,7 @@
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
-from kestreltally.forwarding.relays import RelayTable
+from kestreltally.forwarding.targets import ForwardTargets
 from kestreltally.knowledge.authority import NEVER, Authority
 from kestreltally.knowledge.credits import CreditExchange
 from kestreltally.knowledge.daemon_count import DaemonCount
@@ -46,7 +46,6 @@
 from kestreltally.knowledge.peer import Peer
 from kestreltally.knowledge.poison_exchange import PoisonExchange
 from kestreltally.knowledge.quota_keeping import QuotaKeeping
-from kestreltally.knowledge.relays import RelayExchange
 from kestreltally.knowledge.rows import (
     decode_demand,
     decode_occupancy,
@@ -62,6 +61,7 @@
 )
 from kestreltally.knowledge.speeds import SpeedExchange
 from kestreltally.knowledge.structs import Report
+from kestreltally.knowledge.targets import TargetExchange
 from kestreltally.knowledge.updates import (
     AGE_UNKNOWN,
     LeaderState,
@@ -163,7 +163,7 @@
             )
             for name in leases
         }
-        self.relay_table = RelayTable(deployment.data_centre)
+        self.forward_targets = ForwardTargets(deployment.data_centre)
         self.daemon_count = DaemonCount()
         self.feed.count_all = self._count_daemons
         self.credits = CreditExchange(
@@ -202,16 +202,16 @@
             self.credits,
             *([self.speeds] if self.speeds is not None else ()),
         )
-        self.relays = RelayExchange(
+        self.targets = TargetExchange(
             deployment,
             relay.contact,
-            self.relay_table,
+            self.forward_targets,
             relay.health,
             self.leaders,
             self.feed,
             clock,
         )
-        self._parts = (*self._parts, self.relays)
+        self._parts = (*self._parts, self.targets)
         self.quota_keeping: QuotaKeeping | None = None
         if deployment.features.quota_order:
             self.quota_keeping = self._keep_quotas(datagrams)
@@ -232,7 +232,7 @@
 
     def _record_connected(self, data_centre: str) -> None:
         self.credits.record_connected(data_centre)
-        self.relays.record_connected(data_centre)
+        self.targets.record_connected(data_centre)
 
     def add_part(self, part: FeedPart) -> None:
         """Let one more part take part in reports and updates."""
@@ -266,7 +266,7 @@
         self.feed.send_all()
 
     def _should_resign(self, lease: Lease) -> bool:
-        if lease.leads and self.relays.do_others_reach():
+        if lease.leads and self.targets.do_others_reach():
             return True
         return lease.should_resign(
             self.feed.get_store_answered_at(),
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -193,7 +193,7 @@
 
 // A daemon that reaches endpoints and serves requests that others pass on: its address for
 // these, and the number of its own requests in flight.
-struct RelayRow {
+struct TargetRow {
   1: string host,
   2: i32 port,
   3: string data_centre,
@@ -206,7 +206,7 @@
 // sender's time, secret the key of the digests of requests. follows says that the sender
 // reports its own requests to this leader, and to no other. wants_full asks for all rows:
 // those sent were older than what the sender has listed itself. cut_off says that no
-// endpoint accepts connections of the sender; relays is itself if it reaches endpoints, of
+// endpoint accepts connections of the sender; targets is itself if it reaches endpoints, of
 // a leader some daemons of its group. answer_age is the time since an endpoint answered
 // the sender, of a leader any daemon of its group.
 struct Report {
@@ -237,7 +237,7 @@
   24: list<DepartureRow> departures,
   25: bool wants_full,
   26: bool cut_off,
-  27: list<RelayRow> relays,
+  27: list<TargetRow> targets,
   28: double answer_age,
 }
 
@@ -287,7 +287,7 @@
   32: list<DepartureRow> departures,
   33: list<string> present,
   35: list<FactorRow> factors,
-  36: list<RelayRow> relays,
+  36: list<TargetRow> targets,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -4,7 +4,7 @@
 
 from kestreltally.entry.occupancy import EMPTY, Occupancy
 from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
-from kestreltally.forwarding.relays import Relay
+from kestreltally.forwarding.targets import ForwardTarget
 from kestreltally.knowledge.frames import FrameStream
 from kestreltally.knowledge.updates import EMPTY_SNAPSHOT, Snapshot
 from kestreltally.placing.credits import CreditHolder
@@ -44,8 +44,8 @@
     answered_at: Seconds = float("-inf")
     # Daemons that reach endpoints, as it reports, when it was last told of others, and
     # whether it reaches none itself.
-    relays: tuple[Relay, ...] = ()
-    sent_relays_at: Seconds = float("-inf")
+    targets: tuple[ForwardTarget, ...] = ()
+    sent_targets_at: Seconds = float("-inf")
     is_cut_off: bool = False
     # The credits that it requests, and those issued to it.
     credit_holder: CreditHolder = field(default_factory=CreditHolder)
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -427,23 +427,23 @@
 gen_init(FactorRow, FactorRow.thrift_spec, FactorRow.default_spec)
 
 
-class RelayRow(Struct):
-    """``RelayRow`` of the IDL."""
+class TargetRow(Struct):
+    """``TargetRow`` of the IDL."""
 
 
-RelayRow.thrift_spec = {
+TargetRow.thrift_spec = {
     1: (TType.STRING, "host", False),
     2: (TType.I32, "port", False),
     3: (TType.STRING, "data_centre", False),
     4: (TType.I32, "load", False),
 }
-RelayRow.default_spec = [
+TargetRow.default_spec = [
     ("host", None),
     ("port", None),
     ("data_centre", None),
     ("load", None),
 ]
-gen_init(RelayRow, RelayRow.thrift_spec, RelayRow.default_spec)
+gen_init(TargetRow, TargetRow.thrift_spec, TargetRow.default_spec)
 
 
 class Report(Struct):
@@ -478,7 +478,7 @@
     24: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
     25: (TType.BOOL, "wants_full", False),
     26: (TType.BOOL, "cut_off", False),
-    27: (TType.LIST, "relays", (TType.STRUCT, RelayRow), False),
+    27: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
     28: (TType.DOUBLE, "answer_age", False),
 }
 Report.default_spec = [
@@ -509,7 +509,7 @@
     ("departures", None),
     ("wants_full", None),
     ("cut_off", None),
-    ("relays", None),
+    ("targets", None),
     ("answer_age", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
@@ -554,7 +554,7 @@
     32: (TType.LIST, "departures", (TType.STRUCT, DepartureRow), False),
     33: (TType.LIST, "present", TType.STRING, False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
-    36: (TType.LIST, "relays", (TType.STRUCT, RelayRow), False),
+    36: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -591,7 +591,7 @@
     ("departures", None),
     ("present", None),
     ("factors", None),
-    ("relays", None),
+    ("targets", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -16,7 +16,7 @@
 from kestreltally.fleet.model import Organisation, OrganisationName, RequestKind, Route
 from kestreltally.forwarding.forwarder import Forwarder
 from kestreltally.forwarding.headers import ForwardedContext, encode_context
-from kestreltally.forwarding.relays import Relay, RelayTable
+from kestreltally.forwarding.targets import ForwardTarget, ForwardTargets
 from kestreltally.reach.contact import Reach
 from tests.entryrig import (
     MODELS,
@@ -60,11 +60,13 @@
 
 def connect(sender: EntryRig, *ports: int) -> None:
     """Let a daemon be cut off, and know of peers."""
-    relays = RelayTable("north")
-    found = [Relay(SocketAddress("127.0.0.1", each), "north", 0) for each in ports]
-    relays.apply(found, asyncio.get_running_loop().time())
+    targets = ForwardTargets("north")
+    found = [
+        ForwardTarget(SocketAddress("127.0.0.1", each), "north", 0) for each in ports
+    ]
+    targets.apply(found, asyncio.get_running_loop().time())
     sender.relay.rerouting.forwarder = Forwarder(
-        relays, sender.fleet, sender.relay.budget, sender.authority.compute_age
+        targets, sender.fleet, sender.relay.budget, sender.authority.compute_age
     )
     sender.relay.contact.reach = Reach.CUT_OFF
 
@@ -215,20 +217,24 @@
 
 
 def test_load_is_spread_and_failing_relays_are_passed_over() -> None:
-    relays = RelayTable("north")
+    targets = ForwardTargets("north")
     near, far, busy = (SocketAddress("127.0.0.1", port) for port in (1, 2, 3))
-    relays.apply(
-        [Relay(near, "north", 2), Relay(far, "south", 2), Relay(busy, "north", 40)],
+    targets.apply(
+        [
+            ForwardTarget(near, "north", 2),
+            ForwardTarget(far, "south", 2),
+            ForwardTarget(busy, "north", 40),
+        ],
         now=0.0,
     )
-    chosen = {relays.choose(set(), now=0.0) for _ in range(50)}
+    chosen = {targets.choose(set(), now=0.0) for _ in range(50)}
     addresses = {each.address for each in chosen if each is not None}
     assert addresses == {near, far}
-    relays.record_failed(near, now=0.0)
-    found = relays.choose({far}, now=0.1)
+    targets.record_failed(near, now=0.0)
+    found = targets.choose({far}, now=0.1)
     assert found is not None
     assert found.address == busy
-    assert relays.choose(set(), now=100.0) is None
+    assert targets.choose(set(), now=100.0) is None
 
 
 async def test_answer_of_a_peer_is_never_taken_for_another_request() -> None:
