Reach: one round of probes without answers is no cut

Cause: three probes alone decided; several engines down at once, or a process that is late, leave them unanswered. Why it works: a first round without answers is repeated at up to eight endpoints before anything is dropped or passed on; a cut is known 0.25 s later, of 3 s.

--- a/src/kestreltally/reach/prober.py
+++ b/src/kestreltally/reach/prober.py
@@ -22,9 +22,10 @@
 
 LOG = logging.getLogger("kestreltally.reach")
 
-# Endpoints that are probed in a round. One that is down or busy answers nothing; that
-# this many are at once is rare.
+# Endpoints that are probed in a round, and in one that repeats a round without answers:
+# several may be down at once, or this process be late, while the path is sound.
 ENDPOINTS_PER_ROUND: Final = 3
+ENDPOINTS_PER_REPEAT: Final = 8
 # Endpoints answer within some ms.
 PROBE_TIMEOUT: Final[Seconds] = 0.25
 # Time for other connections to end a doubt before a round begins.
@@ -66,28 +67,34 @@
 
     async def _run_round(self) -> None:
         began_at = self._clock()
-        endpoints = self._choose_endpoints(began_at)
+        answered = await self._ask(ENDPOINTS_PER_ROUND)
+        if not answered and self._contact.is_open:
+            answered = await self._ask(ENDPOINTS_PER_REPEAT)
+        self._contact.apply_probes(answered=answered, began_at=began_at)
+        await asyncio.sleep(max(0.0, began_at + ROUND_INTERVAL - self._clock()))
+
+    async def _ask(self, count: int) -> bool:
+        """Return whether any of some endpoints answers, or none may be asked."""
+        endpoints = self._choose_endpoints(count, self._clock())
         if not endpoints:
             # Nothing is known of the path: failures count as the endpoints'.
-            self._contact.apply_probes(answered=True, began_at=began_at)
-            return
+            return True
         self.rounds += 1
         probes = [
             asyncio.create_task(self._probe_after(number * STAGGER, each))
             for number, each in enumerate(endpoints)
         ]
-        answered = False
-        for probe in asyncio.as_completed(probes):
-            if await probe:
-                answered = True
-                break
-        for each in probes:
-            each.cancel()
-        await asyncio.gather(*probes, return_exceptions=True)
-        self._contact.apply_probes(answered=answered, began_at=began_at)
-        await asyncio.sleep(max(0.0, began_at + ROUND_INTERVAL - self._clock()))
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe:
+                    return True
+            return False
+        finally:
+            for each in probes:
+                each.cancel()
+            await asyncio.gather(*probes, return_exceptions=True)
 
-    def _choose_endpoints(self, now: Seconds) -> list[Endpoint]:
+    def _choose_endpoints(self, count: int, now: Seconds) -> list[Endpoint]:
         """Return random endpoints that may be asked now."""
         notices = self._fleet.notices
         allowed = [
@@ -97,7 +104,7 @@
             and not notices.compute_backoff(each, now)
             and not notices.is_rate_limited(each)
         ]
-        return random.sample(allowed, min(ENDPOINTS_PER_ROUND, len(allowed)))
+        return random.sample(allowed, min(count, len(allowed)))
 
     async def _probe_after(self, delay: Seconds, endpoint: Endpoint) -> bool:
         await asyncio.sleep(delay)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -2,7 +2,11 @@
 
 import pytest
 
+from kestreltally.entry.upstream import ChannelPool
+from kestreltally.fleet.notices import NoticeTable
+from kestreltally.fleet.tables import Fleet
 from kestreltally.reach.contact import Contact, Reach
+from kestreltally.reach.prober import Prober
 from tests.clocks import ManualClock
 
 
@@ -81,3 +85,21 @@
     contact = Contact(ManualClock())
     contact.record_not_opened()
     assert collect(contact)
+
+
+async def test_one_round_without_answers_drops_nothing_that_failed(
+    contact: Contact, clock: ManualClock
+) -> None:
+    # Several engines may be down at once, or this process be late.
+    prober = Prober(contact, Fleet(), ChannelPool(NoticeTable()), "vm", clock)
+    answers = [False, True]
+
+    async def ask(_: int) -> bool:
+        return answers.pop(0)
+
+    prober._ask = ask  # type: ignore[method-assign]
+    contact.record_not_opened()
+    believed = collect(contact)
+    await prober._run_round()
+    assert contact.is_open
+    assert believed
