--- a/src/kestreltally/fleet/notices.py
+++ b/src/kestreltally/fleet/notices.py
@@ -51,11 +51,11 @@
 INITIAL_TRIALS: Final = 1
 TRIAL_STEP: Final = 1
 MAX_TRIALS: Final = 16
-# A trial blocks others for this long at most if its answer does not start: the 0.1 s of
-# a healthy engine's first byte, behind a queue.
+# A request sent after a backoff blocks others for this long at most if its answer does
+# not start: a healthy engine's first byte takes 0.1 s, more behind a queue.
 TRIAL_TIMEOUT: Final[Seconds] = 1.0
-# While all allowed trials are in flight, callers look again after this time: an answer
-# of any of them allows the next.
+# While all requests allowed after a backoff are in flight, callers look again after
+# this time: an answer to any of them allows the next.
 TRIAL_POLL_INTERVAL: Final[Seconds] = 0.05
 # An endpoint that rejects this many requests in a row without naming a time is treated
 # as if it had asked for backoff, which doubles with each further rejection.
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -3,11 +3,14 @@
 import pytest
 
 from kestreltally.entry.upstream import ChannelPool
+from kestreltally.fleet.model import Endpoint
 from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.tables import Fleet
 from kestreltally.reach.contact import Contact, Reach
-from kestreltally.reach.prober import Prober
+from kestreltally.reach.prober import ENDPOINTS_PER_ROUND, Prober
 from tests.clocks import ManualClock
+from tests.entryrig import ScriptedEndpoint
+from tests.test_entry import answer_whole
 
 
 @pytest.fixture
@@ -91,13 +94,18 @@
     contact: Contact, clock: ManualClock
 ) -> None:
     # Several engines may be down at once, or this process be late.
-    prober = Prober(contact, Fleet(), ChannelPool(NoticeTable()), "vm", clock)
-    answers = [False, True]
-
-    async def ask(_: int) -> bool:
-        return answers.pop(0)
-
-    prober._ask = ask  # type: ignore[method-assign]
+    fleet = Fleet()
+    for number in range(6):
+        endpoint = ScriptedEndpoint(f"e{number}", answer_whole)
+        fleet.put_endpoint(endpoint.make_endpoint())
+    prober = Prober(contact, fleet, ChannelPool(NoticeTable()), "vm", clock)
+    asked = []
+
+    async def probe(endpoint: Endpoint) -> bool:
+        asked.append(endpoint)
+        return len(asked) > ENDPOINTS_PER_ROUND
+
+    prober._probe = probe  # type: ignore[method-assign]
     contact.record_not_opened()
     believed = collect(contact)
     await prober._run_round()
