Logs: the software version of an endpoint, and where a stream goes on

Nothing told the hypotheses apart: no line of a daemon named a version of software. An entry's Version is decoded and travels in the rows of endpoints; Resumes is decoded. "relay: request moves on" names the endpoint's version, and "relay: stream goes on" the request that began the stream. No decision uses either yet.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -211,6 +211,7 @@
             Decision.REQUEST_MOVES_ON,
             request=request.head.id,
             endpoint=endpoint.id,
+            software=endpoint.software,
             fault=failure.fault,
             may_have_run=failure.may_have_run,
             retries_left=round(
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -5,6 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery, compute_wait_limit
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
@@ -102,6 +103,7 @@
         ``token`` is the request's token in the health table.
         """
         head = self._encode(request, progress, endpoint, urgency)
+        self._log_resumption(request, progress, endpoint)
         # From this point the request may run, whatever interrupts the wait for its
         # answer.
         progress.runs += 1
@@ -202,6 +204,23 @@
             f"request not run (status {answer.status})", may_have_run=False
         )
 
+    def _log_resumption(
+        self, request: ClientRequest, progress: Progress, endpoint: Endpoint
+    ) -> None:
+        """Log at which software version a stream goes on, within an answer or not."""
+        within_answer = progress.events.last_id is not None
+        if not within_answer and not request.head.resumes:
+            return
+        log_decision(
+            LOG,
+            Decision.STREAM_GOES_ON,
+            request=request.head.id,
+            began_as=request.head.resumed or request.head.id,
+            endpoint=endpoint.id,
+            software=endpoint.software,
+            within_answer=within_answer,
+        )
+
     def _encode(
         self,
         request: ClientRequest,
--- a/src/kestreltally/fleet/model.py
+++ b/src/kestreltally/fleet/model.py
@@ -11,6 +11,8 @@
 EndpointId = NewType("EndpointId", str)
 ServiceName = NewType("ServiceName", str)
 OrganisationName = NewType("OrganisationName", str)
+# The version of the software of an endpoint; empty if it names none.
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 
 class RequestKind(Enum):
@@ -192,6 +194,7 @@
     loading: frozenset[WeightsKey] = frozenset()
     quarantined: bool = False
     start_time_ms: int = 0
+    software: SoftwareVersion = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -19,6 +19,7 @@
   9: list<WeightsVersion> loading,
   10: bool spared,
   11: i64 born,
+  12: string software,
 }
 
 struct DemandRow {
--- a/src/kestreltally/knowledge/rows.py
+++ b/src/kestreltally/knowledge/rows.py
@@ -14,6 +14,7 @@
     OrganisationName,
     Seconds,
     ServiceName,
+    SoftwareVersion,
     WeightsKey,
 )
 from kestreltally.knowledge.structs import (
@@ -60,6 +61,7 @@
         loading=[encode_weights(k, 0) for k in endpoint.loading],
         spared=endpoint.quarantined,
         born=endpoint.start_time_ms,
+        software=endpoint.software,
     )
 
 
@@ -77,6 +79,7 @@
         loading=frozenset(decode_weights(each)[0] for each in row.loading or ()),
         quarantined=bool(row.spared),
         start_time_ms=row.born or 0,
+        software=SoftwareVersion(row.software or ""),
     )
 
 
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -53,6 +53,7 @@
     9: (TType.LIST, "loading", (TType.STRUCT, WeightsVersion), False),
     10: (TType.BOOL, "spared", False),
     11: (TType.I64, "born", False),
+    12: (TType.STRING, "software", False),
 }
 EndpointRow.default_spec = [
     ("id", None),
@@ -66,6 +67,7 @@
     ("loading", None),
     ("spared", None),
     ("born", None),
+    ("software", None),
 ]
 gen_init(EndpointRow, EndpointRow.thrift_spec, EndpointRow.default_spec)
 
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -21,6 +21,7 @@
     ServiceName,
     ServiceSpec,
     Share,
+    SoftwareVersion,
     WeightsKey,
 )
 from kestreltally.platform.settings import read_address
@@ -208,11 +209,18 @@
             # field of that name in an engine's report.
             weights=decode_weights(entry.get("Models") or ()),
             start_time_ms=read_start_time(entry),
+            software=_read_software(entry),
         )
     except FORMAT_ERRORS as error:
         raise MalformedDocument(f"endpoint {name}: {error!r}") from error
 
 
+def _read_software(entry: Document) -> SoftwareVersion:
+    """Return the version of an endpoint's software, empty if it names none."""
+    version = entry.get("Version")
+    return SoftwareVersion(_read_text(version) if version else "")
+
+
 def read_start_time(document: Document) -> int:
     """Return the start time of an endpoint in Unix milliseconds, or 0 if it is absent.
 
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -22,6 +22,7 @@
 REQUEST_ID: Final = "X-Request-Id"
 RETRY_AFTER: Final = "Retry-After"
 LAST_EVENT_ID: Final = "Last-Event-Id"
+_RESUMES: Final = "Resumes"
 _DEADLINE: Final = "X-Deadline-Milliseconds"
 _MODEL: Final = "X-Model-Name"
 _TOKENS: Final = "X-Token-Counts"
@@ -77,7 +78,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """The data in a request's headers; ``deadline`` is how long the client waits."""
+    """The data in a request's headers; ``deadline`` is how long the client waits.
+
+    A request that ``resumes`` takes a stream up after the last event that its client
+    has; ``resumed`` is the id of the request that brought the first one, if named.
+    """
 
     id: str
     deadline: Seconds | None
@@ -86,6 +91,7 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
     resumes: bool
+    resumed: str = ""
 
     @property
     def tokens(self) -> int:
@@ -93,7 +99,7 @@
         return self.prompt_tokens + self.output_tokens
 
 
-def decode_request(headers: Mapping[str, str]) -> RequestHead:
+def decode_request(headers: MultiMapping[str]) -> RequestHead:
     """Decode a request's headers; raises ``ValueError`` that names the invalid one."""
     deadline = headers.get(_DEADLINE)
     prompt, output = _read_tokens(headers.get(_TOKENS))
@@ -105,9 +111,18 @@
         output_tokens=output,
         parts=_read_parts(headers.get(_PREFIX)),
         resumes=LAST_EVENT_ID in headers,
+        resumed=_read_resumed(headers),
     )
 
 
+def _read_resumed(headers: MultiMapping[str]) -> str:
+    """Return the id of the request that began a stream, or an empty string."""
+    named = {each.strip() for each in headers.getall(_RESUMES, [])}
+    if len(named) > 1:
+        raise ValueError(f"{_RESUMES}: {len(named)} different requests")
+    return named.pop() if named else ""
+
+
 def _read_number(name: str, text: str) -> float:
     try:
         return float(text)
