--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -1,15 +1,17 @@
 """Stand-in for an endpoint of the users' platform: a model engine or a plain service.
 
 It maintains its entry in the store, applies orders conditionally on their expected
-sequence number, serves reports, streams events that name the adapter version that ran,
-and counts its runs by request. An engine that is ordered to load more adapters than it
-has places for loses all of them, as by a restart. All its answers carry its notices:
-that it is leaving, and its rate limit. During a backoff it rejects all requests.
+sequence number, serves reports, streams events that name the adapter version and the
+software that ran, and counts its runs by request. An engine that is ordered to load
+more adapters than it has places for loses all of them, as by a restart. All its answers
+carry its notices: that it is leaving, and its rate limit. During a backoff it rejects
+all requests.
 """
 
 import asyncio
 import contextlib
 import json
+import random
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -53,6 +55,11 @@
     places: int = 4
     load_time: float = LOAD_TIME
     event_time: float = EVENT_TIME
+    events: int = EVENTS
+    # The version of its software, as its entry names it.
+    software: str = "v1"
+    # The fraction of streams that it breaks off after a random number of events.
+    broken_fraction: float = 0.0
     id: str = ""
     sequence: int = 0
     heartbeats: int = 0
@@ -126,7 +133,7 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.software,
             "Slots": 8,
             "State": self.state,
             "ColdLeftMs": 0,
@@ -290,12 +297,26 @@
         response.content_type = "text/event-stream"
         await response.prepare(http)
         first = int(http.headers.get("Last-Event-Id", 0)) + 1
-        for number in range(first, EVENTS + 1):
+        broken_at = self._draw_break(first)
+        for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_time)
-            data = json.dumps({"ran": ran, "number": number})
+            if number == broken_at and http.transport is not None:
+                http.transport.abort()
+                return response
+            event = {"ran": ran, "number": number, "software": self.software}
+            data = json.dumps(event)
             await response.write(f"id: {number}\ndata: {data}\n\n".encode())
         return response
 
+    def _draw_break(self, first: int) -> int | None:
+        """Return the number of the event before which a stream is broken off, if any.
+
+        At least one event comes before it.
+        """
+        if first >= self.events or random.random() >= self.broken_fraction:
+            return None
+        return random.randint(first + 1, self.events)
+
 
 def make_engine_app(engine: PlatformEngine) -> web.Application:
     """Return the application that serves an endpoint."""
