Streams: an answer goes on only at the software version that began it

What callers saw: one answer with events of two software versions (the users' record: v1.2 crashed, 50 ms later the answer went on at v1). Cause: a retry inside an answer chose among all endpoints that hold the adapter. Change: the endpoint that wrote the first forwarded event binds the answer (Progress. origin); candidates, credits, backoffs and loads are looked up of its version only. Before the first event any version may serve. An answer that is bound waits until an engine of its version holds the adapter, where it ended at once before.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -19,6 +20,7 @@
 from kestreltally.entry.upstream import Answer, AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
 from kestreltally.pacing.pauses import EventTimes, PauseCounter, is_stretched
+from kestreltally.streams.origins import StreamOrigin
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -54,6 +56,11 @@
         self._pool = pool
         self.event_times = EventTimes()
         self.pauses = PauseCounter()
+        # Called with the endpoint that wrote the first event of a new stream, before
+        # the client gets that event; returns the stream's origin, if it has any.
+        self.begin_stream: Callable[[ClientRequest, Endpoint], StreamOrigin | None] = (
+            lambda _, __: None
+        )
 
     def record_failure(self, endpoint: Endpoint, fault: str) -> None:
         """Count a failure of an endpoint; log if the endpoint is ejected."""
@@ -167,7 +174,9 @@
                 content = await _read_events(request, progress, answer)
                 now = asyncio.get_running_loop().time()
                 self._health.record_received(endpoint.id, now)
-                if await self._write_events(client, progress, answer, content):
+                if await self._write_events(
+                    request, client, progress, endpoint, answer, content
+                ):
                     arrived_at.append(now)
                     self._record_event(request, progress, endpoint, now)
             if events.has_partial_event:
@@ -219,8 +228,10 @@
 
     async def _write_events(
         self,
+        request: ClientRequest,
         client: web.BaseRequest,
         progress: Progress,
+        endpoint: Endpoint,
         answer: Answer,
         content: bytes,
     ) -> bool:
@@ -229,6 +240,8 @@
         if not complete_events:
             return False
         progress.record_answered(complete=False)
+        if progress.origin is None:
+            progress.origin = self.begin_stream(request, endpoint)
         if progress.response is None:
             progress.response = make_streamed_answer(answer, client)
             await progress.response.prepare(client)
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -17,6 +17,7 @@
     UNAVAILABLE,
     Progress,
     make_final_error,
+    make_unresumable_error,
 )
 from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.entry.spread_choice import SPREAD
@@ -58,6 +59,13 @@
     )
 
 
+def _compute_silence_deadline(request: ClientRequest, progress: Progress) -> Seconds:
+    """Return the time by which the client must receive the next event."""
+    if progress.event_at is None or not request.route.silence_limit:
+        return request.first_event_deadline
+    return min(request.deadline, progress.event_at + request.route.silence_limit)
+
+
 class PathLost(Exception):
     """No endpoint is within this daemon's reach."""
 
@@ -100,14 +108,17 @@
         key = request.head.weights
         if request.service.engine is None or key is None:
             return await self._find_for_service(request, progress)
-        self._request_credits(request, key)
+        self._request_credits(request, progress, key)
         while True:
             now = loop.time()
-            candidates = self._fleet.list_holders(request.service_name, key, now)
+            candidates = self._fleet.list_holders(
+                request.service_name, key, now, progress.software
+            )
             if candidates:
                 return self._choose_endpoint(request, progress, candidates, now)
             if self._contact.is_cut_off:
                 raise PathLost
+            self._check_software(request, progress)
             self._check_wait(request, progress, key, now)
             await self._wait_for_weights(request, progress, key)
 
@@ -116,21 +127,24 @@
     ) -> Option:
         """Return the chosen endpoint if any endpoint of the service can serve."""
         loop = asyncio.get_running_loop()
-        self._request_credits(request, None)
+        service, software = request.service_name, progress.software
+        self._request_credits(request, progress, None)
         while True:
             now = loop.time()
-            candidates = self._fleet.list_callable(request.service_name, now)
+            candidates = self._fleet.list_callable(service, now, software)
             if candidates:
                 return self._choose_endpoint(request, progress, candidates, now)
             if self._contact.is_cut_off:
                 raise PathLost
-            backoff = self._fleet.find_shortest_backoff(request.service_name, None, now)
+            self._check_software(request, progress)
+            backoff = self._fleet.find_shortest_backoff(service, None, now, software)
             if backoff is None or progress.runs:
                 progress.last_fault = progress.last_fault or "no endpoint available"
                 raise make_final_error(progress)
             if now + backoff > request.first_event_deadline:
                 raise make_backoff_refusal(backoff)
-            await self._wait_until_available(request, None, min(backoff, POLL_INTERVAL))
+            timeout = min(backoff, POLL_INTERVAL)
+            await self._wait_until_available(request, progress, None, timeout)
             progress.waited += loop.time() - now
 
     async def _wait_for_weights(
@@ -155,19 +169,27 @@
         if not progress.waited:
             self.expedite()
         try:
-            await self._wait_until_available(request, key, POLL_INTERVAL)
+            await self._wait_until_available(request, progress, key, POLL_INTERVAL)
         finally:
             self.demand.end_wait(request.service_name, key, waiter)
             progress.waited += loop.time() - started_at
 
-    def _request_credits(self, request: ClientRequest, key: WeightsKey | None) -> None:
+    def _request_credits(
+        self, request: ClientRequest, progress: Progress, key: WeightsKey | None
+    ) -> None:
         """Request credits for a request at endpoints that name a rate limit."""
         now = asyncio.get_running_loop().time()
-        for each in self._fleet.list_rate_limited(request.service_name, key, now):
+        for each in self._fleet.list_rate_limited(
+            request.service_name, key, now, progress.software
+        ):
             self._fleet.notices.record_demand(each, now)
 
     async def _wait_until_available(
-        self, request: ClientRequest, key: WeightsKey | None, timeout: Seconds
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        key: WeightsKey | None,
+        timeout: Seconds,
     ) -> None:
         """Wait until weights, an endpoint or a credit at one becomes available.
 
@@ -176,22 +198,24 @@
         now = asyncio.get_running_loop().time()
         service = request.service_name
         target: WaitTarget = service if key is None else key
-        limited = self._fleet.list_rate_limited(service, key, now)
+        limited = self._fleet.list_rate_limited(service, key, now, progress.software)
         soonest = sorted(
             limited, key=lambda e: self._fleet.notices.compute_backoff(e, now)
         )
         urgency = min(LOWEST_URGENCY, max(0, request.priority))
         with self._fleet.notices.wait_for_credits(soonest[:1], urgency):
-            if limited and self._has_candidate(service, key):
+            if limited and self._has_candidate(service, progress, key):
                 return
             await self.waiters.wait(target, timeout, urgency)
 
-    def _has_candidate(self, service: ServiceName, key: WeightsKey | None) -> bool:
+    def _has_candidate(
+        self, service: ServiceName, progress: Progress, key: WeightsKey | None
+    ) -> bool:
         """Return whether any endpoint can be called now."""
         now = asyncio.get_running_loop().time()
         if key is None:
-            return bool(self._fleet.list_callable(service, now))
-        return bool(self._fleet.list_holders(service, key, now))
+            return bool(self._fleet.list_callable(service, now, progress.software))
+        return bool(self._fleet.list_holders(service, key, now, progress.software))
 
     def _make_waiter(self, request: ClientRequest) -> Waiter:
         """Return the data on a waiting request that is reported to the leader."""
@@ -201,6 +225,18 @@
             prompt_tokens=request.head.prompt_tokens,
         )
 
+    def _check_software(self, request: ClientRequest, progress: Progress) -> None:
+        """Raise if no endpoint serves of the software version that began a stream."""
+        origin = progress.origin
+        if origin is None:
+            return
+        if origin.service == request.service_name and self._fleet.is_software_serving(
+            origin.service, origin.software
+        ):
+            return
+        progress.last_fault = f"no endpoint of software {origin.software} left"
+        raise make_unresumable_error(progress)
+
     def _check_wait(
         self,
         request: ClientRequest,
@@ -209,32 +245,38 @@
         now: Seconds,
     ) -> None:
         """Raise ``Refused`` unless the weights are predicted to be loaded in time."""
-        if progress.runs:
+        if progress.runs and progress.origin is None:
             raise make_final_error(progress)
+        service, software = request.service_name, progress.software
         wait = self.load_wait if self.load_wait is not None else MAX_RETRY_DELAY
-        backoff = self._fleet.find_shortest_backoff(request.service_name, key, now)
-        is_loading = self._fleet.is_loading(request.service_name, key, now)
+        backoff = self._fleet.find_shortest_backoff(service, key, now, software)
+        is_loading = self._fleet.is_loading(service, key, now, software)
         ready_at = now + (0.0 if is_loading else min(wait, backoff or wait))
-        if ready_at > self._compute_ready_deadline(
-            request, new=not progress.waited and not is_loading
-        ):
+        is_new = not progress.waited and not is_loading
+        if ready_at > self._compute_ready_deadline(request, progress, new=is_new):
             self.demand.record_missed(request.service_name, key)
             self.expedite()
+            if progress.runs:
+                progress.last_fault = f"{key} is not loaded"
+                raise make_final_error(progress)
             if backoff is not None and backoff < wait:
                 raise make_backoff_refusal(backoff)
             retry_after = min(MAX_RETRY_DELAY, max(DEFAULT_RETRY_DELAY, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", retry_after)
 
-    def _compute_ready_deadline(self, request: ClientRequest, *, new: bool) -> Seconds:
+    def _compute_ready_deadline(
+        self, request: ClientRequest, progress: Progress, *, new: bool
+    ) -> Seconds:
         """Return the latest time at which the weights must be loaded.
 
         A new request is refused at once if a wait longer than ``MIN_ACCEPTED_WAIT``
         would make it miss its objective. A request that has waited is served late
-        rather than refused, as long as its client still waits.
+        rather than refused, as long as its client still waits. So is one that takes a
+        stream up, as nothing else can replace what its client has.
         """
         prefill_time = self.prefill_times.predict_unqueued(request.head.prompt_tokens)
-        deadline = request.first_event_deadline - prefill_time
-        if not new:
+        deadline = _compute_silence_deadline(request, progress) - prefill_time
+        if not new or progress.origin is not None:
             return deadline
         max_wait = max(MIN_ACCEPTED_WAIT, request.route.objective - prefill_time)
         return min(deadline, request.arrived_at + max_wait)
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -7,8 +7,9 @@
 
 from kestreltally.entry.events import EventReader
 from kestreltally.entry.request import Refused
-from kestreltally.fleet.model import EndpointId, Seconds
+from kestreltally.fleet.model import EndpointId, Seconds, SoftwareVersion
 from kestreltally.poison.crash_detector import Attempt
+from kestreltally.streams.origins import StreamOrigin
 
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
@@ -34,7 +35,8 @@
     ``unreached`` counts the endpoints to which no connection could be opened.
     ``turn_wait`` is the time spent waiting for turns at engines, and
     ``longest_pause`` is the longest time between two events, the last of which came at
-    ``event_at`` and was written at ``written_at``.
+    ``event_at`` and was written at ``written_at``. ``origin`` is where a stream began
+    of which the client has events; it may go on only there.
     """
 
     sends: int = 0
@@ -54,6 +56,12 @@
     event_at: Seconds | None = None
     written_at: Seconds = 0.0
     longest_pause: Seconds = 0.0
+    origin: StreamOrigin | None = None
+
+    @property
+    def software(self) -> SoftwareVersion | None:
+        """Return the only software version that may serve, None if any may."""
+        return self.origin.software if self.origin is not None else None
 
     def record_event(self, now: Seconds) -> Seconds | None:
         """Record an event; return the time since the previous one, None if first."""
@@ -99,6 +107,16 @@
     """A stream cannot be completed although its client has received part of it."""
 
 
+def make_unresumable_error(progress: Progress) -> Exception:
+    """Return the exception that ends a stream that cannot go on anywhere.
+
+    Nobody knows when it could, so a refusal names no time to come back.
+    """
+    if progress.runs or progress.response is not None:
+        return make_final_error(progress)
+    return Refused(UNAVAILABLE, progress.last_fault)
+
+
 def make_final_error(progress: Progress) -> Exception:
     """Return the exception that ends a request that no endpoint has served."""
     if progress.response is not None:
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -53,6 +53,7 @@
 from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
 from kestreltally.reach.contact import Contact
+from kestreltally.streams.origins import StreamOrigin
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -82,6 +83,7 @@
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
+        self.delivery.begin_stream = lambda _, endpoint: StreamOrigin.at(endpoint)
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
         self.poison.crash_detector.believe_later = pool.contact.believe_later
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -169,7 +169,9 @@
         key = request.head.weights
         if request.service.engine is None or key is None:
             return Verdict.SILENT
-        holders = self._fleet.list_holders(request.service_name, key, now)
+        holders = self._fleet.list_holders(
+            request.service_name, key, now, progress.software
+        )
         return evaluate_silence(
             UnansweredRequest(
                 serves=any(each.id == endpoint.id for each in holders)
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -14,6 +14,7 @@
     Seconds,
     ServiceName,
     ServiceSpec,
+    SoftwareVersion,
     WeightsKey,
     is_other_incarnation,
 )
@@ -145,22 +146,38 @@
         self.copies.remove_endpoint(endpoint)
         self.notices.sent_at.pop(endpoint, None)
 
-    def _list_known(self, service: ServiceName) -> Iterator[Endpoint]:
-        return (self.endpoints[each] for each in self._by_service.get(service, ()))
+    def _list_known(
+        self, service: ServiceName, software: SoftwareVersion | None = None
+    ) -> Iterator[Endpoint]:
+        """Yield the endpoints of a service, of one software version if it is given."""
+        known = (self.endpoints[each] for each in self._by_service.get(service, ()))
+        return _filter_software(known, software)
+
+    def is_software_serving(
+        self, service: ServiceName, software: SoftwareVersion
+    ) -> bool:
+        """Return whether an endpoint of a software version is not leaving."""
+        return any(not each.leaving for each in self._list_known(service, software))
 
     def list_leaving(self, service: ServiceName) -> list[Endpoint]:
         """Return the endpoints of a service that are leaving."""
         return [each for each in self._list_known(service) if each.leaving]
 
-    def list_callable(self, service: ServiceName, now: Seconds) -> list[Endpoint]:
+    def list_callable(
+        self,
+        service: ServiceName,
+        now: Seconds,
+        software: SoftwareVersion | None = None,
+    ) -> list[Endpoint]:
         """Return the endpoints of a service that can be called now.
 
         Quarantined endpoints are returned only if there is no other. An endpoint that
-        asked for backoff is never called.
+        asked for backoff is never called. ``software`` admits only one version of the
+        endpoints' software, here and in the methods below.
         """
         available = [
             each
-            for each in self._list_known(service)
+            for each in self._list_known(service, software)
             if not each.leaving and not self.notices.compute_backoff(each, now)
         ]
         return [each for each in available if not each.quarantined] or available
@@ -170,21 +187,25 @@
         return 0 < self.notices.compute_backoff(endpoint, now) < FOREVER
 
     def find_shortest_backoff(
-        self, service: ServiceName, key: WeightsKey | None, now: Seconds
+        self,
+        service: ServiceName,
+        key: WeightsKey | None,
+        now: Seconds,
+        software: SoftwareVersion | None = None,
     ) -> Seconds | None:
         """Return the shortest backoff of endpoints that could serve otherwise.
 
         Return None if no such endpoint is backing off. Without ``key`` any endpoint of
         the service could serve.
         """
-        capable = (
+        capable: Iterator[Endpoint] = (
             self._list_known(service)
             if key is None
             else (self.endpoints[each] for each in self._holders.get(key, ()))
         )
         backoffs = (
             self.notices.compute_backoff(each, now)
-            for each in capable
+            for each in _filter_software(capable, software)
             if each.service == service and not each.leaving
         )
         return min(
@@ -192,14 +213,22 @@
         )
 
     def list_holders(
-        self, service: ServiceName, key: WeightsKey, now: Seconds
+        self,
+        service: ServiceName,
+        key: WeightsKey,
+        now: Seconds,
+        software: SoftwareVersion | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints of a service that can be called now for some weights."""
-        capable = self._list_capable(service, key, now)
+        capable = _filter_software(self._list_capable(service, key, now), software)
         return [each for each in capable if not self.notices.compute_backoff(each, now)]
 
     def list_rate_limited(
-        self, service: ServiceName, key: WeightsKey | None, now: Seconds
+        self,
+        service: ServiceName,
+        key: WeightsKey | None,
+        now: Seconds,
+        software: SoftwareVersion | None = None,
     ) -> list[Endpoint]:
         """Return the endpoints that could serve and have a rate limit.
 
@@ -211,7 +240,8 @@
             capable = self._list_capable(service, key, now)
         else:
             capable = [each for each in self._list_known(service) if not each.leaving]
-        return [each for each in capable if self.notices.is_rate_limited(each)]
+        found = _filter_software(capable, software)
+        return [each for each in found if self.notices.is_rate_limited(each)]
 
     def _list_capable(
         self, service: ServiceName, key: WeightsKey, now: Seconds
@@ -249,9 +279,16 @@
         capable = self._list_capable(service, key, now)
         return any(not self.notices.is_constrained(each, now) for each in capable)
 
-    def is_loading(self, service: ServiceName, key: WeightsKey, now: Seconds) -> bool:
+    def is_loading(
+        self,
+        service: ServiceName,
+        key: WeightsKey,
+        now: Seconds,
+        software: SoftwareVersion | None = None,
+    ) -> bool:
         """Return whether an engine of a service is loading some weights."""
-        return any(key in each.loading for each in self.list_callable(service, now))
+        available = self.list_callable(service, now, software)
+        return any(key in each.loading for each in available)
 
     def record_missing_weights(
         self, endpoint: EndpointId, key: WeightsKey, now: Seconds
@@ -289,6 +326,15 @@
         return known.number if known is not None else None
 
 
+def _filter_software(
+    endpoints: Iterable[Endpoint], software: SoftwareVersion | None
+) -> Iterator[Endpoint]:
+    """Yield the endpoints of one software version, or all if none is given."""
+    if software is None:
+        return iter(endpoints)
+    return (each for each in endpoints if each.software == software)
+
+
 def _accepts_work(endpoint: Endpoint, service: ServiceName) -> bool:
     """Return whether an endpoint of a service is neither leaving nor quarantined."""
     return (
--- a/tests/entryrig.py
+++ b/tests/entryrig.py
@@ -26,6 +26,7 @@
     ServiceName,
     ServiceSpec,
     Share,
+    SoftwareVersion,
     WeightsKey,
 )
 from kestreltally.fleet.tables import Fleet
@@ -98,6 +99,8 @@
     script: Script
     service: ServiceName = PLAIN
     data_centre: str = "north"
+    software: str = "v1"
+    holds_model: bool = True
     seen: list[SeenRequest] = field(default_factory=list)
     closed: int = 0
     port: int = 0
@@ -125,7 +128,7 @@
             writer.close()
 
     def make_endpoint(self) -> Endpoint:
-        held = {KEY: 1} if self.service == MODELS else {}
+        held = {KEY: 1} if self.service == MODELS and self.holds_model else {}
         return Endpoint(
             id=EndpointId(self.name),
             service=self.service,
@@ -135,6 +138,7 @@
             slots=4,
             leaving=False,
             weights=held,
+            software=SoftwareVersion(self.software),
         )
 
 
--- /dev/null
+++ b/tests/test_stream_entry.py
@@ -0,0 +1,126 @@
+"""One entry, and streams whose endpoints run different versions of software.
+
+Guards against an answer that goes on at another version than the one that began it, and
+against one that is given up although its version will soon hold the adapter again.
+"""
+
+import asyncio
+import random
+from dataclasses import replace
+
+from kestreltally.fleet.model import EndpointId, RequestKind
+from kestreltally.fleet.tables import Fleet
+from tests.entryrig import (
+    KEY,
+    MODELS,
+    EntryRig,
+    Reply,
+    ScriptedEndpoint,
+    SeenRequest,
+    make_route,
+    run_entry,
+)
+from tests.test_entry import MODEL, close_connection, make_event, make_streamer
+
+STREAM = RequestKind.STREAM
+LOAD_TIME = 0.3
+ALL_EVENTS = b"".join(make_event(number) for number in (1, 2, 3))
+
+
+def make_engine(
+    name: str, software: str, script: object, *, holds_model: bool = True
+) -> ScriptedEndpoint:
+    return ScriptedEndpoint(
+        name,
+        script,  # type: ignore[arg-type]
+        MODELS,
+        software=software,
+        holds_model=holds_model,
+    )
+
+
+def make_stream_route(**options: float) -> object:
+    return make_route(STREAM, service=MODELS, resumable=True, attempts=3, **options)
+
+
+async def ask(rig: EntryRig, **headers: str) -> Reply:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return await rig.ask("POST", headers={**MODEL, **named}, body=b"prompt")
+
+
+def quarantine(fleet: Fleet, endpoint: ScriptedEndpoint) -> None:
+    """Leave only the other endpoints to begin a stream."""
+    fleet.put_endpoint(replace(endpoint.make_endpoint(), quarantined=True))
+
+
+async def test_answer_of_one_version_is_not_completed_by_another() -> None:
+    broken = make_engine("e1", "v1", make_streamer(1, 2, whole=False))
+    others = [
+        make_engine(f"e{number}", "v2", make_streamer(1, 3, whole=True))
+        for number in (2, 3)
+    ]
+    async with run_entry([broken, *others], make_stream_route()) as rig:
+        for each in others:
+            quarantine(rig.fleet, each)
+        asking = asyncio.create_task(ask(rig))
+        while not broken.seen:
+            await asyncio.sleep(0.001)
+        for each in others:
+            rig.fleet.put_endpoint(each.make_endpoint())
+        reply = await asking
+    assert not reply.whole
+    assert reply.body == make_event(1) + make_event(2)
+    assert not any(each.seen for each in others)
+
+
+async def test_answer_goes_on_at_the_engine_of_its_version_among_many() -> None:
+    async def break_off(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        await make_streamer(1, random.randint(1, 2), whole=False)(seen, writer)  # type: ignore[operator]
+
+    engines = [
+        make_engine(f"{software}-{number}", software, break_off)
+        for software in ("v1", "v2")
+        for number in (1, 2)
+    ]
+    for _ in range(8):
+        for each in engines:
+            each.seen.clear()
+        async with run_entry(engines, make_stream_route()) as rig:
+            await ask(rig)
+        ran = {each.software for each in engines if each.seen}
+        assert len(ran) == 1
+
+
+async def test_answer_may_begin_at_any_version_until_its_first_event() -> None:
+    dead = make_engine("e1", "v1", close_connection)
+    sound = make_engine("e2", "v2", make_streamer(1, 3, whole=True))
+    async with run_entry([dead, sound], make_stream_route()) as rig:
+        for _ in range(6):
+            reply = await ask(rig)
+            assert (reply.whole, reply.body) == (True, ALL_EVENTS)
+
+
+async def test_answer_waits_until_another_engine_of_its_version_holds_the_adapter() -> (
+    None
+):
+    broken = make_engine("e1", "v1", make_streamer(1, 2, whole=False))
+    loading = make_engine(
+        "e2", "v1", make_streamer(1, 3, whole=True), holds_model=False
+    )
+    other = make_engine("e3", "v2", make_streamer(1, 3, whole=True))
+    async with run_entry([broken, loading, other], make_stream_route()) as rig:
+        rig.relay.finder.load_wait = LOAD_TIME
+        quarantine(rig.fleet, other)
+        asking = asyncio.create_task(ask(rig))
+        while not broken.seen:
+            await asyncio.sleep(0.001)
+        rig.fleet.put_endpoint(other.make_endpoint())
+        await asyncio.sleep(LOAD_TIME / 2)
+        rig.fleet.drop_endpoint(EndpointId("e1"))
+        await asyncio.sleep(LOAD_TIME / 2)
+        held = replace(loading.make_endpoint(), weights={KEY: 1})
+        rig.fleet.put_endpoint(held)
+        rig.relay.finder.waiters.wake([KEY])
+        reply = await asking
+    assert (reply.whole, reply.body) == (True, ALL_EVENTS)
+    assert not other.seen
