Streams: a take-up goes on only at the software version that began the stream

What callers saw: a stream that its client took up again held events of two versions. Cause: nothing told a daemon at which version another one, or its own earlier life, had begun a stream; Resumes was read by nothing. Change: streams/ is the room for it: names (organisation, host, path, id), a bounded register, the versions of the last 60 s, and rendezvous hashing over the daemons. While several versions serve, or did within 60 s, a daemon tells three others of different data centres in one datagram each, before the client has the first event; what began before that is told in groups. A take-up asks three at once, nine at most. Where one version alone can have begun a stream, nothing is asked or told. A stream whose version nobody knows is refused at once, without a time to come back. A route's split is decided by the request that began the stream. Resumes goes on to the engine, as all headers of clients do that name no channel.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -47,6 +47,7 @@
     ANSWER_UNDELIMITED = ("relay: answer ended with its connection", Level.INFO, 50)
     REQUEST_REPEATED = ("relay: request is sent again", Level.INFO, 200)
     STREAM_GOES_ON = ("relay: stream goes on", Level.INFO, 200)
+    STREAM_UNKNOWN = ("relay: version of a stream not known", Level.WARNING, 100)
     RETRY_REFUSED = ("relay: no retry left", Level.INFO, 100)
     COUNT_NOT_KEPT = ("knowledge: number of daemons not kept", Level.INFO, 20)
     DAEMONS_COUNTED = ("knowledge: number of daemons", Level.INFO, 20)
--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -273,7 +273,9 @@
             head = decode_request(client.headers)
         except ValueError as error:
             raise Refused(400, str(error)) from error
-        service = configuration.services.get(choose_service(route, head.id))
+        # A stream that is taken up goes on at the service that began it.
+        began_as = head.resumed if head.resumes else ""
+        service = configuration.services.get(choose_service(route, began_as or head.id))
         if service is None:
             raise Refused(UNAVAILABLE, "service of the route not configured", 0.5)
         budget = min(route.timeout, head.deadline or route.timeout)
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -33,6 +33,7 @@
     ClientRequest,
     Refused,
 )
+from kestreltally.entry.resumption import Resumption
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.sending import Sender
 from kestreltally.entry.upstream import (
@@ -53,7 +54,6 @@
 from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
 from kestreltally.reach.contact import Contact
-from kestreltally.streams.origins import StreamOrigin
 
 LOG = logging.getLogger("kestreltally.relay")
 
@@ -83,7 +83,8 @@
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
-        self.delivery.begin_stream = lambda _, endpoint: StreamOrigin.at(endpoint)
+        self.resumption = Resumption(fleet)
+        self.delivery.begin_stream = self.resumption.begin
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
         self.poison.crash_detector.get_serving = self._get_serving
         self.poison.crash_detector.believe_later = pool.contact.believe_later
@@ -180,6 +181,8 @@
         """Return the chosen endpoint, None if none is within reach."""
         if self.rerouting.is_needed(progress):
             return None
+        if progress.origin is None and request.takes_up_stream:
+            progress.origin = await self.resumption.find_origin(request)
         try:
             return await self.finder.find(request, progress)
         except PathLost:
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -128,6 +128,11 @@
             return self.deadline
         return min(self.deadline, self.arrived_at + self.route.silence_limit)
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the client has events of a stream that is to go on."""
+        return self.route.resumable and self.head.resumes
+
     @property
     def service_name(self) -> ServiceName:
         """Return the name of the service that serves the request."""
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -62,6 +62,7 @@
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
+from kestreltally.knowledge.streams import StreamExchange
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
@@ -218,6 +219,15 @@
             self._datagrams,
             self._clock,
         )
+        self._streams = StreamExchange(
+            self._exchange.keepers,
+            self._relay.resumption.register,
+            self._datagrams,
+            self._clock,
+        )
+        self._relay.resumption.ask = self._streams.ask
+        self._relay.resumption.tell = self._streams.tell
+        self._relay.resumption.get_list_age = self._endpoints_age.compute_age
         self._exchange.notify_overtaken = self._store.reconnect
         self._relay.rerouting.forwarder = Forwarder(
             self._exchange.forward_targets,
@@ -455,6 +465,8 @@
             self._exchange.rows.expire_leader_state()
             self._exchange.targets.run_maintenance()
             self._pacing.run_maintenance()
+            if self._relay.resumption.run_maintenance(now):
+                self._streams.tell_untold()
             self._identity.has_leader_contact = (
                 self._exchange.leaders.find_primary() is not None
             )
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -31,6 +31,7 @@
 from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.departures import DepartureExchange
+from kestreltally.knowledge.directory import KeeperDirectory
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
@@ -59,6 +60,7 @@
     encode_spending,
     encode_use,
 )
+from kestreltally.knowledge.software import SoftwareExchange
 from kestreltally.knowledge.speeds import SpeedExchange
 from kestreltally.knowledge.structs import Report
 from kestreltally.knowledge.targets import TargetExchange
@@ -211,7 +213,13 @@
             self.feed,
             clock,
         )
-        self._parts = (*self._parts, self.targets)
+        self.keepers = KeeperDirectory(deployment, self.leaders, self.feed, clock)
+        self._parts = (
+            *self._parts,
+            self.targets,
+            self.keepers,
+            SoftwareExchange(relay.resumption.history, clock),
+        )
         self.quota_keeping: QuotaKeeping | None = None
         if deployment.features.quota_order:
             self.quota_keeping = self._keep_quotas(datagrams)
@@ -233,6 +241,7 @@
     def _record_connected(self, data_centre: str) -> None:
         self.credits.record_connected(data_centre)
         self.targets.record_connected(data_centre)
+        self.keepers.record_connected(data_centre)
 
     def add_part(self, part: FeedPart) -> None:
         """Let one more part take part in reports and updates."""
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -201,6 +201,20 @@
   4: i32 load,
 }
 
+// A daemon that keeps the origins of streams, and its address for datagrams.
+struct KeeperRow {
+  1: string host,
+  2: i32 port,
+  3: string data_centre,
+}
+
+// A version of the software of a service's endpoints, and how long ago one was known.
+struct SoftwareRow {
+  1: string service_name,
+  2: string software,
+  3: double age,
+}
+
 // From a daemon to a leader; a leader's report to another leader sums up its daemons.
 // store_age is the time since the store answered a lease renewal, read_age the time since
 // it answered a read of the endpoints to this daemon itself, in seconds. stamp is the
@@ -240,6 +254,7 @@
   26: bool cut_off,
   27: list<TargetRow> targets,
   28: double answer_age,
+  29: list<KeeperRow> keepers,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -289,6 +304,8 @@
   33: list<string> present,
   35: list<FactorRow> factors,
   36: list<TargetRow> targets,
+  37: list<KeeperRow> keepers,
+  38: list<SoftwareRow> software,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
@@ -337,6 +354,27 @@
   4: bool reserved,
 }
 
+// Where a stream began, and the seconds for which it may still be taken up. Without a
+// service, streams of several origins have this name.
+struct StreamRow {
+  1: binary name,
+  2: string service_name,
+  3: string software,
+  4: double lasts,
+}
+
+// A question where a stream began that a client takes up.
+struct StreamAsked {
+  1: i64 number,
+  2: binary name,
+}
+
+// The answer; no stream is set if it is not known.
+struct StreamAnswered {
+  1: i64 number,
+  2: StreamRow stream,
+}
+
 // A message of one datagram between two daemons. It may be lost, repeated or late; serial
 // increases with each datagram of one start of a daemon, which boot names.
 struct Datagram {
@@ -347,4 +385,7 @@
   5: TurnsGranted turns_granted,
   6: list<QuotaAsked> quota_asked,
   7: list<QuotaAnswered> quota_answered,
+  8: list<StreamRow> streams,
+  9: list<StreamAsked> stream_asked,
+  10: list<StreamAnswered> stream_answered,
 }
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -3,11 +3,18 @@
 from dataclasses import dataclass, field
 
 from kestreltally.entry.occupancy import EMPTY, Occupancy
-from kestreltally.fleet.model import EndpointId, Seconds, WeightsKey
+from kestreltally.fleet.model import (
+    EndpointId,
+    Seconds,
+    ServiceName,
+    SoftwareVersion,
+    WeightsKey,
+)
 from kestreltally.forwarding.targets import ForwardTarget
 from kestreltally.knowledge.frames import FrameStream
 from kestreltally.knowledge.updates import EMPTY_SNAPSHOT, Snapshot
 from kestreltally.placing.credits import CreditHolder
+from kestreltally.streams.keepers import Keeper
 
 
 @dataclass(slots=True, eq=False)
@@ -47,6 +54,12 @@
     targets: tuple[ForwardTarget, ...] = ()
     sent_targets_at: Seconds = float("-inf")
     is_cut_off: bool = False
+    # Daemons that keep origins of streams: as it names them, and as it was told.
+    keepers: tuple[Keeper, ...] = ()
+    sent_keepers: frozenset[Keeper] = frozenset()
+    sent_keepers_at: Seconds = float("-inf")
+    # Software versions that it was told.
+    sent_software: frozenset[tuple[ServiceName, SoftwareVersion]] = frozenset()
     # The credits that it requests, and those issued to it.
     credit_holder: CreditHolder = field(default_factory=CreditHolder)
 
--- /dev/null
+++ b/src/kestreltally/knowledge/streams.py
@@ -0,0 +1,180 @@
+"""Tells a few daemons where a stream began, and asks them when a client takes it up.
+
+A daemon tells before the client gets the first event, so that the loss of the daemon
+loses nothing that its clients have seen. All of it happens only while endpoints of
+several software versions serve, or lately have.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any, Final
+
+from kestreltally.deployment import SocketAddress
+from kestreltally.fleet.model import Seconds, ServiceName, SoftwareVersion
+from kestreltally.knowledge.datagrams import DatagramPort
+from kestreltally.knowledge.directory import KeeperDirectory
+from kestreltally.knowledge.structs import StreamAnswered, StreamAsked, StreamRow
+from kestreltally.streams.keepers import Keeper, rank_keepers
+from kestreltally.streams.names import StreamName
+from kestreltally.streams.origins import StreamOrigin
+from kestreltally.streams.register import KnownStream, StreamRegister
+from kestreltally.streams.versions import MAX_STREAM_LIFE
+
+# Daemons that keep a stream's origin besides the one that began it.
+KEEPERS: Final = 3
+# Daemons that are asked at once, those asked for one stream, and the pause without all
+# answers after which the next ones are asked.
+ASKED_AT_ONCE: Final = 3
+MAX_ASKED: Final = 9
+ROUND_TIMEOUT: Final[Seconds] = 0.05
+# How long the last answers are waited for.
+LAST_TIMEOUT: Final[Seconds] = 0.2
+# Streams that are asked for at the same time; others are not known.
+MAX_QUESTIONS: Final = 1_024
+# Streams in one datagram: with long names they fill it.
+MAX_ROWS: Final = 12
+
+
+@dataclass(slots=True)
+class Question:
+    """A question that waits for answers; ``pending`` are the daemons that owe one."""
+
+    answered: asyncio.Event = field(default_factory=asyncio.Event)
+    pending: set[SocketAddress] = field(default_factory=set)
+    found: KnownStream | None = None
+
+
+class StreamExchange:
+    """Keeps the origins of streams together with some other daemons."""
+
+    def __init__(
+        self,
+        directory: KeeperDirectory,
+        register: StreamRegister,
+        datagrams: DatagramPort,
+        clock: Callable[[], Seconds],
+    ) -> None:
+        self._directory = directory
+        self._register = register
+        self._datagrams = datagrams
+        self._clock = clock
+        # Answers to an earlier start of this daemon must not match.
+        self._numbers = count(time.time_ns())
+        self._questions: dict[int, Question] = {}
+        self.counts: Counter[str] = Counter()
+        datagrams.handlers["streams"] = self._apply_told
+        datagrams.handlers["stream_asked"] = self._answer
+        datagrams.handlers["stream_answered"] = self._apply_answers
+
+    def tell(self, streams: Iterable[KnownStream]) -> None:
+        """Tell the keepers of streams that this daemon began."""
+        others = self._directory.list_others()
+        by_keeper: dict[SocketAddress, list[KnownStream]] = {}
+        for stream in streams:
+            for keeper in rank_keepers(stream.name, others)[:KEEPERS]:
+                by_keeper.setdefault(keeper.address, []).append(stream)
+            if others:
+                self._register.record_told(stream.name)
+                self.counts["told"] += 1
+        for address, told in by_keeper.items():
+            for rows in _split(told):
+                self._datagrams.send(address, streams=[self._encode(r) for r in rows])
+
+    def tell_untold(self) -> None:
+        """Tell of the streams that began while nobody had to know."""
+        untold = list(self._register.list_untold())
+        if untold:
+            self.tell(untold)
+
+    async def ask(self, name: StreamName) -> KnownStream | None:
+        """Return what other daemons know of a stream, None if none of them does."""
+        ranked = rank_keepers(name, self._directory.list_others())[:MAX_ASKED]
+        if not ranked or len(self._questions) >= MAX_QUESTIONS:
+            return None
+        number, question = next(self._numbers), Question()
+        self._questions[number] = question
+        self.counts["asked"] += 1
+        try:
+            while ranked and question.found is None:
+                asked, ranked = ranked[:ASKED_AT_ONCE], ranked[ASKED_AT_ONCE:]
+                self._send_question(number, question, name, asked)
+                timeout = ROUND_TIMEOUT if ranked else LAST_TIMEOUT
+                await _wait(question.answered, timeout)
+        finally:
+            del self._questions[number]
+        if question.found is not None:
+            self._register.record(question.found)
+        return question.found
+
+    def _send_question(
+        self,
+        number: int,
+        question: Question,
+        name: StreamName,
+        keepers: Sequence[Keeper],
+    ) -> None:
+        question.answered.clear()
+        row = StreamAsked(number=number, name=name)
+        for keeper in keepers:
+            question.pending.add(keeper.address)
+            self._datagrams.send(keeper.address, stream_asked=[row])
+
+    def _apply_told(self, message: Any, _: SocketAddress) -> None:
+        for row in message.streams:
+            self._register.record(self._decode(row))
+
+    def _answer(self, message: Any, sender: SocketAddress) -> None:
+        answers = []
+        for asked in message.stream_asked:
+            known = self._register.find(StreamName(asked.name), self._clock())
+            row = self._encode(known) if known is not None else None
+            answers.append(StreamAnswered(number=asked.number, stream=row))
+        self._datagrams.send(sender, stream_answered=answers)
+
+    def _apply_answers(self, message: Any, sender: SocketAddress) -> None:
+        for answer in message.stream_answered:
+            question = self._questions.get(answer.number)
+            if question is None:
+                continue
+            question.pending.discard(sender)
+            if answer.stream is not None:
+                question.found = self._decode(answer.stream)
+            if question.found is not None or not question.pending:
+                question.answered.set()
+
+    def _encode(self, stream: KnownStream) -> Any:
+        origin = stream.origin
+        return StreamRow(
+            name=stream.name,
+            service_name=origin.service if origin is not None else None,
+            software=origin.software if origin is not None else None,
+            lasts=stream.expires_at - self._clock(),
+        )
+
+    def _decode(self, row: Any) -> KnownStream:
+        """Return the stream of a struct; one without a service has no known origin."""
+        lasts = min(MAX_STREAM_LIFE, max(0.0, row.lasts or 0.0))
+        origin = None
+        if row.service_name is not None:
+            software = SoftwareVersion(row.software or "")
+            origin = StreamOrigin(ServiceName(row.service_name), software)
+        return KnownStream(StreamName(row.name), origin, self._clock() + lasts)
+
+
+def _split(streams: Sequence[KnownStream]) -> Iterator[Sequence[KnownStream]]:
+    """Yield parts that fit into one datagram each."""
+    for start in range(0, len(streams), MAX_ROWS):
+        yield streams[start : start + MAX_ROWS]
+
+
+async def _wait(event: asyncio.Event, timeout: Seconds) -> None:
+    """Wait for an event, or until the timeout."""
+    try:
+        async with asyncio.timeout(timeout):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -448,6 +448,40 @@
 gen_init(TargetRow, TargetRow.thrift_spec, TargetRow.default_spec)
 
 
+class KeeperRow(Struct):
+    """``KeeperRow`` of the IDL."""
+
+
+KeeperRow.thrift_spec = {
+    1: (TType.STRING, "host", False),
+    2: (TType.I32, "port", False),
+    3: (TType.STRING, "data_centre", False),
+}
+KeeperRow.default_spec = [
+    ("host", None),
+    ("port", None),
+    ("data_centre", None),
+]
+gen_init(KeeperRow, KeeperRow.thrift_spec, KeeperRow.default_spec)
+
+
+class SoftwareRow(Struct):
+    """``SoftwareRow`` of the IDL."""
+
+
+SoftwareRow.thrift_spec = {
+    1: (TType.STRING, "service_name", False),
+    2: (TType.STRING, "software", False),
+    3: (TType.DOUBLE, "age", False),
+}
+SoftwareRow.default_spec = [
+    ("service_name", None),
+    ("software", None),
+    ("age", None),
+]
+gen_init(SoftwareRow, SoftwareRow.thrift_spec, SoftwareRow.default_spec)
+
+
 class Report(Struct):
     """``Report`` of the IDL."""
 
@@ -482,6 +516,7 @@
     26: (TType.BOOL, "cut_off", False),
     27: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
     28: (TType.DOUBLE, "answer_age", False),
+    29: (TType.LIST, "keepers", (TType.STRUCT, KeeperRow), False),
 }
 Report.default_spec = [
     ("vm", None),
@@ -513,6 +548,7 @@
     ("cut_off", None),
     ("targets", None),
     ("answer_age", None),
+    ("keepers", None),
 ]
 gen_init(Report, Report.thrift_spec, Report.default_spec)
 
@@ -557,6 +593,8 @@
     33: (TType.LIST, "present", TType.STRING, False),
     35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
     36: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
+    37: (TType.LIST, "keepers", (TType.STRUCT, KeeperRow), False),
+    38: (TType.LIST, "software", (TType.STRUCT, SoftwareRow), False),
 }
 Update.default_spec = [
     ("leader", None),
@@ -594,6 +632,8 @@
     ("present", None),
     ("factors", None),
     ("targets", None),
+    ("keepers", None),
+    ("software", None),
 ]
 gen_init(Update, Update.thrift_spec, Update.default_spec)
 
@@ -697,6 +737,55 @@
 gen_init(QuotaAnswered, QuotaAnswered.thrift_spec, QuotaAnswered.default_spec)
 
 
+class StreamRow(Struct):
+    """``StreamRow`` of the IDL."""
+
+
+StreamRow.thrift_spec = {
+    1: (TType.BINARY, "name", False),
+    2: (TType.STRING, "service_name", False),
+    3: (TType.STRING, "software", False),
+    4: (TType.DOUBLE, "lasts", False),
+}
+StreamRow.default_spec = [
+    ("name", None),
+    ("service_name", None),
+    ("software", None),
+    ("lasts", None),
+]
+gen_init(StreamRow, StreamRow.thrift_spec, StreamRow.default_spec)
+
+
+class StreamAsked(Struct):
+    """``StreamAsked`` of the IDL."""
+
+
+StreamAsked.thrift_spec = {
+    1: (TType.I64, "number", False),
+    2: (TType.BINARY, "name", False),
+}
+StreamAsked.default_spec = [
+    ("number", None),
+    ("name", None),
+]
+gen_init(StreamAsked, StreamAsked.thrift_spec, StreamAsked.default_spec)
+
+
+class StreamAnswered(Struct):
+    """``StreamAnswered`` of the IDL."""
+
+
+StreamAnswered.thrift_spec = {
+    1: (TType.I64, "number", False),
+    2: (TType.STRUCT, "stream", StreamRow, False),
+}
+StreamAnswered.default_spec = [
+    ("number", None),
+    ("stream", None),
+]
+gen_init(StreamAnswered, StreamAnswered.thrift_spec, StreamAnswered.default_spec)
+
+
 class Datagram(Struct):
     """``Datagram`` of the IDL."""
 
@@ -709,6 +798,9 @@
     5: (TType.STRUCT, "turns_granted", TurnsGranted, False),
     6: (TType.LIST, "quota_asked", (TType.STRUCT, QuotaAsked), False),
     7: (TType.LIST, "quota_answered", (TType.STRUCT, QuotaAnswered), False),
+    8: (TType.LIST, "streams", (TType.STRUCT, StreamRow), False),
+    9: (TType.LIST, "stream_asked", (TType.STRUCT, StreamAsked), False),
+    10: (TType.LIST, "stream_answered", (TType.STRUCT, StreamAnswered), False),
 }
 Datagram.default_spec = [
     ("vm", None),
@@ -718,5 +810,8 @@
     ("turns_granted", None),
     ("quota_asked", None),
     ("quota_answered", None),
+    ("streams", None),
+    ("stream_asked", None),
+    ("stream_answered", None),
 ]
 gen_init(Datagram, Datagram.thrift_spec, Datagram.default_spec)
--- /dev/null
+++ b/src/kestreltally/streams/versions.py
@@ -0,0 +1,53 @@
+"""The software versions at which streams that may still be taken up can have begun."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from kestreltally.fleet.model import Endpoint, Seconds, ServiceName, SoftwareVersion
+
+# No client takes a stream up later than this after it began.
+MAX_STREAM_LIFE: Final[Seconds] = 60.0
+
+
+class VersionHistory:
+    """The software versions of each service's endpoints, with when each was last seen.
+
+    A version that has left is remembered as long as its streams may be taken up.
+    """
+
+    def __init__(self) -> None:
+        self._seen_at: dict[ServiceName, dict[SoftwareVersion, Seconds]] = defaultdict(
+            dict
+        )
+
+    def observe(self, endpoints: Iterable[Endpoint], now: Seconds) -> None:
+        """Record the versions of all known endpoints."""
+        for service, software in {(e.service, e.software) for e in endpoints}:
+            self.record(service, software, now)
+
+    def record(
+        self, service: ServiceName, software: SoftwareVersion, at: Seconds
+    ) -> None:
+        """Record that an endpoint of a version was known at a time."""
+        seen_at = self._seen_at[service]
+        seen_at[software] = max(at, seen_at.get(software, at))
+
+    def list_recent(self, service: ServiceName, now: Seconds) -> list[SoftwareVersion]:
+        """Return the versions at which streams of a service may have begun."""
+        seen_at = self._seen_at.get(service, {})
+        return [v for v, at in seen_at.items() if now - at <= MAX_STREAM_LIFE]
+
+    def is_mixed(self, service: ServiceName, now: Seconds) -> bool:
+        """Return whether streams of a service may have begun at several versions."""
+        seen_at = self._seen_at.get(service, {})
+        return len(seen_at) > 1 and len(self.list_recent(service, now)) > 1
+
+    def list_ages(
+        self, now: Seconds
+    ) -> Iterator[tuple[ServiceName, SoftwareVersion, Seconds]]:
+        """Yield the recent versions of all services, and when each was last seen."""
+        for service, seen_at in self._seen_at.items():
+            for software, at in seen_at.items():
+                if now - at <= MAX_STREAM_LIFE:
+                    yield service, software, now - at
--- a/tests/streamrig.py
+++ b/tests/streamrig.py
@@ -27,6 +27,8 @@
 # A stream is given up after this many attempts to take it up.
 MAX_TAKE_UPS = 2
 TAKE_UP_PAUSE = 0.3
+# Streams of a test have lower numbers.
+STREAM_NUMBERS = 1_000
 
 
 @dataclass
@@ -201,7 +203,8 @@
         await rig.add_daemons_up_to(DAEMONS)
         await asyncio.sleep(SETTLE_TIME)
         # Adapters are loaded on some engine each before streams begin.
-        warm = [rig.begin(vm, at) for at, vm in enumerate(list(rig.daemons))]
+        vms = list(rig.daemons)
+        warm = [rig.begin(vm, STREAM_NUMBERS - at) for at, vm in enumerate(vms)]
         await asyncio.gather(*warm)
         yield rig
     finally:
--- a/tests/test_stream_entry.py
+++ b/tests/test_stream_entry.py
@@ -8,7 +8,9 @@
 import random
 from dataclasses import replace
 
-from kestreltally.fleet.model import EndpointId, RequestKind
+import pytest
+
+from kestreltally.fleet.model import RequestKind
 from kestreltally.fleet.tables import Fleet
 from tests.entryrig import (
     KEY,
@@ -103,7 +105,11 @@
 async def test_answer_waits_until_another_engine_of_its_version_holds_the_adapter() -> (
     None
 ):
-    broken = make_engine("e1", "v1", make_streamer(1, 2, whole=False))
+    async def crash(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        broken.stop_listening()
+        await make_streamer(1, 2, whole=False)(seen, writer)  # type: ignore[operator]
+
+    broken = make_engine("e1", "v1", crash)
     loading = make_engine(
         "e2", "v1", make_streamer(1, 3, whole=True), holds_model=False
     )
@@ -115,12 +121,95 @@
         while not broken.seen:
             await asyncio.sleep(0.001)
         rig.fleet.put_endpoint(other.make_endpoint())
-        await asyncio.sleep(LOAD_TIME / 2)
-        rig.fleet.drop_endpoint(EndpointId("e1"))
-        await asyncio.sleep(LOAD_TIME / 2)
+        await asyncio.sleep(LOAD_TIME)
         held = replace(loading.make_endpoint(), weights={KEY: 1})
         rig.fleet.put_endpoint(held)
         rig.relay.finder.waiters.wake([KEY])
         reply = await asking
     assert (reply.whole, reply.body) == (True, ALL_EVENTS)
     assert not other.seen
+
+
+async def begin_and_leave(rig: EntryRig, first: ScriptedEndpoint) -> None:
+    """Begin a stream as q1 at an endpoint, which breaks it off after an event."""
+    reply = await ask(rig)
+    assert first.seen
+    assert not reply.whole
+
+
+async def run_take_up(
+    headers: dict[str, str], path: str = "/r/x"
+) -> tuple[Reply, list[str]]:
+    """Begin a stream at v1 and take it up; return the reply, and what ran it."""
+    broken = make_engine("e1", "v1", make_streamer(1, 1, whole=False))
+    engines = [
+        make_engine("e2", "v1", make_streamer(1, 3, whole=True), holds_model=False),
+        make_engine("e3", "v2", make_streamer(1, 3, whole=True), holds_model=False),
+    ]
+    async with run_entry([broken, *engines], make_stream_route()) as rig:
+        await begin_and_leave(rig, broken)
+        rig.fleet.drop_endpoint(broken.make_endpoint().id)
+        for each in engines:
+            rig.fleet.put_endpoint(replace(each.make_endpoint(), weights={KEY: 1}))
+        named = {**MODEL, "Last-Event-Id": "1", **headers}
+        reply = await rig.ask("POST", path, named, b"prompt", request_id="q2")
+    return reply, [each.software for each in engines if each.seen]
+
+
+async def test_stream_is_taken_up_at_the_version_of_the_request_that_it_names() -> None:
+    for _ in range(5):
+        reply, ran = await run_take_up({"Resumes": "q1"})
+        assert (reply.status, reply.whole, ran) == (200, True, ["v1"])
+
+
+@pytest.mark.parametrize(
+    ("headers", "path"),
+    [
+        ({}, "/r/x"),
+        ({"Resumes": ""}, "/r/x"),
+        ({"Resumes": "q2"}, "/r/x"),
+        ({"Resumes": "x" * 10_000}, "/r/x"),
+        ({"Resumes": "q1"}, "/r/y"),
+    ],
+    ids=["unnamed", "empty", "unknown", "10 kB", "of another path"],
+)
+async def test_stream_of_an_unknown_version_is_refused_at_once(
+    headers: dict[str, str], path: str
+) -> None:
+    began = asyncio.get_running_loop().time()
+    reply, ran = await run_take_up(headers, path)
+    assert (reply.status, ran) == (503, [])
+    assert "retry-after" not in reply.headers
+    assert asyncio.get_running_loop().time() - began < 2.0
+
+
+async def test_stream_that_names_two_requests_is_a_clear_error() -> None:
+    raw = (
+        "POST /r/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q2\r\n"
+        "X-Model-Name: base/a1\r\nLast-Event-Id: 1\r\nResumes: q1\r\n"
+        "Resumes: {}\r\nContent-Length: 0\r\n\r\n"
+    )
+    engine = make_engine("e1", "v1", make_streamer(1, 3, whole=True))
+    async with run_entry([engine], make_stream_route()) as rig:
+        twice = await rig.send(raw.format("q1").encode())
+        differing = await rig.send(raw.format("q0").encode())
+    assert (twice.status, differing.status) == (200, 400)
+    assert b"Resumes" in differing.body
+
+
+async def test_one_version_serves_streams_whose_beginning_nobody_knows() -> None:
+    engines = [make_engine("e1", "v1", make_streamer(1, 3, whole=True))]
+    async with run_entry(engines, make_stream_route()) as rig:
+        reply = await ask(rig, Last_Event_Id="1", Resumes="unknown")
+    assert (reply.status, reply.body) == (200, make_event(2) + make_event(3))
+    assert engines[0].seen[0].find(b"resumes") == b"unknown"
+
+
+async def test_stream_begins_anew_without_the_last_event() -> None:
+    engines = [
+        make_engine(f"e{number}", f"v{number}", make_streamer(1, 3, whole=True))
+        for number in (1, 2)
+    ]
+    async with run_entry(engines, make_stream_route()) as rig:
+        reply = await ask(rig, Resumes="unknown")
+    assert (reply.status, reply.body) == (200, ALL_EVENTS)
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,235 @@
+"""What daemons know of streams: names, keepers, versions, records, and their exchange.
+
+Guards against records that mix up callers' streams, grow without bound or are lost with
+one daemon, and against questions that go unanswered.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from kestreltally.deployment import SocketAddress
+from kestreltally.fleet.model import OrganisationName, ServiceName, SoftwareVersion
+from kestreltally.knowledge import streams as exchange
+from kestreltally.knowledge.datagrams import DatagramPort
+from kestreltally.knowledge.streams import KEEPERS, StreamExchange
+from kestreltally.streams.keepers import Keeper, choose_lowest, rank_keepers
+from kestreltally.streams.names import StreamName, make_stream_name
+from kestreltally.streams.origins import StreamOrigin
+from kestreltally.streams.register import KnownStream, StreamRegister
+from kestreltally.streams.versions import MAX_STREAM_LIFE, VersionHistory
+from tests.ports import reserve_port
+
+MODELS = ServiceName("models")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+AT_V1, AT_V2 = StreamOrigin(MODELS, V1), StreamOrigin(MODELS, V2)
+ACME = OrganisationName("acme")
+
+
+def make_name(number: int) -> StreamName:
+    return make_stream_name(ACME, "shop.example", "/m/x", f"q{number}")
+
+
+def make_keepers(count: int, data_centres: int = 3) -> list[Keeper]:
+    return [
+        Keeper(SocketAddress(f"10.0.0.{number}", 7), f"dc{number % data_centres}")
+        for number in range(count)
+    ]
+
+
+def test_streams_of_different_callers_have_different_names() -> None:
+    names = {
+        make_stream_name(organisation, host, path, request_id)
+        for organisation in (None, ACME, OrganisationName("other"))
+        for host in ("a", "b")
+        for path in ("/m/x", "/m/y")
+        for request_id in ("", "q", "q1", "\udcff", "x" * 10_000)
+    }
+    assert len(names) == 3 * 2 * 2 * 5
+
+
+def test_first_keepers_are_in_different_data_centres() -> None:
+    keepers = make_keepers(9)
+    for number in range(200):
+        ranked = rank_keepers(make_name(number), keepers)
+        assert sorted(ranked, key=str) == sorted(keepers, key=str)
+        assert len({each.data_centre for each in ranked[:3]}) == 3
+
+
+def test_keepers_share_streams_and_few_move_with_a_daemon() -> None:
+    keepers = make_keepers(12)
+    names = [make_name(number) for number in range(3_000)]
+    before = {name: rank_keepers(name, keepers)[:KEEPERS] for name in names}
+    load = Counter(each for ranked in before.values() for each in ranked)
+    assert min(load.values()) > 0.7 * KEEPERS * len(names) / len(keepers)
+    fewer = keepers[1:]
+    for name in names:
+        after = rank_keepers(name, fewer)[:KEEPERS]
+        assert len(set(after) & set(before[name])) >= KEEPERS - 1
+    assert set(choose_lowest(fewer, 4)) >= set(choose_lowest(keepers, 4)) - {keepers[0]}
+
+
+def test_versions_are_remembered_as_long_as_their_streams() -> None:
+    history = VersionHistory()
+    assert history.list_recent(MODELS, 0.0) == []
+    history.record(MODELS, V1, 0.0)
+    assert not history.is_mixed(MODELS, 0.0)
+    history.record(MODELS, V2, 10.0)
+    assert history.is_mixed(MODELS, 10.0)
+    history.record(MODELS, V1, -5.0)
+    assert list(history.list_ages(10.0)) == [(MODELS, V1, 10.0), (MODELS, V2, 0.0)]
+    assert history.is_mixed(MODELS, MAX_STREAM_LIFE)
+    assert history.list_recent(MODELS, MAX_STREAM_LIFE + 1.0) == [V2]
+
+
+def test_register_is_bounded_and_forgets_what_is_too_old() -> None:
+    register = StreamRegister(limit=100)
+    for number in range(1_000):
+        stream = KnownStream(make_name(number), AT_V1, 10.0 + number)
+        register.record(stream, untold=True)
+    assert len(register) == 100
+    assert len(list(register.list_untold())) == 100
+    assert register.find(make_name(0), 0.0) is None
+    assert register.find(make_name(999), 1_008.0) is not None
+    assert register.find(make_name(999), 1_010.0) is None
+    register.prune(1_000.0)
+    assert len(register) == 9
+    register.prune(2_000.0)
+    assert len(register) == len(list(register.list_untold())) == 0
+
+
+def test_two_streams_of_one_name_and_different_origins_have_none() -> None:
+    register = StreamRegister()
+    stream = KnownStream(make_name(1), AT_V1, 10.0)
+    register.record(stream)
+    register.record(replace(stream, expires_at=20.0))
+    assert register.find(stream.name, 0.0) == stream
+    register.record(replace(stream, origin=AT_V2))
+    register.record(stream)
+    known = register.find(stream.name, 0.0)
+    assert known is not None
+    assert known.origin is None
+
+
+class FakeDirectory:
+    """The daemons of a test, for one of them."""
+
+    def __init__(self, own: Keeper, keepers: list[Keeper]) -> None:
+        self.own = own
+        self.keepers = keepers
+
+    def list_others(self) -> list[Keeper]:
+        return [each for each in self.keepers if each != self.own]
+
+
+class Daemon:
+    """A daemon's part of the exchange."""
+
+    def __init__(self, own: Keeper, keepers: list[Keeper]) -> None:
+        self.own = own
+        self.port = DatagramPort(str(own.address.port))
+        self.register = StreamRegister()
+        self.exchange = StreamExchange(
+            FakeDirectory(own, keepers),  # type: ignore[arg-type]
+            self.register,
+            self.port,
+            asyncio.get_running_loop().time,
+        )
+
+    def begin(self, number: int, origin: StreamOrigin = AT_V1) -> KnownStream:
+        until = asyncio.get_running_loop().time() + 5.0
+        stream = KnownStream(make_name(number), origin, until)
+        self.register.record(stream, untold=True)
+        return stream
+
+    async def find(self, name: StreamName) -> KnownStream | None:
+        now = asyncio.get_running_loop().time()
+        return self.register.find(name, now) or await self.exchange.ask(name)
+
+
+@asynccontextmanager
+async def run_daemons(count: int) -> AsyncIterator[list[Daemon]]:
+    keepers = [
+        Keeper(SocketAddress("127.0.0.1", reserve_port()), f"dc{number % 3}")
+        for number in range(count)
+    ]
+    daemons = [Daemon(each, keepers) for each in keepers]
+    for each in daemons:
+        await each.port.start(each.own.address.host, each.own.address.port)
+    try:
+        yield daemons
+    finally:
+        for each in daemons:
+            each.port.close()
+
+
+@pytest.mark.parametrize("lost", [0, 1, 2, 3])
+async def test_origin_is_known_after_daemons_are_lost(lost: int) -> None:
+    async with run_daemons(7) as daemons:
+        first, last = daemons[0], daemons[-1]
+        first.exchange.tell([first.begin(number) for number in range(40)])
+        await asyncio.sleep(0.05)
+        assert not list(first.register.list_untold())
+        for each in daemons[:lost]:
+            each.port.close()
+        found = await asyncio.gather(
+            *(last.find(make_name(number)) for number in range(40))
+        )
+    assert [each.origin for each in found if each is not None] == [AT_V1] * 40
+
+
+async def test_origin_is_found_at_the_daemon_that_has_told_nobody() -> None:
+    async with run_daemons(6) as daemons:
+        daemons[0].begin(1, AT_V2)
+        for each in daemons[1:]:
+            known = await each.exchange.ask(make_name(1))
+            assert known is not None
+            assert known.origin == AT_V2
+
+
+async def test_unknown_stream_is_answered_soon_even_by_silent_daemons() -> None:
+    loop = asyncio.get_running_loop()
+    async with run_daemons(6) as daemons:
+        began = loop.time()
+        assert await daemons[0].exchange.ask(make_name(1)) is None
+        assert loop.time() - began < exchange.ROUND_TIMEOUT
+        for each in daemons[1:]:
+            each.port.handlers.clear()
+        began = loop.time()
+        assert await daemons[0].exchange.ask(make_name(1)) is None
+        assert loop.time() - began < 0.5
+        assert not daemons[0].exchange._questions
+
+
+async def test_contradiction_is_told_as_no_origin() -> None:
+    async with run_daemons(4) as daemons:
+        daemons[0].exchange.tell([daemons[0].begin(1, AT_V1)])
+        daemons[1].exchange.tell([daemons[1].begin(1, AT_V2)])
+        await asyncio.sleep(0.05)
+        known = [await each.exchange.ask(make_name(1)) for each in daemons[2:]]
+    assert any(each is not None and each.origin is None for each in known)
+
+
+async def test_daemon_that_knows_no_other_keeps_what_it_began() -> None:
+    async with run_daemons(1) as (alone,):
+        alone.begin(1)
+        alone.exchange.tell_untold()
+        assert len(list(alone.register.list_untold())) == 1
+        assert await alone.exchange.ask(make_name(2)) is None
+
+
+async def test_questions_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(exchange, "MAX_QUESTIONS", 3)
+    async with run_daemons(2) as daemons:
+        daemons[1].port.handlers.clear()
+        asking = [
+            asyncio.create_task(daemons[0].exchange.ask(make_name(number)))
+            for number in range(50)
+        ]
+        await asyncio.sleep(0.05)
+        assert len(daemons[0].exchange._questions) == 3
+        assert await asyncio.gather(*asking) == [None] * 50
