Forwarding: a request that is passed on says where its stream began

Cause: only the last event's id travelled over the hop, not the software version that the sender knew; a stream that began in the same answer has no other name there. Change: the context of a request that is passed on names service and software version. Evidence: the new test of tests/test_stream_entry.py failed before ("version of a stream not known", the answer broken off) and passes; the fleet test of take-ups at daemons that are cut off passed before, as Resumes travels.

--- a/src/kestreltally/entry/intake.py
+++ b/src/kestreltally/entry/intake.py
@@ -118,6 +118,7 @@
             route=replace(request.route, attempts=context.attempts),
             arrived_at=request.arrived_at - context.age,
             forwarded=True,
+            origin=context.origin,
         )
 
     async def admit(self, _: ClientRequest) -> None:
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -182,7 +182,9 @@
         if self.rerouting.is_needed(progress):
             return None
         if progress.origin is None and request.takes_up_stream:
-            progress.origin = await self.resumption.find_origin(request)
+            progress.origin = request.origin or await self.resumption.find_origin(
+                request
+            )
         try:
             return await self.finder.find(request, progress)
         except PathLost:
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -19,6 +19,7 @@
 )
 from kestreltally.fleet.organisations import KeyDigest
 from kestreltally.platform.headers import SYSTEM_HEADERS, RequestHead
+from kestreltally.streams.origins import StreamOrigin
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1).
 HOP_BY_HOP_HEADERS: Final = frozenset(
@@ -81,7 +82,8 @@
 class ClientRequest:
     """A complete request, with its route and the deadline of its answer.
 
-    One that is ``forwarded`` was passed on by another daemon.
+    One that is ``forwarded`` was passed on by another daemon, which may know the
+    ``origin`` of the stream that it takes up.
 
     The client disconnects unless the first event, or the complete answer, arrives by
     ``first_event_deadline``.
@@ -98,6 +100,7 @@
     deadline: Seconds
     caller: Caller | None = None
     forwarded: bool = False
+    origin: StreamOrigin | None = None
 
     @property
     def organisation(self) -> Organisation | None:
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -182,6 +182,7 @@
             version=configuration.version if configuration is not None else 0,
             age=now - request.arrived_at,
             key_age=self._get_key_age() if request.caller is not None else 0.0,
+            origin=progress.origin,
         )
         headers.append(encode_context(context))
         if request.body or request.method in BODY_METHODS:
--- a/src/kestreltally/forwarding/headers.py
+++ b/src/kestreltally/forwarding/headers.py
@@ -3,10 +3,16 @@
 import json
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 from urllib.parse import quote, unquote
 
-from kestreltally.fleet.model import OrganisationName, Seconds
+from kestreltally.fleet.model import (
+    OrganisationName,
+    Seconds,
+    ServiceName,
+    SoftwareVersion,
+)
+from kestreltally.streams.origins import StreamOrigin
 
 _PREFIX: Final = "x-kestreltally-"
 _CONTEXT: Final = "X-Kestreltally-Context"
@@ -19,7 +25,8 @@
 
     The request may run on ``attempts`` endpoints. It came ``age`` ago, and was admitted
     by a configuration of ``version`` or later, whose keys had been confirmed
-    ``key_age`` ago. ``organisation`` is None where no key is needed.
+    ``key_age`` ago. ``organisation`` is None where no key is needed. ``origin`` is
+    where a stream began of which the client has events, if the sender knows.
     """
 
     organisation: OrganisationName | None
@@ -27,6 +34,7 @@
     version: int
     age: Seconds
     key_age: Seconds
+    origin: StreamOrigin | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +58,16 @@
 def encode_context(context: ForwardedContext) -> tuple[str, str]:
     """Return the header of a request that is passed on."""
     organisation = context.organisation
-    fields = {
+    fields: dict[str, Any] = {
         "organisation": quote(organisation) if organisation is not None else None,
         "attempts": context.attempts,
         "version": context.version,
         "age": round(context.age, 4),
         "key_age": round(context.key_age, 4),
     }
+    if context.origin is not None:
+        fields["service"] = quote(context.origin.service)
+        fields["software"] = quote(context.origin.software)
     return _CONTEXT, json.dumps(fields)
 
 
@@ -75,11 +86,21 @@
             version=int(fields["version"]),
             age=float(fields["age"]),
             key_age=float(fields["key_age"]),
+            origin=_decode_origin(fields),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"{_CONTEXT}: {error!r}") from error
 
 
+def _decode_origin(fields: Mapping[str, Any]) -> StreamOrigin | None:
+    service, software = fields.get("service"), fields.get("software")
+    if service is None or software is None:
+        return None
+    return StreamOrigin(
+        ServiceName(unquote(service)), SoftwareVersion(unquote(software))
+    )
+
+
 def encode_refusal(refusal: ForwardRefusal) -> Iterable[tuple[str, str]]:
     """Yield the header of a refusal of a request that was passed on."""
     fields = {
--- a/tests/test_stream_entry.py
+++ b/tests/test_stream_entry.py
@@ -10,8 +10,11 @@
 
 import pytest
 
+from kestreltally.deployment import SocketAddress
+from kestreltally.entry.intake import PeerIntake
 from kestreltally.fleet.model import RequestKind
 from kestreltally.fleet.tables import Fleet
+from kestreltally.reach.contact import Reach
 from tests.entryrig import (
     KEY,
     MODELS,
@@ -23,6 +26,7 @@
     run_entry,
 )
 from tests.test_entry import MODEL, close_connection, make_event, make_streamer
+from tests.test_forwarding import connect
 
 STREAM = RequestKind.STREAM
 LOAD_TIME = 0.3
@@ -213,3 +217,29 @@
     async with run_entry(engines, make_stream_route()) as rig:
         reply = await ask(rig, Resumes="unknown")
     assert (reply.status, reply.body) == (200, ALL_EVENTS)
+
+
+async def test_answer_of_a_daemon_that_is_cut_off_goes_on_at_its_version() -> None:
+    async def stream_and_cut(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        sender.relay.contact.reach = Reach.CUT_OFF
+        await make_streamer(1, 2, whole=False)(seen, writer)  # type: ignore[operator]
+
+    broken = make_engine("e1", "v1", stream_and_cut)
+    engines = [
+        make_engine(f"{software}-{number}", software, make_streamer(1, 3, whole=True))
+        for software in ("v1", "v2")
+        for number in (1, 2)
+    ]
+    route = make_stream_route()
+    for _ in range(6):
+        async with (
+            run_entry(engines, route) as peer,
+            run_entry([broken], route) as sender,
+        ):
+            intake = PeerIntake(peer.fleet, peer.authority)
+            anywhere = SocketAddress("127.0.0.1", 0)
+            connect(sender, await peer.api.start_forwarding(intake, anywhere))
+            sender.relay.contact.reach = Reach.OPEN
+            reply = await ask(sender)
+        assert (reply.whole, reply.body) == (True, ALL_EVENTS)
+    assert {each.software for each in engines if each.seen} == {"v1"}
