Soak: engines of two software versions, and clients that take their streams up elsewhere

A quarter of the rate more of streams whose clients leave in the middle and come back at any daemon, with Resumes; the checker reads versions from events (ORDER), and compares what goes on with what begins, also for streams whose daemon has ended (LOST), at daemons in touch. Each new endpoint takes the next of two versions, also one that starts again under its id.

--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -124,6 +124,8 @@
     system: SoakSystem
     records: list[RequestRecord] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
+    # What the report tells besides the problems.
+    notes: list[str] = field(default_factory=list)
     # Start and end of each disturbance of the system.
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     contact: ContactRecord = field(default_factory=ContactRecord)
@@ -133,6 +135,8 @@
     stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
     healed: list[float] = field(default_factory=list)
     poison_times: list[float] = field(default_factory=list)
+    # Start times of the attempts of streams that clients leave and take up.
+    stream_times: list[float] = field(default_factory=list)
     # The newest configuration that each process has been seen to apply.
     seen_versions: dict[tuple[str, int], int] = field(default_factory=dict)
 
@@ -254,6 +258,7 @@
             requests = [r.began for r in self.records if r.path.startswith(prefixes)]
             if service == POISONED_SERVICE:
                 requests.extend(self.poison_times)
+                requests.extend(self.stream_times)
             worst = find_excess(list_repeats(arrivals), sorted(requests))
             if worst is not None:
                 self.problems.append(f"{service}: {worst}")
--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -249,6 +249,22 @@
         every=9.0,
         duration=7.0,
     ),
+    Mutation(
+        name="software version not kept within an answer",
+        module="entry/delivery.py",
+        before="progress.origin = self.begin_stream(",
+        after="self.begin_stream(",
+        action=Action.ENGINE_CRASH,
+        every=0.6,
+    ),
+    Mutation(
+        name="software version not asked for when a stream is taken up",
+        module="entry/relay.py",
+        before="        if progress.origin is None and request.takes_up_stream:\n",
+        after="        if False:\n",
+        action=Action.KILL,
+        every=3.0,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -9,7 +9,7 @@
 import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
@@ -20,10 +20,11 @@
 from bench.faultsoak.checker import Checker, Cut
 from bench.faultsoak.contact import Scope
 from bench.faultsoak.cuts import CutMode
-from bench.faultsoak.organisations import CHANGING
+from bench.faultsoak.organisations import CHANGING, STEADY
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import HOST, Proxy, ProxyMode
 from bench.faultsoak.sessions import open_session
+from bench.faultsoak.streams import StreamClients
 from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
 from bench.fleet_demo import DATA_CENTRES
 from standins.platform_engine import HEARTBEAT, POISON_PREFIX
@@ -36,6 +37,8 @@
 ADAPTERS: Final = 30
 # Fraction of requests for models, and exponent of the Pareto distribution of adapters.
 MODEL_FRACTION: Final = 0.6
+# Streams that are left in the middle, as a fraction of the requests of other clients.
+STREAM_FRACTION: Final = 0.25
 ADAPTER_TAIL: Final = 0.8
 # Fractions of requests by organisation, in the order in which their keys were issued,
 # and fraction of requests that use the key that was revoked last.
@@ -137,6 +140,11 @@
 
     system: SoakSystem
     checker: Checker
+    streams: StreamClients = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Add the clients that take their streams up again."""
+        self.streams = StreamClients(self.system, self.checker.stream_times)
 
     def pick_daemon(self, step: Step) -> Daemon:
         """Return the target daemon of a step."""
@@ -219,6 +227,17 @@
                 task.add_done_callback(pending.discard)
                 await asyncio.sleep(draw.expovariate(rate))
 
+    async def send_streams(self, daemon: Daemon, seed: int) -> None:
+        """Begin streams at a daemon that their clients leave and take up again."""
+        draw = random.Random(f"streams {seed}")
+        rate = STREAM_FRACTION * min(RATE, MAX_TOTAL_RATE / len(self.system.daemons))
+        async with open_session() as http, asyncio.TaskGroup() as sending:
+            while True:
+                adapter = f"a{min(ADAPTERS, int(draw.paretovariate(ADAPTER_TAIL)))}"
+                key = self.system.keys.current[STEADY]
+                sending.create_task(self.streams.run(http, daemon, adapter, key))
+                await asyncio.sleep(draw.expovariate(rate))
+
     def pick_key(self, draw: random.Random) -> str:
         """Return the key of a random organisation, sometimes a revoked one."""
         keys = self.system.keys
@@ -570,6 +589,7 @@
         for number, daemon in enumerate(system.daemons):
             tasks.append(asyncio.create_task(system.supervise(daemon)))
             tasks.append(asyncio.create_task(soak.send_requests(daemon, number)))
+            tasks.append(asyncio.create_task(soak.send_streams(daemon, number)))
             tasks.append(asyncio.create_task(soak.probe(daemon)))
         await _perform_all(soak, plan)
         await _check_recovery(soak)
@@ -577,6 +597,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         checker.check_final()
+        checker.problems.extend(soak.streams.check(checker.contact))
+        checker.notes.append(soak.streams.describe())
     finally:
         for task in tasks:
             task.cancel()
@@ -644,6 +666,8 @@
         f"{dict(sorted(statuses.items()))}, orders {orders}, "
         f"problems {len(checker.problems)}"
     )
+    for note in checker.notes:
+        click.echo(f"  {note}")
     for problem in checker.problems[:20]:
         click.echo(f"  {problem}")
 
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -42,6 +42,8 @@
 ENDPOINTS: Final = {"models": 2, "plain": 1}
 # Streams take a third of a second, so that some are in flight at each fault.
 EVENT_TIME: Final = 0.06
+# The versions of the endpoints' software: each new one takes the next.
+SOFTWARE: Final = ("v1", "v2")
 # Delay before the platform restarts a daemon.
 RESTART_DELAY: Final = 0.4
 WATCH_INTERVAL: Final = 0.02
@@ -224,6 +226,7 @@
             newest_versions=self.newest_versions,
             event_time=EVENT_TIME,
             undelimited=len(self.all_endpoints) % 2 == 1,
+            software=self._choose_software(service),
         )
         proxy = Proxy()
         engine.address = f"{HOST}:{await proxy.start()}"
@@ -237,6 +240,10 @@
                 self.write_paths(daemon)
         return endpoint
 
+    def _choose_software(self, service: str) -> str:
+        before = sum(e.engine.service == service for e in self.all_endpoints)
+        return SOFTWARE[before % len(SOFTWARE)]
+
     def _start_crash(self, endpoint: SoakEndpoint) -> None:
         task = asyncio.create_task(self._crash(endpoint))
         self._crashes.add(task)
