--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import random
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Final
@@ -22,6 +21,11 @@
 )
 from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.entry.spread_choice import SPREAD
+from kestreltally.entry.wait_limits import (
+    MAX_RETRY_DELAY,
+    compute_ready_deadline,
+    make_backoff_refusal,
+)
 from kestreltally.entry.waiting import LOWEST_URGENCY, Waiters, WaitTarget
 from kestreltally.estimates.prefill import PrefillTimeTable, PrefillWork
 from kestreltally.fleet.model import (
@@ -37,35 +41,9 @@
 
 LOG = logging.getLogger("kestreltally.finder")
 
-# No request is refused for a wait this short, even if it misses its objective: loading
-# an adapter from the weight store takes 0.25 s, twice that while others are loading.
-MIN_ACCEPTED_WAIT: Final[Seconds] = 0.5
 # A waiting request is checked at this interval: the leader updates its estimate of the
 # load wait five times a second.
 POLL_INTERVAL: Final[Seconds] = 0.2
-# Upper limit of the retry time in refusals, and the assumed load time while no leader
-# is in contact.
-MAX_RETRY_DELAY: Final[Seconds] = 2.0
-# Clients refused during a backoff are told to return within this fraction of it after
-# its end, so that they do not all retry at once.
-RETRY_JITTER: Final = 0.25
-
-
-def make_backoff_refusal(backoff: Seconds) -> Refused:
-    """Return a refusal with a jittered retry time after the end of a backoff."""
-    retry_after = max(
-        DEFAULT_RETRY_DELAY, backoff * random.uniform(1.0, 1.0 + RETRY_JITTER)
-    )
-    return Refused(
-        UNAVAILABLE, "all endpoints that could serve are in backoff", retry_after
-    )
-
-
-def _compute_silence_deadline(request: ClientRequest, progress: Progress) -> Seconds:
-    """Return the time by which the client must receive the next event."""
-    if progress.event_at is None or not request.route.silence_limit:
-        return request.first_event_deadline
-    return min(request.deadline, progress.event_at + request.route.silence_limit)
 
 
 class PathLost(Exception):
@@ -276,7 +254,10 @@
         is_loading = self._fleet.is_loading(service, key, now, software)
         ready_at = now + (0.0 if is_loading else min(wait, backoff or wait))
         is_new = not progress.waited and not is_loading
-        if ready_at > self._compute_ready_deadline(request, progress, new=is_new):
+        prefill_time = self.prefill_times.predict_unqueued(request.head.prompt_tokens)
+        if ready_at > compute_ready_deadline(
+            request, progress, prefill_time, is_new=is_new
+        ):
             self.demand.record_missed(request.service_name, key)
             self.expedite()
             if progress.runs:
@@ -287,23 +268,6 @@
             retry_after = min(MAX_RETRY_DELAY, max(DEFAULT_RETRY_DELAY, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", retry_after)
 
-    def _compute_ready_deadline(
-        self, request: ClientRequest, progress: Progress, *, new: bool
-    ) -> Seconds:
-        """Return the latest time at which the weights must be loaded.
-
-        A new request is refused at once if a wait longer than ``MIN_ACCEPTED_WAIT``
-        would make it miss its objective. A request that has waited is served late
-        rather than refused, as long as its client still waits. So is one that takes a
-        stream up, as nothing else can replace what its client has.
-        """
-        prefill_time = self.prefill_times.predict_unqueued(request.head.prompt_tokens)
-        deadline = _compute_silence_deadline(request, progress) - prefill_time
-        if not new or progress.origin is not None:
-            return deadline
-        max_wait = max(MIN_ACCEPTED_WAIT, request.route.objective - prefill_time)
-        return min(deadline, request.arrived_at + max_wait)
-
     def _choose_endpoint(
         self,
         request: ClientRequest,
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -62,12 +62,14 @@
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
+from kestreltally.knowledge.remote_capacity import RemoteCapacity
 from kestreltally.knowledge.streams import StreamExchange
 from kestreltally.knowledge.watch_handlers import (
     ConfigurationHandler,
     EndpointsHandler,
     VersionsHandler,
 )
+from kestreltally.knowledge.watch_switch import WatchSwitch
 from kestreltally.knowledge.watching import KindWatch, WatchHandler
 from kestreltally.logs import LineWriter, set_up_structured_logs
 from kestreltally.pacing.api import TurnsApi
@@ -181,7 +183,7 @@
             lambda: lacks_writes(self._store.restored_at, self._clock()),
             lambda: self._configuration_age.describe(),
         )
-        self._first_leader_until = self._clock() + (
+        first_leader_until = self._clock() + (
             FIRST_LEADER_TIMEOUT if deployment.first_start else 0.0
         )
         bound = deployment.bounds.configuration
@@ -191,7 +193,7 @@
             self._configuration,
             self._store,
             lambda: self._fleet.keys is not None,
-            self._first_leader_until,
+            first_leader_until,
             self._clock,
         )
         self._endpoints_age = EndpointsAge(
@@ -249,7 +251,7 @@
             self._store,
             self._authority,
             self._configuration.apply_read,
-            self._needs_configuration_read,
+            lambda: self._watch_switch.needs_configuration_read(),
             self._count_watchers,
             self._clock,
             self._configuration_age.read_interval,
@@ -294,6 +296,16 @@
             VERSIONS_GAP,
             VERSIONS_WAIT,
         )
+        self._watch_switch = WatchSwitch(
+            self._exchange.leaders,
+            self._endpoints_age,
+            self._configuration_age,
+            self._endpoints_watch,
+            self._configuration_watch,
+            self._versions_watch,
+            first_leader_until,
+            self._clock,
+        )
         self._poison_persistence = PoisonPersistence(
             self._store,
             self._relay.poison,
@@ -375,9 +387,10 @@
             lease.is_cut_off = lambda: self._contact.is_cut_off
         leader.prefill_times = self._relay.finder.prefill_times
         leader.list_uses = self._exchange.list_uses
-        leader.get_remote_wait = self._exchange.get_min_load_wait
-        leader.handover.can_load_quickly = self._exchange.can_load_quickly
-        leader.handover.get_free_capacity = self._exchange.get_free_capacity
+        capacity = RemoteCapacity(self._exchange.leaders.clients)
+        leader.get_remote_wait = capacity.get_min_load_wait
+        leader.handover.can_load_quickly = capacity.can_load_quickly
+        leader.handover.get_free_capacity = capacity.get_free_capacity
         leader.handover.expedite = self._exchange.expedite
         return leader
 
@@ -456,7 +469,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL)
             now = self._clock()
             self._exchange.resign_if_cut_off()
-            self._switch_watches()
+            self._watch_switch.apply()
             self._endpoints_age.check()
             self._exchange.leaders.follow()
             self._reader.wake_if_needed()
@@ -483,37 +496,6 @@
                 self._control_pool.close_expired(now)
                 log_suppressed(LOG, self._lines.pop_dropped())
 
-    def _switch_watches(self) -> None:
-        """Watch the store from this daemon unless a leader's feed provides the data.
-
-        Endpoints are watched once the leaders' proofs of their list are too old. While
-        the store does not answer, a daemon that is not a leader watches nothing else.
-        """
-        leads = self._exchange.leaders.leads
-        is_waiting = self._is_first_leader_pending()
-        is_reported = self._endpoints_age.is_reported_lately() or is_waiting
-        self._endpoints_watch.set_enabled(leads or not is_reported)
-        has_feed = self._exchange.leaders.has_fresh_feed() or is_waiting
-        store_answers = leads or not self._endpoints_watch.failing
-        others_needed = (leads or not has_feed) and store_answers
-        self._configuration_watch.set_enabled(others_needed)
-        self._versions_watch.set_enabled(others_needed)
-
-    def _needs_configuration_read(self) -> bool:
-        """Return whether this daemon must read the configuration to confirm its age.
-
-        While the store is down, only the endpoint watch probes whether it answers.
-        """
-        return self._configuration_age.is_read_needed(
-            leads=self._exchange.leaders.leads,
-            store_is_away=self._endpoints_watch.failing
-            or self._is_first_leader_pending(),
-        )
-
-    def _is_first_leader_pending(self) -> bool:
-        """Return whether a new deployment is still waiting for its first leader."""
-        return self._clock() < self._first_leader_until
-
     def _count_watchers(self) -> int:
         """Return how many daemons retry calls to the store while it does not answer."""
         return 1 if self._exchange.leaders.leads else self._count_daemons()
@@ -527,7 +509,7 @@
     async def start(self) -> None:
         """Listen on all addresses and start the loops; raises ``OSError``."""
         deployment = self._deployment
-        self._switch_watches()
+        self._watch_switch.apply()
         await self._exchange.feed.start(deployment.peers.host, deployment.peers.port)
         await self._datagrams.start(deployment.peers.host, deployment.peers.port)
         await self._entry_api.start(deployment.clients, deployment.readiness)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -93,13 +93,6 @@
 LEADER_CHANGE_DURATION: Final[Seconds] = 1.0
 LEADER_CHANGE_LOAD_WAIT: Final[Seconds] = 0.35
 
-# Limits on the load wait that another leader reports. Above the first one its free
-# capacity is not used. Above the second one, it is not even asked for adapters of which
-# its engines keep copies. The second limit is higher, as copies are loaded ahead of
-# adapters from the store. A leader that cannot give orders yet reports a longer wait.
-MAX_CAPACITY_LOAD_WAIT: Final[Seconds] = 0.5
-MAX_HANDOVER_LOAD_WAIT: Final[Seconds] = 2.0
-
 # Daemons report every 0.2 s. One that missed two reports counts as missing for quotas
 # before others would take over accounts that it keeps.
 MAX_REPORT_AGE: Final[Seconds] = 0.6
@@ -435,33 +428,10 @@
         ]
         return self.leader.list_unmet() if available[:1] == [data_centre] else []
 
-    def can_load_quickly(self, data_centre: str) -> bool:
-        """Return whether another data centre's leader can load kept copies now."""
-        client = self.leaders.clients.get(data_centre)
-        return client is not None and client.can_load_within(MAX_HANDOVER_LOAD_WAIT)
-
-    def get_free_capacity(self) -> dict[str, int]:
-        """Return the number of adapters that other leaders' engines can still take.
-
-        Only leaders that can give orders now are included.
-        """
-        return {
-            name: client.free_capacity
-            for name, client in self.leaders.clients.items()
-            if client.can_load_within(MAX_CAPACITY_LOAD_WAIT)
-        }
-
     def expedite(self, data_centre: str) -> None:
         """Send the next report to the leader of a data centre at once."""
         self.leaders.clients[data_centre].expedite()
 
-    def get_min_load_wait(self) -> Seconds | None:
-        """Return the shortest load wait of the other reachable leaders, if any."""
-        load_waits = [
-            each.load_wait for each in self.leaders.clients.values() if each.is_alive()
-        ]
-        return min(load_waits, default=None)
-
     # Received updates.
 
     def _apply_update(self, data_centre: str, update: Any) -> None:
--- a/src/kestreltally/knowledge/idl.py
+++ b/src/kestreltally/knowledge/idl.py
@@ -34,6 +34,13 @@
         def __getattr__(self, name: str) -> Any: ...
 
         def __setattr__(self, name: str, value: Any) -> None: ...
+
+
+def define_fields(struct: type[Struct], spec: dict[int, Any]) -> None:
+    """Give a struct its fields by number; all are optional, None by default."""
+    struct.thrift_spec = spec
+    struct.default_spec = [(field[1], None) for field in spec.values()]
+    gen_init(struct, struct.thrift_spec, struct.default_spec)
 '''
 
 
@@ -49,16 +56,15 @@
     lines = [
         f"\nclass {name}(Struct):",
         f'    """``{name}`` of the IDL."""\n\n',
-        f"{name}.thrift_spec = {{",
+        "define_fields(",
+        f"    {name},",
+        "    {",
         *(
-            f"    {number}: {_render_field(field)},"
+            f"        {number}: {_render_field(field)},"
             for number, field in struct.thrift_spec.items()
         ),
-        "}",
-        f"{name}.default_spec = [",
-        *(f"    ({field!r}, None)," for field, _ in struct.default_spec),
-        "]",
-        f"gen_init({name}, {name}.thrift_spec, {name}.default_spec)",
+        "    },",
+        ")",
     ]
     return "\n".join(lines).replace("'", '"')
 
