Streams: daemons are named on change only, and versions counted as endpoints come and go

The daemons that keep origins of streams are called registrars: a keeper is the leader that keeps a quota's account.

--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -72,7 +72,7 @@
 
         Streams that are too old to be taken up are forgotten.
         """
-        self.history.observe(self._fleet.endpoints.values(), now)
+        self.history.observe(self._fleet.list_software(), now)
         self.register.prune(now)
         configuration = self._fleet.configuration
         services = configuration.services if configuration is not None else ()
@@ -124,7 +124,7 @@
         clock = asyncio.get_running_loop().time
         until = clock() + START_TIMEOUT
         while clock() < until:
-            self.history.observe(self._fleet.endpoints.values(), clock())
+            self.history.observe(self._fleet.list_software(), clock())
             if self.history.list_recent(service, clock()):
                 return
             await asyncio.sleep(START_POLL_INTERVAL)
--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -1,6 +1,6 @@
 """A daemon's tables of configuration, endpoints, and the weights they hold."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Final
@@ -76,6 +76,7 @@
         self.endpoints: dict[EndpointId, Endpoint] = {}
         self.versions: dict[WeightsKey, KnownVersion] = {}
         self._by_service: dict[ServiceName, set[EndpointId]] = defaultdict(set)
+        self._software: Counter[tuple[ServiceName, SoftwareVersion]] = Counter()
         self._holders: dict[WeightsKey, set[EndpointId]] = defaultdict(set)
         self._missing_until: dict[tuple[EndpointId, WeightsKey], Seconds] = {}
         self.copies = CopyTable()
@@ -104,6 +105,8 @@
         endpoint = self.notices.apply_to(endpoint)
         known = self.endpoints.get(endpoint.id)
         self.endpoints[endpoint.id] = endpoint
+        self._software[(endpoint.service, endpoint.software)] += 1
+        self._forget_software(known)
         if known is None or known.service != endpoint.service:
             if known is not None:
                 self._by_service[known.service].discard(endpoint.id)
@@ -115,6 +118,18 @@
             self._drop_holder(endpoint.id, key)
             self.copies.record_dropped(endpoint.id, key)
 
+    def _forget_software(self, endpoint: Endpoint | None) -> None:
+        if endpoint is None:
+            return
+        version = (endpoint.service, endpoint.software)
+        self._software[version] -= 1
+        if not self._software[version]:
+            del self._software[version]
+
+    def list_software(self) -> list[tuple[ServiceName, SoftwareVersion]]:
+        """Return the versions of the endpoints' software, with their services."""
+        return list(self._software)
+
     def _drop_holder(self, endpoint_id: EndpointId, key: WeightsKey) -> None:
         holders = self._holders[key]
         holders.discard(endpoint_id)
@@ -140,6 +155,7 @@
         """Remove an endpoint that no longer exists."""
         known = self.endpoints.pop(endpoint, None)
         if known is not None:
+            self._forget_software(known)
             self._by_service[known.service].discard(endpoint)
             for key in known.weights:
                 self._drop_holder(endpoint, key)
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -222,7 +222,7 @@
             self._clock,
         )
         self._streams = StreamExchange(
-            self._exchange.keepers,
+            self._exchange.registrars,
             self._relay.resumption.register,
             self._datagrams,
             self._clock,
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -32,7 +32,7 @@
 from kestreltally.knowledge.daemon_count import DaemonCount
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.departures import DepartureExchange
-from kestreltally.knowledge.directory import KeeperDirectory
+from kestreltally.knowledge.directory import RegistrarDirectory
 from kestreltally.knowledge.endpoints_age import EndpointsAge
 from kestreltally.knowledge.feed import (
     MIN_TOTALS_INTERVAL,
@@ -207,7 +207,7 @@
             self.feed,
             clock,
         )
-        self.keepers = KeeperDirectory(deployment, self.leaders, self.feed, clock)
+        self.registrars = RegistrarDirectory(deployment, self.leaders, self.feed, clock)
         self.bound_demand = BoundDemandExchange(
             deployment,
             relay.finder.demand.bound,
@@ -220,7 +220,7 @@
         self._parts = (
             *self._parts,
             self.targets,
-            self.keepers,
+            self.registrars,
             self.bound_demand,
             SoftwareExchange(relay.resumption.history, clock),
         )
@@ -245,7 +245,7 @@
     def _record_connected(self, data_centre: str) -> None:
         self.credits.record_connected(data_centre)
         self.targets.record_connected(data_centre)
-        self.keepers.record_connected(data_centre)
+        self.registrars.record_connected(data_centre)
 
     def add_part(self, part: FeedPart) -> None:
         """Let one more part take part in reports and updates."""
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -202,7 +202,7 @@
 }
 
 // A daemon that keeps the origins of streams, and its address for datagrams.
-struct KeeperRow {
+struct RegistrarRow {
   1: string host,
   2: i32 port,
   3: string data_centre,
@@ -263,7 +263,7 @@
   26: bool cut_off,
   27: list<TargetRow> targets,
   28: double answer_age,
-  29: list<KeeperRow> keepers,
+  29: list<RegistrarRow> registrars,
   31: list<BoundRow> bound,
 }
 
@@ -314,7 +314,7 @@
   33: list<string> present,
   35: list<FactorRow> factors,
   36: list<TargetRow> targets,
-  37: list<KeeperRow> keepers,
+  37: list<RegistrarRow> registrars,
   38: list<SoftwareRow> software,
 }
 
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -14,8 +14,8 @@
 from kestreltally.knowledge.frames import FrameStream
 from kestreltally.knowledge.updates import EMPTY_SNAPSHOT, Snapshot
 from kestreltally.placing.credits import CreditHolder
-from kestreltally.streams.keepers import Keeper
 from kestreltally.streams.origins import BoundWeights
+from kestreltally.streams.registrars import Registrar
 
 
 @dataclass(slots=True, eq=False)
@@ -56,9 +56,8 @@
     sent_targets_at: Seconds = float("-inf")
     is_cut_off: bool = False
     # Daemons that keep origins of streams: as it names them, and as it was told.
-    keepers: tuple[Keeper, ...] = ()
-    sent_keepers: frozenset[Keeper] = frozenset()
-    sent_keepers_at: Seconds = float("-inf")
+    registrars: tuple[Registrar, ...] = ()
+    sent_registrars: frozenset[Registrar] | None = None
     # Software versions that it was told.
     sent_software: frozenset[tuple[ServiceName, SoftwareVersion]] = frozenset()
     # What streams wait for at their version, there or in its group.
--- a/src/kestreltally/knowledge/streams.py
+++ b/src/kestreltally/knowledge/streams.py
@@ -16,16 +16,16 @@
 from kestreltally.deployment import SocketAddress
 from kestreltally.fleet.model import Seconds, ServiceName, SoftwareVersion
 from kestreltally.knowledge.datagrams import DatagramPort
-from kestreltally.knowledge.directory import KeeperDirectory
+from kestreltally.knowledge.directory import RegistrarDirectory
 from kestreltally.knowledge.structs import StreamAnswered, StreamAsked, StreamRow
-from kestreltally.streams.keepers import Keeper, rank_keepers
 from kestreltally.streams.names import StreamName
 from kestreltally.streams.origins import StreamOrigin
 from kestreltally.streams.register import KnownStream, StreamRegister
+from kestreltally.streams.registrars import Registrar, rank_registrars
 from kestreltally.streams.versions import MAX_STREAM_LIFE
 
 # Daemons that keep a stream's origin besides the one that began it.
-KEEPERS: Final = 3
+REGISTRARS: Final = 3
 # Daemons that are asked at once, those asked for one stream, and the pause without all
 # answers after which the next ones are asked.
 ASKED_AT_ONCE: Final = 3
@@ -53,7 +53,7 @@
 
     def __init__(
         self,
-        directory: KeeperDirectory,
+        directory: RegistrarDirectory,
         register: StreamRegister,
         datagrams: DatagramPort,
         clock: Callable[[], Seconds],
@@ -71,16 +71,16 @@
         datagrams.handlers["stream_answered"] = self._apply_answers
 
     def tell(self, streams: Iterable[KnownStream]) -> None:
-        """Tell the keepers of streams that this daemon began."""
+        """Tell the registrars of streams that this daemon began."""
         others = self._directory.list_others()
-        by_keeper: dict[SocketAddress, list[KnownStream]] = {}
+        by_registrar: dict[SocketAddress, list[KnownStream]] = {}
         for stream in streams:
-            for keeper in rank_keepers(stream.name, others)[:KEEPERS]:
-                by_keeper.setdefault(keeper.address, []).append(stream)
+            for registrar in rank_registrars(stream.name, others)[:REGISTRARS]:
+                by_registrar.setdefault(registrar.address, []).append(stream)
             if others:
                 self._register.record_told(stream.name)
                 self.counts["told"] += 1
-        for address, told in by_keeper.items():
+        for address, told in by_registrar.items():
             for rows in _split(told):
                 self._datagrams.send(address, streams=[self._encode(r) for r in rows])
 
@@ -92,7 +92,7 @@
 
     async def ask(self, name: StreamName) -> KnownStream | None:
         """Return what other daemons know of a stream, None if none of them does."""
-        ranked = rank_keepers(name, self._directory.list_others())[:MAX_ASKED]
+        ranked = rank_registrars(name, self._directory.list_others())[:MAX_ASKED]
         if not ranked or len(self._questions) >= MAX_QUESTIONS:
             return None
         number, question = next(self._numbers), Question()
@@ -115,13 +115,13 @@
         number: int,
         question: Question,
         name: StreamName,
-        keepers: Sequence[Keeper],
+        registrars: Sequence[Registrar],
     ) -> None:
         question.answered.clear()
         row = StreamAsked(number=number, name=name)
-        for keeper in keepers:
-            question.pending.add(keeper.address)
-            self._datagrams.send(keeper.address, stream_asked=[row])
+        for registrar in registrars:
+            question.pending.add(registrar.address)
+            self._datagrams.send(registrar.address, stream_asked=[row])
 
     def _apply_told(self, message: Any, _: SocketAddress) -> None:
         for row in message.streams:
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -351,12 +351,12 @@
 )
 
 
-class KeeperRow(Struct):
-    """``KeeperRow`` of the IDL."""
+class RegistrarRow(Struct):
+    """``RegistrarRow`` of the IDL."""
 
 
 define_fields(
-    KeeperRow,
+    RegistrarRow,
     {
         1: (TType.STRING, "host", False),
         2: (TType.I32, "port", False),
@@ -431,7 +431,7 @@
         26: (TType.BOOL, "cut_off", False),
         27: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
         28: (TType.DOUBLE, "answer_age", False),
-        29: (TType.LIST, "keepers", (TType.STRUCT, KeeperRow), False),
+        29: (TType.LIST, "registrars", (TType.STRUCT, RegistrarRow), False),
         31: (TType.LIST, "bound", (TType.STRUCT, BoundRow), False),
     },
 )
@@ -479,7 +479,7 @@
         33: (TType.LIST, "present", TType.STRING, False),
         35: (TType.LIST, "factors", (TType.STRUCT, FactorRow), False),
         36: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
-        37: (TType.LIST, "keepers", (TType.STRUCT, KeeperRow), False),
+        37: (TType.LIST, "registrars", (TType.STRUCT, RegistrarRow), False),
         38: (TType.LIST, "software", (TType.STRUCT, SoftwareRow), False),
     },
 )
--- a/src/kestreltally/streams/keepers.py
+++ b/src/kestreltally/streams/registrars.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Keeper:
+class Registrar:
     """A daemon that may keep origins of streams, and its address for datagrams."""
 
     address: SocketAddress
@@ -31,26 +31,28 @@
         return f"{self.address.host}:{self.address.port}".encode()
 
 
-def rank_keepers(name: StreamName, keepers: Iterable[Keeper]) -> list[Keeper]:
+def rank_registrars(
+    name: StreamName, registrars: Iterable[Registrar]
+) -> list[Registrar]:
     """Return daemons in the order in which they keep a stream's origin.
 
     One of each data centre comes first, then a second one of each, and so on: the loss
     of a data centre leaves the others.
     """
-    scored = [(_compute_score(name + each.label), each) for each in keepers]
+    scored = [(_compute_score(name + each.label), each) for each in registrars]
     scored.sort(key=lambda pair: pair[0], reverse=True)
     counts: dict[str, int] = defaultdict(int)
-    ranked: list[tuple[int, Keeper]] = []
-    for _, keeper in scored:
-        ranked.append((counts[keeper.data_centre], keeper))
-        counts[keeper.data_centre] += 1
+    ranked: list[tuple[int, Registrar]] = []
+    for _, registrar in scored:
+        ranked.append((counts[registrar.data_centre], registrar))
+        counts[registrar.data_centre] += 1
     ranked.sort(key=lambda pair: pair[0])
-    return [keeper for _, keeper in ranked]
+    return [registrar for _, registrar in ranked]
 
 
-def choose_lowest(keepers: Iterable[Keeper], count: int) -> list[Keeper]:
+def choose_lowest(registrars: Iterable[Registrar], count: int) -> list[Registrar]:
     """Return a part of the daemons that changes little as daemons come and go."""
-    ordered = sorted(keepers, key=lambda each: _compute_score(each.label))
+    ordered = sorted(registrars, key=lambda each: _compute_score(each.label))
     return ordered[:count]
 
 
--- a/src/kestreltally/streams/versions.py
+++ b/src/kestreltally/streams/versions.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from kestreltally.fleet.model import Endpoint, Seconds, ServiceName, SoftwareVersion
+from kestreltally.fleet.model import Seconds, ServiceName, SoftwareVersion
 
 # No client takes a stream up later than this after it began.
 MAX_STREAM_LIFE: Final[Seconds] = 60.0
@@ -21,9 +21,11 @@
             dict
         )
 
-    def observe(self, endpoints: Iterable[Endpoint], now: Seconds) -> None:
+    def observe(
+        self, versions: Iterable[tuple[ServiceName, SoftwareVersion]], now: Seconds
+    ) -> None:
         """Record the versions of all known endpoints."""
-        for service, software in {(e.service, e.software) for e in endpoints}:
+        for service, software in versions:
             self.record(service, software, now)
 
     def record(
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -1,4 +1,4 @@
-"""What daemons know of streams: names, keepers, versions, records, and their exchange.
+"""What daemons know of streams: names, registrars, versions, records, exchange.
 
 Guards against records that mix up callers' streams, grow without bound or are lost with
 one daemon, and against questions that go unanswered.
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
@@ -16,11 +17,19 @@
 from kestreltally.fleet.model import OrganisationName, ServiceName, SoftwareVersion
 from kestreltally.knowledge import streams as exchange
 from kestreltally.knowledge.datagrams import DatagramPort
-from kestreltally.knowledge.streams import KEEPERS, StreamExchange
-from kestreltally.streams.keepers import Keeper, choose_lowest, rank_keepers
+from kestreltally.knowledge.directory import (
+    LIST_INTERVAL,
+    MAX_REGISTRARS,
+    REGISTRAR_TTL,
+    RegistrarDirectory,
+)
+from kestreltally.knowledge.peer import Peer
+from kestreltally.knowledge.streams import REGISTRARS, StreamExchange
+from kestreltally.knowledge.structs import Report, Update
 from kestreltally.streams.names import StreamName, make_stream_name
 from kestreltally.streams.origins import StreamOrigin
 from kestreltally.streams.register import KnownStream, StreamRegister
+from kestreltally.streams.registrars import Registrar, choose_lowest, rank_registrars
 from kestreltally.streams.versions import MAX_STREAM_LIFE, VersionHistory
 from tests.ports import reserve_port
 
@@ -34,9 +43,9 @@
     return make_stream_name(ACME, "shop.example", "/m/x", f"q{number}")
 
 
-def make_keepers(count: int, data_centres: int = 3) -> list[Keeper]:
+def make_registrars(count: int, data_centres: int = 3) -> list[Registrar]:
     return [
-        Keeper(SocketAddress(f"10.0.0.{number}", 7), f"dc{number % data_centres}")
+        Registrar(SocketAddress(f"10.0.0.{number}", 7), f"dc{number % data_centres}")
         for number in range(count)
     ]
 
@@ -53,24 +62,26 @@
 
 
 def test_first_keepers_are_in_different_data_centres() -> None:
-    keepers = make_keepers(9)
+    registrars = make_registrars(9)
     for number in range(200):
-        ranked = rank_keepers(make_name(number), keepers)
-        assert sorted(ranked, key=str) == sorted(keepers, key=str)
+        ranked = rank_registrars(make_name(number), registrars)
+        assert sorted(ranked, key=str) == sorted(registrars, key=str)
         assert len({each.data_centre for each in ranked[:3]}) == 3
 
 
 def test_keepers_share_streams_and_few_move_with_a_daemon() -> None:
-    keepers = make_keepers(12)
+    registrars = make_registrars(12)
     names = [make_name(number) for number in range(3_000)]
-    before = {name: rank_keepers(name, keepers)[:KEEPERS] for name in names}
+    before = {name: rank_registrars(name, registrars)[:REGISTRARS] for name in names}
     load = Counter(each for ranked in before.values() for each in ranked)
-    assert min(load.values()) > 0.7 * KEEPERS * len(names) / len(keepers)
-    fewer = keepers[1:]
+    assert min(load.values()) > 0.7 * REGISTRARS * len(names) / len(registrars)
+    fewer = registrars[1:]
     for name in names:
-        after = rank_keepers(name, fewer)[:KEEPERS]
-        assert len(set(after) & set(before[name])) >= KEEPERS - 1
-    assert set(choose_lowest(fewer, 4)) >= set(choose_lowest(keepers, 4)) - {keepers[0]}
+        after = rank_registrars(name, fewer)[:REGISTRARS]
+        assert len(set(after) & set(before[name])) >= REGISTRARS - 1
+    assert set(choose_lowest(fewer, 4)) >= set(choose_lowest(registrars, 4)) - {
+        registrars[0]
+    }
 
 
 def test_versions_are_remembered_as_long_as_their_streams() -> None:
@@ -118,23 +129,23 @@
 class FakeDirectory:
     """The daemons of a test, for one of them."""
 
-    def __init__(self, own: Keeper, keepers: list[Keeper]) -> None:
+    def __init__(self, own: Registrar, registrars: list[Registrar]) -> None:
         self.own = own
-        self.keepers = keepers
+        self.registrars = registrars
 
-    def list_others(self) -> list[Keeper]:
-        return [each for each in self.keepers if each != self.own]
+    def list_others(self) -> list[Registrar]:
+        return [each for each in self.registrars if each != self.own]
 
 
 class Daemon:
     """A daemon's part of the exchange."""
 
-    def __init__(self, own: Keeper, keepers: list[Keeper]) -> None:
+    def __init__(self, own: Registrar, registrars: list[Registrar]) -> None:
         self.own = own
         self.port = DatagramPort(str(own.address.port))
         self.register = StreamRegister()
         self.exchange = StreamExchange(
-            FakeDirectory(own, keepers),  # type: ignore[arg-type]
+            FakeDirectory(own, registrars),  # type: ignore[arg-type]
             self.register,
             self.port,
             asyncio.get_running_loop().time,
@@ -153,11 +164,11 @@
 
 @asynccontextmanager
 async def run_daemons(count: int) -> AsyncIterator[list[Daemon]]:
-    keepers = [
-        Keeper(SocketAddress("127.0.0.1", reserve_port()), f"dc{number % 3}")
+    registrars = [
+        Registrar(SocketAddress("127.0.0.1", reserve_port()), f"dc{number % 3}")
         for number in range(count)
     ]
-    daemons = [Daemon(each, keepers) for each in keepers]
+    daemons = [Daemon(each, registrars) for each in registrars]
     for each in daemons:
         await each.port.start(each.own.address.host, each.own.address.port)
     try:
@@ -233,3 +244,92 @@
         await asyncio.sleep(0.05)
         assert len(daemons[0].exchange._questions) == 3
         assert await asyncio.gather(*asking) == [None] * 50
+
+
+class FakeLeaders:
+    def __init__(self, leads: bool) -> None:
+        self.leads = leads
+
+
+class FakeFeed:
+    """The connections of a leader."""
+
+    def __init__(self, followers: list[Peer], leaders: list[Peer]) -> None:
+        self.followers, self.leaders = followers, leaders
+
+    def list_followers(self) -> list[Peer]:
+        return self.followers
+
+    def list_leaders(self) -> list[Peer]:
+        return self.leaders
+
+
+def make_directory(
+    own: Registrar, feed: FakeFeed, now: list[float], *, leads: bool
+) -> RegistrarDirectory:
+    deployment = SimpleNamespace(peers=own.address, data_centre=own.data_centre)
+    return RegistrarDirectory(
+        deployment,  # type: ignore[arg-type]
+        FakeLeaders(leads),  # type: ignore[arg-type]
+        feed,  # type: ignore[arg-type]
+        lambda: now[0],
+    )
+
+
+def make_peer(*registrars: Registrar, leads: frozenset[str] = frozenset()) -> Peer:
+    return Peer(stream=None, leads=leads, registrars=registrars)  # type: ignore[arg-type]
+
+
+def report(directory: RegistrarDirectory) -> set[Registrar] | None:
+    """Return what a directory names in its next report."""
+    message, peer = Report(), make_peer()
+    directory.fill_report(message, "dc0")
+    directory.apply_report(peer, message)
+    return set(peer.registrars) if message.registrars is not None else None
+
+
+def test_daemons_are_named_once_over_each_connection_and_when_they_change() -> None:
+    now = [0.0]
+    own, second, third, other = make_registrars(4)
+    feed = FakeFeed([make_peer(second)], [make_peer(other, leads=frozenset({"dc3"}))])
+    leader = make_directory(own, feed, now, leads=True)
+    assert report(leader) == {own, second}
+    assert report(leader) is None
+    feed.followers.append(make_peer(third))
+    now[0] += LIST_INTERVAL
+    assert report(leader) == {own, second, third}
+    leader.record_connected("dc0")
+    assert report(leader) == {own, second, third}
+    assert set(leader.list_others()) == {second, third, other}
+
+    follower = make_directory(second, FakeFeed([], []), now, leads=False)
+    assert report(follower) == {second}
+    peer = make_peer()
+    received = [Update(), Update()]
+    for update in received:
+        leader.fill_update(update, peer)
+        follower.apply_update(SimpleNamespace(update=update))  # type: ignore[arg-type]
+    assert received[1].registrars is None
+    assert set(follower.list_others()) == {own, third, other}
+
+
+def test_daemon_that_is_not_named_any_more_is_asked_for_a_while() -> None:
+    now = [0.0]
+    own, second, third, _ = make_registrars(4)
+    feed = FakeFeed([make_peer(second), make_peer(third)], [])
+    leader = make_directory(own, feed, now, leads=True)
+    assert set(leader.list_others()) == {second, third}
+    feed.followers.pop()
+    now[0] += LIST_INTERVAL
+    assert set(leader.list_others()) == {second, third}
+    now[0] += REGISTRAR_TTL + 0.1
+    assert set(leader.list_others()) == {second}
+
+
+def test_a_leader_names_a_bounded_part_of_its_daemons() -> None:
+    many = make_registrars(400)
+    feed = FakeFeed([make_peer(each) for each in many[1:]], [])
+    leader = make_directory(many[0], feed, [0.0], leads=True)
+    named = report(leader)
+    assert named is not None
+    assert len(named) == MAX_REGISTRARS
