--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -73,6 +73,7 @@
         Streams that are too old to be taken up are forgotten.
         """
         self.history.observe(self._fleet.list_software(), now)
+        self.history.prune(now)
         self.register.prune(now)
         configuration = self._fleet.configuration
         services = configuration.services if configuration is not None else ()
--- a/src/kestreltally/streams/versions.py
+++ b/src/kestreltally/streams/versions.py
@@ -28,6 +28,15 @@
         for service, software in versions:
             self.record(service, software, now)
 
+    def prune(self, now: Seconds) -> None:
+        """Forget versions at which no stream can have begun that is taken up now."""
+        for service, seen_at in list(self._seen_at.items()):
+            recent = {v: at for v, at in seen_at.items() if now - at <= MAX_STREAM_LIFE}
+            if recent:
+                self._seen_at[service] = recent
+            else:
+                del self._seen_at[service]
+
     def record(
         self, service: ServiceName, software: SoftwareVersion, at: Seconds
     ) -> None:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -95,6 +95,10 @@
     assert list(history.list_ages(10.0)) == [(MODELS, V1, 10.0), (MODELS, V2, 0.0)]
     assert history.is_mixed(MODELS, MAX_STREAM_LIFE)
     assert history.list_recent(MODELS, MAX_STREAM_LIFE + 1.0) == [V2]
+    history.prune(MAX_STREAM_LIFE + 1.0)
+    assert [each[1] for each in history.list_ages(10.0)] == [V2]
+    history.prune(MAX_STREAM_LIFE + 11.0)
+    assert not history._seen_at
 
 
 def test_register_is_bounded_and_forgets_what_is_too_old() -> None:
