Soak: an engine that starts again under its id never writes an entry of another

Traced in the kept logs: vm-4 asked i-4772295a5e for 19 s more, refused at its address: an entry that nobody drops. A restarted engine took its id only after it had begun to write entries, so that the entry of its first id stayed in the store (with paths of their own for daemons, there is a wait in between). The check is unchanged.

--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -215,8 +215,10 @@
         while daemon.boots == before:
             await asyncio.sleep(WATCH_INTERVAL)
 
-    async def add_endpoint(self, service: str, zone: str) -> SoakEndpoint:
-        """Start an endpoint behind a proxy."""
+    async def add_endpoint(
+        self, service: str, zone: str, restarted: PlatformEngine | None = None
+    ) -> SoakEndpoint:
+        """Start an endpoint behind a proxy, one that is ``restarted`` under its id."""
         engine = PlatformEngine(
             store=f"http://{HOST}:{self.store_port}",
             service=service,
@@ -228,6 +230,9 @@
             undelimited=len(self.all_endpoints) % 2 == 1,
             software=self._choose_software(service),
         )
+        if restarted is not None:
+            engine.id = restarted.id
+            engine.born = max(engine.born, restarted.born + 1)
         proxy = Proxy()
         engine.address = f"{HOST}:{await proxy.start()}"
         runner, proxy.target = await _serve(make_engine_app(engine))
@@ -266,9 +271,7 @@
             await self.store.drop("servers", before.id)
             await self.add_endpoint(before.service, before.zone)
         else:
-            replacement = await self.add_endpoint(before.service, before.zone)
-            replacement.engine.id = before.id
-            replacement.engine.born = max(replacement.engine.born, before.born + 1)
+            await self.add_endpoint(before.service, before.zone, restarted=before)
 
     def _close_paths(self, endpoint: SoakEndpoint) -> None:
         for daemon in self.daemons:
