--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 import sys
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
@@ -27,7 +26,9 @@
 REQUESTS_PER_S = 30.0
 DRAIN = BOUNDS["DrainMs"] / 1000
 # A draining server serves on for DrainMs and a little longer, at times many seconds.
-SERVES_ON = DRAIN + 4.0
+SERVES_ON = DRAIN + 2.0
+# Requests are sent this long after the last server was replaced.
+AFTERWARDS = 6.0
 # The odd entry's field "Slots" is a list of lists, this many deep: 3 kB.
 DEPTH = 1500
 
@@ -64,6 +65,7 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.arrivals = []
+        self.drained_at = None
 
     async def health(self, _):
         """Answer 503 while leaving."""
@@ -86,19 +88,31 @@
             response.force_close()
         return response
 
-    async def drain(self):
-        """Say that this server leaves; return when the store has taken that."""
+    async def leave(self):
+        """Say that this server leaves, serve on for a while, and end."""
         self.state = "draining"
         await self.write_entry()
+        self.drained_at = self.deployment.record.now()
         self.deployment.record.add("draining-acked", server=self.id)
-        return self.deployment.record.now()
+        await asyncio.sleep(SERVES_ON)
+        await self.drop_entry()
+        await self.stop()
+
+    def list_late(self):
+        """Return the arrivals later than the bound after the ack."""
+        return [
+            f"{request_id} reached {self.id} {at - self.drained_at:.2f} s after the ack"
+            for at, request_id in self.arrivals
+            if self.drained_at is not None and at - self.drained_at > DRAIN
+        ]
 
 
-async def _ask(deployment, number, outcomes):
+async def _ask(deployment, number, ends):
     record = deployment.record
     daemon = random.choice(deployment.daemons)
     request_id = f"r{number:05d}"
     headers = {"X-Request-Id": request_id, "X-Deadline-Milliseconds": str(TIMEOUT_MS)}
+    sent_at = record.now()
     record.add("sent", id=request_id, daemon=daemon.name)
     try:
         async with asyncio.timeout(TIMEOUT_MS / 1000):
@@ -112,65 +126,88 @@
                 channel.close()
     except (ChannelClosed, TimeoutError, OSError) as error:
         record.add("failed", id=request_id, reason=repr(error))
-        outcomes["failed"] += 1
-        return
-    record.add("answered", id=request_id, status=status)
-    outcomes[status] += 1
+        status = 0
+    else:
+        record.add("answered", id=request_id, status=status)
+    ends.append((sent_at, status))
 
 
-async def _send(deployment, outcomes):
+async def _send(deployment, ends):
     async with asyncio.TaskGroup() as group:
         for number in itertools.count():
-            group.create_task(_ask(deployment, number, outcomes))
+            group.create_task(_ask(deployment, number, ends))
             await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
 
 
+def _make_ledgers(deployment, generation):
+    return [
+        Ledger(
+            deployment,
+            f"i-ledger{generation}-{number}",
+            "ledger",
+            zone,
+            f"127.0.{generation}.{number + 1}",
+            "v1",
+        )
+        for number, zone in enumerate(("zone-a", "zone-b", "zone-c"))
+    ]
+
+
 async def judge(record, trouble):
-    """Take a server away as planned; with trouble, an odd entry was written before."""
+    """Replace the servers as planned; with trouble, an odd entry was written before."""
     deployment = Deployment(record)
-    ledgers = [
-        Ledger(deployment, f"i-ledger{n}", "ledger", z, f"127.0.2.{n + 1}", "v1")
-        for n, z in enumerate(("zone-a", "zone-b", "zone-c"))
-    ]
-    outcomes = Counter()
+    ledgers = _make_ledgers(deployment, 2)
+    ends = []
     try:
         await deployment.start(CONFIGURATION, ledgers)
         await asyncio.sleep(5.0)
-        sending = asyncio.create_task(_send(deployment, outcomes))
+        sending = asyncio.create_task(_send(deployment, ends))
         await asyncio.sleep(5.0)
         if trouble:
-            entry = {
-                "Service": "ledger",
-                "Address": "127.0.2.9:9",
-                "Zone": "zone-a",
-                "Version": "v1",
-                "Slots": make_nested(DEPTH),
-                "State": "ready",
-                "ColdLeftMs": 0,
-                "Sequence": 1,
-            }
-            await deployment.store.put("servers", "i-other", entry)
-            record.add("odd-entry", depth=DEPTH)
+            await _write_odd_entry(deployment)
         # Longer than ContactMs.
         await asyncio.sleep(5.0)
-        leaver = ledgers[0]
-        acked_at = await leaver.drain()
-        await asyncio.sleep(SERVES_ON)
-        await leaver.drop_entry()
-        await leaver.stop()
-        await asyncio.sleep(HEARTBEAT)
+        for former, successor in zip(
+            ledgers, _make_ledgers(deployment, 3), strict=True
+        ):
+            deployment.servers.append(successor)
+            await successor.start()
+            await asyncio.sleep(1.0)
+            await former.leave()
+        replaced_at = record.now()
+        record.add("all-replaced")
+        await asyncio.sleep(AFTERWARDS)
         sending.cancel()
         await asyncio.gather(sending, return_exceptions=True)
     finally:
         await deployment.close()
-    record.add("outcomes", **{f"s{k}": v for k, v in outcomes.items()})
-    if outcomes[200] < 200:
-        raise RuntimeError(f"only {outcomes[200]} requests served")
-    return [
-        f"{request_id} reached {leaver.id} {at - acked_at:.2f} s after the ack"
-        for at, request_id in leaver.arrivals
-        if at - acked_at > DRAIN
-    ]
+    _record_ends(record, "before", [s for at, s in ends if at < replaced_at])
+    _record_ends(record, "afterwards", [s for at, s in ends if at >= replaced_at])
+    if sum(status == 200 for _, status in ends) < 200:
+        raise RuntimeError("less than 200 requests served")
+    return [late for ledger in ledgers for late in ledger.list_late()]
+
+
+async def _write_odd_entry(deployment):
+    entry = {
+        "Service": "ledger",
+        "Address": "127.0.2.9:9",
+        "Zone": "zone-a",
+        "Version": "v1",
+        "Slots": make_nested(DEPTH),
+        "State": "ready",
+        "ColdLeftMs": 0,
+        "Sequence": 1,
+    }
+    await deployment.store.put("servers", "i-other", entry)
+    deployment.record.add("odd-entry", depth=DEPTH)
+
+
+def _record_ends(record, when, statuses):
+    served = sum(status == 200 for status in statuses)
+    failed = sum(status == 502 or status == 0 for status in statuses)
+    record.add(when, sent=len(statuses), served=served, failed=failed)
+    print(f"{when}: {len(statuses)} sent, {served} served, {failed} failed")
 
 
 if __name__ == "__main__":
