--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -74,8 +74,13 @@
 
 
 def find_free_ports(hosts, count):
-    """Return the first of some consecutive ports that are free on all hosts."""
-    for base in range(21_000, 32_000, 50):
+    """Return the first of some consecutive ports that are free on all hosts.
+
+    Scripts that start at the same moment look in different places first.
+    """
+    bases = list(range(21_000, 32_000, 50))
+    first = os.getpid() % len(bases)
+    for base in bases[first:] + bases[:first]:
         with contextlib.ExitStack() as stack:
             try:
                 for host in hosts:
