Streams: what a daemon cannot know of earlier versions, it does not conclude

Cause: Resumption took the one version that it listed for the only one there ever was, and the history of versions neither outlived the process nor said how far back it reaches.

Change: the history knows since when it is complete; 'only one' counts if that is as long as streams last. Leaders keep the versions in the record of the number of daemons, with the store's era. Daemons learn from their leader how far back it knows, or read the record when a stream is taken up. A gap in the proofs of the list of endpoints is a gap in the history.

Without a record of the store's present era, nobody concludes anything.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -49,7 +49,7 @@
     STREAM_GOES_ON = ("relay: stream goes on", Level.INFO, 200)
     STREAM_UNKNOWN = ("relay: version of a stream not known", Level.WARNING, 100)
     RETRY_REFUSED = ("relay: no retry left", Level.INFO, 100)
-    COUNT_NOT_KEPT = ("knowledge: number of daemons not kept", Level.INFO, 20)
+    RECORD_NOT_KEPT = ("knowledge: record not kept", Level.INFO, 20)
     DAEMONS_COUNTED = ("knowledge: number of daemons", Level.INFO, 20)
     TURN_WAITS = ("pacing: prompt waits for its turn", Level.INFO, 50)
     TURN_TOO_LATE = ("pacing: turn would come too late", Level.INFO, 50)
--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -28,6 +28,9 @@
 # A list of endpoints that is proven to be complete up to this long ago has every
 # version that can have begun a stream which is taken up now.
 MAX_LIST_AGE: Final[Seconds] = 1.0
+# No version serves for a shorter time than this: an engine loads a model before it
+# serves, and its entry stays for some seconds after its last stream has begun.
+MAX_UNSEEN_TIME: Final[Seconds] = 3.0
 
 
 class Resumption:
@@ -35,6 +38,7 @@
 
     ``ask`` returns what other daemons know of a stream, and ``tell`` tells them of
     one that began here. ``get_list_age`` returns the age of the list of endpoints.
+    ``confirm_history`` finds out which versions served before this daemon knew any.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -44,6 +48,9 @@
         self.ask: Callable[[StreamName], Awaitable[KnownStream | None]] = _know_nothing
         self.tell: Callable[[list[KnownStream]], None] = lambda _: None
         self.get_list_age: Callable[[], Seconds] = lambda: 0.0
+        self.confirm_history: Callable[[], Awaitable[None]] = _confirm_nothing
+        # Before its first list of endpoints, a daemon has begun no stream.
+        self._has_listed = False
         # Streams taken up, by how their origin was found.
         self.counts: Counter[str] = Counter()
 
@@ -72,6 +79,7 @@
 
         Streams that are too old to be taken up are forgotten.
         """
+        self._record_gap(now)
         self.history.observe(self._fleet.list_software(), now)
         self.history.prune(now)
         self.register.prune(now)
@@ -79,6 +87,13 @@
         services = configuration.services if configuration is not None else ()
         return any(self.history.is_mixed(each, now) for each in services)
 
+    def _record_gap(self, now: Seconds) -> None:
+        """Record that versions may have come and gone if the list is outdated."""
+        if self.get_list_age() <= MAX_UNSEEN_TIME:
+            self._has_listed = True
+        elif self._has_listed:
+            self.history.record_gap(now)
+
     async def find_origin(self, request: ClientRequest) -> StreamOrigin:
         """Return where a stream may go on that a request takes up.
 
@@ -87,6 +102,7 @@
         service = request.service_name
         await self._wait_for_endpoints(service)
         now = asyncio.get_running_loop().time()
+        self._record_gap(now)
         only = self._find_only(service, now)
         if only is not None and self.get_list_age() <= MAX_LIST_AGE:
             self.counts["single"] += 1
@@ -95,6 +111,8 @@
         if known is not None and known.origin is not None:
             self.counts["known"] += 1
             return known.origin
+        if known is None:
+            only = await self._find_confirmed_only(service)
         if known is None and only is not None:
             self.counts["single"] += 1
             return only
@@ -105,6 +123,7 @@
             request=request.head.id,
             began_as=request.head.resumed,
             versions=sorted(self.history.list_recent(service, now)),
+            complete=self.history.is_complete(now),
         )
         raise Refused(UNAVAILABLE, "software version of the stream is not known")
 
@@ -115,8 +134,17 @@
         now = asyncio.get_running_loop().time()
         return self.register.find(name, now) or await self.ask(name)
 
+    async def _find_confirmed_only(self, service: ServiceName) -> StreamOrigin | None:
+        """Return the only origin, after a look at what served before this daemon."""
+        clock = asyncio.get_running_loop().time
+        if not self.history.is_complete(clock()):
+            await self.confirm_history()
+        return self._find_only(service, clock())
+
     def _find_only(self, service: ServiceName, now: Seconds) -> StreamOrigin | None:
         """Return the only origin that a stream of a service can have, if only one."""
+        if not self.history.is_complete(now):
+            return None
         recent = self.history.list_recent(service, now)
         return StreamOrigin(service, recent[0]) if len(recent) == 1 else None
 
@@ -146,3 +174,7 @@
 
 async def _know_nothing(_: StreamName) -> KnownStream | None:
     return None
+
+
+async def _confirm_nothing() -> None:
+    return None
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -45,7 +45,6 @@
     WAIT_FRACTION,
     ConfigurationAge,
 )
-from kestreltally.knowledge.count_persistence import CountPersistence
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.endpoints_age import (
     ENDPOINTS_GAP,
@@ -58,6 +57,7 @@
 from kestreltally.knowledge.exchange import Exchange
 from kestreltally.knowledge.pacing import Pacing
 from kestreltally.knowledge.quota_asking import QuotaAsking
+from kestreltally.knowledge.record_persistence import RecordPersistence
 from kestreltally.knowledge.remote_capacity import RemoteCapacity
 from kestreltally.knowledge.slots import SlotExchange
 from kestreltally.knowledge.streams import StreamExchange
@@ -317,13 +317,19 @@
             self._clock,
             time.time,
         )
-        self._count_persistence = CountPersistence(
+        self._record_persistence = RecordPersistence(
             self._store,
             self._exchange.daemon_count,
+            self._relay.resumption.history,
             deployment.data_centre,
             lambda: self._exchange.leaders.leads,
             self._clock,
         )
+        self._relay.resumption.confirm_history = (
+            self._record_persistence.confirm_history
+        )
+        if not deployment.first_start:
+            self._relay.resumption.history.record_gap(self._clock())
         self._tasks: list[asyncio.Task[None]] = []
 
     def _find_recovery(self) -> Seconds:
@@ -542,7 +548,7 @@
             self._prober.run,
             self._reader.run,
             self._poison_persistence.run,
-            self._count_persistence.run,
+            self._record_persistence.run,
             self._run_maintenance,
             *(lease.run for lease in self._leases.values()),
             *(client.run for client in self._exchange.leaders.clients.values()),
--- a/src/kestreltally/knowledge/feed.thrift
+++ b/src/kestreltally/knowledge/feed.thrift
@@ -269,6 +269,7 @@
   28: double answer_age,
   29: list<RegistrarRow> registrars,
   31: list<BoundRow> bound,
+  32: bool lacks_software,
 }
 
 // From a leader to a daemon. Ages are seconds before the sending. in_flight, unread,
@@ -281,7 +282,8 @@
 // revision of the store that the sender's list of endpoints reflects; complete says that
 // the rows are those of all data centres. A full update to another leader names in
 // present all endpoints that the sender lists. secret is the key of
-// the digests of requests. Sightings and clearings are sent to each daemon once.
+// the digests of requests. Sightings and clearings are sent to each daemon once. software
+// is complete for the last software_known_for seconds.
 struct Update {
   1: string leader,
   2: list<LeaseRow> leads,
@@ -320,6 +322,7 @@
   36: list<TargetRow> targets,
   37: list<RegistrarRow> registrars,
   38: list<SoftwareRow> software,
+  39: double software_known_for,
 }
 
 // A prompt that its daemon wants an engine to read, or that the engine reads: the tokens
--- a/src/kestreltally/knowledge/peer.py
+++ b/src/kestreltally/knowledge/peer.py
@@ -60,6 +60,8 @@
     sent_registrars: frozenset[Registrar] | None = None
     # Software versions that it was told.
     sent_software: frozenset[tuple[ServiceName, SoftwareVersion]] = frozenset()
+    # Whether it knows less of earlier versions than streams last, as it reports.
+    lacks_software: bool = False
     # What streams wait for at their version, there or in its group.
     bound: dict[BoundWeights, int] = field(default_factory=dict)
     # The credits that it requests, and those issued to it.
--- a/src/kestreltally/knowledge/structs.py
+++ b/src/kestreltally/knowledge/structs.py
@@ -436,6 +436,7 @@
         28: (TType.DOUBLE, "answer_age", False),
         29: (TType.LIST, "registrars", (TType.STRUCT, RegistrarRow), False),
         31: (TType.LIST, "bound", (TType.STRUCT, BoundRow), False),
+        32: (TType.BOOL, "lacks_software", False),
     },
 )
 
@@ -484,6 +485,7 @@
         36: (TType.LIST, "targets", (TType.STRUCT, TargetRow), False),
         37: (TType.LIST, "registrars", (TType.STRUCT, RegistrarRow), False),
         38: (TType.LIST, "software", (TType.STRUCT, SoftwareRow), False),
+        39: (TType.DOUBLE, "software_known_for", False),
     },
 )
 
--- a/src/kestreltally/streams/versions.py
+++ b/src/kestreltally/streams/versions.py
@@ -8,18 +8,34 @@
 
 # No client takes a stream up later than this after it began.
 MAX_STREAM_LIFE: Final[Seconds] = 60.0
+NEVER: Final[Seconds] = float("-inf")
 
 
 class VersionHistory:
     """The software versions of each service's endpoints, with when each was last seen.
 
-    A version that has left is remembered as long as its streams may be taken up.
+    A version that has left is remembered as long as its streams may be taken up. All
+    versions that have served since ``complete_since`` are known. Others may have served
+    before that, for example while this daemon was not running.
     """
 
     def __init__(self) -> None:
         self._seen_at: dict[ServiceName, dict[SoftwareVersion, Seconds]] = defaultdict(
             dict
         )
+        self.complete_since: Seconds = NEVER
+
+    def record_gap(self, until: Seconds) -> None:
+        """Record that versions may have served unseen until a time."""
+        self.complete_since = max(self.complete_since, until)
+
+    def record_complete(self, since: Seconds) -> None:
+        """Record that all versions are known which have served since a time."""
+        self.complete_since = min(self.complete_since, since)
+
+    def is_complete(self, now: Seconds) -> bool:
+        """Return whether all versions are known at which streams may have begun."""
+        return now - self.complete_since >= MAX_STREAM_LIFE
 
     def observe(
         self, versions: Iterable[tuple[ServiceName, SoftwareVersion]], now: Seconds
@@ -51,6 +67,8 @@
 
     def is_mixed(self, service: ServiceName, now: Seconds) -> bool:
         """Return whether streams of a service may have begun at several versions."""
+        if not self.is_complete(now):
+            return True
         seen_at = self._seen_at.get(service, {})
         return len(seen_at) > 1 and len(self.list_recent(service, now)) > 1
 
--- a/tests/streamrig.py
+++ b/tests/streamrig.py
@@ -126,6 +126,27 @@
                 engine.event_time = EVENT_TIME
                 self.servers[engine.id] = self._runners[-1]
 
+    async def add_daemons_up_to(self, count: int) -> None:
+        """Start a new deployment."""
+        while (number := len(self.daemons)) < count:
+            zone = DATA_CENTRES[number % len(DATA_CENTRES)]
+            vm = f"{zone}-{number // len(DATA_CENTRES) + 1}"
+            await self.add_daemon(vm, zone, first_start=True)
+
+    async def replace_all_daemons(self) -> None:
+        """End all daemons at once without a planned stop, and start them again."""
+        vms = list(self.daemons)
+        await asyncio.gather(*(self.daemons.pop(vm).close() for vm in vms))
+        for vm in vms:
+            await self.add_daemon(vm, vm.partition("-")[0])
+
+    async def drop_entries(self, software: str) -> None:
+        """Remove the entries of a version's engines, which serve on."""
+        for engine in self.engines:
+            if engine.software == software:
+                engine.pause_heartbeats(float("inf"))
+                await self.store.drop("servers", engine.id)
+
     def break_streams(self, fraction: float) -> None:
         for engine in self.engines:
             engine.broken_fraction = fraction
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -122,6 +122,73 @@
     check(streams, version_stays=False)
 
 
+async def release(rig: StreamRig, former: str, newer: str) -> list[Stream]:
+    """Replace a version by another one that lists no older; return streams begun."""
+    streams = await rig.begin_many(STREAMS)
+    await rig.add_engines({newer: 2})
+    await asyncio.sleep(GONE_TIME)
+    await rig.drop_entries(former)
+    return streams
+
+
+# Guards against a daemon that takes the versions listed at its start for all there are.
+@pytest.mark.parametrize("lead", [0.1, 1.0], ids=["just before", "a second before"])
+async def test_release_and_loss_of_all_daemons_mix_no_versions(lead: float) -> None:
+    async with run_stream_rig({"v1": 2}) as rig:
+        streams = await release(rig, "v1", "v1.1")
+        await asyncio.sleep(lead)
+        await rig.replace_all_daemons()
+        await take_up_all(rig, streams, lambda each: list_others(rig, each))
+    outcome = check(streams, version_stays=False)
+    assert outcome.taken_up >= MIN_TAKEN_UP, outcome
+    assert {each.status for each in streams if each.taken_up} <= {503}
+
+
+# Guards against the same where each next life of the daemons is as short.
+async def test_two_losses_of_all_daemons_mix_no_versions() -> None:
+    async with run_stream_rig({"v1": 2}) as rig:
+        streams = await release(rig, "v1", "v1.1")
+        await asyncio.sleep(GONE_TIME)
+        await rig.replace_all_daemons()
+        await asyncio.sleep(GONE_TIME)
+        await rig.replace_all_daemons()
+        await take_up_all(rig, streams, lambda each: list_others(rig, each))
+    check(streams, version_stays=False)
+
+
+# Guards against a record that a store back from a backup holds from before a release.
+async def test_record_older_than_a_release_proves_no_version() -> None:
+    async with run_stream_rig({"v1": 2}) as rig:
+        backup = rig.store.make_snapshot()
+        streams = await release(rig, "v1", "v1.1")
+        former, rig.engines = rig.engines[:2], rig.engines[2:]
+        later = await rig.begin_many(STREAMS)
+        vms = list(rig.daemons)
+        await asyncio.gather(*(rig.daemons.pop(vm).close() for vm in vms))
+        await rig.store.restore(backup)
+        for engine in rig.engines:
+            await rig.store.drop("servers", engine.id)
+            engine.pause_heartbeats(float("inf"))
+        for engine in former:
+            engine.pause_heartbeats(-1.0)
+        for vm in vms:
+            await rig.add_daemon(vm, vm.partition("-")[0])
+        await asyncio.sleep(GONE_TIME)
+        await take_up_all(rig, streams + later, lambda each: list_others(rig, each))
+    check(streams + later, version_stays=False)
+
+
+# Guards against refusals after a loss of all daemons where one version has served.
+async def test_streams_go_on_after_the_loss_of_all_daemons_without_a_release() -> None:
+    async with run_stream_rig({"v1": 4}) as rig:
+        streams = await rig.begin_many(STREAMS)
+        await rig.replace_all_daemons()
+        await asyncio.sleep(GONE_TIME)
+        await take_up_all(rig, streams, lambda each: list_others(rig, each))
+    outcome = check(streams)
+    assert outcome.gone_on >= 0.9 * outcome.taken_up, outcome
+
+
 async def test_streams_of_a_version_that_left_go_on_at_no_other() -> None:
     async with run_stream_rig() as rig:
         streams = await rig.begin_many(STREAMS)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import json
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -24,6 +26,8 @@
     RegistrarDirectory,
 )
 from kestreltally.knowledge.peer import Peer
+from kestreltally.knowledge.record_persistence import MalformedRecord, Record
+from kestreltally.knowledge.software import SoftwareExchange
 from kestreltally.knowledge.streams import REGISTRARS, StreamExchange
 from kestreltally.knowledge.structs import Report, Update
 from kestreltally.streams.names import StreamName, make_stream_name
@@ -101,6 +105,76 @@
     assert not history._seen_at
 
 
+def test_history_younger_than_a_stream_proves_no_single_version() -> None:
+    history = VersionHistory()
+    history.record(MODELS, V1, 0.0)
+    assert history.is_complete(0.0)
+    history.record_gap(1.0)
+    assert history.is_mixed(MODELS, 1.0)
+    assert not history.is_complete(MAX_STREAM_LIFE)
+    assert history.is_complete(MAX_STREAM_LIFE + 1.0)
+    history.record_gap(0.5)
+    assert history.complete_since == 1.0
+    history.record_complete(2.0 - MAX_STREAM_LIFE)
+    assert not history.is_mixed(MODELS, 2.0)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        None,
+        [],
+        {},
+        {"daemons": "six"},
+        {"daemons": 0},
+        {"daemons": 6, "software": "v1", "era": 0},
+        {"daemons": 6, "software": [["models"]], "era": 0},
+        {"daemons": 6, "software": [["models", 1]], "era": 0},
+        {"daemons": 6, "software": [["models", "v1"]]},
+        {"daemons": 6, "software": [["models", "v1"]], "era": None},
+    ],
+)
+def test_malformed_record_of_another_writer_is_rejected(content: Any) -> None:
+    with pytest.raises(MalformedRecord):
+        Record.decode(content)
+
+
+@pytest.mark.parametrize(
+    "record",
+    [Record(6), Record(6, frozenset({(MODELS, V1), (MODELS, V2)}), era=3)],
+)
+def test_record_is_read_as_it_was_written(record: Record) -> None:
+    assert Record.decode(json.loads(json.dumps(record.encode()))) == record
+
+
+def test_daemon_that_lacks_history_is_told_how_far_it_reaches() -> None:
+    old, young = VersionHistory(), VersionHistory()
+    old.record(MODELS, V1, 99.0)
+    young.record_gap(100.0)
+    leader = SoftwareExchange(old, lambda: 100.0)
+    follower = SoftwareExchange(young, lambda: 100.0)
+    peer = Peer(stream=SimpleNamespace())
+    for is_told in (True, False):
+        report, update = Report(), Update()
+        follower.fill_report(report, "north")
+        leader.apply_report(peer, report)
+        leader.fill_update(update, peer)
+        follower.apply_update(SimpleNamespace(update=update))
+        assert bool(update.software) is is_told
+        assert young.is_complete(100.0)
+    assert young.list_recent(MODELS, 100.0) == [V1]
+
+
+def test_leader_that_lacks_history_itself_vouches_for_nothing() -> None:
+    history, update = VersionHistory(), Update()
+    history.record(MODELS, V1, 99.0)
+    history.record_gap(99.0)
+    peer = Peer(stream=SimpleNamespace(), lacks_software=True)
+    SoftwareExchange(history, lambda: 100.0).fill_update(update, peer)
+    assert update.software
+    assert update.software_known_for is None
+
+
 def test_register_is_bounded_and_forgets_what_is_too_old() -> None:
     register = StreamRegister(limit=100)
     for number in range(1_000):
