Versions: the grace of each version runs from its first successor

Cause: Fleet kept the newest number and one time, from which the grace of every older version ran. So a third version renewed the grace of the first, which had been left out for 2 s.

Change: fleet/versions.py keeps when each version within the grace was learned, and the newest one before them.

Why it works: whether a held version may be used depends on its first successor only, and what decides that is never forgotten before its grace is over.

--- a/src/kestreltally/fleet/tables.py
+++ b/src/kestreltally/fleet/tables.py
@@ -21,13 +21,11 @@
 from kestreltally.fleet.notice_states import FOREVER
 from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.organisations import KeyTable
+from kestreltally.fleet.versions import KnownVersions
 
 # How long an engine's answer that it lacks some weights overrides the tables: two
 # rounds of the leader's feed plus an engine's report, which is about 200 ms old.
 MISSING_WEIGHTS_DURATION: Final[Seconds] = 0.6
-# How long an older version may still be used while the newer one is loading. The
-# operators allow 5 s from the store's answer, which is known up to 1 s late.
-OLD_VERSION_GRACE: Final[Seconds] = 2.5
 
 
 @dataclass(slots=True)
@@ -58,14 +56,6 @@
         return None
 
 
-@dataclass(frozen=True, slots=True)
-class KnownVersion:
-    """The newest version of some weights, and when this daemon learned of it."""
-
-    number: int
-    learned_at: Seconds
-
-
 class Fleet:
     """This daemon's view of configuration, endpoints, weights and versions."""
 
@@ -75,7 +65,7 @@
         # None if requests need no key.
         self.keys: KeyTable | None = None
         self.endpoints: dict[EndpointId, Endpoint] = {}
-        self.versions: dict[WeightsKey, KnownVersion] = {}
+        self.versions: dict[WeightsKey, KnownVersions] = {}
         self._by_service: dict[ServiceName, set[EndpointId]] = defaultdict(set)
         self._software: Counter[tuple[ServiceName, SoftwareVersion]] = Counter()
         self._holders: dict[WeightsKey, set[EndpointId]] = defaultdict(set)
@@ -346,25 +336,24 @@
     def apply_version(self, key: WeightsKey, number: int, now: Seconds) -> bool:
         """Record the newest version of some weights; return whether it was new."""
         known = self.versions.get(key)
-        if known is not None and known.number >= number:
-            return False
-        self.versions[key] = KnownVersion(number, now)
-        return True
+        if known is None:
+            known = self.versions[key] = KnownVersions()
+        return known.record(number, now)
 
     def is_outdated(self, endpoint: Endpoint, key: WeightsKey, now: Seconds) -> bool:
         """Return whether an engine holds a version that must no longer be used."""
-        newest = self.versions.get(key)
+        known = self.versions.get(key)
         if not key.adapter:
             # Base models are replaced on one engine after another, which takes long.
             return False
-        if newest is None or endpoint.weights.get(key, 0) >= newest.number:
-            return False
-        return now - newest.learned_at > OLD_VERSION_GRACE
+        return known is not None and known.is_outdated(
+            endpoint.weights.get(key, 0), now
+        )
 
     def get_newest_version(self, key: WeightsKey) -> int | None:
         """Return the newest known version, None if there is none."""
         known = self.versions.get(key)
-        return known.number if known is not None else None
+        return known.newest if known is not None else None
 
 
 def _filter_software(
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -134,7 +134,7 @@
         self.feed = FeedServer(
             self._make_state,
             lambda: self._fleet.endpoints,
-            lambda: {k: v.number for k, v in self._fleet.versions.items()},
+            lambda: {k: v.newest for k, v in self._fleet.versions.items()},
             self._apply_report,
             clock,
         )
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -377,6 +377,21 @@
     assert engine.seen[1].find(b"x-expect-version") == b"2"
 
 
+# Guards against a further version that gives one a new grace that had to end before it.
+async def test_older_version_is_not_used_again_when_a_further_one_comes() -> None:
+    engine = make_engine("e1", make_streamer(1, 2, whole=True), "north")
+    async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
+        now = asyncio.get_running_loop().time()
+        rig.relay.finder.load_wait = 1.5
+        rig.fleet.apply_version(KEY, 2, now - 3.0)
+        rig.fleet.apply_version(KEY, 5, now)
+        assert (await rig.ask("POST", headers=MODEL, body=b"p")).status == 503
+        rig.fleet.put_endpoint(with_version(engine.make_endpoint(), 2))
+        assert (await rig.ask("POST", headers=MODEL, body=b"p")).whole
+        rig.fleet.put_endpoint(with_version(engine.make_endpoint(), 3))
+        assert (await rig.ask("POST", headers=MODEL, body=b"p")).whole
+
+
 async def test_engine_without_the_weights_is_reported_to_the_leader() -> None:
     async def misdirect(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
         writer.write(make_answer(seen, b"", b"421 Misdirected Request", b""))
