Store: an object that cannot be decoded hides no other one

Cause: a page of the store was decoded as a whole, and RecursionError was caught nowhere on the way; the watch started again at the same page for ever, and the log did not name it.

Evidence: the trace ends in json.loads of decode_page; the decoder alone raises at 1,500 and 100,000 levels, and takes 5,000 digits for a failure of the store.

Change: a page that fails is decoded part by part, down to the fields of each object; the rest of the page, its revision and HasMore hold. The next page goes on after a name that a query can hold (an empty one began the same page again without end; found by these tests). Answers of another shape are errors of the store. An unforeseen error in one object is logged with its name and stops no other; duties that fail are named and counted. The same for reports of engines, structs between daemons, headers, settings, callers' bodies and logs.

Why it works: no part of an answer is decoded together with one that failed, and finding where a failed part ends needs no recursion.

--- a/src/kestreltally/callers/parsing.py
+++ b/src/kestreltally/callers/parsing.py
@@ -198,7 +198,7 @@
     try:
         body = msgspec.json.decode(raw, type=CompletionBody)
         payload = msgspec.json.decode(raw, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return refuse(RefusalReason.MALFORMED, f"body: {error}")
     missing = body.messages is None if path == CHAT else body.prompt is None
     if missing:
--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -103,6 +103,7 @@
     )
     ENTRY_REJECTED = ("knowledge: entry left out", Level.WARNING, 20)
     OBJECT_REJECTED = ("store: object left out", Level.WARNING, 20)
+    OBJECT_FAILED = ("knowledge: an object could not be applied", Level.ERROR, 20)
     VERSION_REJECTED = ("knowledge: version left out", Level.WARNING, 20)
     ENDPOINT_GONE = ("knowledge: endpoint gone", Level.INFO, 50)
     ENDPOINT_LEAVING = ("knowledge: endpoint leaving", Level.INFO, 50)
--- a/src/kestreltally/endpoints/engines.py
+++ b/src/kestreltally/endpoints/engines.py
@@ -34,6 +34,8 @@
 HEADER_PRIORITY: Final = "X-Priority"
 HEADER_FENCE: Final = "X-Fence"
 FENCED: Final = "fenced"
+# The exceptions that parsing a malformed report may raise.
+REPORT_ERRORS: Final = (msgspec.MsgspecError, RecursionError, ValueError)
 
 
 class ReportBody(msgspec.Struct, frozen=True):
@@ -55,7 +57,7 @@
 
 
 def parse_report(raw: bytes, endpoint: str, asked_at: Seconds) -> EndpointReport:
-    """Parse a report; raises ``msgspec.MsgspecError`` or ``ValueError``."""
+    """Parse a report; raises one of ``REPORT_ERRORS``."""
     body = msgspec.json.decode(raw, type=ReportBody)
     return EndpointReport(
         endpoint=EndpointId(endpoint),
@@ -86,7 +88,7 @@
             if response.status != STATUS_OK:
                 return None
         return parse_report(raw, endpoint, asked_at)
-    except (ClientError, TimeoutError, msgspec.MsgspecError, ValueError):
+    except (*REPORT_ERRORS, ClientError, TimeoutError):
         return None
 
 
@@ -94,7 +96,7 @@
     """Parse a refusal; a malformed body gives the default refusal."""
     try:
         return msgspec.json.decode(raw, type=RefusalBody)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return RefusalBody()
 
 
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any, Final
 from uuid import uuid4
@@ -331,6 +332,8 @@
         if not deployment.first_start:
             self._relay.resumption.history.record_gap(self._clock())
         self._tasks: list[asyncio.Task[None]] = []
+        # How often each loop was restarted after an error that nobody expected.
+        self._task_restarts: Counter[str] = Counter()
 
     def _find_recovery(self) -> Seconds:
         """Return after which recovery of the store entries may be written again.
@@ -452,6 +455,7 @@
             ),
             **measure_exchange(self._exchange, self._quota_asking, now),
             "store_calls": {"all": self._store.calls},
+            "task_restarts": dict(self._task_restarts),
             "turns": self._pacing.measure(),
             "slots": self._slots.measure(),
             "datagrams": {
@@ -553,7 +557,7 @@
             *(lease.run for lease in self._leases.values()),
             *(client.run for client in self._exchange.leaders.clients.values()),
         )
-        self._tasks = [asyncio.create_task(_run_forever(each)) for each in loops]
+        self._tasks = [asyncio.create_task(self._run_forever(each)) for each in loops]
         log_decision(LOG, Decision.DAEMON_STARTED, data_centre=deployment.data_centre)
 
     async def stop(self) -> None:
@@ -582,6 +586,23 @@
             LOG, Decision.DAEMON_PLANNED_STOP_ENDS, live=self._entry_api.active_requests
         )
 
+    async def _run_forever(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Restart a loop when it fails: a fault in one must not end the daemon."""
+        name = loop.__qualname__
+        while True:
+            try:
+                await loop()
+            except Exception:
+                self._task_restarts[name] += 1
+                log_decision(
+                    LOG,
+                    Decision.DAEMON_TASK_RESTARTED,
+                    task=name,
+                    restarts=self._task_restarts[name],
+                    trace=True,
+                )
+                await asyncio.sleep(RESTART_DELAY)
+
     async def close(self) -> None:
         """Close all connections and cancel all tasks."""
         await self._entry_api.close()
@@ -595,16 +616,6 @@
         await self._store.close()
 
 
-async def _run_forever(loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    """Restart a loop when it fails: a fault in one loop must not end the daemon."""
-    while True:
-        try:
-            await loop()
-        except Exception:
-            log_decision(LOG, Decision.DAEMON_TASK_RESTARTED, trace=True)
-            await asyncio.sleep(RESTART_DELAY)
-
-
 def _compute_buffer_limit(deployment: Deployment) -> int:
     """Return how many bytes may be held for slow readers, 0 without a limit."""
     if not deployment.features.buffer_limit:
--- a/src/kestreltally/forwarding/headers.py
+++ b/src/kestreltally/forwarding/headers.py
@@ -88,7 +88,7 @@
             key_age=float(fields["key_age"]),
             origin=_decode_origin(fields),
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, RecursionError, TypeError) as error:
         raise ValueError(f"{_CONTEXT}: {error!r}") from error
 
 
--- a/src/kestreltally/knowledge/datagrams.py
+++ b/src/kestreltally/knowledge/datagrams.py
@@ -11,11 +11,10 @@
 from collections.abc import Callable
 from typing import Any, Final, cast
 
-from thriftpy2.thrift import TException
 from thriftpy2.utils import deserialize, serialize
 
 from kestreltally.deployment import SocketAddress
-from kestreltally.knowledge.frames import PROTOCOL
+from kestreltally.knowledge.frames import PROTOCOL, STRUCT_ERRORS
 from kestreltally.knowledge.structs import Datagram
 
 LOG = logging.getLogger("kestreltally.datagrams")
@@ -82,7 +81,7 @@
         """Handle each field that a datagram has (called by asyncio)."""
         try:
             message = deserialize(Datagram(), data, PROTOCOL)
-        except (TException, EOFError, ValueError, TypeError) as error:
+        except STRUCT_ERRORS as error:
             self.malformed += 1
             LOG.debug("datagrams: malformed, from %s: %r", address, error)
             return
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -7,7 +7,6 @@
 follows the leader of another data centre.
 """
 
-import json
 import logging
 from collections.abc import Callable, Mapping
 from typing import Any, Final
@@ -445,8 +444,8 @@
         for resigned in update.resigned or ():
             self._leases[resigned.data_centre].record_resigned(resigned.fence)
         if update.configuration:
-            self._configuration.apply_document(
-                json.loads(update.configuration),
+            self._configuration.apply_encoded(
+                update.configuration,
                 ConfigurationOrigin(ConfigurationSource.LEADER, update.leader),
             )
         self._check_overtaken(update.configuration_version or 0)
--- a/src/kestreltally/knowledge/frames.py
+++ b/src/kestreltally/knowledge/frames.py
@@ -21,6 +21,8 @@
 WINDOW_BITS: Final = -12
 MEMORY_LEVEL: Final = 5
 PROTOCOL: Final = TCyBinaryProtocolFactory()
+# The exceptions that decoding a malformed struct may raise.
+STRUCT_ERRORS: Final = (TException, EOFError, RecursionError, TypeError, ValueError)
 
 
 class MalformedFrame(ValueError):
@@ -63,7 +65,7 @@
                 # Even a struct without fields has a stop byte.
                 raise MalformedFrame("frame has no content")
             return deserialize(expected(), payload, PROTOCOL)
-        except (TException, EOFError, ValueError, TypeError, zlib.error) as error:
+        except (*STRUCT_ERRORS, zlib.error) as error:
             raise MalformedFrame(repr(error)) from error
 
     def close(self) -> None:
--- a/src/kestreltally/knowledge/watch_handlers.py
+++ b/src/kestreltally/knowledge/watch_handlers.py
@@ -45,6 +45,14 @@
 EXPIRY_GRACE_PERIOD: Final[Seconds] = REWRITE_WINDOW
 
 
+def _apply_alone(apply: Callable[[StoredObject], None], stored: StoredObject) -> None:
+    """Apply one object; an error that nobody expected stops no other object."""
+    try:
+        apply(stored)
+    except Exception:
+        log_decision(LOG, Decision.OBJECT_FAILED, object=stored.name, trace=True)
+
+
 class ConfigurationSource(Enum):
     """Through what a configuration reached this daemon."""
 
@@ -128,6 +136,15 @@
             self._read_revision = stored.revision
         return True
 
+    def apply_encoded(self, encoded: bytes, origin: ConfigurationOrigin) -> bool:
+        """Apply a configuration that a leader sent, as ``apply_document`` does."""
+        try:
+            document = json.loads(encoded)
+        except (RecursionError, ValueError) as error:
+            log_decision(LOG, Decision.CONFIGURATION_REJECTED, reason=str(error))
+            return False
+        return self.apply_document(document, origin)
+
     def apply_document(self, document: Any, origin: ConfigurationOrigin) -> bool:
         """Apply a configuration, and return whether it is in force.
 
@@ -136,12 +153,13 @@
         """
         try:
             configuration = decode_configuration(document)
-        except MalformedDocument as error:
+            encoded = json.dumps(document).encode()
+        except (MalformedDocument, RecursionError) as error:
             log_decision(LOG, Decision.CONFIGURATION_REJECTED, reason=str(error))
             return False
         if self._apply(configuration):
             self._version = configuration.version
-            self.encoded = json.dumps(document).encode()
+            self.encoded = encoded
             log_decision(
                 LOG,
                 Decision.CONFIGURATION_IN_FORCE,
@@ -190,7 +208,7 @@
         self._revision = listing.revision
         present = {EndpointId(stored.name) for stored in listing.objects}
         for stored in listing.objects:
-            self._apply_entry(stored)
+            _apply_alone(self._apply_entry, stored)
         for endpoint in [each for each in self._known if each not in present]:
             self._record_missing(endpoint, source)
         self._record_complete(listing.revision)
@@ -203,7 +221,7 @@
                 name = EndpointId(change.object.name)
                 self._record_missing(name, RemovalSource.WATCH)
             else:
-                self._apply_entry(change.object)
+                _apply_alone(self._apply_entry, change.object)
         self._record_complete(changes.revision)
 
     def _apply_entry(self, stored: StoredObject) -> None:
@@ -259,13 +277,13 @@
     def apply_listing(self, listing: Listing) -> None:
         """Apply a list of all versions."""
         for stored in listing.objects:
-            self._apply_object(stored)
+            _apply_alone(self._apply_object, stored)
 
     def apply_changes(self, changes: Changes) -> None:
         """Apply changes of some versions; deletions are ignored."""
         for change in changes.changes:
             if not change.deleted:
-                self._apply_object(change.object)
+                _apply_alone(self._apply_object, change.object)
 
     def _apply_object(self, stored: StoredObject) -> None:
         try:
--- a/src/kestreltally/platform/documents.py
+++ b/src/kestreltally/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the objects of the store into the project's types."""
 
+import reprlib
 from collections.abc import Mapping
 from ipaddress import IPv4Address
 from typing import Any, Final
@@ -54,7 +55,14 @@
 
 
 # The exceptions that decoding a malformed document may raise.
-FORMAT_ERRORS: Final = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+FORMAT_ERRORS: Final = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 # Upper bounds on the values in a document.
 MAX_TEXT_LENGTH: Final = 512
 MAX_COUNT: Final = 2**31 - 1
@@ -246,7 +254,7 @@
 def _read_text(value: Any) -> str:
     """Return a string that can be encoded; raises ``TypeError`` or ``ValueError``."""
     if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a string")
+        raise TypeError(f"{reprlib.repr(value)} is not a string")
     if not 0 < len(value) <= MAX_TEXT_LENGTH:
         raise ValueError(f"a string of length {len(value)}")
     value.encode()
@@ -256,9 +264,11 @@
 def _read_count(value: Any, *, minimum: int = 1, maximum: int = MAX_COUNT) -> int:
     """Return an integer within bounds; raises ``TypeError`` or ``ValueError``."""
     if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError(f"{reprlib.repr(value)} is not an integer")
     if not minimum <= value <= maximum:
-        raise ValueError(f"{value} is not between {minimum} and {maximum}")
+        raise ValueError(
+            f"{reprlib.repr(value)} is not between {minimum} and {maximum}"
+        )
     return value
 
 
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -40,7 +40,7 @@
     """Read the settings file; raises ``InvalidDeployment``."""
     try:
         content = json.loads(path.read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, RecursionError, ValueError) as error:
         raise InvalidDeployment(f"{path}: cannot be read: {error}") from error
     try:
         return _decode(content)
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -7,10 +7,10 @@
 """
 
 import asyncio
-import json
 import logging
 import socket
-from collections.abc import AsyncIterator, Coroutine, Mapping
+from collections.abc import AsyncIterator, Coroutine, Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass
 from errno import ETIMEDOUT
 from typing import Any, Final, NamedTuple
@@ -21,6 +21,7 @@
 from kestreltally.deployment import SocketAddress
 from kestreltally.fleet.model import Seconds
 from kestreltally.platform.documents import FORMAT_ERRORS
+from kestreltally.platform.pages import UndecodablePage, decode_page
 from kestreltally.sockets import harden_socket
 
 LOG = logging.getLogger("kestreltally.store")
@@ -177,16 +178,38 @@
     return objects
 
 
-def decode_page(call: str, content: bytes) -> Any:
-    """Return the decoded body of an answer; raises ``StoreError``.
+def _decode_events(events: list[Any], era: int) -> Iterator[Change]:
+    """Yield the changes of a watch's answer; malformed ones are logged and skipped."""
+    for event in events:
+        try:
+            yield Change(_decode_object(event["Object"], era), bool(event["Tombstone"]))
+        except FORMAT_ERRORS as error:
+            log_decision(LOG, Decision.OBJECT_REJECTED, reason=repr(error))
+
 
-    Bytes that are not valid UTF-8 are replaced, so they do not affect the other
-    objects.
+def _find_last_name(items: list[Any]) -> str:
+    """Return the last name in a page that a query can hold; raises ``StoreError``.
+
+    The next page goes on after that name.
     """
+    for item in reversed(items):
+        try:
+            name = item["Metadata"]["Name"]
+            name.encode()
+        except FORMAT_ERRORS:
+            continue
+        if isinstance(name, str):
+            return name
+    raise StoreError("no item of a page has a name")
+
+
+@contextmanager
+def _checking_format(call: str) -> Iterator[None]:
+    """Raise ``StoreError`` for an answer that does not have the published format."""
     try:
-        return json.loads(content.decode("utf-8", "replace"), strict=False)
-    except ValueError as error:
-        raise StoreError(f"{call}: not JSON: {error}") from error
+        yield
+    except FORMAT_ERRORS as error:
+        raise StoreError(f"{call}: malformed answer: {error!r}") from error
 
 
 class Store:
@@ -261,9 +284,11 @@
         async for page in self._list_pages(kind):
             # The first page's revision is used, so that the watch that follows reports
             # the changes made during the listing.
-            revision = revision or page.read_revision()
+            with _checking_format(kind):
+                revision = revision or page.read_revision()
             _check_era(revision, page.era)
-            objects.extend(decode_objects(page.body["items"], page.era))
+            with _checking_format(kind):
+                objects.extend(decode_objects(page.body["items"], page.era))
         return Listing(tuple(objects), revision or NO_REVISION)
 
     async def _list_pages(self, kind: str) -> AsyncIterator[_Answer]:
@@ -272,9 +297,10 @@
             query = {"after": after} if after else {}
             page = await self._call("GET", kind, query=query)
             yield page
-            if not page.body.get("HasMore") or not page.body["items"]:
-                return
-            after = page.body["items"][-1]["Metadata"]["Name"]
+            with _checking_format(kind):
+                if not page.body.get("HasMore") or not page.body["items"]:
+                    return
+                after = _find_last_name(page.body["items"])
 
     async def watch(
         self,
@@ -297,12 +323,9 @@
             self._call("GET", kind, query=query, timeout=wait + margin)
         )
         _check_era(revision, page.era)
-        changes = tuple(
-            Change(each, bool(event["Tombstone"]))
-            for event in page.body["events"]
-            for each in decode_objects([event["Object"]], page.era)
-        )
-        return Changes(changes, page.read_revision())
+        with _checking_format(kind):
+            changes = tuple(_decode_events(page.body["events"], page.era))
+            return Changes(changes, page.read_revision())
 
     async def _call_until_interrupted(
         self, call: Coroutine[Any, Any, _Answer]
@@ -326,13 +349,15 @@
         answer = await self._call("GET", f"{kind}/{name}")
         if answer.body is None:
             return None
-        return _decode_object(answer.body, answer.era)
+        with _checking_format(f"{kind}/{name}"):
+            return _decode_object(answer.body, answer.era)
 
     async def create(self, kind: str, name: str, content: Any) -> StoredObject:
         """Create an object; raises ``Conflict`` if it already exists."""
         body = {"Metadata": {"Name": name}, "Specification": content}
         stored = await self._call("POST", kind, body=body, timeout=WRITE_TIMEOUT)
-        return _decode_object(stored.body, stored.era)
+        with _checking_format(kind):
+            return _decode_object(stored.body, stored.era)
 
     async def replace(
         self, kind: str, name: str, revision: Revision, content: Any
@@ -351,7 +376,8 @@
         if stored.body is None:
             raise Conflict(None)
         _check_era(revision, stored.era)
-        return _decode_object(stored.body, stored.era)
+        with _checking_format(path):
+            return _decode_object(stored.body, stored.era)
 
     async def _call(
         self,
@@ -406,10 +432,14 @@
         raise HistoryGone(call)
     if status not in (OK, CREATED, CONFLICT):
         raise RequestRejected(f"{call}: status {status}")
-    decoded = decode_page(call, content)
+    try:
+        decoded = decode_page(content)
+    except UndecodablePage as error:
+        raise StoreError(f"{call}: {error}") from error
     if status == CONFLICT:
         has_object = isinstance(decoded, dict) and "Metadata" in decoded
-        raise Conflict(_decode_object(decoded, era) if has_object else None)
+        with _checking_format(call):
+            raise Conflict(_decode_object(decoded, era) if has_object else None)
     return decoded
 
 
--- a/src/kestreltally/requests/relay.py
+++ b/src/kestreltally/requests/relay.py
@@ -47,7 +47,7 @@
             events.append(
                 msgspec.json.decode(part[len(DATA_PREFIX) :], type=AnswerEvent)
             )
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise AttemptLost(f"malformed event: {error}") from error
     return events
 
--- a/src/kestreltally/systems/configuration.py
+++ b/src/kestreltally/systems/configuration.py
@@ -198,7 +198,7 @@
         try:
             plain = json.loads(change.value)
             objects.append(parse_config_object(change.key, plain, change.revision))
-        except (ValueError, MalformedObject) as error:
+        except (ValueError, RecursionError, MalformedObject) as error:
             world.events.add(PART, "discards a malformed change", reason=str(error))
     arrived = ConfigArrived(
         after=pushed.after,
--- a/src/kestreltally/timeline/loglines.py
+++ b/src/kestreltally/timeline/loglines.py
@@ -96,7 +96,7 @@
             event=str(fields.pop("event")),
             fields=fields,
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, RecursionError, TypeError):
         return None
 
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -6,9 +6,11 @@
 """
 
 import json
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
+import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from thriftpy2.utils import serialize
@@ -19,12 +21,16 @@
 from kestreltally.knowledge.watch_handlers import EndpointsHandler, VersionsHandler
 from kestreltally.platform.documents import MalformedDocument, decode_endpoint
 from kestreltally.platform.engines import decode_report
+from kestreltally.platform.pages import decode_page
 from kestreltally.platform.store import (
+    Change,
+    Changes,
     Listing,
+    Revision,
     StoredObject,
     decode_objects,
-    decode_page,
 )
+from tests.oddbytes import ODD_VALUES
 
 GOOD = {
     "Service": "models",
@@ -54,18 +60,22 @@
 )
 
 
-def apply_entries(entries: list[Any]) -> list[Endpoint]:
-    """Return the endpoints that a handler accepts; all of them can be serialised."""
-    applied: list[Endpoint] = []
-    follower = EndpointsHandler(
+def make_handler(put: Callable[[Endpoint, Revision], None]) -> EndpointsHandler:
+    return EndpointsHandler(
         {},
-        lambda endpoint, _: applied.append(endpoint),
+        put,
         lambda *_: None,
         lambda _: None,
         Doubts(),
         lambda: 0.0,
         lambda: float("-inf"),
     )
+
+
+def apply_entries(entries: list[Any]) -> list[Endpoint]:
+    """Return the endpoints that a handler accepts; all of them can be serialised."""
+    applied: list[Endpoint] = []
+    follower = make_handler(lambda endpoint, _: applied.append(endpoint))
     objects = (
         StoredObject(f"i-{number}", number, entry)
         for number, entry in enumerate(entries)
@@ -119,6 +129,28 @@
         assert key.model and 0 <= number < 2**31
 
 
+def test_entry_that_fails_unforeseen_stops_no_other() -> None:
+    applied: list[Endpoint] = []
+
+    def put(endpoint: Endpoint, _: Any) -> None:
+        if endpoint.id == "i-1":
+            raise RuntimeError("a fault of ours")
+        applied.append(endpoint)
+
+    handler = make_handler(put)
+    objects = [StoredObject(f"i-{number}", number, GOOD) for number in range(3)]
+    handler.apply_listing(Listing(tuple(objects), 1))
+    handler.apply_changes(Changes(tuple(Change(each, False) for each in objects), 2))
+    assert [each.id for each in applied] == ["i-0", "i-2", "i-0", "i-2"]
+
+
+@pytest.mark.parametrize("odd", ODD_VALUES.values(), ids=ODD_VALUES)
+@pytest.mark.parametrize("field", ["Models", "unread"])
+def test_report_that_cannot_be_decoded_is_malformed(odd: bytes, field: str) -> None:
+    with suppress(MalformedDocument):
+        decode_report(b'{"BusySlots":0,"%s":%s}' % (field.encode(), odd))
+
+
 @settings(max_examples=100, deadline=None)
 @given(malformed=MALFORMED)
 def test_malformed_report_raises_only_value_errors(malformed: Any) -> None:
@@ -131,7 +163,7 @@
     malformed = {"Metadata": {"Name": "i-1", "Revision": 2}, "Specification": "?"}
     page = {"items": [good, malformed, {"Metadata": None}, 5], "CurrentRev": 3}
     content = json.dumps(page).encode().replace(b'"?"', b'"\xff\xfe\x01"')
-    listed = decode_objects(decode_page("GET servers", content)["items"])
+    listed = decode_objects(decode_page(content)["items"])
     assert [each.name for each in listed] == ["i-0", "i-1"]
     applied = apply_entries([each.content for each in listed])
     assert [each.id for each in applied] == [EndpointId("i-0")]
