Channels: bytes that are no part of an answer are bounded, and hide none

Callers saw: an endpoint that sends zeros as a chunk's size or a chunk's extension without end held a request until its time was over though a sound one was free (504 after 2 s, 140 to 230 MB taken); errors with endless bodies were passed on for 2 s; a whole answer with garbage right behind it became a 502.

Cause: each part that is waited for was bounded, what comes in its place was not; and a parser that finds garbage reports nothing of the bytes given with it.

On the way: a connection closed behind an interim head raised EofStream, an answer 500 of ours.

Change: an exchange may have 64 KiB that are no part of a body, and as many as its bodies; heads are parsed apart from what follows; surplus answers, errors, comments and events are bounded.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from aiohttp import StreamReader
+from aiohttp import EofStream, StreamReader
 from aiohttp.client_exceptions import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import RawResponseMessage
@@ -38,6 +38,8 @@
 MAX_HEAD_BYTES: Final = 32_768
 # Number of answers to other requests that are skipped before a channel is given up.
 MAX_SURPLUS_ANSWERS: Final = 3
+# The longest body of such an answer.
+MAX_SURPLUS_BYTES: Final = 2**18
 MIN_FAILURE_STATUS: Final = 500
 BODILESS_STATUSES: Final = frozenset({204, 304})
 _KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
@@ -117,6 +119,17 @@
         return content
 
 
+async def _skip_body(answer: Answer) -> None:
+    """Read the body of an answer that nobody waits for; raises ``AnswerLost``."""
+    skipped = 0
+    while not answer.body.at_eof():
+        skipped += len(await answer.body.readany())
+        if skipped > MAX_SURPLUS_BYTES:
+            raise AnswerLost(
+                f"answer to another request exceeds {MAX_SURPLUS_BYTES} bytes"
+            )
+
+
 def is_delimited(message: RawResponseMessage, body: StreamReader) -> bool:
     """Return whether an answer's head tells where its body ends (RFC 9112, 6.3)."""
     if message.code in BODILESS_STATUSES or body is EMPTY_PAYLOAD:
@@ -191,6 +204,7 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
+        protocol.start_exchange()
         sent_at = self._loop.time()
         start = (
             self._notices.start_send
@@ -213,9 +227,9 @@
                     self._stated_idle_time = read_idle_time(answer)
                     return answer
                 protocol.force_close()
-                await answer.body.read()
+                await _skip_body(answer)
                 answer = await self._read_head()
-        except (ClientError, OSError, HttpProcessingError) as error:
+        except (ClientError, EofStream, OSError, HttpProcessingError) as error:
             raise AnswerLost(repr(error)) from error
         finally:
             if trial:
--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -4,14 +4,20 @@
 from collections.abc import Callable
 from typing import Final
 
-from aiohttp import ClientPayloadError
+from aiohttp import ClientPayloadError, StreamReader
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
 
 from kestreltally.sockets import bound_kernel_unsent
 
 # The maximum number of bytes that are received at once, so that an answer whose source
 # is paused in time never holds much more.
 RECEIVE_BYTES: Final = 2**14
+HEAD_END: Final = b"\r\n\r\n"
+MIN_FINAL_STATUS: Final = 200
+# So many bytes of an exchange may be no part of a body: heads, sizes of chunks, and
+# what is no answer. Small chunks may add as many again as their bodies have.
+MAX_OVERHEAD_BYTES: Final = 2**16
 
 
 def ignore_received(_: "ChannelProtocol", __: int) -> None:
@@ -25,6 +31,10 @@
 
     ``held`` is true while no more may be received, ``was_held`` until the reader resets
     it. ``lost_at`` is the time at which the connection was closed.
+
+    An endpoint that is in trouble may send bytes without end that are no part of an
+    answer's body; the connection is closed once they are too many. What follows a
+    complete answer does not affect it.
     """
 
     def __init__(
@@ -40,6 +50,20 @@
         # Called when bytes arrive.
         self.notify_answered: Callable[[], None] = lambda: None
         self._closed_by_endpoint = False
+        # Of the present exchange: bytes received, those of former bodies, the body that
+        # is being received, and the last bytes while a final head is awaited.
+        self._received = 0
+        self._former_body_bytes = 0
+        self._body: StreamReader | None = None
+        self._end_of_last = b""
+        self._has_final_head = True
+
+    def start_exchange(self) -> None:
+        """Await an answer to a request that is about to be sent."""
+        self._received = self._former_body_bytes = 0
+        self._body = None
+        self._end_of_last = b""
+        self._has_final_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what is received at once if received bytes are counted."""
@@ -79,8 +103,55 @@
         if data:
             self.notify_answered()
             self._record_received(self, len(data))
+        self._received += len(data)
+        self._parse(data)
+        self._check_overhead()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse heads apart from what follows them.
+
+        A parser that finds garbage reports nothing of the bytes given with it, so that
+        a complete answer before the garbage would be lost.
+        """
+        while data and not self._has_final_head:
+            overlap = self._end_of_last
+            found = (overlap + data).find(HEAD_END)
+            if found < 0:
+                self._end_of_last = (overlap + data)[1 - len(HEAD_END) :]
+                break
+            self._end_of_last = b""
+            end = found + len(HEAD_END) - len(overlap)
+            super().data_received(data[:end])
+            data = data[end:]
         super().data_received(data)
 
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
+    ) -> None:
+        """Take over an answer's head, and the body that begins with it."""
+        message, body = data
+        if self._body is not None:
+            self._former_body_bytes += self._body.total_bytes
+        self._body = body
+        self._has_final_head = message.code >= MIN_FINAL_STATUS
+        super().feed_data(data, size)
+
+    def _check_overhead(self) -> None:
+        """Close the connection if too many bytes are no part of a body."""
+        body_bytes = self._former_body_bytes
+        if self._body is not None:
+            body_bytes += self._body.total_bytes
+        overhead = self._received - body_bytes
+        limit = MAX_OVERHEAD_BYTES + body_bytes
+        if overhead <= limit:
+            return
+        self.set_exception(
+            ClientPayloadError(
+                f"{overhead} bytes are no part of a body, limit {limit} bytes"
+            )
+        )
+        self.abort()
+
     def set_held(self, held: bool) -> None:
         """Stop receiving, or resume unless aiohttp itself has stopped it."""
         if held == self.held:
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -100,6 +100,7 @@
             self.record_failure(endpoint, str(error))
             raise AttemptFailed("answer body truncated", may_have_run=True) from error
         if body is None:
+            self._check_status(request, progress, endpoint, answer)
             return await self._forward_long_body(
                 request, client, progress, endpoint, answer
             )
--- a/src/kestreltally/entry/events.py
+++ b/src/kestreltally/entry/events.py
@@ -5,8 +5,12 @@
 
 _END: Final = re.compile(rb"\r?\n\r?\n")
 _ID: Final = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
+# Other events are comments or blank lines.
+_FIELD: Final = re.compile(rb"^(?:data|id|event)\b", re.MULTILINE)
 # An event holds a few tokens in some hundred bytes; more than this is not an event.
-MAX_EVENT_BYTES: Final = 2**20
+MAX_EVENT_BYTES: Final = 2**18
+# So many bytes of comments and blank lines may come between two events.
+MAX_BYTES_BETWEEN_EVENTS: Final = 2**16
 
 
 class EventTooLong(ValueError):
@@ -24,6 +28,7 @@
         self._partial = b""
         self.last_id: str | None = None
         self.count = 0
+        self._bytes_between = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -39,6 +44,7 @@
             event = data[start : end.end()]
             start = end.end()
             self.count += 1
+            self._check_content(event)
             if self._is_new(event):
                 events += event
         self._partial = data[start:]
@@ -53,6 +59,19 @@
         """Drop the incomplete event, because another endpoint continues the stream."""
         self._partial = b""
         self.count = 0
+        self._bytes_between = 0
+
+    def _check_content(self, event: bytes) -> None:
+        """Raise ``EventTooLong`` for too many bytes without an event."""
+        if _FIELD.search(event) is not None:
+            self._bytes_between = 0
+            return
+        self._bytes_between += len(event)
+        if self._bytes_between > MAX_BYTES_BETWEEN_EVENTS:
+            raise EventTooLong(
+                f"{self._bytes_between} bytes between two events, "
+                f"limit {MAX_BYTES_BETWEEN_EVENTS}"
+            )
 
     def _is_new(self, event: bytes) -> bool:
         found = _ID.search(event)
