--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -111,21 +111,24 @@
         if known is not None and known.origin is not None:
             self.counts["known"] += 1
             return known.origin
-        if known is None:
-            only = await self._find_confirmed_only(service)
-        if known is None and only is not None:
+        confirmed = await self._find_confirmed_only(service)
+        if known is None and confirmed is not None:
             self.counts["single"] += 1
-            return only
+            return confirmed
         self.counts["unknown"] += 1
+        self._log_unknown(request)
+        raise Refused(UNAVAILABLE, "software version of the stream is not known")
+
+    def _log_unknown(self, request: ClientRequest) -> None:
+        now = asyncio.get_running_loop().time()
         log_decision(
             LOG,
             Decision.STREAM_UNKNOWN,
             request=request.head.id,
             began_as=request.head.resumed,
-            versions=sorted(self.history.list_recent(service, now)),
+            versions=sorted(self.history.list_recent(request.service_name, now)),
             complete=self.history.is_complete(now),
         )
-        raise Refused(UNAVAILABLE, "software version of the stream is not known")
 
     async def _find_known(self, request: ClientRequest) -> KnownStream | None:
         if not request.head.resumed:
--- a/src/kestreltally/platform/pages.py
+++ b/src/kestreltally/platform/pages.py
@@ -13,8 +13,6 @@
 # Fields that hold one object in each element: of a listing, and of a watch's answer,
 # where the object is a field of the element.
 _LEVELS_OF_ITEMS: Final = {"items": 2, "events": 3}
-# Of an answer that is one object, each field is decoded by itself.
-_LEVELS_OF_OBJECT: Final = 0
 _DECODER: Final = json.JSONDecoder(strict=False)
 _BLANK: Final = re.compile(r"[ \t\r\n]*+")
 _DELIMITER: Final = re.compile(r'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+', re.DOTALL)
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -25,8 +25,8 @@
     REGISTRAR_TTL,
     RegistrarDirectory,
 )
+from kestreltally.knowledge.leader_record import MalformedRecord, Record
 from kestreltally.knowledge.peer import Peer
-from kestreltally.knowledge.record_persistence import MalformedRecord, Record
 from kestreltally.knowledge.software import SoftwareExchange
 from kestreltally.knowledge.streams import REGISTRARS, StreamExchange
 from kestreltally.knowledge.structs import Report, Update
