--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -51,6 +51,8 @@
     CUT_OFF = "daemons cut off from all endpoints"
     BRITTLE_NOTICE = "engines announce that they are brittle, and most clients at one"
     DEADLY_PART = "requests with one part crash engines"
+    ODD_ENTRY = "entry of another writer that cannot be decoded"
+    VERSION_LEAVES = "engines of a version leave, and all daemons are killed"
 
 
 # Relative frequency of each action, highest for what is most frequent in operation.
@@ -108,6 +110,12 @@
 BRITTLE_DURATION: Final = 9.0
 DEADLY_PART_FRACTION: Final = 0.4
 DEADLY_PART_DURATION: Final = 10.0
+# Fractions of plans with an entry that cannot be decoded, and with a software version
+# that leaves, and the durations of these, seconds.
+ODD_ENTRY_FRACTION: Final = 0.5
+ODD_ENTRY_DURATION: Final = 6.0
+VERSION_FRACTION: Final = 0.3
+VERSION_DURATION: Final = 6.0
 _FAULT_MODES: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -161,9 +169,23 @@
     steps.extend(_draw_cuts(random.Random(f"cuts {seed}"), seconds))
     steps.extend(_draw_brittle(random.Random(f"brittle {seed}"), seconds))
     steps.extend(_draw_deadly_part(random.Random(f"parts {seed}"), seconds))
+    steps.extend(_draw_odd_entry(random.Random(f"odd {seed}"), seconds))
+    steps.extend(_draw_version_leaves(random.Random(f"software {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
+def _draw_odd_entry(draw: random.Random, seconds: float) -> list[Step]:
+    return _draw_once(
+        draw, seconds, Action.ODD_ENTRY, ODD_ENTRY_FRACTION, ODD_ENTRY_DURATION
+    )
+
+
+def _draw_version_leaves(draw: random.Random, seconds: float) -> list[Step]:
+    return _draw_once(
+        draw, seconds, Action.VERSION_LEAVES, VERSION_FRACTION, VERSION_DURATION
+    )
+
+
 def _draw_brittle(draw: random.Random, seconds: float) -> list[Step]:
     return _draw_once(
         draw, seconds, Action.BRITTLE_NOTICE, BRITTLE_FRACTION, BRITTLE_DURATION
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -26,9 +26,10 @@
 from bench.faultsoak.proxy import HOST, Proxy, ProxyMode
 from bench.faultsoak.sessions import open_session
 from bench.faultsoak.streams import StreamClients
-from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
+from bench.faultsoak.system import SOFTWARE, Daemon, SoakEndpoint, SoakSystem
 from bench.fleet_demo import DATA_CENTRES
 from standins.platform_engine import HEARTBEAT, POISON_PREFIX
+from standins.platform_store import NESTED_VALUE
 
 # Requests per second of each daemon's client, and number of adapters that they name.
 # There are more adapters than places, so that orders are sent all the time.
@@ -87,6 +88,7 @@
         Action.STORE_CHANNELS_SILENT,
         Action.ENGINE_GOES,
         Action.CUT_OFF,
+        Action.ODD_ENTRY,
     }
 )
 STORE_FAULTS: Final = frozenset(
@@ -109,6 +111,8 @@
 # Delay of a change of the configuration behind a silence: daemons count as in touch
 # again when the change has to be in force, seconds.
 SILENCE_TO_CHANGE: Final = 1.0
+# Delay between the departure of a version and the kill of all daemons, seconds.
+VERSION_TO_KILL: Final = 1.0
 KILL_SERIES: Final = 3
 # Clients that come to one daemon while engines are brittle.
 CROWD: Final = 4
@@ -481,8 +485,12 @@
         await _withdraw(soak.system, endpoint)
 
 
-async def _withdraw(system: SoakSystem, endpoint: SoakEndpoint) -> None:
-    await system.add_endpoint(endpoint.engine.service, endpoint.engine.zone)
+async def _withdraw(
+    system: SoakSystem, endpoint: SoakEndpoint, software: str | None = None
+) -> None:
+    """Start a replacement, of a software version if it is given, and withdraw."""
+    engine = endpoint.engine
+    await system.add_endpoint(engine.service, engine.zone, software=software)
     await system.withdraw_entry(endpoint, LEAVING_DURATION)
     await asyncio.sleep(LEAVING_DURATION)
     await system.remove_endpoint(endpoint)
@@ -519,6 +527,31 @@
     await leaving
 
 
+@performs(Action.ODD_ENTRY)
+async def write_odd_entry(soak: Soak, step: Step) -> None:
+    """Have another writer keep an entry for a while that cannot be decoded."""
+    name = f"odd-{step.target}"
+    await soak.system.store.put("servers", name, {"Slots": NESTED_VALUE})
+    await asyncio.sleep(step.duration)
+    await soak.system.store.drop("servers", name)
+
+
+@performs(Action.VERSION_LEAVES)
+async def withdraw_version(soak: Soak, step: Step) -> None:
+    """Replace all engines of a software version, then kill all daemons at once."""
+    former, newer = random.Random(step.target).sample(SOFTWARE, 2)
+    leaving = [
+        asyncio.create_task(_withdraw(soak.system, each, newer))
+        for each in list(soak.system.endpoints)
+        if each.engine.service == "models"
+        and each.engine.software == former
+        and not _has_left(each)
+    ]
+    await asyncio.sleep(VERSION_TO_KILL)
+    await soak.kill(soak.system.daemons)
+    await asyncio.gather(*leaving)
+
+
 @performs(Action.CUT_OFF)
 async def cut_off(soak: Soak, step: Step) -> None:
     """Cut some daemons off from all endpoints, and check what they serve."""
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -216,9 +216,16 @@
             await asyncio.sleep(WATCH_INTERVAL)
 
     async def add_endpoint(
-        self, service: str, zone: str, restarted: PlatformEngine | None = None
+        self,
+        service: str,
+        zone: str,
+        restarted: PlatformEngine | None = None,
+        software: str | None = None,
     ) -> SoakEndpoint:
-        """Start an endpoint behind a proxy, one that is ``restarted`` under its id."""
+        """Start an endpoint behind a proxy, one that is ``restarted`` under its id.
+
+        Without ``software`` the next version is chosen.
+        """
         engine = PlatformEngine(
             store=f"http://{HOST}:{self.store_port}",
             service=service,
@@ -228,7 +235,7 @@
             newest_versions=self.newest_versions,
             event_time=EVENT_TIME,
             undelimited=len(self.all_endpoints) % 2 == 1,
-            software=self._choose_software(service),
+            software=software or self._choose_software(service),
         )
         if restarted is not None:
             engine.id = restarted.id
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import copy
+import json
 import random
 from dataclasses import dataclass
 from typing import Any
@@ -17,6 +18,14 @@
 from standins.common import Faults, make_command
 
 PAGE = 500
+# In the place of this value, answers have arrays that are nested too deeply to decode.
+NESTED_VALUE = "@nested"
+_NESTED = "[" * 1_500 + "]" * 1_500
+
+
+def encode(content: Any) -> str:
+    """Return the text of an answer's body."""
+    return json.dumps(content).replace(json.dumps(NESTED_VALUE), _NESTED)
 
 
 @dataclass(frozen=True)
@@ -88,7 +97,7 @@
         kind, _, name = http.match_info["path"].partition("/")
         if name:
             item = self._objects.get(kind, {}).get(name)
-            return web.json_response(item, status=200 if item else 404)
+            return web.json_response(item, status=200 if item else 404, dumps=encode)
         if "Watch" in http.query:
             wait = float(http.query.get("WaitMs", 0)) / 1000
             return await self._watch(kind, int(http.query["Watch"]), wait)
@@ -102,7 +111,8 @@
                 "items": [by_name[name] for name in names[:PAGE]],
                 "HasMore": len(names) > PAGE,
                 "CurrentRev": self._revision,
-            }
+            },
+            dumps=encode,
         )
 
     async def _watch(self, kind: str, revision: int, wait: float) -> web.Response:
@@ -127,7 +137,8 @@
                     for event in list_events()
                 ],
                 "CurrentRev": self._revision,
-            }
+            },
+            dumps=encode,
         )
 
     async def write(self, http: web.Request) -> web.StreamResponse:
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -83,6 +83,21 @@
     assert sum(record.status == 200 for record in checker.records) > 50
 
 
+# Guards against an entry that hides from all daemons which endpoints come and go.
+async def test_endpoints_are_replaced_beside_an_entry_that_cannot_be_decoded(
+    tmp_path: Path,
+) -> None:
+    plan = [
+        make_step(0.5, 8.0, Action.ODD_ENTRY),
+        make_step(2.0, 0.0, Action.ENGINE_GOES, 1),
+        make_step(2.5, 0.0, Action.ENGINE_GOES, 0),
+    ]
+    system = SoakSystem(tmp_path, claim_ports())
+    checker = await run_plan(system, plan, DAEMONS)
+    assert checker.problems == []
+    assert sum(record.status == 200 for record in checker.records) > 50
+
+
 async def test_a_request_that_ends_engines_is_stopped_though_daemons_are_killed(
     tmp_path: Path,
 ) -> None:
