--- a/tests/test_version_bound.py
+++ b/tests/test_version_bound.py
@@ -1,6 +1,6 @@
 """The time for which an older version of an adapter may be used, by its parts."""
 
-from kestreltally.fleet.tables import OLD_VERSION_GRACE
+from kestreltally.fleet.versions import OLD_VERSION_GRACE
 from kestreltally.fleet_daemon import VERSIONS_GAP, VERSIONS_WAIT
 from kestreltally.platform.store import WATCH_MARGIN
 from tests.entryrig import BOUNDS
