Relay: an answer that stalls is logged with what else is silent

No log told, of a stream that was cut, how long it had been silent, whether its endpoint was silent towards others, and how many endpoints of the service were. The line "relay: answer stalls" says so. No decision changes.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -17,6 +17,7 @@
 from kestreltally.entry.request import ClientRequest
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.silence import compute_first_check_delay
+from kestreltally.entry.stalls import StallMonitor
 from kestreltally.entry.upstream import Answer, AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
 from kestreltally.pacing.pauses import EventTimes, PauseCounter, is_stretched
@@ -54,6 +55,8 @@
         self._health = health
         self._budget = budget
         self._pool = pool
+        # Logs and evaluates stalls of answers; set by the relay.
+        self.stalls: StallMonitor | None = None
         self.event_times = EventTimes()
         self.pauses = PauseCounter()
         # Called with the endpoint that wrote the first event of a new stream, before
@@ -170,6 +173,7 @@
         events = progress.events
         events.restart()
         arrived_at: deque[Seconds] = deque(maxlen=MAX_TIMED_EVENTS)
+        self._health.start_stream(endpoint.id)
         try:
             while not answer.body.at_eof():
                 content = await _read_events(request, progress, answer)
@@ -190,8 +194,13 @@
         except (AnswerTruncated, EventTooLong, TimeoutError) as error:
             if isinstance(error, AnswerTruncated):
                 progress.record_broken()
+            if isinstance(error, TimeoutError) and self.stalls is not None:
+                limit = compute_wait_limit(request, progress) or 0.0
+                self.stalls.log(request, progress, endpoint, limit)
             self.record_failure(endpoint, repr(error))
             raise AttemptFailed("stream broken off", may_have_run=True) from error
+        finally:
+            self._health.end_stream(endpoint.id)
         self._health.record_stream(endpoint.id, arrived_at)
         progress.record_ended()
         self._health.record_success(endpoint.id)
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -28,6 +28,9 @@
 # Until an answer starts, at most this fraction of its prompt counts as processed.
 MAX_READ_FRACTION: Final = 0.9
 NOT_SENT: Final[Seconds] = float("inf")
+# An endpoint that writes streams and has sent nothing for this long is silent. Events
+# of a stream come more often.
+QUIET_TIME: Final[Seconds] = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +63,12 @@
     """Recent behaviour of one endpoint towards this daemon's requests.
 
     ``latest_answered`` maps a priority to the highest request token with a started
-    answer; ``received_at`` is when bytes last came from the endpoint.
+    answer; ``received_at`` is when bytes last came from the endpoint. ``streams``
+    counts requests whose events are awaited.
     """
 
     in_flight: int = 0
+    streams: int = 0
     pending: dict[int, PendingAnswer] = field(default_factory=dict)
     latest_answered: dict[int, int] = field(default_factory=dict)
     answered_at: Seconds = 0.0
@@ -74,6 +79,14 @@
     ejections: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceSilence:
+    """How many endpoints that stream to this daemon are silent, and how many not."""
+
+    silent: int
+    speaking: int
+
+
 class Observer(Protocol):
     """Observes outcomes of requests and times of events."""
 
@@ -153,6 +166,27 @@
         """Record that bytes came from an endpoint."""
         self.get_row(endpoint).received_at = now
 
+    def start_stream(self, endpoint: EndpointId) -> None:
+        """Count a stream whose events are awaited from now on."""
+        self.get_row(endpoint).streams += 1
+
+    def end_stream(self, endpoint: EndpointId) -> None:
+        """Record that events of a stream are no longer awaited."""
+        self.get_row(endpoint).streams -= 1
+
+    def compute_silence(self, endpoint: EndpointId, now: Seconds) -> Seconds:
+        """Return how long ago bytes last came from an endpoint."""
+        return now - self.get_row(endpoint).received_at
+
+    def measure_silence(
+        self, endpoints: Iterable[EndpointId], now: Seconds
+    ) -> ServiceSilence:
+        """Return how many endpoints with streams of this daemon are silent."""
+        rows = [self.get_row(each) for each in endpoints]
+        ages = [now - each.received_at for each in rows if each.streams]
+        silent = sum(age > QUIET_TIME for age in ages)
+        return ServiceSilence(silent, len(ages) - silent)
+
     def is_overtaken(self, endpoint: EndpointId, token: int) -> bool:
         """Return whether a later request that is not more urgent was answered first."""
         health = self.get_row(endpoint)
@@ -275,7 +309,9 @@
         """
         health = self._rows.get(endpoint)
         if health is not None:
-            self._rows[endpoint] = Health(in_flight=health.in_flight)
+            self._rows[endpoint] = Health(
+                in_flight=health.in_flight, streams=health.streams
+            )
 
     def remove(self, endpoint: EndpointId) -> None:
         """Remove the row of a removed endpoint unless requests are in flight."""
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -38,6 +38,7 @@
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.sending import Sender
 from kestreltally.entry.slot_gate import SlotGate
+from kestreltally.entry.stalls import StallMonitor
 from kestreltally.entry.upstream import (
     Answer,
     Channel,
@@ -86,6 +87,7 @@
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
+        self.delivery.stalls = StallMonitor(fleet, health)
         self.resumption = Resumption(fleet)
         self.delivery.begin_stream = self.resumption.begin
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -151,6 +151,10 @@
             while not (await asyncio.wait({answering}, timeout=wait_limit))[0]:
                 verdict = self._evaluate_silence(request, progress, endpoint, token)
                 if verdict is not Verdict.WAIT:
+                    if self._delivery.stalls is not None:
+                        self._delivery.stalls.log(
+                            request, progress, endpoint, wait_limit
+                        )
                     self._delivery.record_failure(endpoint, "silent")
                     raise AttemptFailed(verdict.value, may_have_run=True)
                 wait_limit = POLL_INTERVAL
