Tests: sound engines that fall silent for a second, failing

What callers saw: streams of sound engines broken off in the middle, and 502 before the first event, while engines were paused for a second or so.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -104,6 +104,8 @@
     part_runs: list[float] = field(default_factory=list)
     # It writes no entry until then, by the loop's clock.
     heartbeats_paused_until: float = 0.0
+    # It writes nothing at all until then, as a paused process, by the loop's clock.
+    paused_until: float = 0.0
     # Arrival times of requests, and of calls of any kind, by the loop's clock.
     arrivals: list[float] = field(default_factory=list)
     # Times and ids of all requests that arrived, whether they ran or not.
@@ -129,6 +131,7 @@
         """Write this endpoint's entry to the store at each heartbeat, forever."""
         async with ClientSession() as session:
             while True:
+                await self._wait_for_pause()
                 if asyncio.get_running_loop().time() < self.heartbeats_paused_until:
                     await asyncio.sleep(HEARTBEAT)
                     continue
@@ -141,6 +144,14 @@
         """Write no entry for ``duration`` seconds."""
         self.heartbeats_paused_until = asyncio.get_running_loop().time() + duration
 
+    def pause(self, duration: float) -> None:
+        """Write nothing for ``duration`` seconds, and go on as if nothing had been."""
+        self.paused_until = asyncio.get_running_loop().time() + duration
+
+    async def _wait_for_pause(self) -> None:
+        while (left := self.paused_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(left)
+
     async def _write_entry(self, session: ClientSession) -> None:
         self.heartbeats += 1
         entry = {
@@ -171,6 +182,7 @@
 
     async def report(self, _: web.Request) -> web.Response:
         """Serve the report."""
+        await self._wait_for_pause()
         self.calls.append(asyncio.get_running_loop().time())
         return web.json_response(
             {
@@ -190,6 +202,7 @@
 
     async def order(self, http: web.Request) -> web.Response:
         """Apply an order."""
+        await self._wait_for_pause()
         self.calls.append(asyncio.get_running_loop().time())
         if http.headers.get("X-Expect-Instance", self.id) != self.id:
             return self._misdirect(http)
@@ -257,6 +270,7 @@
 
     async def serve(self, http: web.Request) -> web.StreamResponse:
         """Run a request, or answer that it was not run."""
+        await self._wait_for_pause()
         now = asyncio.get_running_loop().time()
         self.arrivals.append(now)
         self.calls.append(now)
@@ -345,6 +359,7 @@
         broken_at = self._draw_break(first)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_time)
+            await self._wait_for_pause()
             if number == broken_at and http.transport is not None:
                 http.transport.abort()
                 return response
