Relay: a stalled answer is held until another endpoint has brought more

What callers saw: streams broken off in the middle, and 502 before the first event, while sound engines were silent for a second or so.

Cause: silence was taken for failure. After 1.3 times the route's objective without bytes, the channel was closed first; only then was a retry asked for, and without one the answer in hand was gone. The retry went to engines that were as silent, and sound engines were ejected. Besides, all daemons took themselves for cut off, because probes opened connections to paused engines and got no answer within 0.25 s.

Change: the first run stays. A backup is started beside it if the budget has a retry, the service's endpoints are not mostly silent, and another one that is not silent could serve; the first of the two that brings more is the answer, and the other is ended (Hedging, Backup, Run). Without a backup the first run is waited for, as long as the client waits. A failure is counted only once a backup was ahead. A timer that is late itself says nothing of an endpoint. Connections that open and bring nothing show a path at fault after 1.5 s only.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -46,6 +46,7 @@
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
     ANSWER_UNDELIMITED = ("relay: answer ended with its connection", Level.INFO, 50)
     ANSWER_STALLS = ("relay: answer stalls", Level.INFO, 200)
+    ANSWER_RESUMES = ("relay: stalled answer goes on", Level.INFO, 200)
     REQUEST_REPEATED = ("relay: request is sent again", Level.INFO, 200)
     STREAM_GOES_ON = ("relay: stream goes on", Level.INFO, 200)
     STREAM_UNKNOWN = ("relay: version of a stream not known", Level.WARNING, 100)
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -13,11 +13,12 @@
 from kestreltally.entry.events import EventTooLong
 from kestreltally.entry.exchanges import count_answer
 from kestreltally.entry.health import HealthTable
-from kestreltally.entry.progress import AttemptFailed, Progress, StreamBroken
+from kestreltally.entry.hedging import Hedging, compute_wait_limit, is_timer_late
+from kestreltally.entry.progress import AttemptFailed, StreamBroken
 from kestreltally.entry.request import ClientRequest
 from kestreltally.entry.retries import RetryBudget
-from kestreltally.entry.silence import compute_first_check_delay
-from kestreltally.entry.stalls import StallMonitor
+from kestreltally.entry.run import Run
+from kestreltally.entry.silence import Verdict
 from kestreltally.entry.upstream import Answer, AnswerTruncated, ChannelPool
 from kestreltally.fleet.model import Endpoint, RequestKind, Seconds
 from kestreltally.pacing.pauses import EventTimes, PauseCounter, is_stretched
@@ -35,14 +36,6 @@
 MAX_TIMED_EVENTS: Final = 64
 
 
-def compute_wait_limit(request: ClientRequest, progress: Progress) -> Seconds | None:
-    """Return how long to wait for an endpoint; None if no other may be tried."""
-    route = request.route
-    if not route.repeatable or progress.runs >= route.attempts:
-        return None
-    return compute_first_check_delay(route.objective)
-
-
 class Delivery:
     """Forwards answers, and records the outcome for the endpoint's health.
 
@@ -55,8 +48,8 @@
         self._health = health
         self._budget = budget
         self._pool = pool
-        # Logs and evaluates stalls of answers; set by the relay.
-        self.stalls: StallMonitor | None = None
+        # Waits for streams that stall, None if nothing else can be asked.
+        self.hedging: Hedging | None = None
         self.event_times = EventTimes()
         self.pauses = PauseCounter()
         # Called with the endpoint that wrote the first event of a new stream, before
@@ -76,59 +69,46 @@
                 LOG, Decision.ENDPOINT_LEFT_OUT, endpoint=endpoint.id, fault=fault
             )
 
-    async def forward(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
+    async def forward(self, run: Run, answer: Answer) -> web.StreamResponse:
         """Return the answer as it was sent to the client.
 
         Raises ``AttemptFailed`` if another endpoint may still be tried, and
         ``StreamBroken`` if the client has already received part of the answer.
         """
-        count_answer(client, answer)
-        if request.route.kind is RequestKind.STREAM and answer.status < 300:
-            return await self._forward_events(
-                request, client, progress, endpoint, answer
-            )
+        count_answer(run.client, answer)
+        if run.request.route.kind is RequestKind.STREAM and answer.status < 300:
+            return await self._forward_events(run, answer)
         try:
             body = await answer.read_all(MAX_BUFFERED_BYTES)
             if body is not None:
-                await self._check_end(request, progress, endpoint, answer)
+                await self._check_end(run, answer)
         except AnswerTruncated as error:
-            progress.record_broken()
-            self.record_failure(endpoint, str(error))
+            run.record_broken()
+            self.record_failure(run.endpoint, str(error))
             raise AttemptFailed("answer body truncated", may_have_run=True) from error
         if body is None:
-            self._check_status(request, progress, endpoint, answer)
-            return await self._forward_long_body(
-                request, client, progress, endpoint, answer
-            )
-        _record_complete(progress, answer)
-        self._check_status(request, progress, endpoint, answer)
+            self._check_status(run, answer)
+            return await self._forward_long_body(run, answer)
+        _record_complete(run, answer)
+        self._check_status(run, answer)
+        await run.claim()
         if answer.delimited:
             return make_buffered_answer(answer, body)
-        progress.response = make_streamed_answer(answer, client)
-        await progress.response.prepare(client)
-        await progress.response.write(body)
-        return progress.response
+        response = await _start_response(run, answer)
+        await response.write(body)
+        return response
 
-    def _check_status(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> None:
+    def _check_status(self, run: Run, answer: Answer) -> None:
         """Raise ``AttemptFailed`` for an error answer that should not be forwarded."""
+        request, progress = run.request, run.progress
         if answer.status < MIN_FAILURE_STATUS:
-            self._health.record_success(endpoint.id)
+            self._health.record_success(run.endpoint.id)
             return
         now = asyncio.get_running_loop().time()
-        self._health.record_error_status(endpoint.id, now)
+        self._health.record_error_status(run.endpoint.id, now)
+        if run.gate is not None:
+            # The first run may still bring something better.
+            raise AttemptFailed(f"status {answer.status}", may_have_run=True)
         retryable = request.route.repeatable and progress.runs < request.route.attempts
         if progress.response is not None:
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
@@ -139,136 +119,125 @@
         ):
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
 
-    async def _forward_long_body(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
-        response = make_streamed_answer(answer, client)
-        progress.response = response
-        await response.prepare(client)
+    async def _forward_long_body(self, run: Run, answer: Answer) -> web.StreamResponse:
+        await run.claim()
+        response = await _start_response(run, answer)
         try:
             while not answer.body.at_eof():
                 await response.write(await answer.read_some())
-            await self._check_end(request, progress, endpoint, answer)
+            await self._check_end(run, answer)
         except AnswerTruncated as error:
-            progress.record_broken()
-            self.record_failure(endpoint, str(error))
+            run.record_broken()
+            self.record_failure(run.endpoint, str(error))
             raise StreamBroken(str(error)) from error
-        _record_complete(progress, answer)
-        self._health.record_success(endpoint.id)
+        _record_complete(run, answer)
+        self._health.record_success(run.endpoint.id)
         return response
 
-    async def _forward_events(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
-        events = progress.events
-        events.restart()
+    async def _forward_events(self, run: Run, answer: Answer) -> web.StreamResponse:
+        endpoint, events = run.endpoint, run.events
         arrived_at: deque[Seconds] = deque(maxlen=MAX_TIMED_EVENTS)
         self._health.start_stream(endpoint.id)
         try:
             while not answer.body.at_eof():
-                content = await _read_events(request, progress, answer)
+                content = await self._read_events(run, answer)
                 now = asyncio.get_running_loop().time()
                 self._health.record_received(endpoint.id, now)
-                if await self._write_events(
-                    request, client, progress, endpoint, answer, content
-                ):
+                if await self._write_events(run, answer, content):
                     arrived_at.append(now)
-                    self._record_event(request, progress, endpoint, now)
+                    self._record_event(run, now)
             if events.has_partial_event:
                 raise AnswerTruncated("stream ended within an event")
             # Without a length or chunks, an engine that ends before its first event
             # looks the same as one whose stream is empty, and no stream is.
             if not answer.delimited and not events.count:
                 raise AnswerTruncated("stream ended before its first event")
-            await self._check_end(request, progress, endpoint, answer)
-        except (AnswerTruncated, EventTooLong, TimeoutError) as error:
+            await self._check_end(run, answer)
+        except (AnswerTruncated, EventTooLong) as error:
             if isinstance(error, AnswerTruncated):
-                progress.record_broken()
-            if isinstance(error, TimeoutError) and self.stalls is not None:
-                limit = compute_wait_limit(request, progress) or 0.0
-                self.stalls.log(request, progress, endpoint, limit)
+                run.record_broken()
             self.record_failure(endpoint, repr(error))
             raise AttemptFailed("stream broken off", may_have_run=True) from error
         finally:
             self._health.end_stream(endpoint.id)
         self._health.record_stream(endpoint.id, arrived_at)
-        progress.record_ended()
+        run.record_ended()
         self._health.record_success(endpoint.id)
-        if progress.response is None:
-            progress.response = make_streamed_answer(answer, client)
-            await progress.response.prepare(client)
-        return progress.response
+        await run.claim()
+        return await _get_response(run, answer)
 
-    async def _check_end(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> None:
+    async def _read_events(self, run: Run, answer: Answer) -> bytes:
+        """Return the next bytes of a stream; raises ``AttemptFailed``.
+
+        An endpoint is not silent while this daemon doesn't read what it sends.
+        """
+        clock = asyncio.get_running_loop().time
+        heard_at = clock()
+        while True:
+            limit = compute_wait_limit(run) if self.hedging is not None else None
+            waits_since = clock()
+            answer.protocol.was_held = answer.protocol.held
+            try:
+                async with asyncio.timeout(limit):
+                    return await answer.read_some()
+            except TimeoutError:
+                if answer.protocol.was_held or limit is None:
+                    heard_at = clock()
+                elif not is_timer_late(waits_since + limit, clock()):
+                    break
+        assert self.hedging is not None
+        return await self.hedging.wait(
+            run, answer.read_some(), lambda: self._evaluate_stall(run, answer, heard_at)
+        )
+
+    def _evaluate_stall(self, run: Run, answer: Answer, heard_at: Seconds) -> Verdict:
+        """Return whether another endpoint is to be asked for a stream."""
+        if answer.protocol.held or self.hedging is None:
+            return Verdict.WAIT
+        return self.hedging.stalls.evaluate(run, heard_at)
+
+    async def _check_end(self, run: Run, answer: Answer) -> None:
         """Raise ``AnswerTruncated`` if an answer ended because its endpoint did.
 
         Only an answer without length and chunks can do so unnoticed.
         """
         if answer.delimited:
             return
-        listening = await self._pool.confirm_listening(endpoint)
+        listening = await self._pool.confirm_listening(run.endpoint)
         log_decision(
             LOG,
             Decision.ANSWER_UNDELIMITED,
-            request=request.head.id,
-            endpoint=endpoint.id,
+            request=run.request.head.id,
+            endpoint=run.endpoint.id,
             status=answer.status,
             size=answer.taken,
-            events=progress.events.count,
+            events=run.events.count,
             listening=listening,
         )
         if not listening:
             raise AnswerTruncated("endpoint ended with its answer")
 
-    async def _write_events(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-        content: bytes,
-    ) -> bool:
+    async def _write_events(self, run: Run, answer: Answer, content: bytes) -> bool:
         """Write the events that are complete; return whether there are any."""
-        complete_events = progress.events.feed(content)
+        complete_events = run.events.feed(content)
         if not complete_events:
             return False
-        progress.record_answered(complete=False)
+        run.record_answered(complete=False)
+        await run.claim()
+        progress = run.progress
         if progress.origin is None:
-            progress.origin = self.begin_stream(request, endpoint)
-        if progress.response is None:
-            progress.response = make_streamed_answer(answer, client)
-            await progress.response.prepare(client)
-        await progress.response.write(complete_events)
+            progress.origin = self.begin_stream(run.request, run.endpoint)
+        response = await _get_response(run, answer)
+        progress.last_event_id = run.events.last_id
+        await response.write(complete_events)
         return True
 
-    def _record_event(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        now: Seconds,
-    ) -> None:
+    def _record_event(self, run: Run, now: Seconds) -> None:
         """Learn from the time between two events of an engine's stream.
 
         Only a pause after a client has taken the last event is the engine's.
         """
+        request, progress = run.request, run.progress
         if request.service.engine is None:
             return
         longest = progress.longest_pause
@@ -281,36 +250,33 @@
             self.pauses.record_stream(request.service_name)
             return
         pause = min(pause, now - was_written_at)
-        self.event_times.learn(endpoint.id, pause)
+        self.event_times.learn(run.endpoint.id, pause)
         limit = request.route.max_pause
         if is_stretched(pause, limit) and not is_stretched(longest, limit):
             self.pauses.record_stretched(request.service_name)
 
 
-async def _read_events(
-    request: ClientRequest, progress: Progress, answer: Answer
-) -> bytes:
-    """Return the next bytes of a stream; raises ``TimeoutError`` if it is silent.
+async def _get_response(run: Run, answer: Answer) -> web.StreamResponse:
+    """Return the response of a stream, which an earlier run may have started."""
+    response = run.progress.response
+    return response if response is not None else await _start_response(run, answer)
 
-    An endpoint is not silent while this daemon doesn't read what it sends.
-    """
-    while True:
-        answer.protocol.was_held = answer.protocol.held
-        try:
-            async with asyncio.timeout(compute_wait_limit(request, progress)):
-                return await answer.read_some()
-        except TimeoutError:
-            if not answer.protocol.was_held:
-                raise
+
+async def _start_response(run: Run, answer: Answer) -> web.StreamResponse:
+    """Send the head of an answer to the client, and return the response to write to."""
+    response = make_streamed_answer(answer, run.client)
+    run.progress.response = response
+    await response.prepare(run.client)
+    return response
 
 
-def _record_complete(progress: Progress, answer: Answer) -> None:
+def _record_complete(run: Run, answer: Answer) -> None:
     """Record that an answer is complete.
 
     An error answer doesn't count as a successful run: an endpoint that fails a fraction
     of its requests may have failed this one without processing it.
     """
     if answer.status < MIN_FAILURE_STATUS:
-        progress.record_answered(complete=True)
+        run.record_answered(complete=True)
     else:
-        progress.record_ended()
+        run.record_ended()
--- a/src/kestreltally/entry/events.py
+++ b/src/kestreltally/entry/events.py
@@ -21,12 +21,12 @@
     """Splits bytes into events and drops those that were already forwarded.
 
     ``last_id`` is the id of the last forwarded event; ids increase within a stream.
-    ``count`` is the number of events since the last ``restart``, old ones included.
+    ``count`` is the number of events, old ones included.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, last_id: str | None = None) -> None:
         self._partial = b""
-        self.last_id: str | None = None
+        self.last_id = last_id
         self.count = 0
         self._bytes_between = 0
 
@@ -55,12 +55,6 @@
             )
         return bytes(events)
 
-    def restart(self) -> None:
-        """Drop the incomplete event, because another endpoint continues the stream."""
-        self._partial = b""
-        self.count = 0
-        self._bytes_between = 0
-
     def _check_content(self, event: bytes) -> None:
         """Raise ``EventTooLong`` for too many bytes without an event."""
         if _FIELD.search(event) is not None:
--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -292,6 +292,14 @@
         candidates = self._list_candidates(request, progress, now)
         return any(each.id == endpoint for each in candidates)
 
+    def has_other(self, request: ClientRequest, progress: Progress) -> bool:
+        """Return whether another endpoint could serve a request, and is not silent."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            each.id not in progress.tried and not self._health.is_silent(each.id, now)
+            for each in self._list_candidates(request, progress, now)
+        )
+
     def list_options(self, request: ClientRequest, progress: Progress) -> list[Option]:
         """Return the options for a request now, without a choice."""
         now = asyncio.get_running_loop().time()
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -7,6 +7,7 @@
 
 from kestreltally.entry.occupancy import Occupancy
 from kestreltally.entry.outcomes import OutcomeCounter
+from kestreltally.entry.silence import ServiceSilence
 from kestreltally.fleet.model import Endpoint, EndpointId, Seconds
 
 # A healthy endpoint starts to answer within about 100 ms. One that has left a request
@@ -63,30 +64,25 @@
     """Recent behaviour of one endpoint towards this daemon's requests.
 
     ``latest_answered`` maps a priority to the highest request token with a started
-    answer; ``received_at`` is when bytes last came from the endpoint. ``streams``
-    counts requests whose events are awaited.
+    answer. ``received_at`` is when bytes last came from the endpoint, ``resumed_at``
+    when they last did after a silence. ``streams`` counts requests whose events are
+    awaited, ``stalled`` those that have brought nothing for a while.
     """
 
     in_flight: int = 0
     streams: int = 0
+    stalled: int = 0
     pending: dict[int, PendingAnswer] = field(default_factory=dict)
     latest_answered: dict[int, int] = field(default_factory=dict)
     answered_at: Seconds = 0.0
     received_at: Seconds = 0.0
+    resumed_at: Seconds = 0.0
     failed_at: deque[Seconds] = field(default_factory=lambda: deque(maxlen=8))
     failure_rate: float = 0.0
     ejected_until: Seconds = 0.0
     ejections: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceSilence:
-    """How many endpoints that stream to this daemon are silent, and how many not."""
-
-    silent: int
-    speaking: int
-
-
 class Observer(Protocol):
     """Observes outcomes of requests and times of events."""
 
@@ -155,16 +151,20 @@
         self, endpoint: EndpointId, token: int, now: Seconds
     ) -> None:
         """Record that an answer has started."""
+        self.record_received(endpoint, now)
         health = self.get_row(endpoint)
         answer = health.pending.pop(token, None)
-        health.answered_at = health.received_at = now
+        health.answered_at = now
         if answer is not None:
             latest = health.latest_answered.get(answer.priority, 0)
             health.latest_answered[answer.priority] = max(latest, token)
 
     def record_received(self, endpoint: EndpointId, now: Seconds) -> None:
         """Record that bytes came from an endpoint."""
-        self.get_row(endpoint).received_at = now
+        health = self.get_row(endpoint)
+        if now - health.received_at > QUIET_TIME:
+            health.resumed_at = now
+        health.received_at = now
 
     def start_stream(self, endpoint: EndpointId) -> None:
         """Count a stream whose events are awaited from now on."""
@@ -174,18 +174,31 @@
         """Record that events of a stream are no longer awaited."""
         self.get_row(endpoint).streams -= 1
 
-    def compute_silence(self, endpoint: EndpointId, now: Seconds) -> Seconds:
-        """Return how long ago bytes last came from an endpoint."""
-        return now - self.get_row(endpoint).received_at
+    def start_stall(self, endpoint: EndpointId) -> None:
+        """Record that a request has brought nothing for a while."""
+        self.get_row(endpoint).stalled += 1
+
+    def end_stall(self, endpoint: EndpointId) -> None:
+        """Record that a stalled request has brought something, or has ended."""
+        self.get_row(endpoint).stalled -= 1
+
+    def is_silent(self, endpoint: EndpointId, now: Seconds) -> bool:
+        """Return whether requests have stalled at an endpoint that sends nothing."""
+        health = self._rows.get(endpoint)
+        if health is None or not health.stalled:
+            return False
+        return now - health.received_at > QUIET_TIME
 
     def measure_silence(
         self, endpoints: Iterable[EndpointId], now: Seconds
     ) -> ServiceSilence:
-        """Return how many endpoints with streams of this daemon are silent."""
+        """Return how many of some endpoints are silent.
+
+        An endpoint counts as asked if it writes streams of this daemon, or has stalled.
+        """
         rows = [self.get_row(each) for each in endpoints]
-        ages = [now - each.received_at for each in rows if each.streams]
-        silent = sum(age > QUIET_TIME for age in ages)
-        return ServiceSilence(silent, len(ages) - silent)
+        ages = [now - each.received_at for each in rows if each.streams or each.stalled]
+        return ServiceSilence(sum(age > QUIET_TIME for age in ages), len(ages))
 
     def is_overtaken(self, endpoint: EndpointId, token: int) -> bool:
         """Return whether a later request that is not more urgent was answered first."""
@@ -256,6 +269,8 @@
             return True
         if now < health.ejected_until:
             return False
+        if health.stalled >= FAILURES_TO_EJECT and self.is_silent(endpoint, now):
+            return False
         sent = (p.sent_at for p in health.pending.values() if p.sent_at != NOT_SENT)
         oldest = next(sent, now)
         silent = now - oldest > SILENCE_TIMEOUT and health.answered_at < oldest
@@ -310,7 +325,9 @@
         health = self._rows.get(endpoint)
         if health is not None:
             self._rows[endpoint] = Health(
-                in_flight=health.in_flight, streams=health.streams
+                in_flight=health.in_flight,
+                streams=health.streams,
+                stalled=health.stalled,
             )
 
     def remove(self, endpoint: EndpointId) -> None:
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -1,15 +1,13 @@
 """The state of one request while it is relayed."""
 
-import asyncio
 from dataclasses import dataclass, field
 from typing import Final
 
 from aiohttp import web
 
-from kestreltally.entry.events import EventReader
+from kestreltally.entry.backup import Backup
 from kestreltally.entry.request import Refused
 from kestreltally.fleet.model import EndpointId, Seconds, SoftwareVersion
-from kestreltally.poison.crash_detector import Attempt
 from kestreltally.streams.origins import StreamOrigin
 
 BAD_GATEWAY: Final = 502
@@ -31,9 +29,10 @@
     """The state of one request.
 
     ``runs`` counts the sends that may have run, because the endpoint did not state that
-    they had not. ``attempt`` is the record of the current send for poison detection.
-    ``content`` identifies the content of a stopped request in log lines.
-    ``unreached`` counts the endpoints to which no connection could be opened.
+    they had not. ``backup`` is a second run that has forwarded nothing, and
+    ``backup_refused`` whether the budget had none. ``last_event_id`` is that of the
+    last forwarded event. ``content`` identifies the content of a stopped request in log
+    lines. ``unreached`` counts the endpoints to which no connection could be opened.
     ``turn_wait`` is the time spent waiting for turns at engines, ``slot_wait`` that for
     slots at brittle endpoints, and
     ``longest_pause`` is the longest time between two events, the last of which came at
@@ -50,9 +49,10 @@
     waited: Seconds = 0.0
     predictions: list[Prediction] = field(default_factory=list)
     first_byte_at: Seconds | None = None
-    events: EventReader = field(default_factory=EventReader)
+    last_event_id: str | None = None
     response: web.StreamResponse | None = None
-    attempt: Attempt | None = None
+    backup: Backup | None = None
+    backup_refused: bool = False
     content: str | None = None
     turn_wait: Seconds = 0.0
     slot_wait: Seconds = 0.0
@@ -74,22 +74,6 @@
         self.longest_pause = max(self.longest_pause, now - before)
         return now - before
 
-    def record_answered(self, *, complete: bool) -> None:
-        """Record that a valid part of an answer, or all of it, has arrived."""
-        if self.attempt is not None:
-            now = asyncio.get_running_loop().time()
-            self.attempt.record_answered(now, complete=complete)
-
-    def record_ended(self) -> None:
-        """Record that the last send got a complete answer, or did not run."""
-        if self.attempt is not None:
-            self.attempt.complete = True
-
-    def record_broken(self) -> None:
-        """Record that the connection of the last send broke."""
-        if self.attempt is not None:
-            self.attempt.broken_off = True
-
 
 class AttemptFailed(Exception):
     """The endpoint did not serve the request, but another may.
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -15,10 +15,12 @@
 from aiohttp import web
 
 from kestreltally.decisions import Decision, log_decision
+from kestreltally.entry.backup import Backup
 from kestreltally.entry.choice import Option
 from kestreltally.entry.delivery import Delivery
 from kestreltally.entry.finder import EndpointFinder, PathLost
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.hedging import Hedging
 from kestreltally.entry.pacer import PromptPacer
 from kestreltally.entry.progress import (
     DEFAULT_RETRY_DELAY,
@@ -36,9 +38,9 @@
 )
 from kestreltally.entry.resumption import Resumption
 from kestreltally.entry.retries import RetryBudget
+from kestreltally.entry.run import Run
 from kestreltally.entry.sending import Sender
 from kestreltally.entry.slot_gate import SlotGate
-from kestreltally.entry.stalls import StallMonitor
 from kestreltally.entry.upstream import (
     Answer,
     Channel,
@@ -87,7 +89,8 @@
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
-        self.delivery.stalls = StallMonitor(fleet, health)
+        self.hedging = Hedging(fleet, health, budget, self.finder)
+        self.delivery.hedging = self.hedging
         self.resumption = Resumption(fleet)
         self.delivery.begin_stream = self.resumption.begin
         self.poison = PoisonGuard(lambda endpoint: health.get_row(endpoint).received_at)
@@ -95,7 +98,7 @@
         self.poison.crash_detector.believe_later = pool.contact.believe_later
         self.poison.crash_detector.record_not_opened = pool.contact.record_not_opened
         self._sender = Sender(
-            fleet, pool, health, self.finder, self.delivery, self.poison
+            fleet, pool, health, self.finder, self.delivery, self.hedging, self.poison
         )
         # Called with a prompt's token count when an endpoint starts or ends its
         # prefill.
@@ -105,6 +108,7 @@
         # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
         self.check_stop: Callable[[Route], None] = lambda _: None
         self.rerouting = Rerouting(pool.contact, self._acquire_retry)
+        self._connect_hedging()
         # Makes long prompts wait for their turn at an engine, None if switched off.
         self.pacer: PromptPacer | None = None
         # Makes requests wait for room at brittle endpoints, None if switched off.
@@ -112,6 +116,16 @@
         # Raises ``Refused`` if a key was revoked after its request was read.
         self.check_caller: Callable[[Caller], None] = lambda _: None
 
+    def _connect_hedging(self) -> None:
+        self.hedging.start_backup = lambda run: Backup(
+            lambda backup: self._run_backup(run, backup)
+        )
+        self.hedging.cast_doubt = self.contact.record_broken
+        self.hedging.record_overtaken = lambda endpoint: self.delivery.record_failure(
+            endpoint, "silent"
+        )
+        self.hedging.is_rerouted = self.rerouting.is_possible
+
     def switch_on_slots(self, table: SlotTable) -> None:
         """Send requests to brittle endpoints with slots only from now on."""
         self.slots = SlotGate(self._fleet, self.finder, table)
@@ -151,6 +165,9 @@
                 "request deadline exceeded while waiting for an endpoint",
                 DEFAULT_RETRY_DELAY,
             ) from error
+        finally:
+            if progress.backup is not None:
+                await progress.backup.cancel()
 
     def _record_arrival(self, request: ClientRequest) -> None:
         """Count a request; the daemon that serves one passed on counts it."""
@@ -166,29 +183,28 @@
         self, request: ClientRequest, client: web.BaseRequest, progress: Progress
     ) -> web.StreamResponse:
         while True:
-            option = await self._find(request, progress)
-            if option is None:
-                self._check_again(request, progress)
-                return await self.rerouting.forward(request, client, progress)
-            with option.slot or nullcontext():
-                response = await self._try(request, client, progress, option)
+            if progress.backup is not None:
+                response = await self._continue_with_backup(request, progress)
+            else:
+                option = await self._find(request, progress)
+                if option is None:
+                    self._check_again(request, progress)
+                    return await self.rerouting.forward(request, client, progress)
+                run = Run(request, client, progress, option.endpoint)
+                with option.slot or nullcontext():
+                    response = await self._try(run, option)
             if response is not None:
                 return response
             if len(progress.trail) > 2 * len(progress.tried):
                 # All endpoints have been tried: pause before the next round.
                 await asyncio.sleep(RETRY_PAUSE)
 
-    async def _try(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        option: Option,
-    ) -> web.StreamResponse | None:
+    async def _try(self, run: Run, option: Option) -> web.StreamResponse | None:
         """Return the answer of an endpoint, None if another is to be tried.
 
         Raises ``Refused`` or ``StreamBroken``.
         """
+        request, progress = run.request, run.progress
         if progress.slot_wait and not progress.runs:
             self.check_stop(request.route)
         self._check_again(request, progress)
@@ -196,19 +212,75 @@
         if sends and not self._acquire_retry(request):
             raise make_final_error(progress)
         try:
-            return await self._attempt(request, client, progress, option)
+            return await self._attempt(run, option)
         except AttemptFailed as failure:
-            if option.slot is not None:
-                option.slot.rejected = failure.turned_away
-            progress.last_fault = failure.fault
-            progress.unreached += failure.unreached
-            if sends and progress.sends == sends:
-                self._refund_retry(request)
-            self._log_failed_attempt(request, progress, option.endpoint, failure)
-            if not self._can_try_another(request, progress, failure):
-                raise make_final_error(progress) from failure
+            self._record_failed_attempt(run, option, failure, sends)
+            self._check_another(request, progress, failure)
             return None
 
+    def _record_failed_attempt(
+        self, run: Run, option: Option, failure: AttemptFailed, sends: int
+    ) -> None:
+        """Record why a run failed; ``sends`` counts those before it."""
+        request, progress = run.request, run.progress
+        if option.slot is not None:
+            option.slot.rejected = failure.turned_away
+        progress.last_fault = failure.fault
+        progress.unreached += failure.unreached
+        if sends and progress.sends == sends:
+            self._refund_retry(request)
+        self._log_failed_attempt(request, progress, option.endpoint, failure)
+
+    def _check_another(
+        self, request: ClientRequest, progress: Progress, failure: AttemptFailed
+    ) -> None:
+        """Raise the final error after a failure if no other run may follow."""
+        if progress.backup is not None:
+            return
+        if not self._can_try_another(request, progress, failure):
+            raise make_final_error(progress) from failure
+
+    async def _continue_with_backup(
+        self, request: ClientRequest, progress: Progress
+    ) -> web.StreamResponse | None:
+        """Return the answer of a backup, None if another endpoint is to be tried."""
+        backup = progress.backup
+        assert backup is not None
+        try:
+            return await backup.take_over()
+        except AttemptFailed as failure:
+            progress.backup = None
+            self._check_another(request, progress, failure)
+            return None
+        finally:
+            if progress.backup is backup:
+                progress.backup = None
+
+    async def _run_backup(self, first: Run, backup: Backup) -> web.StreamResponse:
+        """Run a request at another endpoint, or daemon, while its first run stalls.
+
+        Raises ``AttemptFailed``, ``Refused`` or ``StreamBroken``.
+        """
+        request, progress = first.request, first.progress
+        option = await self._find(request, progress)
+        if option is None:
+            return await self.rerouting.forward(
+                request, first.client, progress, backup.claim
+            )
+        if option.endpoint.id in progress.tried:
+            raise AttemptFailed("no other endpoint", may_have_run=False)
+        run = Run(request, first.client, progress, option.endpoint, backup.claim)
+        with option.slot or nullcontext():
+            self._check_again(request, progress)
+            if not self._acquire_retry(request):
+                raise AttemptFailed("no retry left", may_have_run=False)
+            sends = progress.sends
+            try:
+                return await self._attempt(run, option)
+            except AttemptFailed as failure:
+                self._record_failed_attempt(run, option, failure, sends)
+                raise
+
     def _check_again(self, request: ClientRequest, progress: Progress) -> None:
         """Check what may have changed while a request waited; raises ``Refused``."""
         if request.caller is not None and not progress.runs:
@@ -302,14 +374,9 @@
             return True
         return request.route.repeatable and progress.runs < request.route.attempts
 
-    async def _attempt(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        option: Option,
-    ) -> web.StreamResponse:
+    async def _attempt(self, run: Run, option: Option) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
+        request, progress = run.request, run.progress
         endpoint, predicted = option.endpoint, option.first_event_delay
         progress.tried.add(endpoint.id)
         started_at = loop.time()
@@ -359,10 +426,9 @@
                 )
             channel = await self._sender.connect(request, endpoint)
             progress.sends += 1
-            progress.attempt = self.poison.crash_detector.start(request, endpoint)
-            answer = await self._sender.send(
-                request, progress, endpoint, channel, token, urgency
-            )
+            run.attempt = self.poison.crash_detector.start(request, endpoint)
+            run.token = token
+            answer = await self._sender.send(run, channel, urgency)
             self.health.record_answer_start(endpoint.id, token, loop.time())
             if turn is not None:
                 turn.end()
@@ -373,16 +439,16 @@
                 prefill_times.learn(endpoint.id, work, now - sent_at)
                 progress.predictions.append(Prediction(predicted, now - started_at))
             channel.apply_keep_alive(answer, loop.time())
-            response = await self._forward(request, client, progress, endpoint, answer)
+            response = await self._forward(run, answer)
             keep = True
             return response
         except AttemptFailed as failure:
             keep = not failure.may_have_run
             if not failure.may_have_run:
-                progress.record_ended()
+                run.record_ended()
             raise
         finally:
-            self._end_attempt(progress)
+            self._end_attempt(run)
             self.health.end(endpoint.id, token)
             self._record_use(request, endpoint, -1)
             if channel is not None:
@@ -428,10 +494,10 @@
             raise
         return turn
 
-    def _end_attempt(self, progress: Progress) -> None:
-        if progress.attempt is not None:
-            self.poison.crash_detector.end(progress.attempt)
-            progress.attempt = None
+    def _end_attempt(self, run: Run) -> None:
+        if run.attempt is not None:
+            self.poison.crash_detector.end(run.attempt)
+            run.attempt = None
 
     def _record_use(
         self, request: ClientRequest, endpoint: Endpoint, step: int
@@ -442,14 +508,8 @@
         if self.finder.demand.record_use(endpoint.id, key, step):
             self.notify_use_change()
 
-    async def _forward(
-        self,
-        request: ClientRequest,
-        client: web.BaseRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> web.StreamResponse:
+    async def _forward(self, run: Run, answer: Answer) -> web.StreamResponse:
+        request = run.request
         if request.head.weights is not None:
-            self.finder.affinity.record(request, request.head.weights, endpoint.id)
-        return await self.delivery.forward(request, client, progress, endpoint, answer)
+            self.finder.affinity.record(request, request.head.weights, run.endpoint.id)
+        return await self.delivery.forward(run, answer)
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -6,17 +6,14 @@
 from typing import Any
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery, compute_wait_limit
+from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
+from kestreltally.entry.hedging import Hedging, compute_wait_limit
 from kestreltally.entry.progress import AttemptFailed, Progress
 from kestreltally.entry.request import BODY_METHODS, ClientRequest
-from kestreltally.entry.silence import (
-    POLL_INTERVAL,
-    UnansweredRequest,
-    Verdict,
-    evaluate_silence,
-)
+from kestreltally.entry.run import Run
+from kestreltally.entry.silence import UnansweredRequest, Verdict, evaluate_silence
 from kestreltally.entry.upstream import (
     Answer,
     AnswerLost,
@@ -52,6 +49,7 @@
         health: HealthTable,
         finder: EndpointFinder,
         delivery: Delivery,
+        hedging: Hedging,
         poison: PoisonGuard,
     ) -> None:
         self._fleet = fleet
@@ -59,6 +57,7 @@
         self._health = health
         self._finder = finder
         self._delivery = delivery
+        self._hedging = hedging
         self._poison = poison
 
     async def connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
@@ -89,33 +88,21 @@
         self._finder.demand.record_refused(endpoint, key)
         self._finder.expedite()
 
-    async def send(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        channel: Channel,
-        token: int,
-        urgency: int,
-    ) -> Answer:
-        """Send a request and return its answer; raises ``AttemptFailed``.
-
-        ``token`` is the request's token in the health table.
-        """
+    async def send(self, run: Run, channel: Channel, urgency: int) -> Answer:
+        """Send a request and return its answer; raises ``AttemptFailed``."""
+        request, progress, endpoint = run.request, run.progress, run.endpoint
         head = self._encode(request, progress, endpoint, urgency)
         self._log_resumption(request, progress, endpoint)
         # From this point the request may run, whatever interrupts the wait for its
         # answer.
         progress.runs += 1
         sending = channel.send(head, request.body, request.head.id)
-        wait_limit = compute_wait_limit(request, progress)
+        wait_limit = compute_wait_limit(run)
         try:
             if wait_limit is None:
                 answer = await sending
             else:
-                answer = await self._wait_for_answer(
-                    request, progress, endpoint, token, sending, wait_limit
-                )
+                answer = await self._wait_for_answer(run, sending, wait_limit)
         except Unavailable as error:
             progress.runs -= 1
             progress.sends -= 1
@@ -123,7 +110,7 @@
                 "endpoint accepts no requests at present", may_have_run=False
             ) from error
         except AnswerLost as error:
-            progress.record_broken()
+            run.record_broken()
             self._delivery.record_failure(endpoint, str(error))
             raise AttemptFailed(
                 "connection lost before the answer", may_have_run=True
@@ -137,38 +124,28 @@
         return answer
 
     async def _wait_for_answer(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        token: int,
-        sending: Coroutine[Any, Any, Answer],
-        wait_limit: Seconds,
+        self, run: Run, sending: Coroutine[Any, Any, Answer], wait_limit: Seconds
     ) -> Answer:
-        """Return an answer; raises ``AttemptFailed`` to try another endpoint."""
+        """Return an answer; raises ``AttemptFailed`` if another endpoint has it."""
+        sent_at = asyncio.get_running_loop().time()
         answering = asyncio.create_task(sending)
         try:
-            while not (await asyncio.wait({answering}, timeout=wait_limit))[0]:
-                verdict = self._evaluate_silence(request, progress, endpoint, token)
-                if verdict is not Verdict.WAIT:
-                    if self._delivery.stalls is not None:
-                        self._delivery.stalls.log(
-                            request, progress, endpoint, wait_limit
-                        )
-                    self._delivery.record_failure(endpoint, "silent")
-                    raise AttemptFailed(verdict.value, may_have_run=True)
-                wait_limit = POLL_INTERVAL
-            return await answering
+            if (await asyncio.wait({answering}, timeout=wait_limit))[0]:
+                return answering.result()
+            return await self._hedging.wait(
+                run, answering, lambda: self._evaluate_silence(run, sent_at)
+            )
         finally:
             answering.cancel()
 
-    def _evaluate_silence(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        token: int,
-    ) -> Verdict:
+    def _evaluate_silence(self, run: Run, sent_at: Seconds) -> Verdict:
+        verdict = self._evaluate_unanswered(run)
+        if verdict is not Verdict.SILENT:
+            return verdict
+        return self._hedging.stalls.evaluate(run, sent_at)
+
+    def _evaluate_unanswered(self, run: Run) -> Verdict:
+        request, progress, endpoint = run.request, run.progress, run.endpoint
         now = asyncio.get_running_loop().time()
         key = request.head.weights
         if request.service.engine is None or key is None:
@@ -182,7 +159,7 @@
                 or self._fleet.is_backing_off(endpoint, now),
                 has_alternative=any(each.id not in progress.tried for each in holders),
                 silent_for=now - self._health.get_row(endpoint.id).received_at,
-                overtaken=self._health.is_overtaken(endpoint.id, token),
+                overtaken=self._health.is_overtaken(endpoint.id, run.token),
             )
         )
 
@@ -245,7 +222,7 @@
         self, request: ClientRequest, progress: Progress, endpoint: Endpoint
     ) -> None:
         """Log at which software version a stream goes on, within an answer or not."""
-        within_answer = progress.events.last_id is not None
+        within_answer = progress.last_event_id is not None
         if not within_answer and not request.head.resumes:
             return
         log_decision(
@@ -267,7 +244,7 @@
     ) -> bytes:
         now = asyncio.get_running_loop().time()
         headers = list(request.headers)
-        last = progress.events.last_id
+        last = progress.last_event_id
         if last is not None:
             headers = [h for h in headers if h[0].lower() != LAST_EVENT_ID.lower()]
             headers.append((LAST_EVENT_ID, last))
--- a/src/kestreltally/entry/silence.py
+++ b/src/kestreltally/entry/silence.py
@@ -1,8 +1,9 @@
-"""Decides when an unanswered request is retried at another endpoint.
+"""Decides when a stalled answer is asked for at another endpoint too.
 
-Engines serve requests of equal urgency in order of arrival. A retry therefore loses its
-place in the queue, and its prompt is processed again. A request stays at its engine
-while the engine is alive and nothing shows that it has lost the request.
+Engines serve requests of equal urgency in order of arrival. A second run waits in
+another queue, and its prompt is processed again. None is started while the engine is
+alive and nothing shows that it has lost the request. Nor is one while most endpoints
+are silent at the same time: the cause is not in any of them.
 """
 
 from dataclasses import dataclass
@@ -20,6 +21,12 @@
 # An engine that is streaming sends bytes to each daemon more often than this: the
 # longest pause between events that callers accept is 0.25 to 0.4 s.
 ENDPOINT_SILENCE_TIMEOUT: Final[Seconds] = 0.5
+# So many endpoints at least are silent if the cause is not in each of them.
+MIN_SHARED: Final = 2
+# Sound endpoints that fall silent together go on within this time.
+SHARED_SILENCE_TIMEOUT: Final[Seconds] = 1.5
+# After a silence, all answers of an endpoint go on within this time.
+RESUME_TIME: Final[Seconds] = 0.3
 
 
 class Verdict(Enum):
@@ -59,6 +66,49 @@
     return Verdict.WAIT
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceSilence:
+    """How many endpoints of a service are silent.
+
+    ``asked`` counts the endpoints that owe this daemon an answer, ``silent`` those of
+    them that have sent nothing for a while.
+    """
+
+    silent: int
+    asked: int
+
+    @property
+    def is_shared(self) -> bool:
+        """Return whether most endpoints are silent at the same time."""
+        return self.silent >= MIN_SHARED and 2 * self.silent > self.asked
+
+
+@dataclass(frozen=True, slots=True)
+class StalledAnswer:
+    """State of an answer that brings nothing for a while.
+
+    ``silent_for``: the time since it brought something, or was asked for.
+    ``resumed_for``: the time since its endpoint sent bytes again after a silence.
+    ``is_shared``: most endpoints of its service are silent.
+    ``shared_ended_for``: the time since that was last so.
+    """
+
+    silent_for: Seconds
+    resumed_for: Seconds
+    is_shared: bool
+    shared_ended_for: Seconds
+
+
+def evaluate_stall(answer: StalledAnswer) -> Verdict:
+    """Return whether to wait for a stalled answer only, or to ask another endpoint."""
+    if answer.is_shared:
+        is_over = answer.silent_for > SHARED_SILENCE_TIMEOUT
+        return Verdict.SILENT if is_over else Verdict.WAIT
+    if min(answer.resumed_for, answer.shared_ended_for) < RESUME_TIME:
+        return Verdict.WAIT
+    return Verdict.SILENT
+
+
 def compute_first_check_delay(objective: Seconds) -> Seconds:
     """Return the time without an answer after which a request is first checked."""
     return max(MIN_FIRST_CHECK_DELAY, FIRST_CHECK_FACTOR * objective)
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 )
 from kestreltally.entry.request import BODY_METHODS, ClientRequest, Refused
 from kestreltally.entry.retries import RetryBudget
+from kestreltally.entry.run import Gate, Run
 from kestreltally.entry.upstream import (
     Answer,
     AnswerLost,
@@ -73,8 +74,18 @@
         self._delivery = Delivery(HealthTable(), budget, self.pool)
         self.forwarded = 0
 
+    @property
+    def has_target(self) -> bool:
+        """Return whether any daemon is known to reach endpoints."""
+        now = asyncio.get_running_loop().time()
+        return self._targets.choose(set(), now) is not None
+
     async def forward(
-        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
+        self,
+        request: ClientRequest,
+        client: web.BaseRequest,
+        progress: Progress,
+        gate: Gate | None = None,
     ) -> web.StreamResponse:
         """Return the answer; raises ``Refused`` or ``StreamBroken``."""
         clock = asyncio.get_running_loop().time
@@ -85,7 +96,7 @@
                 break
             asked.add(target.address)
             try:
-                return await self._attempt(request, client, progress, target)
+                return await self._attempt(request, client, progress, target, gate)
             except NotServed as reason:
                 self._targets.record_failed(target.address, clock())
                 progress.trail.append(f"daemon {target.address.host}: {reason}")
@@ -100,6 +111,7 @@
         client: web.BaseRequest,
         progress: Progress,
         target: ForwardTarget,
+        gate: Gate | None,
     ) -> web.StreamResponse:
         """Pass a request on to one daemon; raises ``NotServed`` too."""
         endpoint = _make_endpoint(target, request)
@@ -123,9 +135,8 @@
             now = asyncio.get_running_loop().time()
             progress.first_byte_at = progress.first_byte_at or now
             channel.apply_keep_alive(answer, now)
-            response = await self._delivery.forward(
-                request, client, progress, endpoint, answer
-            )
+            run = Run(request, client, progress, endpoint, gate)
+            response = await self._delivery.forward(run, answer)
             keep = True
             return response
         except (AnswerLost, AttemptFailed) as failure:
@@ -166,7 +177,7 @@
     ) -> bytes:
         now = asyncio.get_running_loop().time()
         configuration = self._fleet.configuration
-        last = progress.events.last_id
+        last = progress.last_event_id
         dropped = {LAST_EVENT_ID.lower()} if last is not None else set()
         headers = [
             (name, value)
--- a/src/kestreltally/forwarding/rerouting.py
+++ b/src/kestreltally/forwarding/rerouting.py
@@ -7,6 +7,7 @@
 
 from kestreltally.entry.progress import UNAVAILABLE, Progress, make_final_error
 from kestreltally.entry.request import ClientRequest, Refused
+from kestreltally.entry.run import Gate
 from kestreltally.forwarding.forwarder import NO_TARGET_RETRY_DELAY, Forwarder
 from kestreltally.reach.contact import Contact
 
@@ -40,11 +41,23 @@
             progress.unreached > 0 and not self._contact.is_open
         )
 
+    def is_possible(self, request: ClientRequest, progress: Progress) -> bool:
+        """Return whether another daemon is to serve a request, and may."""
+        if request.forwarded or self.forwarder is None or not self.forwarder.has_target:
+            return False
+        return self.is_needed(progress)
+
     async def forward(
-        self, request: ClientRequest, client: web.BaseRequest, progress: Progress
+        self,
+        request: ClientRequest,
+        client: web.BaseRequest,
+        progress: Progress,
+        gate: Gate | None = None,
     ) -> web.StreamResponse:
         """Have a daemon that reaches endpoints serve a request.
 
+        ``gate`` is that of a backup.
+
         Raises ``Refused`` or ``StreamBroken``. What was passed on once is not again.
         """
         if request.forwarded or self.forwarder is None:
@@ -52,7 +65,7 @@
             raise _make_error(progress)
         if progress.sends and not self._acquire_retry(request):
             raise _make_error(progress)
-        return await self.forwarder.forward(request, client, progress)
+        return await self.forwarder.forward(request, client, progress, gate)
 
 
 def _make_error(progress: Progress) -> Exception:
--- a/src/kestreltally/reach/contact.py
+++ b/src/kestreltally/reach/contact.py
@@ -14,6 +14,7 @@
 import time
 from collections.abc import Callable
 from enum import Enum
+from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.fleet.model import Seconds
@@ -21,6 +22,8 @@
 LOG = logging.getLogger("kestreltally.reach")
 
 NEVER = float("-inf")
+# Endpoints that are paused go on within this time.
+PAUSE_TIMEOUT: Final[Seconds] = 1.5
 
 
 class Reach(Enum):
@@ -135,17 +138,29 @@
 
     # What probes show.
 
-    def apply_probes(self, *, answered: bool, began_at: Seconds) -> None:
-        """Apply a round of probes over new connections, which began at a time."""
+    def apply_probes(
+        self, *, answered: bool, began_at: Seconds, opened: bool = False
+    ) -> None:
+        """Apply a round of probes over new connections, which began at a time.
+
+        Connections that open and bring nothing show a path at fault only after a while:
+        endpoints that are paused accept connections too.
+        """
         if answered:
             self._set(Reach.OPEN)
             self._not_opened_since = self._silent_since = None
             self._release()
             return
+        if opened and self.is_open and not self._is_failing_for(PAUSE_TIMEOUT):
+            return
         self._held_back.clear()
         spoke = self.answered_at >= began_at
         self._set(Reach.BLOCKED if spoke else Reach.CUT_OFF)
 
+    def _is_failing_for(self, duration: Seconds) -> bool:
+        since = self.failing_since
+        return since is not None and self._clock() - since >= duration
+
     def _set(self, reach: Reach) -> None:
         if reach is self.reach:
             return
--- a/src/kestreltally/reach/prober.py
+++ b/src/kestreltally/reach/prober.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from enum import IntEnum
 from typing import Final
 
 from kestreltally.entry.upstream import (
@@ -35,6 +36,15 @@
 STAGGER: Final[Seconds] = 0.04
 
 
+class ProbeResult(IntEnum):
+    """What a round of probes, or one of them, found; the highest counts."""
+
+    NOTHING = 0
+    # A connection opened, over which nothing came.
+    OPENED = 1
+    ANSWERED = 2
+
+
 class Prober:
     """Resolves doubts of a ``Contact``, and looks for the end of a cut."""
 
@@ -67,28 +77,34 @@
 
     async def _run_round(self) -> None:
         began_at = self._clock()
-        answered = await self._ask(ENDPOINTS_PER_ROUND)
-        if not answered and self._contact.is_open:
-            answered = await self._ask(ENDPOINTS_PER_REPEAT)
-        self._contact.apply_probes(answered=answered, began_at=began_at)
+        result = await self._ask(ENDPOINTS_PER_ROUND)
+        if result is not ProbeResult.ANSWERED and self._contact.is_open:
+            result = max(result, await self._ask(ENDPOINTS_PER_REPEAT))
+        self._contact.apply_probes(
+            answered=result is ProbeResult.ANSWERED,
+            opened=result is not ProbeResult.NOTHING,
+            began_at=began_at,
+        )
         await asyncio.sleep(max(0.0, began_at + ROUND_INTERVAL - self._clock()))
 
-    async def _ask(self, count: int) -> bool:
-        """Return whether any of some endpoints answers, or none may be asked."""
+    async def _ask(self, count: int) -> ProbeResult:
+        """Return the best result of some endpoints, answered if none may be asked."""
         endpoints = self._choose_endpoints(count, self._clock())
         if not endpoints:
             # Nothing is known of the path: failures count as the endpoints'.
-            return True
+            return ProbeResult.ANSWERED
         self.rounds += 1
         probes = [
             asyncio.create_task(self._probe_after(number * STAGGER, each))
             for number, each in enumerate(endpoints)
         ]
+        best = ProbeResult.NOTHING
         try:
             for probe in asyncio.as_completed(probes):
-                if await probe:
-                    return True
-            return False
+                best = max(best, await probe)
+                if best is ProbeResult.ANSWERED:
+                    break
+            return best
         finally:
             for each in probes:
                 each.cancel()
@@ -116,11 +132,11 @@
         service = self._fleet.get_service(endpoint.service)
         return service is None or service.engine is not None
 
-    async def _probe_after(self, delay: Seconds, endpoint: Endpoint) -> bool:
+    async def _probe_after(self, delay: Seconds, endpoint: Endpoint) -> ProbeResult:
         await asyncio.sleep(delay)
         return await self._probe(endpoint)
 
-    async def _probe(self, endpoint: Endpoint) -> bool:
+    async def _probe(self, endpoint: Endpoint) -> ProbeResult:
         """Return whether an endpoint answers, in any way, over a new connection."""
         service = self._fleet.get_service(endpoint.service)
         path = (
@@ -141,8 +157,8 @@
                 await channel.send(encode_head("GET", path, headers), b"", None)
         except (NotConnected, AnswerLost, TimeoutError, Unavailable) as error:
             LOG.debug("reach: endpoint %s not reached: %r", endpoint.id, error)
-            return False
+            return ProbeResult.NOTHING if channel is None else ProbeResult.OPENED
         finally:
             if channel is not None:
                 self._pool.release(channel, keep=False)
-        return True
+        return ProbeResult.ANSWERED
--- a/tests/silencerig.py
+++ b/tests/silencerig.py
@@ -76,6 +76,9 @@
             else:
                 route["Kind"] = "safe"
                 route["Attempts"] = 2
+        for service in content["Services"]:
+            if "Engine" in service:
+                service["Engine"]["AdapterSlots"] = ADAPTERS
         await self.store.put("config", "main", content)
 
     async def stream(self, number: int) -> Reply:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -7,7 +7,7 @@
 from kestreltally.fleet.notices import NoticeTable
 from kestreltally.fleet.tables import Fleet
 from kestreltally.reach.contact import Contact, Reach
-from kestreltally.reach.prober import ENDPOINTS_PER_ROUND, Prober
+from kestreltally.reach.prober import ENDPOINTS_PER_ROUND, Prober, ProbeResult
 from tests.clocks import ManualClock
 from tests.entryrig import ScriptedEndpoint
 from tests.test_entry import answer_whole
@@ -101,9 +101,10 @@
     prober = Prober(contact, fleet, ChannelPool(NoticeTable()), "vm", clock)
     asked = []
 
-    async def probe(endpoint: Endpoint) -> bool:
+    async def probe(endpoint: Endpoint) -> ProbeResult:
         asked.append(endpoint)
-        return len(asked) > ENDPOINTS_PER_ROUND
+        answers = len(asked) > ENDPOINTS_PER_ROUND
+        return ProbeResult.ANSWERED if answers else ProbeResult.NOTHING
 
     prober._probe = probe  # type: ignore[method-assign]
     contact.record_not_opened()
@@ -111,3 +112,16 @@
     await prober._run_round()
     assert contact.is_open
     assert believed
+
+
+def test_path_is_not_at_fault_while_connections_open_to_paused_endpoints(
+    contact: Contact, clock: ManualClock
+) -> None:
+    # Guards against all daemons taking themselves for cut off while engines are paused.
+    contact.record_broken()
+    clock.now += 1.0
+    contact.apply_probes(answered=False, opened=True, began_at=clock.now - 0.3)
+    assert contact.is_open and contact.is_doubted
+    clock.now += 1.0
+    contact.apply_probes(answered=False, opened=True, began_at=clock.now - 0.3)
+    assert contact.is_cut_off, "a path that carries no bytes is at fault after a while"
