Relay: a first run that ends in an error leaves its backup under way

What callers saw: the error of a stalled first run, although a second run was under way and brought the answer a moment later; or a third run was begun.

Cause: whatever the first run brought ended its backup. Now only what is of use does: a head below 500. An error is not forwarded while the other run may still bring something better.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -106,8 +106,8 @@
             return
         now = asyncio.get_running_loop().time()
         self._health.record_error_status(run.endpoint.id, now)
-        if run.gate is not None:
-            # The first run may still bring something better.
+        if run.gate is not None or progress.backup is not None:
+            # The other run of the request may still bring something better.
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
         retryable = request.route.repeatable and progress.runs < request.route.attempts
         if progress.response is not None:
--- a/src/kestreltally/entry/hedging.py
+++ b/src/kestreltally/entry/hedging.py
@@ -76,13 +76,18 @@
         self.is_rerouted: Callable[[ClientRequest, Progress], bool] = lambda *_: False
 
     async def wait(
-        self, run: Run, awaited: Awaitable[T], evaluate: Callable[[], Verdict]
+        self,
+        run: Run,
+        awaited: Awaitable[T],
+        evaluate: Callable[[], Verdict],
+        is_of_use: Callable[[T], bool] = lambda _: True,
     ) -> T:
         """Return what a stalled run brings after all.
 
         ``evaluate`` returns why a backup is needed, or ``WAIT``. Raises
         ``AttemptFailed`` once a backup has brought more, and what the run raises; a
-        backup that is under way then stays in ``progress.backup``.
+        backup that is under way then stays in ``progress.backup``. It does too if the
+        run has brought nothing that ``is_of_use``.
         """
         awaiting = asyncio.ensure_future(awaited)
         stalled_at = asyncio.get_running_loop().time()
@@ -95,7 +100,8 @@
         finally:
             self._health.end_stall(run.endpoint.id)
             awaiting.cancel()
-        await self._end_backup(run, stalled_at)
+        if is_of_use(brought):
+            await self._end_backup(run, stalled_at)
         return brought
 
     async def _wait_for_either(
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -6,7 +6,11 @@
 from typing import Any
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
+from kestreltally.entry.delivery import (
+    MAX_BUFFERED_BYTES,
+    MIN_FAILURE_STATUS,
+    Delivery,
+)
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging, compute_wait_limit
@@ -133,7 +137,10 @@
             if (await asyncio.wait({answering}, timeout=wait_limit))[0]:
                 return answering.result()
             return await self._hedging.wait(
-                run, answering, lambda: self._evaluate_silence(run, sent_at)
+                run,
+                answering,
+                lambda: self._evaluate_silence(run, sent_at),
+                lambda answer: answer.status < MIN_FAILURE_STATUS,
             )
         finally:
             answering.cancel()
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -183,6 +183,16 @@
     assert whole and body == make_events(1, EVENTS) and runs == 2
 
 
+@pytest.mark.parametrize("end", [fail, refuse])
+async def test_backup_goes_on_if_the_first_run_brings_an_error(end: Script) -> None:
+    async def end_in_error(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(0.5)
+        await end(seen, writer)
+
+    body, whole, runs, _ = await ask_stream(end_in_error, stream(0.5, 0))
+    assert whole and body == make_events(1, EVENTS) and runs == 2
+
+
 async def test_stalled_stream_is_waited_for_without_a_retry() -> None:
     def take_budget(rig: EntryRig) -> None:
         rig.relay.budget.daemon_count = None
