Relay: running a request at its endpoint is a module of its own

Runner has what was Relay._attempt and what it needs; nothing else changes. relay.py has 369 lines (453 before the sitting). tests/test_turns.py sets the pacer where it stands now.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -9,7 +9,6 @@
 import logging
 from collections.abc import Callable
 from contextlib import nullcontext
-from dataclasses import replace
 from typing import Final
 
 from aiohttp import web
@@ -21,12 +20,10 @@
 from kestreltally.entry.finder import EndpointFinder, PathLost
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging
-from kestreltally.entry.pacer import PromptPacer
 from kestreltally.entry.progress import (
     DEFAULT_RETRY_DELAY,
     UNAVAILABLE,
     AttemptFailed,
-    Prediction,
     Progress,
     StreamBroken,
     make_final_error,
@@ -39,15 +36,10 @@
 from kestreltally.entry.resumption import Resumption
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.run import Run
+from kestreltally.entry.runner import Runner
 from kestreltally.entry.sending import Sender
 from kestreltally.entry.slot_gate import SlotGate
-from kestreltally.entry.upstream import (
-    Answer,
-    Channel,
-    ChannelPool,
-)
-from kestreltally.entry.urgency import compute_urgency
-from kestreltally.estimates.prefill import PrefillWork
+from kestreltally.entry.upstream import ChannelPool
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
@@ -56,7 +48,6 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.forwarding.rerouting import Rerouting
-from kestreltally.pacing.turns import Turn
 from kestreltally.poison.guard import PoisonGuard
 from kestreltally.reach.contact import Contact
 from kestreltally.slots.table import SlotTable
@@ -64,7 +55,6 @@
 LOG = logging.getLogger("kestreltally.relay")
 
 GATEWAY_TIMEOUT: Final = 504
-MIN_ERROR_STATUS: Final = 400
 # A request is given up this long before its deadline, so that the refusal still
 # arrives.
 REFUSAL_MARGIN: Final[Seconds] = 0.03
@@ -97,20 +87,17 @@
         self.poison.crash_detector.get_serving = self._get_serving
         self.poison.crash_detector.believe_later = pool.contact.believe_later
         self.poison.crash_detector.record_not_opened = pool.contact.record_not_opened
-        self._sender = Sender(
+        sender = Sender(
             fleet, pool, health, self.finder, self.delivery, self.hedging, self.poison
         )
-        # Called with a prompt's token count when an endpoint starts or ends its
-        # prefill.
-        self.record_reading: Callable[[int], None] = lambda _: None
-        # Called when this daemon's use of an adapter on an engine starts or ends.
-        self.notify_use_change: Callable[[], None] = lambda: None
+        self.runner = Runner(
+            pool, health, self.finder, sender, self.delivery, self.poison
+        )
+        self.runner.check_again = self._check_after_turn
         # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
         self.check_stop: Callable[[Route], None] = lambda _: None
         self.rerouting = Rerouting(pool.contact, self._acquire_retry)
         self._connect_hedging()
-        # Makes long prompts wait for their turn at an engine, None if switched off.
-        self.pacer: PromptPacer | None = None
         # Makes requests wait for room at brittle endpoints, None if switched off.
         self.slots: SlotGate | None = None
         # Raises ``Refused`` if a key was revoked after its request was read.
@@ -212,7 +199,7 @@
         if sends and not self._acquire_retry(request):
             raise make_final_error(progress)
         try:
-            return await self._attempt(run, option)
+            return await self.runner.run(run, option)
         except AttemptFailed as failure:
             self._record_failed_attempt(run, option, failure, sends)
             self._check_another(request, progress, failure)
@@ -276,7 +263,7 @@
                 raise AttemptFailed("no retry left", may_have_run=False)
             sends = progress.sends
             try:
-                return await self._attempt(run, option)
+                return await self.runner.run(run, option)
             except AttemptFailed as failure:
                 self._record_failed_attempt(run, option, failure, sends)
                 raise
@@ -287,6 +274,13 @@
             self.check_caller(request.caller)
         self._check_poison(request, progress)
 
+    def _check_after_turn(self, request: ClientRequest, progress: Progress) -> None:
+        """Check what may have changed while a prompt waited; raises ``Refused``."""
+        self.check_stop(request.route)
+        if request.caller is not None:
+            self.check_caller(request.caller)
+        self._check_poison(request, progress)
+
     async def _find(self, request: ClientRequest, progress: Progress) -> Option | None:
         """Return the chosen endpoint, with a slot there if it needs one.
 
@@ -373,143 +367,3 @@
         if not failure.may_have_run and not progress.runs:
             return True
         return request.route.repeatable and progress.runs < request.route.attempts
-
-    async def _attempt(self, run: Run, option: Option) -> web.StreamResponse:
-        loop = asyncio.get_running_loop()
-        request, progress = run.request, run.progress
-        endpoint, predicted = option.endpoint, option.first_event_delay
-        progress.tried.add(endpoint.id)
-        started_at = loop.time()
-        prefill_times = self.finder.prefill_times
-        urgency = compute_urgency(
-            request, started_at + predicted, resumes=progress.response is not None
-        )
-        work = replace(option.work, priority=urgency)
-        prefill_duration = (
-            prefill_times.compute_token_time(endpoint.id) * work.uncached_tokens
-        )
-        token = self.health.start(
-            endpoint.id,
-            started_at,
-            work.uncached_tokens,
-            work.priority,
-            prefill_delay=predicted - prefill_duration,
-            prefill_duration=prefill_duration,
-        )
-        self._record_use(request, endpoint, 1)
-        self.record_reading(work.uncached_tokens)
-        keep = False
-        channel: Channel | None = None
-        turn: Turn | None = None
-        sent_at = started_at
-        try:
-            if self._needs_turn(request, progress, endpoint, work):
-                self.health.end(endpoint.id, token)
-                token = self.health.reserve(endpoint.id, work.uncached_tokens, urgency)
-                turn = await self._obtain_turn(request, progress, endpoint, work)
-                sent_at = loop.time()
-                urgency = compute_urgency(
-                    request, sent_at + prefill_duration, resumes=False
-                )
-                work = replace(
-                    work,
-                    priority=urgency,
-                    queued_tokens=0.0 if turn.granted else work.queued_tokens,
-                )
-                self.health.end(endpoint.id, token)
-                token = self.health.start(
-                    endpoint.id,
-                    sent_at,
-                    work.uncached_tokens,
-                    urgency,
-                    prefill_duration=prefill_duration,
-                )
-            channel = await self._sender.connect(request, endpoint)
-            progress.sends += 1
-            run.attempt = self.poison.crash_detector.start(request, endpoint)
-            run.token = token
-            answer = await self._sender.send(run, channel, urgency)
-            self.health.record_answer_start(endpoint.id, token, loop.time())
-            if turn is not None:
-                turn.end()
-            self.record_reading(work.uncached_tokens)
-            progress.first_byte_at = progress.first_byte_at or loop.time()
-            if request.service.engine is not None and answer.status < MIN_ERROR_STATUS:
-                now = loop.time()
-                prefill_times.learn(endpoint.id, work, now - sent_at)
-                progress.predictions.append(Prediction(predicted, now - started_at))
-            channel.apply_keep_alive(answer, loop.time())
-            response = await self._forward(run, answer)
-            keep = True
-            return response
-        except AttemptFailed as failure:
-            keep = not failure.may_have_run
-            if not failure.may_have_run:
-                run.record_ended()
-            raise
-        finally:
-            self._end_attempt(run)
-            self.health.end(endpoint.id, token)
-            self._record_use(request, endpoint, -1)
-            if channel is not None:
-                self._pool.release(channel, keep=keep)
-            if turn is not None:
-                turn.end()
-
-    def _needs_turn(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        work: PrefillWork,
-    ) -> bool:
-        """Return whether a prompt waits for its turn.
-
-        A request that was sent before never does: its client has waited already.
-        """
-        if self.pacer is None or progress.runs:
-            return False
-        return self.pacer.needs_turn(request, endpoint, work)
-
-    async def _obtain_turn(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        work: PrefillWork,
-    ) -> Turn:
-        """Wait for a prompt's turn, and check again what may have changed meanwhile.
-
-        Raises ``Refused`` or ``AttemptFailed``.
-        """
-        assert self.pacer is not None
-        turn = await self.pacer.obtain(request, progress, endpoint, work)
-        try:
-            self.check_stop(request.route)
-            if request.caller is not None:
-                self.check_caller(request.caller)
-            self._check_poison(request, progress)
-        except BaseException:
-            turn.end()
-            raise
-        return turn
-
-    def _end_attempt(self, run: Run) -> None:
-        if run.attempt is not None:
-            self.poison.crash_detector.end(run.attempt)
-            run.attempt = None
-
-    def _record_use(
-        self, request: ClientRequest, endpoint: Endpoint, step: int
-    ) -> None:
-        key = request.head.weights
-        if key is None or not key.adapter:
-            return
-        if self.finder.demand.record_use(endpoint.id, key, step):
-            self.notify_use_change()
-
-    async def _forward(self, run: Run, answer: Answer) -> web.StreamResponse:
-        request = run.request
-        if request.head.weights is not None:
-            self.finder.affinity.record(request, request.head.weights, run.endpoint.id)
-        return await self.delivery.forward(run, answer)
--- a/src/kestreltally/knowledge/exchange.py
+++ b/src/kestreltally/knowledge/exchange.py
@@ -141,8 +141,8 @@
         self.feed.notify_totals_change = self._notify_totals_change
         self.feed.make_throttles = self._make_throttles
         self.feed.is_leading = lambda: self.leaders.leads and self._has_listed()
-        relay.record_reading = self._record_local_reading
-        relay.notify_use_change = self._report_use_change
+        relay.runner.record_reading = self._record_local_reading
+        relay.runner.notify_use_change = self._report_use_change
         self.leaders = Leaders(deployment, leases)
         self._poison = PoisonExchange(
             relay.poison, self.leaders, self._expedite_facts, clock
--- a/src/kestreltally/knowledge/pacing.py
+++ b/src/kestreltally/knowledge/pacing.py
@@ -62,7 +62,7 @@
         self._is_enabled = deployment.features.pacing
         if self._is_enabled:
             exchange.add_part(self._pauses)
-            relay.pacer = PromptPacer(
+            relay.runner.pacer = PromptPacer(
                 fleet,
                 self._turns,
                 self._pauses.is_paced,
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -196,7 +196,7 @@
     async with run_entry([engine], STREAM) as rig:
         network = Network()
         other = await network.add("vm-2").obtain(ENGINE, network.need())
-        rig.relay.pacer = PromptPacer(
+        rig.relay.runner.pacer = PromptPacer(
             rig.fleet,
             network.add("vm-1"),
             lambda _: True,
