Entry: a plain request that may outlast a planned stop is not passed on

What callers saw: plain requests on kept connections that a stopping daemon passed on until 0.6 s before it ends, and then cut when their endpoint took longer; one that must not run twice is lost by that.

Cause: a guess of the usual answer time (0.6 s) stood for the time an answer may take. An endpoint that is slow, or paused for a second, takes longer.

Change: the decision is code of its own (entry/stopping.py). Until 2.9 s after the start of the stop everything is passed on, as for streams before. Later, a plain request is passed on only if its deadline (the route's timeout, or the client's own) is before the end of the stop; otherwise it gets 503 before anything was sent, with "daemon stops before the deadline of the request". The decision is made after the body has been read, and again after a wait for a turn or a slot, as before.

Why this works: the relay ends each request at its deadline, so nothing passed on after 2.9 s still runs when the stop ends. Requests of the first 2.9 s with a longer deadline may still be cut, after 4.7 s at least.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -27,9 +27,13 @@
     list_passed_headers,
     read_body,
 )
+from kestreltally.entry.stopping import (
+    PendingRequest,
+    PlannedStop,
+    find_stop_refusal,
+)
 from kestreltally.fleet.model import (
     Configuration,
-    RequestKind,
     Route,
     Seconds,
     ServiceName,
@@ -48,14 +52,6 @@
 KEEP_ALIVE_TIMEOUT: Final = 75.0
 SPLIT_RANGE: Final = 2**32
 BACKLOG: Final = 512
-# How long streams are still accepted after the start of a planned stop. The load
-# balancer sends none after 2 s, and the longest streams last 4 to 5 s of the 8 s that
-# remain.
-STREAM_ACCEPT_DURATION: Final[Seconds] = 2.9
-# Nearly all complete answers take less than this. A request that arrives later than
-# this before the end of a planned stop is refused, so that it is sent to another
-# daemon.
-MAX_ANSWER_TIME: Final[Seconds] = 0.6
 RETRY_ELSEWHERE_DELAY: Final[Seconds] = 0.02
 
 
@@ -94,8 +90,8 @@
         self._end_log = EndLog(fleet, relay.poison, record_end)
         self.holdings = holdings or Holdings(0, lambda: 0.0)
         self._stops_at: Seconds | None = None
-        relay.check_stop = lambda route: self._check_stop(
-            route, asyncio.get_running_loop().time()
+        relay.check_stop = lambda request: self._check_stop(
+            request, asyncio.get_running_loop().time()
         )
         self._stop_started_at: Seconds = 0.0
         self.active_requests = 0
@@ -154,22 +150,16 @@
         self._stop_started_at = asyncio.get_running_loop().time()
         self._stops_at = deadline
 
-    def _check_stop(self, route: Route, now: Seconds) -> None:
-        """Refuse a request that could not be finished before a planned stop."""
+    def _check_stop(self, request: ClientRequest, now: Seconds) -> None:
+        """Refuse a request that a planned stop might break off; raises ``Refused``."""
         if self._stops_at is None:
             return
-        latest_arrival = self._stops_at - MAX_ANSWER_TIME
-        if route.kind is RequestKind.STREAM:
-            latest_arrival = min(
-                latest_arrival, self._stop_started_at + STREAM_ACCEPT_DURATION
-            )
-        if now > latest_arrival:
-            raise Refused(
-                UNAVAILABLE,
-                "daemon is stopping",
-                RETRY_ELSEWHERE_DELAY,
-                elsewhere=True,
-            )
+        reason = find_stop_refusal(
+            PlannedStop(self._stop_started_at, self._stops_at),
+            PendingRequest(request.route.kind, now, request.deadline),
+        )
+        if reason is not None:
+            raise Refused(UNAVAILABLE, reason, RETRY_ELSEWHERE_DELAY, elsewhere=True)
 
     @property
     def has_work(self) -> bool:
@@ -268,7 +258,6 @@
         if route is None:
             raise Refused(404, "no route", elsewhere=True)
         caller = intake.identify(client, route)
-        self._check_stop(route, arrived_at)
         try:
             head = decode_request(client.headers)
         except ValueError as error:
@@ -291,6 +280,8 @@
             deadline=arrived_at + budget,
             caller=caller,
         )
+        # The body may have taken a while.
+        self._check_stop(request, asyncio.get_running_loop().time())
         return intake.adapt(client, request)
 
     async def _read_body(self, call: ClientCall, configuration: Configuration) -> bytes:
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -51,7 +51,6 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
-    Route,
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
@@ -105,8 +104,8 @@
         self.record_reading: Callable[[int], None] = lambda _: None
         # Called when this daemon's use of an adapter on an engine starts or ends.
         self.notify_use_change: Callable[[], None] = lambda: None
-        # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
-        self.check_stop: Callable[[Route], None] = lambda _: None
+        # Raises ``Refused`` if a planned stop might break off a request.
+        self.check_stop: Callable[[ClientRequest], None] = lambda _: None
         self.rerouting = Rerouting(pool.contact, self._acquire_retry)
         self._connect_hedging()
         # Makes long prompts wait for their turn at an engine, None if switched off.
@@ -206,7 +205,7 @@
         """
         request, progress = run.request, run.progress
         if progress.slot_wait and not progress.runs:
-            self.check_stop(request.route)
+            self.check_stop(request)
         self._check_again(request, progress)
         sends = progress.sends
         if sends and not self._acquire_retry(request):
@@ -485,7 +484,7 @@
         assert self.pacer is not None
         turn = await self.pacer.obtain(request, progress, endpoint, work)
         try:
-            self.check_stop(request.route)
+            self.check_stop(request)
             if request.caller is not None:
                 self.check_caller(request.caller)
             self._check_poison(request, progress)
--- /dev/null
+++ b/tests/test_stop_answers.py
@@ -0,0 +1,178 @@
+"""Answers that last longer than usual while their daemon is in a planned stop.
+
+Guards against a request that is passed on although the planned stop may end before its
+answer does: the answer is cut off, and a request that must not run twice is lost. It
+comes about with requests on kept connections, which the load balancer can't divert.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from kestreltally.entry.stopping import (
+    STOPPING,
+    STOPS_BEFORE_DEADLINE,
+    PendingRequest,
+    PlannedStop,
+    find_stop_refusal,
+)
+from kestreltally.fleet.model import RequestKind
+from tests.entryrig import (
+    MODELS,
+    EntryRig,
+    Reply,
+    ScriptedEndpoint,
+    SeenRequest,
+    make_answer,
+    make_route,
+    run_entry,
+)
+from tests.test_entry import (
+    MODEL,
+    STREAM,
+    make_chunk,
+    make_engine,
+    make_event,
+    make_stream_head,
+)
+
+# The stop has begun so long ago that the load balancer sends nothing new.
+ELAPSED = 4.0
+ANSWER_TIME = 0.9
+TIMEOUT = 1.2
+
+
+async def answer_slowly(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(ANSWER_TIME)
+    writer.write(make_answer(seen))
+
+
+async def pause_in_the_middle(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    answer = make_answer(seen, b"x" * 100_000)
+    writer.write(answer[:50_000])
+    await asyncio.sleep(1.0)
+    writer.write(answer[50_000:])
+
+
+async def stream_with_a_pause(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+    writer.write(make_stream_head(seen) + make_chunk(make_event(1)))
+    await asyncio.sleep(1.0)
+    writer.write(make_chunk(make_event(2)) + b"0\r\n\r\n")
+
+
+def begin_stop(rig: EntryRig, left: float, elapsed: float = ELAPSED) -> float:
+    """Begin a planned stop some time ago; return when it ends."""
+    ends_at = asyncio.get_running_loop().time() + left
+    rig.api.stop_by(ends_at)
+    rig.api._stop_started_at -= elapsed
+    return ends_at
+
+
+@asynccontextmanager
+async def run_stopping(
+    endpoint: ScriptedEndpoint,
+    left: float,
+    kind: RequestKind = RequestKind.SAFE,
+    timeout: float = TIMEOUT,
+) -> AsyncIterator[EntryRig]:
+    route = make_route(kind, timeout=timeout, attempts=1)
+    async with run_entry([endpoint], route) as rig:
+        begin_stop(rig, left)
+        yield rig
+
+
+async def ask_until_closed(rig: EntryRig, left: float) -> Reply | None:
+    """Return the answer to a request of a daemon that ends; None if there is none."""
+    asked = asyncio.create_task(rig.ask())
+    await asyncio.sleep(left)
+    await rig.api.close()
+    try:
+        return await asked
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+@pytest.mark.parametrize("script", [answer_slowly, pause_in_the_middle])
+async def test_a_plain_request_that_may_outlast_the_stop_is_not_passed_on(
+    kind: RequestKind, script: object
+) -> None:
+    endpoint = ScriptedEndpoint("p1", script)  # type: ignore[arg-type]
+    async with run_stopping(endpoint, left=0.7, kind=kind) as rig:
+        reply = await ask_until_closed(rig, 0.7)
+    assert reply is not None, "cut off"
+    assert (reply.status, reply.whole) == (503, True)
+    assert reply.headers["connection"] == "close"
+    assert "retry-after" in reply.headers
+    assert not endpoint.seen
+
+
+@pytest.mark.parametrize("script", [answer_slowly, pause_in_the_middle])
+async def test_a_plain_request_that_ends_within_the_stop_is_served(
+    script: object,
+) -> None:
+    endpoint = ScriptedEndpoint("p1", script)  # type: ignore[arg-type]
+    async with run_stopping(endpoint, left=1.4) as rig:
+        reply = await ask_until_closed(rig, 1.4)
+    assert reply is not None, "cut off"
+    assert (reply.status, reply.whole) == (200, True)
+
+
+async def test_a_deadline_of_the_client_s_own_makes_room_within_the_stop() -> None:
+    endpoint = ScriptedEndpoint("p1", answer_slowly)
+    async with run_stopping(endpoint, left=1.4, timeout=10.0) as rig:
+        headers = {"X-Deadline-Milliseconds": "1200"}
+        reply = await rig.ask(headers=headers)
+    assert (reply.status, reply.whole) == (200, True)
+
+
+async def test_plain_requests_are_served_while_the_balancer_may_send_them() -> None:
+    endpoint = ScriptedEndpoint("p1", answer_slowly)
+    route = make_route(timeout=30.0)
+    async with run_entry([endpoint], route) as rig:
+        begin_stop(rig, left=6.0, elapsed=1.0)
+        reply = await rig.ask()
+    assert (reply.status, reply.whole) == (200, True)
+
+
+async def test_a_stream_that_pauses_in_the_middle_outlives_the_start_of_a_stop() -> (
+    None
+):
+    engine = make_engine("e1", stream_with_a_pause, "north")
+    route = make_route(STREAM, service=MODELS, timeout=10.0)
+    async with run_entry([engine], route) as rig:
+        asked = asyncio.create_task(rig.ask("POST", headers=MODEL, body=b"p"))
+        await asyncio.sleep(0.1)
+        begin_stop(rig, left=2.0)
+        reply = await asked
+    assert (reply.status, reply.whole) == (200, True)
+    assert reply.body == make_event(1) + make_event(2)
+
+
+STOP = PlannedStop(started_at=10.0, ends_at=17.6)
+
+
+@pytest.mark.parametrize(
+    ("kind", "at", "deadline", "reason"),
+    [
+        (RequestKind.SAFE, 12.9, 40.0, None),
+        (RequestKind.SAFE, 13.0, 17.6, None),
+        (RequestKind.UNSAFE, 13.0, 17.7, STOPS_BEFORE_DEADLINE),
+        (RequestKind.SAFE, 17.5, 17.55, None),
+        (RequestKind.SAFE, 17.6, 17.6, STOPPING),
+        (RequestKind.STREAM, 12.9, 40.0, None),
+        (RequestKind.STREAM, 13.0, 14.0, STOPPING),
+    ],
+)
+def test_what_is_passed_on_in_a_planned_stop(
+    kind: RequestKind, at: float, deadline: float, reason: str | None
+) -> None:
+    assert find_stop_refusal(STOP, PendingRequest(kind, at, deadline)) == reason
+
+
+def test_nothing_is_passed_on_after_a_stop_has_ended_early() -> None:
+    ended = PlannedStop(started_at=10.0, ends_at=10.5)
+    late = PendingRequest(RequestKind.SAFE, 11.0, 12.0)
+    assert find_stop_refusal(ended, late) == STOPPING
