Daemon: nothing is passed on while a planned stop releases its leases

What callers saw: a request on a kept connection that arrived just as a stopping daemon had found nothing left to do was passed on, and cut off a moment later.

Cause: the stop ends once no request is served, then releases the leases, and then closes all connections.

Change: the decision that nothing is left to do and the refusal of new requests are one step (EntryApi.refuse_new); what arrives later gets 503 "daemon is stopping" before anything was sent.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -150,6 +150,11 @@
         self._stop_started_at = asyncio.get_running_loop().time()
         self._stops_at = deadline
 
+    def refuse_new(self) -> None:
+        """Pass nothing on any more, as the planned stop ends."""
+        now = asyncio.get_running_loop().time()
+        self._stops_at = now if self._stops_at is None else min(self._stops_at, now)
+
     def _check_stop(self, request: ClientRequest, now: Seconds) -> None:
         """Refuse a request that a planned stop might break off; raises ``Refused``."""
         if self._stops_at is None:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -578,6 +578,8 @@
             ):
                 break
             await asyncio.sleep(STOP_POLL_INTERVAL)
+        # The store may take a while to answer, and all connections are closed then.
+        self._entry_api.refuse_new()
         # The leases are released last, so that orders can be sent until this point and
         # a daemon that is restarted on this VM continues without a wait.
         for lease in self._leases.values():
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from bench.faultsoak.proxy import ProxyMode
 from kestreltally.entry.stopping import (
     STOPPING,
     STOPS_BEFORE_DEADLINE,
@@ -19,6 +20,9 @@
     find_stop_refusal,
 )
 from kestreltally.fleet.model import RequestKind
+from kestreltally.fleet_daemon import MIN_STOP_DURATION
+from kestreltally.platform.store import WRITE_TIMEOUT
+from standins.platform_engine import PlatformEngine
 from tests.entryrig import (
     MODELS,
     EntryRig,
@@ -37,6 +41,7 @@
     make_event,
     make_stream_head,
 )
+from tests.test_fleet_daemon import FleetRig, make_configuration
 
 # The stop has begun so long ago that the load balancer sends nothing new.
 ELAPSED = 4.0
@@ -176,3 +181,42 @@
     ended = PlannedStop(started_at=10.0, ends_at=10.5)
     late = PendingRequest(RequestKind.SAFE, 11.0, 12.0)
     assert find_stop_refusal(ended, late) == STOPPING
+
+
+class StoppingRig(FleetRig):
+    """One daemon, which leads, and a plain endpoint; the store may be silent."""
+
+    async def start(self) -> PlatformEngine:
+        await self.serve_store()
+        configuration = make_configuration(1, "/a/")
+        await self.store.put("config", "main", configuration)
+        endpoint = await self.add_endpoint("north")
+        await self.add_daemon("north-1", "north", first_start=True)
+        await self.ask_until("north-1", "/a/x", 200, 4.0)
+        await asyncio.sleep(1.0)
+        return endpoint
+
+
+async def test_a_request_that_arrives_as_the_leases_are_released_is_not_cut() -> None:
+    rig = StoppingRig()
+    endpoint = await rig.start()
+    try:
+        daemon = rig.daemons["north-1"]
+        stopping = asyncio.create_task(daemon.stop())
+        await asyncio.sleep(MIN_STOP_DURATION - 0.1)
+        held = sum(lease.leads for lease in daemon._leases.values())
+        assert held
+        # The release of the leases is not answered.
+        rig.store_proxy.set_mode(ProxyMode.SILENT)
+        await asyncio.sleep(0.1 + held * WRITE_TIMEOUT - 0.4)
+        assert not stopping.done()
+        # Shorter than the timeout of the route, but longer than the release.
+        endpoint.pause(0.9)
+        asked = asyncio.create_task(rig.ask("north-1", "/a/x", request_id="late"))
+        await stopping
+        await daemon.close()
+        reply = await asked
+        assert (reply.status, reply.headers["connection"]) == (503, "close")
+        assert not endpoint.runs["late"]
+    finally:
+        await rig.close()
