Poison: a whole answer clears its request of a crash reported meanwhile

What callers would see: a request suspected of ending endpoints although the endpoint that is said to have ended has answered it completely; with a second such report it is refused for minutes.

Cause: an endpoint that is silent for 2 s and whose entry goes is reported as crashed, with the requests that run there; a paused one shows the same signs. Making the report releases the request, and the clearing that a whole answer gives needed the request, so it did nothing for just the reported run.

Change: the clearing uses the fingerprint that the report has made. Answers that are not whole, and requests that did not run, clear nothing, as before.

--- a/src/kestreltally/poison/crash_detector.py
+++ b/src/kestreltally/poison/crash_detector.py
@@ -162,13 +162,19 @@
         return attempt.fingerprint
 
     def _clear_suspicion(self, attempt: Attempt) -> None:
-        """Void earlier sightings of a request that ran successfully, and its parts."""
-        if attempt.request is None or not attempt.answered:
+        """Void earlier sightings of a request that ran successfully, and its parts.
+
+        One of them may be of this very run: an endpoint that is paused for long is
+        reported as crashed, and then answers.
+        """
+        if not attempt.answered:
             return
         cleared = self.parts.record_served(attempt.service, attempt.prompt)
         if cleared:
             self._register.record_local(cleared)
-        fingerprint = self.identify(attempt.request)
+        fingerprint = attempt.fingerprint
+        if fingerprint is None and attempt.request is not None:
+            fingerprint = self.identify(attempt.request)
         if fingerprint is not None and self._register.is_suspect(fingerprint.digest):
             self._register.record_local([make_clearing(fingerprint, self._clock())])
 
