--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -43,7 +43,6 @@
 from kestreltally.fleet.model import (
     Endpoint,
     EndpointId,
-    Route,
     Seconds,
 )
 from kestreltally.fleet.tables import Fleet
@@ -94,8 +93,8 @@
             pool, health, self.finder, sender, self.delivery, self.poison
         )
         self.runner.check_again = self._check_after_turn
-        # Raises ``Refused`` if a planned stop leaves no time for a request of a route.
-        self.check_stop: Callable[[Route], None] = lambda _: None
+        # Raises ``Refused`` if a planned stop might break off a request.
+        self.check_stop: Callable[[ClientRequest], None] = lambda _: None
         self.rerouting = Rerouting(pool.contact, self._acquire_retry)
         self._connect_hedging()
         # Makes requests wait for room at brittle endpoints, None if switched off.
@@ -193,7 +192,7 @@
         """
         request, progress = run.request, run.progress
         if progress.slot_wait and not progress.runs:
-            self.check_stop(request.route)
+            self.check_stop(request)
         self._check_again(request, progress)
         sends = progress.sends
         if sends and not self._acquire_retry(request):
@@ -276,7 +275,7 @@
 
     def _check_after_turn(self, request: ClientRequest, progress: Progress) -> None:
         """Check what may have changed while a prompt waited; raises ``Refused``."""
-        self.check_stop(request.route)
+        self.check_stop(request)
         if request.caller is not None:
             self.check_caller(request.caller)
         self._check_poison(request, progress)
