Relay: an answer's end is not called complete while its endpoint is unknown

What callers saw: a stream of which some events were missing, or a plain answer cut short, ended in order, as if it were complete, where no new connection to its endpoint was answered.

Cause: an answer without length and chunks ends with its connection, and the endpoint is then asked for another one. ChannelPool.confirm_listening took any outcome but a refusal for a living endpoint: 0.2 s without an answer, and a connection that failed in any other way.

Evidence, on: 5 of the 7 cases of tests/test_silent_ends.py with sockets fail (a stream between two events, alone and resumable; a plain answer, buffered and long; one that may be sent again). The other two, whole answers of an address that is silent for 1 s, pass there and guard against the opposite fault. With this change all 12 cases pass, three runs of three.

Why it works: only a connection that is accepted completes the answer. One that is refused breaks it off at once, as before. While nothing is known, the connection is tried again for up to 1.5 s (a sound endpoint may be silent for about a second, and clients give a stream up two seconds after its last event); then the answer counts as broken off: a resumable stream or a plain answer that may be repeated goes on at another endpoint, any other is reset. All events have been forwarded meanwhile; a plain answer that is buffered waits.

Weighed: to break off at once.

The decision is entry/answer_end.py, without sockets or clocks; entry/end_check.py asks and logs. The line "relay: answer ended with its connection" has two more fields, connection and waited; the gauge undelimited_answers counts the verdicts.

--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -10,6 +10,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answers import make_buffered_answer, make_streamed_answer
+from kestreltally.entry.end_check import EndCheck
 from kestreltally.entry.events import EventTooLong
 from kestreltally.entry.exchanges import count_answer
 from kestreltally.entry.health import HealthTable
@@ -48,6 +49,7 @@
         self._health = health
         self._budget = budget
         self._pool = pool
+        self.end_check = EndCheck(pool)
         # Waits for streams that stall, None if nothing else can be asked.
         self.hedging: Hedging | None = None
         self.event_times = EventTimes()
@@ -81,7 +83,7 @@
         try:
             body = await answer.read_all(MAX_BUFFERED_BYTES)
             if body is not None:
-                await self._check_end(run, answer)
+                await self.end_check.check(run, answer)
         except AnswerTruncated as error:
             run.record_broken()
             self.record_failure(run.endpoint, str(error))
@@ -125,7 +127,7 @@
         try:
             while not answer.body.at_eof():
                 await response.write(await answer.read_some())
-            await self._check_end(run, answer)
+            await self.end_check.check(run, answer)
         except AnswerTruncated as error:
             run.record_broken()
             self.record_failure(run.endpoint, str(error))
@@ -152,7 +154,7 @@
             # looks the same as one whose stream is empty, and no stream is.
             if not answer.delimited and not events.count:
                 raise AnswerTruncated("stream ended before its first event")
-            await self._check_end(run, answer)
+            await self.end_check.check(run, answer)
         except (AnswerTruncated, EventTooLong) as error:
             if isinstance(error, AnswerTruncated):
                 run.record_broken()
@@ -196,27 +198,6 @@
             return Verdict.WAIT
         return self.hedging.stalls.evaluate(run, heard_at)
 
-    async def _check_end(self, run: Run, answer: Answer) -> None:
-        """Raise ``AnswerTruncated`` if an answer ended because its endpoint did.
-
-        Only an answer without length and chunks can do so unnoticed.
-        """
-        if answer.delimited:
-            return
-        listening = await self._pool.confirm_listening(run.endpoint)
-        log_decision(
-            LOG,
-            Decision.ANSWER_UNDELIMITED,
-            request=run.request.head.id,
-            endpoint=run.endpoint.id,
-            status=answer.status,
-            size=answer.taken,
-            events=run.events.count,
-            listening=listening,
-        )
-        if not listening:
-            raise AnswerTruncated("endpoint ended with its answer")
-
     async def _write_events(self, run: Run, answer: Answer, content: bytes) -> bool:
         """Write the events that are complete; return whether there are any."""
         complete_events = run.events.feed(content)
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from kestreltally.entry.answer_end import ConnectionOutcome
 from kestreltally.entry.channel import Answer as Answer
 from kestreltally.entry.channel import AnswerLost as AnswerLost
 from kestreltally.entry.channel import AnswerTruncated as AnswerTruncated
@@ -22,9 +23,9 @@
 # Round trips take 0.5 ms to a few ms; a lost SYN packet is sent again only after 1 s.
 CONNECT_TIMEOUT: Final[Seconds] = 0.7
 
-# Limit of the wait for a connection that only shows whether an endpoint lives on: an
-# answer's end is held back that long at most.
-CONFIRM_TIMEOUT: Final[Seconds] = 0.2
+# As above, for a connection that only shows whether an endpoint lives on. It is tried
+# again if nothing answers, as the endpoint may be silent for a moment.
+TRY_CONNECT_TIMEOUT: Final[Seconds] = 0.2
 
 Address = tuple[str, int]
 
@@ -87,21 +88,23 @@
             self._holdings.start_sending(channel)
         return channel
 
-    async def confirm_listening(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint still accepts connections.
+    async def try_connect(self, endpoint: Endpoint) -> ConnectionOutcome:
+        """Return whether an endpoint accepts a connection now.
 
-        False only if it refuses one. The channel opened is kept for a request.
+        The channel opened is kept for a request.
         """
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT):
+            async with asyncio.timeout(TRY_CONNECT_TIMEOUT):
                 channel = await self._open_channel(endpoint)
         except NotConnected as error:
-            return not error.refused
+            if error.refused:
+                return ConnectionOutcome.REFUSED
+            return ConnectionOutcome.UNANSWERED
         except TimeoutError:
-            return True
+            return ConnectionOutcome.UNANSWERED
         self._keep(channel)
         self._wake_waiter(channel.address)
-        return True
+        return ConnectionOutcome.ACCEPTED
 
     async def open(self, endpoint: Endpoint) -> Channel:
         """Return a new channel, which the caller releases; raises ``NotConnected``."""
--- a/src/kestreltally/fleet_gauges.py
+++ b/src/kestreltally/fleet_gauges.py
@@ -37,6 +37,7 @@
         "poison_parts": relay.poison.register.parts.count(),
         "streams_known": {"register": len(relay.resumption.register)},
         "streams_taken_up": dict(relay.resumption.counts),
+        "undelimited_answers": dict(relay.delivery.end_check.counts),
     }
 
 
