Relay: a stream's end is not called complete if its engine was replaced

What callers saw: a stream of which some events were missing ended in order, as if it were complete, where its engine had crashed and another process listened at its address at once: the engine restarted, under its id or a new one, or another engine.

Cause: an answer without length and chunks counts as complete if its endpoint's address accepts another connection, whoever accepts it.

Why it works: once the connection is accepted, an engine is asked over it for its report, with the id that is expected. A 421 or another start time shows another process, and the answer counts as broken off. A report takes no place at an engine; it is not asked for in a backoff or under a rate limit. Endpoints that are no engines aren't asked: their health check takes a place or is rejected, which makes a brittle one fall over. There a process that is replaced at once still counts as the one that wrote the answer.

--- a/src/kestreltally/entry/answer_end.py
+++ b/src/kestreltally/entry/answer_end.py
@@ -27,6 +27,17 @@
     UNANSWERED = "unanswered"
 
 
+class AnsweringProcess(Enum):
+    """Which process listens at the address of the endpoint that wrote an answer.
+
+    ``OTHER`` is a later incarnation of the endpoint, or another endpoint.
+    """
+
+    SAME = "same"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
 class EndVerdict(Enum):
     """Whether an answer is complete; while it is ``UNKNOWN``, ask again."""
 
@@ -40,15 +51,22 @@
     """An answer whose connection was closed in order.
 
     ``connection`` is the outcome of the last connection to its endpoint, and
-    ``unknown_for`` the time since the end.
+    ``unknown_for`` the time since the end. ``process`` is what accepted it.
     """
 
     connection: ConnectionOutcome
     unknown_for: Seconds
+    process: AnsweringProcess = AnsweringProcess.UNKNOWN
 
 
 def evaluate_end(answer: EndedAnswer) -> EndVerdict:
-    """Return whether an answer is complete, as far as is known."""
+    """Return whether an answer is complete, as far as is known.
+
+    An endpoint that accepts connections and is silent otherwise may be paused, so it
+    counts as the one that wrote the answer.
+    """
+    if answer.process is AnsweringProcess.OTHER:
+        return EndVerdict.TRUNCATED
     if answer.connection is ConnectionOutcome.ACCEPTED:
         return EndVerdict.COMPLETE
     if answer.connection is ConnectionOutcome.REFUSED:
--- a/src/kestreltally/entry/end_check.py
+++ b/src/kestreltally/entry/end_check.py
@@ -3,10 +3,12 @@
 import asyncio
 import logging
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import Final
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answer_end import (
+    AnsweringProcess,
     ConnectionOutcome,
     EndedAnswer,
     EndVerdict,
@@ -25,11 +27,13 @@
 class EndCheck:
     """Asks the endpoints of such answers for another connection.
 
-    ``counts`` counts the answers by verdict.
+    ``find_process`` returns which process has accepted it. ``counts`` counts the
+    answers by verdict.
     """
 
     def __init__(self, pool: ChannelPool) -> None:
         self._pool = pool
+        self.find_process: Callable[[Run], Awaitable[AnsweringProcess]] = _know_nothing
         self.counts: Counter[str] = Counter()
 
     async def check(self, run: Run, answer: Answer) -> None:
@@ -42,31 +46,43 @@
         clock = asyncio.get_running_loop().time
         ended_at = clock()
         while True:
-            connection = await self._pool.try_connect(run.endpoint)
-            waited = clock() - ended_at
-            verdict = evaluate_end(EndedAnswer(connection, waited))
+            ended = await self._observe(run, ended_at)
+            verdict = evaluate_end(ended)
             if verdict is not EndVerdict.UNKNOWN:
                 break
             await asyncio.sleep(RECHECK_DELAY)
         self.counts[verdict.value] += 1
-        self._log(run, answer, connection, waited)
+        _log(run, answer, ended)
         if verdict is EndVerdict.TRUNCATED:
             raise AnswerTruncated(
-                f"answer ended with its connection, a new one is {connection.value}"
+                "answer ended with its connection: a new one is "
+                f"{ended.connection.value}, by process: {ended.process.value}"
             )
 
-    def _log(
-        self, run: Run, answer: Answer, connection: ConnectionOutcome, waited: Seconds
-    ) -> None:
-        log_decision(
-            LOG,
-            Decision.ANSWER_UNDELIMITED,
-            request=run.request.head.id,
-            endpoint=run.endpoint.id,
-            status=answer.status,
-            size=answer.taken,
-            events=run.events.count,
-            listening=connection is ConnectionOutcome.ACCEPTED,
-            connection=connection.value,
-            waited=round(waited, 3),
-        )
+    async def _observe(self, run: Run, ended_at: Seconds) -> EndedAnswer:
+        clock = asyncio.get_running_loop().time
+        process = AnsweringProcess.UNKNOWN
+        connection = await self._pool.try_connect(run.endpoint)
+        if connection is ConnectionOutcome.ACCEPTED:
+            process = await self.find_process(run)
+        return EndedAnswer(connection, clock() - ended_at, process)
+
+
+def _log(run: Run, answer: Answer, ended: EndedAnswer) -> None:
+    log_decision(
+        LOG,
+        Decision.ANSWER_UNDELIMITED,
+        request=run.request.head.id,
+        endpoint=run.endpoint.id,
+        status=answer.status,
+        size=answer.taken,
+        events=run.events.count,
+        listening=ended.connection is ConnectionOutcome.ACCEPTED,
+        connection=ended.connection.value,
+        process=ended.process.value,
+        waited=round(ended.unknown_for, 3),
+    )
+
+
+async def _know_nothing(_: Run) -> AnsweringProcess:
+    return AnsweringProcess.UNKNOWN
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -22,6 +22,7 @@
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging
 from kestreltally.entry.pacer import PromptPacer
+from kestreltally.entry.process_check import ProcessCheck
 from kestreltally.entry.progress import (
     DEFAULT_RETRY_DELAY,
     UNAVAILABLE,
@@ -89,6 +90,9 @@
         self.budget = budget
         self.finder = EndpointFinder(data_centre, fleet, health, pool.contact)
         self.delivery = Delivery(health, budget, pool)
+        self.delivery.end_check.find_process = ProcessCheck(
+            pool, fleet.notices
+        ).find_process
         self.hedging = Hedging(fleet, health, budget, self.finder)
         self.delivery.hedging = self.hedging
         self.resumption = Resumption(fleet)
--- a/src/kestreltally/platform/engines.py
+++ b/src/kestreltally/platform/engines.py
@@ -106,6 +106,14 @@
         raise MalformedDocument(f"report: {error!r}") from error
 
 
+def decode_start_time(content: bytes) -> int:
+    """Return the start time in a report, 0 if absent; raises ``MalformedDocument``."""
+    try:
+        return read_start_time(json.loads(content))
+    except FORMAT_ERRORS as error:
+        raise MalformedDocument(f"report: {error!r}") from error
+
+
 def _decode_report(report: Any) -> EngineReport:
     return EngineReport(
         weights=decode_weights(report["Models"]),
