--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -234,8 +234,8 @@
     ),
     Mutation(
         name="end of an engine taken for the end of its answer",
-        module="entry/delivery.py",
-        before="        if not listening:\n",
+        module="entry/end_check.py",
+        before="        if verdict is EndVerdict.TRUNCATED:\n",
         after="        if False:\n",
         action=Action.ENGINE_CRASH,
         every=1.0,
