--- a/src/kestreltally/reach/contact.py
+++ b/src/kestreltally/reach/contact.py
@@ -23,7 +23,7 @@
 
 NEVER = float("-inf")
 # Endpoints that are paused go on within this time.
-PAUSE_TIMEOUT: Final[Seconds] = 1.5
+PAUSE_TIMEOUT: Final[Seconds] = 1.2
 
 
 class Reach(Enum):
