Relay: a backup ends once the first run has brought an event, not any bytes

What callers saw, and what the tests guard against now:

- a first run that brought a head, a comment, a part of an event, a 500 or a refusal ended its backup and then hung: 504 or a broken stream at the deadline, where was whole at 0.7 s.
Both runs now claim the answer (Run.claim) as they first have something of use, and until then race on.
- a backup that was cancelled before it was sent kept its retry, and its endpoint counted as tried (4 retries for no repeat in one stream).
- with three attempts, a leading backup that stalled was ended by itself, and one whose first run had died was never hedged.
- an engine counted as silent while this daemon waited for a slow reader: a hang was left after 1.5 s in place of 0.3.
- a process whose timers are always late never left a hang: one late timer is excused now.

--- a/src/kestreltally/entry/backup.py
+++ b/src/kestreltally/entry/backup.py
@@ -28,6 +28,11 @@
         """Return whether the run has brought something that the client lacks."""
         return self.ahead.done()
 
+    @property
+    def leads(self) -> bool:
+        """Return whether the first run has ended, so that this one may forward."""
+        return self._leads.done()
+
     async def claim(self) -> None:
         """Wait, before anything is forwarded, until the first run has ended."""
         if not self.ahead.done():
--- a/src/kestreltally/entry/delivery.py
+++ b/src/kestreltally/entry/delivery.py
@@ -11,7 +11,7 @@
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answers import make_buffered_answer, make_streamed_answer
 from kestreltally.entry.end_check import EndCheck
-from kestreltally.entry.events import EventTooLong
+from kestreltally.entry.events import EventTooLong, has_event
 from kestreltally.entry.exchanges import count_answer
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging, compute_wait_limit, is_timer_late
@@ -27,6 +27,7 @@
 
 LOG = logging.getLogger("kestreltally.relay")
 
+MIN_UNSUCCESSFUL_STATUS: Final = 300
 MIN_FAILURE_STATUS: Final = 500
 # Statuses that tell a client that its request has not run. An endpoint's answer with
 # one of them is forwarded only if the endpoint states explicitly that it did not run.
@@ -81,7 +82,7 @@
         if run.request.route.kind is RequestKind.STREAM and answer.status < 300:
             return await self._forward_events(run, answer)
         try:
-            body = await answer.read_all(MAX_BUFFERED_BYTES)
+            body = await self._read_all(run, answer)
             if body is not None:
                 await self.end_check.check(run, answer)
         except AnswerTruncated as error:
@@ -103,17 +104,22 @@
     def _check_status(self, run: Run, answer: Answer) -> None:
         """Raise ``AttemptFailed`` for an error answer that should not be forwarded."""
         request, progress = run.request, run.progress
-        if answer.status < MIN_FAILURE_STATUS:
-            self._health.record_success(run.endpoint.id)
-            return
+        is_failure = answer.status >= MIN_FAILURE_STATUS
         now = asyncio.get_running_loop().time()
-        self._health.record_error_status(run.endpoint.id, now)
-        if run.gate is not None or progress.backup is not None:
-            # The other run of the request may still bring something better.
+        if is_failure:
+            self._health.record_error_status(run.endpoint.id, now)
+        else:
+            self._health.record_success(run.endpoint.id)
+        has_other = run.is_second or (progress.backup is not None and is_failure)
+        if answer.status >= MIN_UNSUCCESSFUL_STATUS and (
+            has_other or progress.response is not None
+        ):
+            # The other run of the request may still bring something better, and what
+            # the client has of a stream is not followed by another answer.
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
+        if not is_failure:
+            return
         retryable = request.route.repeatable and progress.runs < request.route.attempts
-        if progress.response is not None:
-            raise AttemptFailed(f"status {answer.status}", may_have_run=True)
         if answer.status in NOT_RUN_STATUSES:
             raise AttemptFailed(f"status {answer.status}", may_have_run=True)
         if retryable and self._budget.can_acquire(
@@ -139,10 +145,9 @@
     async def _forward_events(self, run: Run, answer: Answer) -> web.StreamResponse:
         endpoint, events = run.endpoint, run.events
         arrived_at: deque[Seconds] = deque(maxlen=MAX_TIMED_EVENTS)
-        self._health.start_stream(endpoint.id)
         try:
             while not answer.body.at_eof():
-                content = await self._read_events(run, answer)
+                content = await self._read_counted(run, answer)
                 now = asyncio.get_running_loop().time()
                 self._health.record_received(endpoint.id, now)
                 if await self._write_events(run, answer, content):
@@ -160,14 +165,28 @@
                 run.record_broken()
             self.record_failure(endpoint, repr(error))
             raise AttemptFailed("stream broken off", may_have_run=True) from error
-        finally:
-            self._health.end_stream(endpoint.id)
         self._health.record_stream(endpoint.id, arrived_at)
         run.record_ended()
         self._health.record_success(endpoint.id)
         await run.claim()
         return await _get_response(run, answer)
 
+    async def _read_counted(self, run: Run, answer: Answer) -> bytes:
+        """Return the next bytes of a stream, which are counted as awaited."""
+        now = asyncio.get_running_loop().time()
+        self._health.start_awaiting(run.endpoint.id, now)
+        try:
+            return await self._read_events(run, answer)
+        finally:
+            self._health.end_awaiting(run.endpoint.id)
+
+    async def _read_all(self, run: Run, answer: Answer) -> bytes | None:
+        """Return a body as ``Answer.read_all``; a backup may overtake it."""
+        reading = answer.read_all(MAX_BUFFERED_BYTES)
+        if self.hedging is None or run.is_second or run.progress.backup is None:
+            return await reading
+        return await self.hedging.wait(run, reading, lambda: Verdict.WAIT)
+
     async def _read_events(self, run: Run, answer: Answer) -> bytes:
         """Return the next bytes of a stream; raises ``AttemptFailed``.
 
@@ -175,7 +194,8 @@
         """
         clock = asyncio.get_running_loop().time
         heard_at = clock()
-        while True:
+        was_late = False
+        while run.is_second or run.progress.backup is None:
             limit = compute_wait_limit(run) if self.hedging is not None else None
             waits_since = clock()
             answer.protocol.was_held = answer.protocol.held
@@ -185,7 +205,10 @@
             except TimeoutError:
                 if answer.protocol.was_held or limit is None:
                     heard_at = clock()
-                elif not is_timer_late(waits_since + limit, clock()):
+                    continue
+                is_late = is_timer_late(waits_since + limit, clock()) and not was_late
+                was_late = is_late
+                if not is_late and not run.is_second:
                     break
         assert self.hedging is not None
         return await self.hedging.wait(
@@ -204,8 +227,11 @@
         if not complete_events:
             return False
         run.record_answered(complete=False)
-        await run.claim()
         progress = run.progress
+        is_contested = run.is_second or progress.backup is not None
+        if is_contested and not has_event(complete_events):
+            return False
+        await run.claim()
         if progress.origin is None:
             progress.origin = self.begin_stream(run.request, run.endpoint)
         response = await _get_response(run, answer)
--- a/src/kestreltally/entry/events.py
+++ b/src/kestreltally/entry/events.py
@@ -17,6 +17,11 @@
     """The received bytes are not an event stream."""
 
 
+def has_event(content: bytes) -> bool:
+    """Return whether any of some complete events is more than a comment."""
+    return _FIELD.search(content) is not None
+
+
 class EventReader:
     """Splits bytes into events and drops those that were already forwarded.
 
--- a/src/kestreltally/entry/health.py
+++ b/src/kestreltally/entry/health.py
@@ -66,7 +66,8 @@
     ``latest_answered`` maps a priority to the highest request token with a started
     answer. ``received_at`` is when bytes last came from the endpoint, ``resumed_at``
     when they last did after a silence. ``streams`` counts requests whose events are
-    awaited, ``stalled`` those that have brought nothing for a while.
+    awaited, the first of them since ``awaited_at``, and ``stalled`` those that have
+    brought nothing for a while.
     """
 
     in_flight: int = 0
@@ -77,6 +78,7 @@
     answered_at: Seconds = 0.0
     received_at: Seconds = 0.0
     resumed_at: Seconds = 0.0
+    awaited_at: Seconds = 0.0
     failed_at: deque[Seconds] = field(default_factory=lambda: deque(maxlen=8))
     failure_rate: float = 0.0
     ejected_until: Seconds = 0.0
@@ -166,12 +168,15 @@
             health.resumed_at = now
         health.received_at = now
 
-    def start_stream(self, endpoint: EndpointId) -> None:
+    def start_awaiting(self, endpoint: EndpointId, now: Seconds) -> None:
         """Count a stream whose events are awaited from now on."""
-        self.get_row(endpoint).streams += 1
+        health = self.get_row(endpoint)
+        if not health.streams:
+            health.awaited_at = now
+        health.streams += 1
 
-    def end_stream(self, endpoint: EndpointId) -> None:
-        """Record that events of a stream are no longer awaited."""
+    def end_awaiting(self, endpoint: EndpointId) -> None:
+        """Record that events of a stream are not awaited, or have come."""
         self.get_row(endpoint).streams -= 1
 
     def start_stall(self, endpoint: EndpointId) -> None:
@@ -197,7 +202,11 @@
         An endpoint counts as asked if it writes streams of this daemon, or has stalled.
         """
         rows = [self.get_row(each) for each in endpoints]
-        ages = [now - each.received_at for each in rows if each.streams or each.stalled]
+        ages = [
+            now - max(each.received_at, each.awaited_at)
+            for each in rows
+            if each.streams or each.stalled
+        ]
         return ServiceSilence(sum(age > QUIET_TIME for age in ages), len(ages))
 
     def is_overtaken(self, endpoint: EndpointId, token: int) -> bool:
@@ -327,6 +336,7 @@
             self._rows[endpoint] = Health(
                 in_flight=health.in_flight,
                 streams=health.streams,
+                awaited_at=health.awaited_at,
                 stalled=health.stalled,
             )
 
--- a/src/kestreltally/entry/hedging.py
+++ b/src/kestreltally/entry/hedging.py
@@ -39,15 +39,14 @@
     route = run.request.route
     if not route.repeatable or run.progress.runs >= route.attempts:
         return None
-    if run.gate is not None:
-        return None
     return compute_first_check_delay(route.objective)
 
 
 def is_timer_late(due_at: Seconds, now: Seconds) -> bool:
     """Return whether a timer shows that this process itself did not run for a while.
 
-    What came meanwhile has not been read then.
+    What came meanwhile has not been read then. One late timer is excused: a process
+    that is always late has to go on all the same.
     """
     return now - due_at > MAX_TIMER_DELAY
 
@@ -76,23 +75,19 @@
         self.is_rerouted: Callable[[ClientRequest, Progress], bool] = lambda *_: False
 
     async def wait(
-        self,
-        run: Run,
-        awaited: Awaitable[T],
-        evaluate: Callable[[], Verdict],
-        is_of_use: Callable[[T], bool] = lambda _: True,
+        self, run: Run, awaited: Awaitable[T], evaluate: Callable[[], Verdict]
     ) -> T:
         """Return what a stalled run brings after all.
 
         ``evaluate`` returns why a backup is needed, or ``WAIT``. Raises
-        ``AttemptFailed`` once a backup has brought more, and what the run raises; a
-        backup that is under way then stays in ``progress.backup``. It does too if the
-        run has brought nothing that ``is_of_use``.
+        ``AttemptFailed`` once a backup has brought more, and what the run raises. A
+        backup stays in ``progress.backup`` until either run claims the answer.
         """
         awaiting = asyncio.ensure_future(awaited)
-        stalled_at = asyncio.get_running_loop().time()
-        self.stalls.log(run)
-        self.cast_doubt()
+        began_at = asyncio.get_running_loop().time()
+        if run.progress.backup is None:
+            self.stalls.log(run)
+            self.cast_doubt()
         self._health.start_stall(run.endpoint.id)
         try:
             await self._wait_for_either(run, awaiting, evaluate)
@@ -100,8 +95,7 @@
         finally:
             self._health.end_stall(run.endpoint.id)
             awaiting.cancel()
-        if is_of_use(brought):
-            await self._end_backup(run, stalled_at)
+        _log_resumed(run, began_at)
         return brought
 
     async def _wait_for_either(
@@ -110,11 +104,13 @@
         """Return once the run has brought something, or failed."""
         clock, progress = asyncio.get_running_loop().time, run.progress
         poll_at = backup_after = clock()
+        was_late = False
         while not awaiting.done():
-            is_late, now = is_timer_late(poll_at, clock()), clock()
+            now = clock()
+            is_late = is_timer_late(poll_at, now) and not was_late
             if progress.backup is None and now >= backup_after and not is_late:
                 self._consider_backup(run, evaluate)
-            poll_at = now + POLL_INTERVAL
+            poll_at, was_late = now + POLL_INTERVAL, is_late
             await _wait_for_any(awaiting, progress.backup, POLL_INTERVAL)
             backup = progress.backup
             if awaiting.done() or backup is None:
@@ -156,19 +152,16 @@
             held=progress.last_event_id,
         )
 
-    async def _end_backup(self, run: Run, stalled_at: Seconds) -> None:
-        """End the backup of a run that goes on after all."""
-        backup, run.progress.backup = run.progress.backup, None
-        log_decision(
-            LOG,
-            Decision.ANSWER_RESUMES,
-            request=run.request.head.id,
-            endpoint=run.endpoint.id,
-            stalled=round(asyncio.get_running_loop().time() - stalled_at, 3),
-            backup=backup is not None,
-        )
-        if backup is not None:
-            await backup.cancel()
+
+def _log_resumed(run: Run, began_at: Seconds) -> None:
+    log_decision(
+        LOG,
+        Decision.ANSWER_RESUMES,
+        request=run.request.head.id,
+        endpoint=run.endpoint.id,
+        stalled=round(asyncio.get_running_loop().time() - began_at, 3),
+        backup=run.progress.backup is not None,
+    )
 
 
 async def _wait_for_any(
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -234,17 +234,14 @@
         self, request: ClientRequest, progress: Progress
     ) -> web.StreamResponse | None:
         """Return the answer of a backup, None if another endpoint is to be tried."""
-        backup = progress.backup
+        # From now on it is the first run, and may have a backup of its own.
+        backup, progress.backup = progress.backup, None
         assert backup is not None
         try:
             return await backup.take_over()
         except AttemptFailed as failure:
-            progress.backup = None
             self._check_another(request, progress, failure)
             return None
-        finally:
-            if progress.backup is backup:
-                progress.backup = None
 
     async def _run_backup(self, first: Run, backup: Backup) -> web.StreamResponse:
         """Run a request at another endpoint, or daemon, while its first run stalls.
@@ -254,12 +251,10 @@
         request, progress = first.request, first.progress
         option = await self._find(request, progress)
         if option is None:
-            return await self.rerouting.forward(
-                request, first.client, progress, backup.claim
-            )
+            return await self.rerouting.forward(request, first.client, progress, backup)
         if option.endpoint.id in progress.tried:
             raise AttemptFailed("no other endpoint", may_have_run=False)
-        run = Run(request, first.client, progress, option.endpoint, backup.claim)
+        run = Run(request, first.client, progress, option.endpoint, backup)
         with option.slot or nullcontext():
             self._check_again(request, progress)
             if not self._acquire_retry(request):
@@ -270,6 +265,11 @@
             except AttemptFailed as failure:
                 self._record_failed_attempt(run, option, failure, sends)
                 raise
+            except asyncio.CancelledError:
+                if progress.sends == sends:
+                    self._refund_retry(request)
+                    progress.tried.discard(option.endpoint.id)
+                raise
 
     def _check_again(self, request: ClientRequest, progress: Progress) -> None:
         """Check what may have changed while a request waited; raises ``Refused``."""
--- a/src/kestreltally/entry/run.py
+++ b/src/kestreltally/entry/run.py
@@ -1,35 +1,32 @@
 """One send of a request to an endpoint."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from kestreltally.entry.backup import Backup
 from kestreltally.entry.events import EventReader
 from kestreltally.entry.progress import Progress
 from kestreltally.entry.request import ClientRequest
 from kestreltally.fleet.model import Endpoint
 from kestreltally.poison.crash_detector import Attempt
 
-# Returns once a backup may forward what it brings.
-Gate = Callable[[], Awaitable[None]]
-
 
 @dataclass(slots=True)
 class Run:
     """One send of a request to an endpoint.
 
     ``token`` is the run's token in the health table, and ``attempt`` its record for
-    poison detection. ``events`` splits what the run brings. ``gate`` is set for a
-    backup: it returns once the run may forward.
+    poison detection. ``events`` splits what the run brings. ``backup`` is set if the
+    run is one.
     """
 
     request: ClientRequest
     client: web.BaseRequest
     progress: Progress
     endpoint: Endpoint
-    gate: Gate | None = None
+    backup: Backup | None = None
     token: int = 0
     attempt: Attempt | None = None
     events: EventReader = field(init=False)
@@ -38,11 +35,23 @@
         """Read events after the last one that the client has."""
         self.events = EventReader(self.progress.last_event_id)
 
+    @property
+    def is_second(self) -> bool:
+        """Return whether another run of the request goes before this one."""
+        return self.backup is not None and not self.backup.leads
+
     async def claim(self) -> None:
-        """Wait until no other run of the request may forward anything."""
-        if self.gate is not None:
-            await self.gate()
-            self.gate = None
+        """Return once no other run of the request may forward anything.
+
+        A first run ends its backup, and a backup waits for the end of the first run.
+        """
+        if self.is_second:
+            assert self.backup is not None
+            await self.backup.claim()
+            return
+        other, self.progress.backup = self.progress.backup, None
+        if other is not None:
+            await other.cancel()
 
     def record_answered(self, *, complete: bool) -> None:
         """Record that a valid part of an answer, or all of it, has arrived."""
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -6,11 +6,7 @@
 from typing import Any
 
 from kestreltally.decisions import Decision, log_decision
-from kestreltally.entry.delivery import (
-    MAX_BUFFERED_BYTES,
-    MIN_FAILURE_STATUS,
-    Delivery,
-)
+from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging, compute_wait_limit
@@ -134,14 +130,12 @@
         sent_at = asyncio.get_running_loop().time()
         answering = asyncio.create_task(sending)
         try:
-            if (await asyncio.wait({answering}, timeout=wait_limit))[0]:
-                return answering.result()
-            return await self._hedging.wait(
-                run,
-                answering,
-                lambda: self._evaluate_silence(run, sent_at),
-                lambda answer: answer.status < MIN_FAILURE_STATUS,
-            )
+            while not (await asyncio.wait({answering}, timeout=wait_limit))[0]:
+                if not run.is_second:
+                    return await self._hedging.wait(
+                        run, answering, lambda: self._evaluate_silence(run, sent_at)
+                    )
+            return answering.result()
         finally:
             answering.cancel()
 
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.deployment import SocketAddress
+from kestreltally.entry.backup import Backup
 from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.progress import (
@@ -19,7 +20,7 @@
 )
 from kestreltally.entry.request import BODY_METHODS, ClientRequest, Refused
 from kestreltally.entry.retries import RetryBudget
-from kestreltally.entry.run import Gate, Run
+from kestreltally.entry.run import Run
 from kestreltally.entry.upstream import (
     Answer,
     AnswerLost,
@@ -85,7 +86,7 @@
         request: ClientRequest,
         client: web.BaseRequest,
         progress: Progress,
-        gate: Gate | None = None,
+        backup: Backup | None = None,
     ) -> web.StreamResponse:
         """Return the answer; raises ``Refused`` or ``StreamBroken``."""
         clock = asyncio.get_running_loop().time
@@ -96,7 +97,7 @@
                 break
             asked.add(target.address)
             try:
-                return await self._attempt(request, client, progress, target, gate)
+                return await self._attempt(request, client, progress, target, backup)
             except NotServed as reason:
                 self._targets.record_failed(target.address, clock())
                 progress.trail.append(f"daemon {target.address.host}: {reason}")
@@ -111,7 +112,7 @@
         client: web.BaseRequest,
         progress: Progress,
         target: ForwardTarget,
-        gate: Gate | None,
+        backup: Backup | None,
     ) -> web.StreamResponse:
         """Pass a request on to one daemon; raises ``NotServed`` too."""
         endpoint = _make_endpoint(target, request)
@@ -135,7 +136,7 @@
             now = asyncio.get_running_loop().time()
             progress.first_byte_at = progress.first_byte_at or now
             channel.apply_keep_alive(answer, now)
-            run = Run(request, client, progress, endpoint, gate)
+            run = Run(request, client, progress, endpoint, backup)
             response = await self._delivery.forward(run, answer)
             keep = True
             return response
--- a/src/kestreltally/forwarding/rerouting.py
+++ b/src/kestreltally/forwarding/rerouting.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
+from kestreltally.entry.backup import Backup
 from kestreltally.entry.progress import UNAVAILABLE, Progress, make_final_error
 from kestreltally.entry.request import ClientRequest, Refused
-from kestreltally.entry.run import Gate
 from kestreltally.forwarding.forwarder import NO_TARGET_RETRY_DELAY, Forwarder
 from kestreltally.reach.contact import Contact
 
@@ -52,11 +52,11 @@
         request: ClientRequest,
         client: web.BaseRequest,
         progress: Progress,
-        gate: Gate | None = None,
+        backup: Backup | None = None,
     ) -> web.StreamResponse:
         """Have a daemon that reaches endpoints serve a request.
 
-        ``gate`` is that of a backup.
+        A ``backup`` forwards nothing before it leads.
 
         Raises ``Refused`` or ``StreamBroken``. What was passed on once is not again.
         """
@@ -65,7 +65,7 @@
             raise _make_error(progress)
         if progress.sends and not self._acquire_retry(request):
             raise _make_error(progress)
-        return await self.forwarder.forward(request, client, progress, gate)
+        return await self.forwarder.forward(request, client, progress, backup)
 
 
 def _make_error(progress: Progress) -> Exception:
