Fault soak: sound endpoints of a service fall silent and go on

A step pauses some or all endpoints of a service for 0.4 to 1.5 s; they are the stand-ins' own pauses, as the endpoints run in the soak's process. 0.4 of the plans have such steps, drawn by a generator of their own: other steps of a seed stay. The routes of these plans have an objective of 300 ms.

New check: no answer that was under way in such a silence, and in no other step, is broken off or ends with 502.

--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -23,6 +23,7 @@
 from standins.platform_engine import EVENTS
 
 OK: Final = 200
+BAD_GATEWAY: Final = 502
 # Engines that a request may crash before it must be known as poison, and engines that
 # it may crash after that.
 MAX_ENGINE_CRASHES: Final = 3
@@ -100,6 +101,20 @@
     ended: float
 
 
+@dataclass(frozen=True)
+class Silence:
+    """A span in which sound endpoints of a service were silent."""
+
+    service: str
+    began: float
+    ended: float
+
+    def concerns(self, record: "RequestRecord") -> bool:
+        """Return whether a request was under way meanwhile."""
+        is_served = record.path.startswith(SERVICE_PREFIXES[self.service])
+        return is_served and record.began < self.ended and record.ended > self.began
+
+
 @dataclass
 class RequestRecord:
     """One request and its result; ``status`` 0 means no answer."""
@@ -132,6 +147,9 @@
     # Times at which open channels to the store fell silent.
     silences: list[float] = field(default_factory=list)
     cuts: list[Cut] = field(default_factory=list)
+    silent_times: list[Silence] = field(default_factory=list)
+    # Start and end of each step but those silences.
+    other_steps: list[tuple[float, float]] = field(default_factory=list)
     stops: list[tuple[Daemon, float, float]] = field(default_factory=list)
     healed: list[float] = field(default_factory=list)
     poison_times: list[float] = field(default_factory=list)
@@ -251,6 +269,30 @@
             self._check_cut(cut)
         self._check_poison(endpoints)
         self._check_retries(endpoints)
+        self._check_silences()
+
+    def _check_silences(self) -> None:
+        """Check that no answer ends because sound endpoints are silent for a while."""
+        answers = [
+            record
+            for record in self.records
+            if any(silence.concerns(record) for silence in self.silent_times)
+            and not any(
+                began < record.ended and ended > record.began - UNDISTURBED_TIME
+                for began, ended in self.other_steps
+            )
+        ]
+        broken_off = [r.id for r in answers if r.status == OK and not r.whole]
+        failed = [r.id for r in answers if r.status == BAD_GATEWAY]
+        if self.silent_times:
+            self.notes.append(
+                f"silences {len(self.silent_times)}, answers under way in them and "
+                f"nothing else {len(answers)}"
+            )
+        if broken_off or failed:
+            self.problems.append(
+                f"silences alone: broken off {broken_off}, failed {failed}"
+            )
 
     def _check_retries(self, endpoints: list[SoakEndpoint]) -> None:
         """Check the bound on retries of all daemons, which holds in any window."""
--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -284,6 +284,16 @@
         every=16.0,
         duration=16.0,
     ),
+    Mutation(
+        name="silence of an endpoint taken for its failure",
+        module="entry/hedging.py",
+        before="        self.stalls.log(run)\n        self.cast_doubt()\n",
+        after="        awaiting.cancel()\n"
+        "        raise AttemptFailed(Verdict.SILENT.value, may_have_run=True)\n",
+        action=Action.ENDPOINTS_SILENT,
+        every=2.0,
+        duration=1.2,
+    ),
     Mutation(
         name="client's key forwarded to the endpoint",
         module="platform/headers.py",
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -53,6 +53,7 @@
     DEADLY_PART = "requests with one part crash engines"
     ODD_ENTRY = "entry of another writer that cannot be decoded"
     VERSION_LEAVES = "engines of a version leave, and all daemons are killed"
+    ENDPOINTS_SILENT = "endpoints of a service silent for a while, then they go on"
 
 
 # Relative frequency of each action, highest for what is most frequent in operation.
@@ -116,6 +117,11 @@
 ODD_ENTRY_DURATION: Final = 6.0
 VERSION_FRACTION: Final = 0.3
 VERSION_DURATION: Final = 6.0
+# Fraction of plans in which sound endpoints fall silent, the mean interval between such
+# silences, and their duration, seconds.
+SILENT_FRACTION: Final = 0.4
+MEAN_SILENT_INTERVAL: Final = 2.5
+SILENT_DURATIONS: Final = (0.4, 1.5)
 _FAULT_MODES: Final = [mode for mode in ProxyMode if mode is not ProxyMode.PASS]
 
 
@@ -171,6 +177,7 @@
     steps.extend(_draw_deadly_part(random.Random(f"parts {seed}"), seconds))
     steps.extend(_draw_odd_entry(random.Random(f"odd {seed}"), seconds))
     steps.extend(_draw_version_leaves(random.Random(f"software {seed}"), seconds))
+    steps.extend(_draw_silent_endpoints(random.Random(f"silent {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -220,6 +227,19 @@
     return steps
 
 
+def _draw_silent_endpoints(draw: random.Random, seconds: float) -> list[Step]:
+    if draw.random() >= SILENT_FRACTION:
+        return []
+    steps = []
+    for at in _draw_times(draw, MEAN_SILENT_INTERVAL, seconds):
+        duration = draw.uniform(*SILENT_DURATIONS)
+        target = draw.randrange(1000)
+        steps.append(
+            Step(at, duration, Action.ENDPOINTS_SILENT, target, ProxyMode.PASS)
+        )
+    return steps
+
+
 def _draw_goings(draw: random.Random, seconds: float) -> list[Step]:
     return [
         Step(at, 0.0, Action.ENGINE_GOES, draw.randrange(1000), ProxyMode.PASS)
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -17,7 +17,7 @@
 from aiohttp import ClientSession
 
 from bench.cluster import wait_for_answer
-from bench.faultsoak.checker import Checker, Cut
+from bench.faultsoak.checker import Checker, Cut, Silence
 from bench.faultsoak.contact import Scope
 from bench.faultsoak.cuts import CutMode
 from bench.faultsoak.fragile import be_brittle, send_deadly_parts
@@ -26,7 +26,13 @@
 from bench.faultsoak.proxy import HOST, Proxy, ProxyMode
 from bench.faultsoak.sessions import open_session
 from bench.faultsoak.streams import StreamClients
-from bench.faultsoak.system import SOFTWARE, Daemon, SoakEndpoint, SoakSystem
+from bench.faultsoak.system import (
+    ENDPOINTS,
+    SOFTWARE,
+    Daemon,
+    SoakEndpoint,
+    SoakSystem,
+)
 from bench.fleet_demo import DATA_CENTRES
 from standins.platform_engine import HEARTBEAT, POISON_PREFIX
 from standins.platform_store import NESTED_VALUE
@@ -89,6 +95,7 @@
         Action.ENGINE_GOES,
         Action.CUT_OFF,
         Action.ODD_ENTRY,
+        Action.ENDPOINTS_SILENT,
     }
 )
 STORE_FAULTS: Final = frozenset(
@@ -185,8 +192,11 @@
     async def perform(self, step: Step) -> None:
         """Perform a step, and record whom it concerned for how long."""
         clock = asyncio.get_running_loop().time
+        began = clock()
         with self.checker.contact.record(self.get_scope(step), clock):
             await self._perform(step)
+        if step.action is not Action.ENDPOINTS_SILENT:
+            self.checker.other_steps.append((began, clock()))
 
     async def kill(self, daemons: list[Daemon]) -> None:
         """Kill daemons at once, and wait until they have been restarted."""
@@ -574,6 +584,20 @@
     soak.checker.cuts.append(Cut(frozenset(d.vm for d in chosen), began, clock()))
 
 
+@performs(Action.ENDPOINTS_SILENT)
+async def silence_endpoints(soak: Soak, step: Step) -> None:
+    """Pause some or all endpoints of a service, which then go on as before."""
+    draw = random.Random(step.target)
+    service = draw.choice(list(ENDPOINTS))
+    endpoints = [e for e in soak.system.endpoints if e.engine.service == service]
+    count = draw.choice([len(endpoints), draw.randint(1, max(1, len(endpoints)))])
+    began = asyncio.get_running_loop().time()
+    for endpoint in draw.sample(endpoints, min(count, len(endpoints))):
+        endpoint.engine.pause(step.duration)
+    soak.checker.silent_times.append(Silence(service, began, began + step.duration))
+    await asyncio.sleep(step.duration)
+
+
 @performs(Action.ENGINE_ERRORS)
 async def inject_errors(soak: Soak, step: Step) -> None:
     """Make an endpoint answer 500 for a while."""
@@ -640,6 +664,7 @@
     """Start the system and run a plan on it; return the checker with its results."""
     checker = Checker(system)
     soak = Soak(system, checker)
+    system.has_silences = any(s.action is Action.ENDPOINTS_SILENT for s in plan)
     system.has_own_paths = any(step.action is Action.CUT_OFF for step in plan)
     tasks: list[asyncio.Task[None]] = []
     try:
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -40,6 +40,8 @@
 PORTS_PER_DAEMON: Final = 10
 # Number of endpoints of each service in one data centre.
 ENDPOINTS: Final = {"models": 2, "plain": 1}
+# The objective of routes whose sound endpoints fall silent for longer, milliseconds.
+SHORT_OBJECTIVE: Final = 300
 # Streams take a third of a second, so that some are in flight at each fault.
 EVENT_TIME: Final = 0.06
 # The versions of the endpoints' software: each new one takes the next.
@@ -105,6 +107,8 @@
     checks_keys: bool = True
     # Whether daemons can be cut off from all endpoints.
     has_own_paths: bool = False
+    # Whether sound endpoints fall silent for longer than their route's objective.
+    has_silences: bool = False
     daemons: list[Daemon] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     removed_endpoints: list[SoakEndpoint] = field(default_factory=list)
@@ -322,6 +326,8 @@
             make_route("/plain/", "plain", "unsafe"),
             make_route("/models/", "models", "streaming"),
         ]
+        if self.has_silences:
+            routes = [{**each, "ObjectiveMs": SHORT_OBJECTIVE} for each in routes]
         content: dict[str, Any] = {
             **CONFIGURATION,
             "Version": self.version,
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -83,6 +83,17 @@
     assert sum(record.status == 200 for record in checker.records) > 50
 
 
+# Guards against answers that end because sound endpoints are silent for a while.
+async def test_no_answer_ends_because_sound_endpoints_are_silent(
+    tmp_path: Path,
+) -> None:
+    plan = [make_step(0.5 + 2.0 * n, 1.2, Action.ENDPOINTS_SILENT, n) for n in range(4)]
+    checker = await run_plan(SoakSystem(tmp_path, claim_ports()), plan, DAEMONS)
+    assert checker.problems == []
+    assert len(checker.silent_times) == len(plan)
+    assert sum(record.status == 200 for record in checker.records) > 50
+
+
 # Guards against an entry that hides from all daemons which endpoints come and go.
 async def test_endpoints_are_replaced_beside_an_entry_that_cannot_be_decoded(
     tmp_path: Path,
