Streams: their origins outlive the end of all daemons in a release

Callers saw: all daemons end at once while several software versions of a service are listed; every stream that is taken up afterwards is refused (503), though its version serves.

Cause: origins live in registrars' memory only, which ends with all of them.

Change: while several versions are known, daemons also tell their leader of the streams that they began (batches each 0.1 s), and leaders keep the newest 1,024 in an object of their own beside their record, at most one write a second, removed after the release. The listing that reads the record reads it too. A daemon reads it when no registrar knows a stream.

Why it holds: the origin of a stream never changes, so a record that is late, lost or back from a copy lacks streams but names none wrongly; what is not there, or contradicts itself, is refused as before.

--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -38,7 +38,8 @@
 
     ``ask`` returns what other daemons know of a stream, and ``tell`` tells them of
     one that began here. ``get_list_age`` returns the age of the list of endpoints.
-    ``confirm_history`` finds out which versions served before this daemon knew any.
+    ``read_records`` reads what leaders kept in the store: which versions served, and
+    where streams began, before this daemon knew any.
     """
 
     def __init__(self, fleet: Fleet) -> None:
@@ -48,7 +49,7 @@
         self.ask: Callable[[StreamName], Awaitable[KnownStream | None]] = _know_nothing
         self.tell: Callable[[list[KnownStream]], None] = lambda _: None
         self.get_list_age: Callable[[], Seconds] = lambda: 0.0
-        self.confirm_history: Callable[[], Awaitable[None]] = _confirm_nothing
+        self.read_records: Callable[[], Awaitable[None]] = _read_nothing
         # Before its first list of endpoints, a daemon has begun no stream.
         self._has_listed = False
         # Streams taken up, by how their origin was found.
@@ -115,6 +116,10 @@
         if known is None and confirmed is not None:
             self.counts["single"] += 1
             return confirmed
+        kept = await self._find_kept(request) if known is None else None
+        if kept is not None and kept.origin is not None:
+            self.counts["kept"] += 1
+            return kept.origin
         self.counts["unknown"] += 1
         self._log_unknown(request)
         raise Refused(UNAVAILABLE, "software version of the stream is not known")
@@ -137,11 +142,19 @@
         now = asyncio.get_running_loop().time()
         return self.register.find(name, now) or await self.ask(name)
 
+    async def _find_kept(self, request: ClientRequest) -> KnownStream | None:
+        """Return a stream that leaders kept in the store before all daemons ended."""
+        if not request.head.resumed:
+            return None
+        await self.read_records()
+        name = _make_name(request, request.head.resumed)
+        return self.register.find(name, asyncio.get_running_loop().time())
+
     async def _find_confirmed_only(self, service: ServiceName) -> StreamOrigin | None:
         """Return the only origin, after a look at what served before this daemon."""
         clock = asyncio.get_running_loop().time
         if not self.history.is_complete(clock()):
-            await self.confirm_history()
+            await self.read_records()
         return self._find_only(service, clock())
 
     def _find_only(self, service: ServiceName, now: Seconds) -> StreamOrigin | None:
@@ -179,5 +192,5 @@
     return None
 
 
-async def _confirm_nothing() -> None:
+async def _read_nothing() -> None:
     return None
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -218,6 +218,7 @@
             self._datagrams,
             self._clock,
         )
+        self._streams.find_leader = self._exchange.leaders.find_followed
         self._relay.resumption.ask = self._streams.ask
         self._relay.resumption.tell = self._streams.tell
         self._relay.resumption.get_list_age = self._endpoints_age.compute_age
@@ -322,13 +323,12 @@
             self._store,
             self._exchange.daemon_count,
             self._relay.resumption.history,
+            self._relay.resumption.register,
             deployment.data_centre,
             lambda: self._exchange.leaders.leads,
             self._clock,
         )
-        self._relay.resumption.confirm_history = (
-            self._record_persistence.confirm_history
-        )
+        self._relay.resumption.read_records = self._record_persistence.read
         if not deployment.first_start:
             self._relay.resumption.history.record_gap(self._clock())
         self._tasks: list[asyncio.Task[None]] = []
@@ -499,6 +499,7 @@
             self._slots.run_maintenance()
             if self._relay.resumption.run_maintenance(now):
                 self._streams.tell_untold()
+            self._streams.tell_leader()
             self._identity.has_leader_contact = (
                 self._exchange.leaders.find_primary() is not None
             )
--- a/src/kestreltally/knowledge/leaders.py
+++ b/src/kestreltally/knowledge/leaders.py
@@ -58,6 +58,12 @@
         fresh = (name for name in alive if self.is_fresh(name))
         return next(fresh, alive[0] if alive else None)
 
+    def find_followed(self) -> SocketAddress | None:
+        """Return the address of the leader that this daemon follows, if any."""
+        primary = None if self.leads else self.find_primary()
+        known = self.find_known_leader(primary) if primary is not None else None
+        return known.address if known is not None else None
+
     def is_fresh(self, data_centre: str) -> bool:
         """Return whether a leader is reachable whose view of the store is fresh."""
         client = self.clients[data_centre]
--- a/src/kestreltally/knowledge/streams.py
+++ b/src/kestreltally/knowledge/streams.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import count
@@ -17,6 +17,7 @@
 from kestreltally.fleet.model import Seconds, ServiceName, SoftwareVersion
 from kestreltally.knowledge.datagrams import DatagramPort
 from kestreltally.knowledge.directory import RegistrarDirectory
+from kestreltally.knowledge.origin_record import MAX_KEPT_STREAMS
 from kestreltally.knowledge.structs import StreamAnswered, StreamAsked, StreamRow
 from kestreltally.streams.names import StreamName
 from kestreltally.streams.origins import StreamOrigin
@@ -35,6 +36,8 @@
 LAST_TIMEOUT: Final[Seconds] = 0.2
 # Streams that are asked for at the same time; others are not known.
 MAX_QUESTIONS: Final = 1_024
+# Streams that wait for a leader; a leader keeps no more in the store.
+MAX_FOR_LEADER: Final = MAX_KEPT_STREAMS
 # Streams in one datagram: with long names they fill it.
 MAX_ROWS: Final = 12
 
@@ -65,6 +68,9 @@
         # Answers to an earlier start of this daemon must not match.
         self._numbers = count(time.time_ns())
         self._questions: dict[int, Question] = {}
+        # Streams that the leader has not been told of; it keeps them in the store.
+        self._for_leader: deque[KnownStream] = deque(maxlen=MAX_FOR_LEADER)
+        self.find_leader: Callable[[], SocketAddress | None] = lambda: None
         self.counts: Counter[str] = Counter()
         datagrams.handlers["streams"] = self._apply_told
         datagrams.handlers["stream_asked"] = self._answer
@@ -75,6 +81,7 @@
         others = self._directory.list_others()
         by_registrar: dict[SocketAddress, list[KnownStream]] = {}
         for stream in streams:
+            self._for_leader.append(stream)
             for registrar in rank_registrars(stream.name, others)[:REGISTRARS]:
                 by_registrar.setdefault(registrar.address, []).append(stream)
             if others:
@@ -84,6 +91,18 @@
             for rows in _split(told):
                 self._datagrams.send(address, streams=[self._encode(r) for r in rows])
 
+    def tell_leader(self) -> None:
+        """Tell the leader, if there is one, of the streams told of since the last call.
+
+        It needs them for its next write only, so many are sent in one datagram.
+        """
+        leader = self.find_leader() if self._for_leader else None
+        if leader is None:
+            return
+        for rows in _split(list(self._for_leader)):
+            self._datagrams.send(leader, streams=[self._encode(r) for r in rows])
+        self._for_leader.clear()
+
     def tell_untold(self) -> None:
         """Tell of the streams that began while nobody had to know."""
         untold = list(self._register.list_untold())
--- a/src/kestreltally/streams/register.py
+++ b/src/kestreltally/streams/register.py
@@ -57,6 +57,10 @@
             return None
         return known
 
+    def list_all(self) -> Iterator[KnownStream]:
+        """Yield all streams, from the first one recorded on."""
+        return iter(list(self._known.values()))
+
     def list_untold(self) -> Iterator[KnownStream]:
         """Yield the streams that this daemon began and has told nobody of."""
         return iter(list(self._untold.values()))
--- a/src/kestreltally/streams/versions.py
+++ b/src/kestreltally/streams/versions.py
@@ -72,6 +72,14 @@
         seen_at = self._seen_at.get(service, {})
         return len(seen_at) > 1 and len(self.list_recent(service, now)) > 1
 
+    def list_mixed(self, now: Seconds) -> frozenset[ServiceName]:
+        """Return the services of which several recent versions are known."""
+        return frozenset(
+            service
+            for service, seen_at in self._seen_at.items()
+            if len(seen_at) > 1 and len(self.list_recent(service, now)) > 1
+        )
+
     def list_ages(
         self, now: Seconds
     ) -> Iterator[tuple[ServiceName, SoftwareVersion, Seconds]]:
