--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -287,9 +287,9 @@
     Mutation(
         name="silence of an endpoint taken for its failure",
         module="entry/hedging.py",
-        before="        self.stalls.log(run)\n        self.cast_doubt()\n",
-        after="        awaiting.cancel()\n"
-        "        raise AttemptFailed(Verdict.SILENT.value, may_have_run=True)\n",
+        before="            self.stalls.log(run)\n            self.cast_doubt()\n",
+        after="            awaiting.cancel()\n"
+        "            raise AttemptFailed(Verdict.SILENT.value, may_have_run=True)\n",
         action=Action.ENDPOINTS_SILENT,
         every=2.0,
         duration=1.2,
