--- a/src/kestreltally/entry/hedging.py
+++ b/src/kestreltally/entry/hedging.py
@@ -31,6 +31,7 @@
 T = TypeVar("T")
 # Time after a backup that failed before the next one is started.
 BACKUP_INTERVAL: Final[Seconds] = 0.5
+# A timer that is later than this shows that the process did not run meanwhile.
 MAX_TIMER_DELAY: Final[Seconds] = 0.1
 
 
--- a/src/kestreltally/entry/silence.py
+++ b/src/kestreltally/entry/silence.py
@@ -21,7 +21,7 @@
 # An engine that is streaming sends bytes to each daemon more often than this: the
 # longest pause between events that callers accept is 0.25 to 0.4 s.
 ENDPOINT_SILENCE_TIMEOUT: Final[Seconds] = 0.5
-# So many endpoints at least are silent if the cause is not in each of them.
+# Fewer silent endpoints than this are taken for failing each by itself.
 MIN_SHARED: Final = 2
 # Sound endpoints that fall silent together go on within this time.
 SHARED_SILENCE_TIMEOUT: Final[Seconds] = 1.5
--- a/src/kestreltally/reach/contact.py
+++ b/src/kestreltally/reach/contact.py
@@ -22,7 +22,8 @@
 LOG = logging.getLogger("kestreltally.reach")
 
 NEVER = float("-inf")
-# Endpoints that are paused go on within this time.
+# Connections that open and bring nothing for less than this may be those of paused
+# endpoints. A pause is noticed only some time after it began.
 PAUSE_TIMEOUT: Final[Seconds] = 1.2
 
 
