Relay: log what shows that an endpoint did not run a request

A 421 had no line, and a rejection's line told neither whether the endpoint states that the request did not run, nor which exchange of its channel it was. So a status without a statement, and an answer that stands in the place of a later one, looked like any other.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -154,6 +154,18 @@
         self.learns = False
         self._stated_idle_time: Seconds | None = None
         self._answer: Answer | None = None
+        self._opened_at = self._loop.time()
+        self._exchanges = 0
+
+    @property
+    def age(self) -> Seconds:
+        """Return since when the channel is open."""
+        return self._loop.time() - self._opened_at
+
+    @property
+    def exchanges(self) -> int:
+        """Return how many requests were sent over the channel."""
+        return self._exchanges
 
     @property
     def endpoint(self) -> Endpoint:
@@ -197,6 +209,7 @@
             max_field_size=MAX_HEAD_BYTES,
         )
         protocol.start_exchange()
+        self._exchanges += 1
         sent_at = self._loop.time()
         start = (
             self._notices.start_send
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -34,6 +34,7 @@
     encode_request,
     is_genuine,
     read_instance,
+    says_not_run,
     was_not_run,
 )
 from kestreltally.poison.guard import PoisonGuard
@@ -129,7 +130,7 @@
             ) from error
         if was_not_run(answer.status, answer.headers):
             progress.runs -= 1
-            await self._handle_not_run(request, progress, endpoint, answer)
+            await self._handle_not_run(run, channel, answer)
         if not is_genuine(answer.status, answer.headers):
             self._delivery.record_failure(endpoint, "answer encoded or without stamp")
             raise AttemptFailed("answer not genuine", may_have_run=True)
@@ -177,14 +178,10 @@
             )
         )
 
-    async def _handle_not_run(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> None:
+    async def _handle_not_run(self, run: Run, channel: Channel, answer: Answer) -> None:
         """Record why an endpoint did not run a request; raises ``AttemptFailed``."""
+        request, endpoint = run.request, run.endpoint
+        self._log_turned_away(run, channel, answer)
         now = asyncio.get_running_loop().time()
         key = request.head.weights
         if answer.status == MISDIRECTED:
@@ -195,8 +192,6 @@
             elif key is not None:
                 self._fleet.record_missing_weights(endpoint.id, key, now)
                 self._report_missing(endpoint.id, key)
-        else:
-            self._log_turned_away(request, progress, endpoint, answer)
         try:
             await answer.read_all(MAX_BUFFERED_BYTES)
         except AnswerTruncated as error:
@@ -209,14 +204,9 @@
             turned_away=answer.status != MISDIRECTED,
         )
 
-    def _log_turned_away(
-        self,
-        request: ClientRequest,
-        progress: Progress,
-        endpoint: Endpoint,
-        answer: Answer,
-    ) -> None:
-        """Log how many requests were at an endpoint that did not run one."""
+    def _log_turned_away(self, run: Run, channel: Channel, answer: Answer) -> None:
+        """Log what shows that an endpoint did not run a request, and its load."""
+        request, endpoint = run.request, run.endpoint
         brittleness = self._fleet.notices.get_brittleness(endpoint)
         others = self._finder.remote_occupancy.in_flight
         log_decision(
@@ -225,8 +215,12 @@
             request=request.head.id,
             endpoint=endpoint.id,
             status=answer.status,
+            says_not_run=says_not_run(answer.headers),
+            instance=read_instance(answer.headers) or None,
+            channel_age=round(channel.age, 3),
+            exchange=channel.exchanges,
             bears=brittleness.limit if brittleness is not None else None,
-            send=progress.sends,
+            send=run.progress.sends,
             in_flight=self._health.get_row(endpoint.id).in_flight,
             others=others.get(endpoint.id, 0),
             slots=endpoint.slots,
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -208,9 +208,14 @@
     return _DEADLINE, str(max(1, int(remaining * MILLISECONDS)))
 
 
+def says_not_run(headers: Mapping[str, str]) -> bool:
+    """Return whether an endpoint states that the request did not run."""
+    return _NOT_RUN in headers
+
+
 def was_not_run(status: int, headers: Mapping[str, str]) -> bool:
     """Return whether an endpoint's answer guarantees that the request did not run."""
-    return status == MISDIRECTED or _NOT_RUN in headers
+    return status == MISDIRECTED or says_not_run(headers)
 
 
 def read_notice(status: int, headers: MultiMapping[str]) -> Notice:
