Relay: what proves that a request has not run is recorded for each send

Callers saw: a request that had run was sent to a second endpoint, or refused with 503, since its endpoint had answered 421 without X-Not-Run, or 2xx with it. Cause: each 421, and any answer with the header, took back a count of runs. Now each send has a record in a log, and only a proof disproves it: nothing was written, the endpoint states it (status 400 and more), another instance answers, or the peer that it was passed on to states it. Evidence: the 2xx cases of tests/test_false_promises.py failed before and pass (its 204 case hung in the rig, which waits for the close after a head without a length: it is 201 now). The stand-in's 421 says that it has not run.

--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -7,6 +7,7 @@
 
 from kestreltally.entry.backup import Backup
 from kestreltally.entry.request import Refused
+from kestreltally.entry.sends import SendLog
 from kestreltally.fleet.model import EndpointId, Seconds, SoftwareVersion
 from kestreltally.streams.origins import StreamOrigin
 
@@ -28,9 +29,9 @@
 class Progress:
     """The state of one request.
 
-    ``runs`` counts the sends that may have run, because the endpoint did not state that
-    they had not, and ``taken_back`` those of them that were ended before any answer, as
-    the endpoint's version of the weights was outdated. ``backup`` is a second run that
+    ``send_log`` tells which sends may have run, and ``taken_back`` counts those of them
+    that were ended before any answer, as the endpoint's version of the weights was
+    outdated. ``backup`` is a second run that
     has forwarded nothing, and ``backup_refused`` whether the budget had none.
     ``last_event_id`` is that of the last forwarded event. ``content`` identifies the
     content of a stopped request in log lines. ``unreached`` counts the endpoints to
@@ -43,7 +44,7 @@
     """
 
     sends: int = 0
-    runs: int = 0
+    send_log: SendLog = field(default_factory=SendLog)
     taken_back: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     last_fault: str = ""
@@ -64,6 +65,11 @@
     longest_pause: Seconds = 0.0
     origin: StreamOrigin | None = None
 
+    @property
+    def runs(self) -> int:
+        """Return how many times the request may have run."""
+        return self.send_log.runs
+
     @property
     def software(self) -> SoftwareVersion | None:
         """Return the only software version that may serve, None if any may."""
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -15,6 +15,12 @@
 from kestreltally.entry.recall import VersionRecall
 from kestreltally.entry.request import BODY_METHODS, ClientRequest
 from kestreltally.entry.run import Run
+from kestreltally.entry.sends import (
+    PROMISE_STATUSES,
+    Proof,
+    Rejection,
+    find_proof,
+)
 from kestreltally.entry.silence import UnansweredRequest, Verdict, evaluate_silence
 from kestreltally.entry.upstream import (
     Answer,
@@ -35,7 +41,6 @@
     is_genuine,
     read_instance,
     says_not_run,
-    was_not_run,
 )
 from kestreltally.poison.guard import PoisonGuard
 
@@ -105,7 +110,7 @@
         self._log_resumption(request, progress, endpoint)
         # From this point the request may run, whatever interrupts the wait for its
         # answer.
-        progress.runs += 1
+        send = progress.send_log.start()
         sent_at = asyncio.get_running_loop().time()
         sending = self._recall.wait(
             run, channel.send(head, request.body, request.head.id)
@@ -117,7 +122,7 @@
             else:
                 answer = await self._wait_for_answer(run, sending, wait_limit)
         except Unavailable as error:
-            progress.runs -= 1
+            send.disprove(Proof.NOT_WRITTEN)
             progress.sends -= 1
             raise AttemptFailed(
                 "endpoint accepts no requests at present", may_have_run=False
@@ -128,9 +133,13 @@
             raise AttemptFailed(
                 "connection lost before the answer", may_have_run=True
             ) from error
-        if was_not_run(answer.status, answer.headers):
-            progress.runs -= 1
-            await self._handle_not_run(run, channel, answer)
+        if answer.status == MISDIRECTED:
+            self._record_misdirected(run, answer)
+        proof = _find_proof(endpoint, answer)
+        self._log_turned_away(run, channel, answer, proof)
+        if proof is not None:
+            send.disprove(proof)
+            await _end_rejected(run, answer)
         if not is_genuine(answer.status, answer.headers):
             self._delivery.record_failure(endpoint, "answer encoded or without stamp")
             raise AttemptFailed("answer not genuine", may_have_run=True)
@@ -178,34 +187,24 @@
             )
         )
 
-    async def _handle_not_run(self, run: Run, channel: Channel, answer: Answer) -> None:
-        """Record why an endpoint did not run a request; raises ``AttemptFailed``."""
-        request, endpoint = run.request, run.endpoint
-        self._log_turned_away(run, channel, answer)
-        now = asyncio.get_running_loop().time()
-        key = request.head.weights
-        if answer.status == MISDIRECTED:
-            instance = read_instance(answer.headers)
-            if instance and instance != endpoint.id:
-                self._poison.crash_detector.record_replaced(endpoint)
-                self._fleet.drop_endpoint(endpoint.id)
-            elif key is not None:
-                self._fleet.record_missing_weights(endpoint.id, key, now)
-                self._report_missing(endpoint.id, key)
-        try:
-            await answer.read_all(MAX_BUFFERED_BYTES)
-        except AnswerTruncated as error:
-            LOG.debug(
-                "relay: refusal from endpoint %s truncated: %s", endpoint.id, error
-            )
-        raise AttemptFailed(
-            f"request not run (status {answer.status})",
-            may_have_run=False,
-            turned_away=answer.status != MISDIRECTED,
-        )
+    def _record_misdirected(self, run: Run, answer: Answer) -> None:
+        """Record that an endpoint was replaced, or lacks what a request needs."""
+        endpoint, key = run.endpoint, run.request.head.weights
+        instance = read_instance(answer.headers)
+        if instance and instance != endpoint.id:
+            self._poison.crash_detector.record_replaced(endpoint)
+            self._fleet.drop_endpoint(endpoint.id)
+        elif key is not None:
+            now = asyncio.get_running_loop().time()
+            self._fleet.record_missing_weights(endpoint.id, key, now)
+            self._report_missing(endpoint.id, key)
 
-    def _log_turned_away(self, run: Run, channel: Channel, answer: Answer) -> None:
+    def _log_turned_away(
+        self, run: Run, channel: Channel, answer: Answer, proof: Proof | None
+    ) -> None:
         """Log what shows that an endpoint did not run a request, and its load."""
+        if proof is None and answer.status not in PROMISE_STATUSES:
+            return
         request, endpoint = run.request, run.endpoint
         brittleness = self._fleet.notices.get_brittleness(endpoint)
         others = self._finder.remote_occupancy.in_flight
@@ -215,7 +214,7 @@
             request=request.head.id,
             endpoint=endpoint.id,
             status=answer.status,
-            says_not_run=says_not_run(answer.headers),
+            proof=proof.value if proof is not None else None,
             instance=read_instance(answer.headers) or None,
             channel_age=round(channel.age, 3),
             exchange=channel.exchanges,
@@ -277,3 +276,29 @@
             return None
         newest = self._fleet.get_newest_version(key)
         return newest if endpoint.weights.get(key) == newest else None
+
+
+def _find_proof(endpoint: Endpoint, answer: Answer) -> Proof | None:
+    return find_proof(
+        Rejection(
+            status=answer.status,
+            says_not_run=says_not_run(answer.headers),
+            instance=read_instance(answer.headers),
+            expected=endpoint.id,
+        )
+    )
+
+
+async def _end_rejected(run: Run, answer: Answer) -> None:
+    """End a send that did not run; raises ``AttemptFailed``."""
+    try:
+        await answer.read_all(MAX_BUFFERED_BYTES)
+    except AnswerTruncated as error:
+        LOG.debug(
+            "relay: refusal from endpoint %s truncated: %s", run.endpoint.id, error
+        )
+    raise AttemptFailed(
+        f"request not run (status {answer.status})",
+        may_have_run=False,
+        turned_away=answer.status != MISDIRECTED,
+    )
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from kestreltally.entry.request import BODY_METHODS, ClientRequest, Refused
 from kestreltally.entry.retries import RetryBudget
 from kestreltally.entry.run import Run
+from kestreltally.entry.sends import Proof
 from kestreltally.entry.upstream import (
     Answer,
     AnswerLost,
@@ -154,19 +155,19 @@
         self, request: ClientRequest, progress: Progress, channel: Channel
     ) -> Answer:
         """Return the answer of a daemon; raises ``AnswerLost``, or if it refuses."""
-        runs, attempts = progress.runs, _count_attempts(request, progress)
+        attempts = _count_attempts(request, progress)
         head = self._encode(request, progress, attempts)
         progress.sends += 1
         # The daemon may use all attempts, whatever interrupts the wait for its answer.
-        progress.runs += attempts
+        send = progress.send_log.start(attempts)
         try:
             answer = await channel.send(head, request.body, request.head.id)
         except Unavailable as error:
-            progress.runs = runs
+            send.disprove(Proof.NOT_WRITTEN)
             raise NotServed("channel not available") from error
         refusal = decode_refusal(answer.headers)
         if refusal is not None:
-            progress.runs = runs
+            send.disprove(Proof.PEER_REFUSED)
             await _skip_body(answer)
             raise _make_error(refusal, progress)
         if not is_genuine(answer.status, answer.headers):
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -213,11 +213,6 @@
     return _NOT_RUN in headers
 
 
-def was_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether an endpoint's answer guarantees that the request did not run."""
-    return status == MISDIRECTED or says_not_run(headers)
-
-
 def read_notice(status: int, headers: MultiMapping[str]) -> Notice:
     """Return the notice that an answer contains about its endpoint.
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -303,6 +303,7 @@
 
     def _misdirect(self, http: web.Request) -> web.Response:
         headers = {
+            "X-Not-Run": "1",
             "X-Instance-Id": self.id,
             "X-Request-Id": http.headers.get("X-Request-Id", ""),
         }
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -393,15 +393,18 @@
         assert (await rig.ask("POST", headers=MODEL, body=b"p")).whole
 
 
-async def test_engine_without_the_weights_is_reported_to_the_leader() -> None:
+@pytest.mark.parametrize(("says", "status"), [(b"X-Not-Run: 1\r\n", 503), (b"", 502)])
+async def test_engine_without_the_weights_is_reported_to_the_leader(
+    says: bytes, status: int
+) -> None:
     async def misdirect(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
-        writer.write(make_answer(seen, b"", b"421 Misdirected Request", b""))
+        writer.write(make_answer(seen, b"", b"421 Misdirected Request", says))
 
     engine = make_engine("e1", misdirect, "north")
     async with run_entry([engine], make_route(STREAM, service=MODELS)) as rig:
         rig.relay.finder.load_wait = 1.5
         reply = await rig.ask("POST", headers=MODEL, body=b"p")
-        assert reply.status == 503
+        assert reply.status == status
         assert rig.relay.finder.demand.pop_refused() == {
             (engine.make_endpoint().id, KEY)
         }
--- a/tests/test_false_promises.py
+++ b/tests/test_false_promises.py
@@ -136,7 +136,7 @@
     assert set(statuses) <= {200, 502}
 
 
-@pytest.mark.parametrize("status", [200, 204])
+@pytest.mark.parametrize("status", [200, 201])
 async def test_success_that_is_said_not_to_have_run_is_no_promise(status: int) -> None:
     witness = Witness()
     line = str(status).encode() + b" OK"
