Channels: a request that is sent again takes a channel that has not carried it

Callers saw: a request that must run once ran twice, or was refused with 503 while it ran, at an endpoint that had turned it away before. Cause: answers are told apart by their request's id, which names the request and not the send; the request went to the same endpoint again over the channel that had just been put back, and a second copy of the first rejection stood in the place of the answer. Now a channel knows the hashes of all ids that it has sent, 512 at most before it is closed, and the pool gives no request a channel that has carried its id; this holds on the hop between daemons too.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -39,6 +39,9 @@
 MAX_SURPLUS_ANSWERS: Final = 3
 # The longest body of such an answer.
 MAX_SURPLUS_BYTES: Final = 2**18
+# The number of requests after which a channel is not used again, which bounds what is
+# kept of their ids.
+MAX_REQUESTS: Final = 512
 MIN_FAILURE_STATUS: Final = 500
 _KEEP_ALIVE: Final = re.compile(r"timeout=(\d+)")
 
@@ -156,6 +159,8 @@
         self._answer: Answer | None = None
         self._opened_at = self._loop.time()
         self._exchanges = 0
+        # The hashes of the ids of all requests that were sent over the channel.
+        self._sent: set[int] = set()
 
     @property
     def age(self) -> Seconds:
@@ -184,8 +189,17 @@
     @property
     def reusable(self) -> bool:
         """Return whether the channel is open and no surplus bytes have arrived."""
+        if len(self._sent) >= MAX_REQUESTS:
+            return False
         return self._protocol.is_connected() and not self._protocol.should_close
 
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request was sent over the channel before.
+
+        A late copy of its first answer could not be told from that to another send.
+        """
+        return hash(request_id) in self._sent
+
     async def send(self, head: bytes, body: bytes, request_id: str | None) -> Answer:
         """Send a request and return the head of its answer.
 
@@ -210,6 +224,8 @@
         )
         protocol.start_exchange()
         self._exchanges += 1
+        if request_id is not None:
+            self._sent.add(hash(request_id))
         sent_at = self._loop.time()
         start = (
             self._notices.start_send
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -72,7 +72,7 @@
     async def connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         """Return a channel to an endpoint; raises ``AttemptFailed``."""
         try:
-            return await self._pool.acquire(endpoint)
+            return await self._pool.acquire(endpoint, request.head.id)
         except NotConnected as error:
             if error.refused:
                 self._poison.crash_detector.record_refused(endpoint)
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -75,11 +75,16 @@
         """Return the number of idle channels."""
         return sum(len(each) for each in self._idle.values())
 
-    async def acquire(self, endpoint: Endpoint) -> Channel:
-        """Return a pooled channel or a new one; raises ``NotConnected``."""
+    async def acquire(self, endpoint: Endpoint, request_id: str = "") -> Channel:
+        """Return a pooled channel or a new one; raises ``NotConnected``.
+
+        The request has not been sent over it before.
+        """
         self.used += 1
         address = (endpoint.host, endpoint.port)
-        channel = self._pop_idle(address) or await self._wait_for_idle(endpoint)
+        channel = self._pop_idle(address, request_id) or await self._wait_for_idle(
+            endpoint, request_id
+        )
         if channel is not None:
             channel.set_endpoint(endpoint)
         else:
@@ -119,14 +124,15 @@
         idle = self._idle.get((endpoint.host, endpoint.port), ())
         return any(each.reusable and now < each.usable_until for each in idle)
 
-    def _pop_idle(self, address: Address) -> Channel | None:
+    def _pop_idle(self, address: Address, request_id: str) -> Channel | None:
         now = asyncio.get_running_loop().time()
         idle = self._idle[address]
         kept_open = []
         found = None
         while idle and found is None:
             channel = idle.pop()
-            if channel.reusable and now < channel.usable_until:
+            is_usable = channel.reusable and now < channel.usable_until
+            if is_usable and not channel.has_sent(request_id):
                 found = channel
             elif channel.reusable and now < channel.open_until:
                 kept_open.append(channel)
@@ -135,7 +141,9 @@
         idle.extend(reversed(kept_open))
         return found
 
-    async def _wait_for_idle(self, endpoint: Endpoint) -> Channel | None:
+    async def _wait_for_idle(
+        self, endpoint: Endpoint, request_id: str
+    ) -> Channel | None:
         """Wait briefly for a channel in use if this daemon's share is open."""
         address = (endpoint.host, endpoint.port)
         share = self._rules.get_share(endpoint) if self._rules is not None else None
@@ -151,7 +159,7 @@
             pass
         finally:
             self._remove_waiter(address, waiter)
-        return self._pop_idle(address)
+        return self._pop_idle(address, request_id)
 
     def _remove_waiter(self, address: Address, waiter: asyncio.Future[None]) -> None:
         waiters = self._waiters[address]
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -118,7 +118,7 @@
         """Pass a request on to one daemon; raises ``NotServed`` too."""
         endpoint = _make_endpoint(target, request)
         try:
-            channel = await self.pool.acquire(endpoint)
+            channel = await self.pool.acquire(endpoint, request.head.id)
         except NotConnected as error:
             raise NotServed(str(error)) from error
         self.forwarded += 1
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -113,6 +113,32 @@
         pool.close()
 
 
+async def test_request_takes_another_channel_each_time_it_is_sent() -> None:
+    async with Server() as server:
+        pool = make_pool()
+        endpoint = server.endpoint.make_endpoint()
+        first = await pool.acquire(endpoint, "q")
+        await exchange(pool, first)
+        pool.release(first, keep=True)
+        second = await pool.acquire(endpoint, "q")
+        assert second is not first
+        assert await pool.acquire(endpoint, "another") is first
+        pool.close()
+
+
+async def test_channel_that_has_sent_many_requests_is_not_used_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("kestreltally.entry.channel.MAX_REQUESTS", 1)
+    async with Server() as server:
+        pool = make_pool()
+        endpoint = server.endpoint.make_endpoint()
+        channel = await pool.acquire(endpoint, "q")
+        await exchange(pool, channel)
+        pool.release(channel, keep=True)
+        assert pool.open_count == 0
+
+
 @pytest.mark.parametrize(
     ("status", "kept"), [(b"500 Internal Server Error", True), (b"200 OK", False)]
 )
--- a/tests/test_recall.py
+++ b/tests/test_recall.py
@@ -151,8 +151,10 @@
     async with run_entry([engine], route) as rig:
         acquire = ChannelPool.acquire
 
-        async def acquire_late(pool: ChannelPool, endpoint: Endpoint) -> Channel:
-            channel = await acquire(pool, endpoint)
+        async def acquire_late(
+            pool: ChannelPool, endpoint: Endpoint, request_id: str
+        ) -> Channel:
+            channel = await acquire(pool, endpoint, request_id)
             learn_newer(rig, left=-0.01)
             return channel
 
