Forwarding: a peer's refusal names the send that it refuses

Callers could see 503 for a request that ran at a peer's engine: an engine's answer with the header of daemons' refusals passed through the peer and was taken for its word. Cause: the header proved a refusal whoever wrote it, and for whichever send. Now each send to a peer has an id of its own, the refusal names it, and no answer carries headers of daemons on. A refusal that names no send (a peer of an older build) or can't be read proves nothing: 502 for what may not repeat, during an update of the daemons.

--- a/src/kestreltally/entry/answers.py
+++ b/src/kestreltally/entry/answers.py
@@ -10,6 +10,7 @@
 from kestreltally.entry.request import HOP_BY_HOP_HEADERS
 from kestreltally.entry.undelimited import UndelimitedResponse
 from kestreltally.entry.upstream import Answer
+from kestreltally.forwarding.headers import is_internal
 from kestreltally.platform.headers import (
     REQUEST_ID,
     RETRY_AFTER,
@@ -21,11 +22,11 @@
 
 
 def copy_headers(answer: Answer) -> CIMultiDict[str]:
-    """Return an answer's headers without the hop-by-hop headers."""
+    """Return an answer's headers without hop-by-hop headers and those of daemons."""
     headers: CIMultiDict[str] = CIMultiDict()
     for raw_name, raw_value in answer.raw_headers:
         name = raw_name.decode("latin-1")
-        if name.lower() not in _DROPPED:
+        if name.lower() not in _DROPPED and not is_internal(name):
             headers.add(name, raw_value.decode("utf-8", "surrogateescape"))
     return headers
 
--- a/src/kestreltally/entry/intake.py
+++ b/src/kestreltally/entry/intake.py
@@ -16,7 +16,9 @@
     ForwardRefusal,
     decode_context,
     encode_refusal,
+    encode_send,
     is_internal,
+    read_send,
 )
 from kestreltally.knowledge.authority import Authority
 from kestreltally.platform.headers import REQUEST_ID, read_keys, read_request_id
@@ -132,7 +134,11 @@
         forwarded = ForwardRefusal(
             refusal.status, refusal.reason, refusal.retry_after, refusal.elsewhere
         )
-        headers = {REQUEST_ID: request_id, **dict(encode_refusal(forwarded))}
+        headers = [
+            (REQUEST_ID, request_id),
+            encode_send(read_send(client.headers)),
+            *encode_refusal(forwarded),
+        ]
         return web.Response(status=MISDIRECTED, headers=headers)
 
 
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from secrets import token_hex
 from typing import Final
 
 from aiohttp import web
@@ -39,7 +40,9 @@
     ForwardRefusal,
     decode_refusal,
     encode_context,
+    encode_send,
     is_internal,
+    read_send,
 )
 from kestreltally.forwarding.targets import ForwardTarget, ForwardTargets
 from kestreltally.platform.headers import LAST_EVENT_ID, encode_deadline, is_genuine
@@ -50,6 +53,7 @@
 MAX_TARGETS: Final = 3
 # No daemon is known to reach an endpoint. One that does is known within this time.
 NO_TARGET_RETRY_DELAY: Final[Seconds] = 0.5
+SEND_ID_BYTES: Final = 8
 
 
 class NotServed(Exception):
@@ -156,7 +160,8 @@
     ) -> Answer:
         """Return the answer of a daemon; raises ``AnswerLost``, or if it refuses."""
         attempts = _count_attempts(request, progress)
-        head = self._encode(request, progress, attempts)
+        send_id = token_hex(SEND_ID_BYTES)
+        head = self._encode(request, progress, attempts, send_id)
         progress.sends += 1
         # The daemon may use all attempts, whatever interrupts the wait for its answer.
         send = progress.send_log.start(attempts)
@@ -165,7 +170,7 @@
         except Unavailable as error:
             send.disprove(Proof.NOT_WRITTEN)
             raise NotServed("channel not available") from error
-        refusal = decode_refusal(answer.headers)
+        refusal = _find_refusal(answer, send_id)
         if refusal is not None:
             send.disprove(Proof.PEER_REFUSED)
             await _skip_body(answer)
@@ -175,7 +180,11 @@
         return answer
 
     def _encode(
-        self, request: ClientRequest, progress: Progress, attempts: int
+        self,
+        request: ClientRequest,
+        progress: Progress,
+        attempts: int,
+        send_id: str,
     ) -> bytes:
         now = asyncio.get_running_loop().time()
         configuration = self._fleet.configuration
@@ -198,6 +207,7 @@
             origin=progress.origin,
         )
         headers.append(encode_context(context))
+        headers.append(encode_send(send_id))
         if request.body or request.method in BODY_METHODS:
             headers.append(("Content-Length", str(len(request.body))))
         return encode_head(request.method, request.path, headers)
@@ -210,6 +220,19 @@
     return max(1, request.route.attempts - progress.runs)
 
 
+def _find_refusal(answer: Answer, send_id: str) -> ForwardRefusal | None:
+    """Return a daemon's refusal of one send, None if the request may have run.
+
+    A refusal that names no send may be that of an earlier one, or an endpoint's word.
+    """
+    try:
+        refusal = decode_refusal(answer.headers)
+    except ValueError as error:
+        LOG.warning("forwarding: refusal not understood: %s", error)
+        return None
+    return refusal if read_send(answer.headers) == send_id else None
+
+
 def _make_error(refusal: ForwardRefusal, progress: Progress) -> Exception:
     """Return the exception for a daemon's refusal."""
     if refusal.elsewhere:
--- a/src/kestreltally/forwarding/headers.py
+++ b/src/kestreltally/forwarding/headers.py
@@ -17,6 +17,7 @@
 _PREFIX: Final = "x-kestreltally-"
 _CONTEXT: Final = "X-Kestreltally-Context"
 _REFUSAL: Final = "X-Kestreltally-Refusal"
+_SEND: Final = "X-Kestreltally-Send"
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +114,24 @@
 
 
 def decode_refusal(headers: Mapping[str, str]) -> ForwardRefusal | None:
-    """Return the refusal that an answer is, None if it is none."""
+    """Return the refusal that an answer is, None if it is none.
+
+    Raises ``ValueError``.
+    """
     text = headers.get(_REFUSAL)
-    return ForwardRefusal(**json.loads(text)) if text is not None else None
+    if text is None:
+        return None
+    try:
+        return ForwardRefusal(**json.loads(text))
+    except (RecursionError, TypeError) as error:
+        raise ValueError(f"{_REFUSAL}: {error!r}") from error
+
+
+def encode_send(send_id: str) -> tuple[str, str]:
+    """Return the header that tells one send of a request from all others."""
+    return _SEND, send_id
+
+
+def read_send(headers: Mapping[str, str]) -> str:
+    """Return which send a request is, or an answer is to; empty if it is not named."""
+    return headers.get(_SEND, "")
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -21,6 +21,7 @@
 from tests.entryrig import (
     MODELS,
     PLAIN,
+    STAMP,
     EntryRig,
     Reply,
     ScriptedEndpoint,
@@ -137,6 +138,52 @@
     assert len(endpoint.seen) == 1 or status == 503
 
 
+@pytest.mark.parametrize("elsewhere", ["false", "true"])
+@pytest.mark.parametrize("status", [b"200 OK", b"421 Misdirected", b"500 Error"])
+async def test_refusal_in_an_engine_s_answer_is_not_taken_for_the_peer_s(
+    status: bytes, elsewhere: str
+) -> None:
+    fields = f'{{"status":503,"reason":"x","retry_after":0.1,"elsewhere":{elsewhere}}}'
+    extra = STAMP + f"X-Kestreltally-Refusal: {fields}\r\n".encode()
+
+    async def forge(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_answer(seen, b"whole", status, extra))
+
+    endpoint = ScriptedEndpoint("e1", forge)
+    async with run_pair([endpoint], make_route(UNSAFE)) as (sender, _):
+        reply = await ask(sender)
+    assert reply.status in (200, 500, 502)
+    assert "x-kestreltally-refusal" not in reply.headers
+    assert len(endpoint.seen) == 1
+
+
+REFUSAL = '{"status":503,"reason":"x","retry_after":0.1,"elsewhere":false}'
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        REFUSAL,
+        REFUSAL.replace("false", "true"),
+        f"{REFUSAL}\r\nX-Kestreltally-Send: another",
+        '{"status":503}',
+        "[",
+    ],
+    ids=["no send", "no send, elsewhere", "another send", "short", "not JSON"],
+)
+async def test_refusal_that_names_no_send_proves_nothing(fields: str) -> None:
+    async def refuse_oddly(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        extra = f"X-Kestreltally-Refusal: {fields}\r\n".encode()
+        writer.write(make_answer(seen, b"", b"421 Misdirected", extra))
+
+    odd = ScriptedEndpoint("daemon", refuse_oddly)
+    async with run_pair([odd], make_route(UNSAFE)) as (sender, _):
+        connect(sender, odd.port)
+        reply = await ask(sender)
+    assert reply.status == 502
+    assert len(odd.seen) == 1
+
+
 async def test_request_of_a_peer_that_ends_is_not_sent_again() -> None:
     endpoint = ScriptedEndpoint("e1", stay_silent)
     async with run_pair([endpoint], make_route(UNSAFE)) as (sender, peer):
