Channels: a late copy of another answer is not taken for that to a daemon's own call

What could be seen: a report, an order's outcome or the check of a process that is the second copy of an answer to a client's request, over a channel that both use: an order taken for refused, a replaced engine taken for the same one. Cause: the daemons' own calls accepted any answer, though they name an id of their own. Now an answer with another id is skipped as for requests; one without any id is accepted still, as reports need not name one. Evidence: the new test gets the 503 of the request with the former rule, and the report now. Two tests that gave no id give one.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -200,13 +200,15 @@
         """
         return hash(request_id) in self._sent
 
-    async def send(self, head: bytes, body: bytes, request_id: str | None) -> Answer:
+    async def send(
+        self, head: bytes, body: bytes, request_id: str, *, is_own: bool = False
+    ) -> Answer:
         """Send a request and return the head of its answer.
 
         A faulty endpoint may send a second answer to an earlier request. Such answers
-        are skipped, and the channel is not kept. Without a ``request_id`` any answer is
-        accepted. Raises ``Unavailable`` if nothing was sent, and ``AnswerLost`` once
-        any byte may have been sent.
+        are skipped, and the channel is not kept. An answer to a daemon's own call (a
+        report, an order) may name no request. Raises ``Unavailable`` if nothing was
+        sent, and ``AnswerLost`` once any byte may have been sent.
         """
         self._answer = None
         protocol = self._protocol
@@ -224,25 +226,20 @@
         )
         protocol.start_exchange()
         self._exchanges += 1
-        if request_id is not None:
+        if not is_own:
             self._sent.add(hash(request_id))
         sent_at = self._loop.time()
-        start = (
-            self._notices.start_send
-            if request_id is None
-            else self._notices.start_request
-        )
+        start = self._notices.start_send if is_own else self._notices.start_request
         trial = start(self._endpoint, sent_at)
         transport.write(head + body if body else head)
         try:
             answer = await self._read_head(head_only)
             for _ in range(MAX_SURPLUS_ANSWERS):
-                matches = request_id in (None, read_answer_id(answer.headers))
+                answer_id = read_answer_id(answer.headers)
+                matches = answer_id == request_id or (is_own and not answer_id)
                 # An answer to an earlier request may be of any age.
                 asked_at = sent_at if matches else NEVER
-                self._apply_notice(
-                    answer, asked_at, from_request=request_id is not None
-                )
+                self._apply_notice(answer, asked_at, from_request=not is_own)
                 if matches:
                     self._answer = answer
                     self._stated_idle_time = read_idle_time(answer)
--- a/src/kestreltally/entry/process_check.py
+++ b/src/kestreltally/entry/process_check.py
@@ -72,7 +72,7 @@
         keep = False
         try:
             head = encode_head("GET", REPORT_PATH, headers)
-            answer = await channel.send(head, b"", None)
+            answer = await channel.send(head, b"", request_id, is_own=True)
             process = await _read_process(endpoint, answer)
             keep = True
             return process
--- a/src/kestreltally/placing/orders.py
+++ b/src/kestreltally/placing/orders.py
@@ -209,7 +209,7 @@
             if grant is not None and not grant.is_valid():
                 raise OrderNotAllowed()
             async with asyncio.timeout(CALL_TIMEOUT):
-                answer = await channel.send(head, body, None)
+                answer = await channel.send(head, body, request_id, is_own=True)
                 content = await answer.read_all(MAX_REPORT_BYTES)
             channel.apply_keep_alive(answer, self._clock())
             keep = True
--- a/src/kestreltally/reach/prober.py
+++ b/src/kestreltally/reach/prober.py
@@ -154,7 +154,8 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT):
                 channel = await self._pool.open(endpoint)
-                await channel.send(encode_head("GET", path, headers), b"", None)
+                head = encode_head("GET", path, headers)
+                await channel.send(head, b"", request_id, is_own=True)
         except (NotConnected, AnswerLost, TimeoutError, Unavailable) as error:
             LOG.debug("reach: endpoint %s not reached: %r", endpoint.id, error)
             return ProbeResult.NOTHING if channel is None else ProbeResult.OPENED
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -214,7 +214,7 @@
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     endpoint.port = server.sockets[0].getsockname()[1]
     channel = await ChannelPool(NoticeTable()).acquire(endpoint.make_endpoint())
-    answer = await channel.send(b"GET / HTTP/1.1\r\n\r\n", b"", None)
+    answer = await channel.send(b"GET / HTTP/1.1\r\n\r\n", b"", "q", is_own=True)
     assert await answer.read_some() == b"half"
     reading = asyncio.create_task(answer.read_some())
     await asyncio.sleep(0.01)
--- a/tests/test_channels.py
+++ b/tests/test_channels.py
@@ -126,6 +126,31 @@
         pool.close()
 
 
+async def test_answer_to_a_request_is_not_taken_for_that_to_a_daemon_s_own_call() -> (
+    None
+):
+    """The answer to the request comes twice, the second time after the call."""
+
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        if seen.id == b"q":
+            writer.write(make_answer(seen))
+            return
+        surplus = SeenRequest(b"GET /x HTTP/1.1\r\nX-Request-Id: q\r\n\r\n", b"")
+        writer.write(make_answer(surplus, status=b"503 Full"))
+        writer.write(make_answer(seen, body=b"report"))
+
+    async with Server() as server:
+        server.endpoint.script = answer
+        pool = make_pool()
+        channel = await pool.acquire(server.endpoint.make_endpoint())
+        await exchange(pool, channel)
+        head = encode_head("GET", "/report", (("X-Request-Id", "own-1"),))
+        answered = await channel.send(head, b"", "own-1", is_own=True)
+        assert (answered.status, await answered.read_all(100)) == (200, b"report")
+        assert not channel.reusable
+        channel.abort()
+
+
 async def test_channel_that_has_sent_many_requests_is_not_used_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_unread_ends.py
+++ b/tests/test_unread_ends.py
@@ -51,7 +51,7 @@
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     endpoint.port = server.sockets[0].getsockname()[1]
     channel = await ChannelPool(NoticeTable()).acquire(endpoint.make_endpoint())
-    answer = await channel.send(b"GET / HTTP/1.1\r\n\r\n", b"", None)
+    answer = await channel.send(b"GET / HTTP/1.1\r\n\r\n", b"", "q", is_own=True)
     if content:
         assert await answer.read_some() == content
     while answer.protocol.lost_at is None:
