Soak: plain endpoints that promise what is not so, and clients that come back

Now plain endpoints may answer a run with 408, 421, 429 or 503 without X-Not-Run, and send a rejection twice (1 to 200 ms later); a client comes back once after a promise; runs are counted over all attempts at a wish.

--- a/bench/faultsoak/actions.py
+++ b/bench/faultsoak/actions.py
@@ -58,6 +58,10 @@
 LIMITS: Final = (0.5, 2.9, 8.0)
 LIMIT_JITTER: Final = (0.8, 1.0)
 LIMIT_CHANGE_INTERVAL: Final = 0.5
+# Runs that plain endpoints answer with a promise all the same, and requests that they
+# reject once and say so twice, as fractions.
+FALSE_PROMISE_FRACTION: Final = 0.1
+REPEATED_REJECTION_FRACTION: Final = 0.2
 
 PERFORMERS: Final[dict[Action, Perform]] = {}
 
@@ -194,6 +198,18 @@
     await soak.kill(soak.system.daemons[1:])
 
 
+@performs(Action.ODD_ANSWERS)
+async def answer_oddly(soak: Soak, step: Step) -> None:
+    """Have plain endpoints promise what is not so, and send rejections twice."""
+    plain = [e.engine for e in soak.system.endpoints if e.engine.service == "plain"]
+    for engine in plain:
+        engine.odd_answers.false_fraction = FALSE_PROMISE_FRACTION
+        engine.odd_answers.repeated_fraction = REPEATED_REJECTION_FRACTION
+    await asyncio.sleep(step.duration)
+    for engine in plain:
+        engine.odd_answers.false_fraction = engine.odd_answers.repeated_fraction = 0.0
+
+
 @performs(Action.KILL_SERIES)
 async def kill_in_series(soak: Soak, step: Step) -> None:
     """Kill all daemons three times within a retry window while all engines fail.
--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -30,6 +30,8 @@
 # Text in the refusal of a poison request.
 STOPPED_TEXT: Final = "ended under"
 PROMISES_NOT_RUN: Final = frozenset({408, 421, 429, 503})
+# Delay before a client comes back after such a status, seconds.
+COME_BACK_DELAY: Final = 0.05
 TIMEOUT: Final = 8.0
 MIN_LEASE_GAP: Final = BOUNDS["LeaseMs"] / 1000
 DRAIN_TIME: Final = BOUNDS["DrainMs"] / 1000
@@ -126,6 +128,8 @@
     adapter: str
     key: str
     began: float
+    # The first attempt at what the client wants done once.
+    wish: str = ""
     ended: float = 0.0
     status: int = 0
     whole: bool = False
@@ -166,6 +170,15 @@
             b < end and e > begin - UNDISTURBED_TIME for b, e in self.disturbances
         )
 
+    async def insist(
+        self, http: ClientSession, daemon: Daemon, path: str, adapter: str, key: str
+    ) -> None:
+        """Send a request, and again after a promise that it has not run."""
+        record = await self.send(http, daemon, path, adapter, key)
+        if record.status in PROMISES_NOT_RUN and not adapter:
+            await asyncio.sleep(COME_BACK_DELAY)
+            await self.send(http, daemon, path, adapter, key, wish=record.id)
+
     async def send(
         self,
         http: ClientSession,
@@ -173,13 +186,21 @@
         path: str,
         adapter: str = "",
         key: str = "",
+        wish: str = "",
     ) -> RequestRecord:
         """Send one request and check its answer."""
         clock = asyncio.get_running_loop().time
         name = f"s{len(self.records)}"
         key = key or self.system.keys.current[STEADY]
         record = RequestRecord(
-            name, daemon, daemon.boots, f"{path}{name}", adapter, key, clock()
+            name,
+            daemon,
+            daemon.boots,
+            f"{path}{name}",
+            adapter,
+            key,
+            clock(),
+            wish or name,
         )
         self.records.append(record)
         headers = {"Host": HOST_NAME, "X-Request-Id": name, "X-Credential": key}
@@ -378,8 +399,13 @@
         for record in self.records:
             if record.status in PROMISES_NOT_RUN and runs[record.id]:
                 self.problems.append(f"{record.id}: {record.status}, but it ran")
-            if not record.adapter and runs[record.id] > 1:
-                self.problems.append(f"{record.id} ran {runs[record.id]} times")
+        wishes: Counter[str] = Counter()
+        for record in self.records:
+            if not record.adapter:
+                wishes[record.wish] += runs[record.id]
+        for wish, count in wishes.items():
+            if count > 1:
+                self.problems.append(f"{wish} ran {count} times, over all attempts")
 
     def must_be_served(self, record: RequestRecord) -> bool:
         """Return whether a request must be served: valid key, no quota, no probe."""
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -54,6 +54,7 @@
     ODD_ENTRY = "entry of another writer that cannot be decoded"
     VERSION_LEAVES = "engines of a version leave, and all daemons are killed"
     VERSION_WAITS = "new version of an adapter while requests wait and nothing loads"
+    ODD_ANSWERS = "plain endpoints answer with false or repeated rejections"
     ENDPOINTS_SILENT = "endpoints of a service silent for a while, then they go on"
 
 
@@ -122,6 +123,9 @@
 # longer than the bound, seconds.
 VERSION_WAITS_FRACTION: Final = 0.3
 VERSION_WAITS_DURATION: Final = 7.0
+# Fraction of plans with odd answers of plain endpoints, and their duration, seconds.
+ODD_ANSWERS_FRACTION: Final = 0.5
+ODD_ANSWERS_DURATION: Final = 6.0
 # Fraction of plans in which sound endpoints fall silent, the mean interval between such
 # silences, and their duration, seconds.
 SILENT_FRACTION: Final = 0.4
@@ -184,6 +188,7 @@
     steps.extend(_draw_version_leaves(random.Random(f"software {seed}"), seconds))
     steps.extend(_draw_version_waits(random.Random(f"waits {seed}"), seconds))
     steps.extend(_draw_silent_endpoints(random.Random(f"silent {seed}"), seconds))
+    steps.extend(_draw_odd_answers(random.Random(f"answers {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -193,6 +198,12 @@
     )
 
 
+def _draw_odd_answers(draw: random.Random, seconds: float) -> list[Step]:
+    return _draw_once(
+        draw, seconds, Action.ODD_ANSWERS, ODD_ANSWERS_FRACTION, ODD_ANSWERS_DURATION
+    )
+
+
 def _draw_version_leaves(draw: random.Random, seconds: float) -> list[Step]:
     return _draw_once(
         draw, seconds, Action.VERSION_LEAVES, VERSION_FRACTION, VERSION_DURATION
--- a/bench/faultsoak/soak.py
+++ b/bench/faultsoak/soak.py
@@ -54,6 +54,7 @@
         Action.CUT_OFF,
         Action.ODD_ENTRY,
         Action.ENDPOINTS_SILENT,
+        Action.ODD_ANSWERS,
     }
 )
 STORE_FAULTS: Final = frozenset(
@@ -164,7 +165,7 @@
                     adapter = f"a{min(ADAPTERS, number)}"
                     path = "/models/"
                 key = self.pick_key(draw)
-                sending = self.checker.send(http, daemon, path, adapter, key)
+                sending = self.checker.insist(http, daemon, path, adapter, key)
                 task = asyncio.create_task(sending)
                 pending.add(task)
                 task.add_done_callback(pending.discard)
--- /dev/null
+++ b/standins/odd_answers.py
@@ -0,0 +1,51 @@
+"""Odd answers of a plain endpoint: false promises, and rejections that come twice."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+from typing import Final
+
+from aiohttp import web
+
+# Statuses that promise that a request has not run.
+PROMISES: Final = (408, 421, 429, 503)
+# Delays after which a rejection is sent again, seconds.
+REPEAT_DELAYS: Final = (0.001, 0.02, 0.06, 0.2)
+
+
+@dataclass
+class OddAnswers:
+    """Decides which answers are odd: fractions of the requests, 0 if none is."""
+
+    # Runs that are answered with a promise all the same.
+    false_fraction: float = 0.0
+    # Requests that are rejected once, with the rejection sent twice.
+    repeated_fraction: float = 0.0
+    _rejected: set[str] = field(default_factory=set)
+
+    def draw_status(self) -> int | None:
+        """Return the status that a run is answered with, None for its own answer."""
+        if random.random() >= self.false_fraction:
+            return None
+        return random.choice(PROMISES)
+
+    def rejects_twice(self, request_id: str) -> bool:
+        """Return whether a request is rejected now; it runs if it comes again."""
+        if request_id in self._rejected or random.random() >= self.repeated_fraction:
+            return False
+        self._rejected.add(request_id)
+        return True
+
+    def send_again(self, http: web.Request) -> None:
+        """Send a copy of a rejection over its connection after a delay."""
+        transport = http.transport
+        if transport is None:
+            return
+        request_id = http.headers.get("X-Request-Id", "")
+        copy = (
+            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+            f"X-Request-Id: {request_id}\r\nContent-Length: 0\r\n\r\n"
+        )
+        delay = random.choice(REPEAT_DELAYS)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, transport.write, copy.encode())
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -25,6 +25,7 @@
 from aiohttp.abc import AbstractStreamWriter
 
 from standins.common import Faults, make_command
+from standins.odd_answers import OddAnswers
 from standins.replacement import Replacement
 
 HEARTBEAT: Final = 0.3
@@ -83,6 +84,7 @@
     loaded: dict[str, int] = field(default_factory=dict)
     loading: set[str] = field(default_factory=set)
     replacement: Replacement = field(default_factory=Replacement)
+    odd_answers: OddAnswers = field(default_factory=OddAnswers)
     newest_versions: dict[str, int] = field(default_factory=dict)
     runs: Counter[str] = field(default_factory=Counter)
     # Start time of each run and arrival time of each order, by the loop's clock.
@@ -324,6 +326,9 @@
         if self.brittle is not None and self._is_full(now):
             self._count_rejection(now, self.brittle)
             return self._reject(http, None)
+        if self.odd_answers.rejects_twice(request_id):
+            self.odd_answers.send_again(http)
+            return self._reject(http, None)
         self.in_service += 1
         try:
             return await self._run(http, request_id)
@@ -384,6 +389,9 @@
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.id}.stamp"}
         if self.faults.get("errors"):
             return web.Response(status=500, headers=headers, text="error")
+        odd_status = self.odd_answers.draw_status()
+        if odd_status is not None:
+            return web.Response(status=odd_status, headers=headers)
         if not adapter:
             text = f"{http.method} {http.path_qs} {len(body)}"
             if self.undelimited:
