Planned stop: what is still served as it ends is answered instead of cut

Cause: only the request's own deadline ended it, and the connections were closed at the end of the stop. Now the end of the stop limits all requests: what has not run gets 503 with a time to come back elsewhere, what may have run 502, and a stream that has begun is broken off.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -16,6 +16,7 @@
 from kestreltally.entry.intake import ClientIntake, Intake
 from kestreltally.entry.progress import (
     BAD_GATEWAY,
+    RETRY_ELSEWHERE_DELAY,
     UNAVAILABLE,
     StreamBroken,
 )
@@ -53,7 +54,6 @@
 KEEP_ALIVE_TIMEOUT: Final = 75.0
 SPLIT_RANGE: Final = 2**32
 BACKLOG: Final = 512
-RETRY_ELSEWHERE_DELAY: Final[Seconds] = 0.02
 
 
 def choose_service(route: Route, request_id: str) -> ServiceName:
@@ -150,6 +150,7 @@
         """Start a planned stop: report not ready, end all requests by a deadline."""
         self._stop_started_at = asyncio.get_running_loop().time()
         self._stops_at = deadline
+        self._relay.time_limits.end_by(deadline)
 
     def refuse_new(self) -> None:
         """Pass nothing on any more, as the planned stop ends."""
--- a/src/kestreltally/entry/progress.py
+++ b/src/kestreltally/entry/progress.py
@@ -8,13 +8,17 @@
 from kestreltally.entry.backup import Backup
 from kestreltally.entry.request import Refused
 from kestreltally.entry.sends import SendLog
+from kestreltally.entry.stopping import STOPPING
 from kestreltally.fleet.model import EndpointId, Seconds, SoftwareVersion
 from kestreltally.streams.origins import StreamOrigin
 
 BAD_GATEWAY: Final = 502
 UNAVAILABLE: Final = 503
+GATEWAY_TIMEOUT: Final = 504
 # Retry time in refusals when no better estimate exists.
 DEFAULT_RETRY_DELAY: Final[Seconds] = 0.3
+# Retry time in refusals for a cause of this daemon's own: others may serve at once.
+RETRY_ELSEWHERE_DELAY: Final[Seconds] = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,3 +131,24 @@
     if progress.runs:
         return Refused(BAD_GATEWAY, progress.last_fault)
     return Refused(UNAVAILABLE, progress.last_fault, DEFAULT_RETRY_DELAY)
+
+
+def make_timeout_error(progress: Progress) -> Exception:
+    """Return the exception that ends a request at its deadline."""
+    if progress.response is not None:
+        return StreamBroken("request deadline exceeded during the answer")
+    if progress.runs:
+        return Refused(GATEWAY_TIMEOUT, "no answer before the request deadline")
+    return Refused(
+        UNAVAILABLE,
+        "request deadline exceeded while waiting for an endpoint",
+        DEFAULT_RETRY_DELAY,
+    )
+
+
+def make_stop_error(progress: Progress) -> Exception:
+    """Return the exception that ends a request at the end of a planned stop."""
+    progress.last_fault = STOPPING
+    if progress.runs or progress.response is not None:
+        return make_final_error(progress)
+    return Refused(UNAVAILABLE, STOPPING, RETRY_ELSEWHERE_DELAY, elsewhere=True)
--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -22,12 +22,12 @@
 from kestreltally.entry.hedging import Hedging
 from kestreltally.entry.process_check import ProcessCheck
 from kestreltally.entry.progress import (
-    DEFAULT_RETRY_DELAY,
     UNAVAILABLE,
     AttemptFailed,
     Progress,
-    StreamBroken,
     make_final_error,
+    make_stop_error,
+    make_timeout_error,
 )
 from kestreltally.entry.request import (
     Caller,
@@ -40,6 +40,7 @@
 from kestreltally.entry.runner import Runner
 from kestreltally.entry.sending import Sender
 from kestreltally.entry.slot_gate import SlotGate
+from kestreltally.entry.time_limits import TimeLimits
 from kestreltally.entry.upstream import ChannelPool
 from kestreltally.fleet.model import (
     Endpoint,
@@ -54,7 +55,6 @@
 
 LOG = logging.getLogger("kestreltally.relay")
 
-GATEWAY_TIMEOUT: Final = 504
 # A request is given up this long before its deadline, so that the refusal still
 # arrives.
 REFUSAL_MARGIN: Final[Seconds] = 0.03
@@ -97,6 +97,7 @@
             pool, health, self.finder, sender, self.delivery, self.poison
         )
         self.runner.check_again = self._check_after_turn
+        self.time_limits = TimeLimits()
         # Raises ``Refused`` if a planned stop might break off a request.
         self.check_stop: Callable[[ClientRequest], None] = lambda _: None
         self.rerouting = Rerouting(pool.contact, self._acquire_retry)
@@ -139,22 +140,12 @@
         if not self.rerouting.is_needed(progress):
             self._record_arrival(request)
         try:
-            async with asyncio.timeout_at(request.deadline - REFUSAL_MARGIN):
+            async with self.time_limits.limit(request.deadline - REFUSAL_MARGIN):
                 return await self._serve_with_retries(request, client, progress)
         except TimeoutError as error:
-            if progress.response is not None:
-                raise StreamBroken(
-                    "request deadline exceeded during the answer"
-                ) from error
-            if progress.runs:
-                raise Refused(
-                    GATEWAY_TIMEOUT, "no answer before the request deadline"
-                ) from error
-            raise Refused(
-                UNAVAILABLE,
-                "request deadline exceeded while waiting for an endpoint",
-                DEFAULT_RETRY_DELAY,
-            ) from error
+            if self.time_limits.is_over:
+                raise make_stop_error(progress) from error
+            raise make_timeout_error(progress) from error
         finally:
             if progress.backup is not None:
                 await progress.backup.cancel()
--- a/src/kestreltally/entry/resumption.py
+++ b/src/kestreltally/entry/resumption.py
@@ -8,7 +8,7 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.origin_search import OriginSearch, OriginSources, OriginView
-from kestreltally.entry.progress import UNAVAILABLE
+from kestreltally.entry.progress import RETRY_ELSEWHERE_DELAY, UNAVAILABLE
 from kestreltally.entry.request import ClientRequest, Refused
 from kestreltally.fleet.model import Endpoint, Seconds, ServiceName
 from kestreltally.fleet.tables import Fleet
@@ -30,8 +30,6 @@
 # No version serves for a shorter time than this: an engine loads a model before it
 # serves, and its entry stays for some seconds after its last stream has begun.
 MAX_UNSEEN_TIME: Final[Seconds] = 3.0
-# Retry time if another daemon may know more: a client's next attempt reaches one.
-RETRY_ELSEWHERE_DELAY: Final[Seconds] = 0.02
 # Stands for "never" in log lines.
 AGE_LIMIT: Final[Seconds] = 1e6
 
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -47,6 +47,8 @@
 ELAPSED = 4.0
 ANSWER_TIME = 0.9
 TIMEOUT = 1.2
+# Time left of a stop that ends while a request is served.
+STOP_LEFT = 0.4
 
 
 async def answer_slowly(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
@@ -156,6 +158,57 @@
     assert reply.body == make_event(1) + make_event(2)
 
 
+async def ask_until_the_stop_ends(
+    rig: EntryRig, headers: dict[str, str] | None = None
+) -> Reply | None:
+    """Return the answer to a request that is served until a stop ends; None if cut."""
+    asked = asyncio.create_task(rig.ask("POST", headers=headers, body=b"p"))
+    await asyncio.sleep(0.1)
+    begin_stop(rig, STOP_LEFT, elapsed=0.0)
+    await asyncio.sleep(STOP_LEFT + 0.1)
+    await rig.api.close()
+    try:
+        return await asked
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+async def test_request_that_runs_as_a_stop_ends_fails_instead_of_being_cut(
+    kind: RequestKind,
+) -> None:
+    endpoint = ScriptedEndpoint("p1", answer_slowly)
+    async with run_entry([endpoint], make_route(kind, timeout=30.0)) as rig:
+        reply = await ask_until_the_stop_ends(rig)
+    assert reply is not None, "cut off"
+    assert (reply.status, reply.whole) == (502, True)
+    assert reply.headers["connection"] == "close"
+    assert len(endpoint.seen) == 1
+
+
+async def test_request_that_waits_as_a_stop_ends_is_told_that_it_has_not_run() -> None:
+    engine = make_engine("e1", answer_slowly, "north")
+    engine.holds_model = False
+    route = make_route(RequestKind.UNSAFE, service=MODELS, timeout=30.0, objective=20.0)
+    async with run_entry([engine], route) as rig:
+        rig.relay.finder.load_wait = 10.0
+        reply = await ask_until_the_stop_ends(rig, MODEL)
+    assert reply is not None, "cut off"
+    assert (reply.status, reply.whole) == (503, True)
+    assert float(reply.headers["retry-after"]) < 0.1
+    assert not engine.seen
+
+
+async def test_stream_that_has_begun_as_a_stop_ends_does_not_look_whole() -> None:
+    engine = make_engine("e1", stream_with_a_pause, "north")
+    async with run_entry(
+        [engine], make_route(STREAM, service=MODELS, timeout=30.0)
+    ) as rig:
+        reply = await ask_until_the_stop_ends(rig, MODEL)
+    assert reply is not None
+    assert not reply.whole
+
+
 STOP = PlannedStop(started_at=10.0, ends_at=17.6)
 
 
