Planned stop: a silent store doesn't keep a daemon beyond its grace

Cause: after the last request the leases are released one after the other, each with a write or two of 0.6 s if the store is silent, and nothing bounded their sum: a stop that served to its end took 8.23 s of 8. Now the releases end 0.2 s before the grace does. A lease that isn't released costs its successor the lease's time, as after a kill.

--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -120,6 +120,9 @@
 MIN_STOP_DURATION: Final[Seconds] = 3.2
 # The part of the grace period that remains when the last requests are aborted.
 STOP_MARGIN: Final[Seconds] = 0.4
+# The part of it that remains when the store is no longer waited for: connections are
+# closed, and the process ends.
+EXIT_MARGIN: Final[Seconds] = 0.2
 STOP_POLL_INTERVAL: Final[Seconds] = 0.05
 
 
@@ -590,12 +593,23 @@
         self._entry_api.refuse_new()
         # The leases are released last, so that orders can be sent until this point and
         # a daemon that is restarted on this VM continues without a wait.
-        for lease in self._leases.values():
-            await lease.release()
+        await self._release_leases(
+            started_at + self._deployment.bounds.grace - EXIT_MARGIN
+        )
         log_decision(
             LOG, Decision.DAEMON_PLANNED_STOP_ENDS, live=self._entry_api.active_requests
         )
 
+    async def _release_leases(self, deadline: Seconds) -> None:
+        """Release all leases, as many as the store takes by a deadline."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                for lease in self._leases.values():
+                    await lease.release()
+        except TimeoutError:
+            reason = "the planned stop ends"
+            log_decision(LOG, Decision.LEASE_NOT_RELEASED, reason=reason)
+
     async def _run_forever(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Restart a loop when it fails: a fault in one must not end the daemon."""
         name = loop.__qualname__
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -24,6 +24,7 @@
 from kestreltally.platform.store import WRITE_TIMEOUT
 from standins.platform_engine import PlatformEngine
 from tests.entryrig import (
+    BOUNDS,
     MODELS,
     EntryRig,
     Reply,
@@ -47,6 +48,8 @@
 ELAPSED = 4.0
 ANSWER_TIME = 0.9
 TIMEOUT = 1.2
+# The time that a process takes to close its connections and end, at the least.
+EXIT_TIME = 0.15
 # Time left of a stop that ends while a request is served.
 STOP_LEFT = 0.4
 
@@ -273,3 +276,20 @@
         assert not endpoint.runs["late"]
     finally:
         await rig.close()
+
+
+async def test_daemon_ends_within_the_grace_while_the_store_is_silent() -> None:
+    rig = StoppingRig()
+    await rig.start()
+    try:
+        daemon = rig.daemons["north-1"]
+        # A request is served until the end.
+        daemon._entry_api.active_requests += 1
+        rig.store_proxy.set_mode(ProxyMode.SILENT)
+        began = asyncio.get_running_loop().time()
+        await daemon.stop()
+        took = asyncio.get_running_loop().time() - began
+    finally:
+        daemon._entry_api.active_requests -= 1
+        await rig.close()
+    assert took < BOUNDS.grace - EXIT_TIME
