Soak: a request that was rejected works for a while when it comes again

The mutation that takes a late copy for the answer survived one play: requests were answered before the copy came, and few came back to the endpoint that had rejected them.

--- a/bench/faultsoak/actions.py
+++ b/bench/faultsoak/actions.py
@@ -61,7 +61,7 @@
 # Runs that plain endpoints answer with a promise all the same, and requests that they
 # reject once and say so twice, as fractions.
 FALSE_PROMISE_FRACTION: Final = 0.1
-REPEATED_REJECTION_FRACTION: Final = 0.2
+REPEATED_REJECTION_FRACTION: Final = 0.4
 
 PERFORMERS: Final[dict[Action, Perform]] = {}
 
--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -11,6 +11,8 @@
 PROMISES: Final = (408, 421, 429, 503)
 # Delays after which a rejection is sent again, seconds.
 REPEAT_DELAYS: Final = (0.001, 0.02, 0.06, 0.2)
+# How long a request that was rejected works when it comes again, seconds.
+WORK_TIME: Final = 0.1
 
 
 @dataclass
@@ -36,6 +38,11 @@
         self._rejected.add(request_id)
         return True
 
+    async def work(self, request_id: str) -> None:
+        """Work for a while on a request that was rejected before."""
+        if request_id in self._rejected:
+            await asyncio.sleep(WORK_TIME)
+
     def send_again(self, http: web.Request) -> None:
         """Send a copy of a rejection over its connection after a delay."""
         transport = http.transport
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -389,6 +389,7 @@
         headers = {"X-Request-Id": request_id, "X-Server-Stamp": f"{self.id}.stamp"}
         if self.faults.get("errors"):
             return web.Response(status=500, headers=headers, text="error")
+        await self.odd_answers.work(request_id)
         odd_status = self.odd_answers.draw_status()
         if odd_status is not None:
             return web.Response(status=odd_status, headers=headers)
