Planned stop: a request is checked again whenever it has waited

Callers saw: a request that was taken in the first 2.9 s of a stop, and that its endpoint turned away until later, was passed on up to the end of the stop and failed there. Cause: the check after a wait was for slots and turns only. Now it comes before each send of a request that has not run, over the hop too: what may outlast the stop by then gets 503 and goes elsewhere.

--- a/src/kestreltally/entry/relay.py
+++ b/src/kestreltally/entry/relay.py
@@ -186,8 +186,6 @@
         Raises ``Refused`` or ``StreamBroken``.
         """
         request, progress = run.request, run.progress
-        if progress.slot_wait and not progress.runs:
-            self.check_stop(request)
         self._check_again(request, progress)
         sends = progress.sends
         if sends and not self._acquire_retry(request):
@@ -264,8 +262,10 @@
 
     def _check_again(self, request: ClientRequest, progress: Progress) -> None:
         """Check what may have changed while a request waited; raises ``Refused``."""
-        if request.caller is not None and not progress.runs:
-            self.check_caller(request.caller)
+        if not progress.runs:
+            self.check_stop(request)
+            if request.caller is not None:
+                self.check_caller(request.caller)
         self._check_poison(request, progress)
 
     def _check_after_turn(self, request: ClientRequest, progress: Progress) -> None:
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -13,6 +13,7 @@
 
 from bench.faultsoak.proxy import ProxyMode
 from kestreltally.entry.stopping import (
+    ACCEPT_DURATION,
     STOPPING,
     STOPS_BEFORE_DEADLINE,
     PendingRequest,
@@ -41,6 +42,7 @@
     make_engine,
     make_event,
     make_stream_head,
+    refuse,
 )
 from tests.test_fleet_daemon import FleetRig, make_configuration
 
@@ -212,6 +214,31 @@
     assert not reply.whole
 
 
+@pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
+async def test_request_that_is_rejected_until_late_in_a_stop_is_not_passed_on(
+    kind: RequestKind,
+) -> None:
+    full_until = asyncio.get_running_loop().time() + 0.3
+    passed_on_late = []
+
+    async def be_full_at_first(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        if asyncio.get_running_loop().time() < full_until:
+            await refuse(seen, writer)
+            return
+        passed_on_late.append(seen.id)
+        await answer_slowly(seen, writer)
+
+    endpoint = ScriptedEndpoint("p1", be_full_at_first)
+    # Longer than what is left of the stop.
+    route = make_route(kind, timeout=1.5)
+    async with run_entry([endpoint], route) as rig:
+        begin_stop(rig, left=0.8, elapsed=ACCEPT_DURATION - 0.2)
+        reply = await ask_until_closed(rig, 0.8)
+    assert reply is not None, "cut off"
+    assert (reply.status, reply.whole) == (503, True)
+    assert not passed_on_late
+
+
 STOP = PlannedStop(started_at=10.0, ends_at=17.6)
 
 
