Sessions: an answer without end is closed instead of held whole

Reported by others: a faulty engine sent bytes without end, its caller kept them all and ran out of memory. Here the daemons' calls over aiohttp's sessions did so: the own way's reports, orders, refusals and calls, the object API and the list of VMs, and the platform's store. A refusal's body had neither a length nor a time limit. Now a body is read up to a limit (1 MiB of an endpoint, 16 MiB of the platform), and the connections of all sessions bound what is no part of a body, as the channels to endpoints do.

--- a/src/kestreltally/endpoints/engines.py
+++ b/src/kestreltally/endpoints/engines.py
@@ -23,9 +23,12 @@
     EngineAttempt,
     NotStarted,
 )
+from kestreltally.sessions import read_bounded
 
 REPORT_TIMEOUT: Final[Seconds] = 1.0
 FENCE_TIMEOUT: Final[Seconds] = 1.0
+# The longest report, refusal or answer to an order.
+MAX_REPORT_BYTES: Final = 2**20
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
 NOT_RUN_STATUSES: Final = frozenset({400, 404, 409, 413, 422, 429, 503})
@@ -84,7 +87,7 @@
             f"{url}/report",
             timeout=ClientTimeout(total=REPORT_TIMEOUT),
         ) as response:
-            raw = await response.read()
+            raw = await read_bounded(response, MAX_REPORT_BYTES)
             if response.status != STATUS_OK:
                 return None
         return parse_report(raw, endpoint, asked_at)
@@ -110,7 +113,7 @@
     a body that ends early, the attempt may have run.
     """
     try:
-        raw = await response.read()
+        raw = await read_bounded(response, MAX_REPORT_BYTES)
     except ClientError as error:
         raise AttemptLost(repr(error)) from error
     if response.status not in not_run_statuses:
@@ -138,7 +141,7 @@
                 json=body,
                 timeout=ClientTimeout(total=timeout),
             ) as response:
-                raw = await response.read()
+                raw = await read_bounded(response, MAX_REPORT_BYTES)
                 status = response.status
         except ClientConnectorError:
             return OrderOutcome.FAILED
--- a/src/kestreltally/objectapi/http.py
+++ b/src/kestreltally/objectapi/http.py
@@ -4,6 +4,8 @@
 
 from aiohttp import ClientSession, ClientTimeout, TCPConnector
 
+from kestreltally.sessions import bound_overhead
+
 CONNECT_TIMEOUT: Final = 1.0
 READ_BUFFER: Final = 2**18
 
@@ -23,4 +25,5 @@
     # before the response, and has no public option to disable that. Which requests
     # can be resent is for the code that uses the session to decide.
     session._retry_connection = False
+    bound_overhead(session)
     return session
--- a/src/kestreltally/objectapi/objects.py
+++ b/src/kestreltally/objectapi/objects.py
@@ -15,6 +15,7 @@
     ObjectApiDown,
     StoredObject,
 )
+from kestreltally.sessions import read_bounded
 
 STATUS_CONFLICT: Final = 409
 STATUS_TOO_MANY: Final = 429
@@ -55,7 +56,7 @@
                 headers=JSON_HEADERS,
                 timeout=ClientTimeout(total=timeout or self._timeout),
             ) as response:
-                raw = await response.read()
+                raw = await read_bounded(response)
                 status = response.status
         except ClientConnectorError as error:
             raise ObjectApiDown(f"object API: connection failed: {error}") from error
--- a/src/kestreltally/objectapi/vms.py
+++ b/src/kestreltally/objectapi/vms.py
@@ -8,6 +8,7 @@
 from kestreltally.entities.ids import Seconds
 from kestreltally.entities.members import ListedVm
 from kestreltally.ports import PlatformError
+from kestreltally.sessions import read_bounded
 
 TIMEOUT: Final[Seconds] = 1.0
 
@@ -27,7 +28,7 @@
                 timeout=ClientTimeout(total=TIMEOUT),
             ) as response:
                 response.raise_for_status()
-                raw = await response.read()
+                raw = await read_bounded(response)
             return msgspec.json.decode(raw, type=tuple[ListedVm, ...])
         except (ClientError, TimeoutError, msgspec.MsgspecError) as error:
             raise PlatformError(f"VM list: {error!r}") from error
--- a/src/kestreltally/platform/store.py
+++ b/src/kestreltally/platform/store.py
@@ -21,6 +21,7 @@
 from kestreltally.deployment import SocketAddress
 from kestreltally.fleet.model import Seconds
 from kestreltally.platform.pages import UndecodablePage, decode_page
+from kestreltally.sessions import bound_overhead, read_bounded
 from kestreltally.sockets import harden_socket
 from kestreltally.values import (
     FORMAT_ERRORS,
@@ -410,7 +411,7 @@
                 json=body,
                 timeout=ClientTimeout(total=timeout, sock_connect=CALL_TIMEOUT),
             ) as answer:
-                content = await answer.read()
+                content = await read_bounded(answer)
         except (TimeoutError, ClientError, OSError) as error:
             if not _is_silence(error):
                 raise StoreError(f"{method} {path}: {error!r}") from error
@@ -475,4 +476,5 @@
     # By default aiohttp resends GET and PUT when a reused connection ends before the
     # answer, and it has no public option to disable this.
     session._retry_connection = False
+    bound_overhead(session)
     return session
