Planned stop: what must not repeat is refused from the start if it may outlast it

Callers saw: an unsafe request, or a stream that may not go on elsewhere, that came in the first 2.9 s of a stop was passed on whatever its deadline, and failed at its end if its endpoint was slow (works 4.9 s: cut at 7.7 s). Cause: ACCEPT_DURATION held for all kinds alike. Now only what may be repeated is taken so; the rest only if its deadline is before the end of the stop, else 503 at once: other daemons are there.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -163,7 +163,9 @@
             return
         reason = find_stop_refusal(
             PlannedStop(self._stop_started_at, self._stops_at),
-            PendingRequest(request.route.kind, now, request.deadline),
+            PendingRequest(
+                request.route.kind, request.route.repeatable, now, request.deadline
+            ),
         )
         if reason is not None:
             raise Refused(UNAVAILABLE, reason, RETRY_ELSEWHERE_DELAY, elsewhere=True)
--- a/src/kestreltally/entry/stopping.py
+++ b/src/kestreltally/entry/stopping.py
@@ -5,10 +5,10 @@
 
 from kestreltally.fleet.model import RequestKind, Seconds
 
-# How long new requests are accepted after the start of a planned stop, whatever their
-# deadline. The load balancer sends none after 2 s; most of the grace period is still
-# left, and the longest streams last 4 to 5 s. Later ones come on connections that were
-# kept open.
+# How long streams are accepted after the start of a planned stop, and what may be
+# repeated whatever its deadline. The load balancer sends none after 2 s; most of the
+# grace period is still left, and the longest streams last 4 to 5 s. Later ones come on
+# connections that were kept open.
 ACCEPT_DURATION: Final[Seconds] = 2.9
 
 STOPPING: Final = "daemon is stopping"
@@ -25,9 +25,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingRequest:
-    """A request that is to be passed on at ``at``; it ends by its ``deadline``."""
+    """A request that is to be passed on at ``at``; it ends by its ``deadline``.
+
+    A ``repeatable`` one that is broken off may go on elsewhere.
+    """
 
     kind: RequestKind
+    repeatable: bool
     at: Seconds
     deadline: Seconds
 
@@ -40,8 +44,9 @@
     """
     if request.at >= stop.ends_at:
         return STOPPING
-    if request.at <= stop.started_at + ACCEPT_DURATION:
-        return None
-    if request.kind is RequestKind.STREAM:
+    is_early = request.at <= stop.started_at + ACCEPT_DURATION
+    if request.kind is RequestKind.STREAM and not is_early:
         return STOPPING
+    if is_early and request.repeatable:
+        return None
     return STOPS_BEFORE_DEADLINE if request.deadline > stop.ends_at else None
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -46,6 +46,7 @@
 )
 from tests.test_fleet_daemon import FleetRig, make_configuration
 
+SAFE, UNSAFE = RequestKind.SAFE, RequestKind.UNSAFE
 # The stop has begun so long ago that the load balancer sends nothing new.
 ELAPSED = 4.0
 ANSWER_TIME = 0.9
@@ -243,26 +244,32 @@
 
 
 @pytest.mark.parametrize(
-    ("kind", "at", "deadline", "reason"),
+    ("kind", "repeatable", "at", "deadline", "reason"),
     [
-        (RequestKind.SAFE, 12.9, 40.0, None),
-        (RequestKind.SAFE, 13.0, 17.6, None),
-        (RequestKind.UNSAFE, 13.0, 17.7, STOPS_BEFORE_DEADLINE),
-        (RequestKind.SAFE, 17.5, 17.55, None),
-        (RequestKind.SAFE, 17.6, 17.6, STOPPING),
-        (RequestKind.STREAM, 12.9, 40.0, None),
-        (RequestKind.STREAM, 13.0, 14.0, STOPPING),
+        (SAFE, True, 12.9, 40.0, None),
+        (SAFE, True, 13.0, 17.6, None),
+        (SAFE, True, 13.0, 17.7, STOPS_BEFORE_DEADLINE),
+        (SAFE, True, 17.5, 17.55, None),
+        (SAFE, True, 17.6, 17.6, STOPPING),
+        (UNSAFE, False, 10.1, 17.6, None),
+        (UNSAFE, False, 10.1, 17.7, STOPS_BEFORE_DEADLINE),
+        (UNSAFE, False, 13.0, 17.7, STOPS_BEFORE_DEADLINE),
+        (STREAM, True, 12.9, 40.0, None),
+        (STREAM, True, 13.0, 14.0, STOPPING),
+        (STREAM, False, 12.9, 17.6, None),
+        (STREAM, False, 10.1, 17.7, STOPS_BEFORE_DEADLINE),
     ],
 )
 def test_what_is_passed_on_in_a_planned_stop(
-    kind: RequestKind, at: float, deadline: float, reason: str | None
+    kind: RequestKind, repeatable: bool, at: float, deadline: float, reason: str | None
 ) -> None:
-    assert find_stop_refusal(STOP, PendingRequest(kind, at, deadline)) == reason
+    pending = PendingRequest(kind, repeatable, at, deadline)
+    assert find_stop_refusal(STOP, pending) == reason
 
 
 def test_nothing_is_passed_on_after_a_stop_has_ended_early() -> None:
     ended = PlannedStop(started_at=10.0, ends_at=10.5)
-    late = PendingRequest(RequestKind.SAFE, 11.0, 12.0)
+    late = PendingRequest(SAFE, True, 11.0, 12.0)
     assert find_stop_refusal(ended, late) == STOPPING
 
 
