Channels: a request whose channel closes before it is sent has not run

Callers saw: 502 for a request that must not repeat, though nothing of it was sent (a finding by reading): its channel closed between its choice and the send. Cause: the same error stood for "nothing was sent" and "may have run". Now it has an error of its own, raised before the first byte is written (what is written to a closing transport is dropped), and is a proof: another channel is taken. Evidence: the new test got 502 before, 200 now.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -50,6 +50,10 @@
     """The channel failed after the request was sent; the request may have run."""
 
 
+class ChannelClosed(AnswerLost):
+    """The channel was closed before anything of the request was sent."""
+
+
 class AnswerTruncated(Exception):
     """The body of an answer was truncated."""
 
@@ -207,14 +211,16 @@
 
         A faulty endpoint may send a second answer to an earlier request. Such answers
         are skipped, and the channel is not kept. An answer to a daemon's own call (a
-        report, an order) may name no request. Raises ``Unavailable`` if nothing was
-        sent, and ``AnswerLost`` once any byte may have been sent.
+        report, an order) may name no request. Raises ``Unavailable`` or
+        ``ChannelClosed`` if nothing was sent, and ``AnswerLost`` once any byte may have
+        been sent.
         """
         self._answer = None
         protocol = self._protocol
         transport = protocol.transport
-        if transport is None:
-            raise AnswerLost("channel closed before the request was sent")
+        if transport is None or transport.is_closing():
+            # What is written to a closing transport is dropped.
+            raise ChannelClosed("channel closed before the request was sent")
         head_only = head.startswith(b"HEAD ")
         protocol.set_response_params(
             skip_payload=head_only,
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -27,6 +27,7 @@
     AnswerLost,
     AnswerTruncated,
     Channel,
+    ChannelClosed,
     ChannelPool,
     NotConnected,
     encode_head,
@@ -121,11 +122,11 @@
                 answer = await sending
             else:
                 answer = await self._wait_for_answer(run, sending, wait_limit)
-        except Unavailable as error:
+        except (ChannelClosed, Unavailable) as error:
             send.disprove(Proof.NOT_WRITTEN)
             progress.sends -= 1
             raise AttemptFailed(
-                "endpoint accepts no requests at present", may_have_run=False
+                f"nothing was sent: {error!r}", may_have_run=False
             ) from error
         except AnswerLost as error:
             run.record_broken()
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -11,6 +11,7 @@
 from kestreltally.entry.channel import AnswerLost as AnswerLost
 from kestreltally.entry.channel import AnswerTruncated as AnswerTruncated
 from kestreltally.entry.channel import Channel as Channel
+from kestreltally.entry.channel import ChannelClosed as ChannelClosed
 from kestreltally.entry.channel_protocol import ChannelProtocol
 from kestreltally.entry.channel_rules import ChannelRules
 from kestreltally.entry.channels import WAIT_FOR_CHANNEL
--- a/src/kestreltally/forwarding/forwarder.py
+++ b/src/kestreltally/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     AnswerLost,
     AnswerTruncated,
     Channel,
+    ChannelClosed,
     ChannelPool,
     NotConnected,
     encode_head,
@@ -167,7 +168,7 @@
         send = progress.send_log.start(attempts)
         try:
             answer = await channel.send(head, request.body, request.head.id)
-        except Unavailable as error:
+        except (ChannelClosed, Unavailable) as error:
             send.disprove(Proof.NOT_WRITTEN)
             raise NotServed("channel not available") from error
         refusal = _find_refusal(answer, send_id)
--- a/tests/test_false_promises.py
+++ b/tests/test_false_promises.py
@@ -12,7 +12,8 @@
 
 import pytest
 
-from kestreltally.fleet.model import RequestKind, Seconds, ServiceName
+from kestreltally.entry.upstream import Channel, ChannelPool
+from kestreltally.fleet.model import Endpoint, RequestKind, Seconds, ServiceName
 from tests.entryrig import (
     MODELS,
     PLAIN,
@@ -202,3 +203,26 @@
     statuses = await play(witness, RequestKind.UNSAFE, *endpoints)
     assert statuses == [200] * CLIENTS
     witness.assert_kept()
+
+
+async def test_request_whose_channel_closes_before_it_is_sent_has_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    acquire, acquired = ChannelPool.acquire, []
+
+    async def acquire_closing(
+        pool: ChannelPool, endpoint: Endpoint, request_id: str
+    ) -> Channel:
+        channel = await acquire(pool, endpoint, request_id)
+        acquired.append(channel)
+        if len(acquired) == 1:
+            channel.close()
+        return channel
+
+    monkeypatch.setattr(ChannelPool, "acquire", acquire_closing)
+    witness = Witness()
+    endpoint = make_sound(witness, PLAIN)
+    async with run_entry([endpoint], make_route(RequestKind.UNSAFE)) as rig:
+        reply = await rig.ask("POST")
+    assert reply.status == 200
+    assert (len(acquired), len(endpoint.seen)) == (2, 1)
