--- a/src/kestreltally/entry/finder.py
+++ b/src/kestreltally/entry/finder.py
@@ -259,6 +259,11 @@
             retry_after = min(MAX_RETRY_DELAY, max(DEFAULT_RETRY_DELAY, wait))
             raise Refused(UNAVAILABLE, f"{key} is not loaded", retry_after)
 
+    def report_missing(self, endpoint: EndpointId, key: WeightsKey) -> None:
+        """Tell the leader soon that an engine does not serve these weights."""
+        self.demand.record_refused(endpoint, key)
+        self.expedite()
+
     def _list_candidates(
         self, request: ClientRequest, progress: Progress, now: Seconds
     ) -> list[Endpoint]:
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -7,41 +7,33 @@
 
 from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.beginnings import log_beginning
-from kestreltally.entry.delivery import MAX_BUFFERED_BYTES, Delivery
+from kestreltally.entry.delivery import Delivery
 from kestreltally.entry.finder import EndpointFinder
 from kestreltally.entry.health import HealthTable
 from kestreltally.entry.hedging import Hedging, compute_wait_limit
 from kestreltally.entry.progress import AttemptFailed, Progress
 from kestreltally.entry.recall import VersionRecall
+from kestreltally.entry.rejections import RejectionCheck
 from kestreltally.entry.request import BODY_METHODS, ClientRequest
 from kestreltally.entry.run import Run
-from kestreltally.entry.sends import (
-    PROMISE_STATUSES,
-    Proof,
-    Rejection,
-    find_proof,
-)
+from kestreltally.entry.sends import Proof
 from kestreltally.entry.silence import UnansweredRequest, Verdict, evaluate_silence
 from kestreltally.entry.upstream import (
     Answer,
     AnswerLost,
-    AnswerTruncated,
     Channel,
     ChannelClosed,
     ChannelPool,
     NotConnected,
     encode_head,
 )
-from kestreltally.fleet.model import Endpoint, EndpointId, Seconds, WeightsKey
+from kestreltally.fleet.model import Endpoint, Seconds
 from kestreltally.fleet.notices import Unavailable
 from kestreltally.fleet.tables import Fleet
 from kestreltally.platform.headers import (
     LAST_EVENT_ID,
-    MISDIRECTED,
     encode_request,
     is_genuine,
-    read_instance,
-    says_not_run,
 )
 from kestreltally.poison.guard import PoisonGuard
 
@@ -49,7 +41,7 @@
 
 
 class Sender:
-    """Sends requests, and records what endpoints that do not serve them say."""
+    """Sends requests, and returns the answers of endpoints that may have run them."""
 
     def __init__(
         self,
@@ -69,6 +61,7 @@
         self._hedging = hedging
         self._poison = poison
         self._recall = VersionRecall(fleet)
+        self._rejections = RejectionCheck(fleet, health, finder, poison)
 
     async def connect(self, request: ClientRequest, endpoint: Endpoint) -> Channel:
         """Return a channel to an endpoint; raises ``AttemptFailed``."""
@@ -92,11 +85,9 @@
             return
         now = asyncio.get_running_loop().time()
         self._fleet.record_missing_weights(endpoint.id, key, now)
-        self._pool.contact.believe_later(lambda: self._report_missing(endpoint.id, key))
-
-    def _report_missing(self, endpoint: EndpointId, key: WeightsKey) -> None:
-        self._finder.demand.record_refused(endpoint, key)
-        self._finder.expedite()
+        self._pool.contact.believe_later(
+            lambda: self._finder.report_missing(endpoint.id, key)
+        )
 
     async def send(self, run: Run, channel: Channel, urgency: int) -> Answer:
         """Send a request and return its answer; raises ``AttemptFailed``."""
@@ -134,13 +125,7 @@
             raise AttemptFailed(
                 "connection lost before the answer", may_have_run=True
             ) from error
-        if answer.status == MISDIRECTED:
-            self._record_misdirected(run, answer)
-        proof = _find_proof(endpoint, answer)
-        self._log_turned_away(run, channel, answer, proof)
-        if proof is not None:
-            send.disprove(proof)
-            await _end_rejected(run, answer)
+        await self._rejections.check(run, send, channel, answer)
         if not is_genuine(answer.status, answer.headers):
             self._delivery.record_failure(endpoint, "answer encoded or without stamp")
             raise AttemptFailed("answer not genuine", may_have_run=True)
@@ -188,44 +173,6 @@
             )
         )
 
-    def _record_misdirected(self, run: Run, answer: Answer) -> None:
-        """Record that an endpoint was replaced, or lacks what a request needs."""
-        endpoint, key = run.endpoint, run.request.head.weights
-        instance = read_instance(answer.headers)
-        if instance and instance != endpoint.id:
-            self._poison.crash_detector.record_replaced(endpoint)
-            self._fleet.drop_endpoint(endpoint.id)
-        elif key is not None:
-            now = asyncio.get_running_loop().time()
-            self._fleet.record_missing_weights(endpoint.id, key, now)
-            self._report_missing(endpoint.id, key)
-
-    def _log_turned_away(
-        self, run: Run, channel: Channel, answer: Answer, proof: Proof | None
-    ) -> None:
-        """Log what shows that an endpoint did not run a request, and its load."""
-        if proof is None and answer.status not in PROMISE_STATUSES:
-            return
-        request, endpoint = run.request, run.endpoint
-        brittleness = self._fleet.notices.get_brittleness(endpoint)
-        others = self._finder.remote_occupancy.in_flight
-        log_decision(
-            LOG,
-            Decision.ENDPOINT_TURNED_AWAY,
-            request=request.head.id,
-            endpoint=endpoint.id,
-            status=answer.status,
-            proof=proof.value if proof is not None else None,
-            instance=read_instance(answer.headers) or None,
-            channel_age=round(channel.age, 3),
-            exchange=channel.exchanges,
-            bears=brittleness.limit if brittleness is not None else None,
-            send=run.progress.sends,
-            in_flight=self._health.get_row(endpoint.id).in_flight,
-            others=others.get(endpoint.id, 0),
-            slots=endpoint.slots,
-        )
-
     def _log_resumption(
         self, request: ClientRequest, progress: Progress, endpoint: Endpoint
     ) -> None:
@@ -277,29 +224,3 @@
             return None
         newest = self._fleet.get_newest_version(key)
         return newest if endpoint.weights.get(key) == newest else None
-
-
-def _find_proof(endpoint: Endpoint, answer: Answer) -> Proof | None:
-    return find_proof(
-        Rejection(
-            status=answer.status,
-            says_not_run=says_not_run(answer.headers),
-            instance=read_instance(answer.headers),
-            expected=endpoint.id,
-        )
-    )
-
-
-async def _end_rejected(run: Run, answer: Answer) -> None:
-    """End a send that did not run; raises ``AttemptFailed``."""
-    try:
-        await answer.read_all(MAX_BUFFERED_BYTES)
-    except AnswerTruncated as error:
-        LOG.debug(
-            "relay: refusal from endpoint %s truncated: %s", run.endpoint.id, error
-        )
-    raise AttemptFailed(
-        f"request not run (status {answer.status})",
-        may_have_run=False,
-        turned_away=answer.status != MISDIRECTED,
-    )
--- a/tests/test_stop_answers.py
+++ b/tests/test_stop_answers.py
@@ -96,9 +96,10 @@
         yield rig
 
 
-async def ask_until_closed(rig: EntryRig, left: float) -> Reply | None:
+async def close_after(
+    rig: EntryRig, asked: asyncio.Task[Reply], left: float
+) -> Reply | None:
     """Return the answer to a request of a daemon that ends; None if there is none."""
-    asked = asyncio.create_task(rig.ask())
     await asyncio.sleep(left)
     await rig.api.close()
     try:
@@ -107,6 +108,10 @@
         return None
 
 
+async def ask_until_closed(rig: EntryRig, left: float) -> Reply | None:
+    return await close_after(rig, asyncio.create_task(rig.ask()), left)
+
+
 @pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
 @pytest.mark.parametrize("script", [answer_slowly, pause_in_the_middle])
 async def test_a_plain_request_that_may_outlast_the_stop_is_not_passed_on(
@@ -171,12 +176,7 @@
     asked = asyncio.create_task(rig.ask("POST", headers=headers, body=b"p"))
     await asyncio.sleep(0.1)
     begin_stop(rig, STOP_LEFT, elapsed=0.0)
-    await asyncio.sleep(STOP_LEFT + 0.1)
-    await rig.api.close()
-    try:
-        return await asked
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return None
+    return await close_after(rig, asked, STOP_LEFT + 0.1)
 
 
 @pytest.mark.parametrize("kind", [RequestKind.SAFE, RequestKind.UNSAFE])
