--- a/bench/faultsoak/mutations.py
+++ b/bench/faultsoak/mutations.py
@@ -78,9 +78,9 @@
 MUTATIONS: Final = (
     Mutation(
         name="false report that a request has not run",
-        module="entry/progress.py",
-        before="    if progress.runs:\n",
-        after="    if False:\n",
+        module="entry/sends.py",
+        before="        self._sends.append(send)\n",
+        after="",
         action=Action.ENDPOINT_PATH,
         mode=ProxyMode.CUT_FROM_TARGET,
     ),
--- a/tests/test_drain_bound.py
+++ b/tests/test_drain_bound.py
@@ -98,8 +98,10 @@
 
     async with run_entry(endpoints, make_route(kind)) as rig:
 
-        async def wait_for_channel(pool: ChannelPool, endpoint: Endpoint) -> Channel:
-            channel = await acquire(pool, endpoint)
+        async def wait_for_channel(
+            pool: ChannelPool, endpoint: Endpoint, request_id: str
+        ) -> Channel:
+            channel = await acquire(pool, endpoint, request_id)
             if not removed:
                 removed.append(endpoint.id)
                 rig.fleet.drop_endpoint(endpoint.id)
