--- a/src/kestreltally/entry/refusals.py
+++ b/src/kestreltally/entry/refusals.py
@@ -1,14 +1,12 @@
 """This daemon's refusals: a status that promises something needs the proof of it."""
 
 from dataclasses import dataclass
-from typing import Final
 
+from kestreltally.entry.progress import BAD_GATEWAY
 from kestreltally.entry.request import Refused
 from kestreltally.entry.sends import PROMISE_STATUSES, NotRunPromise, SendLog
 from kestreltally.fleet.model import Seconds
 
-BAD_GATEWAY: Final = 502
-
 
 class UnprovenPromise(Exception):
     """A refusal would promise that a request has not run, but nothing proves it."""
--- a/src/kestreltally/entry/rejections.py
+++ b/src/kestreltally/entry/rejections.py
@@ -10,7 +10,6 @@
 from kestreltally.entry.progress import AttemptFailed
 from kestreltally.entry.run import Run
 from kestreltally.entry.sends import (
-    MISDIRECTED,
     PROMISE_STATUSES,
     Proof,
     Rejection,
@@ -20,7 +19,7 @@
 from kestreltally.entry.upstream import Answer, AnswerTruncated, Channel
 from kestreltally.fleet.model import Endpoint
 from kestreltally.fleet.tables import Fleet
-from kestreltally.platform.headers import read_instance, says_not_run
+from kestreltally.platform.headers import MISDIRECTED, read_instance, says_not_run
 from kestreltally.poison.guard import PoisonGuard
 
 LOG = logging.getLogger("kestreltally.relay")
--- a/src/kestreltally/entry/sends.py
+++ b/src/kestreltally/entry/sends.py
@@ -8,9 +8,10 @@
 from enum import Enum
 from typing import Final
 
+from kestreltally.platform.headers import MISDIRECTED
+
 # Statuses that tell a client that its request has not run.
 PROMISE_STATUSES: Final = frozenset({408, 421, 429, 503})
-MISDIRECTED: Final = 421
 MIN_REJECTION_STATUS: Final = 400
 
 
