--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -321,3 +321,15 @@
         after = budget.compute_remaining(PLAIN, asyncio.get_running_loop().time())
     assert reply.status == 200
     assert after < before
+
+
+@pytest.mark.parametrize("status", [b"408 Late", b"421 Other", b"429 Many", b"503 No"])
+async def test_status_of_a_peer_s_engine_is_no_promise(status: bytes) -> None:
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(make_answer(seen, b"", status))
+
+    endpoint = ScriptedEndpoint("e1", answer)
+    async with run_pair([endpoint], make_route(UNSAFE)) as (sender, _):
+        reply = await ask(sender)
+    assert reply.status == 502
+    assert len(endpoint.seen) == 1
