--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -168,12 +168,12 @@
 
     @property
     def age(self) -> Seconds:
-        """Return since when the channel is open."""
+        """Return for how long the channel has been open."""
         return self._loop.time() - self._opened_at
 
     @property
     def exchanges(self) -> int:
-        """Return how many requests were sent over the channel."""
+        """Return how many requests and own calls were sent over the channel."""
         return self._exchanges
 
     @property
