Channels: an answer whose status line is none reaches no client

What callers saw: an engine in trouble answered with status 000, and its client got it as its answer (`HTTP/1.1 0 X`, with stamp and body); statuses 600 and more were passed on as they came, HTTP/2.0, HTTP/0.9 and RTSP/1.0 were taken for HTTP/1.1, empty lines before the status line were skipped, and a switch of protocols that nobody asked for (101) held the request until its time was over. A sound endpoint beside it wasn't asked.

Cause: what the parser lets through was taken for valid. The parser is lenient, and no reader of an answer looked at its head again: "below 300 with a stamp" is true for 000.

Mend: entry/answer_head.py decides whether a head is an answer at all, by its raw bytes, and ChannelProtocol asks it before the parser gets the end of the head. All answers over HTTP come through that protocol: requests, reports, probes, orders, the check of a process, peers, the store's sessions and those of the own way. A head that is none is the same as bytes that are none: the send may have run, the endpoint has failed, the channel is closed, nothing in it is read. What is wrong is logged, the client gets 502.

So that no head passes unseen, the protocol knows which answer is awaited: one to another request is parsed up to its end, and the head behind it is checked too; what follows the awaited answer is dropped (before, it waited for the next reader of a pooled session).

The soak's clients use the product's session in place of a protocol of their own.

--- a/bench/faultsoak/actions.py
+++ b/bench/faultsoak/actions.py
@@ -12,7 +12,6 @@
 from bench.faultsoak.fragile import be_brittle, send_deadly_parts
 from bench.faultsoak.plan import Action, Step
 from bench.faultsoak.proxy import Proxy, ProxyMode
-from bench.faultsoak.sessions import open_session
 from bench.faultsoak.soak import ADAPTERS, Perform, Soak
 from bench.faultsoak.system import (
     ENDPOINTS,
@@ -22,6 +21,7 @@
 )
 from bench.faultsoak.waiting import name_version_while_requests_wait
 from bench.fleet_demo import DATA_CENTRES
+from kestreltally.objectapi.http import open_session
 from standins.platform_engine import HEARTBEAT, POISON_PREFIX
 from standins.platform_store import NESTED_VALUE
 
--- a/bench/faultsoak/soak.py
+++ b/bench/faultsoak/soak.py
@@ -11,13 +11,13 @@
 from bench.faultsoak.contact import Scope
 from bench.faultsoak.organisations import CHANGING, STEADY
 from bench.faultsoak.plan import Action, Step
-from bench.faultsoak.sessions import open_session
 from bench.faultsoak.streams import StreamClients
 from bench.faultsoak.system import (
     Daemon,
     SoakEndpoint,
     SoakSystem,
 )
+from kestreltally.objectapi.http import open_session
 
 # Requests per second of each daemon's client, and number of adapters that they name.
 # There are more adapters than places, so that orders are sent all the time.
--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import math
 import re
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import MultiMapping
 
+from kestreltally.entry.answer_head import InvalidHead
 from kestreltally.entry.channel_protocol import ChannelProtocol
 from kestreltally.entry.channel_rules import ChannelRules
 from kestreltally.entry.channels import DEFAULT_IDLE_TIME, KEEP_ALIVE_MARGIN
@@ -31,6 +33,8 @@
     read_notice,
 )
 
+LOG = logging.getLogger("kestreltally.relay")
+
 # The longest time for which a pool without channel rules uses an idle channel.
 MAX_IDLE_TIMEOUT: Final[Seconds] = 10.0
 READ_BUFFER_BYTES: Final = 2**16
@@ -54,6 +58,10 @@
     """The channel was closed before anything of the request was sent."""
 
 
+class AnswerInvalid(AnswerLost):
+    """What came in the place of an answer is none; the request may have run."""
+
+
 class AnswerTruncated(Exception):
     """The body of an answer was truncated."""
 
@@ -230,7 +238,12 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
-        protocol.start_exchange()
+
+        def is_awaited(headers: MultiMapping[str]) -> bool:
+            answer_id = read_answer_id(headers)
+            return answer_id == request_id or (is_own and not answer_id)
+
+        protocol.start_exchange(is_awaited)
         self._exchanges += 1
         if not is_own:
             self._sent.add(hash(request_id))
@@ -241,8 +254,7 @@
         try:
             answer = await self._read_head(head_only)
             for _ in range(MAX_SURPLUS_ANSWERS):
-                answer_id = read_answer_id(answer.headers)
-                matches = answer_id == request_id or (is_own and not answer_id)
+                matches = is_awaited(answer.headers)
                 # An answer to an earlier request may be of any age.
                 asked_at = sent_at if matches else NEVER
                 self._apply_notice(answer, asked_at, from_request=not is_own)
@@ -253,6 +265,8 @@
                 protocol.force_close()
                 await _skip_body(answer)
                 answer = await self._read_head(head_only)
+        except InvalidHead as error:
+            raise self._make_invalid(str(error)) from error
         except (ClientError, EofStream, OSError, HttpProcessingError) as error:
             raise AnswerLost(repr(error)) from error
         finally:
@@ -278,6 +292,11 @@
             delimited=is_delimited(message, payload),
         )
 
+    def _make_invalid(self, fault: str) -> AnswerInvalid:
+        """Return the error for what came; its words are only logged."""
+        LOG.info("relay: invalid answer of endpoint %s: %s", self._endpoint.id, fault)
+        return AnswerInvalid("invalid answer")
+
     def _apply_notice(
         self, answer: Answer, sent_at: Seconds, *, from_request: bool
     ) -> None:
--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -1,19 +1,30 @@
-"""aiohttp's client protocol, with holds on reading and a report of received bytes."""
+"""aiohttp's client protocol: it passes on only heads that are answers in HTTP.
+
+It also bounds what it receives, holds reading, and reports received bytes.
+"""
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from typing import Final
 
-from aiohttp import ClientPayloadError, StreamReader
+from aiohttp import ClientError, ClientPayloadError, StreamReader
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_parser import RawResponseMessage
+from multidict import MultiMapping
 
+from kestreltally.entry.answer_head import (
+    HEAD_END,
+    MAX_HEAD_END_BYTES,
+    InvalidHead,
+    check_head,
+)
+from kestreltally.entry.framing import read_length
 from kestreltally.sockets import bound_kernel_unsent
 
 # The maximum number of bytes that are received at once, so that an answer whose source
 # is paused in time never holds much more.
 RECEIVE_BYTES: Final = 2**14
-HEAD_END: Final = b"\r\n\r\n"
 MIN_FINAL_STATUS: Final = 200
 # So many bytes of an exchange may be no part of a body: heads, sizes of chunks, and
 # what is no answer. Small chunks may add as many again as their bodies have.
@@ -21,12 +32,32 @@
 # Interim heads before a final one. Each takes as long to parse as any other head, so
 # that many would keep this process from its other connections.
 MAX_INTERIM_HEADS: Final = 32
+# Lines of the chunks of answers to other requests, each of which is parsed apart. A
+# stream that comes again has some hundred.
+MAX_OTHER_LINES: Final = 2_048
+
+
+class _Phase(Enum):
+    """What the next received bytes belong to."""
+
+    HEAD = "head"
+    # The rest of a head that was found to be an answer's.
+    CHECKED_HEAD = "checked head"
+    # An answer to another request.
+    OTHER_BODY = "body of another answer"
+    # The answer that is awaited, and whatever follows it.
+    BODY = "body"
 
 
 def ignore_received(_: "ChannelProtocol", __: int) -> None:
     """Ignore received bytes: nothing bounds what is held."""
 
 
+def await_any(_: MultiMapping[str]) -> bool:
+    """Take any answer for the one that is awaited."""
+    return True
+
+
 class ChannelProtocol(ResponseHandler):
     """aiohttp's protocol, but only the endpoint's close completes an undelimited body.
 
@@ -54,21 +85,31 @@
         self.notify_answered: Callable[[], None] = lambda: None
         self._closed_by_endpoint = False
         # Of the present exchange: bytes received, those of former bodies, the body that
-        # is being received, and the last bytes while a final head is awaited.
+        # is being received, bytes left of another answer's if known, and what has come
+        # of a head.
         self._received = 0
         self._former_body_bytes = 0
         self._interim_heads = 0
+        self._other_lines = 0
         self._body: StreamReader | None = None
-        self._end_of_last = b""
-        self._has_final_head = True
+        self._unparsed_body: int | None = None
+        self._head = bytearray()
+        self._phase = _Phase.BODY
+        self._is_awaited: Callable[[MultiMapping[str]], bool] = await_any
+
+    def start_exchange(
+        self, is_awaited: Callable[[MultiMapping[str]], bool] = await_any
+    ) -> None:
+        """Await an answer to a request that is about to be sent.
 
-    def start_exchange(self) -> None:
-        """Await an answer to a request that is about to be sent."""
+        ``is_awaited`` returns whether an answer with some headers is that answer.
+        """
         self._received = self._former_body_bytes = 0
-        self._interim_heads = 0
+        self._interim_heads = self._other_lines = 0
         self._body = None
-        self._end_of_last = b""
-        self._has_final_head = False
+        self._head.clear()
+        self._phase = _Phase.HEAD
+        self._is_awaited = is_awaited
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what is received at once if received bytes are counted."""
@@ -127,31 +168,89 @@
         A parser that finds garbage reports nothing of the bytes given with it, so that
         a complete answer before the garbage would be lost.
         """
-        while data and not self._has_final_head:
-            if self._interim_heads > MAX_INTERIM_HEADS:
-                self._give_up(f"more than {MAX_INTERIM_HEADS} interim heads")
+        while data and self._phase is not _Phase.BODY:
+            if self._phase is _Phase.OTHER_BODY:
+                data = self._parse_other_body(data)
+            else:
+                data = self._parse_head(data)
+            if not data or self.exception() is not None:
                 return
-            overlap = self._end_of_last
-            found = (overlap + data).find(HEAD_END)
-            if found < 0:
-                self._end_of_last = (overlap + data)[1 - len(HEAD_END) :]
-                break
-            self._end_of_last = b""
-            end = found + len(HEAD_END) - len(overlap)
-            super().data_received(data[:end])
-            data = data[end:]
         super().data_received(data)
 
+    def _parse_head(self, data: bytes) -> bytes:
+        """Parse the next part of a head; return what follows the head."""
+        if self._interim_heads > MAX_INTERIM_HEADS:
+            self._give_up(
+                ClientPayloadError(f"more than {MAX_INTERIM_HEADS} interim heads")
+            )
+            return b""
+        known = len(self._head)
+        self._head += data
+        found = HEAD_END.search(self._head, max(0, known - MAX_HEAD_END_BYTES + 1))
+        if found is None:
+            super().data_received(data)
+            return b""
+        end = found.end() - known
+        try:
+            check_head(bytes(self._head[: found.end()]))
+        except InvalidHead as error:
+            self._give_up(error)
+            return b""
+        self._head.clear()
+        self._phase = _Phase.CHECKED_HEAD
+        super().data_received(data[:end])
+        if self._phase is _Phase.CHECKED_HEAD and self.exception() is None:
+            self._give_up(InvalidHead("head that the parser finds incomplete"))
+        return data[end:]
+
+    def _parse_other_body(self, data: bytes) -> bytes:
+        """Parse the next part of a body that nobody waits for; return what follows.
+
+        It ends before the head behind it, so that this is checked too.
+        """
+        body = self._body
+        assert body is not None
+        if body.is_eof() or self._unparsed_body == 0:
+            self._phase = _Phase.HEAD
+            return data
+        if self._unparsed_body is not None:
+            end = min(self._unparsed_body, len(data))
+            self._unparsed_body -= end
+        else:
+            # Chunks end with a line.
+            end = data.find(b"\n") + 1 or len(data)
+            self._other_lines += 1
+        if self._other_lines > MAX_OTHER_LINES:
+            self._give_up(
+                ClientPayloadError(f"more than {MAX_OTHER_LINES} lines of chunks")
+            )
+            return b""
+        super().data_received(data[:end])
+        return data[end:]
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
         """Take over an answer's head, and the body that begins with it."""
         message, body = data
+        if self._phase is _Phase.BODY:
+            # It follows the answer that was awaited, and belongs to no request.
+            self.force_close()
+            return
+        if self._phase is not _Phase.CHECKED_HEAD:
+            self._give_up(InvalidHead("head that was not found to be one"))
+            return
         if self._body is not None:
             self._former_body_bytes += self._body.total_bytes
         self._body = body
-        self._has_final_head = message.code >= MIN_FINAL_STATUS
-        self._interim_heads += not self._has_final_head
+        if message.code < MIN_FINAL_STATUS:
+            self._interim_heads += 1
+            self._phase = _Phase.HEAD
+        elif self._is_awaited(message.headers):
+            self._phase = _Phase.BODY
+        else:
+            self._unparsed_body = read_length(message)
+            self._phase = _Phase.OTHER_BODY
         super().feed_data(data, size)
 
     def _check_overhead(self) -> None:
@@ -163,13 +262,16 @@
         limit = MAX_OVERHEAD_BYTES + body_bytes
         if overhead > limit:
             self._give_up(
-                f"{overhead} bytes are no part of a body, limit {limit} bytes"
+                ClientPayloadError(
+                    f"{overhead} bytes are no part of a body, limit {limit} bytes"
+                )
             )
 
-    def _give_up(self, reason: str) -> None:
-        """Fail the present exchange, and close the connection."""
-        self.set_exception(ClientPayloadError(reason))
+    def _give_up(self, error: ClientError) -> None:
+        """Close the connection, and fail the present exchange."""
         self.abort()
+        # Closing forgets an earlier one.
+        self.set_exception(error)
 
     def set_held(self, held: bool) -> None:
         """Stop receiving, or resume unless aiohttp itself has stopped it."""
--- a/src/kestreltally/entry/framing.py
+++ b/src/kestreltally/entry/framing.py
@@ -27,3 +27,9 @@
     if head_only or message.code in BODILESS_STATUSES:
         return False
     return body is EMPTY_PAYLOAD
+
+
+def read_length(message: RawResponseMessage) -> int | None:
+    """Return the length of a body in bytes, None if it isn't stated."""
+    length = message.headers.get("Content-Length")
+    return int(length) if length is not None else None
--- a/src/kestreltally/entry/sending.py
+++ b/src/kestreltally/entry/sending.py
@@ -20,6 +20,7 @@
 from kestreltally.entry.silence import UnansweredRequest, Verdict, evaluate_silence
 from kestreltally.entry.upstream import (
     Answer,
+    AnswerInvalid,
     AnswerLost,
     Channel,
     ChannelClosed,
@@ -122,9 +123,9 @@
         except AnswerLost as error:
             run.record_broken()
             self._delivery.record_failure(endpoint, str(error))
-            raise AttemptFailed(
-                "connection lost before the answer", may_have_run=True
-            ) from error
+            is_invalid = isinstance(error, AnswerInvalid)
+            fault = str(error) if is_invalid else "connection lost before the answer"
+            raise AttemptFailed(fault, may_have_run=True) from error
         await self._rejections.check(run, send, channel, answer)
         if not is_genuine(answer.status, answer.headers):
             self._delivery.record_failure(endpoint, "answer encoded or without stamp")
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -8,6 +8,7 @@
 
 from kestreltally.entry.answer_end import ConnectionOutcome
 from kestreltally.entry.channel import Answer as Answer
+from kestreltally.entry.channel import AnswerInvalid as AnswerInvalid
 from kestreltally.entry.channel import AnswerLost as AnswerLost
 from kestreltally.entry.channel import AnswerTruncated as AnswerTruncated
 from kestreltally.entry.channel import Channel as Channel
