Channels: an answer that can't be written on fails before its client's channel

What callers saw: an engine in trouble answered with a control byte in a value or in the reason phrase (0x01, 0x08, 0x1b, 0x7f and others). The client's channel was closed without an answer, or it got a 500 of this daemon's server; a sound endpoint wasn't asked, no decision was logged, and the endpoint's health counted a success.

Cause: the parser takes such bytes, and the server's writer refuses them, when the request counts as answered and nothing can be tried any more.

Mend: the check of heads takes only visible characters, blanks, tabs and bytes beyond ASCII in values and reasons. CR, LF and NUL are invalid there by RFC 9110, 5.5, other controls too, though they may be kept; nobody who sends them is in good health.

--- a/src/kestreltally/entry/answer_head.py
+++ b/src/kestreltally/entry/answer_head.py
@@ -17,7 +17,8 @@
 MAX_HEAD_END_BYTES: Final = 3
 
 _LINE_END: Final = rb"\r?\n"
-_TEXT: Final = rb"[^\r\n]*+"
+# Visible characters, blanks, tabs and bytes beyond ASCII, but no control bytes.
+_TEXT: Final = rb"[\t\x20-\x7e\x80-\xff]*+"
 _STATUS_LINE: Final = rb"HTTP/1\.[01] [1-5][0-9]{2}(?: " + _TEXT + rb")?"
 _FIELD_LINE: Final = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:" + _TEXT
 _HEAD: Final = re.compile(
--- a/tests/brokenheads.py
+++ b/tests/brokenheads.py
@@ -82,10 +82,19 @@
     "both lengths, one with a blank": Head(last=(b"Content-Length : 4", LENGTH)),
     "coding whose name ends in a blank": Head(last=(b"Transfer-Encoding : chunked",)),
 }
+INVALID_VALUES: Final = {
+    **list_heads_by_byte(b"X-Foo: 1?2", CONTROLS),
+    "a carriage return alone": with_field(b"X-Foo: 1\r2"),
+    **{
+        f"reason with byte {number:02x}": with_status(b"200 O" + bytes([number]))
+        for number in CONTROLS
+    },
+}
 BROKEN_HEADS: Final = {
     **INVALID_STATUSES,
     **INVALID_STATUS_LINES,
     **INVALID_NAMES,
+    **INVALID_VALUES,
 }
 # One of each kind.
 SOME_BROKEN_HEADS: Final = {
@@ -97,6 +106,8 @@
         "field b'X-Foo : 1'",
         "length whose name ends in a blank",
         "X-F?oo: 1 with byte 01",
+        "X-Foo: 1?2 with byte 1b",
+        "reason with byte 7f",
     )
 }
 
