Channels: an answer whose body has no certain end reaches no client

What callers saw: an engine in trouble answered with a transfer coding that nobody asked for (`gzip`, `chunked, gzip`, `xchunked`). Its client got the raw bytes, sizes of chunks included, as the body, until the channel closed; `chunked, chunked` was decoded once. By the parser in pure Python, one of two lengths that differ was believed.

Cause: what isn't `chunked` was taken for a body without length, and passed on.

Mend: the check of heads takes one length of digits, or `Transfer-Encoding: chunked` in HTTP/1.1, or neither (RFC 9112, 6.1 and 6.3). Requests name no other coding.

--- a/src/kestreltally/entry/answer_head.py
+++ b/src/kestreltally/entry/answer_head.py
@@ -2,7 +2,7 @@
 
 The parser that reads it afterwards is lenient: it takes a status that means nothing,
 lines that are no fields, and bytes that can't be passed on. What is no answer by the
-grammar (RFC 9110, sections 5 and 15; RFC 9112, sections 4 and 5) says nothing, neither
+grammar (RFC 9110, sections 5 and 15; RFC 9112, sections 4 to 6) says nothing, neither
 to a client nor to this daemon.
 """
 
@@ -26,7 +26,13 @@
 )
 _STATUS_LINE_ALONE: Final = re.compile(_STATUS_LINE)
 _FIELD_LINE_ALONE: Final = re.compile(_FIELD_LINE)
+_FRAMING_FIELD: Final = re.compile(
+    rb"\n(content-length|transfer-encoding):[\t ]*([^\r\n]*?)[\t ]*\r?(?=\n)",
+    re.IGNORECASE,
+)
 _SWITCHING_PROTOCOLS: Final = re.compile(rb"HTTP/1\.[01] 101")
+_HTTP_1_0: Final = b"HTTP/1.0"
+_CODING: Final = b"chunked"
 
 
 class InvalidHead(ClientError):
@@ -39,6 +45,7 @@
         raise InvalidHead(_describe_fault(head))
     if _SWITCHING_PROTOCOLS.match(head):
         raise InvalidHead("protocol switched unasked")
+    _check_framing(head)
 
 
 def _describe_fault(head: bytes) -> str:
@@ -50,3 +57,18 @@
         if line and _FIELD_LINE_ALONE.fullmatch(line) is None:
             return f"field line {reprlib.repr(line)}"
     return "empty line"
+
+
+def _check_framing(head: bytes) -> None:
+    """Raise ``InvalidHead`` unless a head tells in one way where its body ends.
+
+    The requests of this daemon ask for no other coding than chunks.
+    """
+    codings: list[bytes] = []
+    lengths: list[bytes] = []
+    for name, value in _FRAMING_FIELD.findall(head):
+        (lengths if name[:1] in b"cC" else codings).append(value.lower())
+    if codings and (codings != [_CODING] or lengths or head.startswith(_HTTP_1_0)):
+        raise InvalidHead(f"transfer codings {codings}, lengths {lengths}")
+    if lengths and not (len(lengths) == 1 and lengths[0].isdigit()):
+        raise InvalidHead(f"lengths {lengths}")
--- a/tests/brokenheads.py
+++ b/tests/brokenheads.py
@@ -90,11 +90,38 @@
         for number in CONTROLS
     },
 }
+INVALID_FRAMINGS: Final = {
+    f"framing {lines!r}": Head(last=lines)
+    for lines in (
+        (b"Transfer-Encoding: gzip",),
+        (b"Transfer-Encoding: chunked, gzip",),
+        (b"Transfer-Encoding: gzip, chunked",),
+        (b"Transfer-Encoding: xchunked",),
+        (b"Transfer-Encoding: identity", LENGTH),
+        (b"Transfer-Encoding: chunked, chunked",),
+        (b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked"),
+        (b"transfer-encoding: chunked", LENGTH),
+        (b"Transfer-Encoding:",),
+        (LENGTH, b"Content-Length: 4"),
+        (b"Content-Length: 4", LENGTH),
+        (b"Content-Length: 4, 19",),
+        (b"Content-Length: +4",),
+        (b"Content-Length: 0x4",),
+        (b"Content-Length: 4 4",),
+        (b"Content-Length:",),
+    )
+} | {
+    "chunks in HTTP/1.0": Head(
+        b"HTTP/1.0 200 OK", last=(b"Transfer-Encoding: chunked",)
+    ),
+}
+
 BROKEN_HEADS: Final = {
     **INVALID_STATUSES,
     **INVALID_STATUS_LINES,
     **INVALID_NAMES,
     **INVALID_VALUES,
+    **INVALID_FRAMINGS,
 }
 # One of each kind.
 SOME_BROKEN_HEADS: Final = {
@@ -108,6 +135,7 @@
         "X-F?oo: 1 with byte 01",
         "X-Foo: 1?2 with byte 1b",
         "reason with byte 7f",
+        "framing (b'Transfer-Encoding: gzip',)",
     )
 }
 
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -330,7 +330,8 @@
     broken = BrokenEndpoint(head)
     async with run_entry([broken]):
         with pytest.raises(AnswerLost):
-            await call_own(broken.make_endpoint())
+            async with asyncio.timeout(MAX_TIME):
+                await call_own(broken.make_endpoint())
 
 
 @some_broken
