Channels: an answer that names two requests is nobody's

What callers saw: an engine in trouble answered with two different `X-Request-Id`, the client's first; the client got it as its own. With the client's second, the answer was taken for one to another request, and the client waited for the rest of its time.

Cause: of several ids the first was read.

Mend: all ids of an answer are read; with more than one it is invalid as a whole, and the request fails as after bytes that are none. The same id twice is still one.

Evidence: both new cases fail on (200; 504), and pass here.

--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -28,7 +28,7 @@
 from kestreltally.platform.headers import (
     is_genuine,
     list_unrecognised,
-    read_answer_id,
+    read_answer_ids,
     read_instance,
     read_notice,
 )
@@ -240,8 +240,8 @@
         )
 
         def is_awaited(headers: MultiMapping[str]) -> bool:
-            answer_id = read_answer_id(headers)
-            return answer_id == request_id or (is_own and not answer_id)
+            ids = read_answer_ids(headers)
+            return request_id in ids or (is_own and "" in ids)
 
         protocol.start_exchange(is_awaited)
         self._exchanges += 1
@@ -282,6 +282,9 @@
             message, payload = await self._protocol.read()
         if is_ignored(message, payload, head_only=head_only):
             raise AnswerLost("length of the body exceeds the parser's limit")
+        ids = read_answer_ids(message.headers)
+        if len(ids) > 1:
+            raise self._make_invalid(f"ids of {len(ids)} requests")
         return Answer(
             status=message.code,
             reason=message.reason or "",
--- a/src/kestreltally/platform/headers.py
+++ b/src/kestreltally/platform/headers.py
@@ -276,9 +276,9 @@
     return headers.get(REQUEST_ID, "")
 
 
-def read_answer_id(headers: Mapping[str, str]) -> str:
-    """Return the id of the request that an answer refers to."""
-    return headers.get(REQUEST_ID, "")
+def read_answer_ids(headers: MultiMapping[str]) -> frozenset[str]:
+    """Return the ids of the requests that an answer names, an empty one if none."""
+    return frozenset(headers.getall(REQUEST_ID, ("",)))
 
 
 def read_answer_version(headers: Mapping[str, str]) -> str:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -314,6 +314,17 @@
     assert_failed(await ask(UNSAFE, ScriptedEndpoint("e", answer)))
 
 
+@pytest.mark.parametrize("ids", [(b"q1", b"other"), (b"other", b"q1")])
+async def test_answer_that_names_two_requests_is_none(ids: tuple[bytes, ...]) -> None:
+    lines = tuple(b"X-Request-Id: " + each for each in ids)
+
+    async def answer(_: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        fields = b"\r\n".join((b"HTTP/1.1 200 OK", *lines, b"X-Server-Stamp: s"))
+        writer.write(fields + b"\r\n" + LENGTH + b"\r\n\r\n" + BODY)
+
+    assert_failed(await ask(UNSAFE, ScriptedEndpoint("e", answer)))
+
+
 async def call_own(endpoint: Endpoint) -> None:
     """Ask as reports, orders, probes and the check of a process do."""
     channel = await ChannelPool(NoticeTable()).open(endpoint)
