Framing: an empty body parsed in pure Python is a body

What callers saw: with the parser in pure Python, which a machine without the compiled one gets, each answer with `Content-Length: 0` was lost: 502, or a skipped answer to another request ended the wait for the right one.

Cause: that parser gives the same object for a body of length 0 as for one whose length it can't hold; the compiled one gives it for the latter only.

Mend: only an answer whose head doesn't state a length of 0 is taken for the latter.

--- a/src/kestreltally/entry/framing.py
+++ b/src/kestreltally/entry/framing.py
@@ -26,7 +26,7 @@
     """
     if head_only or message.code in BODILESS_STATUSES:
         return False
-    return body is EMPTY_PAYLOAD
+    return body is EMPTY_PAYLOAD and read_length(message) != 0
 
 
 def read_length(message: RawResponseMessage) -> int | None:
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -241,6 +241,7 @@
 
 OTHER_ANSWERS = {
     "with a length": make_answer(SeenRequest(b"\r\nX-Request-Id: o\r\n", b""), b"o\n"),
+    "empty": make_answer(SeenRequest(b"\r\nX-Request-Id: o\r\n", b""), b""),
     "in chunks": make_stream_head(SeenRequest(b"\r\nX-Request-Id: o\r\n", b""))
     + make_chunk(b"HTTP/1.1 200 OK\r\n\r\n")
     + b"0\r\nX-Trailer: 1\r\n\r\n",
