Soak: endpoints answer with broken heads

The stand-ins never sent a head that is none. Half of all plans have six seconds of it, at all endpoints, for 15 in 100 runs; the plans' other steps are drawn as before. Clients check each head that they get, and find the body by its mark.

--- a/bench/faultsoak/actions.py
+++ b/bench/faultsoak/actions.py
@@ -62,6 +62,8 @@
 # reject once and say so twice, as fractions.
 FALSE_PROMISE_FRACTION: Final = 0.1
 REPEATED_REJECTION_FRACTION: Final = 0.4
+# Fraction of runs that are answered with a broken head.
+BROKEN_HEAD_FRACTION: Final = 0.15
 
 PERFORMERS: Final[dict[Action, Perform]] = {}
 
@@ -210,6 +212,18 @@
         engine.odd_answers.false_fraction = engine.odd_answers.repeated_fraction = 0.0
 
 
+@performs(Action.BROKEN_HEADS)
+async def break_heads(soak: Soak, step: Step) -> None:
+    """Have all endpoints answer some requests with heads that are none."""
+    engines = [each.engine for each in soak.system.endpoints]
+    for engine in engines:
+        engine.odd_answers.draw.seed(f"{step.target} {engine.id}")
+        engine.odd_answers.broken_fraction = BROKEN_HEAD_FRACTION
+    await asyncio.sleep(step.duration)
+    for engine in engines:
+        engine.odd_answers.broken_fraction = 0.0
+
+
 @performs(Action.KILL_SERIES)
 async def kill_in_series(soak: Soak, step: Step) -> None:
     """Kill all daemons three times within a retry window while all engines fail.
--- a/bench/faultsoak/checker.py
+++ b/bench/faultsoak/checker.py
@@ -20,6 +20,8 @@
 )
 from bench.faultsoak.system import Daemon, SoakEndpoint, SoakSystem
 from bench.fleet_demo import BOUNDS, HOST_NAME, MODEL, read_events
+from kestreltally.entry.answer_head import InvalidHead
+from standins.broken_heads import MARK
 from standins.platform_engine import EVENTS
 
 OK: Final = 200
@@ -219,6 +221,10 @@
                 text = await answer.text()
                 record.whole = True
                 record.reason = text if answer.status != OK else ""
+                if MARK in text:
+                    self.problems.append(f"{name} got a broken answer: {text!r}")
+        except InvalidHead as error:
+            self.problems.append(f"{name} got a broken head: {error}")
         except ClientPayloadError:
             record.whole = False
         except (TimeoutError, ClientError, OSError):
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -55,6 +55,7 @@
     VERSION_LEAVES = "engines of a version leave, and all daemons are killed"
     VERSION_WAITS = "new version of an adapter while requests wait and nothing loads"
     ODD_ANSWERS = "plain endpoints answer with false or repeated rejections"
+    BROKEN_HEADS = "endpoints answer with heads that are none"
     ENDPOINTS_SILENT = "endpoints of a service silent for a while, then they go on"
 
 
@@ -126,6 +127,9 @@
 # Fraction of plans with odd answers of plain endpoints, and their duration, seconds.
 ODD_ANSWERS_FRACTION: Final = 0.5
 ODD_ANSWERS_DURATION: Final = 6.0
+# Fraction of plans with answers whose heads are broken, and their duration, seconds.
+BROKEN_HEADS_FRACTION: Final = 0.5
+BROKEN_HEADS_DURATION: Final = 6.0
 # Fraction of plans in which sound endpoints fall silent, the mean interval between such
 # silences, and their duration, seconds.
 SILENT_FRACTION: Final = 0.4
@@ -189,6 +193,7 @@
     steps.extend(_draw_version_waits(random.Random(f"waits {seed}"), seconds))
     steps.extend(_draw_silent_endpoints(random.Random(f"silent {seed}"), seconds))
     steps.extend(_draw_odd_answers(random.Random(f"answers {seed}"), seconds))
+    steps.extend(_draw_broken_heads(random.Random(f"heads {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -204,6 +209,16 @@
     )
 
 
+def _draw_broken_heads(draw: random.Random, seconds: float) -> list[Step]:
+    return _draw_once(
+        draw,
+        seconds,
+        Action.BROKEN_HEADS,
+        BROKEN_HEADS_FRACTION,
+        BROKEN_HEADS_DURATION,
+    )
+
+
 def _draw_version_leaves(draw: random.Random, seconds: float) -> list[Step]:
     return _draw_once(
         draw, seconds, Action.VERSION_LEAVES, VERSION_FRACTION, VERSION_DURATION
--- a/bench/faultsoak/soak.py
+++ b/bench/faultsoak/soak.py
@@ -55,6 +55,7 @@
         Action.ODD_ENTRY,
         Action.ENDPOINTS_SILENT,
         Action.ODD_ANSWERS,
+        Action.BROKEN_HEADS,
     }
 )
 STORE_FAULTS: Final = frozenset(
--- a/bench/faultsoak/streams.py
+++ b/bench/faultsoak/streams.py
@@ -15,6 +15,7 @@
 from bench.faultsoak.contact import ContactRecord
 from bench.faultsoak.system import Daemon, SoakSystem
 from bench.fleet_demo import HOST_NAME, MODEL
+from kestreltally.entry.answer_head import InvalidHead
 from standins.platform_engine import EVENTS
 
 # Attempts after the first one, and the range of pauses before each, seconds.
@@ -69,6 +70,8 @@
     system: SoakSystem
     attempt_times: list[float]
     streams: list[Stream] = field(default_factory=list)
+    # Answers that have no head in HTTP.
+    broken: list[str] = field(default_factory=list)
 
     async def run(
         self, http: ClientSession, daemon: Daemon, adapter: str, key: str
@@ -119,6 +122,8 @@
                     if len(stream.events) >= limit:
                         answer.close()
                         break
+        except InvalidHead as error:
+            self.broken.append(f"{request_id} got a broken head: {error}")
         except (TimeoutError, ClientError, OSError):
             pass  # What has come counts; the client takes the stream up.
         attempt.went_on = len(stream.events) > before
@@ -136,7 +141,7 @@
         mixed = mixed_answers + [
             each.name for each in self.streams if len(each.software) > 1
         ]
-        problems = []
+        problems = list(self.broken)
         if len(mixed) > MAX_MIXED:
             problems.append(f"streams of two software versions: {mixed}")
         attempts = [a for stream in self.streams for a in stream.attempts]
--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -1,4 +1,7 @@
-"""Odd answers of a plain endpoint: false promises, and rejections that come twice."""
+"""Odd answers of an endpoint.
+
+They are false promises, rejections that come twice, and answers with a broken head.
+"""
 
 import asyncio
 import random
@@ -7,6 +10,8 @@
 
 from aiohttp import web
 
+from standins.broken_heads import draw_broken_answer
+
 # Statuses that promise that a request has not run.
 PROMISES: Final = (408, 421, 429, 503)
 # Delays after which a rejection is sent again, seconds.
@@ -23,6 +28,9 @@
     false_fraction: float = 0.0
     # Requests that are rejected once, with the rejection sent twice.
     repeated_fraction: float = 0.0
+    # Runs that are answered with a head that is none.
+    broken_fraction: float = 0.0
+    draw: random.Random = field(default_factory=random.Random)
     _rejected: set[str] = field(default_factory=set)
 
     def draw_status(self) -> int | None:
@@ -38,6 +46,19 @@
         self._rejected.add(request_id)
         return True
 
+    def breaks_head(self) -> bool:
+        """Return whether a run is answered with a broken head."""
+        return self.draw.random() < self.broken_fraction
+
+    def send_broken(self, http: web.Request) -> web.Response:
+        """Send an answer with a broken head, and close the connection."""
+        if http.transport is not None:
+            request_id = http.headers.get("X-Request-Id", "")
+            http.transport.write(draw_broken_answer(self.draw, request_id))
+            http.transport.close()
+        # The server asks for an answer, which it can't send any more.
+        return web.Response()
+
     async def work(self, request_id: str) -> None:
         """Work for a while on a request that was rejected before."""
         if request_id in self._rejected:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -393,6 +393,8 @@
         odd_status = self.odd_answers.draw_status()
         if odd_status is not None:
             return web.Response(status=odd_status, headers=headers)
+        if self.odd_answers.breaks_head():
+            return self.odd_answers.send_broken(http)
         if not adapter:
             text = f"{http.method} {http.path_qs} {len(body)}"
             if self.undelimited:
--- a/tests/test_faultsoak.py
+++ b/tests/test_faultsoak.py
@@ -83,6 +83,17 @@
     assert sum(record.status == 200 for record in checker.records) > 50
 
 
+# Guards against answers whose heads are none, passed on to clients or believed.
+async def test_no_broken_head_reaches_a_client_of_true_processes(
+    tmp_path: Path,
+) -> None:
+    plan = [make_step(0.5 + 3.0 * n, 2.5, Action.BROKEN_HEADS, n) for n in range(2)]
+    checker = await run_plan(SoakSystem(tmp_path, claim_ports()), plan, DAEMONS)
+    assert checker.problems == []
+    assert sum(record.status == 200 for record in checker.records) > 50
+    assert any(record.status == 502 for record in checker.records)
+
+
 # Guards against answers that end because sound endpoints are silent for a while.
 async def test_no_answer_ends_because_sound_endpoints_are_silent(
     tmp_path: Path,
