--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -45,6 +45,7 @@
     REQUEST_WAITS = ("relay: request waits for weights", Level.INFO, 100)
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
     ANSWER_UNDELIMITED = ("relay: answer ended with its connection", Level.INFO, 50)
+    ANSWER_INVALID = ("relay: no valid answer", Level.INFO, 50)
     ANSWER_STALLS = ("relay: answer stalls", Level.INFO, 200)
     ANSWER_RESUMES = ("relay: stalled answer goes on", Level.INFO, 200)
     REQUEST_REPEATED = ("relay: request is sent again", Level.INFO, 200)
--- a/src/kestreltally/entry/channel.py
+++ b/src/kestreltally/entry/channel.py
@@ -17,6 +17,7 @@
 from aiohttp.http_exceptions import HttpProcessingError
 from multidict import MultiMapping
 
+from kestreltally.decisions import Decision, log_decision
 from kestreltally.entry.answer_head import InvalidHead
 from kestreltally.entry.channel_protocol import ChannelProtocol
 from kestreltally.entry.channel_rules import ChannelRules
@@ -297,8 +298,10 @@
 
     def _make_invalid(self, fault: str) -> AnswerInvalid:
         """Return the error for what came; its words are only logged."""
-        LOG.info("relay: invalid answer of endpoint %s: %s", self._endpoint.id, fault)
-        return AnswerInvalid("invalid answer")
+        log_decision(
+            LOG, Decision.ANSWER_INVALID, endpoint=self._endpoint.id, fault=fault
+        )
+        return AnswerInvalid("no valid answer")
 
     def _apply_notice(
         self, answer: Answer, sent_at: Seconds, *, from_request: bool
--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -400,6 +400,36 @@
     assert reply.headers[name.decode().lower()] == value.strip(b" \t").decode()
 
 
+@by_parser
+async def test_nothing_of_a_trailer_is_believed_or_passed_on() -> None:
+    words = b"Server-Leaving: 1\r\nX-Not-Run: 1\r\nX-Request-Id: other\r\n"
+
+    async def answer(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
+        chunks = make_chunk(WHOLE) + b"0\r\n" + words + b"\r\n"
+        writer.write(make_stream_head(seen) + chunks)
+
+    async with run_entry([ScriptedEndpoint("e", answer)], make_route(UNSAFE)) as rig:
+        for number in range(2):
+            reply = await rig.ask("POST", request_id=f"q{number}")
+            assert (reply.status, reply.body) == (200, WHOLE)
+            assert reply.headers["x-request-id"] == f"q{number}"
+            assert "x-not-run" not in reply.headers
+
+
+# Guards against a value that loses bytes on its way, which HTTP allows in it.
+async def test_bytes_that_are_no_utf8_in_a_value_are_passed_on() -> None:
+    async with run_entry(
+        [BrokenEndpoint(with_field(b"X-Foo: a\xffb"))], make_route(UNSAFE)
+    ) as rig:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port)
+        writer.write(
+            b"POST /r/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: q\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+    assert b"X-Foo: a\xffb\r\n" in head
+
+
 SOUND_HEADS = {
     "HTTP/1.0": Head(b"HTTP/1.0 200 OK"),
     "line feeds alone": Head(line_end=b"\n"),
