Channels: an answer and its errors are a module of their own

The answer, its errors and its Keep-Alive move to entry/answer.py as they were. Faults of heads quote at most some 40 bytes; an attribute of the protocol that nobody read is gone.

--- a/src/kestreltally/entry/answer_head.py
+++ b/src/kestreltally/entry/answer_head.py
@@ -53,10 +53,8 @@
     status_line, *fields = re.split(_LINE_END, head)
     if _STATUS_LINE_ALONE.fullmatch(status_line) is None:
         return f"status line {reprlib.repr(status_line)}"
-    for line in fields:
-        if line and _FIELD_LINE_ALONE.fullmatch(line) is None:
-            return f"field line {reprlib.repr(line)}"
-    return "empty line"
+    invalid = (line for line in fields if not _FIELD_LINE_ALONE.fullmatch(line))
+    return f"field line {reprlib.repr(next(invalid))}"
 
 
 def _check_framing(head: bytes) -> None:
@@ -69,6 +67,8 @@
     for name, value in _FRAMING_FIELD.findall(head):
         (lengths if name[:1] in b"cC" else codings).append(value.lower())
     if codings and (codings != [_CODING] or lengths or head.startswith(_HTTP_1_0)):
-        raise InvalidHead(f"transfer codings {codings}, lengths {lengths}")
+        raise InvalidHead(
+            f"codings {reprlib.repr(codings)} with lengths {reprlib.repr(lengths)}"
+        )
     if lengths and not (len(lengths) == 1 and lengths[0].isdigit()):
-        raise InvalidHead(f"lengths {lengths}")
+        raise InvalidHead(f"lengths {reprlib.repr(lengths)}")
--- a/src/kestreltally/entry/channel_protocol.py
+++ b/src/kestreltally/entry/channel_protocol.py
@@ -83,7 +83,6 @@
         self.lost_at: float | None = None
         # Called when bytes arrive.
         self.notify_answered: Callable[[], None] = lambda: None
-        self._closed_by_endpoint = False
         # Of the present exchange: bytes received, those of former bodies, the body that
         # is being received, bytes left of another answer's if known, and what has come
         # of a head.
--- a/src/kestreltally/entry/upstream.py
+++ b/src/kestreltally/entry/upstream.py
@@ -6,13 +6,13 @@
 from collections.abc import Iterable
 from typing import Final
 
+from kestreltally.entry.answer import Answer as Answer
+from kestreltally.entry.answer import AnswerInvalid as AnswerInvalid
+from kestreltally.entry.answer import AnswerLost as AnswerLost
+from kestreltally.entry.answer import AnswerTruncated as AnswerTruncated
+from kestreltally.entry.answer import ChannelClosed as ChannelClosed
 from kestreltally.entry.answer_end import ConnectionOutcome
-from kestreltally.entry.channel import Answer as Answer
-from kestreltally.entry.channel import AnswerInvalid as AnswerInvalid
-from kestreltally.entry.channel import AnswerLost as AnswerLost
-from kestreltally.entry.channel import AnswerTruncated as AnswerTruncated
 from kestreltally.entry.channel import Channel as Channel
-from kestreltally.entry.channel import ChannelClosed as ChannelClosed
 from kestreltally.entry.channel_protocol import ChannelProtocol
 from kestreltally.entry.channel_rules import ChannelRules
 from kestreltally.entry.channels import WAIT_FOR_CHANNEL
--- a/tests/test_answer_head.py
+++ b/tests/test_answer_head.py
@@ -18,9 +18,10 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from kestreltally.entry.answer import Answer
 from kestreltally.entry.answer_head import InvalidHead, check_head
 from kestreltally.entry.answers import copy_headers
-from kestreltally.entry.channel import MAX_HEAD_BYTES, READ_BUFFER_BYTES, Answer
+from kestreltally.entry.channel import MAX_HEAD_BYTES, READ_BUFFER_BYTES
 from kestreltally.entry.channel_protocol import ChannelProtocol
 from tests.brokenheads import BROKEN_HEADS, RARE_FIELDS, Head, with_field
 
