Crowds: clients that don't behave, before true processes

Some hundred clients send large bodies, heads without an end, requests ahead of their answers, or nothing, and stay. A daemon runs as a true process; its settings name 160 or 90 MB and 600 descriptors, which hold for the process too. Checked are the limits in the settings: memory of the process with what its sockets hold unread, sockets that leave the 200 descriptors kept for files, that the process lives, and that one ordinary request is served while the crowd stays and one after it. No times, no shares.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 SEEDS ?= 1
 SECONDS ?= 20
 # Processes that run the tests, a file in one of them: most tests wait for true clocks.
+# The tests of crowds measure what a process takes, and run one at a time after them.
 WORKERS ?= 6
 
 # Sets of names are ordered by their hashes: with a fixed seed a run repeats exactly.
@@ -27,7 +28,8 @@
 	$(RUN) -m bench.fleet_demo
 
 test: install
-	$(RUN) -m pytest -q --numprocesses $(WORKERS) --dist loadfile
+	$(RUN) -m pytest -q --numprocesses $(WORKERS) --dist loadfile --ignore tests/crowds
+	$(RUN) -m pytest -q tests/crowds
 
 lint: install
 	$(VENV)/bin/black --check --quiet src standins bench tests
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -57,6 +58,14 @@
 EXPECTED_EXIT_CODES: Final = frozenset({0, -signal.SIGKILL, -signal.SIGTERM})
 
 
+@dataclass(frozen=True, slots=True)
+class VmLimits:
+    """The memory of a daemon's VM, in megabytes, and its process's descriptors."""
+
+    memory_mb: float
+    descriptors: int
+
+
 @dataclass
 class Daemon:
     """One daemon's addresses and files, and its current process."""
@@ -109,6 +118,10 @@
     has_own_paths: bool = False
     # Whether sound endpoints fall silent for longer than their route's objective.
     has_silences: bool = False
+    # The limits of each VM, None if they are not named in the settings.
+    vm_limits: VmLimits | None = None
+    # What operators allow clients to send, where it differs from the demo's.
+    client_limits: dict[str, int] = field(default_factory=dict)
     daemons: list[Daemon] = field(default_factory=list)
     endpoints: list[SoakEndpoint] = field(default_factory=list)
     removed_endpoints: list[SoakEndpoint] = field(default_factory=list)
@@ -183,6 +196,9 @@
         settings = make_settings(
             daemon.vm, daemon.data_centre, daemon.port, daemon.store.port, bounds
         )
+        if self.vm_limits is not None:
+            settings["Limits"]["MemoryMb"] = self.vm_limits.memory_mb
+            settings["Limits"]["FileDescriptors"] = self.vm_limits.descriptors
         path = self.directory / f"{daemon.vm}.json"
         path.write_text(json.dumps(settings), encoding="utf-8")
         environment = {**os.environ, "PYTHONPATH": str(self.source)}
@@ -195,6 +211,9 @@
                 cwd=REPOSITORY,
                 env=environment,
             )
+        if self.vm_limits is not None:
+            limit = self.vm_limits.descriptors
+            resource.prlimit(daemon.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
         daemon.boots += 1
 
     async def supervise(self, daemon: Daemon) -> None:
@@ -332,6 +351,7 @@
             **CONFIGURATION,
             "Version": self.version,
             "Routes": routes,
+            "Limits": {**CONFIGURATION["Limits"], **self.client_limits},
         }
         if self.checks_keys:
             content["Tenants"] = self.keys.encode()
