Ingress: one request of a connection at a time, out of one budget of bytes

Callers saw: a process that took several times the memory of its VM (a platform ends it), and every request in it lost.

Cause: nothing bounded what all connections hold together. aiohttp's reader takes 512 KB of a body ahead, its queue 32 requests behind the one that is served, the kernel megabytes of what isn't read; a chunk of a byte is an object and a place in two queues. The sum over bodies (Holdings) began only where a handler reads, was switched off where no memory is named, and by the deploy file.

Mended in the design: ingress/ owns what clients make a process hold. Its protocol has the parser stop after each request and leaves the next in the kernel, whose buffer is small; reads are small; a request is counted with its body before its handler runs, chunks as they come. Short of room, requests that are not complete give way, those first that have held most for longest: 503, and true, for nothing was sent. A part of the budget is kept for small requests, a single one is always admitted. Answers that a client doesn't take keep its next request waiting. While a connection isn't read its end doesn't show, so the kernel is asked for its state: a run ends with its client as before.

--- a/src/kestreltally/decisions.py
+++ b/src/kestreltally/decisions.py
@@ -41,6 +41,8 @@
     REQUEST_REFUSED = ("entry: request refused", Level.INFO, 400)
     REQUEST_BROKEN_OFF = ("entry: answer broken off", Level.WARNING, 400)
     REQUEST_ABANDONED = ("entry: client left", Level.INFO, 100)
+    REQUEST_INVALID = ("ingress: no valid request", Level.INFO, 20)
+    CONNECTION_ENDED = ("ingress: connection ended", Level.WARNING, 20)
     UNREAD_ENDED = ("holdings: unread bytes dropped", Level.WARNING, 50)
     REQUEST_WAITS = ("relay: request waits for weights", Level.INFO, 100)
     REQUEST_MOVES_ON = ("relay: request moves on", Level.INFO, 200)
--- a/src/kestreltally/deployment.py
+++ b/src/kestreltally/deployment.py
@@ -48,12 +48,13 @@
 class MachineCapacity:
     """The machine's resources for this daemon: processor cores, network link, memory.
 
-    ``memory`` is in bytes, 0 if it is unknown.
+    ``memory`` is in bytes, ``descriptors`` a number; each is 0 if it is unknown.
     """
 
     cores: float
     link_mbps: float
     memory: int = 0
+    descriptors: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -23,6 +23,7 @@
 from kestreltally.entry.refusals import decide_refusal
 from kestreltally.entry.relay import Relay
 from kestreltally.entry.request import (
+    RETRY_DELAY,
     ClientDisconnected,
     ClientRequest,
     Refused,
@@ -35,6 +36,7 @@
     find_stop_refusal,
 )
 from kestreltally.fleet.model import (
+    ClientLimits,
     Configuration,
     Route,
     Seconds,
@@ -42,18 +44,18 @@
 )
 from kestreltally.fleet.tables import Fleet
 from kestreltally.fleet_metrics import RequestEnd
+from kestreltally.ingress.capacity import compute_capacity
+from kestreltally.ingress.protocol import has_room
+from kestreltally.ingress.server import MAX_HEAD_BYTES, Ingress
 from kestreltally.platform.headers import decode_request, read_request_id
 
 LOG = logging.getLogger("kestreltally.entry")
 
-# Limit of request headers in bytes; used before any configuration is known.
-MAX_HEADER_BYTES: Final = 65_536
 # Idle time after which client connections are closed, in seconds. Clients may leave a
 # connection idle for four fifths of the configured time. That time is not known when
 # the server starts, and closing a connection later than necessary is harmless.
 KEEP_ALIVE_TIMEOUT: Final = 75.0
 SPLIT_RANGE: Final = 2**32
-BACKLOG: Final = 512
 
 
 def choose_service(route: Route, request_id: str) -> ServiceName:
@@ -83,13 +85,18 @@
         gate: Gate,
         record_end: Callable[[RequestEnd], None] = lambda _: None,
         holdings: Holdings | None = None,
+        ingress: Ingress | None = None,
     ) -> None:
         self._fleet = fleet
         self._relay = relay
         self._gate = gate
-        self._runners: list[web.ServerRunner] = []
         self._end_log = EndLog(fleet, relay.poison, record_end)
         self.holdings = holdings or Holdings(0, lambda: 0.0)
+        self.ingress = ingress or Ingress(
+            compute_capacity(0, 0), asyncio.get_running_loop().time
+        )
+        self.ingress.get_limits = self._get_limits
+        self._runners: list[web.ServerRunner] = []
         self._stops_at: Seconds | None = None
         relay.check_stop = lambda request: self._check_stop(
             request, asyncio.get_running_loop().time()
@@ -97,49 +104,55 @@
         self._stop_started_at: Seconds = 0.0
         self.active_requests = 0
 
+    def _get_limits(self) -> ClientLimits | None:
+        configuration = self._fleet.configuration
+        return configuration.limits if configuration is not None else None
+
     async def start(self, clients: SocketAddress, readiness: SocketAddress) -> None:
         """Listen for clients and readiness checks; raises ``OSError``."""
-        client_server = self._make_server(ClientIntake(self._gate))
+        capacity = self.ingress.capacity
         readiness_server = web.Server(self._answer_readiness, access_log=None)
         await self.listen(readiness_server, readiness)
-        await self.listen(client_server, clients)
+        intake = ClientIntake(self._gate)
+        await self._listen("clients", intake, clients, capacity.clients)
+
+    async def listen(self, server: web.Server, at: SocketAddress) -> None:
+        """Serve checks or operators at an address; raises ``OSError``."""
+        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, at.host, at.port).start()
+        self._runners.append(runner)
 
     async def start_forwarding(self, intake: Intake, at: SocketAddress) -> int:
         """Listen for requests of other daemons; return the port.
 
         Raises ``OSError``.
         """
-        return await self.listen(self._make_server(intake), at)
+        return await self._listen("peers", intake, at, self.ingress.capacity.peers)
+
+    async def _listen(
+        self, name: str, intake: Intake, at: SocketAddress, connections: int
+    ) -> int:
+        """Serve requests at an address; return the port; raises ``OSError``."""
 
-    def _make_server(self, intake: Intake) -> web.Server:
         async def serve(client: web.BaseRequest) -> web.StreamResponse:
             return await self._serve(client, intake)
 
-        return web.Server(
+        return await self.ingress.listen(
+            name,
             serve,
+            at,
+            connections,
+            MAX_HEAD_BYTES,
             handler_cancellation=True,
             keepalive_timeout=KEEP_ALIVE_TIMEOUT,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            max_headers=256,
-            access_log=None,
-            auto_decompress=False,
         )
 
-    async def listen(self, server: web.Server, at: SocketAddress) -> int:
-        """Serve at an address until ``close``; return the port; raises ``OSError``."""
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
-        await runner.setup()
-        site = web.TCPSite(runner, at.host, at.port, backlog=BACKLOG)
-        await site.start()
-        self._runners.append(runner)
-        port: int = runner.addresses[0][1]
-        return port
-
     async def close(self) -> None:
         """Stop listening and close all connections."""
         for runner in self._runners:
             await runner.cleanup()
+        await self.ingress.close()
 
     @property
     def stopping(self) -> bool:
@@ -252,6 +265,8 @@
         """Read a request; raises ``Refused`` or ``ClientDisconnected``."""
         client = call.client
         arrived_at = asyncio.get_running_loop().time()
+        if not has_room(client):
+            raise Refused(UNAVAILABLE, "no memory for the request", RETRY_DELAY)
         configuration = self._fleet.configuration
         if configuration is None:
             raise Refused(
--- a/src/kestreltally/entry/framing.py
+++ b/src/kestreltally/entry/framing.py
@@ -1,9 +1,9 @@
-"""Tells from an answer's head where its body ends (RFC 9112, section 6.3)."""
+"""Tells from a message's head where its body ends (RFC 9112, section 6.3)."""
 
 from typing import Final
 
 from aiohttp import StreamReader
-from aiohttp.http_parser import RawResponseMessage
+from aiohttp.http_parser import RawRequestMessage, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
@@ -29,7 +29,7 @@
     return body is EMPTY_PAYLOAD and read_length(message) != 0
 
 
-def read_length(message: RawResponseMessage) -> int | None:
+def read_length(message: RawRequestMessage | RawResponseMessage) -> int | None:
     """Return the length of a body in bytes, None if it isn't stated."""
     length = message.headers.get("Content-Length")
     return int(length) if length is not None else None
--- a/src/kestreltally/entry/holdings.py
+++ b/src/kestreltally/entry/holdings.py
@@ -27,15 +27,13 @@
     Stall,
     measure_request,
 )
-from kestreltally.entry.request import Refused
+from kestreltally.entry.request import RETRY_DELAY, Refused
 from kestreltally.fleet.model import Seconds
 from kestreltally.sockets import bound_kernel_unsent
 
 LOG = logging.getLogger("kestreltally.holdings")
 
 UNAVAILABLE: Final = 503
-# A refused client comes back on a new connection, most likely at another daemon.
-RETRY_DELAY: Final[Seconds] = 0.1
 # How long receiving is paused before the request's task has seen the answer's head.
 EARLY_PAUSE: Final[Seconds] = 0.05
 # The next review comes after bytes that make up this fraction of the limit.
--- a/src/kestreltally/entry/request.py
+++ b/src/kestreltally/entry/request.py
@@ -19,6 +19,7 @@
     WeightsKey,
 )
 from kestreltally.fleet.organisations import KeyDigest
+from kestreltally.ingress.protocol import RequestEnded
 from kestreltally.platform.headers import SYSTEM_HEADERS, RequestHead
 from kestreltally.streams.origins import StreamOrigin
 
@@ -38,6 +39,9 @@
         "content-length",
     }
 )
+# A client whose body found no room comes back on a new connection, most likely at
+# another daemon.
+RETRY_DELAY: Final[Seconds] = 0.1
 BODY_METHODS: Final = frozenset({"POST", "PUT", "PATCH"})
 
 
@@ -192,6 +196,8 @@
                 content += piece
                 if len(content) > limit:
                     raise Refused(413, f"request body longer than {limit} bytes")
+    except RequestEnded as error:
+        raise Refused(503, f"request body ended: {error}", RETRY_DELAY) from error
     except TimeoutError as error:
         raise Refused(408, f"request body not received within {timeout} s") from error
     except (ConnectionError, HTTPException, ValueError) as error:
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -41,6 +41,8 @@
 )
 from kestreltally.fleet_metrics import FleetMetrics, GaugeValues
 from kestreltally.forwarding.forwarder import Forwarder
+from kestreltally.ingress.capacity import compute_capacity
+from kestreltally.ingress.server import Ingress
 from kestreltally.knowledge.authority import Authority, ConfigurationReader
 from kestreltally.knowledge.configuration_age import (
     MARGIN_FRACTION,
@@ -136,6 +138,10 @@
         self._store = Store(open_store_session(), deployment.store)
         self._fleet = Fleet(compute_grace(deployment.bounds.version))
         self._holdings = Holdings(_compute_buffer_limit(deployment), self._clock)
+        machine = deployment.machine_capacity
+        self._ingress = Ingress(
+            compute_capacity(machine.memory, machine.descriptors), self._clock
+        )
         self._contact = Contact(self._clock)
         self._pool = ChannelPool(
             self._fleet.notices,
@@ -172,6 +178,7 @@
             gate,
             self._metrics.record_end,
             self._holdings,
+            self._ingress,
         )
         self._leases = self._make_leases()
         self._configuration = ConfigurationHandler(
@@ -517,6 +524,7 @@
             self._configuration.apply_pending()
             self._fleet.prune_missing_weights(now)
             self._holdings.review()
+            self._ingress.run_maintenance()
             if now >= cleaned_up_at + CLEANUP_INTERVAL:
                 cleaned_up_at = now
                 self._relay.poison.run_maintenance()
--- a/src/kestreltally/fleet_gauges.py
+++ b/src/kestreltally/fleet_gauges.py
@@ -33,6 +33,8 @@
         },
         "held_bytes": entry_api.holdings.describe(),
         "held_ended": entry_api.holdings.counts.describe(),
+        "ingress_connections": entry_api.ingress.measure_connections(),
+        "ingress_bytes": entry_api.ingress.measure_bytes(),
         "poison_requests": relay.poison.register.count(),
         "poison_parts": relay.poison.register.parts.count(),
         "streams_known": {"register": len(relay.resumption.register)},
--- /dev/null
+++ b/src/kestreltally/ingress/server.py
@@ -0,0 +1,276 @@
+"""Servers whose connections share one budget, and their maintenance."""
+
+import socket
+import sys
+from collections.abc import Awaitable, Callable, Iterator
+from functools import partial
+from typing import Any, Final
+
+from aiohttp import web
+
+from kestreltally.deployment import SocketAddress
+from kestreltally.fleet.model import ClientLimits, Seconds
+from kestreltally.ingress.budget import NoRoom, RequestBudget
+from kestreltally.ingress.capacity import IngressCapacity
+from kestreltally.ingress.connections import Connection, Door, Phase, Reason
+from kestreltally.ingress.protocol import MAX_FIELDS, IngressProtocol
+
+# Limit of request heads in bytes, used before any configuration is known.
+MAX_HEAD_BYTES: Final = 65_536
+# Heads of checks and of operators.
+SERVICE_HEAD_BYTES: Final = 8_192
+# Time after which connections without any request are closed, before a configuration
+# is known.
+MAX_IDLE_TIME: Final[Seconds] = 75.0
+# The multiples of the configured times after which connections are closed that send no
+# head, or only a part of one. The times count from different moments here and there.
+IDLE_TIME_FACTOR: Final = 1.25
+HEAD_TIME_FACTOR: Final = 2.0
+# Connections that wait in the kernel, and how many are taken at once.
+BACKLOG: Final = 512
+ACCEPT_BATCH: Final = 16
+# What the kernel receives on a connection while the process doesn't read. It counts
+# objects of its own too, and takes twice as much as it is told.
+RECEIVE_BUFFER_BYTES: Final = 2**14
+# How long a client may take for the rest of its last answer, and how often that is
+# looked at.
+CLOSING_TIME: Final[Seconds] = 10.0
+CLOSING_INTERVAL: Final[Seconds] = 1.0
+SHUTDOWN_TIMEOUT: Final[Seconds] = 0.1
+
+GetLimits = Callable[[], ClientLimits | None]
+Serve = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class Ingress:
+    """All servers of a process: what their clients hold, in one place."""
+
+    def __init__(
+        self,
+        capacity: IngressCapacity,
+        clock: Callable[[], Seconds],
+        get_limits: GetLimits = lambda: None,
+    ) -> None:
+        self.capacity = capacity
+        self.clock = clock
+        self.get_limits = get_limits
+        self.budget = RequestBudget(
+            capacity.request_bytes, clock, self._list_unfinished
+        )
+        self.paused: set[IngressProtocol] = set()
+        self._doors: dict[str, Door] = {}
+        self._checked_closing_at: Seconds = 0.0
+        self._runners: list[web.BaseRunner] = []
+
+    def _list_unfinished(self) -> Iterator[Connection]:
+        for door in self._doors.values():
+            yield from door.list_phase(Phase.BODY)
+            yield from door.list_phase(Phase.HEAD)
+
+    async def listen(
+        self,
+        name: str,
+        serve: Serve,
+        at: SocketAddress,
+        connections: int,
+        max_head_bytes: int = SERVICE_HEAD_BYTES,
+        **options: Any,
+    ) -> int:
+        """Serve at an address until ``close``; return the port; raises ``OSError``."""
+        server = self._make_server(name, connections, max_head_bytes)(serve, **options)
+        runner = web.ServerRunner(
+            server, handle_signals=False, shutdown_timeout=SHUTDOWN_TIMEOUT
+        )
+        return await self._start(runner, at)
+
+    async def listen_for_app(
+        self,
+        name: str,
+        app: web.Application,
+        at: SocketAddress,
+        connections: int,
+        max_head_bytes: int = SERVICE_HEAD_BYTES,
+        shutdown_timeout: Seconds = SHUTDOWN_TIMEOUT,
+        **options: Any,
+    ) -> int:
+        """Serve an application at an address, as ``listen`` serves a function."""
+        make_server = self._make_server(name, connections, max_head_bytes)
+        runner = IngressAppRunner(app, make_server, shutdown_timeout, options)
+        return await self._start(runner, at)
+
+    def _make_server(
+        self, name: str, connections: int, max_head_bytes: int
+    ) -> Callable[..., "IngressServer"]:
+        door = self._doors[name] = Door(sys.maxsize)
+        return partial(IngressServer, self, door, max_head_bytes)
+
+    async def _start(self, runner: web.BaseRunner, at: SocketAddress) -> int:
+        await runner.setup()
+        self._runners.append(runner)
+        listener = open_listener(at)
+        await web.SockSite(runner, listener, backlog=BACKLOG).start()
+        port: int = listener.getsockname()[1]
+        return port
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def run_maintenance(self) -> None:
+        """Close connections whose clients have left, or send nothing in time."""
+        self._end_left()
+
+    def _end_left(self) -> None:
+        for connection in list(self.paused):
+            if not connection.is_paused:
+                self.paused.discard(connection)
+            elif connection.is_left:
+                self.paused.discard(connection)
+                connection.end(Reason.CLIENT_GONE)
+
+    def measure_connections(self) -> dict[str, int]:
+        """Return the number of connections by port, and how many found no room."""
+        counts = {name: len(door) for name, door in self._doors.items()}
+        counts["refused"] = sum(door.refused for door in self._doors.values())
+        counts["ended"] = sum(door.ended for door in self._doors.values())
+        return counts
+
+    def measure_bytes(self) -> dict[str, int]:
+        """Return the bytes held of requests, their limit, and what found no room."""
+        budget = self.budget
+        return {
+            "held": budget.held,
+            "held_large": budget.held_large,
+            "limit": budget.limit,
+            "requests_refused": budget.refused,
+            "requests_ended": budget.ended,
+        }
+
+
+class IngressServer(web.Server):
+    """aiohttp's server, whose connections are counted."""
+
+    def __init__(
+        self,
+        ingress: Ingress,
+        door: Door,
+        max_head_bytes: int,
+        serve: Serve,
+        **options: Any,
+    ) -> None:
+        super().__init__(
+            serve,
+            max_line_size=max_head_bytes,
+            max_field_size=max_head_bytes,
+            max_headers=MAX_FIELDS,
+            access_log=None,
+            **options,
+        )
+        self._ingress = ingress
+        self._door = door
+        self._max_head_bytes = max_head_bytes
+        self.budget = ingress.budget
+        self.watch_paused = ingress.paused.add
+        self.record_taken = door.record_taken
+
+    def __call__(self) -> IngressProtocol:
+        """Return the protocol of a new connection."""
+        return IngressProtocol(self, self._loop, **self._kwargs)
+
+    def get_head_limit(self) -> int:
+        """Return how many bytes a head may have."""
+        return MAX_FIELDS * self._max_head_bytes
+
+    def get_body_limit(self) -> int:
+        """Return how many bytes a body may have."""
+        limits = self._ingress.get_limits()
+        return limits.body_bytes if limits else 0
+
+    def admit(self, connection: IngressProtocol) -> bool:
+        """Count a new connection; return whether there is room for it."""
+        return self._door.admit(connection, self._ingress.clock())
+
+    def move(self, connection: IngressProtocol, phase: Phase) -> None:
+        """Record that a connection enters a phase."""
+        self._door.move(connection, phase, self._ingress.clock())
+
+    def record_unread(self, connection: IngressProtocol) -> None:
+        """Record that a client takes nothing of what was written for it."""
+        self._door.record_unread(connection, self._ingress.clock())
+
+    def hold(self, connection: IngressProtocol, size: int) -> bool:
+        """Count bytes held for a connection; return whether there is room for them."""
+        try:
+            self.budget.hold(connection, size)
+        except NoRoom:
+            return False
+        return True
+
+    def forget(self, connection: IngressProtocol) -> None:
+        """Stop counting a connection that is closed."""
+        self._door.remove(connection)
+        self._ingress.paused.discard(connection)
+        self.budget.release(connection)
+
+
+class IngressAppRunner(web.AppRunner):
+    """aiohttp's runner of an application, at a server whose connections are counted."""
+
+    __slots__ = ("_make_ingress_server", "_options")
+
+    def __init__(
+        self,
+        app: web.Application,
+        make_server: Callable[..., IngressServer],
+        shutdown_timeout: Seconds,
+        options: dict[str, Any],
+    ) -> None:
+        super().__init__(app, shutdown_timeout=shutdown_timeout)
+        self._make_ingress_server = make_server
+        self._options = options
+
+    async def _make_server(self) -> web.Server:
+        # aiohttp prepares the application as it makes a server of its own.
+        await super()._make_server()
+        return self._make_ingress_server(
+            self.app._handle, request_factory=self.app._make_request, **self._options
+        )
+
+
+def end_overdue(door: Door, phase: Phase, before: Seconds, reason: Reason) -> None:
+    """Close the connections that have been in a phase since before a time."""
+    overdue = []
+    for connection in door.list_phase(phase):
+        if connection.phase_since >= before:
+            break
+        overdue.append(connection)
+    for connection in overdue:
+        connection.end(reason)
+
+
+def end_closing(door: Door, before: Seconds) -> None:
+    """End the connections closed before a time whose clients don't take the rest."""
+    closing = []
+    for connection in door.list_phase(Phase.IDLE):
+        if connection.phase_since >= before:
+            break
+        if connection.is_closing:
+            closing.append(connection)
+    for connection in closing:
+        connection.end(Reason.UNREAD)
+
+
+def open_listener(at: SocketAddress) -> socket.socket:
+    """Return a socket bound to an address; raises ``OSError``."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections take this over; it must be set before the first one comes.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.bind((at.host, at.port))
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- a/src/kestreltally/platform/settings.py
+++ b/src/kestreltally/platform/settings.py
@@ -90,6 +90,7 @@
         cores=cores,
         link_mbps=float(limits["LinkMbps"]),
         memory=int(float(limits.get("MemoryMb", 0)) * MEGABYTE),
+        descriptors=int(limits.get("FileDescriptors", 0)),
     )
 
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -106,7 +106,7 @@
         run_pair([endpoint], make_route(UNSAFE)) as (sender, stopping),
         run_entry([endpoint], make_route(UNSAFE)) as other,
     ):
-        first = stopping.api._runners[-1].addresses[0][1]
+        first = stopping.api.ingress._runners[-1].addresses[0][1]
         stopping.api.stop_by(0.0)
         second = await other.api.start_forwarding(
             PeerIntake(other.fleet, other.authority), SocketAddress("127.0.0.1", 0)
