Ingress: a head is bounded as a whole

Callers saw: a process that took gigabytes for heads that never end (9,706 MB of 160, 9,740 by the peers' port).

Cause: aiohttp bounds the fields of a head one by one, 256 of 64 KB each, and HeaderBytes was decoded and never asked. Nothing counted a head that isn't complete.

Mended: what has come of a head is counted as it comes, its fields' objects too; beyond HeaderBytes (64 KiB at most, and before a configuration is known) it gets 431 and nothing more is read. Without room for it the connection is closed.

--- a/src/kestreltally/ingress/protocol.py
+++ b/src/kestreltally/ingress/protocol.py
@@ -255,6 +255,7 @@
         if self._head_bytes > limit:
             self._refuse_head(limit)
             return
+        self._hold_or_end(2 * len(data) + FIELD_BYTES * data.count(b"\n"))
 
     def _refuse_head(self, limit: int) -> None:
         """Answer a head that exceeds its limit, and take nothing more."""
--- a/src/kestreltally/ingress/server.py
+++ b/src/kestreltally/ingress/server.py
@@ -180,7 +180,9 @@
 
     def get_head_limit(self) -> int:
         """Return how many bytes a head may have."""
-        return MAX_FIELDS * self._max_head_bytes
+        limits = self._ingress.get_limits()
+        configured = limits.header_bytes if limits else self._max_head_bytes
+        return min(configured, self._max_head_bytes)
 
     def get_body_limit(self) -> int:
         """Return how many bytes a body may have."""
--- a/tests/test_ingress_protocol.py
+++ b/tests/test_ingress_protocol.py
@@ -149,6 +149,35 @@
     assert [each.id for each in engine.seen] == [b"q2", b"q4"]
 
 
+@pytest.mark.parametrize("size", SIZES[1:])
+@pytest.mark.parametrize("ends", [True, False])
+async def test_a_head_over_the_limit_is_refused(size: int, ends: bool) -> None:
+    engine = ScriptedEndpoint("e1", answer_at_once)
+    fields = [f"X-{number}: {'a' * 1_000}" for number in range(40)]
+    raw = make_head("q1", *fields)
+    if not ends:
+        raw = raw[:-2]
+    async with run_entry([engine], make_route()) as rig:
+        reader, writer = await asyncio.open_connection(HOST, rig.port)
+        writer.write(raw[:size])
+        writer.write(raw[size:])
+        async with asyncio.timeout(5.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+    assert head.split()[1] == b"431"
+    assert not engine.seen
+
+
+@pytest.mark.parametrize("size", SIZES[1:])
+async def test_a_head_within_the_limit_is_served(size: int) -> None:
+    engine = ScriptedEndpoint("e1", answer_at_once)
+    fields = [f"X-{number}: {'a' * 1_000}" for number in range(16)]
+    raw = make_head("q1", *fields, "Content-Length: 50000") + b"x" * 50_000
+    async with run_entry([engine], make_route()) as rig:
+        answers = await exchange(rig, raw, size, 1)
+    assert answers == [b"200 xxxxxxxxxx"]
+
+
 # Guards against answers that pile up for a client that asks and takes none of them.
 async def test_no_more_requests_are_taken_while_answers_stay_unread() -> None:
     async def answer_much(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
@@ -210,7 +239,7 @@
     async with run_entry([engine], make_route()) as rig:
         await exchange(rig, raw, 5_000, 3)
         # Connections that end in the middle of a head, and of a body.
-        for part in (make_post("q5", b"x" * 1_000)[:-1],):
+        for part in (make_head("q4")[:-2], make_post("q5", b"x" * 1_000)[:-1]):
             _, writer = await asyncio.open_connection(HOST, rig.port)
             writer.write(part)
             await asyncio.sleep(0.05)
