Ingress: connections are bounded, and those that ask for nothing give way

Callers saw: no connection any more, for as long as a crowd stayed (60 s in the test), with 596 of 600 descriptors taken by connections that said nothing or a part of a head.

Cause: no bound on connections, by number or by descriptors; none of the limits in time was used before a request's head is complete. asyncio also takes 512 at once before any of them can be refused.

Mended: each port has a number of connections, by the descriptors and the memory that the settings name, or the process's own limits. Connections that send no head end after 1.25 IdleTimeoutMs, a part of one after 2 HeaderTimeoutMs, closed ones whose client doesn't take the rest after 10 s. 16 are taken at once.

--- a/src/kestreltally/ingress/server.py
+++ b/src/kestreltally/ingress/server.py
@@ -1,7 +1,6 @@
 """Servers whose connections share one budget, and their maintenance."""
 
 import socket
-import sys
 from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 from typing import Any, Final
@@ -101,14 +100,16 @@
     def _make_server(
         self, name: str, connections: int, max_head_bytes: int
     ) -> Callable[..., "IngressServer"]:
-        door = self._doors[name] = Door(sys.maxsize)
+        door = self._doors[name] = Door(connections)
         return partial(IngressServer, self, door, max_head_bytes)
 
     async def _start(self, runner: web.BaseRunner, at: SocketAddress) -> int:
         await runner.setup()
         self._runners.append(runner)
         listener = open_listener(at)
-        await web.SockSite(runner, listener, backlog=BACKLOG).start()
+        # asyncio takes as many connections at once as may wait, before any is counted.
+        await web.SockSite(runner, listener, backlog=ACCEPT_BATCH).start()
+        listener.listen(BACKLOG)
         port: int = listener.getsockname()[1]
         return port
 
@@ -120,6 +121,17 @@
     def run_maintenance(self) -> None:
         """Close connections whose clients have left, or send nothing in time."""
         self._end_left()
+        limits = self.get_limits()
+        idle = IDLE_TIME_FACTOR * limits.idle_timeout if limits else MAX_IDLE_TIME
+        head = HEAD_TIME_FACTOR * limits.header_timeout if limits else MAX_IDLE_TIME
+        now = self.clock()
+        for door in self._doors.values():
+            end_overdue(door, Phase.OPENED, now - idle, Reason.SILENT)
+            end_overdue(door, Phase.HEAD, now - head, Reason.SLOW_HEAD)
+        if now - self._checked_closing_at >= CLOSING_INTERVAL:
+            self._checked_closing_at = now
+            for door in self._doors.values():
+                end_closing(door, now - CLOSING_TIME)
 
     def _end_left(self) -> None:
         for connection in list(self.paused):
--- a/tests/test_ingress_protocol.py
+++ b/tests/test_ingress_protocol.py
@@ -11,7 +11,10 @@
 
 import pytest
 
+from kestreltally.deployment import SocketAddress
+from kestreltally.ingress.capacity import IngressCapacity
 from kestreltally.ingress.connections import Phase, Reason
+from kestreltally.ingress.server import Ingress
 from tests.entryrig import (
     EntryRig,
     ScriptedEndpoint,
@@ -21,6 +24,7 @@
     read_reply,
     run_entry,
 )
+from tests.ports import reserve_port
 
 HOST = "127.0.0.1"
 SIZES = [1, 7, 1_000, 4_096, 100_000]
@@ -269,3 +273,51 @@
     assert float(reply.headers["retry-after"]) > 0
     assert reply.headers["x-request-id"] == "q1"
     assert not engine.seen
+
+
+async def test_silent_connections_make_room_for_clients() -> None:
+    engine = ScriptedEndpoint("e1", answer_at_once)
+    async with run_entry([engine], make_route()) as rig:
+        door = rig.api.ingress._doors["clients"]
+        door.limit = 10
+        writers = []
+        for _ in range(10):
+            _, writer = await asyncio.open_connection(HOST, rig.port)
+            writers.append(writer)
+        await asyncio.sleep(0.3)
+        answers = await exchange(rig, make_post("q1", b"one"), 1_000, 1)
+        assert answers == [b"200 one"]
+        assert door.ended == 1
+        for writer in writers:
+            writer.close()
+
+
+async def test_overdue_connections_are_closed() -> None:
+    now = [0.0]
+    limits = IngressCapacity(10, 10, 10, 10**6)
+    ingress = Ingress(limits, lambda: now[0])
+    at = SocketAddress(HOST, reserve_port())
+
+    async def serve(_: object) -> None:
+        raise AssertionError
+
+    await ingress.listen("port", serve, at, 10)  # type: ignore[arg-type]
+    try:
+        reader, writer = await asyncio.open_connection(HOST, at.port)
+        writer.write(b"GET / HTT")
+        silent_reader, silent = await asyncio.open_connection(HOST, at.port)
+        await asyncio.sleep(0.05)
+        now[0] = 70.0
+        ingress.run_maintenance()
+        assert ingress.measure_connections()["port"] == 2
+        now[0] = 80.0
+        ingress.run_maintenance()
+        async with asyncio.timeout(2.0):
+            for each in (reader, silent_reader):
+                with suppress(ConnectionError):
+                    assert await each.read() == b""
+        writer.close()
+        silent.close()
+        assert ingress.measure_connections()["port"] == 0
+    finally:
+        await ingress.close()
