Ingress: readiness and metrics are bounded like the callers' port

Callers saw: the same as by their own port, from connections to the others: 817 MB (heads) and 309 MB (bodies) by the readiness port, 1,137 MB (heads) by the metrics port, and nobody served while silent connections there held 596 of 600 descriptors.

Cause: both were plain servers of aiohttp, without any bound.

Mended: they are served by the same ingress, with a few connections each, heads of 8 KiB and the same budget.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -96,7 +96,6 @@
             compute_capacity(0, 0), asyncio.get_running_loop().time
         )
         self.ingress.get_limits = self._get_limits
-        self._runners: list[web.ServerRunner] = []
         self._stops_at: Seconds | None = None
         relay.check_stop = lambda request: self._check_stop(
             request, asyncio.get_running_loop().time()
@@ -111,18 +110,12 @@
     async def start(self, clients: SocketAddress, readiness: SocketAddress) -> None:
         """Listen for clients and readiness checks; raises ``OSError``."""
         capacity = self.ingress.capacity
-        readiness_server = web.Server(self._answer_readiness, access_log=None)
-        await self.listen(readiness_server, readiness)
+        await self.ingress.listen(
+            "readiness", self._answer_readiness, readiness, capacity.service
+        )
         intake = ClientIntake(self._gate)
         await self._listen("clients", intake, clients, capacity.clients)
 
-    async def listen(self, server: web.Server, at: SocketAddress) -> None:
-        """Serve checks or operators at an address; raises ``OSError``."""
-        runner = web.ServerRunner(server, handle_signals=False, shutdown_timeout=0.1)
-        await runner.setup()
-        await web.TCPSite(runner, at.host, at.port).start()
-        self._runners.append(runner)
-
     async def start_forwarding(self, intake: Intake, at: SocketAddress) -> int:
         """Listen for requests of other daemons; return the port.
 
@@ -150,8 +143,6 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        for runner in self._runners:
-            await runner.cleanup()
         await self.ingress.close()
 
     @property
--- a/src/kestreltally/fleet_daemon.py
+++ b/src/kestreltally/fleet_daemon.py
@@ -14,8 +14,6 @@
 from typing import Any, Final
 from uuid import uuid4
 
-from aiohttp import web
-
 from kestreltally.decisions import Decision, log_decision, log_suppressed
 from kestreltally.deployment import Deployment, SocketAddress
 from kestreltally.entry.api import EntryApi
@@ -557,9 +555,11 @@
         )
         turns = TurnsApi(self._pacing.issuer, self._metrics.serve)
         operators = PoisonApi(self._relay.poison.register, turns.serve)
-        await self._entry_api.listen(
-            web.Server(operators.serve, access_log=None),
+        await self._ingress.listen(
+            "metrics",
+            operators.serve,
             SocketAddress(deployment.peers.host, deployment.metrics_port),
+            self._ingress.capacity.service,
         )
         loops = (
             self._configuration_watch.run,
--- a/tests/test_ingress_protocol.py
+++ b/tests/test_ingress_protocol.py
@@ -198,7 +198,7 @@
         while seen != len(engine.seen):
             seen = len(engine.seen)
             await asyncio.sleep(0.3)
-        (connection,) = rig.api.ingress._runners[0].server.connections
+        (connection,) = rig.api.ingress._runners[1].server.connections
         assert connection.transport.get_write_buffer_size() < 2**16
         assert seen < number
         writer.transport.resume_reading()  # type: ignore[attr-defined]
