Daemon: the own interface's ports are bounded like the platform's

Callers of kestreltallyd saw: a process that took several times its VM's memory, or no connection while silent ones held 596 of 600 descriptors.

Cause: aiohttp's application runners, with neither a sum over bodies and heads nor a number of connections.

Mended: both ports are served by the ingress. Its limits come from limits.memory_mb and limits.descriptors of the settings, 0 for what the process is allowed. A request without room is refused daemon_limit (503): it has not run.

--- a/src/kestreltally/callers/api.py
+++ b/src/kestreltally/callers/api.py
@@ -19,6 +19,7 @@
 )
 from kestreltally.callers.sinks import BufferedSink, StreamSink, describe_refusal
 from kestreltally.entities.configuration import Caller
+from kestreltally.ingress.protocol import RequestEnded, has_room
 from kestreltally.metrics import Metrics
 from kestreltally.orders import RefusalReason
 from kestreltally.requests.attempts import CallerRequest
@@ -86,13 +87,21 @@
         )
         if isinstance(found, Err):
             return self._refuse(found.err_value, request)
+        if not has_room(http):
+            return self._refuse_for_memory(request)
         try:
             return found.ok_value, await http.read()
+        except RequestEnded:
+            return self._refuse_for_memory(request)
         except web.HTTPRequestEntityTooLarge:
             limit = self._runtime.world.settings.limits.body_bytes
             large = refuse(RefusalReason.TOO_LARGE, f"body: at most {limit} bytes")
             return self._refuse(large.err_value, request)
 
+    def _refuse_for_memory(self, request: str) -> web.Response:
+        full = refuse(RefusalReason.DAEMON_LIMIT, "no memory for the request", 1.0)
+        return self._refuse(full.err_value, request)
+
     def _make_unique(self, request: CallerRequest) -> CallerRequest:
         """Give a repeatable request its own internal id if its id is in use."""
         if not request.repeatable or request.request not in self._server.live:
--- a/src/kestreltally/daemon.py
+++ b/src/kestreltally/daemon.py
@@ -11,13 +11,16 @@
 from typing import Final
 
 import click
-from aiohttp import web
 
 from kestreltally.callers.api import CallerApi
+from kestreltally.deployment import SocketAddress
 from kestreltally.endpoints.engines import HttpEngineClient
 from kestreltally.endpoints.services import HttpServiceClient
 from kestreltally.entities.ids import DataCentre, Seconds, VmId
 from kestreltally.eventloop import run_with_suspensions
+from kestreltally.fleet.model import ClientLimits
+from kestreltally.ingress.capacity import compute_capacity
+from kestreltally.ingress.server import Ingress
 from kestreltally.invariants import Invariants
 from kestreltally.logs import set_up_logs
 from kestreltally.metrics import Metrics
@@ -33,7 +36,6 @@
 from kestreltally.runtime import Ports, Runtime
 from kestreltally.settings import (
     EXIT_INVALID_SETTINGS,
-    Address,
     InvalidSettings,
     Settings,
     load_settings,
@@ -45,7 +47,9 @@
 
 LOG = logging.getLogger("kestreltally.daemon")
 MILLISECONDS: Final = 1000
+MEGABYTE: Final = 10**6
 STOP_POLL_INTERVAL: Final[Seconds] = 0.05
+INGRESS_INTERVAL: Final[Seconds] = 0.1
 SWEEP_PERIOD: Final[Seconds] = 300.0
 SWEEP_DUTY: Final = "claim-sweep"
 SHUTDOWN_TIMEOUT: Final[Seconds] = 1.0
@@ -104,19 +108,17 @@
         metrics = Metrics()
         callers = CallerApi(self._runtime, self._requests, metrics)
         self._operators = OperatorApi(self._runtime, self._requests, metrics)
-        self._callers_runner = web.AppRunner(
-            callers.make_app(),
-            handler_cancellation=True,
-            max_line_size=settings.limits.header_bytes,
-            max_field_size=settings.limits.header_bytes,
-            keepalive_timeout=settings.limits.idle,
-            shutdown_timeout=SHUTDOWN_TIMEOUT,
-            access_log=None,
+        self._callers_app = callers.make_app()
+        limits = settings.limits
+        client_limits = ClientLimits(
+            limits.header_bytes, limits.body_bytes, limits.idle, limits.idle
         )
-        self._operators_runner = web.AppRunner(
-            self._operators.make_app(),
-            access_log=None,
+        self._ingress = Ingress(
+            compute_capacity(limits.memory_mb * MEGABYTE, limits.descriptors),
+            asyncio.get_running_loop().time,
+            lambda: client_limits,
         )
+        self._ingress_task: asyncio.Task[None] | None = None
         self._peers = PeerServer(self._runtime.receive)
         self._sweep_task: asyncio.Task[None] | None = None
 
@@ -124,14 +126,36 @@
         """Listen on all addresses; raises ``OSError`` if one is in use."""
         settings = self._settings
         await self._peers.start(settings.peers.host, settings.peers.port)
-        await _listen(self._operators_runner, settings.operators)
-        await _listen(self._callers_runner, settings.callers)
+        capacity = self._ingress.capacity
+        await self._ingress.listen_for_app(
+            "operators",
+            self._operators.make_app(),
+            SocketAddress(settings.operators.host, settings.operators.port),
+            capacity.service,
+        )
+        await self._ingress.listen_for_app(
+            "callers",
+            self._callers_app,
+            SocketAddress(settings.callers.host, settings.callers.port),
+            capacity.clients,
+            settings.limits.header_bytes,
+            SHUTDOWN_TIMEOUT,
+            handler_cancellation=True,
+            keepalive_timeout=settings.limits.idle,
+        )
+        self._ingress_task = asyncio.create_task(self._maintain_ingress())
         self._runtime.start()
         self._sweep_task = asyncio.create_task(self._sweep_claims())
         LOG.info(
             "daemon: %s serves callers on port %d", settings.vm, settings.callers.port
         )
 
+    async def _maintain_ingress(self) -> None:
+        """Close connections whose clients have left, or send nothing in time."""
+        while True:
+            await asyncio.sleep(INGRESS_INTERVAL)
+            self._ingress.run_maintenance()
+
     async def _sweep_claims(self) -> None:
         """Delete expired claims periodically, while this daemon owns the sweep duty."""
         while True:
@@ -188,21 +212,16 @@
 
     async def close(self) -> None:
         """Close all connections and cancel all tasks."""
-        if self._sweep_task is not None:
-            self._sweep_task.cancel()
-        await self._callers_runner.cleanup()
-        await self._operators_runner.cleanup()
+        for task in (self._sweep_task, self._ingress_task):
+            if task is not None:
+                task.cancel()
+        await self._ingress.close()
         await self._runtime.stop()
         await self._peers.stop()
         await self._transport.close()
         await self._session.close()
 
 
-async def _listen(runner: web.AppRunner, address: Address) -> None:
-    await runner.setup()
-    await web.TCPSite(runner, address.host, address.port).start()
-
-
 async def run_daemon(settings: Settings) -> int:
     """Run until a signal; return the exit status. A second signal exits immediately."""
     stop = asyncio.Event()
--- a/src/kestreltally/settings.py
+++ b/src/kestreltally/settings.py
@@ -67,8 +67,14 @@
 
 @dataclass(frozen=True)
 class Limits:
-    """Limits on the resources that callers may use of one daemon."""
+    """Limits on the resources that callers may use of one daemon.
 
+    ``memory_mb``, in 10^6 bytes, and ``descriptors`` are those of the VM and the
+    process; 0 stands for what the process itself is allowed.
+    """
+
+    memory_mb: Annotated[int, Meta(ge=0)] = 0
+    descriptors: Annotated[int, Meta(ge=0)] = 0
     body_bytes: Count = 1_000_000
     header_bytes: Count = 16_384
     concurrent_requests: Count = 512
