Soak: some plans have clients that don't behave

The VMs of such plans have 160 MB and 600 descriptors; a process that took more is a problem, beside all promises to the others.

--- a/bench/endless.py
+++ b/bench/endless.py
@@ -21,7 +21,7 @@
 
 from bench.cluster import wait_for_answer
 from bench.faultsoak.proxy import HOST
-from bench.faultsoak.system import Daemon, SoakSystem
+from bench.faultsoak.system import Daemon, SoakSystem, read_peak_mb
 from bench.fleet_demo import DATA_CENTRES, HOST_NAME, MODEL
 
 MEMORY_MB: Final = 300.0
@@ -195,14 +195,6 @@
     result.sound[status] += 1
 
 
-def read_peak_mb(daemon: Daemon) -> float:
-    """Return the most memory that a daemon's process has held."""
-    assert daemon.process is not None
-    status = Path(f"/proc/{daemon.process.pid}/status").read_text(encoding="utf-8")
-    (line,) = (each for each in status.splitlines() if each.startswith("VmHWM:"))
-    return int(line.split()[1]) / 1024
-
-
 async def play(row: str, base_port: int, *, reads: bool) -> Result:
     """Play one row on a system of its own."""
     server, result = EndlessServer(*ROWS[row]), Result()
--- a/bench/faultsoak/actions.py
+++ b/bench/faultsoak/actions.py
@@ -3,9 +3,11 @@
 import asyncio
 import random
 import signal
+import sys
 from collections.abc import Callable
 from typing import Any, Final
 
+from bench.cluster import REPOSITORY
 from bench.faultsoak.checker import Cut, Silence
 from bench.faultsoak.contact import Scope
 from bench.faultsoak.cuts import CutMode
@@ -18,6 +20,7 @@
     SOFTWARE,
     SoakEndpoint,
     SoakSystem,
+    read_peak_mb,
 )
 from bench.faultsoak.waiting import name_version_while_requests_wait
 from bench.fleet_demo import DATA_CENTRES
@@ -49,6 +52,19 @@
 CROWD: Final = 4
 # Clients added to each daemon meanwhile.
 EXTRA_CLIENTS: Final = 1
+# Clients that don't behave, and how many of them come to a daemon.
+SOAK_CROWDS: Final = (
+    "bodies short of their length",
+    "chunked bodies without an end",
+    "chunks of one byte without an end",
+    "bodies over the limit",
+    "bodies that were asked for and never come",
+    "refused requests sent ahead",
+    "heads over the limit, without an end",
+    "heads of many small fields without an end",
+    "silent connections",
+)
+CROWD_CONNECTIONS: Final = 250
 # Downtime of the store before it is restored from a backup, and delay until operators
 # have rewritten what was lost, seconds.
 RESTORE_DOWNTIME: Final = 0.4
@@ -224,6 +240,36 @@
         engine.odd_answers.broken_fraction = 0.0
 
 
+@performs(Action.CROWD)
+async def send_crowd(soak: Soak, step: Step) -> None:
+    """Have clients that don't behave come to a daemon; nothing that they send runs."""
+    daemon = soak.pick_daemon(step)
+    boots = daemon.boots
+    crowd = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench.faultsoak.crowd",
+        SOAK_CROWDS[step.target % len(SOAK_CROWDS)],
+        "--base-port",
+        str(daemon.port),
+        "--connections",
+        str(CROWD_CONNECTIONS),
+        "--seconds",
+        str(step.duration),
+        stdout=asyncio.subprocess.DEVNULL,
+        cwd=REPOSITORY,
+    )
+    await crowd.wait()
+    limits = soak.system.vm_limits
+    if limits is None or daemon.boots != boots:
+        return
+    peak = read_peak_mb(daemon)
+    if peak > limits.memory_mb:
+        soak.checker.problems.append(
+            f"{daemon.vm} took {peak:.0f} MB beside a crowd, {limits.memory_mb} allowed"
+        )
+
+
 @performs(Action.KILL_SERIES)
 async def kill_in_series(soak: Soak, step: Step) -> None:
     """Kill all daemons three times within a retry window while all engines fail.
--- a/bench/faultsoak/crowd.py
+++ b/bench/faultsoak/crowd.py
@@ -10,7 +10,7 @@
 import socket
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Final
 
@@ -400,10 +400,14 @@
 @click.command()
 @click.argument("name", type=click.Choice(list(CROWDS)))
 @click.option("--base-port", type=int, required=True, help="A daemon's first port.")
+@click.option("--connections", type=int, help="Instead of the crowd's own number.")
 @click.option("--seconds", type=float, default=60.0)
-def main(name: str, base_port: int, seconds: float) -> None:
+def main(name: str, base_port: int, connections: int | None, seconds: float) -> None:
     """Send what a crowd sends to a daemon, and stay until ended or the time is over."""
-    run_crowd(CROWDS[name], base_port, seconds)
+    crowd = CROWDS[name]
+    if connections is not None:
+        crowd = replace(crowd, connections=connections)
+    run_crowd(crowd, base_port, seconds)
 
 
 if __name__ == "__main__":
--- a/bench/faultsoak/plan.py
+++ b/bench/faultsoak/plan.py
@@ -56,6 +56,7 @@
     VERSION_WAITS = "new version of an adapter while requests wait and nothing loads"
     ODD_ANSWERS = "plain endpoints answer with false or repeated rejections"
     BROKEN_HEADS = "endpoints answer with heads that are none"
+    CROWD = "clients of a daemon don't behave"
     ENDPOINTS_SILENT = "endpoints of a service silent for a while, then they go on"
 
 
@@ -130,6 +131,9 @@
 # Fraction of plans with answers whose heads are broken, and their duration, seconds.
 BROKEN_HEADS_FRACTION: Final = 0.5
 BROKEN_HEADS_DURATION: Final = 6.0
+# Fraction of plans with clients that don't behave, and how long they stay, seconds.
+CROWD_FRACTION: Final = 0.4
+CROWD_DURATION: Final = 5.0
 # Fraction of plans in which sound endpoints fall silent, the mean interval between such
 # silences, and their duration, seconds.
 SILENT_FRACTION: Final = 0.4
@@ -194,6 +198,7 @@
     steps.extend(_draw_silent_endpoints(random.Random(f"silent {seed}"), seconds))
     steps.extend(_draw_odd_answers(random.Random(f"answers {seed}"), seconds))
     steps.extend(_draw_broken_heads(random.Random(f"heads {seed}"), seconds))
+    steps.extend(_draw_crowd(random.Random(f"crowd {seed}"), seconds))
     return sorted(steps, key=lambda each: each.at)
 
 
@@ -219,6 +224,10 @@
     )
 
 
+def _draw_crowd(draw: random.Random, seconds: float) -> list[Step]:
+    return _draw_once(draw, seconds, Action.CROWD, CROWD_FRACTION, CROWD_DURATION)
+
+
 def _draw_version_leaves(draw: random.Random, seconds: float) -> list[Step]:
     return _draw_once(
         draw, seconds, Action.VERSION_LEAVES, VERSION_FRACTION, VERSION_DURATION
--- a/bench/faultsoak/run.py
+++ b/bench/faultsoak/run.py
@@ -19,9 +19,7 @@
 from bench.faultsoak.plan import Action, Step, make_plan
 from bench.faultsoak.proxy import HOST
 from bench.faultsoak.soak import Soak
-from bench.faultsoak.system import (
-    SoakSystem,
-)
+from bench.faultsoak.system import SoakSystem, VmLimits
 
 READY_TIMEOUT: Final = 15.0
 # Each start takes half a second of a core; beyond these many they wait for each other.
@@ -35,6 +33,8 @@
 MIN_RECOVERED_FRACTION: Final = 0.9
 MEASURE_DURATION: Final = 3.0
 MAX_SHRINK_RUNS: Final = 12
+# The limits of each VM in plans with clients that don't behave.
+CROWD_LIMITS: Final = VmLimits(memory_mb=160.0, descriptors=600)
 RunPlan = Callable[[list[Step]], Coroutine[Any, Any, Checker]]
 
 
@@ -43,6 +43,8 @@
     checker = Checker(system)
     soak = Soak(system, checker, PERFORMERS)
     system.has_silences = any(s.action is Action.ENDPOINTS_SILENT for s in plan)
+    if any(step.action is Action.CROWD for step in plan):
+        system.vm_limits = CROWD_LIMITS
     system.has_own_paths = any(step.action is Action.CUT_OFF for step in plan)
     tasks: list[asyncio.Task[None]] = []
     try:
--- a/bench/faultsoak/soak.py
+++ b/bench/faultsoak/soak.py
@@ -69,7 +69,13 @@
 )
 # Faults of the process of one daemon, or of its path to the store.
 DAEMON_FAULTS: Final = frozenset(
-    {Action.STORE_PATH, Action.PAUSE, Action.KILL, Action.PLANNED_STOP}
+    {
+        Action.STORE_PATH,
+        Action.PAUSE,
+        Action.KILL,
+        Action.PLANNED_STOP,
+        Action.CROWD,
+    }
 )
 
 Perform = Callable[["Soak", Step], Awaitable[None]]
--- a/bench/faultsoak/system.py
+++ b/bench/faultsoak/system.py
@@ -92,6 +92,14 @@
             self.process.send_signal(number)
 
 
+def read_peak_mb(daemon: Daemon) -> float:
+    """Return the most memory that a daemon's process has held, in 2^20 bytes."""
+    assert daemon.process is not None
+    status = Path(f"/proc/{daemon.process.pid}/status").read_text(encoding="utf-8")
+    (line,) = (each for each in status.splitlines() if each.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
 @dataclass
 class SoakEndpoint:
     """One incarnation of an endpoint behind its proxy."""
