--- a/bench/faultsoak/crowd.py
+++ b/bench/faultsoak/crowd.py
@@ -184,6 +184,14 @@
         )
 
 
+@sends(Kind.SENT_AHEAD, "large answers that nobody reads")
+def send_for_large_answers(client: str) -> Pieces:
+    """Ask for answers of 250 KB on many connections, and read none of them."""
+    for number in range(20):
+        path = "/plain/x?more=250000"
+        yield make_head(f"{client}.{number}", "Content-Length: 0", path=path)
+
+
 @sends(Kind.BODIES, "bodies over the limit")
 def send_refused_bodies(client: str) -> Pieces:
     """Send bodies that are refused by their length."""
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -397,6 +397,7 @@
             return self.odd_answers.send_broken(http)
         if not adapter:
             text = f"{http.method} {http.path_qs} {len(body)}"
+            text += "x" * int(http.query.get("more", 0))
             if self.undelimited:
                 return await self._answer_undelimited(http, headers, text)
             return web.Response(headers=headers, text=text)
