--- a/src/kestreltally/ingress/protocol.py
+++ b/src/kestreltally/ingress/protocol.py
@@ -7,13 +7,11 @@
 
 import asyncio
 import logging
-import struct
 from collections.abc import Awaitable, Callable
-from socket import IPPROTO_TCP, TCP_INFO
 from typing import TYPE_CHECKING, Any, Final
 
 from aiohttp import StreamReader, web
-from aiohttp.http import HttpRequestParser, RawRequestMessage
+from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
@@ -22,6 +20,8 @@
 from kestreltally.entry.framing import read_length
 from kestreltally.fleet.model import Seconds
 from kestreltally.ingress.connections import Phase, Reason
+from kestreltally.ingress.heads import is_whole, measure_head
+from kestreltally.sockets import is_closed_by_peer
 
 if TYPE_CHECKING:
     from kestreltally.ingress.server import IngressServer
@@ -46,15 +46,7 @@
 REQUEST_BYTES: Final = 2**14
 # A body exists twice while it is copied, and while an endpoint takes it.
 BODY_COPIES: Final = 2
-HEAD_END: Final = b"\r\n\r\n"
-# The bytes of a head beside its names and values: of a field ``: `` and CRLF, of the
-# request's line two blanks, the version and CRLF.
-FIELD_DELIMITERS: Final = 4
-REQUEST_LINE_DELIMITERS: Final = 12
 HEADER_TOO_LARGE: Final = 431
-# The state in TCP_INFO of a connection that the client has closed.
-CLOSE_WAIT: Final = 8
-CLOSED: Final = 7
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -354,17 +346,7 @@
     @property
     def is_left(self) -> bool:
         """Return whether the client has closed its side; asked while reading pauses."""
-        if self._socket is None:
-            return False
-        connection = self._socket.get_extra_info("socket")
-        try:
-            (state,) = struct.unpack(
-                "B", connection.getsockopt(IPPROTO_TCP, TCP_INFO, 1)
-            )
-        except (OSError, struct.error) as error:
-            LOG.debug("ingress: state of a connection not known: %r", error)
-            return False
-        return state in (CLOSE_WAIT, CLOSED)
+        return self._socket is not None and is_closed_by_peer(self._socket)
 
     @property
     def is_paused(self) -> bool:
@@ -388,22 +370,6 @@
         return refuse
 
 
-def measure_head(message: RawRequestMessage) -> int:
-    """Return the bytes of a request's head, without its final empty line."""
-    fields = sum(
-        len(name) + len(value) + FIELD_DELIMITERS for name, value in message.raw_headers
-    )
-    return len(message.method) + len(message.path) + REQUEST_LINE_DELIMITERS + fields
-
-
-def is_whole(data: bytes, length: int | None) -> bool:
-    """Return whether data is a head and a body of a length, and nothing more."""
-    head = data.find(HEAD_END)
-    return (
-        length is not None and head >= 0 and len(data) == head + len(HEAD_END) + length
-    )
-
-
 def has_room(request: web.BaseRequest) -> bool:
     """Return whether there is room for a request; if not, it must be refused."""
     connection = request.protocol
--- a/src/kestreltally/ingress/server.py
+++ b/src/kestreltally/ingress/server.py
@@ -1,6 +1,5 @@
 """Servers whose connections share one budget, and their maintenance."""
 
-import socket
 from collections.abc import Awaitable, Callable, Iterator
 from functools import partial
 from typing import Any, Final
@@ -13,6 +12,7 @@
 from kestreltally.ingress.capacity import IngressCapacity
 from kestreltally.ingress.connections import Connection, Door, Phase, Reason
 from kestreltally.ingress.protocol import MAX_FIELDS, IngressProtocol
+from kestreltally.sockets import open_listener
 
 # Limit of request heads in bytes, used before any configuration is known.
 MAX_HEAD_BYTES: Final = 65_536
@@ -28,9 +28,6 @@
 # Connections that wait in the kernel, and how many are taken at once.
 BACKLOG: Final = 512
 ACCEPT_BATCH: Final = 16
-# What the kernel receives on a connection while the process doesn't read. It counts
-# objects of its own too, and takes twice as much as it is told.
-RECEIVE_BUFFER_BYTES: Final = 2**14
 # How long a client may take for the rest of its last answer, and how often that is
 # looked at.
 CLOSING_TIME: Final[Seconds] = 10.0
@@ -106,7 +103,7 @@
     async def _start(self, runner: web.BaseRunner, at: SocketAddress) -> int:
         await runner.setup()
         self._runners.append(runner)
-        listener = open_listener(at)
+        listener = open_listener(at.host, at.port)
         # asyncio takes as many connections at once as may wait, before any is counted.
         await web.SockSite(runner, listener, backlog=ACCEPT_BATCH).start()
         listener.listen(BACKLOG)
@@ -273,18 +270,3 @@
             closing.append(connection)
     for connection in closing:
         connection.end(Reason.UNREAD)
-
-
-def open_listener(at: SocketAddress) -> socket.socket:
-    """Return a socket bound to an address; raises ``OSError``."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        # Connections take this over; it must be set before the first one comes.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        listener.bind((at.host, at.port))
-        listener.setblocking(False)
-    except OSError:
-        listener.close()
-        raise
-    return listener
