--- a/src/kestreltally/ingress/connections.py
+++ b/src/kestreltally/ingress/connections.py
@@ -8,13 +8,14 @@
 
 from collections.abc import Iterator
 from enum import Enum, IntEnum
+from itertools import takewhile
 from typing import Final, Protocol
 
 from kestreltally.fleet.model import Seconds
 
 
 class Phase(IntEnum):
-    """What a connection is doing: the place of its group in a ``Door``."""
+    """What a connection is doing, numbered as ``ConnectionLimiter`` groups them."""
 
     # Nothing has come on it yet.
     OPENED = 0
@@ -73,7 +74,7 @@
         """Refuse a request that is not complete, or close the connection."""
 
 
-class Door:
+class ConnectionLimiter:
     """The connections to one port, ordered by phase and by how long they are in it."""
 
     def __init__(self, limit: int) -> None:
@@ -139,3 +140,19 @@
         """Forget a connection that is closed."""
         self._unread_since.pop(connection, None)
         self._by_phase[connection.phase].pop(connection, None)
+
+    def end_overdue(self, phase: Phase, before: Seconds, reason: Reason) -> None:
+        """End the connections that have been in a phase since before a time."""
+        for connection in self._list_since(phase, before):
+            connection.end(reason)
+
+    def end_closing(self, before: Seconds) -> None:
+        """End those closed before a time whose clients don't take the rest."""
+        for connection in self._list_since(Phase.IDLE, before):
+            if connection.is_closing:
+                connection.end(Reason.UNREAD)
+
+    def _list_since(self, phase: Phase, before: Seconds) -> list[Connection]:
+        return list(
+            takewhile(lambda each: each.phase_since < before, self._by_phase[phase])
+        )
--- a/src/kestreltally/ingress/protocol.py
+++ b/src/kestreltally/ingress/protocol.py
@@ -58,9 +58,9 @@
 class IngressProtocol(RequestHandler):
     """One connection of a client.
 
-    ``phase`` and ``phase_since`` are kept by the connection's ``Door``, ``held`` by the
-    budget. ``has_room`` is false if there is none for the present request: it must be
-    refused. Reading a body raises ``RequestEnded`` if it gave way to others.
+    ``phase`` and ``phase_since`` are kept by its port's ``ConnectionLimiter``, ``held``
+    by the budget. ``has_room`` is false if there is none for the present request: it
+    must be refused. Reading a body raises ``RequestEnded`` if it gave way to others.
     """
 
     __slots__ = (
@@ -215,7 +215,7 @@
         # Nothing is held of a body that is longer than allowed.
         if length and length <= self._server.get_body_limit():
             cost += BODY_COPIES * length
-        self.has_room = self._server.hold(self, cost)
+        self.has_room = self._server.try_hold(self, cost)
         if payload.is_eof():
             self._server.move(self, Phase.SERVING)
             return
@@ -234,7 +234,7 @@
             self._loop.call_soon(self._take_next)
 
     def _hold_or_end(self, size: int) -> None:
-        if not self._server.hold(self, size):
+        if not self._server.try_hold(self, size):
             self.end(Reason.MEMORY)
 
     def _receive_head(self, data: bytes) -> None:
@@ -344,7 +344,7 @@
         return self._socket is not None and self._socket.is_closing()
 
     @property
-    def is_left(self) -> bool:
+    def has_client_left(self) -> bool:
         """Return whether the client has closed its side; asked while reading pauses."""
         return self._socket is not None and is_closed_by_peer(self._socket)
 
--- a/src/kestreltally/ingress/server.py
+++ b/src/kestreltally/ingress/server.py
@@ -10,7 +10,12 @@
 from kestreltally.fleet.model import ClientLimits, Seconds
 from kestreltally.ingress.budget import NoRoom, RequestBudget
 from kestreltally.ingress.capacity import IngressCapacity
-from kestreltally.ingress.connections import Connection, Door, Phase, Reason
+from kestreltally.ingress.connections import (
+    Connection,
+    ConnectionLimiter,
+    Phase,
+    Reason,
+)
 from kestreltally.ingress.protocol import MAX_FIELDS, IngressProtocol
 from kestreltally.sockets import open_listener
 
@@ -54,14 +59,14 @@
             capacity.request_bytes, clock, self._list_unfinished
         )
         self.paused: set[IngressProtocol] = set()
-        self._doors: dict[str, Door] = {}
+        self._limiters: dict[str, ConnectionLimiter] = {}
         self._checked_closing_at: Seconds = 0.0
         self._runners: list[web.BaseRunner] = []
 
     def _list_unfinished(self) -> Iterator[Connection]:
-        for door in self._doors.values():
-            yield from door.list_phase(Phase.BODY)
-            yield from door.list_phase(Phase.HEAD)
+        for limiter in self._limiters.values():
+            yield from limiter.list_phase(Phase.BODY)
+            yield from limiter.list_phase(Phase.HEAD)
 
     async def listen(
         self,
@@ -97,8 +102,8 @@
     def _make_server(
         self, name: str, connections: int, max_head_bytes: int
     ) -> Callable[..., "IngressServer"]:
-        door = self._doors[name] = Door(connections)
-        return partial(IngressServer, self, door, max_head_bytes)
+        limiter = self._limiters[name] = ConnectionLimiter(connections)
+        return partial(IngressServer, self, limiter, max_head_bytes)
 
     async def _start(self, runner: web.BaseRunner, at: SocketAddress) -> int:
         await runner.setup()
@@ -122,27 +127,27 @@
         idle = IDLE_TIME_FACTOR * limits.idle_timeout if limits else MAX_IDLE_TIME
         head = HEAD_TIME_FACTOR * limits.header_timeout if limits else MAX_IDLE_TIME
         now = self.clock()
-        for door in self._doors.values():
-            end_overdue(door, Phase.OPENED, now - idle, Reason.SILENT)
-            end_overdue(door, Phase.HEAD, now - head, Reason.SLOW_HEAD)
+        for limiter in self._limiters.values():
+            limiter.end_overdue(Phase.OPENED, now - idle, Reason.SILENT)
+            limiter.end_overdue(Phase.HEAD, now - head, Reason.SLOW_HEAD)
         if now - self._checked_closing_at >= CLOSING_INTERVAL:
             self._checked_closing_at = now
-            for door in self._doors.values():
-                end_closing(door, now - CLOSING_TIME)
+            for limiter in self._limiters.values():
+                limiter.end_closing(now - CLOSING_TIME)
 
     def _end_left(self) -> None:
         for connection in list(self.paused):
             if not connection.is_paused:
                 self.paused.discard(connection)
-            elif connection.is_left:
+            elif connection.has_client_left:
                 self.paused.discard(connection)
                 connection.end(Reason.CLIENT_GONE)
 
     def measure_connections(self) -> dict[str, int]:
         """Return the number of connections by port, and how many found no room."""
-        counts = {name: len(door) for name, door in self._doors.items()}
-        counts["refused"] = sum(door.refused for door in self._doors.values())
-        counts["ended"] = sum(door.ended for door in self._doors.values())
+        counts = {name: len(limiter) for name, limiter in self._limiters.items()}
+        counts["refused"] = sum(limiter.refused for limiter in self._limiters.values())
+        counts["ended"] = sum(limiter.ended for limiter in self._limiters.values())
         return counts
 
     def measure_bytes(self) -> dict[str, int]:
@@ -163,7 +168,7 @@
     def __init__(
         self,
         ingress: Ingress,
-        door: Door,
+        limiter: ConnectionLimiter,
         max_head_bytes: int,
         serve: Serve,
         **options: Any,
@@ -177,11 +182,9 @@
             **options,
         )
         self._ingress = ingress
-        self._door = door
+        self._limiter = limiter
         self._max_head_bytes = max_head_bytes
         self.budget = ingress.budget
-        self.watch_paused = ingress.paused.add
-        self.record_taken = door.record_taken
 
     def __call__(self) -> IngressProtocol:
         """Return the protocol of a new connection."""
@@ -200,17 +203,25 @@
 
     def admit(self, connection: IngressProtocol) -> bool:
         """Count a new connection; return whether there is room for it."""
-        return self._door.admit(connection, self._ingress.clock())
+        return self._limiter.admit(connection, self._ingress.clock())
 
     def move(self, connection: IngressProtocol, phase: Phase) -> None:
         """Record that a connection enters a phase."""
-        self._door.move(connection, phase, self._ingress.clock())
+        self._limiter.move(connection, phase, self._ingress.clock())
+
+    def watch_paused(self, connection: IngressProtocol) -> None:
+        """Look for the end of a connection that isn't read."""
+        self._ingress.paused.add(connection)
 
     def record_unread(self, connection: IngressProtocol) -> None:
         """Record that a client takes nothing of what was written for it."""
-        self._door.record_unread(connection, self._ingress.clock())
+        self._limiter.record_unread(connection, self._ingress.clock())
+
+    def record_taken(self, connection: IngressProtocol) -> None:
+        """Record that a client has taken most of what was written for it."""
+        self._limiter.record_taken(connection)
 
-    def hold(self, connection: IngressProtocol, size: int) -> bool:
+    def try_hold(self, connection: IngressProtocol, size: int) -> bool:
         """Count bytes held for a connection; return whether there is room for them."""
         try:
             self.budget.hold(connection, size)
@@ -220,7 +231,7 @@
 
     def forget(self, connection: IngressProtocol) -> None:
         """Stop counting a connection that is closed."""
-        self._door.remove(connection)
+        self._limiter.remove(connection)
         self._ingress.paused.discard(connection)
         self.budget.release(connection)
 
@@ -247,26 +258,3 @@
         return self._make_ingress_server(
             self.app._handle, request_factory=self.app._make_request, **self._options
         )
-
-
-def end_overdue(door: Door, phase: Phase, before: Seconds, reason: Reason) -> None:
-    """Close the connections that have been in a phase since before a time."""
-    overdue = []
-    for connection in door.list_phase(phase):
-        if connection.phase_since >= before:
-            break
-        overdue.append(connection)
-    for connection in overdue:
-        connection.end(reason)
-
-
-def end_closing(door: Door, before: Seconds) -> None:
-    """End the connections closed before a time whose clients don't take the rest."""
-    closing = []
-    for connection in door.list_phase(Phase.IDLE):
-        if connection.phase_since >= before:
-            break
-        if connection.is_closing:
-            closing.append(connection)
-    for connection in closing:
-        connection.end(Reason.UNREAD)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -18,8 +18,7 @@
     choose_victims,
 )
 from kestreltally.ingress.capacity import compute_capacity
-from kestreltally.ingress.connections import Door, Phase, Reason
-from kestreltally.ingress.server import end_closing
+from kestreltally.ingress.connections import ConnectionLimiter, Phase, Reason
 
 MEGABYTE = 10**6
 LIMIT = 20 * MEGABYTE
@@ -126,54 +125,54 @@
 
 
 def test_a_connection_without_a_request_is_closed_for_a_new_one() -> None:
-    door = Door(limit=3)
+    limiter = ConnectionLimiter(limit=3)
     silent, idle, served = (FakeConnection() for _ in range(3))
     for each in (idle, silent, served):
-        assert door.admit(each, 0.0)
-    door.move(idle, Phase.IDLE, 1.0)
-    door.move(served, Phase.SERVING, 1.0)
-    assert door.admit(FakeConnection(), 2.0)
+        assert limiter.admit(each, 0.0)
+    limiter.move(idle, Phase.IDLE, 1.0)
+    limiter.move(served, Phase.SERVING, 1.0)
+    assert limiter.admit(FakeConnection(), 2.0)
     assert silent.ended is Reason.CONNECTIONS
     # The new one has had no time to send anything.
-    assert door.admit(FakeConnection(), 2.1)
+    assert limiter.admit(FakeConnection(), 2.1)
     assert idle.ended is Reason.CONNECTIONS
     assert served.ended is None
-    assert not door.admit(FakeConnection(), 2.2)
-    assert len(door) == 3
+    assert not limiter.admit(FakeConnection(), 2.2)
+    assert len(limiter) == 3
 
 
 def test_a_connection_that_is_served_is_closed_for_none() -> None:
-    door = Door(limit=1)
+    limiter = ConnectionLimiter(limit=1)
     served = FakeConnection()
-    assert door.admit(served, 0.0)
-    door.move(served, Phase.SERVING, 0.0)
-    assert not door.admit(FakeConnection(), 100.0)
-    door.remove(served)
-    assert door.admit(FakeConnection(), 100.0)
+    assert limiter.admit(served, 0.0)
+    limiter.move(served, Phase.SERVING, 0.0)
+    assert not limiter.admit(FakeConnection(), 100.0)
+    limiter.remove(served)
+    assert limiter.admit(FakeConnection(), 100.0)
 
 
 def test_a_client_that_takes_nothing_of_its_answer_makes_room() -> None:
-    door = Door(limit=2)
+    limiter = ConnectionLimiter(limit=2)
     reading, unread = FakeConnection(), FakeConnection()
     for each in (reading, unread):
-        assert door.admit(each, 0.0)
-        door.move(each, Phase.SERVING, 0.0)
-        door.record_unread(each, 1.0)
-    door.record_taken(reading)
-    assert not door.admit(FakeConnection(), 2.0)
-    assert door.admit(FakeConnection(), 7.0)
+        assert limiter.admit(each, 0.0)
+        limiter.move(each, Phase.SERVING, 0.0)
+        limiter.record_unread(each, 1.0)
+    limiter.record_taken(reading)
+    assert not limiter.admit(FakeConnection(), 2.0)
+    assert limiter.admit(FakeConnection(), 7.0)
     assert unread.ended is Reason.CONNECTIONS
     assert reading.ended is None
 
 
 def test_a_closed_connection_ends_whose_client_does_not_take_the_rest() -> None:
-    door = Door(limit=9)
+    limiter = ConnectionLimiter(limit=9)
     resting, closing, young = (FakeConnection() for _ in range(3))
     for now, each in enumerate((resting, closing, young)):
-        assert door.admit(each, 0.0)
-        door.move(each, Phase.IDLE, float(now))
+        assert limiter.admit(each, 0.0)
+        limiter.move(each, Phase.IDLE, float(now))
     closing.is_closing = young.is_closing = True
-    end_closing(door, before=2.0)
+    limiter.end_closing(before=2.0)
     assert closing.ended is Reason.UNREAD
     assert resting.ended is young.ended is None
 
--- a/tests/test_ingress_protocol.py
+++ b/tests/test_ingress_protocol.py
@@ -262,8 +262,8 @@
         reader, writer = await asyncio.open_connection(HOST, rig.port)
         writer.write(make_post("q1", b"x" * 1_000)[:-1])
         await asyncio.sleep(0.05)
-        door = rig.api.ingress._doors["clients"]
-        (connection,) = door.list_phase(Phase.BODY)
+        limiter = rig.api.ingress._limiters["clients"]
+        (connection,) = limiter.list_phase(Phase.BODY)
         connection.end(Reason.MEMORY)
         async with asyncio.timeout(5.0):
             reply = await read_reply(reader)
@@ -278,8 +278,8 @@
 async def test_silent_connections_make_room_for_clients() -> None:
     engine = ScriptedEndpoint("e1", answer_at_once)
     async with run_entry([engine], make_route()) as rig:
-        door = rig.api.ingress._doors["clients"]
-        door.limit = 10
+        limiter = rig.api.ingress._limiters["clients"]
+        limiter.limit = 10
         writers = []
         for _ in range(10):
             _, writer = await asyncio.open_connection(HOST, rig.port)
@@ -287,7 +287,7 @@
         await asyncio.sleep(0.3)
         answers = await exchange(rig, make_post("q1", b"one"), 1_000, 1)
         assert answers == [b"200 one"]
-        assert door.ended == 1
+        assert limiter.ended == 1
         for writer in writers:
             writer.close()
 
