Ingress: the operators' limit of heads is for callers, not for daemons

Since a request whose head nearly fills HeaderBytes would have got 431 from the daemon that it is passed on to, for the fields that the sender adds. Found by reading. Daemons take 128 KiB from each other; a field is bounded as before.

--- a/src/kestreltally/entry/api.py
+++ b/src/kestreltally/entry/api.py
@@ -46,7 +46,12 @@
 from kestreltally.fleet_metrics import RequestEnd
 from kestreltally.ingress.capacity import compute_capacity
 from kestreltally.ingress.protocol import has_room
-from kestreltally.ingress.server import MAX_HEAD_BYTES, Ingress
+from kestreltally.ingress.server import (
+    MAX_HEAD_BYTES,
+    PEER_HEAD_BYTES,
+    Ingress,
+    Serve,
+)
 from kestreltally.platform.headers import decode_request, read_request_id
 
 LOG = logging.getLogger("kestreltally.entry")
@@ -55,6 +60,10 @@
 # connection idle for four fifths of the configured time. That time is not known when
 # the server starts, and closing a connection later than necessary is harmless.
 KEEP_ALIVE_TIMEOUT: Final = 75.0
+SERVER_OPTIONS: Final = {
+    "handler_cancellation": True,
+    "keepalive_timeout": KEEP_ALIVE_TIMEOUT,
+}
 SPLIT_RANGE: Final = 2**32
 
 
@@ -113,33 +122,35 @@
         await self.ingress.listen(
             "readiness", self._answer_readiness, readiness, capacity.service
         )
-        intake = ClientIntake(self._gate)
-        await self._listen("clients", intake, clients, capacity.clients)
+        await self.ingress.listen(
+            "clients",
+            self._make_handler(ClientIntake(self._gate)),
+            clients,
+            capacity.clients,
+            MAX_HEAD_BYTES,
+            for_callers=True,
+            **SERVER_OPTIONS,
+        )
 
     async def start_forwarding(self, intake: Intake, at: SocketAddress) -> int:
         """Listen for requests of other daemons; return the port.
 
         Raises ``OSError``.
         """
-        return await self._listen("peers", intake, at, self.ingress.capacity.peers)
-
-    async def _listen(
-        self, name: str, intake: Intake, at: SocketAddress, connections: int
-    ) -> int:
-        """Serve requests at an address; return the port; raises ``OSError``."""
+        return await self.ingress.listen(
+            "peers",
+            self._make_handler(intake),
+            at,
+            self.ingress.capacity.peers,
+            PEER_HEAD_BYTES,
+            **SERVER_OPTIONS,
+        )
 
+    def _make_handler(self, intake: Intake) -> Serve:
         async def serve(client: web.BaseRequest) -> web.StreamResponse:
             return await self._serve(client, intake)
 
-        return await self.ingress.listen(
-            name,
-            serve,
-            at,
-            connections,
-            MAX_HEAD_BYTES,
-            handler_cancellation=True,
-            keepalive_timeout=KEEP_ALIVE_TIMEOUT,
-        )
+        return serve
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
--- a/src/kestreltally/ingress/server.py
+++ b/src/kestreltally/ingress/server.py
@@ -21,6 +21,8 @@
 
 # Limit of request heads in bytes, used before any configuration is known.
 MAX_HEAD_BYTES: Final = 65_536
+# A head that another daemon passes on, with what it adds.
+PEER_HEAD_BYTES: Final = 2 * MAX_HEAD_BYTES
 # Heads of checks and of operators.
 SERVICE_HEAD_BYTES: Final = 8_192
 # Time after which connections without any request are closed, before a configuration
@@ -171,6 +173,8 @@
         limiter: ConnectionLimiter,
         max_head_bytes: int,
         serve: Serve,
+        *,
+        for_callers: bool = False,
         **options: Any,
     ) -> None:
         super().__init__(
@@ -184,6 +188,7 @@
         self._ingress = ingress
         self._limiter = limiter
         self._max_head_bytes = max_head_bytes
+        self._for_callers = for_callers
         self.budget = ingress.budget
 
     def __call__(self) -> IngressProtocol:
@@ -191,10 +196,14 @@
         return IngressProtocol(self, self._loop, **self._kwargs)
 
     def get_head_limit(self) -> int:
-        """Return how many bytes a head may have."""
+        """Return how many bytes a head may have.
+
+        The operators' limit is for callers: daemons add fields to what they pass on.
+        """
         limits = self._ingress.get_limits()
-        configured = limits.header_bytes if limits else self._max_head_bytes
-        return min(configured, self._max_head_bytes)
+        if limits is None or not self._for_callers:
+            return self._max_head_bytes
+        return min(limits.header_bytes, self._max_head_bytes)
 
     def get_body_limit(self) -> int:
         """Return how many bytes a body may have."""
--- a/tests/test_ingress_protocol.py
+++ b/tests/test_ingress_protocol.py
@@ -10,8 +10,10 @@
 from contextlib import suppress
 
 import pytest
+from aiohttp import web
 
 from kestreltally.deployment import SocketAddress
+from kestreltally.fleet.model import ClientLimits
 from kestreltally.ingress.capacity import IngressCapacity
 from kestreltally.ingress.connections import Phase, Reason
 from kestreltally.ingress.server import Ingress
@@ -182,6 +184,32 @@
     assert answers == [b"200 xxxxxxxxxx"]
 
 
+# Guards against requests of the largest head that are refused once another daemon has
+# passed them on, for what it adds.
+@pytest.mark.parametrize(("for_callers", "status"), [(True, b"431"), (False, b"200")])
+async def test_a_head_with_what_a_daemon_adds_is_taken_from_daemons(
+    for_callers: bool, status: bytes
+) -> None:
+    limits = ClientLimits(1_000, 1_000, 3.0, 15.0)
+    capacity = IngressCapacity(10, 10, 10, 10**6)
+    ingress = Ingress(capacity, lambda: 0.0, lambda: limits)
+    at = SocketAddress(HOST, reserve_port())
+
+    async def serve(_: web.BaseRequest) -> web.Response:
+        return web.Response()
+
+    await ingress.listen("port", serve, at, 10, 8_192, for_callers=for_callers)
+    try:
+        reader, writer = await asyncio.open_connection(HOST, at.port)
+        writer.write(make_head("q1", "X-Kestreltally-Context: " + "a" * 1_000))
+        async with asyncio.timeout(5.0):
+            head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+    finally:
+        await ingress.close()
+    assert head.split()[1] == status
+
+
 # Guards against answers that pile up for a client that asks and takes none of them.
 async def test_no_more_requests_are_taken_while_answers_stay_unread() -> None:
     async def answer_much(seen: SeenRequest, writer: asyncio.StreamWriter) -> None:
