--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the scripts in review/4 to review/8."""
