--- a/review/rig/engine.py
+++ b/review/rig/engine.py
@@ -34,7 +34,7 @@
         self.adapters = {}
         self.sequence = 0
         self.state = "ready"
-        self.is_llm = service == "llm"
+        self.is_llm = service.startswith("llm")
         self.runs = []
         self.arrivals = []
         self.orders = []
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -231,14 +231,15 @@
 
 def run_case(main, folder, daemons=3, bounds=None):
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if unable."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = os.environ.get("TROUBLE", "1")
+    trouble = False if trouble == "0" else trouble
     folder = Path(folder)
     with tempfile.TemporaryDirectory() as directory:
         with (folder / "record.txt").open("w", encoding="utf-8") as record:
 
             async def run():
                 system = System(Path(directory), record, daemons, bounds)
-                system.note(f"TROUBLE={int(trouble)}")
+                system.note(f"TROUBLE={trouble or 0}")
                 try:
                     async with asyncio.timeout(115):
                         return await main(system, trouble)
