--- a/review/rig/store.py
+++ b/review/rig/store.py
@@ -18,6 +18,8 @@
         self.changed = asyncio.Condition()
         # Hooks of a case: called with (method, kind, name, body); may delay or refuse.
         self.before = None
+        # While it is down, all calls get 503: nothing was done.
+        self.is_down = False
         self.era = None
         self.calls = 0
 
@@ -59,6 +61,8 @@
 
     async def _handle(self, http):
         self.calls += 1
+        if self.is_down:
+            return self._answer({"Error": "down"}, 503)
         kind, _, name = http.match_info["path"].partition("/")
         name = name.removesuffix("/status")
         body = await http.json() if http.method in ("POST", "PUT") else None
@@ -100,6 +104,8 @@
                     await self.changed.wait_for(found)
             except TimeoutError:
                 pass
+        if self.is_down:
+            return self._answer({"Error": "down"}, 503)
         events = [{"Object": e[2], "Tombstone": e[3]} for e in found()]
         return self._answer({"events": events, "CurrentRev": self.revision})
 
