--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,120 +1,91 @@
-"""Answers that an engine's crash cut short while their daemon was frozen."""
+"""Streams that clients take up after the weights of their route's split changed."""
 
 import asyncio
-import os
 import signal
-import subprocess
-import sys
 from pathlib import Path
 
-from rig.system import HOST, REPOSITORY, Unable, make_configuration, make_route, run_case
-from rig.wire import read_head
+from rig.engine import Engine
+from rig.streams import ROUTE, Stream, follow, make_answer
+from rig.system import Unable, make_configuration, make_route, run_case
 
-WORK_MS = 600
-TIMEOUT_MS = 5_000
-REQUESTS = 8
-SIZE = 800
-# After the requests were sent, in seconds.
-FREEZE_AT, CRASH_AT, BACK_AT, THAW_AT = 0.3, 0.4, 2.4, 3.3
+EVENTS = 40
+STREAMS = 30
+# Weights of the two services before and after the change.
+BEFORE, AFTER = (90, 10), (10, 90)
+SERVICES = ("llm", "llm-b")
+SOFTWARE = {"llm": ("v1", "v2"), "llm-b": ("b1", "b1")}
+# After the streams began, in seconds; ConfigurationMs is 2,000.
+CHANGE_AT, KILL_AT, RESTART_AT = 1.0, 4.0, 4.6
 
 
-class EngineProcess:
-    """The engine, over its boots."""
-
-    def __init__(self, system):
-        self.system = system
-        self.log = system.directory / "engine.runs"
-        self.host = f"{system.prefix}.2.1"
-
-    def start(self):
-        """Start a boot."""
-        store = f"{self.system.store_host}:{self.system.ports['store']}"
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "rig.plain_process", store, self.host,
-             str(self.system.ports["engine"]), str(self.log)],
-            cwd=REPOSITORY, env=dict(os.environ),
-        )
-
-    def kill(self):
-        """Crash."""
-        self.process.kill()
-        self.process.wait()
-
-
-async def ask(system, daemon, rid):
-    """Post once; return whether the answer looks whole, and its body."""
-    reader, writer = await asyncio.open_connection(*daemon.front)
-    try:
-        writer.write(
-            f"POST /accrual/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {rid}\r\n"
-            f"X-Work-Ms: {WORK_MS}\r\nX-Deadline-Milliseconds: {TIMEOUT_MS}\r\n"
-            "Content-Length: 2\r\n\r\nhi".encode()
-        )
-        system.note("sent", rid, "to", daemon.name)
-        try:
-            async with asyncio.timeout(TIMEOUT_MS / 1000):
-                head = await read_head(reader)
-                if head is None:
-                    system.note("answered", rid, "closed")
-                    return None
-                length = head.get("Content-Length")
-                if length:
-                    body = await reader.readexactly(int(length))
-                else:
-                    body = await reader.read(-1)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            system.note("answered", rid, "broken off:", repr(error))
-            return None
-        status = int(head.start.split(" ")[1])
-        stamp = head.get("X-Server-Stamp")
-        system.note("answered", rid, f"{status}, {len(body)} bytes, ended in order,",
-                    f"length {length or 'not told'}, stamp {stamp or 'none'}")
-        return status, body
-    finally:
-        writer.close()
+def configure(version, weights):
+    """Return a configuration whose streaming route is split by weights."""
+    split = [{"Service": s, "Weight": w} for s, w in zip(SERVICES, weights)]
+    route = make_route("/chat/", SERVICES[0], "streaming", **ROUTE, Split=split)
+    configuration = make_configuration(version, [route])
+    llm = next(s for s in configuration["Services"] if s["Name"] == "llm")
+    configuration["Services"].append({**llm, "Name": "llm-b"})
+    return configuration
 
 
 async def main(system, trouble):
     """Return the exit status of the case."""
-    engine = EngineProcess(system)
-    route = make_route("/accrual/", "ledger", "unsafe", TimeoutMs=TIMEOUT_MS, Attempts=1)
-    try:
-        await system.start(make_configuration(1, [route]))
-        engine.start()
-        await asyncio.sleep(5)
-        daemon = system.daemons[0]
-        asked = [asyncio.create_task(ask(system, daemon, f"a{n}")) for n in range(REQUESTS)]
-        began = system.now()
-
-        async def wait_until(at):
-            await asyncio.sleep(began + at - system.now())
-
-        await wait_until(FREEZE_AT)
-        if trouble:
-            daemon.signal(signal.SIGSTOP)
-            system.note("froze", daemon.name)
-            await wait_until(CRASH_AT)
-            engine.kill()
-            system.note("the engine crashed")
-            await wait_until(BACK_AT)
-            engine.start()
-            system.note("the engine starts again")
-            await wait_until(THAW_AT)
-            daemon.signal(signal.SIGCONT)
-            system.note("thawed", daemon.name)
-        answers = await asyncio.gather(*asked)
-    finally:
-        engine.kill()
-    for line in engine.log.read_text(encoding="utf-8").splitlines():
-        system.note(line)
-    found = [each for each in answers if each is not None and each[0] == 200]
-    short = [body for _, body in found if len(body) != SIZE]
-    system.note(f"{len(found)} answers with 200, {len(short)} of them lack a part "
-                "of the engine's body")
-    if not trouble and len(found) < REQUESTS:
-        raise Unable("not all were answered")
-    return int(bool(short))
+    answer = make_answer(EVENTS)
+    # Two software versions of the first service serve side by side, two engines of each.
+    system.engines = [
+        Engine(system, 4 * m + n, service, answer, software=SOFTWARE[service][n % 2])
+        for m, service in enumerate(SERVICES) for n in range(4)
+    ]
+    for engine in system.engines:
+        engine.adapters["a1"] = 1
+    await system.start(configure(1, BEFORE))
+    await asyncio.sleep(5)
+    killed, *others = system.daemons
+    streams = [Stream(system, f"s{n}") for n in range(STREAMS)]
+    began = system.now()
+    following = [
+        asyncio.create_task(follow(s, [killed, others[n % len(others)],
+                                       others[(n + 1) % len(others)]]))
+        for n, s in enumerate(streams)
+    ]
+
+    async def wait_until(at):
+        await asyncio.sleep(began + at - system.now())
+
+    await wait_until(CHANGE_AT)
+    if trouble and trouble != "kill":
+        await system.store.put("config", "main", configure(5, AFTER))
+        system.note("configuration 5 acknowledged: weights", AFTER)
+    await wait_until(KILL_AT)
+    if trouble:
+        killed.process.send_signal(signal.SIGKILL)
+        killed.process.wait()
+        system.note("killed", killed.name)
+    fresh = []
+    while system.now() < began + RESTART_AT + 3:
+        if trouble and system.now() > began + RESTART_AT and killed.process.poll() is not None:
+            killed.start()
+        stream = Stream(system, f"new{len(fresh)}")
+        fresh.append(asyncio.create_task(
+            follow(stream, [others[len(fresh) % len(others)]], tries=1)))
+        await asyncio.sleep(0.15)
+    ends = await asyncio.gather(*following)
+    fresh_ends = await asyncio.gather(*fresh)
+    for engine in system.engines:
+        system.note("run at", engine.service, engine.id, engine.software,
+                    [r for _, r in engine.runs])
+    taken_up = [(s, e) for s, e in zip(streams, ends) if len(e) > 1]
+    went_on = [s for s, e in taken_up if e[-1] == "whole"]
+    begun = [e for e in fresh_ends if e[0] == "whole"]
+    system.note(f"{len(taken_up)} streams taken up, {len(went_on)} go on; "
+                f"{len(fresh_ends)} new streams, {len(begun)} begin")
+    if not trouble:
+        return int(bool(taken_up) or len(begun) < len(fresh_ends))
+    if len(taken_up) < 12 or not fresh_ends:
+        raise Unable("too few streams")
+    share, new = len(went_on) / len(taken_up), len(begun) / len(fresh_ends)
+    return int(share < new / 2)
 
 
 if __name__ == "__main__":
-    run_case(main, Path(__file__).parent)
+    run_case(main, Path(__file__).parent, daemons=4)
