--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,10 +19,10 @@
 # one of all other clients.
 DEADLY, FIRST, OTHER = "dd01", "f901", "aa01"
 # Requests a second: sound ones with the first part, deadly ones, and other clients'.
-SOUND_RATE, DEADLY_RATE, OTHER_RATE = 24, 3, 6
+SOUND_RATE, DEADLY_RATE, OTHER_RATE = 24, 2, 6
 CALM_S, BATCH_S = 5, 24
 # The deadly requests begin so long after the sound ones of the second batch.
-LAG_S = 0.1
+LAG_S = 0.05
 
 
 class Engines:
